Serve a catalogued model through keeper, agent and entry as processes

Cause: the repository was empty; nothing could be served. Change: kernel (settings, logs, metrics, wire, channel, HTTP), catalogue, a log on one disk, keeper, agent, entry, stand-ins, cowslipctl put/status. Ruled out: gRPC-style Cap'n Proto RPC, because the kj loop would stand beside anyio; records over our own frames need only the encoder.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3.11
+BIN := .venv/bin
+
+.PHONY: install test lint format demo serve clean
+
+install: .venv/installed
+
+.venv/installed: pyproject.toml requirements.lock
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch .venv/installed
+
+test: install
+	$(BIN)/nose2 --start-dir tests
+
+lint: install
+	$(BIN)/ruff format --check src tests spec benchmarks
+	$(BIN)/ruff check src tests spec benchmarks
+
+format: install
+	$(BIN)/ruff format src tests spec benchmarks
+	$(BIN)/ruff check --fix src tests spec benchmarks
+
+demo: install
+	$(BIN)/cowslip-solo --demo
+
+serve: install
+	$(BIN)/cowslip-solo
+
+clean:
+	rm -rf .venv build src/*.egg-info
--- /dev/null
+++ b/src/cowslipwood/agent/_calls.py
@@ -0,0 +1,130 @@
+"""The agent's HTTP interface: calls from entries to the backend server.
+
+Each call is admitted here or refused as not run, and its answer is passed on
+as it comes.
+"""
+
+from typing import Any
+
+import httpcore
+import orjson
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..kernel.codes import Code, Failure, failure
+from ..kernel.http import Request, read_request, send_failure
+from ..kernel.metrics import Metrics
+from ..kernel.tokens import token_matches
+from ._ledger import ModelKey
+from ._reconcile import Reconciler
+
+__all__ = ["Calls"]
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+RETRY_AFTER_MS = 500
+_HOP_HEADERS = ("connection", "transfer-encoding", "keep-alive", "host")
+
+
+class Calls:
+    """Serves calls from entries, an ASGI application.
+
+    Parameters
+    ----------
+    backend_url : str
+        ``http://ip:port`` of the backend server.
+    server_id : str
+    cluster_token : str
+    reconciler : Reconciler or None
+        None beside a plain service.
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        backend_url: str,
+        server_id: str,
+        cluster_token: str,
+        reconciler: Reconciler | None,
+        metrics: Metrics,
+    ):
+        self._backend_url = backend_url
+        self._server_id = server_id
+        self._cluster_token = cluster_token
+        self._reconciler = reconciler
+        self._metrics = metrics
+        self._pool = httpcore.AsyncConnectionPool(max_connections=1024)
+        self.n_in_flight = 0
+        self.leaving = False
+
+    async def __call__(self, scope: dict, receive: Any, send: Any) -> None:
+        """Serve one call."""
+        read = await read_request(scope, receive, MAX_BODY_BYTES)
+        if isinstance(read, Err):
+            await send_failure(send, read.failure())
+            return
+        request = read.unwrap()
+        admitted = self._admit(request)
+        if isinstance(admitted, Err):
+            fault = admitted.failure()
+            self._metrics.count("refusals_total", reason=fault.code.name)
+            await send_failure(send, fault)
+            return
+        self.n_in_flight += 1
+        try:
+            await self._forward(admitted.unwrap(), send)
+        finally:
+            self.n_in_flight -= 1
+
+    def _admit(self, request: Request) -> Result[Request, Failure]:
+        given = request.headers.get("authorization", "").removeprefix("Bearer ")
+        if not token_matches(self._cluster_token, given):
+            return Err(failure(Code.BAD_TOKEN))
+        if self.leaving:
+            return Err(failure(Code.AGENT_LEAVING, "", RETRY_AFTER_MS))
+        if request.headers.get("x-cowslip-server", "") != self._server_id:
+            return Err(failure(Code.WRONG_SERVER, "", RETRY_AFTER_MS))
+        if self._reconciler is None:
+            return Success(request)
+        body = orjson.loads(request.body)
+        key = ModelKey(body["model"], body["version"])
+        if not self._reconciler.is_ready(key):
+            return Err(failure(Code.MODEL_NOT_READY, "", RETRY_AFTER_MS))
+        return Success(request)
+
+    async def _forward(self, request: Request, send: Any) -> None:
+        headers = [
+            (name, value)
+            for name, value in request.headers.items()
+            if name not in _HOP_HEADERS and name != "authorization"
+        ]
+        started = False
+        try:
+            async with self._pool.stream(
+                request.method,
+                self._backend_url + request.target,
+                headers=[("host", "backend"), *headers],
+                content=request.body,
+            ) as response:
+                pairs = [
+                    (name.lower(), value)
+                    for name, value in response.headers
+                    if name.lower().decode() not in _HOP_HEADERS
+                ]
+                await send(
+                    {
+                        "type": "http.response.start",
+                        "status": response.status,
+                        "headers": pairs,
+                    }
+                )
+                started = True
+                async for chunk in response.aiter_stream():
+                    event = {"type": "http.response.body", "body": chunk}
+                    await send({**event, "more_body": True})
+                await send({"type": "http.response.body", "body": b""})
+        except httpcore.ConnectError:
+            await send_failure(send, failure(Code.BACKEND_UNREACHABLE))
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            if started:
+                raise
+            await send_failure(send, failure(Code.OUTCOME_UNKNOWN))
--- /dev/null
+++ b/src/cowslipwood/catalogue/__init__.py
@@ -0,0 +1,41 @@
+"""Catalogue entries, their validation, and the edits on them."""
+
+from ._catalogue import (
+    Catalogue,
+    Edit,
+    EditOp,
+    EditResult,
+    HistoryItem,
+    apply_edit,
+    catalogue_from_json,
+    catalogue_to_json,
+    empty_catalogue,
+)
+from ._entry import (
+    Entry,
+    EntryKind,
+    Limits,
+    ServiceClass,
+    entry_from_json,
+    entry_to_json,
+    parse_entry,
+)
+
+__all__ = [
+    "Catalogue",
+    "Edit",
+    "EditOp",
+    "EditResult",
+    "Entry",
+    "EntryKind",
+    "HistoryItem",
+    "Limits",
+    "ServiceClass",
+    "apply_edit",
+    "catalogue_from_json",
+    "catalogue_to_json",
+    "empty_catalogue",
+    "entry_from_json",
+    "entry_to_json",
+    "parse_entry",
+]
--- /dev/null
+++ b/src/cowslipwood/catalogue/_entry.py
@@ -0,0 +1,237 @@
+"""One catalogue entry and the checks on its fields."""
+
+import enum
+import re
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import orjson
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..kernel.codes import Code, Failure, failure
+
+__all__ = [
+    "Entry",
+    "EntryKind",
+    "Limits",
+    "ServiceClass",
+    "entry_from_json",
+    "entry_to_json",
+    "parse_entry",
+]
+
+MAX_NAME_CHARS = 128
+MAX_MEMORY_BYTES = 2**50
+MAX_LIMIT_MS = 24 * 3_600_000
+MAX_COUNT = 1_000_000
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]*\Z")
+
+
+class EntryKind(enum.StrEnum):
+    """What an entry names."""
+
+    MODEL = "model"
+    ADAPTER = "adapter"
+    SERVICE = "service"
+
+
+class ServiceClass(enum.StrEnum):
+    """How urgent an entry's requests are; urgent goes before batch."""
+
+    URGENT = "urgent"
+    STANDARD = "standard"
+    BATCH = "batch"
+
+
+class Limits(NamedTuple):
+    """Limits of an entry; 0 means none.
+
+    Parameters
+    ----------
+    first_token_ms : int
+        Time to the first token, or to the whole answer of a service.
+    between_tokens_ms : int
+        Time between one token and the next.
+    answer_ms : int
+        Time to the end of the answer.
+    max_in_flight : int
+        Requests being served at once, over all entry hosts.
+    rate_per_s : float
+        Requests accepted per second, over all entry hosts.
+    """
+
+    first_token_ms: int = 0
+    between_tokens_ms: int = 0
+    answer_ms: int = 0
+    max_in_flight: int = 0
+    rate_per_s: float = 0.0
+
+
+class Entry(NamedTuple):
+    """One catalogue entry.
+
+    Parameters
+    ----------
+    name : str
+    kind : EntryKind
+    base : str
+        The base model of an adapter; empty otherwise.
+    owner : str
+    service_class : ServiceClass
+        Field ``class`` in JSON.
+    version : str
+    memory_bytes : int
+        Accelerator memory that the model or adapter takes; 0 for a service.
+    limits : Limits
+    repeatable : bool
+        Whether a call may safely run twice.
+    revision : int
+        Catalogue revision at which the entry last changed; set on acceptance.
+    """
+
+    name: str
+    kind: EntryKind
+    base: str
+    owner: str
+    service_class: ServiceClass
+    version: str
+    memory_bytes: int
+    limits: Limits
+    repeatable: bool
+    revision: int = 0
+
+
+_REQUIRED = ("name", "kind", "owner", "version")
+_KNOWN = (
+    *_REQUIRED,
+    "base",
+    "class",
+    "memory_bytes",
+    "limits",
+    "repeatable",
+    "revision",
+)
+
+
+def parse_entry(value: Any) -> Result[Entry, Failure]:
+    """Check a JSON value and return the entry.
+
+    Fails with BAD_VALUE, MISSING_FIELD or UNKNOWN_FIELD, naming the field.
+    """
+    if not isinstance(value, Mapping):
+        return Err(failure(Code.BAD_VALUE, "expected a JSON object"))
+    for field in value:
+        if field not in _KNOWN:
+            known = ", ".join(_KNOWN)
+            return Err(failure(Code.UNKNOWN_FIELD, f"{field!r}; known: {known}"))
+    for field in _REQUIRED:
+        if field not in value:
+            return Err(failure(Code.MISSING_FIELD, f"{field!r} is missing"))
+    try:
+        return Success(_build(value))
+    except _BadValueError as exc:
+        return Err(failure(Code.BAD_VALUE, str(exc)))
+
+
+class _BadValueError(ValueError):
+    """A field's value is not allowed."""
+
+    def __init__(self, field: str, expected: str, got: Any):
+        super().__init__(f"{field}: expected {expected}, got {str(got)[:80]!r}")
+
+
+def _build(value: Mapping[str, Any]) -> Entry:
+    kind = _word(value, "kind", EntryKind, None)
+    base = _text(value, "base", "") if value.get("base") else ""
+    if (kind is EntryKind.ADAPTER) != bool(base):
+        raise _BadValueError("base", "a name exactly when kind is adapter", base)
+    memory_bytes = _whole(value, "memory_bytes", MAX_MEMORY_BYTES)
+    if (kind is EntryKind.SERVICE) == bool(memory_bytes):
+        expected = "0 for a service, otherwise more than 0"
+        raise _BadValueError("memory_bytes", expected, memory_bytes)
+    repeatable = value.get("repeatable", True)
+    if not isinstance(repeatable, bool):
+        raise _BadValueError("repeatable", "true or false", repeatable)
+    return Entry(
+        name=_text(value, "name", None),
+        kind=kind,
+        base=base,
+        owner=_text(value, "owner", None),
+        service_class=_word(value, "class", ServiceClass, ServiceClass.STANDARD),
+        version=_text(value, "version", None),
+        memory_bytes=memory_bytes,
+        limits=_limits(value.get("limits", {})),
+        repeatable=repeatable,
+        revision=_whole(value, "revision", 2**63 - 1),
+    )
+
+
+def _text(value: Mapping[str, Any], field: str, default: str | None) -> str:
+    text = value.get(field, default)
+    if not isinstance(text, str) or not _NAME.match(text):
+        raise _BadValueError(field, "letters, digits and . _ : -", text)
+    if len(text) > MAX_NAME_CHARS:
+        raise _BadValueError(field, f"at most {MAX_NAME_CHARS} characters", text)
+    return text
+
+
+def _word(value: Mapping[str, Any], field: str, words: type, default: Any) -> Any:
+    try:
+        return words(value.get(field, default))
+    except ValueError:
+        raise _BadValueError(
+            field, "one of " + ", ".join(words), value.get(field)
+        ) from None
+
+
+def _whole(value: Mapping[str, Any], field: str, high: int) -> int:
+    number = value.get(field, 0)
+    if isinstance(number, bool) or not isinstance(number, int):
+        raise _BadValueError(field, "a whole number", number)
+    if not 0 <= number <= high:
+        raise _BadValueError(field, f"0 to {high}", number)
+    return number
+
+
+def _limits(value: Any) -> Limits:
+    if not isinstance(value, Mapping):
+        raise _BadValueError("limits", "a JSON object", value)
+    for field in value:
+        if field not in Limits._fields:
+            known = ", ".join(Limits._fields)
+            raise _BadValueError(f"limits.{field}", f"one of {known}", field)
+    rate = value.get("rate_per_s", 0)
+    if isinstance(rate, bool) or not isinstance(rate, int | float):
+        raise _BadValueError("limits.rate_per_s", "a number", rate)
+    if not 0 <= rate <= MAX_COUNT:
+        raise _BadValueError("limits.rate_per_s", f"0 to {MAX_COUNT}", rate)
+    return Limits(
+        first_token_ms=_whole(value, "first_token_ms", MAX_LIMIT_MS),
+        between_tokens_ms=_whole(value, "between_tokens_ms", MAX_LIMIT_MS),
+        answer_ms=_whole(value, "answer_ms", MAX_LIMIT_MS),
+        max_in_flight=_whole(value, "max_in_flight", MAX_COUNT),
+        rate_per_s=float(rate),
+    )
+
+
+def entry_to_json(entry: Entry) -> dict[str, Any]:
+    """Return the JSON value of an entry; `parse_entry` reads it back."""
+    value = entry._asdict()
+    value["class"] = value.pop("service_class")
+    value["limits"] = entry.limits._asdict()
+    return value
+
+
+def entry_from_json(data: bytes) -> Entry:
+    """Return an entry that the keepers have accepted.
+
+    Raises
+    ------
+    ValueError
+        When the bytes are not an accepted entry.
+    """
+    parsed = parse_entry(orjson.loads(data))
+    if isinstance(parsed, Err):
+        raise ValueError(parsed.failure().message)
+    return parsed.unwrap()
--- /dev/null
+++ b/src/cowslipwood/keeper/_commands.py
@@ -0,0 +1,64 @@
+"""The commands in the replicated log."""
+
+from typing import Any, NamedTuple
+
+from returns.result import Result
+
+from ..kernel.codes import Failure
+from ..kernel.messages import DesiredModel
+from ..kernel.wire import (
+    Envelope,
+    decode_message,
+    decode_record,
+    encode_record,
+    message,
+)
+
+__all__ = [
+    "AssignCommand",
+    "DrainCommand",
+    "EditCommand",
+    "decode_command",
+    "encode_command",
+]
+
+
+@message("commands")
+class EditCommand(NamedTuple):
+    """An operator's edit of the catalogue."""
+
+    edit_id: str
+    op: str
+    name: str
+    entry: bytes
+    expect_revision: int
+    operator: str
+    wall_ms: int
+    max_memory_bytes: int
+
+
+@message("commands")
+class AssignCommand(NamedTuple):
+    """What one backend server is to hold from now on."""
+
+    server_id: str
+    desired: tuple[DesiredModel, ...]
+
+
+@message("commands")
+class DrainCommand(NamedTuple):
+    """An operator drains a backend server, or takes the drain back."""
+
+    server_id: str
+    drained: bool
+
+
+def encode_command(command: Any) -> bytes:
+    """Return the log entry of a command."""
+    kind = type(command).__name__
+    return encode_record(Envelope(0, 0, kind, encode_record(command)))
+
+
+def decode_command(data: bytes) -> Result[Any, Failure]:
+    """Decode a log entry; fails with BAD_MESSAGE."""
+    return decode_record(Envelope, data).bind(decode_message)
--- /dev/null
+++ b/src/cowslipwood/keeper/_operators.py
@@ -0,0 +1,155 @@
+"""Answers operators' edits and questions."""
+
+from typing import Any
+
+import orjson
+from returns.result import Failure as Err
+
+from ..catalogue import EditResult, Entry, entry_to_json, parse_entry
+from ..kernel.channel import as_refused
+from ..kernel.clock import monotonic_ms, wall_ms
+from ..kernel.codes import Code, failure
+from ..kernel.messages import OperatorReply, OperatorRequest
+from ..kernel.tokens import token_matches
+from ..replication import Replica
+from ._commands import DrainCommand, EditCommand, encode_command
+from ._directory import Directory
+from ._machine import KeeperMachine
+
+__all__ = ["Operators"]
+
+EDIT_OPS = ("put", "delete", "drain", "undrain")
+
+
+class Operators:
+    """Serves `OperatorRequest` messages on the leader.
+
+    Parameters
+    ----------
+    machine : KeeperMachine
+    replica : Replica
+    directory : Directory
+    operator_token : str
+    """
+
+    def __init__(
+        self,
+        machine: KeeperMachine,
+        replica: Replica,
+        directory: Directory,
+        operator_token: str,
+    ):
+        self._machine = machine
+        self._replica = replica
+        self._directory = directory
+        self._operator_token = operator_token
+
+    async def answer(self, request: OperatorRequest, operator: str) -> Any:
+        """Return the reply to one request."""
+        if request.op in EDIT_OPS and not token_matches(
+            self._operator_token, request.operator_token
+        ):
+            return as_refused(failure(Code.BAD_TOKEN))
+        match request.op:
+            case "put":
+                return await self._put(request, operator)
+            case "delete":
+                return await self._edit(request, operator, b"")
+            case "drain" | "undrain":
+                return await self._drain(request)
+            case "get":
+                return self._get(request.name)
+            case "list":
+                entries = self._machine.catalogue.entries.values()
+                return self._reply([entry_to_json(entry) for entry in entries])
+            case "history":
+                history = self._machine.catalogue.history
+                return self._reply([item._asdict() for item in history])
+            case "status":
+                return self._reply(self._status())
+            case _:
+                return as_refused(failure(Code.UNKNOWN_OPERATION, request.op[:40]))
+
+    async def _put(self, request: OperatorRequest, operator: str) -> Any:
+        try:
+            value = orjson.loads(request.body)
+        except orjson.JSONDecodeError as exc:
+            return as_refused(failure(Code.BAD_JSON, str(exc)))
+        parsed = parse_entry(value)
+        if isinstance(parsed, Err):
+            return as_refused(parsed.failure())
+        entry: Entry = parsed.unwrap()
+        body = orjson.dumps(entry_to_json(entry))
+        return await self._edit(request._replace(name=entry.name), operator, body)
+
+    async def _edit(self, request: OperatorRequest, operator: str, entry: bytes) -> Any:
+        command = EditCommand(
+            edit_id=request.edit_id,
+            op=request.op,
+            name=request.name,
+            entry=entry,
+            expect_revision=request.expect_revision,
+            operator=operator,
+            wall_ms=wall_ms(),
+            max_memory_bytes=self._directory.max_capacity_bytes(monotonic_ms()),
+        )
+        return await self._propose(command)
+
+    async def _drain(self, request: OperatorRequest) -> Any:
+        return await self._propose(DrainCommand(request.name, request.op == "drain"))
+
+    async def _propose(self, command: Any) -> Any:
+        proposed = await self._replica.propose(encode_command(command))
+        if isinstance(proposed, Err):
+            return as_refused(proposed.failure(), self._replica.leader_addr)
+        applied = proposed.unwrap()
+        if isinstance(applied, Err):
+            return as_refused(applied.failure())
+        match applied.unwrap():
+            case EditResult(revision, _):
+                return self._reply({"revision": revision})
+            case _:
+                return self._reply({"revision": self._machine.catalogue.revision})
+
+    def _get(self, name: str) -> Any:
+        entry = self._machine.catalogue.entries.get(name)
+        if entry is None:
+            return as_refused(failure(Code.NO_SUCH_ENTRY, f"no entry named {name}"))
+        return self._reply(entry_to_json(entry))
+
+    def _status(self) -> dict[str, Any]:
+        now_ms = monotonic_ms()
+        return {
+            "revision": self._machine.catalogue.revision,
+            "term": self._replica.term,
+            "leader": self._replica.leader_addr,
+            "servers": [
+                {
+                    "server_id": report.server_id,
+                    "zone": report.zone,
+                    "kind": report.kind,
+                    "leaving": report.leaving,
+                    "revision": report.catalogue_revision,
+                    "capacity_bytes": report.capacity_bytes,
+                    "committed_bytes": report.committed_bytes,
+                    "models": [
+                        {"name": held.model, "state": held.state}
+                        for held in report.residents
+                    ],
+                    "n_in_flight": report.n_in_flight,
+                }
+                for report in self._directory.live_agents(now_ms)
+            ],
+            "entries": [
+                {
+                    "entry_id": report.entry_id,
+                    "zone": report.zone,
+                    "leaving": report.leaving,
+                    "revision": report.catalogue_revision,
+                }
+                for report in self._directory.live_entries(now_ms)
+            ],
+        }
+
+    def _reply(self, value: Any) -> OperatorReply:
+        return OperatorReply(orjson.dumps(value), self._machine.catalogue.revision)
--- /dev/null
+++ b/src/cowslipwood/keeper/_subscribers.py
@@ -0,0 +1,88 @@
+"""Sends the catalogue, routing views and assignments to agents and entries.
+
+Each subscriber is sent only what changed since it was last told.
+"""
+
+import orjson
+
+from ..catalogue import Catalogue, entry_to_json
+from ..kernel.channel import Channel
+from ..kernel.messages import (
+    Ack,
+    Assignment,
+    CatalogueUpdate,
+    RoutingUpdate,
+    ServerView,
+)
+
+__all__ = ["Subscriber"]
+
+HEARTBEAT_MS = 500
+
+
+class Subscriber:
+    """What one connected agent or entry has been told.
+
+    Parameters
+    ----------
+    channel : Channel
+    role : str
+        agent or entry.
+    peer_id : str
+    """
+
+    def __init__(self, channel: Channel, role: str, peer_id: str):
+        self._channel = channel
+        self.role = role
+        self.peer_id = peer_id
+        self._revision = -1
+        self._names: set[str] = set()
+        self._views: dict[str, ServerView] = {}
+        self._routed = False
+        self._assignment: Assignment | None = None
+        self._heartbeat_at_ms = 0.0
+
+    async def tell_heartbeat(self, revision: int, now_ms: float) -> None:
+        """Show that the leader is alive, at most once each `HEARTBEAT_MS`."""
+        if now_ms < self._heartbeat_at_ms + HEARTBEAT_MS:
+            return
+        self._heartbeat_at_ms = now_ms
+        await self._channel.send(Ack(revision))
+
+    async def tell_catalogue(self, catalogue: Catalogue) -> None:
+        """Send the entries that changed since the last call."""
+        if catalogue.revision == self._revision:
+            return
+        full = self._revision < 0
+        entries = catalogue.entries
+        changed = tuple(
+            orjson.dumps(entry_to_json(entry))
+            for entry in entries.values()
+            if entry.revision > self._revision
+        )
+        deleted = tuple(self._names - entries.keys())
+        self._names = set(entries)
+        self._revision = catalogue.revision
+        await self._channel.send(
+            CatalogueUpdate(catalogue.revision, full, changed, deleted)
+        )
+
+    async def tell_routing(self, views: dict[str, ServerView]) -> None:
+        """Send the backend servers that changed since the last call."""
+        changed = tuple(
+            view for key, view in views.items() if self._views.get(key) != view
+        )
+        removed = tuple(self._views.keys() - views.keys())
+        if self._routed and not changed and not removed:
+            return
+        full = not self._routed
+        self._routed = True
+        self._views = dict(views)
+        await self._channel.send(RoutingUpdate(full, changed, removed))
+
+    async def tell_assignment(self, assignment: Assignment) -> None:
+        """Send the assignment when it is not the one sent last."""
+        if assignment == self._assignment:
+            return
+        self._assignment = assignment
+        await self._channel.send(assignment)
--- /dev/null
+++ b/src/cowslipwood/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""What every program shares: settings, logs, metrics, time, wire, registry."""
--- /dev/null
+++ b/src/cowslipwood/kernel/clock.py
@@ -0,0 +1,19 @@
+"""The two clocks that the programs read.
+
+Functions that decide take the present time as an argument; only the tasks that
+call them read a clock.
+"""
+
+import time
+
+__all__ = ["monotonic_ms", "wall_ms"]
+
+
+def monotonic_ms() -> float:
+    """Return milliseconds on the monotonic clock; for leases and timeouts."""
+    return time.monotonic() * 1000.0
+
+
+def wall_ms() -> int:
+    """Return milliseconds since the epoch; for history and key dates only."""
+    return int(time.time() * 1000)
--- /dev/null
+++ b/src/cowslipwood/kernel/keeper_link.py
@@ -0,0 +1,142 @@
+"""The connection that an agent, entry or operator keeps to the leading keeper."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from returns.result import Failure as Err
+from returns.result import Result
+
+from .channel import Channel, Handler, open_channel, refused_failure
+from .codes import Code, Failure, failure
+from .logs import get_logger
+from .messages import Hello, Refused, Welcome
+from .settings import parse_address
+
+__all__ = ["KeeperLink"]
+
+IDLE_TIMEOUT_MS = 3_000
+REDIAL_MS = 100
+RETRY_AFTER_MS = 1_000
+
+
+class KeeperLink:
+    """Finds the leader among the keepers and stays connected to it.
+
+    Parameters
+    ----------
+    keepers : str
+        Comma-separated ``ip:port`` of the keepers.
+    hello : Hello
+        What this process says of itself.
+    handle : callable
+        Gets each message that the keeper sends of its own accord.
+    on_connect : callable
+        Called, with the new channel, after each connection to a leader.
+    """
+
+    def __init__(
+        self,
+        keepers: str,
+        hello: Hello,
+        handle: Handler,
+        on_connect: Callable[[Channel], Awaitable[None]] | None = None,
+    ):
+        self._addresses = keepers.split(",")
+        self._hello = hello
+        self._handle = handle
+        self._on_connect = on_connect
+        self._channel: Channel | None = None
+        self.term = 0
+
+    @property
+    def connected(self) -> bool:
+        """Whether a leader is connected now."""
+        return self._channel is not None
+
+    async def run(self) -> None:
+        """Dial for as long as the process runs."""
+        turn = 0
+        while True:
+            address = self._addresses[turn % len(self._addresses)]
+            turn += 1
+            hint = await self._dial(address)
+            if hint and hint != address:
+                await self._dial(hint)
+            await anyio.sleep(REDIAL_MS / 1000)
+
+    async def request(self, value: Any, timeout_ms: float) -> Result[Any, Failure]:
+        """Ask the leader; fails with NO_QUORUM when none is connected.
+
+        A NOT_LEADER refusal drops the connection, so that the next one finds
+        the new leader.
+        """
+        channel = self._channel
+        if channel is None:
+            return Err(
+                Failure(
+                    Code.NO_QUORUM, "no leading keeper is connected", RETRY_AFTER_MS
+                )
+            )
+        result = await channel.request(value, timeout_ms)
+        if isinstance(result, Err) and result.failure().code == Code.NOT_LEADER:
+            await channel.close(result.failure())
+        return result
+
+    async def send(self, value: Any) -> None:
+        """Send a one-way message, or drop it when no leader is connected."""
+        if self._channel is not None:
+            await self._channel.send(value)
+
+    async def _dial(self, address: str) -> str:
+        """Connect and stay; return the leader's address when it is elsewhere."""
+        opened = await open_channel(*parse_address(address), IDLE_TIMEOUT_MS)
+        if isinstance(opened, Err):
+            return ""
+        channel = opened.unwrap()
+        welcomed = await _say_hello(channel, self._hello)
+        if isinstance(welcomed, Err):
+            fault = welcomed.failure()
+            if fault.code == Code.BAD_TOKEN:
+                get_logger().error("keeper_refused", code=fault.code.value)
+            await channel.close(fault)
+            return ""
+        welcome = welcomed.unwrap()
+        if welcome.leader_addr != address:
+            await channel.close(failure(Code.NOT_LEADER))
+            return welcome.leader_addr
+        await self._stay(channel, welcome)
+        return ""
+
+    async def _stay(self, channel: Channel, welcome: Welcome) -> None:
+        self.term = welcome.term
+        self._channel = channel
+        log = get_logger()
+        log.info("keeper_connected", keeper=welcome.keeper_id, term=welcome.term)
+        try:
+            async with anyio.create_task_group() as tasks:
+                if self._on_connect is not None:
+                    tasks.start_soon(self._on_connect, channel)
+                why = await channel.run(self._handle)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._channel = None
+        log.info("keeper_lost", code=why.code.value, reason=why.code.name)
+
+
+async def _say_hello(channel: Channel, hello: Hello) -> Result[Welcome, Failure]:
+    sent = await channel.send(hello)
+    if isinstance(sent, Err):
+        return sent
+    return (await channel.receive()).bind(_as_welcome)
+
+
+def _as_welcome(received: tuple[Any, Any]) -> Result[Welcome, Failure]:
+    _, value = received
+    match value:
+        case Welcome():
+            return Result.from_value(value)
+        case Refused():
+            return Err(refused_failure(value))
+        case _:
+            return Err(failure(Code.BAD_MESSAGE, "expected Welcome"))
--- /dev/null
+++ b/src/cowslipwood/kernel/messages.py
@@ -0,0 +1,279 @@
+"""The messages between keepers and the agents, entries and operators.
+
+Fields are described in ``schema/control.capnp`` and ``schema/claims.capnp``.
+"""
+
+from typing import NamedTuple
+
+from .wire import message
+
+__all__ = [
+    "Ack",
+    "AgentReport",
+    "Assignment",
+    "CatalogueUpdate",
+    "ClaimAttempt",
+    "ClaimBegin",
+    "ClaimFinish",
+    "ClaimState",
+    "DemandSample",
+    "DesiredModel",
+    "EntryReport",
+    "Hello",
+    "OperatorReply",
+    "OperatorRequest",
+    "PermitGrant",
+    "PermitRelease",
+    "PermitRequest",
+    "Refused",
+    "Resident",
+    "RoutingUpdate",
+    "ServerView",
+    "Welcome",
+]
+
+
+@message("control")
+class Hello(NamedTuple):
+    """The first message on a connection, from the side that opened it."""
+
+    role: str
+    peer_id: str
+    incarnation: str
+    zone: str
+    token: str
+
+
+@message("control")
+class Welcome(NamedTuple):
+    """A keeper's answer to a good `Hello`."""
+
+    keeper_id: str
+    term: int
+    leader_addr: str
+
+
+@message("control")
+class Refused(NamedTuple):
+    """A numbered refusal of a request."""
+
+    code: int
+    message: str
+    retry_after_ms: int = 0
+    leader_addr: str = ""
+    detail: bytes = b""
+
+
+@message("control")
+class Resident(NamedTuple):
+    """A model that takes memory on a backend server."""
+
+    model: str
+    version: str
+    state: str
+    memory_bytes: int
+
+
+@message("control")
+class AgentReport(NamedTuple):
+    """An agent's heartbeat."""
+
+    server_id: str
+    incarnation: str
+    zone: str
+    http_addr: str
+    kind: str
+    service_name: str
+    capacity_bytes: int
+    committed_bytes: int
+    leaving: bool
+    catalogue_revision: int
+    assignment_term: int
+    assignment_revision: int
+    residents: tuple[Resident, ...]
+    n_in_flight: int
+    n_queued: int
+    wait_ms: float
+    knee_in_flight: int
+
+
+@message("control")
+class DesiredModel(NamedTuple):
+    """A model that a backend server is to hold."""
+
+    name: str
+    version: str
+    kind: str
+    base: str
+    memory_bytes: int
+
+
+@message("control")
+class Assignment(NamedTuple):
+    """All that one backend server is to hold, by term and revision."""
+
+    server_id: str
+    term: int
+    revision: int
+    desired: tuple[DesiredModel, ...]
+    drained: bool
+
+
+@message("control")
+class PermitRequest(NamedTuple):
+    """An agent asks for a load from the weight store."""
+
+    server_id: str
+    model: str
+
+
+@message("control")
+class PermitGrant(NamedTuple):
+    """The leader allows one load, to begin within `valid_ms`."""
+
+    permit_id: int
+    valid_ms: int
+
+
+@message("control")
+class PermitRelease(NamedTuple):
+    """The load under a permit has ended."""
+
+    permit_id: int
+    server_id: str
+
+
+@message("control")
+class CatalogueUpdate(NamedTuple):
+    """Catalogue entries that changed, or all of them."""
+
+    revision: int
+    full: bool
+    entries: tuple[bytes, ...]
+    deleted: tuple[str, ...]
+
+
+@message("control")
+class ServerView(NamedTuple):
+    """What entries know of one backend server."""
+
+    server_id: str
+    incarnation: str
+    zone: str
+    http_addr: str
+    kind: str
+    service_name: str
+    leaving: bool
+    ready: tuple[str, ...]
+    n_in_flight: int
+    n_queued: int
+    wait_ms: float
+    knee_in_flight: int
+
+
+@message("control")
+class RoutingUpdate(NamedTuple):
+    """Backend servers that changed, or all of them."""
+
+    full: bool
+    servers: tuple[ServerView, ...]
+    removed: tuple[str, ...]
+
+
+@message("control")
+class DemandSample(NamedTuple):
+    """Demand for one model since the entry's last report."""
+
+    model: str
+    arrivals_per_s: float
+    in_flight: float
+    missed_share: float
+
+
+@message("control")
+class EntryReport(NamedTuple):
+    """An entry's heartbeat."""
+
+    entry_id: str
+    incarnation: str
+    zone: str
+    http_addr: str
+    leaving: bool
+    catalogue_revision: int
+    demand: tuple[DemandSample, ...]
+
+
+@message("control")
+class Ack(NamedTuple):
+    """A plain answer; `revision` is the sender's catalogue revision."""
+
+    revision: int
+
+
+@message("control")
+class OperatorRequest(NamedTuple):
+    """An operator's edit or question."""
+
+    op: str
+    name: str
+    body: bytes
+    edit_id: str
+    expect_revision: int
+    operator_token: str
+
+
+@message("control")
+class OperatorReply(NamedTuple):
+    """The answer to an `OperatorRequest`."""
+
+    body: bytes
+    revision: int
+
+
+@message("claims")
+class ClaimBegin(NamedTuple):
+    """An entry asks for the state of a key, opening a claim when there is none."""
+
+    key: str
+    digest: str
+    entry_id: str
+    key_time_ms: int
+
+
+@message("claims")
+class ClaimAttempt(NamedTuple):
+    """An entry records an attempt before it dispatches."""
+
+    key: str
+    attempt: int
+    server_id: str
+    incarnation: str
+    agent_addr: str
+
+
+@message("claims")
+class ClaimFinish(NamedTuple):
+    """An entry records how an attempt ended."""
+
+    key: str
+    attempt: int
+    outcome: str
+    status: int
+    headers: bytes
+    body: bytes
+
+
+@message("claims")
+class ClaimState(NamedTuple):
+    """The recorded state of a key."""
+
+    key: str
+    status: str
+    attempt: int
+    server_id: str
+    incarnation: str
+    agent_addr: str
+    answer_status: int
+    answer_headers: bytes
+    answer_body: bytes
+    answer_kept: bool
--- /dev/null
+++ b/src/cowslipwood/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The console programs."""
