Give operators the whole command line, and one process with every role

Cause: cowslipctl knew put and status only; nothing ran every role at once. Ruled out: a global flag parser beside defopt; flags before the command are moved behind it instead.

--- a/src/cowslipwood/catalogue/_catalogue.py
+++ b/src/cowslipwood/catalogue/_catalogue.py
@@ -199,6 +199,8 @@
                 Code.BASE_MISSING, f"base: no model named {entry.base}; put it first"
             )
         needed_bytes += base.memory_bytes
+    else:
+        needed_bytes += _largest_adapter_bytes(catalogue, entry.name)
     if max_memory_bytes and needed_bytes > max_memory_bytes:
         return failure(
             Code.MODEL_TOO_LARGE,
@@ -208,6 +210,11 @@
     return None
 
 
+def _largest_adapter_bytes(catalogue: Catalogue, base: str) -> int:
+    names = catalogue.adapters_of.get(base, ())
+    return max((catalogue.entries[name].memory_bytes for name in names), default=0)
+
+
 def _change(catalogue: Catalogue, edit: Edit, revision: int) -> None:
     held = catalogue.entries.pop(edit.name, None)
     if held is not None and held.base:
--- a/src/cowslipwood/entry/_dispatch.py
+++ b/src/cowslipwood/entry/_dispatch.py
@@ -59,7 +59,9 @@
     """
 
     def __init__(self, cluster_token: str):
-        self._cluster_token = cluster_token
+        self._auth = (
+            {"authorization": f"Bearer {cluster_token}"} if cluster_token else {}
+        )
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=4096, max_keepalive_connections=256
         )
@@ -75,7 +77,7 @@
         """
         headers = {
             "host": server.http_addr,
-            "authorization": f"Bearer {self._cluster_token}",
+            **self._auth,
             "x-cowslip-server": server.server_id,
             **attempt.headers,
         }
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -5,7 +5,7 @@
 import anyio
 from returns.result import Failure as Err
 
-from ..kernel.channel import Channel, as_refused
+from ..kernel.channel import Channel, as_refused, serve_channels
 from ..kernel.clock import monotonic_ms
 from ..kernel.codes import Code, failure
 from ..kernel.http import HttpServer, bind_socket, send_failure, with_health
@@ -121,22 +121,22 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(http.run)
             tasks.start_soon(self._replica.run)
-            tasks.start_soon(listener.serve, self._serve_connection)
+            tasks.start_soon(
+                serve_channels, listener, IDLE_TIMEOUT_MS, self._serve_connection
+            )
             tasks.start_soon(self._tell_loop)
             tasks.start_soon(self._plan_loop)
             await stop.wait()
             http.stop()
             tasks.cancel_scope.cancel()
 
-    async def _serve_connection(self, stream: Any) -> None:
-        channel = Channel(stream, IDLE_TIMEOUT_MS)
+    async def _serve_connection(self, channel: Channel) -> None:
         hello = None
         with anyio.move_on_after(HELLO_TIMEOUT_MS / 1000):
             received = await channel.receive()
             hello = received.map(lambda pair: pair[1]).value_or(None)
         if await self._greet(channel, hello):
             await self._serve_peer(channel, hello)
-        await channel.close(failure(Code.PEER_GONE))
 
     async def _greet(self, channel: Channel, hello: Any) -> bool:
         """Answer the first message; return whether the peer may go on."""
--- a/src/cowslipwood/keeper/_operators.py
+++ b/src/cowslipwood/keeper/_operators.py
@@ -96,6 +96,12 @@
         return await self._propose(command)
 
     async def _drain(self, request: OperatorRequest) -> Any:
+        known = {
+            report.server_id for report in self._directory.live_agents(monotonic_ms())
+        }
+        known |= self._machine.assignments.keys() | self._machine.drained
+        if request.name not in known:
+            return as_refused(failure(Code.NO_SUCH_SERVER, f"no {request.name[:80]}"))
         return await self._propose(DrainCommand(request.name, request.op == "drain"))
 
     async def _propose(self, command: Any) -> Any:
--- a/src/cowslipwood/kernel/channel.py
+++ b/src/cowslipwood/kernel/channel.py
@@ -15,6 +15,7 @@
 from returns.result import Result, Success
 
 from .codes import Code, Failure, failure
+from .logs import get_logger
 from .messages import Refused
 from .wire import (
     FRAME_HEADER,
@@ -26,11 +27,19 @@
     payload_intact,
 )
 
-__all__ = ["Channel", "Handler", "as_refused", "open_channel", "refused_failure"]
+__all__ = [
+    "Channel",
+    "Handler",
+    "as_refused",
+    "open_channel",
+    "refused_failure",
+    "serve_channels",
+]
 
 SEND_TIMEOUT_MS = 5_000
 CONNECT_TIMEOUT_MS = 1_000
 MAX_OPEN_REQUESTS = 1_024
+MAX_CONNECTIONS = 16_384
 
 Handler = Callable[[Any], Awaitable[Any]]
 
@@ -158,7 +167,7 @@
                 elif envelope.id:
                     tasks.start_soon(self._answer, handle, envelope.id, value)
                 else:
-                    await handle(value)
+                    await self._guarded(handle, value)
         return self.closed
 
     async def close(self, why: Failure) -> None:
@@ -172,10 +181,19 @@
 
     async def _answer(self, handle: Handler, request_id: int, value: Any) -> None:
         async with self._slots:
-            reply = await handle(value)
+            reply = await self._guarded(handle, value)
         if reply is not None:
             await self.send(reply, reply_to=request_id)
 
+    async def _guarded(self, handle: Handler, value: Any) -> Any:
+        """Handle a message; an error in it ends this connection only."""
+        try:
+            return await handle(value)
+        except Exception:
+            get_logger().exception("message_failed", kind=type(value).__name__)
+            await self.close(failure(Code.BAD_MESSAGE, "an error in handling it"))
+            return None
+
     def _deliver(self, request_id: int, value: Any) -> None:
         reply = self._waiting.get(request_id)
         if reply is not None:
@@ -199,6 +217,41 @@
         return Success(self.value)
 
 
+async def serve_channels(
+    listener: anyio.abc.Listener[Any],
+    idle_timeout_ms: float,
+    serve: Callable[[Channel], Awaitable[None]],
+) -> None:
+    """Accept connections, each served by one task with its own error boundary.
+
+    Connections beyond ``MAX_CONNECTIONS`` are closed at once.
+
+    Parameters
+    ----------
+    listener : anyio.abc.Listener
+    idle_timeout_ms : float
+        Silence after which a peer counts as gone.
+    serve : callable
+        Coroutine function of the channel; the channel is closed after it.
+    """
+    n_open = 0
+
+    async def accept(stream: anyio.abc.ByteStream) -> None:
+        nonlocal n_open
+        channel = Channel(stream, idle_timeout_ms)
+        n_open += 1
+        try:
+            if n_open <= MAX_CONNECTIONS:
+                await serve(channel)
+        except Exception:
+            get_logger().exception("connection_failed")
+        finally:
+            n_open -= 1
+            await channel.close(failure(Code.PEER_GONE))
+
+    await listener.serve(accept)
+
+
 async def open_channel(
     host: str, port: int, idle_timeout_ms: float
 ) -> Result[Channel, Failure]:
--- a/src/cowslipwood/kernel/keeper_link.py
+++ b/src/cowslipwood/kernel/keeper_link.py
@@ -33,6 +33,13 @@
         Gets each message that the keeper sends of its own accord.
     on_connect : callable
         Called, with the new channel, after each connection to a leader.
+
+    Attributes
+    ----------
+    term : int
+        Term of the leader that was connected last.
+    refusal : Failure or None
+        Why a keeper refused this process; None while none has.
     """
 
     def __init__(
@@ -48,6 +55,7 @@
         self._on_connect = on_connect
         self._channel: Channel | None = None
         self.term = 0
+        self.refusal: Failure | None = None
 
     @property
     def connected(self) -> bool:
@@ -98,6 +106,7 @@
         if isinstance(welcomed, Err):
             fault = welcomed.failure()
             if fault.code == Code.BAD_TOKEN:
+                self.refusal = fault
                 get_logger().error("keeper_refused", code=fault.code.value)
             await channel.close(fault)
             return ""
--- a/src/cowslipwood/kernel/lifecycle.py
+++ b/src/cowslipwood/kernel/lifecycle.py
@@ -19,8 +19,8 @@
     name: str,
     record: type,
     checks: Mapping[str, Check],
-    serve: Callable[[Any, anyio.Event], Awaitable[None]],
-) -> None:
+    serve: Callable[[Any, anyio.Event], Awaitable[Any]],
+) -> Any:
     """Load the settings and run a daemon until SIGTERM or SIGINT.
 
     Parameters
@@ -33,19 +33,25 @@
     serve : callable
         Coroutine function of the settings and the event that asks it to stop;
         it drains before it returns.
+
+    Returns
+    -------
+    object
+        What `serve` returned.
     """
     settings = load_settings(record, checks, os.environ, sys.argv[1:])
     configure_logs(name)
 
-    async def run() -> None:
+    async def run() -> Any:
         stop = anyio.Event()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(set_on_signal, stop)
-            await serve(settings, stop)
+            ended = await serve(settings, stop)
             tasks.cancel_scope.cancel()
         get_logger().info("stopped")
+        return ended
 
-    anyio.run(run)
+    return anyio.run(run)
 
 
 async def set_on_signal(stop: anyio.Event) -> None:
--- /dev/null
+++ b/src/cowslipwood/programs/_ctl_client.py
@@ -0,0 +1,145 @@
+"""Sends one operator command to the leading keeper."""
+
+import math
+import uuid
+from typing import Any, NamedTuple
+
+import anyio
+import orjson
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..kernel.clock import monotonic_ms
+from ..kernel.codes import Code, Failure, failure
+from ..kernel.keeper_link import KeeperLink
+from ..kernel.messages import Hello, OperatorReply, OperatorRequest
+
+__all__ = ["Access", "Command", "run_command"]
+
+ANSWER_TIMEOUT_MS = 3_000
+GIVE_UP_MS = 15_000
+WAIT_LIMIT_MS = 19_000
+POLL_MS = 25
+_TRY_AGAIN = (
+    Code.NOT_LEADER,
+    Code.NO_QUORUM,
+    Code.PEER_GONE,
+    Code.PEER_SILENT,
+    Code.SEND_TIMEOUT,
+)
+
+
+class Access(NamedTuple):
+    """Where the keepers are and what opens them."""
+
+    keepers: str
+    operator: str
+    cluster_token: str
+    operator_token: str
+
+
+class Command(NamedTuple):
+    """One operator command.
+
+    Parameters
+    ----------
+    op : str
+    name : str
+    body : bytes
+    edit_id : str
+        Made when empty.
+    expect_revision : int
+    wait : bool
+        Wait until the edit is in force everywhere.
+    """
+
+    op: str
+    name: str = ""
+    body: bytes = b""
+    edit_id: str = ""
+    expect_revision: int = -1
+    wait: bool = False
+
+
+async def run_command(access: Access, command: Command) -> Result[Any, Failure]:
+    """Return the JSON value that answers a command.
+
+    A lost answer is asked for again under the same edit id, which runs the
+    edit at most once. With `wait`, fails with WAIT_TIMEOUT when a live process
+    has not applied the edit within ``WAIT_LIMIT_MS``.
+    """
+    hello = Hello("operator", access.operator, "", "", access.cluster_token)
+    client = _Client(access, hello)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(client.link.run)
+        answer = await client.ask(command)
+        if command.wait and not isinstance(answer, Err):
+            answer = await client.wait(answer.unwrap()["revision"])
+        tasks.cancel_scope.cancel()
+    return answer
+
+
+class _Client:
+    def __init__(self, access: Access, hello: Hello):
+        self._operator_token = access.operator_token
+        self.link = KeeperLink(access.keepers, hello, _ignore)
+
+    async def ask(self, command: Command) -> Result[Any, Failure]:
+        """Ask until there is an answer or the time is over."""
+        request = OperatorRequest(
+            command.op,
+            command.name,
+            command.body,
+            command.edit_id or uuid.uuid4().hex,
+            command.expect_revision,
+            self._operator_token,
+        )
+        give_up_at_ms = monotonic_ms() + GIVE_UP_MS
+        while True:
+            answer = await self.link.request(request, ANSWER_TIMEOUT_MS)
+            if not isinstance(answer, Err):
+                reply: OperatorReply = answer.unwrap()
+                return Success(orjson.loads(reply.body))
+            if answer.failure().code not in _TRY_AGAIN:
+                return answer
+            if self.link.refusal is not None:
+                return Err(self.link.refusal)
+            if monotonic_ms() > give_up_at_ms:
+                return answer
+            await anyio.sleep(POLL_MS / 1000)
+
+    async def wait(self, revision: int) -> Result[Any, Failure]:
+        """Poll the status until every live process has the revision."""
+        give_up_at_ms = monotonic_ms() + WAIT_LIMIT_MS
+        behind: list[str] = []
+        while monotonic_ms() < give_up_at_ms:
+            asked = await self.ask(Command("status"))
+            if isinstance(asked, Err):
+                return asked
+            behind = _behind(asked.unwrap(), revision)
+            if not behind:
+                return Success({"revision": revision, "in_force": True})
+            await anyio.sleep(POLL_MS / 1000)
+        shown = ", ".join(behind[:10])
+        return Err(
+            failure(
+                Code.WAIT_TIMEOUT, f"revision {revision} is accepted; behind: {shown}"
+            )
+        )
+
+
+def _behind(status: dict[str, Any], revision: int) -> list[str]:
+    """Return the live processes that have not applied a revision."""
+    processes = [
+        *((item["server_id"], item["revision"]) for item in status["servers"]),
+        *((item["entry_id"], item["revision"]) for item in status["entries"]),
+        *(
+            (item["keeper_id"], item.get("revision", math.inf))
+            for item in status.get("keepers", [])
+        ),
+    ]
+    return [name for name, held in processes if held < revision]
+
+
+async def _ignore(value: Any) -> None:
+    pass
--- /dev/null
+++ b/src/cowslipwood/programs/_ctl_tables.py
@@ -0,0 +1,140 @@
+"""Tables for people from the answers to operator commands."""
+
+import datetime
+from collections.abc import Sequence
+from typing import Any
+
+from tabulate import tabulate
+
+__all__ = ["render"]
+
+BYTES_PER_GB = 1_000_000_000
+
+
+def render(op: str, value: Any) -> str:
+    """Return the text that answers a command."""
+    match op:
+        case "list":
+            return _entries(value)
+        case "get":
+            return _table(("field", "value"), sorted(value.items()))
+        case "history":
+            return _history(value)
+        case "members":
+            return _members(value)
+        case "status":
+            return _status(value)
+        case _:
+            return _accepted(value)
+
+
+def _table(headings: Sequence[str], rows: Any) -> str:
+    return tabulate(list(rows), headers=headings, disable_numparse=True)
+
+
+def _accepted(value: dict[str, Any]) -> str:
+    text = f"accepted at revision {value.get('revision')}"
+    return text + (", in force everywhere" if value.get("in_force") else "")
+
+
+def _entries(value: list[dict[str, Any]]) -> str:
+    headings = ("name", "kind", "base", "owner", "class", "version", "GB", "revision")
+    rows = (
+        (
+            item["name"],
+            item["kind"],
+            item["base"],
+            item["owner"],
+            item["class"],
+            item["version"],
+            f"{item['memory_bytes'] / BYTES_PER_GB:.3g}",
+            item["revision"],
+        )
+        for item in sorted(value, key=lambda item: item["name"])
+    )
+    return _table(headings, rows)
+
+
+def _history(value: list[dict[str, Any]]) -> str:
+    headings = ("revision", "at", "op", "name", "operator", "edit id")
+    rows = (
+        (
+            item["revision"],
+            datetime.datetime.fromtimestamp(
+                item["wall_ms"] / 1000, datetime.UTC
+            ).isoformat(timespec="seconds"),
+            item["op"],
+            item["name"],
+            item["operator"],
+            item["edit_id"],
+        )
+        for item in value
+    )
+    return _table(headings, rows)
+
+
+def _members(value: Any) -> str:
+    items = value["members"] if isinstance(value, dict) else value
+    if not items:
+        return "no members"
+    headings = tuple(items[0])
+    return _table(headings, ([item[key] for key in headings] for item in items))
+
+
+def _status(value: dict[str, Any]) -> str:
+    parts = [
+        f"revision {value['revision']}, term {value['term']}, "
+        f"leader {value['leader'] or 'unknown'}"
+    ]
+    if value.get("keepers"):
+        parts.append(_members(value["keepers"]))
+    parts.append(
+        _table(
+            ("entry", "zone", "leaving", "revision"),
+            (
+                (
+                    item["entry_id"],
+                    item["zone"],
+                    _yes(item["leaving"]),
+                    item["revision"],
+                )
+                for item in value["entries"]
+            ),
+        )
+    )
+    parts.append(
+        _table(
+            (
+                "backend server",
+                "zone",
+                "kind",
+                "leaving",
+                "revision",
+                "GB used/of",
+                "in flight",
+                "models ready",
+            ),
+            (_server_row(item) for item in value["servers"]),
+        )
+    )
+    return "\n\n".join(parts)
+
+
+def _server_row(item: dict[str, Any]) -> tuple[Any, ...]:
+    used = item["committed_bytes"] / BYTES_PER_GB
+    capacity = item["capacity_bytes"] / BYTES_PER_GB
+    n_ready = sum(model["state"] == "ready" for model in item["models"])
+    return (
+        item["server_id"],
+        item["zone"],
+        item["kind"],
+        _yes(item["leaving"]),
+        item["revision"],
+        f"{used:.3g}/{capacity:.3g}",
+        item["n_in_flight"],
+        f"{n_ready}/{len(item['models'])}",
+    )
+
+
+def _yes(flag: bool) -> str:
+    return "yes" if flag else "no"
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -82,14 +82,32 @@
         """Return what a process has logged."""
         return (self.folder / f"{name}.log").read_text()
 
-    def ctl(self, *arguments: str) -> subprocess.CompletedProcess:
+    def start_keeper(self, *flags: str) -> None:
+        """Start one keeper that stands alone."""
+        self.keepers = f"127.0.0.1:{free_port()}"
+        self.start(
+            "keeper",
+            "keeper",
+            "--keeper-id=k1",
+            f"--data={self.folder}/k1",
+            f"--listen={self.keepers}",
+            f"--http-listen=127.0.0.1:{free_port()}",
+            *flags,
+            COWSLIP_OPERATOR_TOKEN="operator-secret",
+        )
+
+    def ctl(self, *arguments: str, **environ: str) -> subprocess.CompletedProcess:
         """Run ``cowslipctl`` and return how it ended."""
         code = "from cowslipwood.programs.ctl import main; main()"
         return subprocess.run(
-            [sys.executable, "-c", code, *arguments, "--keepers", self.keepers],
+            [sys.executable, "-c", code, "--keepers", self.keepers, *arguments],
             capture_output=True,
             text=True,
-            env={**self.environ, "COWSLIP_OPERATOR_TOKEN": "operator-secret"},
+            env={
+                **self.environ,
+                "COWSLIP_OPERATOR_TOKEN": "operator-secret",
+                **environ,
+            },
             timeout=WAIT_S,
         )
 
@@ -97,7 +115,7 @@
         """Put a catalogue entry with ``cowslipctl`` and return its answer."""
         path = self.folder / f"{value['name']}.json"
         path.write_text(json.dumps(value))
-        ended = self.ctl("put", str(path))
+        ended = self.ctl("put", str(path), "--json")
         if ended.returncode:
             raise AssertionError(ended.stderr)
         return json.loads(ended.stdout)
--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -22,19 +22,9 @@
             self._check_service(port)
 
     def _start(self, cluster: Cluster) -> int:
-        ports = [free_port() for _ in range(7)]
-        keeper, keeper_http, engine, service, agent_1, agent_2, entry = ports
-        cluster.keepers = f"127.0.0.1:{keeper}"
+        cluster.start_keeper()
+        engine, service, agent_1, agent_2, entry = (free_port() for _ in range(5))
         keepers = ("--keepers", cluster.keepers)
-        cluster.start(
-            "keeper",
-            "keeper",
-            "--keeper-id=k1",
-            f"--data={cluster.folder}/k1",
-            f"--listen=127.0.0.1:{keeper}",
-            f"--http-listen=127.0.0.1:{keeper_http}",
-            COWSLIP_OPERATOR_TOKEN="operator-secret",
-        )
         cluster.start("engine", "standin", "--kind=engine", _listen(engine))
         cluster.start("service", "standin", "--kind=service", _listen(service))
         cluster.start(
