--- a/src/cowslipwood/catalogue/_catalogue.py
+++ b/src/cowslipwood/catalogue/_catalogue.py
@@ -218,7 +218,7 @@
 def _change(catalogue: Catalogue, edit: Edit, revision: int) -> None:
     held = catalogue.entries.pop(edit.name, None)
     if held is not None and held.base:
-        catalogue.adapters_of[held.base].discard(edit.name)
+        _forget_adapter(catalogue, held)
     if edit.op is EditOp.DELETE:
         return
     entry = edit.entry._replace(revision=revision)
@@ -227,6 +227,13 @@
         catalogue.adapters_of.setdefault(entry.base, set()).add(edit.name)
 
 
+def _forget_adapter(catalogue: Catalogue, adapter: Entry) -> None:
+    names = catalogue.adapters_of[adapter.base]
+    names.discard(adapter.name)
+    if not names:
+        del catalogue.adapters_of[adapter.base]
+
+
 def _trim(catalogue: Catalogue) -> None:
     if len(catalogue.history) > MAX_HISTORY:
         del catalogue.history[: len(catalogue.history) - MAX_HISTORY]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,8 +1,16 @@
 """Builders of test data."""
 
-from typing import Any
+from typing import Any, get_type_hints
 
-__all__ = ["adapter_value", "model_value", "service_value"]
+from hypothesis import strategies as st
+
+from cowslipwood.kernel.messages import AgentReport, Resident
+
+__all__ = ["adapter_value", "model_value", "reports", "service_value"]
+
+_words = st.text(max_size=12)
+_counts = st.integers(0, 2**32 - 1)
+_sizes = st.integers(0, 2**63 - 1)
 
 
 def model_value(name: str = "m1", **fields: Any) -> dict[str, Any]:
@@ -26,3 +34,17 @@
     """Return the JSON value of a service's catalogue entry."""
     value = {"name": name, "kind": "service", "owner": "kitchen", "version": "1"}
     return {**value, **fields}
+
+
+def reports() -> st.SearchStrategy[AgentReport]:
+    """Return a strategy of agent reports."""
+    residents = st.builds(Resident, _words, _words, _words, _sizes)
+    by_type = {
+        str: _words,
+        int: _counts,
+        bool: st.booleans(),
+        float: st.floats(allow_nan=False),
+        tuple[Resident, ...]: st.lists(residents, max_size=3).map(tuple),
+    }
+    hints = get_type_hints(AgentReport)
+    return st.builds(AgentReport, **{name: by_type[t] for name, t in hints.items()})
