Claim keyed and unrepeatable requests in the log before dispatch

Cause: a resend, or a retry after a lost answer, could run a delivery twice. Change: the keepers hold a bounded table of claims; the entry opens an attempt there before it sends a request, and the agent marks attempts as begun, void or answered. A dead entry's attempt is voided at its agent or its kept answer is given. KEY_EXPIRED now says 'unknown': the request may have run under its claim. Ruled out: recording the answer before the caller gets it, which adds a commit to each answer and saves nothing, since the agent keeps the answer meanwhile.

--- a/src/cowslipwood/agent/_agent.py
+++ b/src/cowslipwood/agent/_agent.py
@@ -21,6 +21,7 @@
 from ..kernel.registry import PluginKind, lookup
 from ..kernel.settings import Check, address, one_of, peer_list, within
 from ..kernel.tokens import read_token
+from ._attempts import Attempts
 from ._calls import Calls
 from ._ledger import Ledger
 from ._reconcile import Reconciler
@@ -111,6 +112,7 @@
             settings.server_id,
             token,
             self._reconciler,
+            Attempts(settings.server_id, self._incarnation, self._metrics),
             self._metrics,
         )
         hello = Hello(
--- a/src/cowslipwood/agent/_calls.py
+++ b/src/cowslipwood/agent/_calls.py
@@ -11,10 +11,14 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ..kernel.clock import wall_ms
 from ..kernel.codes import Code, Failure, failure
-from ..kernel.http import Request, read_request, send_failure
+from ..kernel.http import Request, read_request, send_failure, send_response
+from ..kernel.messages import AttemptQuery
 from ..kernel.metrics import Metrics
 from ..kernel.tokens import token_matches
+from ..kernel.wire import decode_record, encode_record
+from ._attempts import Attempts
 from ._ledger import ModelKey
 from ._reconcile import Reconciler
 
@@ -22,6 +26,7 @@
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 RETRY_AFTER_MS = 500
+VOID_PATH = "/attempts/void"
 _HOP_HEADERS = ("connection", "transfer-encoding", "keep-alive", "host")
 
 
@@ -36,6 +41,7 @@
     cluster_token : str
     reconciler : Reconciler or None
         None beside a plain service.
+    attempts : Attempts
     metrics : Metrics
     """
 
@@ -45,12 +51,14 @@
         server_id: str,
         cluster_token: str,
         reconciler: Reconciler | None,
+        attempts: Attempts,
         metrics: Metrics,
     ):
         self._backend_url = backend_url
         self._server_id = server_id
         self._cluster_token = cluster_token
         self._reconciler = reconciler
+        self._attempts = attempts
         self._metrics = metrics
         self._pool = httpcore.AsyncConnectionPool(max_connections=1024)
         self.n_in_flight = 0
@@ -63,22 +71,56 @@
             await send_failure(send, read.failure())
             return
         request = read.unwrap()
+        if not self._is_trusted(request):
+            await self._refuse(send, failure(Code.BAD_TOKEN))
+            return
+        if request.path == VOID_PATH:
+            await self._query_attempt(request, send)
+            return
         admitted = self._admit(request)
         if isinstance(admitted, Err):
             fault = admitted.failure()
-            self._metrics.count("refusals_total", reason=fault.code.name)
-            await send_failure(send, fault)
+            fault = self._attempts.refuse(request.headers, fault, wall_ms())
+            await self._refuse(send, fault)
+            return
+        begun = self._attempts.begin(request.headers, wall_ms())
+        if isinstance(begun, Err):
+            await self._refuse(send, begun.failure())
             return
         self.n_in_flight += 1
         try:
-            await self._forward(admitted.unwrap(), send)
+            await self._run(begun.unwrap(), request, send)
         finally:
             self.n_in_flight -= 1
 
-    def _admit(self, request: Request) -> Result[Request, Failure]:
+    async def _run(self, attempt: Any, request: Request, send: Any) -> None:
+        """Forward a call, and record its answer where it is an attempt."""
+        if attempt is None:
+            await self._forward(request, send)
+            return
+        with attempt:
+            await self._forward(request, attempt.recorder(send))
+
+    async def _query_attempt(self, request: Request, send: Any) -> None:
+        decoded = decode_record(AttemptQuery, request.body)
+        if isinstance(decoded, Err):
+            await self._refuse(send, decoded.failure())
+            return
+        ended = await self._attempts.query(decoded.unwrap(), wall_ms())
+        if isinstance(ended, Err):
+            await self._refuse(send, ended.failure())
+            return
+        await send_response(send, 200, {}, encode_record(ended.unwrap()))
+
+    async def _refuse(self, send: Any, fault: Failure) -> None:
+        self._metrics.count("refusals_total", reason=fault.code.name)
+        await send_failure(send, fault)
+
+    def _is_trusted(self, request: Request) -> bool:
         given = request.headers.get("authorization", "").removeprefix("Bearer ")
-        if not token_matches(self._cluster_token, given):
-            return Err(failure(Code.BAD_TOKEN))
+        return token_matches(self._cluster_token, given)
+
+    def _admit(self, request: Request) -> Result[Request, Failure]:
         if self.leaving:
             return Err(failure(Code.AGENT_LEAVING, "", RETRY_AFTER_MS))
         if request.headers.get("x-cowslip-server", "") != self._server_id:
@@ -108,7 +150,7 @@
                 pairs = [
                     (name.lower(), value)
                     for name, value in response.headers
-                    if name.lower().decode() not in _HOP_HEADERS
+                    if name.lower().decode() not in (*_HOP_HEADERS, "x-cowslip-outcome")
                 ]
                 await send(
                     {
--- /dev/null
+++ b/src/cowslipwood/entry/_attempt_client.py
@@ -0,0 +1,68 @@
+"""Asks an agent how an attempt ended, and has one that has not begun voided."""
+
+import httpcore
+from returns.result import Failure as Err
+from returns.result import Result
+
+from ..kernel.codes import Code, Failure, failure
+from ..kernel.messages import AttemptEnd, AttemptQuery
+from ..kernel.wire import decode_record, encode_record
+
+__all__ = ["AttemptClient"]
+
+CONNECT_TIMEOUT_MS = 1_000
+ANSWER_TIMEOUT_MS = 2_000
+
+
+class AttemptClient:
+    """Keeps connections to agents for questions about attempts.
+
+    Parameters
+    ----------
+    cluster_token : str
+    """
+
+    def __init__(self, cluster_token: str):
+        self._cluster_token = cluster_token
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=1024, max_keepalive_connections=64
+        )
+
+    async def query(
+        self, agent_addr: str, query: AttemptQuery
+    ) -> Result[AttemptEnd, Failure]:
+        """Return how an attempt ended.
+
+        Fails with PEER_GONE when the agent gave no answer or refused to give
+        one; the attempt is then in doubt as before.
+        """
+        waits_ms = query.void_after_ms + query.wait_ms + ANSWER_TIMEOUT_MS
+        headers = {
+            "host": agent_addr,
+            "authorization": f"Bearer {self._cluster_token}",
+            "x-cowslip-server": query.server_id,
+        }
+        try:
+            response = await self._pool.request(
+                "POST",
+                f"http://{agent_addr}/attempts/void",
+                headers=list(headers.items()),
+                content=encode_record(query),
+                extensions={
+                    "timeout": {
+                        "connect": CONNECT_TIMEOUT_MS / 1000,
+                        "read": waits_ms / 1000,
+                        "write": ANSWER_TIMEOUT_MS / 1000,
+                        "pool": ANSWER_TIMEOUT_MS / 1000,
+                    }
+                },
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ):
+            return Err(failure(Code.PEER_GONE, "the agent cannot be reached"))
+        if response.status != 200:
+            return Err(failure(Code.PEER_GONE, "the agent cannot tell"))
+        return decode_record(AttemptEnd, response.content)
--- a/src/cowslipwood/entry/_entry.py
+++ b/src/cowslipwood/entry/_entry.py
@@ -1,5 +1,6 @@
 """Runs one entry: its link to the keepers and its callers' interface."""
 
+import random
 import uuid
 from typing import Any, NamedTuple
 
@@ -14,6 +15,8 @@
 from ..kernel.metrics import Metrics
 from ..kernel.settings import address, peer_list, within
 from ..kernel.tokens import read_token
+from ._attempt_client import AttemptClient
+from ._claims import Claims
 from ._dispatch import Dispatcher
 from ._front import Front
 from ._view import View
@@ -71,13 +74,23 @@
         self._settings = settings
         self._metrics = Metrics("entry")
         self._view = View()
-        self._front = Front(self._view, Dispatcher(token), self._metrics)
         self._entry_id = settings.entry_id or f"entry-{settings.listen}"
         self._incarnation = uuid.uuid4().hex
         hello = Hello("entry", self._entry_id, self._incarnation, settings.zone, token)
         self._link = KeeperLink(
             settings.keepers, hello, self._on_message, self._report_loop
         )
+        dispatcher = Dispatcher(token)
+        claims = Claims(
+            self._entry_id,
+            self._link,
+            dispatcher,
+            AttemptClient(token),
+            self._metrics,
+        )
+        self._front = Front(
+            self._view, dispatcher, claims, self._metrics, random.SystemRandom()
+        )
 
     async def run(self, stop: anyio.Event) -> None:
         """Serve until `stop`, then refuse new requests and finish open ones."""
--- a/src/cowslipwood/entry/_front.py
+++ b/src/cowslipwood/entry/_front.py
@@ -1,5 +1,6 @@
 """The callers' HTTP interface."""
 
+import random
 import uuid
 from typing import Any
 
@@ -8,9 +9,13 @@
 from returns.result import Result, Success
 
 from ..catalogue import Entry, EntryKind
+from ..kernel.clock import wall_ms
 from ..kernel.codes import Code, Failure, failure
 from ..kernel.http import Request, read_request, send_failure, send_json, send_response
+from ..kernel.messages import ServerView
 from ..kernel.metrics import Metrics
+from ._claim_keys import KEY_HEADER, claim_key
+from ._claims import Claims
 from ._dispatch import Answer, Attempt, Dispatcher
 from ._view import View
 
@@ -28,12 +33,23 @@
     ----------
     view : View
     dispatcher : Dispatcher
+    claims : Claims
     metrics : Metrics
+    rng : random.Random
     """
 
-    def __init__(self, view: View, dispatcher: Dispatcher, metrics: Metrics):
+    def __init__(
+        self,
+        view: View,
+        dispatcher: Dispatcher,
+        claims: Claims,
+        metrics: Metrics,
+        rng: random.Random,
+    ):
         self._view = view
         self._dispatcher = dispatcher
+        self._claims = claims
+        self._rng = rng
         self._metrics = metrics
         self.n_in_flight = 0
         self.leaving = False
@@ -97,7 +113,8 @@
                 }
             ),
         )
-        await self._attempt(entry, attempt, send, headers, body.get("stream", False))
+        stream = body.get("stream", False)
+        await self._attempt(entry, request, attempt, send, headers, stream)
 
     def _check_completion(self, request: Request) -> Result[Any, Failure]:
         try:
@@ -123,26 +140,62 @@
         attempt = Attempt(
             request.method, target, {"content-type": kind, **headers}, request.body
         )
-        await self._attempt(entry, attempt, send, headers, False)
+        await self._attempt(entry, request, attempt, send, headers, False)
 
     async def _attempt(
-        self, entry: Entry, attempt: Attempt, send: Any, headers: dict, stream: bool
+        self,
+        entry: Entry,
+        request: Request,
+        attempt: Attempt,
+        send: Any,
+        headers: dict,
+        stream: bool,
     ) -> None:
-        candidates = self._view.candidates(entry)
-        if not candidates:
-            fault = failure(Code.NO_REPLICA, "", RETRY_AFTER_MS)
-            await self._refuse(send, fault, headers)
-            return
-        server = min(candidates, key=lambda c: (c.n_in_flight, c.server_id))
-        async with self._dispatcher.send(server, attempt) as sent:
-            if isinstance(sent, Err):
-                await self._refuse(send, sent.failure(), headers)
-            elif entry.kind is EntryKind.SERVICE:
-                await _pass_whole(sent.unwrap(), send, headers)
+        async def respond(answer: Answer) -> None:
+            if entry.kind is EntryKind.SERVICE:
+                await _pass_whole(answer, send, headers)
             elif stream:
-                await _pass_stream(entry.name, sent.unwrap(), send, headers)
+                await _pass_stream(entry.name, answer, send, headers)
             else:
-                await _pass_completion(entry.name, sent.unwrap(), send, headers)
+                await _pass_completion(entry.name, answer, send, headers)
+
+        def pick(tried: frozenset[str]) -> Result[ServerView, Failure]:
+            return self._pick(entry, tried)
+
+        keyed = claim_key(entry, request, wall_ms(), self._rng)
+        if isinstance(keyed, Err):
+            await self._refuse(send, keyed.failure(), headers)
+            return
+        key = keyed.unwrap()
+        if key is None:
+            ran = await self._run_once(attempt, pick, respond)
+        else:
+            headers[KEY_HEADER] = key.text
+            ran = await self._claims.run(key, attempt, pick, respond, stream)
+        if isinstance(ran, Err):
+            await self._refuse(send, ran.failure(), headers)
+
+    async def _run_once(
+        self, attempt: Attempt, pick: Any, respond: Any
+    ) -> Result[None, Failure]:
+        picked = pick(frozenset())
+        if isinstance(picked, Err):
+            return picked
+        async with self._dispatcher.send(picked.unwrap(), attempt) as sent:
+            if isinstance(sent, Err):
+                return sent
+            await respond(sent.unwrap())
+        return Success(None)
+
+    def _pick(self, entry: Entry, tried: frozenset[str]) -> Result[ServerView, Failure]:
+        candidates = [
+            server
+            for server in self._view.candidates(entry)
+            if server.incarnation not in tried
+        ]
+        if not candidates:
+            return Err(failure(Code.NO_REPLICA, "", RETRY_AFTER_MS))
+        return Success(min(candidates, key=lambda c: (c.n_in_flight, c.server_id)))
 
     async def _refuse(self, send: Any, fault: Failure, headers: dict) -> None:
         self._metrics.count("refusals_total", reason=fault.code.name)
--- a/src/cowslipwood/keeper/_commands.py
+++ b/src/cowslipwood/keeper/_commands.py
@@ -5,7 +5,7 @@
 from returns.result import Result
 
 from ..kernel.codes import Failure
-from ..kernel.messages import DesiredModel
+from ..kernel.messages import ClaimAttempt, ClaimBegin, ClaimFinish, DesiredModel
 from ..kernel.wire import (
     Envelope,
     decode_message,
@@ -16,6 +16,9 @@
 
 __all__ = [
     "AssignCommand",
+    "ClaimAttemptCommand",
+    "ClaimBeginCommand",
+    "ClaimFinishCommand",
     "DrainCommand",
     "EditCommand",
     "decode_command",
@@ -53,6 +56,34 @@
     drained: bool
 
 
+@message("commands")
+class ClaimBeginCommand(NamedTuple):
+    """Opens a claim or reads it; the leader's clock and limits go with it."""
+
+    begin: ClaimBegin
+    wall_ms: int
+    keep_ms: int
+    max_claims: int
+
+
+@message("commands")
+class ClaimAttemptCommand(NamedTuple):
+    """Opens the next attempt of a claim."""
+
+    attempt: ClaimAttempt
+    wall_ms: int
+
+
+@message("commands")
+class ClaimFinishCommand(NamedTuple):
+    """Records how an attempt ended."""
+
+    finish: ClaimFinish
+    wall_ms: int
+    max_answer_bytes: int
+    max_answers_bytes: int
+
+
 def encode_command(command: Any) -> bytes:
     """Return the log entry of a command."""
     kind = type(command).__name__
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -6,7 +6,7 @@
 from returns.result import Failure as Err
 
 from ..kernel.channel import Channel, as_refused
-from ..kernel.clock import monotonic_ms
+from ..kernel.clock import monotonic_ms, wall_ms
 from ..kernel.codes import Code, failure
 from ..kernel.http import HttpServer, bind_socket, send_failure, with_health
 from ..kernel.lifecycle import check_tokens
@@ -15,6 +15,9 @@
     Ack,
     AgentReport,
     Assignment,
+    ClaimAttempt,
+    ClaimBegin,
+    ClaimFinish,
     EntryReport,
     Hello,
     OperatorRequest,
@@ -25,6 +28,7 @@
 from ..kernel.tokens import read_token, token_matches
 from ..placement import ServerState, first_fit
 from ..replication import LocalReplica
+from ._claims import ClaimLimits, Claims
 from ._commands import AssignCommand, encode_command
 from ._directory import Directory, server_view
 from ._machine import AssignedModels, KeeperMachine
@@ -56,6 +60,14 @@
         Milliseconds between two rounds of telling agents and entries.
     plan_ms : int
         Milliseconds between two placement rounds.
+    claim_keep_ms : int
+        Milliseconds that the claim of an Idempotency-Key lasts.
+    claims_max : int
+        Claims held at once; more are refused.
+    claim_answer_bytes : int
+        Largest answer kept for resends, in bytes.
+    claim_answers_bytes : int
+        All answers kept for resends, in bytes; the oldest go first.
     cluster_token : str
         Token of the system's own connections, or @file.
     operator_token : str
@@ -71,6 +83,10 @@
     zone: str = "zone-1"
     tick_ms: int = 50
     plan_ms: int = 200
+    claim_keep_ms: int = 43_200_000
+    claims_max: int = 50_000
+    claim_answer_bytes: int = 16_384
+    claim_answers_bytes: int = 16_777_216
     cluster_token: str = ""
     operator_token: str = ""
     allow_no_token: bool = False
@@ -83,6 +99,10 @@
     "http_listen": address(),
     "tick_ms": within(5, 5_000),
     "plan_ms": within(10, 60_000),
+    "claim_keep_ms": within(1_000, 30 * 86_400_000),
+    "claims_max": within(1, 10_000_000),
+    "claim_answer_bytes": within(0, 1_048_576),
+    "claim_answers_bytes": within(0, 2**32),
 }
 
 
@@ -108,6 +128,13 @@
         self._operators = Operators(
             self._machine, self._replica, self._directory, op_token
         )
+        limits = ClaimLimits(
+            settings.claim_keep_ms,
+            settings.claims_max,
+            settings.claim_answer_bytes,
+            settings.claim_answers_bytes,
+        )
+        self._claims = Claims(self._machine, self._replica, limits, self._metrics)
         self._subscribers: set[Subscriber] = set()
 
     async def run(self, stop: anyio.Event) -> None:
@@ -175,6 +202,8 @@
                 self._directory.hear_entry(value, now_ms)
             case OperatorRequest():
                 return await self._operators.answer(value, subscriber.peer_id)
+            case ClaimBegin() | ClaimAttempt() | ClaimFinish():
+                return await self._claims.answer(value, wall_ms())
             case _:
                 return as_refused(failure(Code.BAD_MESSAGE))
         return Ack(self._machine.catalogue.revision)
--- a/src/cowslipwood/keeper/_machine.py
+++ b/src/cowslipwood/keeper/_machine.py
@@ -1,4 +1,4 @@
-"""The replicated state: catalogue, assignments and drains."""
+"""The replicated state: catalogue, assignments, drains and claims."""
 
 from typing import Any, NamedTuple
 
@@ -17,7 +17,16 @@
 )
 from ..kernel.codes import Code, Failure, failure
 from ..kernel.messages import DesiredModel
-from ._commands import AssignCommand, DrainCommand, EditCommand, decode_command
+from ._claim_table import ClaimTable
+from ._commands import (
+    AssignCommand,
+    ClaimAttemptCommand,
+    ClaimBeginCommand,
+    ClaimFinishCommand,
+    DrainCommand,
+    EditCommand,
+    decode_command,
+)
 
 __all__ = ["AssignedModels", "KeeperMachine"]
 
@@ -43,6 +52,7 @@
         self.catalogue = empty_catalogue()
         self.assignments: dict[str, AssignedModels] = {}
         self.drained: set[str] = set()
+        self.claims = ClaimTable()
         self.on_change = lambda: None
 
     def apply(self, index: int, command: bytes) -> Result[Any, Failure]:
@@ -68,6 +78,8 @@
             case DrainCommand(server_id, False):
                 self.drained.discard(server_id)
                 return Success(index)
+            case ClaimBeginCommand() | ClaimAttemptCommand() | ClaimFinishCommand():
+                return self.claims.apply(index, command)
             case _:
                 return Err(failure(Code.UNKNOWN_OPERATION))
 
@@ -93,6 +105,7 @@
                     for server_id, a in self.assignments.items()
                 },
                 "drained": sorted(self.drained),
+                "claims": self.claims.to_json(),
             }
         )
 
@@ -107,4 +120,5 @@
             for server_id, (revision, desired) in value["assignments"].items()
         }
         self.drained = set(value["drained"])
+        self.claims = ClaimTable.from_json(value["claims"])
         self.on_change()
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -163,7 +163,7 @@
         409, _N, 10, "The key was used with another request; choose a new key."
     ),
     Code.KEY_EXPIRED: CodeInfo(
-        409, _N, 10, "The key is older than claims are kept; check before resending."
+        409, _U, 12, "The key is older than claims are kept; check before resending."
     ),
     Code.BAD_HEADER: CodeInfo(400, _N, 10, "A header is wrong or too large."),
     Code.DEADLINE_PASSED: CodeInfo(503, _N, 11, "The deadline passed before dispatch."),
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -11,6 +11,8 @@
     "Ack",
     "AgentReport",
     "Assignment",
+    "AttemptEnd",
+    "AttemptQuery",
     "CatalogueUpdate",
     "ClaimAttempt",
     "ClaimBegin",
@@ -232,23 +234,29 @@
 
 @message("claims")
 class ClaimBegin(NamedTuple):
-    """An entry asks for the state of a key, opening a claim when there is none."""
+    """An entry asks for a key's state and, where it may run, for an attempt."""
 
     key: str
     digest: str
     entry_id: str
     key_time_ms: int
+    holder: str
+    server_id: str = ""
+    incarnation: str = ""
+    agent_addr: str = ""
 
 
 @message("claims")
 class ClaimAttempt(NamedTuple):
-    """An entry records an attempt before it dispatches."""
+    """An entry asks for the next attempt of a claim that it has begun."""
 
     key: str
     attempt: int
     server_id: str
     incarnation: str
     agent_addr: str
+    epoch: int
+    holder: str
 
 
 @message("claims")
@@ -261,6 +269,8 @@
     status: int
     headers: bytes
     body: bytes
+    epoch: int
+    kept: bool = True
 
 
 @message("claims")
@@ -269,11 +279,37 @@
 
     key: str
     status: str
-    attempt: int
+    attempt: int = 0
+    server_id: str = ""
+    incarnation: str = ""
+    agent_addr: str = ""
+    answer_status: int = 0
+    answer_headers: bytes = b""
+    answer_body: bytes = b""
+    answer_kept: bool = False
+    epoch: int = 0
+    holder: str = ""
+    expires_ms: int = 0
+
+
+@message("claims")
+class AttemptQuery(NamedTuple):
+    """An entry asks an agent how an attempt ended, and voids one not begun."""
+
+    attempt_id: str
     server_id: str
     incarnation: str
-    agent_addr: str
-    answer_status: int
-    answer_headers: bytes
-    answer_body: bytes
-    answer_kept: bool
+    expires_ms: int
+    void_after_ms: int
+    wait_ms: int
+
+
+@message("claims")
+class AttemptEnd(NamedTuple):
+    """An agent's answer to an `AttemptQuery`."""
+
+    state: str
+    status: int = 0
+    headers: bytes = b""
+    body: bytes = b""
+    kept: bool = False
--- a/src/cowslipwood/schema/commands.capnp
+++ b/src/cowslipwood/schema/commands.capnp
@@ -2,6 +2,7 @@
 # Commands in the keepers' replicated log.
 
 using Control = import "control.capnp";
+using Claims = import "claims.capnp";
 
 struct EditCommand {
   editId @0 :Text;
@@ -23,3 +24,22 @@
   serverId @0 :Text;
   drained @1 :Bool;
 }
+
+struct ClaimBeginCommand {
+  begin @0 :Claims.ClaimBegin;
+  wallMs @1 :UInt64;         # the leader's clock
+  keepMs @2 :UInt64;         # how long the claim lasts
+  maxClaims @3 :UInt32;
+}
+
+struct ClaimAttemptCommand {
+  attempt @0 :Claims.ClaimAttempt;
+  wallMs @1 :UInt64;
+}
+
+struct ClaimFinishCommand {
+  finish @0 :Claims.ClaimFinish;
+  wallMs @1 :UInt64;
+  maxAnswerBytes @2 :UInt64;
+  maxAnswersBytes @3 :UInt64; # of all kept answers together
+}
