--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,7 +6,13 @@
 
 from cowslipwood.kernel.messages import AgentReport, Resident
 
-__all__ = ["adapter_value", "model_value", "reports", "service_value"]
+__all__ = [
+    "adapter_value",
+    "model_value",
+    "order_value",
+    "reports",
+    "service_value",
+]
 
 _words = st.text(max_size=12)
 _counts = st.integers(0, 2**32 - 1)
@@ -36,6 +42,20 @@
     return {**value, **fields}
 
 
+def order_value(model: str = "m1", **fields: Any) -> dict[str, Any]:
+    """Return the JSON value of a load order to an engine."""
+    return {
+        "order_id": f"order-{model}",
+        "op": "load",
+        "model": model,
+        "version": "1",
+        "base": "",
+        "memory_bytes": 1_000,
+        "fence": 1,
+        **fields,
+    }
+
+
 def reports() -> st.SearchStrategy[AgentReport]:
     """Return a strategy of agent reports."""
     residents = st.builds(Resident, _words, _words, _words, _sizes)
--- /dev/null
+++ b/tests/served.py
@@ -0,0 +1,83 @@
+"""Serves ASGI applications on loopback inside a test's own process."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import httpcore
+import orjson
+
+from cowslipwood.kernel.http import HttpServer, bind_socket
+
+__all__ = ["Client", "serving", "until"]
+
+WAIT_S = 60.0
+
+
+class Client:
+    """Makes HTTP calls to one address.
+
+    Parameters
+    ----------
+    addr : str
+        ``ip:port``.
+    """
+
+    def __init__(self, addr: str):
+        self.addr = addr
+        self.url = f"http://{addr}"
+        self._pool = httpcore.AsyncConnectionPool(max_connections=512)
+
+    async def call(
+        self, method: str, path: str, value: Any = None, **headers: str
+    ) -> tuple[int, Any]:
+        """Return the status and the body; JSON is decoded."""
+        response = await self._pool.request(
+            method,
+            self.url + path,
+            headers=self._headers(headers),
+            content=orjson.dumps(value) if value is not None else b"",
+        )
+        body = response.content
+        is_json = dict(response.headers).get(b"content-type") == b"application/json"
+        return response.status, orjson.loads(body) if is_json else body
+
+    def stream(self, path: str, value: Any, **headers: str) -> Any:
+        """Return an async context manager of a streamed POST."""
+        return self._pool.stream(
+            "POST",
+            self.url + path,
+            headers=self._headers(headers),
+            content=orjson.dumps(value),
+        )
+
+    def _headers(self, headers: dict[str, str]) -> list[tuple[str, str]]:
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        return [("host", self.addr), *names.items()]
+
+
+@asynccontextmanager
+async def serving(app: Any) -> AsyncIterator[Client]:
+    """Serve an application on a free port and yield a client of it."""
+    sock = bind_socket("127.0.0.1:0")
+    server = HttpServer(app, sock)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run)
+        try:
+            yield Client(f"127.0.0.1:{sock.getsockname()[1]}")
+        finally:
+            tasks.cancel_scope.cancel()
+
+
+async def until(condition: Any, what: str) -> None:
+    """Wait until `condition`, a function or coroutine function, holds."""
+    with anyio.move_on_after(WAIT_S):
+        while True:
+            value = condition()
+            if hasattr(value, "__await__"):
+                value = await value
+            if value:
+                return
+            await anyio.sleep(0.005)
+    raise AssertionError(f"waited {WAIT_S} s for {what}")
