Admit calls exactly and account for every order at the agent

Cause: the agent sent calls on as they came, forgot an order whose answer was lost, and freed bytes on the engine's word for an order rather than its state.

Change: the ledger reserves before an order is sent, frees on a read of the engine's state that began after the order's end, and keeps what a late order may still take reserved where the engine checks no fencing numbers, after a restart for everything models may take. Orders are resent under their own id until their end is seen; loads wait for a permit. Calls wait by class, are refused at once when the predicted wait is over their deadline, carry KV cache in the account, and are cancelled at the engine when their caller goes away or their answer is cut. A process that stood still dates back the calls it finds. On SIGTERM the agent refuses until entries have stopped sending, then ends.

A keeper that does not know permits is taken to have no limit; this goes when keepers grant them.

--- a/src/cowslipwood/agent/_agent.py
+++ b/src/cowslipwood/agent/_agent.py
@@ -1,35 +1,36 @@
 """Runs one agent: its link to the keepers, its reconciler and its calls."""
 
+import math
 import uuid
 from typing import Any, NamedTuple
 
 import anyio
-from returns.result import Failure as Err
+import anyio.abc
 
 from ..kernel.channel import Channel
+from ..kernel.clock import monotonic_ms
 from ..kernel.http import HttpServer, bind_socket, with_health
 from ..kernel.keeper_link import KeeperLink
 from ..kernel.lifecycle import check_tokens
 from ..kernel.logs import get_logger
-from ..kernel.messages import (
-    AgentReport,
-    Assignment,
-    CatalogueUpdate,
-    Hello,
-)
+from ..kernel.messages import AgentReport, Assignment, CatalogueUpdate, Hello
 from ..kernel.metrics import Metrics
 from ..kernel.registry import PluginKind, lookup
 from ..kernel.settings import Check, address, one_of, peer_list, within
 from ..kernel.tokens import read_token
+from ._admission import Admission, CallClass
 from ._attempts import Attempts
-from ._calls import Calls
-from ._ledger import Ledger
-from ._reconcile import Reconciler
+from ._calls import Calls, EngineCalls
+from ._engine_side import EngineSide
+from ._forward import Forwarder
+from ._freeze import TICK_MS
+from ._permits import Permits
 from .engines import http_engine  # noqa: F401
 
 __all__ = ["AgentSettings", "agent_checks", "run_agent"]
 
-ENGINE_POLL_MS = 500
+QUIET_MS = 500
+MAX_QUIET_MS = 5_000
 
 
 class AgentSettings(NamedTuple):
@@ -57,6 +58,18 @@
         Token of the system's own connections, or @file.
     allow_no_token : bool
         Run without tokens; on loopback only.
+    order_timeout_ms : int
+        Milliseconds after which an order's end is unknown and it is resent.
+    order_life_ms : int
+        Milliseconds after which an order can no longer arrive at an engine
+        that checks no fencing numbers.
+    kv_reserve_share : float
+        Share of an accelerator's memory that models leave to KV cache; it must
+        not grow while an order to an unfenced engine may still arrive.
+    prompt_bytes_per_token : float
+        Fewest bytes of a prompt that make one token.
+    service_knee : int
+        Calls that a plain service answers at full speed at once.
     """
 
     server_id: str
@@ -69,6 +82,11 @@
     report_ms: int = 200
     cluster_token: str = ""
     allow_no_token: bool = False
+    order_timeout_ms: int = 30_000
+    order_life_ms: int = 10_000
+    kv_reserve_share: float = 0.1
+    prompt_bytes_per_token: float = 1.0
+    service_knee: int = 16
 
 
 agent_checks = {
@@ -78,6 +96,11 @@
     "listen": address(),
     "dialect": one_of("fenced", "unfenced", "service"),
     "report_ms": within(10, 10_000),
+    "order_timeout_ms": within(10, 3_600_000),
+    "order_life_ms": within(0, 3_600_000),
+    "kv_reserve_share": within(0, 0.9),
+    "prompt_bytes_per_token": within(0.1, 100),
+    "service_knee": within(1, 100_000),
 }
 
 
@@ -97,72 +120,114 @@
         host, port = self._sock.getsockname()[:2]
         self._http_addr = f"{host}:{port}"
         self._incarnation = uuid.uuid4().hex
-        self._is_engine = settings.dialect != "service"
-        self._ledger = Ledger(0)
-        self._knee = 0
         self._revision = 0
-        self._reconciler = None
-        self._dialect = None
-        if self._is_engine:
-            make = lookup(PluginKind.ENGINE_DIALECT, settings.dialect)
-            self._dialect = make(settings.backend_url)
-            self._reconciler = Reconciler(self._dialect, self._ledger, self._metrics)
-        self._calls = Calls(
-            settings.backend_url,
-            settings.server_id,
-            token,
-            self._reconciler,
-            Attempts(settings.server_id, self._incarnation, self._metrics),
-            self._metrics,
-        )
+        self._report_now = anyio.Event()
         hello = Hello(
             "agent", settings.server_id, self._incarnation, settings.zone, token
         )
         self._link = KeeperLink(
             settings.keepers, hello, self._on_message, self._report_loop
         )
-        self._report_now = anyio.Event()
+        self._engine = self._make_engine_side()
+        self._admission = Admission(
+            settings.service_knee, self._engine.ledger if self._engine else None
+        )
+        self._calls = self._make_calls(token)
+
+    def _make_engine_side(self) -> EngineSide | None:
+        settings = self._settings
+        if settings.dialect == "service":
+            return None
+        make = lookup(PluginKind.ENGINE_DIALECT, settings.dialect)
+        dialect = make(settings.backend_url, settings.order_timeout_ms)
+        permits = Permits(self._link, settings.server_id, self._metrics)
+        return EngineSide(dialect, permits, self._metrics, settings.order_life_ms)
+
+    def _make_calls(self, token: str) -> Calls:
+        settings = self._settings
+        engine = self._engine
+        refusals = engine.dialect.refusals if engine else {}
+        return Calls(
+            Forwarder(settings.backend_url, refusals),
+            settings.server_id,
+            token,
+            EngineCalls(engine.dialect, engine.models, self._kv_bytes)
+            if engine
+            else None,
+            self._admission,
+            Attempts(settings.server_id, self._incarnation, self._metrics),
+            self._metrics,
+        )
+
+    def _kv_bytes(self, n_prompt_bytes: int, n_tokens: int) -> int:
+        per_token = self._settings.prompt_bytes_per_token
+        n_prompt_tokens = math.ceil(n_prompt_bytes / per_token) + 1
+        return (n_prompt_tokens + n_tokens) * self._engine.kv_bytes_per_token
 
     async def run(self, stop: anyio.Event) -> None:
         """Serve until `stop`, then refuse new calls and finish the open ones."""
-        app = with_health(self._calls, self._metrics, lambda: not self._calls.leaving)
+        app = with_health(self._calls, self._metrics, self._is_ready)
         server = HttpServer(app, self._sock)
         get_logger().info("listening", addr=self._http_addr)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.run)
-            if self._reconciler is not None:
-                await self._read_engine()
-                self._reconciler.on_change = self._wake_report
-                tasks.start_soon(self._reconciler.run)
-            tasks.start_soon(self._link.run)
+            tasks.start_soon(self._tick_loop)
+            tasks.start_soon(self._start, tasks)
             await stop.wait()
             self._calls.leaving = True
             self._wake_report()
-            while self._calls.n_in_flight:
-                await anyio.sleep(0.02)
+            await self._drain()
             server.stop()
             tasks.cancel_scope.cancel()
 
-    async def _read_engine(self) -> None:
+    async def _start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Learn what the engine holds before the first report tells of it."""
+        engine = self._engine
+        if engine is not None:
+            state = await engine.take_over(self._settings.kv_reserve_share)
+            self._admission.knee_in_flight = state.knee_in_flight
+            engine.reconciler.on_change = self._wake_report
+            tasks.start_soon(engine.reconciler.run)
+            tasks.start_soon(self._calls.run_cancels)
+            await engine.models.first_read.wait()
+        tasks.start_soon(self._link.run)
+
+    async def _drain(self) -> None:
+        """Wait until no call is open and entries have stopped sending."""
+        left_ms = monotonic_ms()
         while True:
-            read = await self._dialect.state()
-            if not isinstance(read, Err):
-                state = read.unwrap()
-                self._ledger.capacity_bytes = state.capacity_bytes
-                self._knee = state.knee_in_flight
+            now_ms = monotonic_ms()
+            quiet_ms = now_ms - max(left_ms, self._calls.refused_at_ms)
+            is_quiet = quiet_ms >= QUIET_MS or now_ms - left_ms >= MAX_QUIET_MS
+            if is_quiet and not self._calls.n_open:
                 return
-            await anyio.sleep(ENGINE_POLL_MS / 1000)
+            await anyio.sleep(0.02)
+
+    async def _tick_loop(self) -> None:
+        while True:
+            self._calls.tick(monotonic_ms())
+            await anyio.sleep(TICK_MS / 1000)
+
+    def _is_ready(self) -> bool:
+        return not (self._calls.leaving or self._calls.drained)
 
     def _wake_report(self) -> None:
         self._report_now.set()
 
     async def _on_message(self, value: Any) -> None:
         match value:
-            case Assignment() if self._reconciler is not None:
-                self._reconciler.assign(value)
+            case Assignment():
+                self._on_assignment(value)
             case CatalogueUpdate():
                 self._revision = value.revision
 
+    def _on_assignment(self, assignment: Assignment) -> None:
+        if assignment.server_id != self._settings.server_id:
+            return
+        if self._engine and not self._engine.reconciler.assign(assignment):
+            return
+        self._calls.drained = assignment.drained
+
     async def _report_loop(self, channel: Channel) -> None:
         while True:
             self._report_now = anyio.Event()
@@ -171,23 +236,43 @@
                 await self._report_now.wait()
 
     def _report(self) -> AgentReport:
-        assignment = self._reconciler.assignment if self._reconciler else None
-        return AgentReport(
+        now_ms = monotonic_ms()
+        engine = self._engine
+        assignment = engine.reconciler.assignment if engine else None
+        admission = self._admission
+        report = AgentReport(
             server_id=self._settings.server_id,
             incarnation=self._incarnation,
             zone=self._settings.zone,
             http_addr=self._http_addr,
-            kind="engine" if self._is_engine else "service",
+            kind="engine" if engine else "service",
             service_name=self._settings.service_name,
-            capacity_bytes=self._ledger.capacity_bytes,
-            committed_bytes=self._ledger.committed_bytes,
+            capacity_bytes=engine.ledger.usable_bytes if engine else 0,
+            committed_bytes=engine.ledger.committed_bytes if engine else 0,
             leaving=self._calls.leaving,
             catalogue_revision=self._revision,
             assignment_term=assignment.term if assignment else 0,
             assignment_revision=assignment.revision if assignment else 0,
-            residents=self._reconciler.residents() if self._reconciler else (),
-            n_in_flight=self._calls.n_in_flight,
-            n_queued=0,
-            wait_ms=0.0,
-            knee_in_flight=self._knee,
+            residents=engine.models.residents() if engine else (),
+            n_in_flight=admission.n_in_flight,
+            n_queued=admission.n_queued,
+            wait_ms=admission.wait_ms(now_ms, CallClass.STANDARD),
+            knee_in_flight=admission.knee_in_flight,
+            reserved_bytes=engine.ledger.doubt_bytes(now_ms) if engine else 0,
         )
+        self._set_gauges(report)
+        return report
+
+    def _set_gauges(self, report: AgentReport) -> None:
+        self._metrics.gauge("in_flight", report.n_in_flight)
+        self._metrics.gauge("queued", report.n_queued)
+        self._metrics.gauge("wait_ms", report.wait_ms)
+        self._metrics.gauge("catalogue_revision", report.catalogue_revision)
+        if self._engine is None:
+            return
+        self._metrics.gauge("usable_bytes", report.capacity_bytes)
+        self._metrics.gauge("committed_bytes", report.committed_bytes)
+        self._metrics.gauge("reserved_bytes", report.reserved_bytes)
+        self._metrics.gauge("kv_bytes", self._engine.ledger.kv_bytes)
+        self._metrics.gauge("assignment_term", report.assignment_term)
+        self._metrics.gauge("assignment_revision", report.assignment_revision)
--- a/src/cowslipwood/agent/_calls.py
+++ b/src/cowslipwood/agent/_calls.py
@@ -4,30 +4,79 @@
 as it comes.
 """
 
-from typing import Any
+import itertools
+from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
+from typing import Any, NamedTuple
 
-import httpcore
+import anyio
 import orjson
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..kernel.clock import wall_ms
+from ..kernel.clock import monotonic_ms, wall_ms
 from ..kernel.codes import Code, Failure, failure
 from ..kernel.http import Request, read_request, send_failure, send_response
 from ..kernel.messages import AttemptQuery
 from ..kernel.metrics import Metrics
 from ..kernel.tokens import token_matches
 from ..kernel.wire import decode_record, encode_record
+from ._admission import Admission, CallClass, CallSpec, Ticket
 from ._attempts import Attempts
-from ._ledger import ModelKey
-from ._reconcile import Reconciler
+from ._call_request import parse_model_call, parse_terms
+from ._forward import BackendCall, ForwardEnd, Forwarder, Outcome
+from ._freeze import FreezeWatch
+from ._models import Models
+from .engines import EngineDialect
 
-__all__ = ["Calls"]
+__all__ = ["Calls", "EngineCalls"]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
+BODY_TIMEOUT_MS = 10_000
 RETRY_AFTER_MS = 500
+CANCEL_RETRY_MS = 200
 VOID_PATH = "/attempts/void"
-_HOP_HEADERS = ("connection", "transfer-encoding", "keep-alive", "host")
+_DROPPED_HEADERS = frozenset(
+    (
+        "authorization",
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "transfer-encoding",
+    )
+)
+_OWN_PREFIX = "x-cowslip-"
+
+
+class AnswerCutError(ConnectionError):
+    """Raised when an answer ends early, to break the connection to the entry."""
+
+
+class EngineCalls(NamedTuple):
+    """What calls of models need beside an engine.
+
+    Parameters
+    ----------
+    dialect : EngineDialect
+    models : Models
+    kv_bytes : callable
+        Returns the KV cache that a prompt of so many bytes with an answer of
+        so many tokens takes at most.
+    """
+
+    dialect: EngineDialect
+    models: Models
+    kv_bytes: Callable[[int, int], int]
+
+
+class _Admitted(NamedTuple):
+    """A call that may begin once it has its place."""
+
+    call: BackendCall
+    spec: CallSpec
+    use: Callable[[], AbstractContextManager]
 
 
 class Calls:
@@ -35,71 +84,183 @@
 
     Parameters
     ----------
-    backend_url : str
-        ``http://ip:port`` of the backend server.
+    forwarder : Forwarder
     server_id : str
     cluster_token : str
-    reconciler : Reconciler or None
+    engine : EngineCalls or None
         None beside a plain service.
+    admission : Admission
     attempts : Attempts
     metrics : Metrics
     """
 
     def __init__(
         self,
-        backend_url: str,
+        forwarder: Forwarder,
         server_id: str,
         cluster_token: str,
-        reconciler: Reconciler | None,
+        engine: EngineCalls | None,
+        admission: Admission,
         attempts: Attempts,
         metrics: Metrics,
     ):
-        self._backend_url = backend_url
+        self._forwarder = forwarder
         self._server_id = server_id
         self._cluster_token = cluster_token
-        self._reconciler = reconciler
+        self._engine = engine
+        self._admission = admission
         self._attempts = attempts
         self._metrics = metrics
-        self._pool = httpcore.AsyncConnectionPool(max_connections=1024)
-        self.n_in_flight = 0
+        self._freeze = FreezeWatch(monotonic_ms())
+        self._call_numbers = itertools.count(1)
+        self._buffered_bytes = 0
+        self._cancels: list[tuple[str, Ticket]] = []
+        self._cancel_due = anyio.Event()
+        self.n_open = 0
+        self.refused_at_ms = 0.0
         self.leaving = False
+        self.drained = False
 
     async def __call__(self, scope: dict, receive: Any, send: Any) -> None:
         """Serve one call."""
-        read = await read_request(scope, receive, MAX_BODY_BYTES)
+        arrived_ms = self._freeze.arrival_ms(monotonic_ms())
+        self.n_open += 1
+        try:
+            await self._serve(scope, receive, send, arrived_ms)
+        finally:
+            self.n_open -= 1
+
+    def tick(self, now_ms: float) -> None:
+        """Note that the process runs, and let waiting calls begin."""
+        self._freeze.tick(now_ms)
+        self._admission.pump(now_ms)
+
+    async def run_cancels(self) -> None:
+        """Free the KV cache of calls that were cut, once the engine has ended them."""
+        while True:
+            await self._cancel_due.wait()
+            self._cancel_due = anyio.Event()
+            while self._cancels:
+                call_id, ticket = self._cancels[0]
+                if isinstance(await self._engine.dialect.cancel(call_id), Err):
+                    self._metrics.count("cancel_retries_total", reason="UNREACHABLE")
+                    await anyio.sleep(CANCEL_RETRY_MS / 1000)
+                    continue
+                self._cancels.pop(0)
+                self._admission.free_kv(ticket)
+
+    async def _serve(
+        self, scope: dict, receive: Any, send: Any, arrived_ms: float
+    ) -> None:
+        if not self._is_trusted(scope):
+            await self._refuse(send, failure(Code.BAD_TOKEN))
+            return
+        n_bytes = _declared_bytes(scope)
+        if self._buffered_bytes + n_bytes > MAX_BUFFERED_BYTES:
+            fault = failure(Code.AGENT_OVERLOADED, "too many bytes", RETRY_AFTER_MS)
+            await self._refuse(send, fault)
+            return
+        self._buffered_bytes += n_bytes
+        try:
+            await self._serve_trusted(scope, receive, send, arrived_ms)
+        finally:
+            self._buffered_bytes -= n_bytes
+
+    async def _serve_trusted(
+        self, scope: dict, receive: Any, send: Any, arrived_ms: float
+    ) -> None:
+        read = Err(failure(Code.DEADLINE_PASSED, "the body did not come"))
+        with anyio.move_on_after(BODY_TIMEOUT_MS / 1000):
+            read = await read_request(scope, receive, MAX_BODY_BYTES)
         if isinstance(read, Err):
-            await send_failure(send, read.failure())
+            await self._refuse(send, read.failure())
             return
         request = read.unwrap()
-        if not self._is_trusted(request):
-            await self._refuse(send, failure(Code.BAD_TOKEN))
-            return
         if request.path == VOID_PATH:
             await self._query_attempt(request, send)
             return
-        admitted = self._admit(request)
+        admitted = self._admit(request, arrived_ms)
         if isinstance(admitted, Err):
-            fault = admitted.failure()
-            fault = self._attempts.refuse(request.headers, fault, wall_ms())
-            await self._refuse(send, fault)
+            await self._refuse_call(request, send, admitted.failure())
+            return
+        await self._begin(request, admitted.unwrap(), receive, send)
+
+    async def _begin(
+        self, request: Request, admitted: _Admitted, receive: Any, send: Any
+    ) -> None:
+        """Wait for a place, then forward the call."""
+        entered = await self._enter(admitted.spec, receive)
+        if isinstance(entered, Err):
+            await self._refuse_call(request, send, entered.failure())
             return
+        ticket = entered.unwrap()
         begun = self._attempts.begin(request.headers, wall_ms())
         if isinstance(begun, Err):
+            self._admission.undo(ticket)
             await self._refuse(send, begun.failure())
             return
-        self.n_in_flight += 1
+        with admitted.use():
+            await self._run(begun.unwrap(), admitted.call, ticket, receive, send)
+
+    async def _enter(self, spec: CallSpec, receive: Any) -> Result[Ticket, Failure]:
+        """Wait for a place, unless the caller goes away first.
+
+        Nothing is awaited after the ticket is confirmed, so that it still
+        holds when the call is sent.
+        """
+        offered = self._admission.offer(spec, monotonic_ms())
+        if isinstance(offered, Err):
+            return offered
+        ticket = offered.unwrap()
+        if not ticket.decided.is_set():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_cancel_when_gone, receive, tasks.cancel_scope)
+                await self._admission.wait(ticket)
+                tasks.cancel_scope.cancel()
+        if not ticket.decided.is_set() or ticket.withdrawn:
+            return Err(failure(Code.PEER_GONE))
+        return self._admission.confirm(ticket, monotonic_ms())
+
+    async def _run(
+        self,
+        attempt: Any,
+        call: BackendCall,
+        ticket: Ticket,
+        receive: Any,
+        send: Any,
+    ) -> None:
+        """Forward a call, and record its answer where it is an attempt."""
+        end = ForwardEnd(Outcome.CANCELLED)
+        call_id = f"{self._server_id}-{next(self._call_numbers)}"
+        if self._engine is not None:
+            call.headers.append(("x-request-id", call_id))
         try:
-            await self._run(begun.unwrap(), request, send)
+            if attempt is None:
+                end = await self._forwarder.run(
+                    call, send, self.report, lambda: _until_gone(receive)
+                )
+            else:
+                with attempt:
+                    end = await self._forwarder.run(
+                        call, attempt.recorder(send), self.report, None
+                    )
         finally:
-            self.n_in_flight -= 1
+            self._end(call_id, ticket, end)
+        if end.outcome is Outcome.CUT:
+            raise AnswerCutError(call.target)
 
-    async def _run(self, attempt: Any, request: Request, send: Any) -> None:
-        """Forward a call, and record its answer where it is an attempt."""
-        if attempt is None:
-            await self._forward(request, send)
+    def _end(self, call_id: str, ticket: Ticket, end: ForwardEnd) -> None:
+        self._metrics.count("calls_total", outcome=end.outcome.value)
+        if end.outcome is Outcome.WHOLE and end.status < 400:
+            n_tokens = ticket.spec.n_tokens
+            self._admission.estimate.learn(end.first_ms, end.rest_ms, n_tokens)
+        self._admission.leave(ticket)
+        ended = end.outcome in (Outcome.WHOLE, Outcome.NOT_SENT, Outcome.REFUSED)
+        if ended or self._engine is None:
+            self._admission.free_kv(ticket)
             return
-        with attempt:
-            await self._forward(request, attempt.recorder(send))
+        self._cancels.append((call_id, ticket))
+        self._cancel_due.set()
 
     async def _query_attempt(self, request: Request, send: Any) -> None:
         decoded = decode_record(AttemptQuery, request.body)
@@ -112,61 +273,99 @@
             return
         await send_response(send, 200, {}, encode_record(ended.unwrap()))
 
+    async def _refuse_call(self, request: Request, send: Any, fault: Failure) -> None:
+        """Refuse a call; where it is an attempt, it will not begin later."""
+        fault = self._attempts.refuse(request.headers, fault, wall_ms())
+        await self._refuse(send, fault)
+
     async def _refuse(self, send: Any, fault: Failure) -> None:
+        self.refused_at_ms = monotonic_ms()
         self._metrics.count("refusals_total", reason=fault.code.name)
-        await send_failure(send, fault)
+        headers = self.report()
+        if self.leaving:
+            headers["connection"] = "close"
+        await send_failure(send, fault, headers)
 
-    def _is_trusted(self, request: Request) -> bool:
-        given = request.headers.get("authorization", "").removeprefix("Bearer ")
-        return token_matches(self._cluster_token, given)
+    def report(self) -> dict[str, str]:
+        """Return the header that tells an entry of the load here."""
+        admission = self._admission
+        value = {
+            "n_in_flight": admission.n_in_flight,
+            "n_queued": admission.n_queued,
+            "wait_ms": round(admission.wait_ms(monotonic_ms(), CallClass.STANDARD), 1),
+            "knee": admission.knee_in_flight,
+        }
+        return {"x-cowslip-report": orjson.dumps(value).decode()}
 
-    def _admit(self, request: Request) -> Result[Request, Failure]:
-        if self.leaving:
+    def _is_trusted(self, scope: dict) -> bool:
+        given = dict(scope["headers"]).get(b"authorization", b"").decode("latin-1")
+        return token_matches(self._cluster_token, given.removeprefix("Bearer "))
+
+    def _admit(self, request: Request, arrived_ms: float) -> Result[_Admitted, Failure]:
+        if self.leaving or self.drained:
             return Err(failure(Code.AGENT_LEAVING, "", RETRY_AFTER_MS))
         if request.headers.get("x-cowslip-server", "") != self._server_id:
             return Err(failure(Code.WRONG_SERVER, "", RETRY_AFTER_MS))
-        if self._reconciler is None:
-            return Success(request)
-        body = orjson.loads(request.body)
-        key = ModelKey(body["model"], body["version"])
-        if not self._reconciler.is_ready(key):
+        terms = parse_terms(request, arrived_ms)
+        if isinstance(terms, Err):
+            return terms
+        if self._engine is not None:
+            return self._admit_model(request, *terms.unwrap())
+        spec = CallSpec(*terms.unwrap(), 0, 0, lambda: True)
+        return Success(
+            _Admitted(_backend_call(request, request.body), spec, nullcontext)
+        )
+
+    def _admit_model(
+        self, request: Request, call_class: CallClass, deadline_ms: float
+    ) -> Result[_Admitted, Failure]:
+        engine = self._engine
+        parsed = parse_model_call(request, call_class)
+        if isinstance(parsed, Err):
+            return parsed
+        call = parsed.unwrap()
+        if not engine.models.is_servable(call.key):
             return Err(failure(Code.MODEL_NOT_READY, "", RETRY_AFTER_MS))
-        return Success(request)
-
-    async def _forward(self, request: Request, send: Any) -> None:
-        headers = [
-            (name, value)
-            for name, value in request.headers.items()
-            if name not in _HOP_HEADERS and name != "authorization"
-        ]
-        started = False
-        try:
-            async with self._pool.stream(
-                request.method,
-                self._backend_url + request.target,
-                headers=[("host", "backend"), *headers],
-                content=request.body,
-            ) as response:
-                pairs = [
-                    (name.lower(), value)
-                    for name, value in response.headers
-                    if name.lower().decode() not in (*_HOP_HEADERS, "x-cowslip-outcome")
-                ]
-                await send(
-                    {
-                        "type": "http.response.start",
-                        "status": response.status,
-                        "headers": pairs,
-                    }
-                )
-                started = True
-                async for chunk in response.aiter_stream():
-                    event = {"type": "http.response.body", "body": chunk}
-                    await send({**event, "more_body": True})
-                await send({"type": "http.response.body", "body": b""})
-        except httpcore.ConnectError:
-            await send_failure(send, failure(Code.BACKEND_UNREACHABLE))
-        except (httpcore.NetworkError, httpcore.ProtocolError):
-            if started:
-                raise
-            await send_failure(send, failure(Code.OUTCOME_UNKNOWN))
+        spec = CallSpec(
+            call_class,
+            deadline_ms,
+            call.n_tokens,
+            engine.kv_bytes(call.n_prompt_bytes, call.max_tokens),
+            lambda: engine.models.is_servable(call.key),
+        )
+        backend_call = _backend_call(request, orjson.dumps(call.body), "x-request-id")
+        return Success(
+            _Admitted(backend_call, spec, lambda: engine.models.call(call.key))
+        )
+
+
+def _backend_call(request: Request, sent: bytes, *dropped: str) -> BackendCall:
+    """Return a call without the headers that concern only this hop."""
+    headers = [
+        (name, value)
+        for name, value in request.headers.items()
+        if name not in _DROPPED_HEADERS
+        and name not in dropped
+        and not name.startswith(_OWN_PREFIX)
+    ]
+    headers += [("host", "backend"), ("content-length", str(len(sent)))]
+    return BackendCall(request.method, request.target, headers, sent)
+
+
+def _declared_bytes(scope: dict) -> int:
+    """Return how much memory the body may take, from its declared length."""
+    headers = dict(scope["headers"])
+    length = headers.get(b"content-length", b"")
+    if b"transfer-encoding" in headers:
+        return MAX_BODY_BYTES
+    return min(int(length), MAX_BODY_BYTES) if length.isdigit() else 0
+
+
+async def _until_gone(receive: Any) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+async def _cancel_when_gone(receive: Any, scope: anyio.CancelScope) -> None:
+    await _until_gone(receive)
+    scope.cancel()
--- /dev/null
+++ b/src/cowslipwood/agent/_engine_side.py
@@ -0,0 +1,65 @@
+"""All that an agent keeps of its engine: memory, models and orders."""
+
+import anyio
+from returns.result import Failure as Err
+
+from ..kernel.metrics import Metrics
+from ._ledger import Ledger
+from ._models import Models
+from ._orders import OrderSender
+from ._permits import Permits
+from ._reconcile import Reconciler
+from .engines import EngineDialect, EngineState
+
+__all__ = ["EngineSide"]
+
+FIRST_READ_RETRY_MS = 200
+
+
+class EngineSide:
+    """One engine's ledger, models and reconciler.
+
+    Parameters
+    ----------
+    dialect : EngineDialect
+    permits : Permits
+    metrics : Metrics
+    order_life_ms : float
+        See `Ledger`; not used where the engine checks fencing numbers.
+    """
+
+    def __init__(
+        self,
+        dialect: EngineDialect,
+        permits: Permits,
+        metrics: Metrics,
+        order_life_ms: float,
+    ):
+        self.dialect = dialect
+        life_ms = 0 if dialect.checks_fence else order_life_ms
+        self.ledger = Ledger(0, 0, life_ms)
+        self.models = Models()
+        self.kv_bytes_per_token = 0
+        orders = OrderSender(dialect, self.ledger, metrics)
+        self.reconciler = Reconciler(
+            dialect, self.ledger, self.models, orders, permits, metrics
+        )
+
+    async def take_over(self, kv_reserve_share: float) -> EngineState:
+        """Read the engine until it answers, and stop orders of a process before."""
+        state = await self._read()
+        self.kv_bytes_per_token = state.kv_bytes_per_token
+        self.ledger.capacity_bytes = state.capacity_bytes
+        if state.kv_bytes_per_token:
+            reserve_bytes = round(state.capacity_bytes * kv_reserve_share)
+            self.ledger.kv_reserve_bytes = reserve_bytes
+        self.ledger.set_foreign_kv(state.kv_bytes)
+        await self.reconciler.start(state)
+        return state
+
+    async def _read(self) -> EngineState:
+        while True:
+            read = await self.dialect.state()
+            if not isinstance(read, Err):
+                return read.unwrap()
+            await anyio.sleep(FIRST_READ_RETRY_MS / 1000)
--- /dev/null
+++ b/src/cowslipwood/agent/_models.py
@@ -0,0 +1,119 @@
+"""The models in a backend server's memory and the calls that use them."""
+
+import enum
+from collections import Counter
+from collections.abc import Callable, Iterable
+from contextlib import contextmanager
+from typing import NamedTuple
+
+import anyio
+
+from ..kernel.messages import Assignment, DesiredModel, Resident
+from ._ledger import ModelKey
+
+__all__ = ["HeldModel", "Models", "ModelState"]
+
+
+class ModelState(enum.StrEnum):
+    """How far a model is; bytes are reserved for it in each state."""
+
+    WAITING = "waiting"
+    LOADING = "loading"
+    READY = "ready"
+    UNLOADING = "unloading"
+    UNCERTAIN = "uncertain"
+    UNREACHABLE = "unreachable"
+
+
+class HeldModel(NamedTuple):
+    """A model that takes memory, or for which memory is reserved."""
+
+    base: str
+    memory_bytes: int
+    state: ModelState
+
+
+class Models:
+    """What is held, what is assigned, and how many calls use each model."""
+
+    def __init__(self):
+        self.held: dict[ModelKey, HeldModel] = {}
+        self.desired: dict[ModelKey, DesiredModel] | None = None
+        self.reachable = False
+        self.first_read = anyio.Event()
+        self._n_calls: Counter[ModelKey] = Counter()
+        self.on_call_end: Callable[[], None] = lambda: None
+
+    def assign(self, assignment: Assignment) -> None:
+        """Replace what is assigned; bases come first."""
+        by_base = sorted(assignment.desired, key=lambda model: bool(model.base))
+        self.desired = {ModelKey(m.name, m.version): m for m in by_base}
+
+    def set_state(self, key: ModelKey, state: ModelState) -> None:
+        """Change the state of a held model."""
+        self.held[key] = self.held[key]._replace(state=state)
+
+    def is_ready(self, key: ModelKey) -> bool:
+        """Return whether the engine shows a model as ready."""
+        held = self.held.get(key)
+        return held is not None and held.state is ModelState.READY
+
+    def is_servable(self, key: ModelKey) -> bool:
+        """Return whether new calls of a model are admitted.
+
+        A model that is no longer assigned is not, but for an older version
+        until the assigned one is ready. Before the first assignment since the
+        start, whatever is ready is served.
+        """
+        if not self.reachable or not self.is_ready(key):
+            return False
+        return self.desired is None or key in self.desired or self.is_superseded(key)
+
+    def is_superseded(self, key: ModelKey) -> bool:
+        """Return whether another version is assigned and not ready yet."""
+        newer = [other for other in self.desired or () if other.name == key.name]
+        return key not in newer and any(not self.is_ready(other) for other in newer)
+
+    def has_ready(self, name: str) -> bool:
+        """Return whether any version of a model is ready."""
+        return any(key.name == name and self.is_ready(key) for key in self.held)
+
+    def carries_adapters(self, key: ModelKey) -> bool:
+        """Return whether held adapters need this version of their base."""
+        if not any(held.base == key.name for held in self.held.values()):
+            return False
+        others = [k for k in self.held if k.name == key.name and k != key]
+        return not any(self.is_ready(other) for other in others)
+
+    def unassigned(self) -> Iterable[ModelKey]:
+        """Return the held models that are not assigned, adapters first."""
+        keys = [key for key in self.held if key not in (self.desired or ())]
+        return sorted(keys, key=lambda key: not self.held[key].base)
+
+    @contextmanager
+    def call(self, key: ModelKey):
+        """Count a call that uses a model, so that it is not unloaded."""
+        self._n_calls[key] += 1
+        try:
+            yield
+        finally:
+            self._n_calls[key] -= 1
+            if not self._n_calls[key]:
+                del self._n_calls[key]
+                self.on_call_end()
+
+    def n_calls(self, key: ModelKey) -> int:
+        """Return how many calls use a model now."""
+        return self._n_calls[key]
+
+    def residents(self) -> tuple[Resident, ...]:
+        """Return what the agent reports; only servable models are ready."""
+        return tuple(
+            Resident(*key, self._reported(key, held), held.memory_bytes)
+            for key, held in self.held.items()
+        )
+
+    def _reported(self, key: ModelKey, held: HeldModel) -> str:
+        if held.state is ModelState.READY and not self.is_servable(key):
+            return ModelState.UNLOADING if self.reachable else ModelState.UNREACHABLE
+        return held.state
--- a/src/cowslipwood/agent/engines/http_engine.py
+++ b/src/cowslipwood/agent/engines/http_engine.py
@@ -14,8 +14,9 @@
 
 __all__ = ["FencedEngine", "UnfencedEngine"]
 
-ORDER_TIMEOUT_S = 30.0
+DEFAULT_ORDER_TIMEOUT_MS = 30_000
 STATE_TIMEOUT_S = 2.0
+CANCEL_TIMEOUT_S = 2.0
 
 
 class _HttpEngine:
@@ -25,12 +26,16 @@
     ----------
     url : str
         ``http://ip:port`` of the engine.
+    order_timeout_ms : float
+        Time after which the end of an order counts as unknown.
     """
 
     checks_fence = True
+    refusals = {404: Code.MODEL_NOT_READY, 503: Code.AGENT_OVERLOADED}
 
-    def __init__(self, url: str):
+    def __init__(self, url: str, order_timeout_ms: float = DEFAULT_ORDER_TIMEOUT_MS):
         self._url = url
+        self._order_timeout_ms = order_timeout_ms
         self._pool = httpcore.AsyncConnectionPool(max_connections=16)
 
     async def state(self) -> Result[EngineState, Failure]:
@@ -52,9 +57,11 @@
                 "POST",
                 f"{self._url}/engine/orders",
                 content=orjson.dumps(order._asdict()),
-                extensions=_timeouts(ORDER_TIMEOUT_S),
+                extensions=_timeouts(self._order_timeout_ms / 1000),
             )
             answer = orjson.loads(response.content)
+        except _CONNECT_ERRORS as exc:
+            return Err(failure(Code.BACKEND_UNREACHABLE, repr(exc)))
         except _HTTP_ERRORS as exc:
             return Err(failure(Code.ORDER_UNCERTAIN, repr(exc)))
         match answer.get("state"), answer.get("reason"):
@@ -67,7 +74,27 @@
             case _:
                 return Err(failure(Code.ORDER_UNCERTAIN))
 
+    async def cancel(self, request_id: str) -> Result[None, Failure]:
+        """End a call at the engine."""
+        try:
+            response = await self._pool.request(
+                "POST",
+                f"{self._url}/engine/cancel",
+                content=orjson.dumps({"request_id": request_id}),
+                extensions=_timeouts(CANCEL_TIMEOUT_S),
+            )
+        except _HTTP_ERRORS as exc:
+            return Err(failure(Code.BACKEND_UNREACHABLE, repr(exc)))
+        if response.status != 200:
+            return Err(failure(Code.BACKEND_UNREACHABLE, f"status {response.status}"))
+        return Success(None)
+
 
+_CONNECT_ERRORS = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
 _HTTP_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -94,6 +121,13 @@
         order_states={key: item["state"] for key, item in value["orders"].items()},
         n_in_flight=value["n_in_flight"],
         knee_in_flight=value["knee_in_flight"],
+        kv_bytes=value["kv_bytes"],
+        kv_bytes_per_token=value["kv_bytes_per_token"],
+        bases={
+            (item["name"], item["version"]): item["base"]
+            for item in value["models"]
+            if item["base"]
+        },
     )
 
 
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -97,6 +97,7 @@
     n_queued: int
     wait_ms: float
     knee_in_flight: int
+    reserved_bytes: int = 0
 
 
 @message("control")
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -26,7 +26,7 @@
 struct Resident {
   model @0 :Text;
   version @1 :Text;
-  state @2 :Text;        # loading, ready, unloading or uncertain
+  state @2 :Text;        # waiting, loading, ready, unloading, uncertain or unreachable
   memoryBytes @3 :UInt64;
 }
 
@@ -48,6 +48,7 @@
   nQueued @14 :UInt32;
   waitMs @15 :Float64;
   kneeInFlight @16 :UInt32;
+  reservedBytes @17 :UInt64; # for orders that may still arrive
 }
 
 struct DesiredModel {
--- a/src/cowslipwood/standins/engine.py
+++ b/src/cowslipwood/standins/engine.py
@@ -183,9 +183,12 @@
             await self._desk.run(order)
 
     async def _cancel(self, body: dict[str, Any], send: Any) -> None:
-        scope = self._scopes.get(body["request_id"])
+        request_id = body["request_id"]
+        scope = self._scopes.get(request_id)
         if scope is not None:
             scope.cancel()
+        while request_id in self._scopes:
+            await anyio.sleep(0.001)
         await send_json(send, 200, {"cancelled": scope is not None})
 
     async def _complete(self, request: Request, receive: Any, send: Any) -> None:
