Free reserved bytes only on a read that began after an order's life

Cause: the checked model found a way over capacity with an engine that checks no fencing numbers: an order arrives at the end of its life, after the last read of the engine's state; its bytes were freed by the time alone, and the next load went beside it (restart, late arrival, life over, load: 7 states).

Change: the ledger ends doubts only for a read that began after the life was over, once what the read shows is adopted. A reservation for which no order was sent goes the same way.

--- a/src/cowslipwood/agent/_admission.py
+++ b/src/cowslipwood/agent/_admission.py
@@ -188,7 +188,7 @@
         while self._queue:
             ticket = self._queue[0][2]
             fault = _late_refusal(ticket.spec, now_ms)
-            if fault is None and not self._has_place(ticket.spec, now_ms):
+            if fault is None and not self._has_place(ticket.spec):
                 return
             heapq.heappop(self._queue)
             if ticket.decided.is_set():
@@ -217,10 +217,10 @@
             return self.knee_in_flight + round(self.knee_in_flight * URGENT_EXTRA_SHARE)
         return self.knee_in_flight
 
-    def _has_place(self, spec: CallSpec, now_ms: float) -> bool:
+    def _has_place(self, spec: CallSpec) -> bool:
         if self.n_in_flight >= self._places(spec.call_class):
             return False
-        return self._ledger is None or self._ledger.kv_fits(spec.kv_bytes, now_ms)
+        return self._ledger is None or self._ledger.kv_fits(spec.kv_bytes)
 
     def _push(self, ticket: Ticket) -> None:
         rank = ticket.spec.call_class
--- a/src/cowslipwood/agent/_agent.py
+++ b/src/cowslipwood/agent/_agent.py
@@ -258,7 +258,7 @@
             n_queued=admission.n_queued,
             wait_ms=admission.wait_ms(now_ms, CallClass.STANDARD),
             knee_in_flight=admission.knee_in_flight,
-            reserved_bytes=engine.ledger.doubt_bytes(now_ms) if engine else 0,
+            reserved_bytes=engine.ledger.doubt_bytes if engine else 0,
         )
         self._set_gauges(report)
         return report
--- a/src/cowslipwood/agent/_ledger.py
+++ b/src/cowslipwood/agent/_ledger.py
@@ -52,7 +52,7 @@
         self._reserved: dict[ModelKey, int] = {}
         self._sent_ms: dict[ModelKey, float] = {}
         self._doubts: dict[ModelKey, _Doubt] = {}
-        self._unknown_until_ms = 0.0
+        self._unknown_until_ms: float | None = None
         self._waiting_load_bytes = 0
         self._foreign_kv_bytes = 0
         self.kv_bytes = 0
@@ -67,16 +67,14 @@
         """Bytes reserved for models that are, or are to be, in memory."""
         return sum(self._reserved.values())
 
-    def doubt_bytes(self, now_ms: float) -> int:
-        """Return the bytes reserved for orders that may still arrive."""
-        if now_ms < self._unknown_until_ms:
+    @property
+    def doubt_bytes(self) -> int:
+        """Bytes reserved for orders that may still arrive."""
+        if self._unknown_until_ms is not None:
             return max(0, self.usable_bytes - self.committed_bytes)
-        self._drop_old_doubts(now_ms)
         return sum(doubt.memory_bytes for doubt in self._doubts.values())
 
-    def reserve(
-        self, key: ModelKey, memory_bytes: int, now_ms: float
-    ) -> Result[None, Failure]:
+    def reserve(self, key: ModelKey, memory_bytes: int) -> Result[None, Failure]:
         """Reserve bytes for a model before it is ordered; fails with MEMORY_FULL.
 
         KV cache already in use may be in the way; no more of it is admitted
@@ -84,10 +82,9 @@
         """
         if key in self._reserved:
             return Success(None)
-        own_doubt = self._doubts.get(key, _Doubt(0, 0)).memory_bytes
-        taken_bytes = self.committed_bytes + self.doubt_bytes(now_ms)
-        if now_ms >= self._unknown_until_ms:
-            taken_bytes -= own_doubt if key in self._doubts else 0
+        taken_bytes = self.committed_bytes + self.doubt_bytes
+        if self._unknown_until_ms is None and key in self._doubts:
+            taken_bytes -= self._doubts[key].memory_bytes
         free_bytes = self.usable_bytes - taken_bytes
         if memory_bytes > free_bytes:
             return Err(_memory_full(key, memory_bytes, free_bytes))
@@ -96,10 +93,7 @@
             self._waiting_load_bytes = memory_bytes
             return Err(_memory_full(key, memory_bytes, free_bytes))
         self._waiting_load_bytes = 0
-        doubt = self._doubts.pop(key, None)
-        if doubt is not None:
-            self._sent_ms[key] = doubt.until_ms - self._order_life_ms
-        self._reserved[key] = max(memory_bytes, doubt.memory_bytes if doubt else 0)
+        self.adopt(key, memory_bytes)
         return Success(None)
 
     def note_load_sent(self, key: ModelKey, now_ms: float) -> None:
@@ -111,25 +105,39 @@
         doubt = self._doubts.pop(key, None)
         if doubt is not None:
             self._sent_ms[key] = doubt.until_ms - self._order_life_ms
+            memory_bytes = max(memory_bytes, doubt.memory_bytes)
         self._reserved[key] = max(self._reserved.get(key, 0), memory_bytes)
 
-    def cancel(self, key: ModelKey, now_ms: float) -> None:
-        """Undo a reservation for which no order was sent."""
-        self.release(key, now_ms)
-
-    def release(self, key: ModelKey, now_ms: float) -> None:
+    def release(self, key: ModelKey, read_ms: float) -> None:
         """Free a model's bytes once the engine shows that it is gone.
 
         Bytes that a copy of its load order may still take become a doubt.
+
+        Parameters
+        ----------
+        key : ModelKey
+        read_ms : float
+            When the read of the engine's state began.
         """
         memory_bytes = self._reserved.pop(key, 0)
         sent_ms = self._sent_ms.pop(key, None)
         if sent_ms is None or not memory_bytes:
             return
         until_ms = sent_ms + self._order_life_ms
-        if now_ms < until_ms:
+        if read_ms < until_ms:
             self._doubts[key] = _Doubt(memory_bytes, until_ms)
 
+    def end_doubts(self, read_ms: float) -> None:
+        """Free the bytes of orders whose life was over before a read began.
+
+        What the read shows has to be adopted first: an order may have arrived
+        at the end of its life.
+        """
+        for key in [k for k, doubt in self._doubts.items() if doubt.until_ms < read_ms]:
+            del self._doubts[key]
+        if self._unknown_until_ms is not None and self._unknown_until_ms < read_ms:
+            self._unknown_until_ms = None
+
     def doubt_everything(self, now_ms: float) -> None:
         """Reserve all that models may take, as after a restart.
 
@@ -150,19 +158,20 @@
         """Shrink the foreign KV cache to what the engine shows in all."""
         self._foreign_kv_bytes = min(self._foreign_kv_bytes, kv_bytes)
 
-    def kv_budget_bytes(self, now_ms: float) -> int:
-        """Return the KV cache that all calls together may take now."""
+    @property
+    def kv_budget_bytes(self) -> int:
+        """KV cache that all calls together may take now, in bytes."""
         budget = (
             self.capacity_bytes
             - self.committed_bytes
-            - self.doubt_bytes(now_ms)
+            - self.doubt_bytes
             - self._waiting_load_bytes
         )
         return max(0, budget)
 
-    def kv_fits(self, kv_bytes: int, now_ms: float) -> bool:
+    def kv_fits(self, kv_bytes: int) -> bool:
         """Return whether a call with that much KV cache may begin now."""
-        return self._all_kv_bytes + kv_bytes <= self.kv_budget_bytes(now_ms)
+        return self._all_kv_bytes + kv_bytes <= self.kv_budget_bytes
 
     def take_kv(self, kv_bytes: int) -> None:
         """Count the KV cache of a call that begins."""
@@ -176,10 +185,6 @@
     def _all_kv_bytes(self) -> int:
         return self.kv_bytes + self._foreign_kv_bytes
 
-    def _drop_old_doubts(self, now_ms: float) -> None:
-        for key in [k for k, doubt in self._doubts.items() if doubt.until_ms <= now_ms]:
-            del self._doubts[key]
-
 
 def _memory_full(key: ModelKey, memory_bytes: int, free_bytes: int) -> Failure:
     message = f"{key.name} needs {memory_bytes} bytes, {free_bytes} are free"
--- a/src/cowslipwood/agent/_reconcile.py
+++ b/src/cowslipwood/agent/_reconcile.py
@@ -103,13 +103,14 @@
 
     async def _step(self, tasks: anyio.abc.TaskGroup) -> None:
         busy_before = set(self._busy)
+        read_ms = monotonic_ms()
         read = await self._dialect.state()
         now_ms = monotonic_ms()
         if isinstance(read, Err):
             self._note_unread(now_ms)
             return
         self._read_ms = now_ms
-        self._apply(read.unwrap(), busy_before | self._busy, now_ms)
+        self._apply(read.unwrap(), busy_before | self._busy, read_ms)
         if not self.superseded:
             self._order_loads(tasks, now_ms)
             self._order_unloads(tasks, now_ms)
@@ -121,14 +122,14 @@
             self._models.reachable = False
             self.on_change()
 
-    def _apply(self, state: EngineState, busy: set[ModelKey], now_ms: float) -> None:
+    def _apply(self, state: EngineState, busy: set[ModelKey], read_ms: float) -> None:
         """Take what the engine shows of all models without an order under way."""
         before = (self._models.reachable, dict(self._models.held))
         self._models.reachable = True
         self._ledger.see_engine_kv(state.kv_bytes)
         shown = {ModelKey(r.model, r.version): r for r in state.residents}
         for key in [k for k in self._models.held if k not in busy and k not in shown]:
-            self._ledger.release(key, now_ms)
+            self._ledger.release(key, read_ms)
             del self._models.held[key]
         for key, resident in shown.items():
             if key in busy:
@@ -140,6 +141,7 @@
                 resident.memory_bytes,
                 ModelState.READY if is_ready else ModelState.LOADING,
             )
+        self._ledger.end_doubts(read_ms)
         self._models.first_read.set()
         if before != (True, self._models.held):
             self.on_change()
@@ -152,7 +154,7 @@
                 continue
             if model.base and not self._models.has_ready(model.base):
                 continue
-            reserved = self._ledger.reserve(key, model.memory_bytes, now_ms)
+            reserved = self._ledger.reserve(key, model.memory_bytes)
             if isinstance(reserved, Err):
                 self._metrics.count("load_waits_total", reason=Code.MEMORY_FULL.name)
                 self._unfit.add(key)
@@ -193,8 +195,6 @@
     async def _load(self, key: ModelKey, held: HeldModel) -> None:
         permit_id = await self._permits.take(key.name, lambda: self._is_wanted(key))
         if permit_id is None:
-            self._ledger.release(key, monotonic_ms())
-            del self._models.held[key]
             self._end(key)
             return
         self._models.set_state(key, ModelState.LOADING)
--- a/src/cowslipwood/standins/_faults.py
+++ b/src/cowslipwood/standins/_faults.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import Any
 
+import anyio
+
 __all__ = ["BrokenAnswerError", "Faults"]
 
 _COUNTED = (
@@ -11,6 +13,7 @@
     "delay_orders",
     "delay_answers",
     "double_orders",
+    "hold_orders",
     "fail_streams",
     "answer_errors",
 )
@@ -34,6 +37,8 @@
         Tokens that a failing stream sends first.
     slow_factor : float
         All work takes this many times longer.
+    released : anyio.Event
+        Held orders wait for it; ``hold_orders`` set to 0 sets it.
     """
 
     def __init__(self):
@@ -41,6 +46,7 @@
         self.delay_ms = 0.0
         self.fail_after_tokens = 0
         self.slow_factor = 1.0
+        self.released = anyio.Event()
 
     def set(self, values: Mapping[str, Any]) -> dict[str, Any]:
         """Set faults by name and return all that are set.
@@ -58,8 +64,15 @@
                 self._left[name] = int(value)
             else:
                 setattr(self, name, type(_VALUES[name])(value))
+        if values.get("hold_orders") == 0:
+            self.released.set()
+            self.released = anyio.Event()
         return {**self._left, **{name: getattr(self, name) for name in _VALUES}}
 
+    def left(self, name: str) -> int:
+        """Return how often a counted fault will still strike."""
+        return self._left[name]
+
     def strikes(self, name: str) -> bool:
         """Return whether the fault strikes now, and use it up once."""
         left = self._left[name]
--- a/src/cowslipwood/standins/engine.py
+++ b/src/cowslipwood/standins/engine.py
@@ -8,6 +8,7 @@
 """
 
 import random
+from collections import deque
 from typing import Any, NamedTuple
 
 import anyio
@@ -25,6 +26,7 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 DEFAULT_PRIORITY = 1
 N_ATTACHED_ADAPTERS = 8
+MAX_ANSWERS = 1_000
 
 
 class EngineConfig(NamedTuple):
@@ -89,7 +91,14 @@
 
 
 class StandinEngine:
-    """The engine's state and its HTTP interface, an ASGI application."""
+    """The engine's state and its HTTP interface, an ASGI application.
+
+    Attributes
+    ----------
+    faults : Faults
+    answers : deque of dict
+        The newest answers to orders, whether they were lost or not.
+    """
 
     def __init__(self, config: EngineConfig, seed: int = 0):
         self._config = config
@@ -108,12 +117,18 @@
             ("n_started", "n_finished", "n_cancelled", "n_failed", "n_refused"), 0
         )
         self.faults = Faults()
+        self.answers: deque[dict[str, Any]] = deque(maxlen=MAX_ANSWERS)
 
     @property
     def committed_bytes(self) -> int:
         """Memory taken by models that are loaded or loading and by KV cache."""
         return self._memory.committed_bytes
 
+    @property
+    def counts(self) -> dict[str, int]:
+        """Requests by how far they came."""
+        return dict(self._counts)
+
     @property
     def high_water_bytes(self) -> int:
         """The most memory that the engine was ever asked to hold."""
@@ -166,12 +181,15 @@
         if faults.strikes("lose_orders"):
             await _until_disconnect(receive)
             return
+        if faults.strikes("hold_orders"):
+            await faults.released.wait()
         if faults.strikes("delay_orders"):
             await anyio.sleep(faults.delay_ms / 1000)
         lost = faults.strikes("lose_answers")
         late = faults.strikes("delay_answers")
         doubled = faults.strikes("double_orders")
         answer = await self._desk.run(order)
+        self.answers.append(answer)
         if late:
             await anyio.sleep(faults.delay_ms / 1000)
         if lost:
