--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -1,5 +1,7 @@
 """Runs one keeper: its replica, its connections and its planning."""
 
+import random
+from pathlib import Path
 from typing import Any, NamedTuple
 
 import anyio
@@ -21,13 +23,20 @@
     Welcome,
 )
 from ..kernel.metrics import Metrics
-from ..kernel.settings import Check, address, parse_address, within
+from ..kernel.settings import Check, address, exit_with, parse_address, within
 from ..kernel.tokens import read_token, token_matches
 from ..placement import ServerState, first_fit
-from ..replication import LocalReplica
+from ..replication import (
+    DataDamagedError,
+    DataLockedError,
+    LogReplica,
+    ReplicaSettings,
+    StateMachine,
+)
 from ._commands import AssignCommand, encode_command
 from ._directory import Directory, server_view
 from ._machine import AssignedModels, KeeperMachine
+from ._members import parse_peers
 from ._operators import Operators
 from ._subscribers import Subscriber
 
@@ -50,8 +59,14 @@
         ip:port for the system's own connections and for operators.
     http_listen : str
         ip:port for /healthz, /readyz and /metrics.
+    peers : str
+        The initial members as name=ip:port with commas between, this keeper
+        included; empty for a keeper that stands alone. A keeper that replaces
+        another is given the members that there are.
     zone : str
         Availability zone of this host.
+    snapshot_entries : int
+        Log entries between two snapshots.
     tick_ms : int
         Milliseconds between two rounds of telling agents and entries.
     plan_ms : int
@@ -68,7 +83,9 @@
     data: str
     listen: str = "127.0.0.1:8100"
     http_listen: str = "127.0.0.1:8101"
+    peers: str = ""
     zone: str = "zone-1"
+    snapshot_entries: int = 10_000
     tick_ms: int = 50
     plan_ms: int = 200
     cluster_token: str = ""
@@ -76,11 +93,21 @@
     allow_no_token: bool = False
 
 
+def _are_peers(text: str) -> bool:
+    try:
+        parse_peers(text)
+    except ValueError:
+        return False
+    return True
+
+
 keeper_checks = {
     "keeper_id": Check("a name", bool),
     "data": Check("a folder", bool),
     "listen": address(),
     "http_listen": address(),
+    "peers": Check("name=ip:port, with commas between several", _are_peers),
+    "snapshot_entries": within(10, 1_000_000),
     "tick_ms": within(5, 5_000),
     "plan_ms": within(10, 60_000),
 }
@@ -103,7 +130,9 @@
         self._cluster_token = cluster_token
         self._metrics = Metrics("keeper")
         self._machine = KeeperMachine()
-        self._replica = LocalReplica(settings.data, self._machine, settings.listen)
+        self._replica = _open_replica(
+            settings, cluster_token, self._machine, self._metrics
+        )
         self._directory = Directory()
         self._operators = Operators(
             self._machine, self._replica, self._directory, op_token
@@ -125,6 +154,7 @@
             tasks.start_soon(self._tell_loop)
             tasks.start_soon(self._plan_loop)
             await stop.wait()
+            await self._replica.hand_over()
             http.stop()
             tasks.cancel_scope.cancel()
 
@@ -168,6 +198,11 @@
 
     async def _on_message(self, value: Any, subscriber: Subscriber) -> Any:
         now_ms = monotonic_ms()
+        if subscriber.role == "keeper":
+            return await self._replica.handle(value, now_ms)
+        if not self._replica.leads(now_ms):
+            self._metrics.count("refusals_total", reason=Code.NOT_LEADER.name)
+            return as_refused(failure(Code.NOT_LEADER), self._replica.leader_addr)
         match value:
             case AgentReport():
                 self._directory.hear_agent(value, now_ms)
@@ -182,6 +217,12 @@
     async def _tell_loop(self) -> None:
         while True:
             now_ms = monotonic_ms()
+            self._replica.measure(now_ms)
+            self._metrics.gauge("revision", self._machine.catalogue.revision)
+            if not self._replica.leads(now_ms):
+                await self._drop_subscribers()
+                await anyio.sleep(self._settings.tick_ms / 1000)
+                continue
             views = {
                 report.server_id: server_view(
                     report, report.server_id in self._machine.drained
@@ -193,9 +234,19 @@
                     tasks.start_soon(self._tell, subscriber, views, now_ms)
             await anyio.sleep(self._settings.tick_ms / 1000)
 
+    async def _drop_subscribers(self) -> None:
+        """Close the connections that belong to the leader, once it is another."""
+        if self._replica.is_leader:
+            return
+        for subscriber in list(self._subscribers):
+            if subscriber.role != "keeper":
+                await subscriber.close(failure(Code.NOT_LEADER))
+
     async def _tell(self, subscriber: Subscriber, views: dict, now_ms: float) -> None:
         if subscriber.role not in ("agent", "entry"):
             return
+        if not self._replica.leads(monotonic_ms()):
+            return
         await subscriber.tell_heartbeat(self._machine.catalogue.revision, now_ms)
         await subscriber.tell_catalogue(self._machine.catalogue)
         if subscriber.role == "entry":
@@ -203,7 +254,7 @@
             return
         server_id = subscriber.peer_id
         assigned = self._machine.assignments.get(server_id)
-        if assigned is not None:
+        if assigned is not None and self._replica.leads(monotonic_ms()):
             await subscriber.tell_assignment(
                 Assignment(
                     server_id,
@@ -246,5 +297,33 @@
         return self._machine.assignments.get(server_id, AssignedModels(0, ()))
 
 
+def _open_replica(
+    settings: KeeperSettings,
+    cluster_token: str,
+    machine: StateMachine,
+    metrics: Metrics,
+) -> LogReplica:
+    """Open the data folder, or end the process with a numbered error."""
+    peers = parse_peers(settings.peers) or {settings.keeper_id: settings.listen}
+    replica_settings = ReplicaSettings(
+        name=settings.keeper_id,
+        folder=Path(settings.data),
+        addr=peers.get(settings.keeper_id, settings.listen),
+        peers=peers,
+        zone=settings.zone,
+        cluster_token=cluster_token,
+        snapshot_entries=settings.snapshot_entries,
+    )
+    rng = random.Random()
+    try:
+        return LogReplica(replica_settings, machine, metrics, rng, monotonic_ms())
+    except DataLockedError as exc:
+        exit_with(Code.DATA_LOCKED, str(exc))
+    except DataDamagedError as exc:
+        exit_with(Code.DATA_DAMAGED, str(exc))
+    except OSError as exc:
+        exit_with(Code.DISK_FAILED, str(exc))
+
+
 async def _no_route(scope: dict, receive: Any, send: Any) -> None:
     await send_failure(send, failure(Code.NO_SUCH_ROUTE))
--- a/src/cowslipwood/keeper/_operators.py
+++ b/src/cowslipwood/keeper/_operators.py
@@ -11,14 +11,15 @@
 from ..kernel.codes import Code, failure
 from ..kernel.messages import OperatorReply, OperatorRequest
 from ..kernel.tokens import token_matches
-from ..replication import Replica
+from ..replication import LogReplica
 from ._commands import DrainCommand, EditCommand, encode_command
 from ._directory import Directory
 from ._machine import KeeperMachine
+from ._members import MEMBER_OPS, answer_members
 
 __all__ = ["Operators"]
 
-EDIT_OPS = ("put", "delete", "drain", "undrain")
+EDIT_OPS = ("put", "delete", "drain", "undrain", "replace-member")
 
 
 class Operators:
@@ -27,7 +28,7 @@
     Parameters
     ----------
     machine : KeeperMachine
-    replica : Replica
+    replica : LogReplica
     directory : Directory
     operator_token : str
     """
@@ -35,7 +36,7 @@
     def __init__(
         self,
         machine: KeeperMachine,
-        replica: Replica,
+        replica: LogReplica,
         directory: Directory,
         operator_token: str,
     ):
@@ -67,6 +68,9 @@
                 return self._reply([item._asdict() for item in history])
             case "status":
                 return self._reply(self._status())
+            case op if op in MEMBER_OPS:
+                revision = self._machine.catalogue.revision
+                return await answer_members(self._replica, request, revision)
             case _:
                 return as_refused(failure(Code.UNKNOWN_OPERATION, request.op[:40]))
 
--- a/src/cowslipwood/keeper/_subscribers.py
+++ b/src/cowslipwood/keeper/_subscribers.py
@@ -7,6 +7,7 @@
 
 from ..catalogue import Catalogue, entry_to_json
 from ..kernel.channel import Channel
+from ..kernel.codes import Failure
 from ..kernel.messages import (
     Ack,
     Assignment,
@@ -42,6 +43,10 @@
         self._assignment: Assignment | None = None
         self._heartbeat_at_ms = 0.0
 
+    async def close(self, why: Failure) -> None:
+        """Close the connection."""
+        await self._channel.close(why)
+
     async def tell_heartbeat(self, revision: int, now_ms: float) -> None:
         """Show that the leader is alive, at most once each `HEARTBEAT_MS`."""
         if now_ms < self._heartbeat_at_ms + HEARTBEAT_MS:
--- a/src/cowslipwood/replication/__init__.py
+++ b/src/cowslipwood/replication/__init__.py
@@ -1,5 +1,16 @@
 """The keepers' replicated log."""
 
-from ._replica import LocalReplica, Replica, StateMachine
+from ._errors import DataDamagedError, DataLockedError
+from ._protocols import Replica, StateMachine
+from ._replica import LogReplica, ReplicaSettings
+from ._state import Timing
 
-__all__ = ["LocalReplica", "Replica", "StateMachine"]
+__all__ = [
+    "DataDamagedError",
+    "DataLockedError",
+    "LogReplica",
+    "Replica",
+    "ReplicaSettings",
+    "StateMachine",
+    "Timing",
+]
--- /dev/null
+++ b/src/cowslipwood/replication/_election.py
@@ -0,0 +1,114 @@
+"""Waits for a leader, and stands for election when there is none."""
+
+from typing import Any
+
+import anyio
+from returns.result import Success
+
+from ..kernel.clock import monotonic_ms
+from ..kernel.logs import get_logger
+from ..kernel.metrics import Metrics
+from ._membership import has_quorum, voters
+from ._messages import VoteReply, VoteRequest
+from ._peers import PeerLinks
+from ._state import ReplicaState, Role
+
+__all__ = ["stand_for_election", "wait_until_due"]
+
+VOTE_TIMEOUT_MS = 500
+
+
+async def wait_until_due(state: ReplicaState) -> None:
+    """Return when this replica should stand for election."""
+    timing = state.timing
+    timeout_ms = state.rng.uniform(timing.election_min_ms, timing.election_max_ms)
+    while True:
+        left_ms = state.timer_ms + timeout_ms - monotonic_ms()
+        if state.is_voter and _may_stand(state, left_ms):
+            return
+        if left_ms <= 0:
+            left_ms = timeout_ms
+        await state.changed.wait_for(left_ms)
+
+
+def _may_stand(state: ReplicaState, left_ms: float) -> bool:
+    stands_alone = len(voters(state.log.members)) == 1
+    return left_ms <= 0 or state.handover_asked or stands_alone
+
+
+async def stand_for_election(
+    state: ReplicaState, links: PeerLinks, metrics: Metrics
+) -> bool:
+    """Return whether this replica won the next term.
+
+    A first round asks without any effect whether the votes would be granted, so
+    that a replica that is cut off does not raise the term when it comes back.
+    """
+    handover = state.handover_asked
+    state.handover_asked = False
+    state.timer_ms = monotonic_ms()
+    term = state.term
+    if not handover and not await _ask_voters(state, links, _pre_vote(state)):
+        return False
+    if state.term != term or (not handover and state.hears_leader(monotonic_ms())):
+        return False
+    state.stand()
+    term = state.term
+    await state.save_ballot()
+    metrics.count("elections_total")
+    get_logger().info("standing", term=term, handover=handover)
+    won = await _ask_voters(state, links, _vote(state, handover))
+    return won and state.term == term and state.role == Role.CANDIDATE
+
+
+def _pre_vote(state: ReplicaState) -> VoteRequest:
+    log = state.log
+    return VoteRequest(
+        "",
+        state.replica_id,
+        state.term + 1,
+        log.last_index,
+        log.last_term,
+        pre=True,
+        handover=False,
+    )
+
+
+def _vote(state: ReplicaState, handover: bool) -> VoteRequest:
+    return _pre_vote(state)._replace(term=state.term, pre=False, handover=handover)
+
+
+async def _ask_voters(
+    state: ReplicaState, links: PeerLinks, request: VoteRequest
+) -> bool:
+    """Ask every voter; return whether a quorum granted."""
+    members = state.log.members
+    others = [m for m in members if m.voter and m.replica_id != state.replica_id]
+    granted = {state.replica_id}
+    done = anyio.Event()
+    if has_quorum(members, granted):
+        return True
+
+    async def ask(member: Any) -> None:
+        link = links.link(member.addr)
+        asked = request._replace(to_id=member.replica_id)
+        match await link.request(asked, VOTE_TIMEOUT_MS):
+            case Success(VoteReply(_, True)):
+                granted.add(member.replica_id)
+            case Success(VoteReply(term, _)) if term > state.term:
+                state.follow(term)
+                done.set()
+        if has_quorum(members, granted):
+            done.set()
+
+    async def ask_all() -> None:
+        async with anyio.create_task_group() as tasks:
+            for member in others:
+                tasks.start_soon(ask, member)
+        done.set()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask_all)
+        await done.wait()
+        tasks.cancel_scope.cancel()
+    return has_quorum(members, granted)
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -1,107 +1,269 @@
-"""What the keeper needs of a replica, and a replica that stands alone."""
+"""One member of the replicated log: the parts put together."""
 
-import os
-import struct
-import zlib
+import random
+from collections.abc import Mapping
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any, NamedTuple
 
 import anyio
-from returns.result import Result, Success
+from returns.result import Failure as Err
+from returns.result import Result
 
-from ..kernel.codes import Failure
+from ..kernel.channel import as_refused
+from ..kernel.clock import monotonic_ms
+from ..kernel.codes import Code, Failure, failure
+from ..kernel.logs import get_logger
+from ..kernel.messages import Ack, Hello
+from ..kernel.metrics import Metrics
+from ._applier import Applier
+from ._election import stand_for_election, wait_until_due
+from ._files import lock_folder
+from ._follower import Follower
+from ._formation import canonical_peers, form_log
+from ._leader import Leadership
+from ._messages import (
+    AppendRequest,
+    EntryKind,
+    HeartbeatRequest,
+    Identity,
+    IdentityQuery,
+    Member,
+    SnapshotChunk,
+    TimeoutNow,
+    VoteRequest,
+)
+from ._peers import PeerLinks
+from ._protocols import StateMachine
+from ._replacement import replace_member
+from ._state import ReplicaState, Timing
 
-__all__ = ["LocalReplica", "Replica", "StateMachine"]
+__all__ = ["LogReplica", "ReplicaSettings"]
 
-_RECORD = struct.Struct("!II")
+RETRY_AFTER_MS = 500
+HANDOVER_TIMEOUT_MS = 2_000
+MAX_COMMAND_BYTES = 8 * 1024 * 1024
 
 
-class StateMachine(Protocol):
-    """The state that the log's commands build up, the same on every keeper."""
+class ReplicaSettings(NamedTuple):
+    """How a replica runs.
 
-    def apply(self, index: int, command: bytes) -> Any:
-        """Apply a committed command and return its result."""
+    Parameters
+    ----------
+    name : str
+        The keeper's name.
+    folder : Path
+    addr : str
+        ``ip:port`` where the other replicas reach this one.
+    peers : mapping of str to str
+        ``ip:port`` of each initial member by name, this one included.
+    zone : str
+    cluster_token : str
+    snapshot_entries : int
+        Entries between two snapshots.
+    max_segment_bytes : int
+    timing : Timing
+    """
+
+    name: str
+    folder: Path
+    addr: str
+    peers: Mapping[str, str]
+    zone: str = ""
+    cluster_token: str = ""
+    snapshot_entries: int = 10_000
+    max_segment_bytes: int = 4 * 1024 * 1024
+    timing: Timing = Timing()
+
+
+class LogReplica:
+    """A replica that elects, replicates and applies.
+
+    Parameters
+    ----------
+    settings : ReplicaSettings
+    machine : StateMachine
+    metrics : Metrics
+    rng : random.Random
+        Draws the identity of an empty folder and the election timeouts.
+    now_ms : float
+        The present time on the monotonic clock.
+
+    Raises
+    ------
+    DataLockedError, DataDamagedError
+        See `DurableLog` and `lock_folder`.
+    """
 
-    def snapshot(self) -> bytes:
-        """Return the whole state."""
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        machine: StateMachine,
+        metrics: Metrics,
+        rng: random.Random,
+        now_ms: float,
+    ):
+        self._settings = settings
+        self._metrics = metrics
+        self._lock = lock_folder(settings.folder)
+        self._state = ReplicaState(
+            settings.folder,
+            settings.name,
+            settings.addr,
+            settings.max_segment_bytes,
+            settings.timing,
+            rng,
+            now_ms,
+        )
+        hello = Hello(
+            "keeper",
+            self._state.replica_id,
+            "",
+            settings.zone,
+            settings.cluster_token,
+        )
+        self._links = PeerLinks(hello)
+        self._applier = Applier(
+            self._state, machine, metrics, settings.snapshot_entries
+        )
+        self._follower = Follower(self._state, self._applier)
+        self._is_stopping = False
 
-    def restore(self, data: bytes) -> None:
-        """Replace the whole state."""
+    @property
+    def term(self) -> int:
+        """The newest term seen."""
+        return self._state.term
 
+    @property
+    def leader_addr(self) -> str:
+        """Where the leader is; empty while there is none that is known."""
+        if self._state.leading is not None and not self.leads(monotonic_ms()):
+            return ""
+        return self._state.leader_addr
 
-class Replica(Protocol):
-    """One member of the replicated log."""
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """The newest membership, committed or not."""
+        return self._state.log.members
 
-    term: int
-    leader_addr: str
+    @property
+    def replica_id(self) -> str:
+        """Identity of this replica, bound to its disk."""
+        return self._state.replica_id
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads its term, with a lease or without."""
+        return self._state.leading is not None
 
     def leads(self, now_ms: float) -> bool:
-        """Return whether this replica holds a valid lease as leader."""
+        """Return whether this replica may act as leader now.
+
+        It holds a lease, and it has applied everything that earlier leaders
+        committed.
+        """
+        leading = self._state.leading
+        return (
+            isinstance(leading, Leadership)
+            and not self._is_stopping
+            and self._applier.applied_index >= leading.first_index
+            and leading.holds_lease(now_ms)
+        )
 
     async def run(self) -> None:
         """Take part in the log for as long as the process runs."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._links.run)
+            tasks.start_soon(self._applier.run)
+            tasks.start_soon(
+                form_log,
+                self._state,
+                self._links,
+                self._settings.name,
+                self._settings.peers,
+            )
+            while True:
+                await wait_until_due(self._state)
+                if await stand_for_election(self._state, self._links, self._metrics):
+                    await self._lead()
 
     async def propose(self, command: bytes) -> Result[Any, Failure]:
         """Commit a command and return what applying it returned.
 
         Fails with NOT_LEADER (not run) or NO_QUORUM (outcome unknown).
         """
+        leading = self._state.leading
+        if not self.leads(monotonic_ms()) or not isinstance(leading, Leadership):
+            return Err(failure(Code.NOT_LEADER, retry_after_ms=RETRY_AFTER_MS))
+        if len(command) > MAX_COMMAND_BYTES:
+            return Err(failure(Code.FRAME_TOO_LARGE, f"{len(command)} bytes"))
+        index = leading.append(EntryKind.COMMAND, command)
+        return await self._applier.result(index, leading.term)
 
+    async def replace_member(
+        self, old: str, new_name: str, new_addr: str
+    ) -> Result[tuple[Member, ...], Failure]:
+        """Replace a member; see `replace_member` for how it fails."""
+        if not self.leads(monotonic_ms()):
+            return Err(failure(Code.NOT_LEADER, retry_after_ms=RETRY_AFTER_MS))
+        new = Member(new_name, new_addr, False)
+        return await replace_member(self._state, self._links, self._applier, old, new)
 
-class LocalReplica:
-    """A log on one disk, without other replicas.
-
-    Parameters
-    ----------
-    folder : str
-    machine : StateMachine
-    addr : str
-        ``ip:port`` of this keeper.
-    """
+    async def hand_over(self) -> None:
+        """Before a planned stop: refuse proposals and let another replica lead."""
+        leading = self._state.leading
+        self._is_stopping = True
+        if not isinstance(leading, Leadership) or len(self.members) == 1:
+            return
+        with anyio.move_on_after(HANDOVER_TIMEOUT_MS / 1000):
+            await self._applier.caught_up(self._state.log.last_index)
+            await leading.hand_over()
+            while not self._state.leader_id:
+                await self._state.changed.wait()
 
-    def __init__(self, folder: str, machine: StateMachine, addr: str):
-        self.term = 1
-        self.leader_addr = addr
-        self._machine = machine
-        self._index = 0
-        self._lock = anyio.Lock()
-        path = Path(folder)
-        path.mkdir(parents=True, exist_ok=True)
-        self._file = os.open(path / "log", os.O_RDWR | os.O_CREAT)
-        self._recover()
+    async def handle(self, value: Any, now_ms: float) -> Any:
+        """Answer a message from another replica."""
+        if isinstance(value, IdentityQuery):
+            return self._identity(value)
+        if getattr(value, "to_id", None) != self.replica_id:
+            self._metrics.count("refusals_total", reason=Code.NO_SUCH_MEMBER.name)
+            return as_refused(failure(Code.NO_SUCH_MEMBER, f"I am {self.replica_id}"))
+        match value:
+            case HeartbeatRequest():
+                return await self._follower.on_heartbeat(value, now_ms)
+            case AppendRequest():
+                return await self._follower.on_append(value, now_ms)
+            case VoteRequest():
+                return await self._follower.on_vote(value, now_ms)
+            case SnapshotChunk():
+                return await self._follower.on_snapshot(value, now_ms)
+            case TimeoutNow():
+                self._follower.on_timeout_now(value)
+                return Ack(0)
+            case _:
+                return as_refused(failure(Code.BAD_MESSAGE))
 
-    def leads(self, now_ms: float) -> bool:
-        """Return True: there is no other replica."""
-        return True
+    def measure(self, now_ms: float) -> None:
+        """Set the gauges."""
+        state = self._state
+        self._metrics.gauge("term", state.term)
+        self._metrics.gauge("leader", int(self.leads(now_ms)))
+        self._metrics.gauge("commit_index", state.commit_index)
+        self._metrics.gauge("applied_index", self._applier.applied_index)
+        self._metrics.gauge("last_index", state.log.last_index)
 
-    async def run(self) -> None:
-        """Do nothing until cancelled."""
-        await anyio.sleep_forever()
+    def _identity(self, query: IdentityQuery) -> Identity:
+        peers = canonical_peers(self._settings.peers)
+        return Identity(
+            self.replica_id, self._state.addr, self._state.formed, query.peers == peers
+        )
 
-    async def propose(self, command: bytes) -> Result[Any, Failure]:
-        """Append, sync and apply a command."""
-        async with self._lock:
-            record = _RECORD.pack(len(command), zlib.crc32(command)) + command
-            await anyio.to_thread.run_sync(self._append, record)
-            self._index += 1
-            return Success(self._machine.apply(self._index, command))
-
-    def _append(self, record: bytes) -> None:
-        os.write(self._file, record)
-        os.fdatasync(self._file)
-
-    def _recover(self) -> None:
-        end = 0
-        while True:
-            header = os.read(self._file, _RECORD.size)
-            if len(header) < _RECORD.size:
-                break
-            n_bytes, checksum = _RECORD.unpack(header)
-            command = os.read(self._file, n_bytes)
-            if len(command) < n_bytes or zlib.crc32(command) != checksum:
-                break
-            self._index += 1
-            self._machine.apply(self._index, command)
-            end += _RECORD.size + n_bytes
-        os.ftruncate(self._file, end)
-        os.lseek(self._file, end, os.SEEK_SET)
+    async def _lead(self) -> None:
+        leading = Leadership(self._state, self._links, monotonic_ms())
+        log = get_logger()
+        log.info("leading", term=leading.term, replica=self.replica_id)
+        self._state.changed.notify()
+        try:
+            await leading.run()
+        finally:
+            self._applier.fail_waiters()
+        log.info("leading_ended", term=leading.term, newest_term=self.term)
--- /dev/null
+++ b/src/cowslipwood/replication/_segments.py
@@ -0,0 +1,210 @@
+"""Segment files of the log: checksummed records, each batch synced.
+
+A record's header has a checksum of its own and the offset at which its batch
+began. So a damaged record can be told from a torn tail: a sound record of a
+later batch behind it shows that the damaged one had been synced.
+"""
+
+import os
+import struct
+import zlib
+from collections.abc import Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+from ._errors import DataDamagedError
+from ._files import sync_folder, write_all
+from ._messages import LogEntry
+
+__all__ = ["Segments"]
+
+_MAGIC = b"\xc5CWL"
+_FIELDS = struct.Struct("!4sIQQBQI")
+_CHECKSUM = struct.Struct("!I")
+_HEADER_BYTES = _FIELDS.size + _CHECKSUM.size
+_SUFFIX = ".log"
+
+
+class _Record(NamedTuple):
+    entry: LogEntry
+    batch_offset: int
+    end: int
+
+
+class _Segment:
+    """One file: its first index and the offset of each record."""
+
+    def __init__(self, path: Path, first_index: int):
+        self.path = path
+        self.first_index = first_index
+        self.offsets: list[int] = []
+        self.n_bytes = 0
+
+    @property
+    def next_index(self) -> int:
+        return self.first_index + len(self.offsets)
+
+
+class Segments:
+    """The files that hold the log; every method blocks.
+
+    Parameters
+    ----------
+    folder : Path
+    max_segment_bytes : int
+        Size after which a new file is begun.
+    """
+
+    def __init__(self, folder: Path, max_segment_bytes: int):
+        self._folder = folder
+        self._max_segment_bytes = max_segment_bytes
+        self._segments: list[_Segment] = []
+        self._descriptor = -1
+
+    def recover(self) -> list[LogEntry]:
+        """Read every record and cut a torn tail off the last file.
+
+        Raises
+        ------
+        DataDamagedError
+            When a record that had been synced is damaged or missing.
+        """
+        entries: list[LogEntry] = []
+        paths = sorted(self._folder.glob("*" + _SUFFIX))
+        for path in paths:
+            segment = _Segment(path, int(path.stem))
+            if entries and segment.first_index != entries[-1].index + 1:
+                raise DataDamagedError(f"{path}: records are missing before it")
+            self._segments.append(segment)
+            entries += self._read(segment, is_last=path == paths[-1])
+        if self._segments:
+            self._open(self._segments[-1])
+        return entries
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Write a batch of records and sync it."""
+        if not self._segments or self._segments[-1].n_bytes > self._max_segment_bytes:
+            self._begin(entries[0].index)
+        segment = self._segments[-1]
+        batch_offset = segment.n_bytes
+        data = bytearray()
+        for entry in entries:
+            segment.offsets.append(batch_offset + len(data))
+            data += _encode(entry, batch_offset)
+        write_all(self._descriptor, bytes(data))
+        os.fdatasync(self._descriptor)
+        segment.n_bytes += len(data)
+
+    def truncate_from(self, index: int) -> None:
+        """Remove the records from `index` on."""
+        while self._segments and self._segments[-1].first_index > index:
+            self._remove_last()
+        if not self._segments or self._segments[-1].next_index <= index:
+            return
+        segment = self._segments[-1]
+        position = index - segment.first_index
+        segment.n_bytes = segment.offsets[position]
+        del segment.offsets[position:]
+        self._open(segment)
+        os.ftruncate(self._descriptor, segment.n_bytes)
+        os.fsync(self._descriptor)
+
+    def drop_before(self, index: int) -> None:
+        """Remove the files, but the last, whose records are all before `index`."""
+        while len(self._segments) > 1 and self._segments[0].next_index <= index:
+            self._segments.pop(0).path.unlink()
+            sync_folder(self._folder)
+
+    def clear(self) -> None:
+        """Remove every record, the newest first."""
+        while self._segments:
+            self._remove_last()
+
+    @property
+    def first_index(self) -> int:
+        """Index of the first record kept; 0 without one."""
+        return self._segments[0].first_index if self._segments else 0
+
+    def _begin(self, first_index: int) -> None:
+        path = self._folder / f"{first_index:020}{_SUFFIX}"
+        segment = _Segment(path, first_index)
+        self._segments.append(segment)
+        self._open(segment)
+        sync_folder(self._folder)
+
+    def _open(self, segment: _Segment) -> None:
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self._descriptor = os.open(segment.path, flags, 0o600)
+
+    def _remove_last(self) -> None:
+        os.close(self._descriptor)
+        self._descriptor = -1
+        self._segments.pop().path.unlink()
+        sync_folder(self._folder)
+        if self._segments:
+            self._open(self._segments[-1])
+
+    def _read(self, segment: _Segment, is_last: bool) -> list[LogEntry]:
+        data = segment.path.read_bytes()
+        entries: list[LogEntry] = []
+        offset = 0
+        while offset < len(data):
+            record = _decode(data, offset)
+            if record is None or record.entry.index != segment.next_index:
+                if not is_last or _synced_after(data, offset):
+                    raise DataDamagedError(f"{segment.path}: bad record at {offset}")
+                self._cut(segment.path, offset)
+                break
+            segment.offsets.append(offset)
+            entries.append(record.entry)
+            offset = record.end
+        segment.n_bytes = offset
+        return entries
+
+    def _cut(self, path: Path, n_bytes: int) -> None:
+        with path.open("r+b") as file:
+            file.truncate(n_bytes)
+            os.fsync(file.fileno())
+
+
+def _encode(entry: LogEntry, batch_offset: int) -> bytes:
+    header = _FIELDS.pack(
+        _MAGIC,
+        len(entry.payload),
+        entry.term,
+        entry.index,
+        entry.kind,
+        batch_offset,
+        zlib.crc32(entry.payload),
+    )
+    return header + _CHECKSUM.pack(zlib.crc32(header)) + entry.payload
+
+
+def _decode(data: bytes, offset: int) -> _Record | None:
+    """Return the record at an offset, or None when it is not whole."""
+    body = offset + _HEADER_BYTES
+    if body > len(data):
+        return None
+    header = data[offset : offset + _FIELDS.size]
+    (header_checksum,) = _CHECKSUM.unpack_from(data, offset + _FIELDS.size)
+    if zlib.crc32(header) != header_checksum:
+        return None
+    magic, n_bytes, term, index, kind, batch_offset, checksum = _FIELDS.unpack(header)
+    payload = data[body : body + n_bytes]
+    if magic != _MAGIC or len(payload) < n_bytes or zlib.crc32(payload) != checksum:
+        return None
+    entry = LogEntry(index, term, kind, payload)
+    return _Record(entry, batch_offset, body + n_bytes)
+
+
+def _synced_after(data: bytes, offset: int) -> bool:
+    """Return whether a sound record of a later batch follows the offset."""
+    found = data.find(_MAGIC, offset + 1)
+    while found >= 0:
+        record = _decode(data, found)
+        if record is not None and record.batch_offset > offset:
+            return True
+        found = data.find(_MAGIC, found + 1)
+    return False
