--- a/src/cowslipwood/replication/_errors.py
+++ b/src/cowslipwood/replication/_errors.py
@@ -7,7 +7,12 @@
 from ..kernel.codes import CODE_INFO, Code
 from ..kernel.logs import get_logger
 
-__all__ = ["DataDamagedError", "DataLockedError", "stop_on_disk_failure"]
+__all__ = [
+    "DataDamagedError",
+    "DataLockedError",
+    "stop_on_damage",
+    "stop_on_disk_failure",
+]
 
 
 class DataDamagedError(ValueError):
@@ -24,9 +29,15 @@
     After a failed write or sync nobody knows what the disk holds, so no other
     task may get to answer anything.
     """
-    code = Code.DISK_FAILED
-    get_logger().error(
-        "disk_failed", code=code.value, reason=exc.strerror, path=exc.filename or ""
-    )
+    _stop(Code.DISK_FAILED, f"{exc.strerror} {exc.filename or ''}".strip())
+
+
+def stop_on_damage(reason: str) -> NoReturn:
+    """End the process at once with the exit status of DATA_DAMAGED."""
+    _stop(Code.DATA_DAMAGED, reason)
+
+
+def _stop(code: Code, reason: str) -> NoReturn:
+    get_logger().error(code.name.lower(), code=code.value, reason=reason)
     sys.stderr.flush()
     os._exit(CODE_INFO[code].exit_status)
--- a/src/cowslipwood/replication/_follower.py
+++ b/src/cowslipwood/replication/_follower.py
@@ -4,7 +4,7 @@
 
 from ..kernel.logs import get_logger
 from ._applier import Applier
-from ._errors import DataDamagedError
+from ._errors import DataDamagedError, stop_on_damage
 from ._messages import (
     AppendReply,
     AppendRequest,
@@ -153,7 +153,7 @@
         new = entries[n_held:]
         if new and new[0].index <= log.last_index:
             if new[0].index <= self._state.commit_index:
-                raise DataDamagedError(f"committed entry {new[0].index} differs")
+                stop_on_damage(f"committed entry {new[0].index} differs")
             await log.truncate_from(new[0].index)
         log.append(new)
         await log.sync(request.prev_index + len(entries))
--- a/src/cowslipwood/replication/_leader.py
+++ b/src/cowslipwood/replication/_leader.py
@@ -65,7 +65,7 @@
     def append(self, kind: EntryKind, payload: bytes) -> int:
         """Append an entry of the present term and return its index."""
         log = self._state.log
-        entry = LogEntry(log.last_index + 1, self.term, kind, payload)
+        entry = LogEntry(log.last_index + 1, self.term, kind.value, payload)
         log.append([entry])
         self._new_entries.notify()
         return entry.index
--- a/src/cowslipwood/replication/_log.py
+++ b/src/cowslipwood/replication/_log.py
@@ -23,7 +23,7 @@
 def members_entry(index: int, term: int, members: Sequence[Member]) -> LogEntry:
     """Return the entry that sets the membership."""
     payload = encode_record(Members(tuple(members)))
-    return LogEntry(index, term, EntryKind.MEMBERS, payload)
+    return LogEntry(index, term, EntryKind.MEMBERS.value, payload)
 
 
 def _members_of(entry: LogEntry) -> tuple[Member, ...]:
