--- a/src/cowslipwood/kernel/lifecycle.py
+++ b/src/cowslipwood/kernel/lifecycle.py
@@ -51,7 +51,20 @@
         get_logger().info("stopped")
         return ended
 
-    return anyio.run(run)
+    try:
+        return anyio.run(run)
+    except BaseExceptionGroup as group:
+        _exit_if_asked(group)
+        raise
+
+
+def _exit_if_asked(group: BaseExceptionGroup) -> None:
+    """End the process as `exit_with` asked inside a task group."""
+    exits = group.subgroup(SystemExit)
+    while isinstance(exits, BaseExceptionGroup):
+        exits = exits.exceptions[0]
+    if exits is not None:
+        raise exits
 
 
 async def set_on_signal(stop: anyio.Event) -> None:
--- a/src/cowslipwood/replication/_log.py
+++ b/src/cowslipwood/replication/_log.py
@@ -163,6 +163,7 @@
                 return
             await on_disk(self._snapshots.save, snapshot)
             self.snapshot = snapshot
+            self._segments.close_file()
             keep_from = max(snapshot.header.index - n_trailing, 0)
             await on_disk(self._segments.drop_before, keep_from)
             dropped = self._segments.first_index - self.first_index
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -126,6 +126,7 @@
             self._state, machine, metrics, settings.snapshot_entries
         )
         self._follower = Follower(self._state, self._applier)
+        self._replacing = anyio.Lock()
         self._is_stopping = False
 
     @property
@@ -206,7 +207,10 @@
         if not self.leads(monotonic_ms()):
             return Err(failure(Code.NOT_LEADER, retry_after_ms=RETRY_AFTER_MS))
         new = Member(new_name, new_addr, False)
-        return await replace_member(self._state, self._links, self._applier, old, new)
+        async with self._replacing:
+            return await replace_member(
+                self._state, self._links, self._applier, old, new
+            )
 
     async def hand_over(self) -> None:
         """Before a planned stop: refuse proposals and let another replica lead."""
--- a/src/cowslipwood/replication/_segments.py
+++ b/src/cowslipwood/replication/_segments.py
@@ -60,6 +60,7 @@
         self._max_segment_bytes = max_segment_bytes
         self._segments: list[_Segment] = []
         self._descriptor = -1
+        self._is_closed = False
 
     def recover(self) -> list[LogEntry]:
         """Read every record and cut a torn tail off the last file.
@@ -83,7 +84,7 @@
 
     def append(self, entries: Sequence[LogEntry]) -> None:
         """Write a batch of records and sync it."""
-        if not self._segments or self._segments[-1].n_bytes > self._max_segment_bytes:
+        if self._needs_file():
             self._begin(entries[0].index)
         segment = self._segments[-1]
         batch_offset = segment.n_bytes
@@ -125,10 +126,22 @@
         """Index of the first record kept; 0 without one."""
         return self._segments[0].first_index if self._segments else 0
 
+    def close_file(self) -> None:
+        """Have the next batch go to a new file, so that this one can be dropped."""
+        self._is_closed = True
+
+    def _needs_file(self) -> bool:
+        if not self._segments:
+            return True
+        last = self._segments[-1]
+        is_full = self._is_closed or last.n_bytes > self._max_segment_bytes
+        return is_full and bool(last.offsets)
+
     def _begin(self, first_index: int) -> None:
         path = self._folder / f"{first_index:020}{_SUFFIX}"
         segment = _Segment(path, first_index)
         self._segments.append(segment)
+        self._is_closed = False
         self._open(segment)
         sync_folder(self._folder)
 
--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -3,13 +3,55 @@
 import json
 import shutil
 import signal
+from collections.abc import Sequence
+from pathlib import Path
 from typing import Any
 
+import anyio
+
+from cowslipwood.kernel.channel import Channel, open_channel
+from cowslipwood.kernel.keeper_link import KeeperLink
+from cowslipwood.kernel.messages import Hello, OperatorRequest
+from cowslipwood.kernel.settings import parse_address
+
+from .builders import model_value
 from .processes import Cluster, call, free_port, wait_for
 
-__all__ = ["KeeperCluster"]
+__all__ = ["KeeperCluster", "open_operator", "operator_request"]
 
 N_KEEPERS = 3
+ANSWER_TIMEOUT_MS = 60_000
+_HELLO = Hello("operator", "tester", "", "", "cluster-secret")
+
+
+def operator_request(op: str, name: str = "", body: bytes = b"") -> OperatorRequest:
+    """Return a request whose edit id is made of what it asks."""
+    return OperatorRequest(op, name, body, f"{op}-{name}", -1, "operator-secret")
+
+
+async def open_operator(addr: str) -> Channel:
+    """Return an operator's connection to one keeper, whether it leads or not."""
+    opened = await open_channel(*parse_address(addr), ANSWER_TIMEOUT_MS)
+    channel = opened.unwrap()
+    await channel.send(_HELLO)
+    (await channel.receive()).unwrap()
+    return channel
+
+
+async def _put_many(keepers: str, names: Sequence[str]) -> None:
+    async def ignore(value: Any) -> None:
+        """Drop heartbeats."""
+
+    link = KeeperLink(keepers, _HELLO, ignore)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(link.run)
+        while not link.connected:
+            await anyio.sleep(0.01)
+        for name in names:
+            body = json.dumps(model_value(name)).encode()
+            request = operator_request("put", name, body)
+            (await link.request(request, ANSWER_TIMEOUT_MS)).unwrap()
+        tasks.cancel_scope.cancel()
 
 
 class KeeperCluster(Cluster):
@@ -30,6 +72,11 @@
             self.start_one(name)
         return self.leader()
 
+    def stop_all(self) -> None:
+        """Kill every keeper."""
+        for name in self.addresses:
+            self.kill(name)
+
     def start_one(self, name: str) -> None:
         """Start one keeper, again after it ended or for the first time."""
         self.start(
@@ -57,6 +104,18 @@
         """Lose the disk of a keeper that has ended."""
         shutil.rmtree(self.folder / name)
 
+    def ended(self, name: str) -> int:
+        """Wait for a process to end by itself and return its exit status."""
+        return self.processes[name].wait(timeout=60)
+
+    def last_segment(self, name: str) -> Path:
+        """Return the newest log file of a keeper."""
+        return sorted((self.folder / name).glob("*.log"))[-1]
+
+    def put_many(self, names: Sequence[str]) -> None:
+        """Put models one after another on one connection."""
+        anyio.run(_put_many, self.keepers, names)
+
     def metric(self, name: str, metric: str) -> float:
         """Return a metric of a keeper; 0 when it was never set."""
         _, _, body = call(self.http_ports[name], "GET", "/metrics")
--- a/tests/test_keeper_failures.py
+++ b/tests/test_keeper_failures.py
@@ -1,22 +1,214 @@
-"""Three keepers as processes, killed, frozen and bereft of their disks."""
+"""Three keepers as processes: killed, frozen, and bereft of their disks."""
 
+import resource
+import signal
 import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+import anyio
+from returns.result import Failure as Err
+
+from cowslipwood.kernel.codes import CODE_INFO, Code
 
 from .builders import model_value
-from .keepers import KeeperCluster
+from .keepers import KeeperCluster, open_operator, operator_request
 from .processes import wait_for
 
+N_RACING_EDITS = 8
+REFUSED = (Code.NOT_LEADER, Code.PEER_GONE)
+
 
 class TestLeaderLoss(unittest.TestCase):
-    """The leader ends or stops without a word."""
+    """The leader ends, or stops without a word."""
+
+    def test_killed_under_edits(self):
+        """Every edit that was accepted outlives a leader killed among them."""
+        names = [f"m{n}" for n in range(N_RACING_EDITS)]
+        with KeeperCluster() as cluster:
+            first = cluster.start_all()
+            with ThreadPoolExecutor() as pool:
+                edits = [pool.submit(cluster.put, model_value(n)) for n in names]
+                wait_for(lambda: any(e.done() for e in edits), "the first edit")
+                cluster.kill(first)
+                revisions = {edit.result()["revision"] for edit in edits}
+            self.assertEqual(revisions, set(range(1, N_RACING_EDITS + 1)))
+            self.assertEqual(cluster.names(), set(names))
+            cluster.start_one(first)
+            wait_for(
+                lambda: cluster.metric(first, "revision") == N_RACING_EDITS, "the log"
+            )
+
+    def test_resend_after_death(self):
+        """An edit resent to the next leader gets the answer of the dead one."""
+        with KeeperCluster() as cluster:
+            first = cluster.start_all()
+            path = cluster.folder / "m1.json"
+            cluster.put(model_value("m1"))
+            put = ("put", str(path), "--json", "--edit-id=e1")
+            answer = cluster.ctl(*put).stdout
+            cluster.put(model_value("m2"))
+            cluster.kill(first)
+            self.assertEqual(cluster.ctl(*put).stdout, answer)
+            wait_for(lambda: cluster.metric(cluster.leader(), "revision") == 3, "edits")
+
+    def test_frozen_leader(self):
+        """A leader that wakes after its successor's election acts on nothing old."""
+        with KeeperCluster() as cluster:
+            first = cluster.start_all()
+            cluster.put(model_value("m1"))
+            read, edit = anyio.run(self._ask_frozen, cluster, first)
+            for answer in (read, edit):
+                self.assertIsInstance(answer, Err)
+                self.assertIn(answer.failure().code, REFUSED)
+            self.assertEqual(cluster.names(), {"m1", "m2"})
+
+    async def _ask_frozen(self, cluster: KeeperCluster, first: str) -> list:
+        """Ask a frozen leader; return what it answers once it wakes."""
+        channels = [
+            await open_operator(cluster.addresses[first]),
+            await open_operator(cluster.addresses[first]),
+        ]
+        requests = [operator_request("list"), operator_request("delete", "m1")]
+        answers: list = [None, None]
+
+        async def ask(place: int) -> None:
+            answers[place] = await channels[place].request(requests[place], 60_000)
+
+        async def ignore(value: object) -> None:
+            """Drop what the keeper sends of its own accord."""
+
+        cluster.signal(first, signal.SIGSTOP)
+        async with anyio.create_task_group() as reading:
+            for channel in channels:
+                reading.start_soon(channel.run, ignore)
+            async with anyio.create_task_group() as asking:
+                asking.start_soon(ask, 0)
+                asking.start_soon(ask, 1)
+                await anyio.to_thread.run_sync(cluster.leader, first)
+                await anyio.to_thread.run_sync(cluster.put, model_value("m2"))
+                cluster.signal(first, signal.SIGCONT)
+            reading.cancel_scope.cancel()
+        return answers
+
+    def test_planned_stop(self):
+        """A leader that is asked to stop hands over before it ends."""
+        with KeeperCluster() as cluster:
+            first = cluster.start_all()
+            cluster.put(model_value("m1"))
+            cluster.signal(first, signal.SIGTERM)
+            self.assertEqual(cluster.ended(first), 0)
+            second = cluster.leader(first)
+            self.assertIn("handover=true", cluster.log(second).lower())
+            self.assertEqual(cluster.names(), {"m1"})
+
+
+class TestLostDisk(unittest.TestCase):
+    """A keeper comes back with an empty folder."""
+
+    def test_no_vote(self):
+        """A keeper that lost its disk doesn't vote in place of what it was."""
+        with KeeperCluster() as cluster:
+            first = cluster.start_all()
+            cluster.put(model_value("m1"))
+            lost, other = cluster.followers()
+            cluster.kill(lost)
+            cluster.wipe(lost)
+            cluster.kill(first)
+            cluster.start_one(lost)
+            wait_for(
+                lambda: cluster.metric(lost, "refusals_total") >= 3,
+                "votes that are asked of the lost identity",
+            )
+            self.assertEqual(cluster.leaders(), [])
+            self.assertEqual(cluster.metric(other, "elections_total"), 0)
 
-    def test_killed_leader(self):
-        """Accepted edits outlive a killed leader, also in its own restarted log."""
+    def test_second_loss(self):
+        """A disk is replaced and a second one lost: every edit is still there."""
         with KeeperCluster() as cluster:
             first = cluster.start_all()
             cluster.put(model_value("m1"))
+            lost, second = cluster.followers()
+            before = cluster.voters()
+            cluster.kill(lost)
+            cluster.wipe(lost)
+            cluster.start_one(lost)
+            new = f"{lost}={cluster.addresses[lost]}"
+            replaced = cluster.ctl("replace-member", lost, new)
+            self.assertEqual(replaced.returncode, 0, replaced.stderr)
+            after = cluster.voters()
+            self.assertEqual(after.keys(), before.keys())
+            self.assertNotEqual(after[lost], before[lost])
             cluster.kill(first)
+            cluster.wipe(first)
             cluster.put(model_value("m2"))
             self.assertEqual(cluster.names(), {"m1", "m2"})
+            self.assertIn(cluster.leader(), (lost, second))
+
+
+class TestData(unittest.TestCase):
+    """What stands in the data folder when a keeper starts or writes."""
+
+    def test_snapshots(self):
+        """Snapshots bring back a restarted keeper and one that missed the edits."""
+        names = [f"m{n}" for n in range(150)]
+        with KeeperCluster("--snapshot-entries=20") as cluster:
+            cluster.start_all()
+            cluster.put(model_value("m0"))
+            behind = cluster.followers()[0]
+            cluster.kill(behind)
+            cluster.put_many(names[1:])
+            cluster.start_one(behind)
+            wait_for(
+                lambda: cluster.metric(behind, "revision") == len(names), "the edits"
+            )
+            self.assertIn("snapshot_installed", cluster.log(behind))
+            cluster.stop_all()
+            cluster.start_all()
+            self.assertEqual(cluster.names(), set(names))
+
+    def test_damage(self):
+        """A torn tail is repaired; damage before it, or a taken folder, ends it."""
+        with KeeperCluster() as cluster:
+            cluster.start_all()
+            cluster.put_many(["m1", "m2"])
+            torn, damaged = cluster.followers()
+            for name in (torn, damaged):
+                wait_for(lambda n=name: cluster.metric(n, "revision") == 2, "edits")
+                cluster.kill(name)
+            path = cluster.last_segment(torn)
+            path.write_bytes(path.read_bytes() + path.read_bytes()[:50])
+            path = cluster.last_segment(damaged)
+            data = bytearray(path.read_bytes())
+            data[10] ^= 1
+            path.write_bytes(data)
+            cluster.start_one(torn)
+            cluster.put(model_value("m3"))
+            wait_for(lambda: cluster.metric(torn, "revision") == 3, "the repaired log")
+            cluster.start_one(damaged)
+            self.assertEqual(cluster.ended(damaged), _exit_status(Code.DATA_DAMAGED))
+            cluster.http_ports[torn] += 1
+            cluster.addresses[torn] = "127.0.0.1:0"
+            running = cluster.processes.pop(torn)
+            cluster.start_one(torn)
+            taken = cluster.ended(torn)
+            cluster.processes["running"] = running
+            self.assertEqual(taken, _exit_status(Code.DATA_LOCKED))
+
+    def test_full_disk(self):
+        """A keeper that can't write ends at once and loses no accepted edit."""
+        with KeeperCluster() as cluster:
+            first = cluster.start_all()
+            cluster.put(model_value("m1"))
+            n_bytes = cluster.last_segment(first).stat().st_size + 100
+            pid = cluster.processes[first].pid
+            limits = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (n_bytes, limits[1]))
+            cluster.put(model_value("m2"))
+            self.assertEqual(cluster.ended(first), _exit_status(Code.DISK_FAILED))
             cluster.start_one(first)
-            wait_for(lambda: cluster.metric(first, "revision") == 2, "catching up")
+            wait_for(lambda: cluster.metric(first, "revision") == 2, "the edits")
+            self.assertEqual(cluster.names(), {"m1", "m2"})
+
+
+def _exit_status(code: Code) -> int:
+    return CODE_INFO[code].exit_status
