Prove claims with processes killed and frozen at each step

Cause: a voided attempt's backend server counted as tried although nothing was sent there, so with one server both submissions were told not-run. Change: only a server that refused this submission's own dispatch is passed over; answered claims are read without the log only until their time is over.

--- a/src/cowslipwood/entry/_claims.py
+++ b/src/cowslipwood/entry/_claims.py
@@ -267,7 +267,6 @@
                 self._fault = picked.failure()
             return None
         self._server = picked.unwrap()
-        self._tried.add(self._server.incarnation)
         return self._server
 
     async def _next(self, state: ClaimState) -> _Step:
@@ -312,7 +311,9 @@
             fault = failure(Code.OUTCOME_UNKNOWN)
         self._claims.metrics.count("retries_total", reason=fault.code.name)
         if fault.outcome is Outcome.NOT_RUN:
-            self._fault = fault
+            if fault.code is not Code.ATTEMPT_VOIDED:
+                self._tried.add(state.incarnation)
+                self._fault = fault
             return await self._finish(state, "void")
         return await self._settle(state)
 
--- a/src/cowslipwood/keeper/_claims.py
+++ b/src/cowslipwood/keeper/_claims.py
@@ -78,7 +78,7 @@
         """Return the key's state, or a refusal."""
         if not _is_bounded(message):
             return self._refuse(failure(Code.BAD_MESSAGE, "a field is too long"))
-        held = self._answered(message)
+        held = self._answered(message, wall_ms)
         if held is not None:
             return held
         command = encode_command(self._command(message, wall_ms))
@@ -94,13 +94,15 @@
             self._metrics.count("claims_finished_total", outcome=message.outcome)
         return state
 
-    def _answered(self, message: Any) -> ClaimState | None:
+    def _answered(self, message: Any, wall_ms: int) -> ClaimState | None:
         """Return the state of an answered claim that this request may read."""
         table = self._machine.claims
         if not isinstance(message, ClaimBegin):
             return None
         state = table.state(message.key)
-        if state.status != "answered" or not table.matches(message.key, message.digest):
+        if state.status != "answered" or state.expires_ms <= wall_ms:
+            return None
+        if not table.matches(message.key, message.digest):
             return None
         self._metrics.count("claims_read_total")
         return state
--- a/tests/test_claims_processes.py
+++ b/tests/test_claims_processes.py
@@ -1,13 +1,16 @@
 """Claimed requests over real processes that are killed, frozen and restarted."""
 
+import contextlib
+import http.client
 import json
 import signal
 import threading
+import time
 import unittest
 from typing import Any
 
 from .builders import service_value
-from .processes import Cluster, call, free_port, wait_for
+from .processes import WAIT_S, Cluster, call, free_port, wait_for
 
 BODY = {"family": 12, "meals": 3}
 SLOW_MS = 1_500
@@ -20,10 +23,12 @@
         super().__init__()
         self.keeper_port = free_port()
         self.keepers = f"127.0.0.1:{self.keeper_port}"
+        self.keeper_http_port = free_port()
         self.entry_ports = [free_port(), free_port()]
         self.agent_ports = [free_port() for _ in range(n_agents)]
         self.service_ports = [free_port() for _ in range(n_agents)]
         self._answer_ms = answer_ms
+        self._n_probes = 0
         self._keeper_flags = [
             f"--{name.replace('_', '-')}={value}"
             for name, value in keeper_flags.items()
@@ -58,7 +63,7 @@
             "--keeper-id=k1",
             f"--data={self.folder}/k1",
             f"--listen={self.keepers}",
-            f"--http-listen=127.0.0.1:{free_port()}",
+            f"--http-listen=127.0.0.1:{self.keeper_http_port}",
             *self._keeper_flags,
             COWSLIP_OPERATOR_TOKEN="operator-secret",
         )
@@ -118,12 +123,45 @@
         status, names, data = call(self.entry_ports[n], "POST", path, body, headers)
         return status, names, json.loads(data)
 
+    def deliver_later(self, n: int, key: str) -> "Later":
+        """Post a delivery from a thread."""
+        return Later(lambda: self.deliver(n, key))
+
+    def metric(self, port: int, name: str) -> float:
+        """Return the value of one metric of a process; 0 when it has none."""
+        for line in call(port, "GET", "/metrics")[2].decode().splitlines():
+            if line.startswith(f"{name} "):
+                return float(line.split()[-1])
+        return 0
+
     def n_runs(self) -> int:
-        """Return how many calls the services have run, without this one."""
-        return sum(
-            json.loads(call(port, "GET", "/")[2])["run_count"] - 1
+        """Return how many calls the services have run, without those from here."""
+        self._n_probes += len(self.service_ports)
+        counts = [
+            json.loads(call(port, "GET", "/")[2])["run_count"]
             for port in self.service_ports
-        )
+        ]
+        return sum(counts) - self._n_probes
+
+
+class Later(threading.Thread):
+    """A call made from a thread."""
+
+    def __init__(self, make: Any):
+        super().__init__(daemon=True)
+        self._make = make
+        self._answer: Any = None
+        self.start()
+
+    def run(self) -> None:
+        """Make the call; one whose entry dies has no answer."""
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            self._answer = self._make()
+
+    def answer(self) -> Any:
+        """Wait for the answer; None when there was none."""
+        self.join(WAIT_S)
+        return self._answer
 
 
 class TestKeys(unittest.TestCase):
@@ -139,9 +177,7 @@
         """Make calls one after another; return executions and answers."""
         before = self.cluster.n_runs()
         answers = [make() for make in calls]
-        # Each reading of the counters is itself one call to each service.
-        n_probes = len(self.cluster.service_ports)
-        return self.cluster.n_runs() - before - n_probes, answers
+        return self.cluster.n_runs() - before, answers
 
     def test_resend_is_answered_without_a_run(self):
         """A resend through another entry gets the first answer and runs nothing."""
@@ -199,6 +235,185 @@
             thread.start()
         for thread in threads:
             thread.join()
-        self.assertEqual(self.cluster.n_runs() - before - 2, 1)
+        self.assertEqual(self.cluster.n_runs() - before, 1)
         self.assertEqual({answer[0] for answer in answers}, {200})
         self.assertEqual(len({json.dumps(answer[2]) for answer in answers}), 1)
+
+
+class TestProcessesDie(unittest.TestCase):
+    """Entries, agents and the keeper killed or frozen at each step of a claim."""
+
+    def setUp(self):
+        self._stack = contextlib.ExitStack()
+        self.addCleanup(self._stack.close)
+
+    def start(self, **options: Any) -> ClaimsCluster:
+        """Start a cluster and count from now on."""
+        cluster = self._stack.enter_context(ClaimsCluster(**options))
+        self._cluster = cluster
+        self._before = cluster.n_runs()
+        self._n_attempts = self.n_attempts()
+        return cluster
+
+    def n_attempts(self) -> float:
+        """Return how many attempts the first agent has marked."""
+        return self._cluster.metric(
+            self._cluster.agent_ports[0], "cowslip_agent_attempts"
+        )
+
+    def n_runs(self) -> int:
+        """Return how often a delivery ran since the start."""
+        return self._cluster.n_runs() - self._before
+
+    def wait_dispatched(self) -> None:
+        """Wait until the first agent has marked a new attempt."""
+        wait_for(lambda: self.n_attempts() > self._n_attempts, "dispatch")
+
+    def wait_claimed(self) -> None:
+        """Wait until the keeper holds an open claim."""
+        port = self._cluster.keeper_http_port
+        wait_for(
+            lambda: self._cluster.metric(port, "cowslip_keeper_claims_open") == 1,
+            "claim",
+        )
+
+    def test_entry_killed_after_dispatch(self):
+        """A resend after its entry died gets the answer of the one run."""
+        cluster = self.start(answer_ms=SLOW_MS)
+        lost = cluster.deliver_later(0, "k")
+        self.wait_dispatched()
+        cluster.kill("entry-0")
+        self.assertIsNone(lost.answer())
+        status, _, value = cluster.deliver(1, "k")
+        self.assertEqual((status, value["request"]), (200, BODY))
+        self.assertEqual(self.n_runs(), 1)
+
+    def test_entry_killed_after_claim(self):
+        """A claim whose entry died before dispatch is voided and runs once."""
+        cluster = self.start()
+        cluster.pause("keeper")
+        cluster.deliver_later(0, "k")
+        self.wait_queued()
+        cluster.pause("entry-0")
+        cluster.resume("keeper")
+        self.wait_claimed()
+        cluster.kill("entry-0")
+        self.assertEqual(cluster.deliver(1, "k")[0], 200)
+        self.assertEqual(self.n_runs(), 1)
+
+    def test_frozen_entry_wakes_with_a_voided_attempt(self):
+        """An entry frozen before dispatch finds its attempt voided, not run twice."""
+        cluster = self.start()
+        cluster.pause("keeper")
+        late = cluster.deliver_later(0, "k")
+        self.wait_queued()
+        cluster.pause("entry-0")
+        cluster.resume("keeper")
+        self.wait_claimed()
+        _, _, first = cluster.deliver(1, "k")
+        cluster.resume("entry-0")
+        self.assertEqual(late.answer()[2], first)
+        self.assertEqual(self.n_runs(), 1)
+
+    def wait_queued(self) -> None:
+        """Wait until the first entry has a claim on its way."""
+        port = self._cluster.entry_ports[0]
+        wait_for(
+            lambda: self._cluster.metric(port, "cowslip_entry_claims_open") == 1,
+            "request",
+        )
+
+    def test_late_dispatch_of_a_dead_entry(self):
+        """A dispatch that reaches a frozen agent late runs once or not at all."""
+        cluster = self.start()
+        cluster.pause("agent-0")
+        cluster.deliver_later(0, "k")
+        self.wait_claimed()
+        cluster.kill("entry-0")
+        second = cluster.deliver_later(1, "k")
+        port = cluster.entry_ports[1]
+        wait_for(
+            lambda: cluster.metric(port, "cowslip_entry_claims_open") == 1, "resend"
+        )
+        cluster.resume("agent-0")
+        self.assertEqual(second.answer()[0], 200)
+        self.assertEqual(self.n_runs(), 1)
+
+    def test_agent_killed_after_dispatch(self):
+        """A request whose agent died in its run is unknown and never runs again."""
+        cluster = self.start(answer_ms=SLOW_MS)
+        first = cluster.deliver_later(0, "k")
+        self.wait_dispatched()
+        cluster.kill("agent-0")
+        self.assertEqual(first.answer()[1]["x-cowslip-outcome"], "unknown")
+        cluster.start_agent(0)
+        resent = wait_for(
+            lambda: (
+                (a := cluster.deliver(1, "k"))[2]["error"]["retry_after_ms"] == 0 and a
+            ),
+            "the new incarnation",
+        )
+        self.assertEqual(resent[2]["error"]["name"], "OUTCOME_UNKNOWN")
+        self.assertEqual(self.n_runs(), 1)
+
+    def test_agent_killed_before_dispatch(self):
+        """A request goes to another agent when the claimed one cannot be reached."""
+        cluster = self.start(n_agents=2)
+        cluster.kill("agent-0")
+        self.assertEqual(cluster.deliver(0, "k")[0], 200)
+        self.assertEqual(cluster.deliver(1, "k")[0], 200)
+        self.assertEqual(self.n_runs(), 1)
+
+    def test_not_run_is_recorded_before_it_is_told(self):
+        """A request told not-run, since no agent could be reached, runs when resent."""
+        cluster = self.start()
+        cluster.kill("agent-0")
+        _, headers, value = cluster.deliver(0, "k")
+        self.assertEqual(headers["x-cowslip-outcome"], "not-run", value)
+        self.assertEqual(self.n_runs(), 0)
+        cluster.start_agent(0)
+        wait_for(lambda: cluster.deliver(1, "k")[0] == 200, "agent")
+        self.assertEqual(self.n_runs(), 1)
+
+    def test_keeper_killed_between_claim_and_answer(self):
+        """An answer that the keeper could not record is given to a resend."""
+        cluster = self.start()
+        cluster.pause("agent-0")
+        first = cluster.deliver_later(0, "k")
+        self.wait_claimed()
+        cluster.kill("keeper")
+        cluster.resume("agent-0")
+        self.assertEqual(first.answer()[0], 200)
+        cluster.start_keeper()
+        resent = wait_for(
+            lambda: (a := cluster.deliver(1, "k"))[0] == 200 and a, "keeper"
+        )
+        self.assertEqual(resent[2], first.answer()[2])
+        self.assertEqual(self.n_runs(), 1)
+
+    def test_without_keepers(self):
+        """Without keepers a new key is refused as not run, and all else is served."""
+        cluster = self.start()
+        cluster.put(service_value("deliveries", repeatable=True))
+        self.assertEqual(cluster.deliver(0, "old")[0], 200)
+        cluster.kill("keeper")
+        _, headers, value = cluster.deliver(0, "new")
+        self.assertEqual(value["error"]["name"], "CLAIMS_UNAVAILABLE")
+        self.assertEqual(headers["x-cowslip-outcome"], "not-run")
+        _, headers, _ = cluster.deliver(0, "old")
+        self.assertEqual(headers["x-cowslip-outcome"], "unknown")
+        self.assertEqual(self.n_runs(), 1)
+        wait_for(lambda: cluster.deliver(0, None)[0] == 200, "unclaimed request")
+
+    def test_resend_after_the_claims_time(self):
+        """A resend of a dated key after its claim's time is refused, not run."""
+        cluster = self.start(claim_keep_ms=1_000)
+        key = f"k@{int(time.time() * 1000)}"
+        self.assertEqual(cluster.deliver(0, key)[0], 200)
+        wait_for(
+            lambda: (
+                cluster.deliver(1, key)[2].get("error", {}).get("name") == "KEY_EXPIRED"
+            ),
+            "expiry",
+        )
+        self.assertEqual(self.n_runs(), 1)
