--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "adapter_value",
+    "ask_value",
     "model_value",
     "order_value",
     "reports",
@@ -42,6 +43,17 @@
     return {**value, **fields}
 
 
+def ask_value(model: str = "m1", **fields: Any) -> dict[str, Any]:
+    """Return the JSON value of a call of a model at an agent."""
+    return {
+        "model": model,
+        "version": "1",
+        "prompt": "bread for 9",
+        "max_tokens": 4,
+        **fields,
+    }
+
+
 def order_value(model: str = "m1", **fields: Any) -> dict[str, Any]:
     """Return the JSON value of a load order to an engine."""
     return {
--- a/tests/served.py
+++ b/tests/served.py
@@ -32,12 +32,16 @@
     async def call(
         self, method: str, path: str, value: Any = None, **headers: str
     ) -> tuple[int, Any]:
-        """Return the status and the body; JSON is decoded."""
+        """Return the status and the body; JSON is decoded.
+
+        A value of bytes is sent as it is.
+        """
+        content = b"" if value is None else value
         response = await self._pool.request(
             method,
             self.url + path,
             headers=self._headers(headers),
-            content=orjson.dumps(value) if value is not None else b"",
+            content=content if isinstance(content, bytes) else orjson.dumps(value),
         )
         body = response.content
         is_json = dict(response.headers).get(b"content-type") == b"application/json"
