--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -10,12 +10,12 @@
 from pathlib import Path
 
 import defopt
-from tests.processes import Cluster
+from tests.keepers import KeeperCluster
 
 from cowslipwood.kernel.logs import configure_logs
 from cowslipwood.load import PROFILES
 
-from .installation import Installation, Policies
+from .installation import Installation, Policies, keeper_flags
 
 ERROR_LEVEL = 40
 
@@ -48,7 +48,6 @@
     seed: int = 1,
     fault: str = "",
     n_entries: int = 2,
-    n_keepers: int = 1,
     out: Path = Path("results"),
 ) -> None:
     """Run a load for each pair of policies, each on fresh processes.
@@ -71,8 +70,6 @@
         Empty, agent, server, entry, keeper or zone: killed within the run.
     n_entries : int
         Entry processes.
-    n_keepers : int
-        Keeper processes.
     out : Path
         Folder for the runs' JSON.
     """
@@ -89,9 +86,11 @@
     for text in policies.split(","):
         chosen = Policies(*(text.split(":") + ["", ""])[:3])
         parts = filter(None, [profile, scenario, fault, *chosen, f"seed{seed}"])
-        with Cluster() as cluster:
+        flags = keeper_flags(PROFILES[profile], chosen)
+        with KeeperCluster(*flags) as cluster:
+            cluster.start_all()
             installation = Installation(cluster, PROFILES[profile], chosen)
-            installation.start(n_entries, n_keepers)
+            installation.start(n_entries)
             installation.put_catalogue(seed)
             _run_one(installation, options, out, "-".join(parts))
             print("resident MB:", json.dumps(installation.resident_mb()), flush=True)
--- a/benchmarks/installation.py
+++ b/benchmarks/installation.py
@@ -12,13 +12,14 @@
 from cowslipwood.load import Profile, catalogue_values
 from cowslipwood.programs._ctl_client import Access, Command, run_command
 
-__all__ = ["Installation", "Policies"]
+__all__ = ["Installation", "Policies", "keeper_flags"]
 
 ENGINE_FIRST_TOKEN_MS = 40
 ENGINE_BETWEEN_TOKENS_MS = 30
 ENGINE_LOAD_MS = 500
 READY_LIMIT_S = 240.0
 FAULT_SHARE = 0.4
+KEEPER_NAMES = ("keeper", "k1", "k2", "k3")
 
 
 class Policies(NamedTuple):
@@ -29,12 +30,26 @@
     move_weight: str
 
 
+def keeper_flags(profile: Profile, policies: Policies) -> list[str]:
+    """Return the flags of the keepers."""
+    flags = [
+        f"--store-loads-per-s={profile.store_loads_per_s}",
+        f"--store-at-once={profile.store_at_once}",
+    ]
+    if policies.placement:
+        flags.append(f"--placement={policies.placement}")
+    if policies.move_weight:
+        flags.append(f"--move-weight={policies.move_weight}")
+    return flags
+
+
 class Installation:
-    """A profile's processes: keepers, stand-ins, agents and entries.
+    """A profile's processes around running keepers: stand-ins, agents, entries.
 
     Parameters
     ----------
     cluster : Cluster
+        With its keepers started.
     profile : Profile
     policies : Policies
     """
@@ -47,12 +62,8 @@
         self.entries: list[str] = []
         self.daemons: list[str] = []
 
-    def start(self, n_entries: int, n_keepers: int) -> None:
-        """Start every process."""
-        if n_keepers == 1:
-            self.cluster.start_keeper(*self._keeper_flags())
-        else:
-            self.cluster.start_keepers(n_keepers, *self._keeper_flags())
+    def start(self, n_entries: int) -> None:
+        """Start every process but the keepers."""
         self._start_store()
         for place in range(self.profile.n_engines):
             self._start_engine(place)
@@ -61,17 +72,6 @@
         for place in range(n_entries):
             self._start_entry(place)
 
-    def _keeper_flags(self) -> list[str]:
-        flags = [
-            f"--store-loads-per-s={self.profile.store_loads_per_s}",
-            f"--store-at-once={self.profile.store_at_once}",
-        ]
-        if self._policies.placement:
-            flags.append(f"--placement={self._policies.placement}")
-        if self._policies.move_weight:
-            flags.append(f"--move-weight={self._policies.move_weight}")
-        return flags
-
     def _start_store(self) -> None:
         self.cluster.start(
             "store",
@@ -79,7 +79,7 @@
             "--kind=store",
             f"--listen={self._store}",
             f"--loads-per-s={self.profile.store_loads_per_s}",
-            f"--at-once={self.profile.store_at_once}",
+            f"--full-speed-loads={self.profile.store_at_once}",
         )
 
     def _zone(self, place: int) -> str:
@@ -191,7 +191,7 @@
             case "entry":
                 return ["entry-1"]
             case "keeper":
-                return [n for n in self.cluster.processes if n.startswith("keeper")][:1]
+                return [self.cluster.leader()]
             case "zone":
                 return self._zone_processes(self.profile.zones[0])
             case _:
@@ -208,7 +208,7 @@
         """Return the largest resident memory of each role, in MB."""
         found: dict[str, float] = {}
         for name, process in self.cluster.processes.items():
-            role = name.split("-")[0]
+            role = "keeper" if name in KEEPER_NAMES else name.split("-")[0]
             status = Path(f"/proc/{process.pid}/status").read_text().split()
             if "VmRSS:" in status:
                 held_mb = int(status[status.index("VmRSS:") + 1]) / 1000
