--- /dev/null
+++ b/benchmarks/bench_capacity.py
@@ -0,0 +1,304 @@
+"""Measures what each role costs, at four sizes or more, and fits the slopes.
+
+``python -m benchmarks.bench_capacity agents`` steps the number of agents that
+report to one keeper and that one entry routes to; ``calls`` the rate of
+completions; ``tokens`` the tokens of each; ``claims`` the rate of claimed
+calls. Rows and slopes are printed as JSON lines. Every step is bounded in
+count and time and goes to loopback.
+"""
+
+import json
+import os
+import statistics
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+import anyio
+import defopt
+import httpcore
+import orjson
+from tests.builders import model_value, service_value
+from tests.processes import Cluster, call, free_port, wait_for
+
+from cowslipwood.kernel.channel import Channel, open_channel
+from cowslipwood.kernel.messages import AgentReport, Hello, Resident
+from cowslipwood.kernel.settings import parse_address
+from cowslipwood.kernel.wire import encode_frame
+
+STEP_S = 8.0
+SETTLE_S = 1.5
+N_AGENTS = (20, 40, 80, 160)
+RATES_PER_S = (10, 20, 40, 80)
+N_TOKENS = (4, 16, 64, 128)
+TOKEN_RATE_PER_S = 10
+CALL_TOKENS = 16
+REPORT_S = 0.2
+N_RESIDENTS = 15
+IDLE_TIMEOUT_MS = 60_000
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+class Usage(NamedTuple):
+    """Processor time in seconds and resident memory in MB of a process."""
+
+    cpu_s: float
+    resident_mb: float
+
+
+class Row(NamedTuple):
+    """One step of one measure.
+
+    Parameters
+    ----------
+    size : float
+        What was stepped.
+    values : dict of str to float
+        Cores, MB and bytes per second, by role.
+    """
+
+    size: float
+    values: dict[str, float]
+
+
+def usage(pid: int) -> Usage:
+    """Read a process's usage."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    words = Path(f"/proc/{pid}/status").read_text().split()
+    resident_kb = int(words[words.index("VmRSS:") + 1])
+    return Usage(ticks / TICKS_PER_S, resident_kb / 1000)
+
+
+def measured(cluster: Cluster, names: Sequence[str], work: Callable[[], None]) -> dict:
+    """Return the cores and memory that processes take while `work` runs."""
+    pids = {name: cluster.processes[name].pid for name in names}
+    before = {name: usage(pid) for name, pid in pids.items()}
+    start_s = time.monotonic()
+    work()
+    took_s = time.monotonic() - start_s
+    values = {}
+    for name, pid in pids.items():
+        after = usage(pid)
+        values[f"{name}_cores"] = (after.cpu_s - before[name].cpu_s) / took_s
+        values[f"{name}_mb"] = after.resident_mb
+    return values
+
+
+def report(name: str, rows: Sequence[Row]) -> None:
+    """Print rows, then slope and intercept of each value."""
+    for row in rows:
+        shown = {key: round(value, 5) for key, value in row.values.items()}
+        print(json.dumps({"measure": name, "size": row.size, **shown}))
+    sizes = [row.size for row in rows]
+    for key in rows[0].values:
+        fit = statistics.linear_regression(sizes, [row.values[key] for row in rows])
+        print(
+            json.dumps(
+                {
+                    "measure": name,
+                    "value": key,
+                    "slope": float(f"{fit.slope:.4g}"),
+                    "intercept": float(f"{fit.intercept:.4g}"),
+                }
+            ),
+            flush=True,
+        )
+
+
+def _fake_report(number: int, n_in_flight: int) -> AgentReport:
+    fields = {
+        "server_id": f"fake-{number}",
+        "incarnation": "i",
+        "zone": f"zone-{number % 3}",
+        "http_addr": "127.0.0.1:9",
+        "kind": "engine",
+        "capacity_bytes": 16 * 10**9,
+        "n_in_flight": n_in_flight,
+        "knee_in_flight": 16,
+        "residents": tuple(
+            Resident(f"model-{(number * 7 + i) % 430}", "1", "ready", 10**9)
+            for i in range(N_RESIDENTS)
+        ),
+    }
+    blank = {str: "", int: 0, bool: False, float: 0.0}
+    hints = AgentReport.__annotations__
+    return AgentReport(
+        *(fields.get(name, blank.get(hints[name], ())) for name in AgentReport._fields)
+    )
+
+
+class FakeAgents:
+    """Connections that report to a keeper as agents do, and count bytes."""
+
+    def __init__(self, address: str, n_agents: int):
+        self._address = address
+        self._n_agents = n_agents
+        self.n_sent_bytes = 0
+        self.n_received_bytes = 0
+
+    def run(self) -> None:
+        """Report for ``STEP_S`` seconds."""
+        anyio.run(self._run)
+
+    async def _run(self) -> None:
+        with anyio.move_on_after(STEP_S):
+            async with anyio.create_task_group() as tasks:
+                for number in range(self._n_agents):
+                    tasks.start_soon(self._agent, number)
+
+    async def _agent(self, number: int) -> None:
+        opened = await open_channel(*parse_address(self._address), IDLE_TIMEOUT_MS)
+        channel: Channel = opened.unwrap()
+        hello = Hello("agent", f"fake-{number}", "i", "zone-1", "cluster-secret")
+        await channel.send(hello)
+        await channel.receive()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(channel.run, self._count)
+            turn = 0
+            while True:
+                turn += 1
+                message = _fake_report(number, (number + turn) % 16)
+                self.n_sent_bytes += len(encode_frame(message))
+                await channel.send(message)
+                await anyio.sleep(REPORT_S)
+
+    async def _count(self, value: object) -> None:
+        self.n_received_bytes += len(encode_frame(value))
+
+
+def _agents_step(n_agents: int) -> Row:
+    with Cluster() as cluster:
+        cluster.start_keeper()
+        for number in range(10):
+            cluster.put(model_value(f"model-{number}"))
+        _start_entry(cluster)
+        fakes = FakeAgents(cluster.keepers, n_agents)
+        values = measured(cluster, ("keeper", "entry"), fakes.run)
+        values["agent_sent_bytes_per_s"] = fakes.n_sent_bytes / STEP_S / n_agents
+        values["agent_received_bytes_per_s"] = (
+            fakes.n_received_bytes / STEP_S / n_agents
+        )
+        return Row(n_agents, values)
+
+
+def _start_entry(cluster: Cluster) -> int:
+    port = free_port()
+    cluster.start(
+        "entry", "entry", f"--listen=127.0.0.1:{port}", f"--keepers={cluster.keepers}"
+    )
+    wait_for(lambda: call(port, "GET", "/v1/models")[0] == 200, "the entry")
+    return port
+
+
+def _start_served(cluster: Cluster, kind: str, *flags: str) -> int:
+    """Start a stand-in with its agent, a keeper and an entry."""
+    cluster.start_keeper()
+    backend, agent = free_port(), free_port()
+    cluster.start(
+        "standin", "standin", f"--kind={kind}", f"--listen=127.0.0.1:{backend}"
+    )
+    cluster.start(
+        "agent",
+        "agent",
+        "--server-id=s1",
+        f"--backend-url=http://127.0.0.1:{backend}",
+        f"--listen=127.0.0.1:{agent}",
+        f"--keepers={cluster.keepers}",
+        *flags,
+    )
+    return _start_entry(cluster)
+
+
+class OpenLoop:
+    """Requests at a steady rate that do not wait for answers."""
+
+    def __init__(self, port: int, path: str, rate_per_s: float):
+        self._url = f"http://127.0.0.1:{port}{path}"
+        self._rate_per_s = rate_per_s
+        self.n_answered = 0
+        self.n_failed = 0
+
+    def run(self, body: dict, keyed: bool = False) -> None:
+        """Send for ``STEP_S`` seconds."""
+        anyio.run(self._run, body, keyed)
+
+    async def _run(self, body: dict, keyed: bool) -> None:
+        start_s = time.monotonic()
+        n_requests = int(STEP_S * self._rate_per_s)
+        async with httpcore.AsyncConnectionPool(max_connections=512) as pool:
+            async with anyio.create_task_group() as tasks:
+                for number in range(n_requests):
+                    at_s = start_s + number / self._rate_per_s
+                    await anyio.sleep(max(0.0, at_s - time.monotonic()))
+                    key = f"key-{number}" if keyed else ""
+                    tasks.start_soon(self._send, pool, body, key)
+
+    async def _send(
+        self, pool: httpcore.AsyncConnectionPool, body: dict, key: str
+    ) -> None:
+        headers = {"idempotency-key": key} if key else {}
+        response = await pool.request(
+            "POST", self._url, headers=headers, content=orjson.dumps(body)
+        )
+        if response.status == 200:
+            self.n_answered += 1
+        else:
+            self.n_failed += 1
+
+
+def _completions_step(rate_per_s: float, n_tokens: int) -> dict[str, float]:
+    with Cluster() as cluster:
+        port = _start_served(cluster, "engine")
+        cluster.put(model_value("m1"))
+        ask = {"model": "m1", "prompt": "a b c", "max_tokens": n_tokens}
+        wait_for(lambda: call(port, "POST", "/v1/completions", ask)[0] == 200, "m1")
+        time.sleep(SETTLE_S)
+        loop = OpenLoop(port, "/v1/completions", rate_per_s)
+        body = {**ask, "stream": True}
+        values = measured(cluster, ("entry", "agent"), lambda: loop.run(body))
+        return {**values, "failed_share": loop.n_failed / (STEP_S * rate_per_s)}
+
+
+def _claims_step(rate_per_s: float) -> Row:
+    with Cluster() as cluster:
+        flags = ("--dialect=service", "--service-name=deliveries")
+        port = _start_served(cluster, "service", *flags)
+        cluster.put(service_value("deliveries", repeatable=False))
+        path = "/services/deliveries/record"
+        wait_for(lambda: call(port, "POST", path, {})[0] == 200, "the service")
+        time.sleep(SETTLE_S)
+        before_mb = usage(cluster.processes["keeper"].pid).resident_mb
+        loop = OpenLoop(port, path, rate_per_s)
+        names = ("keeper", "entry", "agent")
+        values = measured(cluster, names, lambda: loop.run({"meal": 1}, keyed=True))
+        values["keeper_grown_mb"] = values["keeper_mb"] - before_mb
+        values["failed_share"] = loop.n_failed / (STEP_S * rate_per_s)
+        return Row(rate_per_s, values)
+
+
+def agents() -> None:
+    """Step the number of agents that report to one keeper."""
+    report("agents", [_agents_step(n) for n in N_AGENTS])
+
+
+def calls() -> None:
+    """Step the rate of completions through one entry and one agent."""
+    rows = [Row(rate, _completions_step(rate, CALL_TOKENS)) for rate in RATES_PER_S]
+    report("calls", rows)
+
+
+def tokens() -> None:
+    """Step the tokens of each completion at a steady rate."""
+    rows = [Row(n, _completions_step(TOKEN_RATE_PER_S, n)) for n in N_TOKENS]
+    report("tokens", rows)
+
+
+def claims() -> None:
+    """Step the rate of claimed calls through keeper, entry and agent."""
+    report("claims", [_claims_step(rate) for rate in RATES_PER_S])
+
+
+if __name__ == "__main__":
+    defopt.run([agents, calls, tokens, claims])
