--- /dev/null
+++ b/src/cowslipwood/entry/_backend.py
@@ -0,0 +1,178 @@
+"""What an entry knows of one backend server beyond the keepers' view."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import NamedTuple
+
+import xxhash
+
+from ..kernel.messages import ServerView
+from ._ewma import Ewma
+from ._health import Health
+
+__all__ = ["Backend", "LoadReport", "model_key"]
+
+DEFAULT_KNEE = 16
+REPORT_HALF_LIFE_MS = 1_000.0
+FRESH_REPORT_MS = 500.0
+FIRST_HALF_LIFE_MS = 2_000.0
+UNREACHABLE_MS = 1_000.0
+LEAVING_MS = 2_000.0
+NOT_READY_MS = 250.0
+FIRST_WEIGHT = 0.2
+
+
+def model_key(name: str, version: str) -> str:
+    """Return the name under which servers list a ready model."""
+    return f"{name}@{version}"
+
+
+class LoadReport(NamedTuple):
+    """An agent's word on its load.
+
+    Parameters
+    ----------
+    n_in_flight, n_queued : int
+    wait_ms : float
+        Time that a request waits in the agent's queue.
+    knee_in_flight : int
+        Requests that the backend server serves at full speed at once.
+    """
+
+    n_in_flight: int = 0
+    n_queued: int = 0
+    wait_ms: float = 0.0
+    knee_in_flight: int = 0
+
+
+class Backend:
+    """One backend server as this entry sees it.
+
+    Parameters
+    ----------
+    view : ServerView
+        From the keepers.
+    now_ms : float
+    """
+
+    __slots__ = (
+        "_n_others",
+        "_passed_over",
+        "_report_at_ms",
+        "answer_ms",
+        "answered_at_ms",
+        "first_ms",
+        "health",
+        "n_in_flight",
+        "report",
+        "seed",
+        "unlisted_at_ms",
+        "view",
+    )
+
+    def __init__(self, view: ServerView, now_ms: float):
+        self.view = view
+        self.seed = xxhash.xxh3_64_intdigest(view.server_id.encode())
+        self.n_in_flight = 0
+        self.health = Health()
+        self.first_ms = Ewma(FIRST_WEIGHT)
+        self.answer_ms = Ewma(FIRST_WEIGHT)
+        self.answered_at_ms = 0.0
+        self.unlisted_at_ms = 0.0
+        self._passed_over: dict[str, float] = {}
+        self._take_report(_view_report(view), now_ms)
+
+    def update_view(self, view: ServerView, now_ms: float) -> None:
+        """Take a newer view; another incarnation starts with a clean record."""
+        if view.incarnation != self.view.incarnation:
+            self.health = Health()
+            self._passed_over.clear()
+        self.view = view
+        self.unlisted_at_ms = 0.0
+        if now_ms - self._report_at_ms > FRESH_REPORT_MS:
+            self._take_report(_view_report(view), now_ms)
+
+    def answered(self, report: LoadReport | None, now_ms: float) -> None:
+        """Take the report that came with an answer or a refusal."""
+        self.answered_at_ms = now_ms
+        if report is not None:
+            self._take_report(report, now_ms)
+
+    @property
+    def knee(self) -> int:
+        """Requests that the backend server serves at full speed at once."""
+        return self.report.knee_in_flight or self.view.knee_in_flight or DEFAULT_KNEE
+
+    def load(self, typical_load: float, now_ms: float) -> float:
+        """Return the requests that it is likely to hold now.
+
+        Own requests are counted; those of other entries are as last reported,
+        and drift towards the typical load as the report gets old.
+
+        Parameters
+        ----------
+        typical_load : float
+            Other entries' requests on a server, as a share of its knee.
+        now_ms : float
+        """
+        trust = 0.5 ** ((now_ms - self._report_at_ms) / REPORT_HALF_LIFE_MS)
+        others = trust * self._n_others + (1.0 - trust) * typical_load * self.knee
+        return self.n_in_flight + others
+
+    @property
+    def others_load(self) -> float:
+        """Other entries' requests at the last report, as a share of the knee."""
+        return self._n_others / self.knee
+
+    def wait_ms(self, load: float, now_ms: float) -> float:
+        """Return the time that one more request would queue at that load."""
+        excess = max(0.0, load + 1.0 - self.knee)
+        by_load = excess / self.knee * self.answer_ms.value
+        if not self.report.n_queued:
+            return by_load
+        trust = 0.5 ** ((now_ms - self._report_at_ms) / REPORT_HALF_LIFE_MS)
+        return max(by_load, trust * self.report.wait_ms)
+
+    def first_answer_ms(self, now_ms: float) -> float:
+        """Return the time to a first token without queueing.
+
+        It fades with age, so that a server once slow is tried again.
+        """
+        age_ms = now_ms - self.answered_at_ms
+        return self.first_ms.value * 0.5 ** (age_ms / FIRST_HALF_LIFE_MS)
+
+    @contextmanager
+    def in_flight(self) -> Iterator[None]:
+        """Count one request of this entry for the length of the block."""
+        self.n_in_flight += 1
+        try:
+            yield
+        finally:
+            self.n_in_flight -= 1
+
+    def pass_over(self, what: str, until_ms: float) -> None:
+        """Give it no request for a model key, or for any (""), until then."""
+        self._passed_over[what] = until_ms
+
+    def usable(self, key: str, now_ms: float) -> bool:
+        """Return whether it may get one more request for a model key."""
+        if self.view.leaving:
+            return False
+        passed_over = self._passed_over
+        if passed_over and (
+            now_ms < passed_over.get("", 0.0) or now_ms < passed_over.get(key, 0.0)
+        ):
+            return False
+        return self.health.usable(self.n_in_flight, now_ms)
+
+    def _take_report(self, report: LoadReport, now_ms: float) -> None:
+        self.report = report
+        self._report_at_ms = now_ms
+        n_held = report.n_in_flight + report.n_queued
+        self._n_others = max(0, n_held - self.n_in_flight)
+
+
+def _view_report(view: ServerView) -> LoadReport:
+    return LoadReport(
+        view.n_in_flight, view.n_queued, view.wait_ms, view.knee_in_flight
+    )
--- a/src/cowslipwood/entry/_front.py
+++ b/src/cowslipwood/entry/_front.py
@@ -1,24 +1,42 @@
-"""The callers' HTTP interface."""
+"""The callers' HTTP interface: finds the front end and guards the connection."""
 
 import uuid
-from typing import Any
+from collections.abc import Sequence
+from typing import Any, NamedTuple
 
-import orjson
+import anyio
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..catalogue import Entry, EntryKind
 from ..kernel.codes import Code, Failure, failure
-from ..kernel.http import Request, read_request, send_failure, send_json, send_response
-from ..kernel.metrics import Metrics
-from ._dispatch import Answer, Attempt, Dispatcher
-from ._view import View
+from ..kernel.http import Request, read_request
+from ..kernel.logs import get_logger
+from ._call import parse_request_id
+from ._caller import Caller, CallerStalledError
+from ._serving import CallerRequest, FrontEnd, Serving
 
-__all__ = ["Front"]
+__all__ = ["Bounds", "Front"]
 
-MAX_BODY_BYTES = 8 * 1024 * 1024
 RETRY_AFTER_MS = 1_000
-DEFAULT_MAX_TOKENS = 16
+
+
+class Bounds(NamedTuple):
+    """What one caller, and all of them together, may take.
+
+    Parameters
+    ----------
+    max_body_bytes : int
+    max_open_requests : int
+    body_timeout_ms : float
+        Longest time that a request's body may take to arrive.
+    send_timeout_ms : float
+        Longest time that a part of an answer may wait for the caller.
+    """
+
+    max_body_bytes: int = 8 * 1024 * 1024
+    max_open_requests: int = 2_048
+    body_timeout_ms: float = 30_000.0
+    send_timeout_ms: float = 10_000.0
 
 
 class Front:
@@ -26,175 +44,117 @@
 
     Parameters
     ----------
-    view : View
-    dispatcher : Dispatcher
-    metrics : Metrics
+    serving : Serving
+    front_ends : sequence of FrontEnd
+        Asked in order.
+    bounds : Bounds
     """
 
-    def __init__(self, view: View, dispatcher: Dispatcher, metrics: Metrics):
-        self._view = view
-        self._dispatcher = dispatcher
-        self._metrics = metrics
+    def __init__(
+        self,
+        serving: Serving,
+        front_ends: Sequence[FrontEnd],
+        bounds: Bounds | None = None,
+    ):
+        self._serving = serving
+        self._front_ends = front_ends
+        self._bounds = bounds or Bounds()
         self.n_in_flight = 0
         self.leaving = False
 
     async def __call__(self, scope: dict, receive: Any, send: Any) -> None:
         """Serve one request."""
-        read = await read_request(scope, receive, MAX_BODY_BYTES)
-        if isinstance(read, Err):
-            await self._refuse(send, read.failure(), {})
-            return
-        request = read.unwrap()
-        request_id = request.headers.get("x-request-id") or uuid.uuid4().hex
-        headers = {"x-request-id": request_id}
-        if self.leaving:
-            fault = failure(Code.ENTRY_LEAVING, "", RETRY_AFTER_MS)
-            await self._refuse(send, fault, headers)
+        if scope["type"] != "http":
             return
+        metrics = self._serving.metrics
+        caller = Caller(send, metrics, self._bounds.send_timeout_ms)
         self.n_in_flight += 1
+        metrics.gauge("in_flight", self.n_in_flight)
         try:
-            await self._route(request, send, headers)
+            await self._serve(scope, receive, caller)
+        except CallerStalledError:
+            metrics.count("callers_lost_total", reason=Code.SEND_TIMEOUT.name)
         finally:
             self.n_in_flight -= 1
-
-    async def _route(self, request: Request, send: Any, headers: dict) -> None:
-        match request.method, request.path.split("/")[1:]:
-            case "GET", ["v1", "models"]:
-                await send_json(send, 200, self._models(), headers)
-            case "POST", ["v1", "completions"]:
-                await self._complete(request, send, headers)
-            case _, ["services", name, *_]:
-                await self._call_service(name, request, send, headers)
-            case _:
-                await self._refuse(send, failure(Code.NO_SUCH_ROUTE), headers)
-
-    def _models(self) -> dict[str, Any]:
-        return {
-            "object": "list",
-            "data": [
-                {"id": entry.name, "object": "model", "owned_by": entry.owner}
-                for entry in self._view.entries.values()
-                if entry.kind is not EntryKind.SERVICE
-            ],
-        }
-
-    async def _complete(self, request: Request, send: Any, headers: dict) -> None:
-        checked = self._check_completion(request)
-        if isinstance(checked, Err):
-            await self._refuse(send, checked.failure(), headers)
+            metrics.gauge("in_flight", self.n_in_flight)
+
+    async def _serve(self, scope: dict, receive: Any, caller: Caller) -> None:
+        arrived_ms = self._serving.now_ms()
+        identified = _identify(scope, caller)
+        admitted = identified.bind(lambda _: self._admit(caller))
+        if isinstance(admitted, Err):
+            await caller.refuse(admitted.failure())
             return
-        entry, body = checked.unwrap()
-        attempt = Attempt(
-            "POST",
-            "/v1/completions",
-            {"content-type": "application/json", **headers},
-            orjson.dumps(
-                {
-                    "model": entry.name,
-                    "version": entry.version,
-                    "prompt": body["prompt"],
-                    "max_tokens": body.get("max_tokens", DEFAULT_MAX_TOKENS),
-                }
-            ),
-        )
-        await self._attempt(entry, attempt, send, headers, body.get("stream", False))
-
-    def _check_completion(self, request: Request) -> Result[Any, Failure]:
-        try:
-            body = orjson.loads(request.body)
-        except orjson.JSONDecodeError as exc:
-            return Err(failure(Code.BAD_JSON, str(exc)))
-        if not isinstance(body, dict) or not isinstance(body.get("prompt"), str):
-            return Err(failure(Code.BAD_FIELD, "prompt: expected a string"))
-        entry = self._view.entries.get(str(body.get("model")))
-        if entry is None or entry.kind is EntryKind.SERVICE:
-            return Err(failure(Code.NO_SUCH_MODEL, f"model: {body.get('model')!r}"))
-        return Success((entry, body))
-
-    async def _call_service(
-        self, name: str, request: Request, send: Any, headers: dict
-    ) -> None:
-        entry = self._view.entries.get(name)
-        if entry is None or entry.kind is not EntryKind.SERVICE:
-            await self._refuse(send, failure(Code.NO_SUCH_SERVICE), headers)
+        read = await self._read(scope, receive)
+        if isinstance(read, Err):
+            await self._refuse_unread(caller, read.failure())
             return
-        target = request.target.removeprefix(f"/services/{name}") or "/"
-        kind = request.headers.get("content-type", "application/octet-stream")
-        attempt = Attempt(
-            request.method, target, {"content-type": kind, **headers}, request.body
-        )
-        await self._attempt(entry, attempt, send, headers, False)
-
-    async def _attempt(
-        self, entry: Entry, attempt: Attempt, send: Any, headers: dict, stream: bool
-    ) -> None:
-        candidates = self._view.candidates(entry)
-        if not candidates:
-            fault = failure(Code.NO_REPLICA, "", RETRY_AFTER_MS)
-            await self._refuse(send, fault, headers)
+        request = CallerRequest(read.unwrap(), identified.unwrap(), arrived_ms)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch, receive, caller, tasks.cancel_scope)
+            await self._serve_guarded(request, caller)
+            tasks.cancel_scope.cancel()
+
+    def _admit(self, caller: Caller) -> Result[None, Failure]:
+        if self.leaving:
+            caller.headers["connection"] = "close"
+            return Err(failure(Code.ENTRY_LEAVING, "", RETRY_AFTER_MS))
+        if self.n_in_flight > self._bounds.max_open_requests:
+            return Err(failure(Code.TOO_MANY_CONNECTIONS, "", RETRY_AFTER_MS))
+        return Success(None)
+
+    async def _read(self, scope: dict, receive: Any) -> Result[Request, Failure]:
+        with anyio.move_on_after(self._bounds.body_timeout_ms / 1000):
+            return await read_request(scope, receive, self._bounds.max_body_bytes)
+        return Err(failure(Code.BODY_TIMEOUT))
+
+    async def _refuse_unread(self, caller: Caller, fault: Failure) -> None:
+        if fault.code is Code.PEER_GONE:
+            self._count_lost(fault)
             return
-        server = min(candidates, key=lambda c: (c.n_in_flight, c.server_id))
-        async with self._dispatcher.send(server, attempt) as sent:
-            if isinstance(sent, Err):
-                await self._refuse(send, sent.failure(), headers)
-            elif entry.kind is EntryKind.SERVICE:
-                await _pass_whole(sent.unwrap(), send, headers)
-            elif stream:
-                await _pass_stream(entry.name, sent.unwrap(), send, headers)
-            else:
-                await _pass_completion(entry.name, sent.unwrap(), send, headers)
-
-    async def _refuse(self, send: Any, fault: Failure, headers: dict) -> None:
-        self._metrics.count("refusals_total", reason=fault.code.name)
-        await send_failure(send, fault, headers)
-
-
-async def _pass_whole(answer: Answer, send: Any, headers: dict) -> None:
-    body = b"".join([chunk async for chunk in answer.chunks])
-    kind = answer.headers.get("content-type", "application/octet-stream")
-    await send_response(send, answer.status, {"content-type": kind, **headers}, body)
-
-
-async def _events(answer: Answer) -> Any:
-    """Yield the data of each server-sent event."""
-    buffer = b""
-    async for chunk in answer.chunks:
-        buffer += chunk
-        *events, buffer = buffer.split(b"\n\n")
-        for event in events:
-            yield event.removeprefix(b"data: ")
-
-
-async def _pass_stream(model: str, answer: Answer, send: Any, headers: dict) -> None:
-    pairs = [(b"content-type", b"text/event-stream")]
-    pairs += [(k.encode(), v.encode()) for k, v in headers.items()]
-    await send({"type": "http.response.start", "status": 200, "headers": pairs})
-    async for data in _events(answer):
-        if data == b"[DONE]":
-            break
-        text = orjson.loads(data)["text"]
-        value = {
-            "id": headers["x-request-id"],
-            "object": "text_completion",
-            "model": model,
-            "choices": [{"index": 0, "text": text, "finish_reason": None}],
-        }
-        event = b"data: " + orjson.dumps(value) + b"\n\n"
-        await send({"type": "http.response.body", "body": event, "more_body": True})
-    await send({"type": "http.response.body", "body": b"data: [DONE]\n\n"})
-
-
-async def _pass_completion(
-    model: str, answer: Answer, send: Any, headers: dict
-) -> None:
-    parts = []
-    async for data in _events(answer):
-        if data != b"[DONE]":
-            parts.append(orjson.loads(data)["text"])
-    value = {
-        "id": headers["x-request-id"],
-        "object": "text_completion",
-        "model": model,
-        "choices": [{"index": 0, "text": "".join(parts), "finish_reason": "length"}],
-    }
-    await send_json(send, 200, value, headers)
+        caller.headers["connection"] = "close"
+        await caller.refuse(fault)
+
+    async def _watch(
+        self, receive: Any, caller: Caller, scope: anyio.CancelScope
+    ) -> None:
+        """Cancel the request as soon as its caller hangs up."""
+        while True:
+            event = await receive()
+            if event["type"] == "http.disconnect":
+                break
+        if not caller.ended:
+            self._count_lost(failure(Code.PEER_GONE))
+            scope.cancel()
+
+    async def _serve_guarded(self, request: CallerRequest, caller: Caller) -> None:
+        """Serve a request; an unforeseen error ends this request only."""
+        try:
+            await self._dispatch(request, caller)
+        except CallerStalledError:
+            self._count_lost(failure(Code.SEND_TIMEOUT))
+        except Exception:
+            get_logger().exception("request_failed", request_id=request.request_id)
+            await caller.refuse(failure(Code.INTERNAL_ERROR))
+
+    async def _dispatch(self, request: CallerRequest, caller: Caller) -> None:
+        for front_end in self._front_ends:
+            if front_end.matches(request.http.method, request.http.path):
+                await front_end.serve(request, caller, self._serving)
+                return
+        await caller.refuse(failure(Code.NO_SUCH_ROUTE))
+
+    def _count_lost(self, fault: Failure) -> None:
+        self._serving.metrics.count("callers_lost_total", reason=fault.code.name)
+
+
+def _identify(scope: dict, caller: Caller) -> Result[str, Failure]:
+    """Return the request's id, which each answer carries."""
+    given = next((v for k, v in scope["headers"] if k == b"x-request-id"), None)
+    made = uuid.uuid4().hex
+    if given is None:
+        parsed: Result[str, Failure] = Success(made)
+    else:
+        parsed = parse_request_id(given.decode("latin-1"))
+    caller.headers["x-request-id"] = parsed.value_or(made)
+    return parsed
--- /dev/null
+++ b/src/cowslipwood/entry/fronts/_writing.py
@@ -0,0 +1,185 @@
+"""Serves a completion of either kind, as a stream or as one answer."""
+
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple, Protocol
+
+from returns.result import Failure as Err
+from returns.result import Result
+
+from ...kernel.codes import Code, Failure, failure
+from .._caller import Caller
+from .._events import Chunk
+from .._generation import Finish, Generation, generate
+from .._serving import CallerRequest, OpenCall, Serving
+from ._fields import (
+    BadFieldError,
+    CompletionFields,
+    prefix_hash,
+    read_object,
+    shared,
+)
+
+__all__ = ["Shape", "serve_completion"]
+
+
+class Shape(Protocol):
+    """The JSON shape of one kind of completion."""
+
+    def opening(self) -> dict[str, Any] | None:
+        """Return the choice of a stream's first event, if it has its own."""
+
+    def chunk(self, text: str, finish_reason: str | None) -> dict[str, Any]:
+        """Return the choice of one event of a stream."""
+
+    def whole(self, text: str, finish_reason: str) -> dict[str, Any]:
+        """Return the choice of a whole answer."""
+
+
+class Kind(NamedTuple):
+    """One kind of completion.
+
+    Parameters
+    ----------
+    shape : Shape
+    whole_object, chunk_object : str
+        Names of the JSON objects.
+    id_prefix : str
+    prompt_of : callable
+        Returns the prompt of a body; raises `BadFieldError`.
+    """
+
+    shape: Shape
+    whole_object: str
+    chunk_object: str
+    id_prefix: str
+    prompt_of: Callable[[dict[str, Any]], str]
+
+
+class _Writer:
+    """Writes the answer of one completion."""
+
+    def __init__(
+        self,
+        kind: Kind,
+        fields: CompletionFields,
+        prompt: str,
+        request_id: str,
+        caller: Caller,
+    ):
+        self._kind = kind
+        self._fields = fields
+        self._n_prompt_tokens = len(prompt.split())
+        self._caller = caller
+        self._id = kind.id_prefix + request_id
+        self._created_s = int(time.time())
+        self._texts: list[str] = []
+
+    async def token(self, chunk: Chunk) -> None:
+        """Pass a token on, or keep it for the whole answer."""
+        if not self._fields.stream:
+            self._texts.append(chunk.text)
+            return
+        if not self._caller.started:
+            await self._caller.start_events()
+            opening = self._kind.shape.opening()
+            if opening is not None:
+                await self._event([opening])
+        await self._event([self._kind.shape.chunk(chunk.text, None)])
+
+    async def finish(self, finish: Finish) -> None:
+        """End a whole answer."""
+        usage = self._usage(finish)
+        if not self._fields.stream:
+            text = "".join(self._texts)
+            choice = self._kind.shape.whole(text, finish.reason)
+            value = self._object(self._kind.whole_object, [choice])
+            await self._caller.answer_json({**value, "usage": usage})
+            return
+        if not self._caller.started:
+            await self._caller.start_events()
+        await self._event([self._kind.shape.chunk("", finish.reason)])
+        if self._fields.include_usage:
+            value = self._object(self._kind.chunk_object, [])
+            await self._caller.event({**value, "usage": usage})
+        await self._caller.end_events()
+
+    async def fail(self, fault: Failure) -> None:
+        """Refuse, or break off a stream that has begun."""
+        if self._caller.started:
+            await self._caller.break_events(fault)
+        else:
+            await self._caller.refuse(fault)
+
+    async def _event(self, choices: list[dict[str, Any]]) -> None:
+        await self._caller.event(self._object(self._kind.chunk_object, choices))
+
+    def _object(self, name: str, choices: list[dict[str, Any]]) -> dict[str, Any]:
+        return {
+            "id": self._id,
+            "object": name,
+            "created": self._created_s,
+            "model": self._fields.entry.name,
+            "choices": choices,
+        }
+
+    def _usage(self, finish: Finish) -> dict[str, int]:
+        return {
+            "prompt_tokens": self._n_prompt_tokens,
+            "completion_tokens": finish.n_tokens,
+            "total_tokens": self._n_prompt_tokens + finish.n_tokens,
+        }
+
+
+async def serve_completion(
+    kind: Kind, request: CallerRequest, caller: Caller, serving: Serving
+) -> None:
+    """Check a request, run it and write its answer."""
+    checked = read_object(request.http.body).bind(
+        lambda body: _check(kind, body, serving)
+    )
+    if isinstance(checked, Err):
+        await caller.refuse(checked.failure())
+        return
+    fields, prompt = checked.unwrap()
+    hashed = prefix_hash(fields.entry, prompt)
+    with serving.open_call(request, fields.entry, hashed) as opened:
+        if isinstance(opened, Err):
+            await caller.refuse(opened.failure())
+            return
+        writer = _Writer(kind, fields, prompt, request.request_id, caller)
+        await _run(opened.unwrap(), fields, prompt, writer, serving)
+
+
+def _check(
+    kind: Kind, body: dict[str, Any], serving: Serving
+) -> Result[tuple[CompletionFields, str], Failure]:
+    try:
+        fields = shared(body, serving.view)
+        prompt = kind.prompt_of(body)
+    except BadFieldError as exc:
+        return Err(failure(Code.BAD_FIELD, str(exc)))
+    return fields.map(lambda checked: (checked, prompt))
+
+
+async def _run(
+    opened: OpenCall,
+    fields: CompletionFields,
+    prompt: str,
+    writer: _Writer,
+    serving: Serving,
+) -> None:
+    timing = opened.timing
+
+    async def deliver(chunk: Chunk) -> None:
+        timing.token(serving.now_ms())
+        await writer.token(chunk)
+
+    generation = Generation(opened.call, prompt, fields.max_tokens)
+    ended = await generate(serving, generation, deliver)
+    if isinstance(ended, Err):
+        timing.refused = True
+        await writer.fail(ended.failure())
+        return
+    await writer.finish(ended.unwrap())
+    timing.whole(serving.now_ms())
--- /dev/null
+++ b/src/cowslipwood/entry/routing/_policy.py
@@ -0,0 +1,61 @@
+"""The interface of routing policies."""
+
+import random
+from collections.abc import Collection, Sequence
+from typing import NamedTuple, Protocol
+
+from .._backend import Backend
+
+__all__ = ["RoutingContext", "RoutingPolicy", "usable_candidates"]
+
+
+class RoutingContext(NamedTuple):
+    """What a choice depends on besides the candidates.
+
+    Parameters
+    ----------
+    key : str
+        What is to be served.
+    prefix_hash : int
+        Hash of the head of the prompt; 0 when there is none.
+    zone : str
+        Availability zone of the entry.
+    typical_load : float
+        Other entries' requests on a server, as a share of its knee.
+    view_is_stale : bool
+        Whether the keepers have been silent for too long.
+    tried : collection of str
+        Ids of the servers that this request was sent to before.
+    """
+
+    key: str
+    prefix_hash: int = 0
+    zone: str = ""
+    typical_load: float = 0.0
+    view_is_stale: bool = False
+    tried: Collection[str] = ()
+
+
+class RoutingPolicy(Protocol):
+    """Chooses a backend server."""
+
+    def choose(
+        self,
+        candidates: Sequence[Backend],
+        context: RoutingContext,
+        rng: random.Random,
+        now_ms: float,
+    ) -> Backend | None:
+        """Return the chosen server; None when no candidate is usable."""
+
+
+def usable_candidates(
+    candidates: Sequence[Backend], context: RoutingContext, now_ms: float
+) -> list[Backend]:
+    """Return the candidates that may get the request now."""
+    return [
+        backend
+        for backend in candidates
+        if backend.view.server_id not in context.tried
+        and backend.usable(context.key, now_ms)
+    ]
--- a/src/cowslipwood/keeper/_directory.py
+++ b/src/cowslipwood/keeper/_directory.py
@@ -67,6 +67,14 @@
             if now_ms - heard.at_ms <= AGENT_TIMEOUT_MS
         ]
 
+    def live_entry_ids(self, now_ms: float) -> list[str]:
+        """Return the sorted ids of the entries that are live and stay."""
+        return sorted(
+            report.entry_id
+            for report in self.live_entries(now_ms)
+            if not report.leaving
+        )
+
     def max_capacity_bytes(self, now_ms: float) -> int:
         """Return the memory of the largest live accelerator; 0 without one."""
         return max((a.capacity_bytes for a in self.live_agents(now_ms)), default=0)
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -188,18 +188,21 @@
                 )
                 for report in self._directory.live_agents(now_ms)
             }
+            entry_ids = self._directory.live_entry_ids(now_ms)
             async with anyio.create_task_group() as tasks:
                 for subscriber in list(self._subscribers):
-                    tasks.start_soon(self._tell, subscriber, views, now_ms)
+                    tasks.start_soon(self._tell, subscriber, views, entry_ids, now_ms)
             await anyio.sleep(self._settings.tick_ms / 1000)
 
-    async def _tell(self, subscriber: Subscriber, views: dict, now_ms: float) -> None:
+    async def _tell(
+        self, subscriber: Subscriber, views: dict, entry_ids: list, now_ms: float
+    ) -> None:
         if subscriber.role not in ("agent", "entry"):
             return
         await subscriber.tell_heartbeat(self._machine.catalogue.revision, now_ms)
         await subscriber.tell_catalogue(self._machine.catalogue)
         if subscriber.role == "entry":
-            await subscriber.tell_routing(views)
+            await subscriber.tell_routing(views, entry_ids)
             return
         server_id = subscriber.peer_id
         assigned = self._machine.assignments.get(server_id)
--- a/src/cowslipwood/keeper/_subscribers.py
+++ b/src/cowslipwood/keeper/_subscribers.py
@@ -3,6 +3,8 @@
 Each subscriber is sent only what changed since it was last told.
 """
 
+from collections.abc import Sequence
+
 import orjson
 
 from ..catalogue import Catalogue, entry_to_json
@@ -39,6 +41,7 @@
         self._names: set[str] = set()
         self._views: dict[str, ServerView] = {}
         self._routed = False
+        self._place = (1, 0)
         self._assignment: Assignment | None = None
         self._heartbeat_at_ms = 0.0
 
@@ -67,18 +70,29 @@
             CatalogueUpdate(catalogue.revision, full, changed, deleted)
         )
 
-    async def tell_routing(self, views: dict[str, ServerView]) -> None:
-        """Send the backend servers that changed since the last call."""
+    async def tell_routing(
+        self, views: dict[str, ServerView], entry_ids: Sequence[str]
+    ) -> None:
+        """Send the backend servers that changed since the last call.
+
+        Parameters
+        ----------
+        views : dict of str to ServerView
+        entry_ids : sequence of str
+            The live entry hosts, sorted.
+        """
+        place = _place(entry_ids, self.peer_id)
         changed = tuple(
             view for key, view in views.items() if self._views.get(key) != view
         )
         removed = tuple(self._views.keys() - views.keys())
-        if self._routed and not changed and not removed:
+        if self._routed and not changed and not removed and place == self._place:
             return
         full = not self._routed
         self._routed = True
         self._views = dict(views)
-        await self._channel.send(RoutingUpdate(full, changed, removed))
+        self._place = place
+        await self._channel.send(RoutingUpdate(full, changed, removed, *place))
 
     async def tell_assignment(self, assignment: Assignment) -> None:
         """Send the assignment when it is not the one sent last."""
@@ -86,3 +100,13 @@
             return
         self._assignment = assignment
         await self._channel.send(assignment)
+
+
+def _place(entry_ids: Sequence[str], entry_id: str) -> tuple[int, int]:
+    """Return the number of live entry hosts and the place of one among them.
+
+    One that has not reported yet counts as the last.
+    """
+    if entry_id in entry_ids:
+        return len(entry_ids), entry_ids.index(entry_id)
+    return len(entry_ids) + 1, len(entry_ids)
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -40,6 +40,7 @@
     KEY_EXPIRED = 1009
     BAD_HEADER = 1010
     DEADLINE_PASSED = 1011
+    BODY_TIMEOUT = 1012
 
     ENTRY_LEAVING = 1201
     NO_REPLICA = 1202
@@ -54,6 +55,7 @@
     ANSWER_CUT = 1302
     ANSWER_NOT_KEPT = 1303
     BACKEND_TIMEOUT = 1304
+    INTERNAL_ERROR = 1305
 
     AGENT_LEAVING = 2001
     MODEL_NOT_READY = 2002
@@ -167,6 +169,7 @@
     ),
     Code.BAD_HEADER: CodeInfo(400, _N, 10, "A header is wrong or too large."),
     Code.DEADLINE_PASSED: CodeInfo(503, _N, 11, "The deadline passed before dispatch."),
+    Code.BODY_TIMEOUT: CodeInfo(408, _N, 10, "The body did not arrive in time."),
     Code.ENTRY_LEAVING: CodeInfo(503, _N, 11, "The entry is stopping; use another."),
     Code.NO_REPLICA: CodeInfo(503, _N, 11, "No replica is ready yet."),
     Code.OVERLOADED: CodeInfo(503, _N, 11, "No replica can answer in time."),
@@ -187,6 +190,7 @@
         409, _U, 12, "The request ran; its answer was too large to keep."
     ),
     Code.BACKEND_TIMEOUT: CodeInfo(504, _U, 12, "The backend server did not answer."),
+    Code.INTERNAL_ERROR: CodeInfo(500, _U, 12, "An unforeseen error; see the log."),
     Code.AGENT_LEAVING: CodeInfo(503, _N, 11, "The backend server is leaving."),
     Code.MODEL_NOT_READY: CodeInfo(503, _N, 11, "The model is not ready there."),
     Code.AGENT_OVERLOADED: CodeInfo(503, _N, 11, "The backend server is full."),
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -173,11 +173,16 @@
 
 @message("control")
 class RoutingUpdate(NamedTuple):
-    """Backend servers that changed, or all of them."""
+    """Backend servers that changed, or all of them.
+
+    `entry_rank` is the receiver's place among the `n_entries` live entry hosts.
+    """
 
     full: bool
     servers: tuple[ServerView, ...]
     removed: tuple[str, ...]
+    n_entries: int = 1
+    entry_rank: int = 0
 
 
 @message("control")
