--- a/src/cowslipwood/entry/_dispatch.py
+++ b/src/cowslipwood/entry/_dispatch.py
@@ -88,7 +88,9 @@
     """
 
     def __init__(self, cluster_token: str):
-        self._cluster_token = cluster_token
+        self._auth = (
+            {"authorization": f"Bearer {cluster_token}"} if cluster_token else {}
+        )
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     @asynccontextmanager
@@ -125,7 +127,7 @@
     ) -> Result[httpcore.Response, Failure]:
         headers = {
             "host": server.http_addr,
-            "authorization": f"Bearer {self._cluster_token}",
+            **self._auth,
             "x-cowslip-server": server.server_id,
             "content-length": str(len(attempt.body)),
             **attempt.headers,
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -190,7 +190,7 @@
         409, _U, 12, "The request ran; its answer was too large to keep."
     ),
     Code.BACKEND_TIMEOUT: CodeInfo(504, _U, 12, "The backend server did not answer."),
-    Code.INTERNAL_ERROR: CodeInfo(500, _U, 12, "An unforeseen error; see the log."),
+    Code.INTERNAL_ERROR: CodeInfo(502, _U, 12, "An unforeseen error; see the log."),
     Code.AGENT_LEAVING: CodeInfo(503, _N, 11, "The backend server is leaving."),
     Code.MODEL_NOT_READY: CodeInfo(503, _N, 11, "The model is not ready there."),
     Code.AGENT_OVERLOADED: CodeInfo(503, _N, 11, "The backend server is full."),
