Bound what a caller takes before its request, and test the callers' interface

Metrics registered each collector in the library's global registry as well, so two daemons of one role in a process could not both count; the registry of the daemon is now the only one.

--- a/src/cowslipwood/entry/_entry.py
+++ b/src/cowslipwood/entry/_entry.py
@@ -22,6 +22,7 @@
 from ._dispatch import Dispatcher
 from ._front import Bounds, Front
 from ._meters import Meters
+from ._protocol import caller_protocol
 from ._router import Router
 from ._serving import Serving
 from ._shares import Shares
@@ -54,6 +55,8 @@
         Requests that may be open at once.
     max_body_bytes : int
         Largest request body in bytes.
+    head_timeout_ms : int
+        Milliseconds in which a request's first line and headers must arrive.
     body_timeout_ms : int
         Milliseconds in which a request's body must arrive.
     send_timeout_ms : int
@@ -76,6 +79,7 @@
     routing: str = "sampled_load"
     max_open_requests: int = 2_048
     max_body_bytes: int = 8 * 1024 * 1024
+    head_timeout_ms: int = 10_000
     body_timeout_ms: int = 30_000
     send_timeout_ms: int = 10_000
     report_ms: int = 500
@@ -90,6 +94,7 @@
     "routing": one_of(*plugin_names(PluginKind.ROUTING_POLICY)),
     "max_open_requests": within(1, 100_000),
     "max_body_bytes": within(1_024, 2**30),
+    "head_timeout_ms": within(10, 600_000),
     "body_timeout_ms": within(10, 600_000),
     "send_timeout_ms": within(10, 600_000),
     "report_ms": within(10, 10_000),
@@ -125,7 +130,8 @@
         sock = bind_socket(self._settings.listen)
         _drop_stalled_callers(sock, self._settings.send_timeout_ms)
         app = with_health(self._front, self._metrics, lambda: not self._front.leaving)
-        server = HttpServer(app, sock)
+        protocol = caller_protocol(self._metrics, self._settings.head_timeout_ms)
+        server = HttpServer(app, sock, protocol)
         get_logger().info("listening", addr=self._settings.listen)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.run)
--- a/src/cowslipwood/entry/_generation.py
+++ b/src/cowslipwood/entry/_generation.py
@@ -23,9 +23,9 @@
 MIN_SILENCE_MS = 10_000.0
 SILENCE_FACTOR = 4.0
 _PRIORITY = {
-    ServiceClass.URGENT: 2,
+    ServiceClass.URGENT: 0,
     ServiceClass.STANDARD: 1,
-    ServiceClass.BATCH: 0,
+    ServiceClass.BATCH: 2,
 }
 
 Deliver = Callable[[Chunk], Awaitable[None]]
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -41,6 +41,7 @@
     BAD_HEADER = 1010
     DEADLINE_PASSED = 1011
     BODY_TIMEOUT = 1012
+    HEAD_TIMEOUT = 1013
 
     ENTRY_LEAVING = 1201
     NO_REPLICA = 1202
@@ -170,6 +171,7 @@
     Code.BAD_HEADER: CodeInfo(400, _N, 10, "A header is wrong or too large."),
     Code.DEADLINE_PASSED: CodeInfo(503, _N, 11, "The deadline passed before dispatch."),
     Code.BODY_TIMEOUT: CodeInfo(408, _N, 10, "The body did not arrive in time."),
+    Code.HEAD_TIMEOUT: CodeInfo(408, _N, 10, "The headers did not arrive in time."),
     Code.ENTRY_LEAVING: CodeInfo(503, _N, 11, "The entry is stopping; use another."),
     Code.NO_REPLICA: CodeInfo(503, _N, 11, "No replica is ready yet."),
     Code.OVERLOADED: CodeInfo(503, _N, 11, "No replica can answer in time."),
--- a/src/cowslipwood/kernel/http.py
+++ b/src/cowslipwood/kernel/http.py
@@ -87,16 +87,18 @@
         ASGI application.
     sock : socket.socket
         From `bind_socket`.
+    protocol : str or type
+        The connection class; uvicorn's own for h11 by default.
     """
 
-    def __init__(self, app: App, sock: socket.socket):
+    def __init__(self, app: App, sock: socket.socket, protocol: str | type = "h11"):
         config = uvicorn.Config(
             app,
             log_config=None,
             access_log=False,
             lifespan="off",
             loop="asyncio",
-            http="h11",
+            http=protocol,
             ws="none",
             server_header=False,
             date_header=False,
--- a/src/cowslipwood/kernel/metrics.py
+++ b/src/cowslipwood/kernel/metrics.py
@@ -41,7 +41,8 @@
     def _metric(self, cls: type, name: str) -> Counter | Gauge:
         held = self._held.get(name)
         if held is None:
-            held = cls(self._prefix + name, name.replace("_", " "))
-            self._registry.register(held)
+            held = cls(
+                self._prefix + name, name.replace("_", " "), registry=self._registry
+            )
             self._held[name] = held
         return held
--- /dev/null
+++ b/tests/entry_builders.py
@@ -0,0 +1,263 @@
+"""Builders of an entry's parts, with a dispatcher that answers from a script."""
+
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import orjson
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from cowslipwood.catalogue import Entry, parse_entry
+from cowslipwood.entry import fronts  # noqa: F401
+from cowslipwood.entry._backend import LoadReport
+from cowslipwood.entry._call import Call, make_call
+from cowslipwood.entry._dispatch import Answer, AnswerCutError, Attempt
+from cowslipwood.entry._front import Bounds, Front
+from cowslipwood.entry._meters import Meters
+from cowslipwood.entry._router import Router
+from cowslipwood.entry._serving import Serving
+from cowslipwood.entry._shares import Shares
+from cowslipwood.entry._view import View, entry_key
+from cowslipwood.kernel.clock import monotonic_ms
+from cowslipwood.kernel.codes import Code, Failure, failure
+from cowslipwood.kernel.messages import CatalogueUpdate, RoutingUpdate, ServerView
+from cowslipwood.kernel.metrics import Metrics
+from cowslipwood.kernel.registry import PluginKind, lookup, plugin_names
+
+from .builders import model_value, service_value
+
+__all__ = [
+    "Caller",
+    "FakeDispatcher",
+    "engine_view",
+    "entry_of",
+    "make_entry_call",
+    "make_front",
+    "make_router",
+    "make_serving",
+    "make_view",
+    "refuse",
+    "service_answer",
+    "service_view",
+    "stream_answer",
+]
+
+Script = Callable[[ServerView, Attempt], Result[Answer, Failure]]
+
+
+def entry_of(value: dict[str, Any]) -> Entry:
+    """Return the catalogue entry of a JSON value."""
+    return parse_entry(value).unwrap()
+
+
+def engine_view(server_id: str, *models: str, **fields: Any) -> ServerView:
+    """Return a view of an engine on which version 1 of the models is ready."""
+    view = ServerView(
+        server_id=server_id,
+        incarnation="i1",
+        zone="zone-1",
+        http_addr=f"{server_id}:1",
+        kind="engine",
+        service_name="",
+        leaving=False,
+        ready=tuple(f"{model}@1" for model in models),
+        n_in_flight=0,
+        n_queued=0,
+        wait_ms=0.0,
+        knee_in_flight=16,
+    )
+    return view._replace(**fields)
+
+
+def service_view(server_id: str, service: str, **fields: Any) -> ServerView:
+    """Return a view of a plain service."""
+    return engine_view(server_id, kind="service", service_name=service, **fields)
+
+
+def make_view(
+    values: list[dict[str, Any]], servers: list[ServerView], now_ms: float = 0.0
+) -> View:
+    """Return a view of a catalogue and servers."""
+    view = View()
+    view.heard_at_ms = now_ms
+    entries = tuple(orjson.dumps(value) for value in values)
+    view.update_catalogue(CatalogueUpdate(1, True, entries, ()))
+    view.update_routing(RoutingUpdate(True, tuple(servers), ()), now_ms)
+    return view
+
+
+def make_router(
+    view: View,
+    policy: str = "sampled_load",
+    seed: int = 1,
+    now_ms: float = 0.0,
+    metrics: Metrics | None = None,
+) -> Router:
+    """Return a router with a seeded generator."""
+    chosen = lookup(PluginKind.ROUTING_POLICY, policy)()
+    rng = random.Random(seed)
+    return Router(view, chosen, "zone-1", metrics or Metrics("entry"), rng, now_ms)
+
+
+def make_entry_call(
+    entry: Entry, now_ms: float = 0.0, deadline_ms: float = float("inf")
+) -> Call:
+    """Return a call that has just arrived."""
+    return make_call("r1", entry, entry_key(entry), 0, now_ms, deadline_ms)
+
+
+def make_serving(view: View, dispatcher: Any) -> Serving:
+    """Return the parts of an entry around a dispatcher, on the real clock."""
+    metrics = Metrics("entry")
+    now_ms = monotonic_ms()
+    return Serving(
+        view=view,
+        router=make_router(view, now_ms=now_ms, metrics=metrics),
+        dispatcher=dispatcher,
+        shares=Shares(),
+        meters=Meters(metrics, now_ms),
+        metrics=metrics,
+        rng=random.Random(1),
+        now_ms=monotonic_ms,
+    )
+
+
+def make_front(
+    script: Script,
+    values: list[dict[str, Any]] | None = None,
+    servers: list[ServerView] | None = None,
+    bounds: Bounds | None = None,
+) -> Front:
+    """Return an entry's HTTP application over a scripted dispatcher."""
+    values = values or [model_value("m1"), service_value("rosters")]
+    servers = servers or [
+        *(engine_view(f"s{i}", "m1") for i in range(3)),
+        service_view("s3", "rosters"),
+        service_view("s4", "rosters"),
+    ]
+    view = make_view(values, servers, monotonic_ms())
+    serving = make_serving(view, FakeDispatcher(script))
+    names = plugin_names(PluginKind.FRONT_END)
+    front_ends = [lookup(PluginKind.FRONT_END, name)() for name in names]
+    return Front(serving, front_ends, bounds)
+
+
+class FakeDispatcher:
+    """Answers each attempt from a script and records it."""
+
+    def __init__(self, script: Script):
+        self._script = script
+        self.sent: list[tuple[str, Attempt]] = []
+        self.n_open = 0
+
+    @asynccontextmanager
+    async def send(
+        self, server: ServerView, attempt: Attempt
+    ) -> AsyncIterator[Result[Answer, Failure]]:
+        """Yield the script's answer."""
+        self.sent.append((server.server_id, attempt))
+        self.n_open += 1
+        try:
+            yield self._script(server, attempt)
+        finally:
+            self.n_open -= 1
+
+
+def refuse(code: Code, retry_after_ms: int = 0) -> Result[Answer, Failure]:
+    """Return an agent's refusal."""
+    return Err(failure(code, "", retry_after_ms))
+
+
+def stream_answer(
+    *pieces: bytes, cut: bool = False, forever: bool = False
+) -> Result[Answer, Failure]:
+    """Return an engine's answer in pieces.
+
+    Parameters
+    ----------
+    pieces : bytes
+    cut : bool
+        Whether the connection breaks after the pieces.
+    forever : bool
+        Whether nothing more comes after the pieces.
+    """
+
+    async def chunks() -> AsyncIterator[bytes]:
+        for piece in pieces:
+            yield piece
+        if forever:
+            await anyio.sleep_forever()
+        if cut:
+            raise AnswerCutError(failure(Code.ANSWER_CUT))
+
+    report = LoadReport(1, 0, 0.0, 16)
+    return Success(Answer(200, {"content-type": "x"}, chunks(), report))
+
+
+def service_answer(
+    status: int, *pieces: bytes, cut: bool = False
+) -> Result[Answer, Failure]:
+    """Return a plain service's answer in pieces."""
+    return stream_answer(*pieces, cut=cut).map(
+        lambda answer: answer._replace(status=status)
+    )
+
+
+class Caller:
+    """Calls an ASGI application and keeps what came back."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = b""
+        self.ended = False
+        self.hang_up = anyio.Event()
+
+    async def call(
+        self,
+        app: Any,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: list[tuple[bytes, bytes]] | None = None,
+    ) -> "Caller":
+        """Send one request and read its answer."""
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "raw_path": path.encode("utf-8", "replace"),
+            "query_string": b"",
+            "headers": headers or [],
+        }
+        events = [{"type": "http.request", "body": body, "more_body": False}]
+
+        async def receive() -> dict[str, Any]:
+            if events:
+                return events.pop()
+            await self.hang_up.wait()
+            return {"type": "http.disconnect"}
+
+        await app(scope, receive, self._send)
+        return self
+
+    @property
+    def error(self) -> dict[str, Any]:
+        """The numbered error in the body."""
+        return orjson.loads(self.body)["error"]
+
+    def events(self) -> list[bytes]:
+        """Return the data of each server-sent event."""
+        events = self.body.split(b"\n\n")[:-1]
+        return [event.rpartition(b"data: ")[2] for event in events]
+
+    async def _send(self, message: dict[str, Any]) -> None:
+        if message["type"] == "http.response.start":
+            self.status = message["status"]
+            self.headers = {k.decode(): v.decode() for k, v in message["headers"]}
+            return
+        self.body += message["body"]
+        self.ended = not message.get("more_body")
