--- a/src/cowslipwood/entry/_ewma.py
+++ b/src/cowslipwood/entry/_ewma.py
@@ -10,18 +10,24 @@
     ----------
     weight : float
         From 0 to 1; the higher, the faster old values fade.
+    from_zero : bool
+        Whether the mean starts from 0 as if many zeros had come before;
+        otherwise the first values count in full.
     """
 
-    __slots__ = ("n_values", "value", "weight")
+    __slots__ = ("_from_zero", "n_values", "value", "weight")
 
-    def __init__(self, weight: float):
+    def __init__(self, weight: float, from_zero: bool = False):
         self.weight = weight
+        self._from_zero = from_zero
         self.reset()
 
     def add(self, value: float) -> None:
         """Take in a value."""
         self.n_values += 1
-        share = max(self.weight, 1.0 / self.n_values)
+        share = self.weight
+        if not self._from_zero:
+            share = max(share, 1.0 / self.n_values)
         self.value += share * (value - self.value)
 
     def reset(self) -> None:
--- a/src/cowslipwood/entry/_health.py
+++ b/src/cowslipwood/entry/_health.py
@@ -6,6 +6,8 @@
 
 ERROR_WEIGHT = 0.15
 SLOW_WEIGHT = 0.1
+ERROR_HALF_LIFE_MS = 5_000.0
+NEGLIGIBLE_SHARE = 0.01
 MAX_ERROR_SHARE = 0.4
 MAX_SLOW_RATIO = 3.0
 MIN_ERRORS_SEEN = 4
@@ -23,10 +25,18 @@
     one request at a time until enough of them went well.
     """
 
-    __slots__ = ("_eject_ms", "_n_good_probes", "ejected_until_ms", "errors", "slow")
+    __slots__ = (
+        "_eject_ms",
+        "_error_at_ms",
+        "_n_good_probes",
+        "ejected_until_ms",
+        "errors",
+        "slow",
+    )
 
     def __init__(self):
-        self.errors = Ewma(ERROR_WEIGHT)
+        self.errors = Ewma(ERROR_WEIGHT, from_zero=True)
+        self._error_at_ms = 0.0
         self.slow = Ewma(SLOW_WEIGHT)
         self.ejected_until_ms = 0.0
         self._eject_ms = 0.0
@@ -43,6 +53,17 @@
             return False
         return n_in_flight == 0 or not self.probing
 
+    def error_share(self, now_ms: float) -> float:
+        """Return the share of errors among its answers; it fades with time.
+
+        A server that gets no request because of it is tried again.
+        """
+        if not self.errors.value:
+            return 0.0
+        age_ms = now_ms - self._error_at_ms
+        share = self.errors.value * 0.5 ** (age_ms / ERROR_HALF_LIFE_MS)
+        return share if share > NEGLIGIBLE_SHARE else 0.0
+
     def answered(self, slow_ratio: float, now_ms: float) -> None:
         """Take in a good answer.
 
@@ -62,6 +83,7 @@
     def failed(self, now_ms: float) -> None:
         """Take in an error that the backend server is to blame for."""
         self.errors.add(1.0)
+        self._error_at_ms = now_ms
         if self.probing:
             self._probe_ended(False, now_ms)
         elif self._too_many_errors():
--- a/src/cowslipwood/entry/routing/sampled_load.py
+++ b/src/cowslipwood/entry/routing/sampled_load.py
@@ -98,7 +98,7 @@
 def _cost(backend: Backend, context: RoutingContext, now_ms: float) -> float:
     load = backend.load(context.typical_load, now_ms)
     cost = (load + 1.0) / backend.knee
-    cost *= 1.0 + ERROR_FACTOR * backend.health.errors.value
+    cost *= 1.0 + ERROR_FACTOR * backend.health.error_share(now_ms)
     cost += ZONE_COST * zone_distance(context.zone, backend.view.zone)
     if context.view_is_stale and now_ms - backend.answered_at_ms > RECENT_ANSWER_MS:
         cost += UNSEEN_COST
