--- a/src/cowslipwood/entry/_protocol.py
+++ b/src/cowslipwood/entry/_protocol.py
@@ -1,6 +1,7 @@
 """The callers' side of HTTP/1.1 connections: bounds on what precedes a request."""
 
 import asyncio
+import logging
 from typing import Any
 
 import h11
@@ -26,12 +27,16 @@
     head_timeout_ms : float
         Longest time that a request's first line and headers may take.
     """
+    # A hostile caller could fill the log; the counters tell of it as well.
+    quiet = logging.getLogger("cowslipwood.callers")
+    quiet.setLevel(logging.CRITICAL)
 
     class CallerProtocol(H11Protocol):
         """One caller's connection."""
 
         def __init__(self, *args: Any, **options: Any):
             super().__init__(*args, **options)
+            self.logger = quiet
             self._head_timer: asyncio.TimerHandle | None = None
 
         def connection_made(self, transport: asyncio.Transport) -> None:
--- /dev/null
+++ b/tests/test_entry_http.py
@@ -0,0 +1,277 @@
+"""The entry's connections: real sockets to callers and to a small fake agent."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import orjson
+
+from cowslipwood.entry._dispatch import Dispatcher
+from cowslipwood.entry._protocol import caller_protocol
+from cowslipwood.kernel.clock import monotonic_ms
+from cowslipwood.kernel.codes import Code
+from cowslipwood.kernel.http import HttpServer, bind_socket
+
+from .builders import model_value, service_value
+from .entry_builders import engine_view, make_front, make_serving, service_view
+
+LIMIT_S = 60.0
+HEAD_TIMEOUT_MS = 100.0
+EVENT = b'data: {"index": 0, "text": "a "}\n\n'
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+Agent = Callable[[anyio.abc.SocketStream, bytes], Awaitable[None]]
+
+
+def _chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+class _Entry:
+    """An entry's front on a socket, with one fake agent behind it."""
+
+    def __init__(self, agent: Agent):
+        self._agent = agent
+        self.n_agent_calls = 0
+        self.agent_lost = anyio.Event()
+
+    async def run(self, test: Callable[["_Entry"], Awaitable[None]]) -> None:
+        """Run a test against the entry."""
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        addr = f"127.0.0.1:{port}"
+        values = [model_value("m1"), service_value("rosters", repeatable=False)]
+        servers = [
+            engine_view("s0", "m1", http_addr=addr),
+            service_view("s1", "rosters", http_addr=addr),
+        ]
+        self.front = make_front(None, values, servers)
+        serving = make_serving(self.front._serving.view, Dispatcher("token"))
+        serving.view.heard_at_ms = monotonic_ms()
+        self.front._serving = serving
+        self.metrics = serving.metrics
+        sock = bind_socket("127.0.0.1:0")
+        self.port = sock.getsockname()[1]
+        protocol = caller_protocol(self.metrics, HEAD_TIMEOUT_MS)
+        server = HttpServer(self.front, sock, protocol)
+        with anyio.fail_after(LIMIT_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, self._serve_agent)
+                tasks.start_soon(server.run)
+                await test(self)
+                server.stop()
+                tasks.cancel_scope.cancel()
+
+    async def _serve_agent(self, stream: anyio.abc.SocketStream) -> None:
+        try:
+            while True:
+                request = await _read_request(stream)
+                self.n_agent_calls += 1
+                await self._agent(stream, request)
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            self.agent_lost.set()
+        except anyio.ClosedResourceError:
+            pass
+
+    async def connect(self) -> anyio.abc.SocketStream:
+        """Return a caller's connection."""
+        return await anyio.connect_tcp("127.0.0.1", self.port)
+
+    async def call(self, path: str, body: bytes) -> tuple[int, dict[str, Any]]:
+        """Make one call and return its status and JSON body."""
+        stream = await self.connect()
+        await stream.send(_post(path, body))
+        data = await _read_to_end(stream)
+        head, _, answer = data.partition(b"\r\n\r\n")
+        return int(head.split()[1]), orjson.loads(answer)
+
+    async def counted(self, name: str, reason: str) -> None:
+        """Wait until a counter has counted."""
+        while not self.metrics.value(name, reason=reason):
+            await anyio.sleep(0.005)
+
+
+def _post(path: str, body: bytes) -> bytes:
+    head = f"POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
+    return head.encode() + f"content-length: {len(body)}\r\n\r\n".encode() + body
+
+
+async def _read_request(stream: anyio.abc.SocketStream) -> bytes:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += await stream.receive()
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = next(
+        int(line.split(b":")[1])
+        for line in head.lower().split(b"\r\n")
+        if line.startswith(b"content-length")
+    )
+    while len(body) < length:
+        body += await stream.receive()
+    return body
+
+
+async def _read_to_end(stream: anyio.abc.SocketStream) -> bytes:
+    data = b""
+    try:
+        while True:
+            data += await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return data
+
+
+async def _echo(stream: anyio.abc.SocketStream, request: bytes) -> None:
+    length = str(len(request)).encode()
+    await stream.send(
+        b"HTTP/1.1 200 OK\r\ncontent-length: " + length + b"\r\n\r\n" + request
+    )
+
+
+class TestHangUp(unittest.TestCase):
+    """A caller's hang-up reaches the agent."""
+
+    def test_stream(self):
+        """When a caller of a stream hangs up, the agent's connection is closed."""
+
+        async def agent(stream, request):
+            await stream.send(STREAM_HEAD + _chunk(EVENT))
+            await stream.receive()
+
+        async def test(entry):
+            caller = await entry.connect()
+            body = b'{"model": "m1", "prompt": "p", "stream": true}'
+            await caller.send(_post("/v1/completions", body))
+            await caller.receive()
+            await caller.aclose()
+            await entry.agent_lost.wait()
+            await entry.counted("callers_lost_total", "PEER_GONE")
+
+        anyio.run(_Entry(agent).run, test)
+
+
+class TestBadCallers(unittest.TestCase):
+    """A bad caller loses its own connection only."""
+
+    def _run(self, test):
+        anyio.run(_Entry(_echo).run, test)
+
+    async def _assert_serves(self, entry):
+        status, value = await entry.call("/services/rosters/x", b'{"a": 1}')
+        self.assertEqual((status, value), (200, {"a": 1}))
+
+    def test_half_head(self):
+        """Half a request is refused after its time and counted."""
+
+        async def test(entry):
+            caller = await entry.connect()
+            await caller.send(b"POST /v1/completions HTTP/1.1\r\nhost:")
+            data = await _read_to_end(caller)
+            self.assertIn(b" 408 ", data)
+            self.assertIn(b'"HEAD_TIMEOUT"', data)
+            await entry.counted("refusals_total", "HEAD_TIMEOUT")
+            await self._assert_serves(entry)
+
+        self._run(test)
+
+    def test_endless_head(self):
+        """Headers without an end are refused at their bound and counted."""
+
+        async def test(entry):
+            caller = await entry.connect()
+            await caller.send(b"GET / HTTP/1.1\r\n")
+            with self.assertRaises((anyio.BrokenResourceError, anyio.EndOfStream)):
+                while True:
+                    await caller.send(b"x: " + b"y" * 4_096 + b"\r\n")
+            await entry.counted("refusals_total", "BAD_HEADER")
+            await self._assert_serves(entry)
+
+        self._run(test)
+
+    def test_no_http(self):
+        """Bytes that are no HTTP are refused with a numbered error."""
+
+        async def test(entry):
+            caller = await entry.connect()
+            await caller.send(b"\x00\x01\x02 rubbish\r\n\r\n")
+            self.assertIn(b'"BAD_HEADER"', await _read_to_end(caller))
+            await self._assert_serves(entry)
+
+        self._run(test)
+
+
+class TestOutcomes(unittest.TestCase):
+    """What a caller is told follows from what may have reached the agent."""
+
+    def _call(self, agent, n_calls=1):
+        entry = _Entry(agent)
+
+        async def test(entry):
+            status, value = await entry.call("/services/rosters/x", b"{}")
+            self.assertEqual(entry.n_agent_calls, n_calls)
+            self.status, self.error = status, value["error"]
+
+        anyio.run(entry.run, test)
+        return self.status, self.error["name"], self.error["outcome"]
+
+    def test_cut_body(self):
+        """A body shorter than its length is ANSWER_CUT, never a short 200."""
+
+        async def agent(stream, request):
+            await stream.send(b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nhalf")
+            await stream.aclose()
+
+        self.assertEqual(self._call(agent), (502, "ANSWER_CUT", "unknown"))
+
+    def test_no_answer(self):
+        """A connection lost after the request was sent leaves the outcome unknown."""
+
+        async def agent(stream, request):
+            await stream.aclose()
+
+        self.assertEqual(self._call(agent), (504, "OUTCOME_UNKNOWN", "unknown"))
+
+    def test_unreadable_refusal(self):
+        """A refusal that cannot be read is not taken as a proof of not-run."""
+
+        async def agent(stream, request):
+            await stream.send(
+                b"HTTP/1.1 503 No\r\nx-cowslip-outcome: not-run\r\n"
+                b"content-length: 3\r\n\r\n{}x"
+            )
+
+        self.assertEqual(self._call(agent), (504, "OUTCOME_UNKNOWN", "unknown"))
+
+    def test_no_connection(self):
+        """A connection that is never made is told as not run, with the cause."""
+        entry = _Entry(_echo)
+
+        async def test(entry):
+            view = entry.front._serving.view
+            for backend in view.backends.values():
+                gone = backend.view._replace(http_addr="127.0.0.1:1")
+                backend.update_view(gone, monotonic_ms())
+            status, value = await entry.call("/services/rosters/x", b"{}")
+            self.assertEqual((status, value["error"]["outcome"]), (503, "not-run"))
+            self.assertEqual(value["error"]["code"], Code.RETRIES_EXHAUSTED)
+            self.assertIn("BACKEND_UNREACHABLE", value["error"]["message"])
+
+        anyio.run(entry.run, test)
+
+    def test_own_answers(self):
+        """Many callers over few reused connections each get their own answer."""
+        entry = _Entry(_echo)
+
+        async def test(entry):
+            async def one(number):
+                body = orjson.dumps({"caller": number})
+                _, value = await entry.call("/services/rosters/x", body)
+                self.assertEqual(value, {"caller": number})
+
+            for batch in range(10):
+                async with anyio.create_task_group() as tasks:
+                    for number in range(10):
+                        tasks.start_soon(one, 10 * batch + number)
+
+        anyio.run(entry.run, test)
