Never eject the last server, nor for one late answer; measure the entry

An ejected server is now taken when no other is left, a late answer counts at most six times the median, and medians under 5 ms are not compared. Both new tests failed before.

--- /dev/null
+++ b/benchmarks/bench_routing.py
@@ -0,0 +1,141 @@
+"""Measures the time of one routing decision at the size of a region.
+
+Run with ``python benchmarks/bench_routing.py``; it prints JSON. The target is at
+most 50 microseconds for a decision with 430 models on 1,460 servers.
+"""
+
+import json
+import random
+import statistics
+import time
+from typing import Any
+
+import orjson
+
+from cowslipwood.catalogue import parse_entry
+from cowslipwood.entry import fronts  # noqa: F401
+from cowslipwood.entry._backend import LoadReport
+from cowslipwood.entry._call import Call, make_call
+from cowslipwood.entry._router import Router
+from cowslipwood.entry._view import View, entry_key
+from cowslipwood.kernel.messages import CatalogueUpdate, RoutingUpdate, ServerView
+from cowslipwood.kernel.metrics import Metrics
+from cowslipwood.kernel.registry import PluginKind, lookup, plugin_names
+
+SEED = 20_261_204
+N_MODELS = 430
+N_SERVERS = 1_460
+N_MODELS_PER_SERVER = 3
+N_DECISIONS = 20_000
+N_ROUNDS = 3
+N_ZONES = 14
+
+
+def _model(number: int) -> dict[str, Any]:
+    return {
+        "name": f"model-{number}",
+        "kind": "model",
+        "owner": "bench",
+        "version": "1",
+        "memory_bytes": 1,
+        "limits": {"first_token_ms": 690, "max_in_flight": 100_000},
+    }
+
+
+def _server(number: int, rng: random.Random) -> ServerView:
+    # Demand is skewed: low numbers are drawn far more often.
+    drawn = {int(N_MODELS * rng.random() ** 3) for _ in range(N_MODELS_PER_SERVER)}
+    drawn.add(number % N_MODELS)
+    return ServerView(
+        server_id=f"server-{number}",
+        incarnation="i",
+        zone=f"zone-{number % N_ZONES}",
+        http_addr=f"10.0.{number // 250}.{number % 250}:8200",
+        kind="engine",
+        service_name="",
+        leaving=False,
+        ready=tuple(f"model-{model}@1" for model in sorted(drawn)),
+        n_in_flight=rng.randrange(20),
+        n_queued=0,
+        wait_ms=0.0,
+        knee_in_flight=16,
+    )
+
+
+def _make_view(rng: random.Random) -> View:
+    view = View()
+    entries = tuple(orjson.dumps(_model(i)) for i in range(N_MODELS))
+    view.update_catalogue(CatalogueUpdate(1, True, entries, ()))
+    servers = tuple(_server(i, rng) for i in range(N_SERVERS))
+    view.update_routing(RoutingUpdate(True, servers, ()), 0.0)
+    return view
+
+
+def _make_calls(rng: random.Random) -> list[Call]:
+    calls = []
+    for number in range(N_DECISIONS):
+        entry = parse_entry(_model(int(N_MODELS * rng.random() ** 3))).unwrap()
+        prefix_hash = rng.getrandbits(64)
+        call = make_call(
+            f"r{number}", entry, entry_key(entry), prefix_hash, 0.0, float("inf")
+        )
+        calls.append(call)
+    return calls
+
+
+def _overload(view: View) -> None:
+    """Make every server so full that no answer can begin in time."""
+    for backend in view.backends.values():
+        backend.answer_ms.add(1_000.0)
+        backend.answered(LoadReport(200, 200, 5_000.0, 16), 0.0)
+
+
+def _measure(policy: str, overloaded: bool) -> dict[str, float]:
+    rng = random.Random(SEED)
+    view = _make_view(rng)
+    if overloaded:
+        _overload(view)
+    calls = _make_calls(rng)
+    chosen = lookup(PluginKind.ROUTING_POLICY, policy)()
+    router = Router(view, chosen, "zone-1", Metrics("entry"), rng, 0.0)
+    means_us = []
+    for _ in range(N_ROUNDS):
+        began = time.perf_counter()
+        for call in calls:
+            router.begin(call).next(1.0)
+        means_us.append((time.perf_counter() - began) / N_DECISIONS * 1e6)
+    return {"median_us": statistics.median(means_us), "max_us": max(means_us)}
+
+
+def _measure_updates() -> float:
+    """Return the microseconds that one server's changed view takes."""
+    rng = random.Random(SEED)
+    view = _make_view(rng)
+    changed = [_server(i, rng) for i in range(N_SERVERS)]
+    began = time.perf_counter()
+    for server in changed:
+        view.update_routing(RoutingUpdate(False, (server,), ()), 1.0)
+    return (time.perf_counter() - began) / N_SERVERS * 1e6
+
+
+def main() -> None:
+    """Measure every policy and print the results."""
+    view = _make_view(random.Random(SEED))
+    sizes = [len(view.candidates(f"model-{i}@1")) for i in range(N_MODELS)]
+    results = {
+        "seed": SEED,
+        "n_models": N_MODELS,
+        "n_servers": N_SERVERS,
+        "max_candidates": max(sizes),
+        "decision": {
+            policy: _measure(policy, overloaded=False)
+            for policy in plugin_names(PluginKind.ROUTING_POLICY)
+        },
+        "refusal_when_overloaded": _measure("sampled_load", overloaded=True),
+        "update_us": _measure_updates(),
+    }
+    print(json.dumps(results, indent=2))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cowslipwood/entry/_backend.py
+++ b/src/cowslipwood/entry/_backend.py
@@ -48,6 +48,8 @@
 class Backend:
     """One backend server as this entry sees it.
 
+    `knee` is the number of requests that it serves at full speed at once.
+
     Parameters
     ----------
     view : ServerView
@@ -63,6 +65,7 @@
         "answered_at_ms",
         "first_ms",
         "health",
+        "knee",
         "n_in_flight",
         "report",
         "seed",
@@ -98,11 +101,6 @@
         if report is not None:
             self._take_report(report, now_ms)
 
-    @property
-    def knee(self) -> int:
-        """Requests that the backend server serves at full speed at once."""
-        return self.report.knee_in_flight or self.view.knee_in_flight or DEFAULT_KNEE
-
     def load(self, typical_load: float, now_ms: float) -> float:
         """Return the requests that it is likely to hold now.
 
@@ -126,8 +124,8 @@
 
     def wait_ms(self, load: float, now_ms: float) -> float:
         """Return the time that one more request would queue at that load."""
-        excess = max(0.0, load + 1.0 - self.knee)
-        by_load = excess / self.knee * self.answer_ms.value
+        excess = load + 1.0 - self.knee
+        by_load = excess / self.knee * self.answer_ms.value if excess > 0.0 else 0.0
         if not self.report.n_queued:
             return by_load
         trust = 0.5 ** ((now_ms - self._report_at_ms) / REPORT_HALF_LIFE_MS)
@@ -156,18 +154,25 @@
 
     def usable(self, key: str, now_ms: float) -> bool:
         """Return whether it may get one more request for a model key."""
+        return self.reachable(key, now_ms) and self.health.usable(
+            self.n_in_flight, now_ms
+        )
+
+    def reachable(self, key: str, now_ms: float) -> bool:
+        """Return whether it stays and is not passed over, however it answers."""
         if self.view.leaving:
             return False
         passed_over = self._passed_over
-        if passed_over and (
-            now_ms < passed_over.get("", 0.0) or now_ms < passed_over.get(key, 0.0)
-        ):
-            return False
-        return self.health.usable(self.n_in_flight, now_ms)
+        if not passed_over:
+            return True
+        return now_ms >= passed_over.get("", 0.0) and now_ms >= passed_over.get(
+            key, 0.0
+        )
 
     def _take_report(self, report: LoadReport, now_ms: float) -> None:
         self.report = report
         self._report_at_ms = now_ms
+        self.knee = report.knee_in_flight or self.view.knee_in_flight or DEFAULT_KNEE
         n_held = report.n_in_flight + report.n_queued
         self._n_others = max(0, n_held - self.n_in_flight)
 
--- a/src/cowslipwood/entry/_health.py
+++ b/src/cowslipwood/entry/_health.py
@@ -10,6 +10,7 @@
 NEGLIGIBLE_SHARE = 0.01
 MAX_ERROR_SHARE = 0.4
 MAX_SLOW_RATIO = 3.0
+MAX_RATIO_COUNTED = 6.0  # so that a single very late answer ejects nobody
 MIN_ERRORS_SEEN = 4
 MIN_TIMES_SEEN = 10
 EJECT_MS = 1_000.0
@@ -74,7 +75,7 @@
         now_ms : float
         """
         self.errors.add(0.0)
-        self.slow.add(slow_ratio)
+        self.slow.add(min(slow_ratio, MAX_RATIO_COUNTED))
         if self.probing:
             self._probe_ended(slow_ratio <= MAX_SLOW_RATIO, now_ms)
         elif self._too_slow():
--- a/src/cowslipwood/entry/_router.py
+++ b/src/cowslipwood/entry/_router.py
@@ -4,6 +4,7 @@
 """
 
 import random
+from collections.abc import Sequence
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -32,7 +33,8 @@
 JITTER_LOW = 0.5
 JITTER_HIGH = 1.5
 MEDIAN_STEP = 0.05
-N_COMPARED = 16
+MIN_MEDIAN_MS = 5.0
+N_COMPARED = 4
 _PASS_OVER_MS = {
     Code.BACKEND_UNREACHABLE: UNREACHABLE_MS,
     Code.AGENT_LEAVING: LEAVING_MS,
@@ -99,14 +101,17 @@
             tried,
         )
         backend = self._policy.choose(candidates, context, self._rng, now_ms)
+        if backend is None:
+            backend = _least_bad(candidates, call.key, tried, now_ms)
         if backend is None:
             return Err(self._no_replica(call))
         if can_begin_in_time(backend, call, typical_load, now_ms):
             return Success(backend)
-        usable = usable_candidates(candidates, context, now_ms)
-        compared = self._rng.sample(usable, min(N_COMPARED, len(usable)))
+        n_compared = min(N_COMPARED, len(candidates))
+        compared = self._rng.sample(candidates, n_compared)
+        usable = usable_candidates(compared, context, now_ms)
         best = min(
-            [backend, *compared],
+            [backend, *usable],
             key=lambda each: predicted_first_ms(each, typical_load, now_ms),
         )
         if can_begin_in_time(best, call, typical_load, now_ms):
@@ -144,7 +149,8 @@
         backend.first_ms.add(max(0.0, first_ms - backend.wait_ms(load, now_ms)))
         backend.answer_ms.add(answer_ms)
         ejected_before = backend.health.ejected_until_ms
-        backend.health.answered(first_ms / median_ms, now_ms)
+        slow_ratio = first_ms / max(median_ms, MIN_MEDIAN_MS)
+        backend.health.answered(slow_ratio, now_ms)
         self._note_ejection(backend, ejected_before, "slow")
 
     def failed(self, backend: Backend, key: str, fault: Failure, now_ms: float) -> None:
@@ -175,6 +181,18 @@
         return round(bounded_ms * self._rng.uniform(JITTER_LOW, JITTER_HIGH))
 
 
+def _least_bad(
+    candidates: Sequence[Backend], key: str, tried: set[str], now_ms: float
+) -> Backend | None:
+    """Return the ejected server whose time ends first; better than none at all."""
+    left = [
+        backend
+        for backend in candidates
+        if backend.view.server_id not in tried and backend.reachable(key, now_ms)
+    ]
+    return min(left, key=lambda each: each.health.ejected_until_ms, default=None)
+
+
 class Attempts:
     """The attempts of one request.
 
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -154,6 +154,24 @@
         self.assertEqual(metrics.value("ejections_total", reason="slow"), 1)
         self.assertLess(picks.count("s0"), 900 / 4 / 2)
 
+    def test_last_server_stays(self):
+        """The only server of a model is still tried when it was ejected."""
+        view = _fleet(1)
+        router = make_router(view)
+        picks = self._run(router, view, 50, lambda _: None)
+        self.assertGreater(view.backends["s0"].health.ejected_until_ms, 0.0)
+        self.assertEqual(picks, ["s0"] * 50)
+
+    def test_one_late_answer(self):
+        """A single very late answer ejects nobody."""
+        view = _fleet(2)
+        router = make_router(view)
+        self._run(router, view, 100, lambda _: 10.0)
+        late = router.begin(make_entry_call(ENTRY, 100.0))
+        backend = late.next(100.0).unwrap()
+        late.succeeded(backend, 60_000.0, 60_000.0, 100.0)
+        self.assertEqual(backend.health.ejected_until_ms, 0.0)
+
     def test_all_slow_together(self):
         """Servers that all slow down together are not ejected."""
         view = _fleet(4)
