--- a/src/cowslipwood/kernel/http.py
+++ b/src/cowslipwood/kernel/http.py
@@ -60,7 +60,8 @@
     """Bind a listening socket, or end the process with PORT_IN_USE."""
     host, port = parse_address(listen)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    # asyncio sets TCP_NODELAY only on sockets whose protocol is stated.
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         sock.bind((host, port))
