--- a/src/cowslipwood/entry/_entry.py
+++ b/src/cowslipwood/entry/_entry.py
@@ -19,8 +19,11 @@
 from ..kernel.settings import address, one_of, peer_list, within
 from ..kernel.tokens import read_token
 from . import fronts  # noqa: F401
+from ._attempt_client import AttemptClient
+from ._claims import Claims
 from ._dispatch import Dispatcher
 from ._front import Bounds, Front
+from ._keyed import ObservedDispatcher
 from ._meters import Meters
 from ._protocol import caller_protocol
 from ._router import Router
@@ -115,14 +118,16 @@
         self._settings = settings
         self._metrics = Metrics("entry")
         self._view = View()
-        self._serving = _make_serving(settings, token, self._view, self._metrics)
-        self._front = Front(self._serving, _front_ends(), _bounds(settings))
         self._entry_id = settings.entry_id or f"entry-{settings.listen}"
         self._incarnation = uuid.uuid4().hex
         hello = Hello("entry", self._entry_id, self._incarnation, settings.zone, token)
         self._link = KeeperLink(
             settings.keepers, hello, self._on_message, self._report_loop
         )
+        serving = _make_serving(settings, token, self._view, self._metrics)
+        claims = _make_claims(self._entry_id, self._link, token, serving)
+        self._serving = serving._replace(claims=claims)
+        self._front = Front(self._serving, _front_ends(), _bounds(settings))
         self._report_now = anyio.Event()
 
     async def run(self, stop: anyio.Event) -> None:
@@ -208,11 +213,20 @@
         shares=Shares(),
         meters=Meters(metrics, now_ms),
         metrics=metrics,
-        rng=rng,
+        rng=random.SystemRandom(),
         now_ms=monotonic_ms,
     )
 
 
+def _make_claims(
+    entry_id: str, link: KeeperLink, token: str, serving: Serving
+) -> Claims:
+    observed = ObservedDispatcher(
+        serving.dispatcher, serving.view, serving.router, serving.now_ms
+    )
+    return Claims(entry_id, link, observed, AttemptClient(token), serving.metrics)
+
+
 def _front_ends() -> list[Any]:
     names = plugin_names(PluginKind.FRONT_END)
     return [lookup(PluginKind.FRONT_END, name)() for name in names]
--- a/src/cowslipwood/entry/_generation.py
+++ b/src/cowslipwood/entry/_generation.py
@@ -14,11 +14,19 @@
 from ..kernel.codes import Code, Failure, failure
 from ._backend import Backend
 from ._call import Call
-from ._dispatch import AnswerCutError, Attempt
+from ._dispatch import Answer, AnswerCutError, Attempt
 from ._events import Chunk, read_chunks
 from ._serving import Serving
 
-__all__ = ["Finish", "Generation", "attempt_headers", "generate"]
+__all__ = [
+    "Deliver",
+    "Finish",
+    "Generation",
+    "attempt_headers",
+    "deliver_answer",
+    "generate",
+    "make_attempt",
+]
 
 MIN_SILENCE_MS = 10_000.0
 SILENCE_FACTOR = 4.0
@@ -130,9 +138,14 @@
     deliver: Deliver,
 ) -> Result[float, Failure]:
     """Run one attempt to its end; return when its first token came."""
-    call = generation.call
-    attempt = _make_attempt(generation, progress.n_tokens, serving.now_ms())
+    attempt = make_attempt(generation, progress.n_tokens, serving.now_ms())
     first_at_ms = 0.0
+
+    async def deliver_timed(chunk: Chunk) -> None:
+        nonlocal first_at_ms
+        first_at_ms = first_at_ms or serving.now_ms()
+        await deliver(chunk)
+
     async with serving.dispatcher.send(backend.view, attempt) as sent:
         if isinstance(sent, Err):
             return sent
@@ -141,22 +154,46 @@
         if answer.status != 200:
             message = f"the engine answered status {answer.status}"
             return Err(failure(Code.OUTCOME_UNKNOWN, message))
-        chunks = read_chunks(
-            answer, call.request_id, progress.n_tokens, generation.max_tokens
-        )
         try:
-            async with aclosing(chunks):
-                async for chunk in chunks:
-                    first_at_ms = first_at_ms or serving.now_ms()
-                    progress.n_tokens += 1
-                    progress.finish_reason = chunk.finish_reason
-                    await deliver(chunk)
+            await _deliver_rest(generation, answer, progress, deliver_timed)
         except AnswerCutError as exc:
             return Err(exc.fault)
     return Success(first_at_ms or serving.now_ms())
 
 
-def _make_attempt(generation: Generation, n_done: int, now_ms: float) -> Attempt:
+async def deliver_answer(
+    generation: Generation, answer: Answer, deliver: Deliver
+) -> Finish:
+    """Deliver one answer from its first token to its end.
+
+    Raises
+    ------
+    AnswerCutError
+        When the answer is not whole.
+    """
+    progress = _Progress()
+    await _deliver_rest(generation, answer, progress, deliver)
+    return _finish(generation, progress)
+
+
+async def _deliver_rest(
+    generation: Generation, answer: Answer, progress: _Progress, deliver: Deliver
+) -> None:
+    chunks = read_chunks(
+        answer,
+        generation.call.request_id,
+        progress.n_tokens,
+        generation.max_tokens,
+    )
+    async with aclosing(chunks):
+        async for chunk in chunks:
+            progress.n_tokens += 1
+            progress.finish_reason = chunk.finish_reason
+            await deliver(chunk)
+
+
+def make_attempt(generation: Generation, n_done: int, now_ms: float) -> Attempt:
+    """Return the attempt that goes on after the first `n_done` tokens."""
     call = generation.call
     body = {
         "request_id": call.request_id,
--- a/src/cowslipwood/entry/_router.py
+++ b/src/cowslipwood/entry/_router.py
@@ -236,6 +236,11 @@
             self._unknown = fault
         self._router.failed(backend, self._call.key, fault, now_ms)
 
+    def voided(self) -> None:
+        """Record that the last attempt is proved not to have run."""
+        self._last = failure(Code.ATTEMPT_VOIDED)
+        self._unknown = None
+
     def succeeded(
         self, backend: Backend, first_ms: float, answer_ms: float, now_ms: float
     ) -> None:
--- a/src/cowslipwood/entry/_serving.py
+++ b/src/cowslipwood/entry/_serving.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from typing import Any, NamedTuple, Protocol
+from typing import NamedTuple, Protocol
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -14,13 +14,14 @@
 from ..kernel.metrics import Metrics
 from ._call import Call, make_call, parse_deadline
 from ._caller import Caller
+from ._claims import Claims
 from ._dispatch import Dispatcher
 from ._meters import Meters, Timing
 from ._router import Router
 from ._shares import Shares
 from ._view import View, entry_key
 
-__all__ = ["CallerRequest", "FrontEnd", "KeyedCalls", "OpenCall", "Serving"]
+__all__ = ["CallerRequest", "FrontEnd", "OpenCall", "Serving"]
 
 
 class CallerRequest(NamedTuple):
@@ -47,13 +48,6 @@
     timing: Timing
 
 
-class KeyedCalls(Protocol):
-    """Runs the calls that may run at most once."""
-
-    async def run(self, call: Call, request: CallerRequest, attempt: Any) -> Any:
-        """Return the result of a whole service call, as `call_service` does."""
-
-
 class Serving(NamedTuple):
     """The parts of an entry that front ends call.
 
@@ -68,7 +62,8 @@
     rng : random.Random
     now_ms : callable
         Returns the monotonic time.
-    keyed : KeyedCalls or None
+    claims : Claims or None
+        Runs the requests that may run at most once; None claims no request.
     """
 
     view: View
@@ -79,7 +74,7 @@
     metrics: Metrics
     rng: random.Random
     now_ms: Callable[[], float]
-    keyed: KeyedCalls | None = None
+    claims: Claims | None = None
 
     @contextmanager
     def open_call(
--- a/src/cowslipwood/entry/_view.py
+++ b/src/cowslipwood/entry/_view.py
@@ -7,7 +7,7 @@
 from ._backend import Backend, model_key
 from ._ewma import Ewma
 
-__all__ = ["View", "entry_key"]
+__all__ = ["View", "entry_key", "service_key"]
 
 UNLISTED_GRACE_MS = 3_000.0
 STALE_VIEW_MS = 3_000.0
@@ -18,14 +18,19 @@
 def entry_key(entry: Entry) -> str:
     """Return the key under which the servers of an entry are found."""
     if entry.kind is EntryKind.SERVICE:
-        return SERVICE_PREFIX + entry.name
+        return service_key(entry.name)
     return model_key(entry.name, entry.version)
 
 
+def service_key(name: str) -> str:
+    """Return the key under which the servers of a plain service are found."""
+    return SERVICE_PREFIX + name
+
+
 def _server_keys(view: ServerView) -> set[str]:
     keys = set(view.ready)
     if view.service_name:
-        keys.add(SERVICE_PREFIX + view.service_name)
+        keys.add(service_key(view.service_name))
     return keys
 
 
--- a/src/cowslipwood/entry/fronts/_writing.py
+++ b/src/cowslipwood/entry/fronts/_writing.py
@@ -9,8 +9,18 @@
 
 from ...kernel.codes import Code, Failure, failure
 from .._caller import Caller
+from .._claim_keys import ClaimKey
+from .._dispatch import Answer, AnswerCutError
 from .._events import Chunk
-from .._generation import Finish, Generation, generate
+from .._generation import (
+    Deliver,
+    Finish,
+    Generation,
+    deliver_answer,
+    generate,
+    make_attempt,
+)
+from .._keyed import find_key, run_keyed
 from .._serving import CallerRequest, OpenCall, Serving
 from ._fields import (
     BadFieldError,
@@ -68,20 +78,20 @@
         caller: Caller,
     ):
         self._kind = kind
-        self._fields = fields
+        self.fields = fields
         self._n_prompt_tokens = len(prompt.split())
-        self._caller = caller
+        self.caller = caller
         self._id = kind.id_prefix + request_id
         self._created_s = int(time.time())
         self._texts: list[str] = []
 
     async def token(self, chunk: Chunk) -> None:
         """Pass a token on, or keep it for the whole answer."""
-        if not self._fields.stream:
+        if not self.fields.stream:
             self._texts.append(chunk.text)
             return
-        if not self._caller.started:
-            await self._caller.start_events()
+        if not self.caller.started:
+            await self.caller.start_events()
             opening = self._kind.shape.opening()
             if opening is not None:
                 await self._event([opening])
@@ -90,36 +100,36 @@
     async def finish(self, finish: Finish) -> None:
         """End a whole answer."""
         usage = self._usage(finish)
-        if not self._fields.stream:
+        if not self.fields.stream:
             text = "".join(self._texts)
             choice = self._kind.shape.whole(text, finish.reason)
             value = self._object(self._kind.whole_object, [choice])
-            await self._caller.answer_json({**value, "usage": usage})
+            await self.caller.answer_json({**value, "usage": usage})
             return
-        if not self._caller.started:
-            await self._caller.start_events()
+        if not self.caller.started:
+            await self.caller.start_events()
         await self._event([self._kind.shape.chunk("", finish.reason)])
-        if self._fields.include_usage:
+        if self.fields.include_usage:
             value = self._object(self._kind.chunk_object, [])
-            await self._caller.event({**value, "usage": usage})
-        await self._caller.end_events()
+            await self.caller.event({**value, "usage": usage})
+        await self.caller.end_events()
 
     async def fail(self, fault: Failure) -> None:
         """Refuse, or break off a stream that has begun."""
-        if self._caller.started:
-            await self._caller.break_events(fault)
+        if self.caller.started:
+            await self.caller.break_events(fault)
         else:
-            await self._caller.refuse(fault)
+            await self.caller.refuse(fault)
 
     async def _event(self, choices: list[dict[str, Any]]) -> None:
-        await self._caller.event(self._object(self._kind.chunk_object, choices))
+        await self.caller.event(self._object(self._kind.chunk_object, choices))
 
     def _object(self, name: str, choices: list[dict[str, Any]]) -> dict[str, Any]:
         return {
             "id": self._id,
             "object": name,
             "created": self._created_s,
-            "model": self._fields.entry.name,
+            "model": self.fields.entry.name,
             "choices": choices,
         }
 
@@ -148,7 +158,7 @@
             await caller.refuse(opened.failure())
             return
         writer = _Writer(kind, fields, prompt, request.request_id, caller)
-        await _run(opened.unwrap(), fields, prompt, writer, serving)
+        await _run(opened.unwrap(), request, prompt, writer, serving)
 
 
 def _check(
@@ -164,7 +174,7 @@
 
 async def _run(
     opened: OpenCall,
-    fields: CompletionFields,
+    request: CallerRequest,
     prompt: str,
     writer: _Writer,
     serving: Serving,
@@ -175,11 +185,42 @@
         timing.token(serving.now_ms())
         await writer.token(chunk)
 
-    generation = Generation(opened.call, prompt, fields.max_tokens)
-    ended = await generate(serving, generation, deliver)
+    generation = Generation(opened.call, prompt, writer.fields.max_tokens)
+    found = find_key(serving, opened, request.http, writer.caller)
+    if isinstance(found, Err):
+        await writer.fail(found.failure())
+        return
+    key = found.unwrap()
+    if key is None:
+        ended = await generate(serving, generation, deliver)
+    else:
+        ended = await _generate_keyed(serving, opened, key, generation, writer, deliver)
     if isinstance(ended, Err):
         timing.refused = True
         await writer.fail(ended.failure())
         return
     await writer.finish(ended.unwrap())
     timing.whole(serving.now_ms())
+
+
+async def _generate_keyed(
+    serving: Serving,
+    opened: OpenCall,
+    key: ClaimKey,
+    generation: Generation,
+    writer: _Writer,
+    deliver: Deliver,
+) -> Result[Finish, Failure]:
+    """Run a completion under its claim; it is not resumed when it breaks."""
+    finishes: list[Finish] = []
+
+    async def respond(answer: Answer) -> None:
+        finishes.append(await deliver_answer(generation, answer, deliver))
+
+    attempt = make_attempt(generation, 0, serving.now_ms())
+    live = writer.fields.stream
+    try:
+        ran = await run_keyed(serving, opened, key, attempt, respond, live)
+    except AnswerCutError as exc:
+        return Err(exc.fault)
+    return ran.map(lambda _: finishes[0])
--- a/src/cowslipwood/entry/fronts/services.py
+++ b/src/cowslipwood/entry/fronts/services.py
@@ -9,8 +9,9 @@
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.registry import PluginKind, register
 from .._caller import Caller
-from .._dispatch import Attempt
-from .._service_call import WholeAnswer, call_service
+from .._dispatch import Answer, Attempt
+from .._keyed import find_key, run_keyed
+from .._service_call import WholeAnswer, call_service, read_whole
 from .._serving import CallerRequest, OpenCall, Serving
 
 __all__ = ["Services"]
@@ -65,7 +66,21 @@
 async def _run(
     request: CallerRequest, opened: OpenCall, caller: Caller, serving: Serving
 ) -> Result[WholeAnswer | None, Failure]:
-    return await call_service(serving, opened, _attempt(request, opened), caller)
+    attempt = _attempt(request, opened)
+    found = find_key(serving, opened, request.http, caller)
+    if isinstance(found, Err):
+        return found
+    key = found.unwrap()
+    if key is None:
+        return await call_service(serving, opened, attempt, caller)
+    answers: list[WholeAnswer] = []
+
+    async def respond(answer: Answer) -> None:
+        whole = await read_whole(answer, None)
+        answers.append(whole.unwrap())
+
+    ran = await run_keyed(serving, opened, key, attempt, respond, live=False)
+    return ran.map(lambda _: answers[0])
 
 
 def _attempt(request: CallerRequest, opened: OpenCall) -> Attempt:
