--- a/src/cowslipwood/entry/_entry.py
+++ b/src/cowslipwood/entry/_entry.py
@@ -216,7 +216,7 @@
         shares=Shares(),
         meters=Meters(metrics, now_ms),
         metrics=metrics,
-        rng=rng,
+        rng=random.SystemRandom(),
         now_ms=monotonic_ms,
         claims=claims,
     )
--- a/src/cowslipwood/entry/fronts/_writing.py
+++ b/src/cowslipwood/entry/fronts/_writing.py
@@ -5,13 +5,13 @@
 from typing import Any, NamedTuple, Protocol
 
 from returns.result import Failure as Err
-from returns.result import Result
+from returns.result import Result, Success
 
 from ...kernel.codes import Code, Failure, failure
 from .._caller import Caller
-from .._dispatch import Answer
+from .._dispatch import Answer, AnswerCutError
 from .._events import Chunk
-from .._generation import Finish, Generation, deliver_kept, generate
+from .._generation import Finish, Generation, deliver_answer, generate
 from .._serving import CallerRequest, OpenCall, Serving, run_claimed
 from ._fields import (
     BadFieldError,
@@ -183,7 +183,10 @@
 
     async def replay(opened: OpenCall, answer: Answer) -> Result[Finish, Failure]:
         generation = Generation(opened.call, prompt, fields.max_tokens)
-        return await deliver_kept(generation, answer, deliver)
+        try:
+            return Success(await deliver_answer(generation, answer, deliver))
+        except AnswerCutError as exc:
+            return Err(exc.fault)
 
     ended = await run_claimed(serving, request, opened, writer.caller, work, replay)
     if isinstance(ended, Err):
