--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -35,6 +35,7 @@
     ClaimAttempt,
     ClaimBegin,
     ClaimFinish,
+    ClaimState,
     RoutingUpdate,
     ServerView,
 )
@@ -191,13 +192,22 @@
 
 
 class LocalClaims(Claims):
-    """Claims in a table of their own, with no end recorded after an answer."""
+    """Claims in a table of their own; ends are recorded before the next claim."""
 
     def __init__(self, metrics: Metrics):
         super().__init__("e1", LocalKeepers(), UnreachableAgents(), metrics)
+        self._steps: list[tuple] = []
 
     def later(self, step: Any, *args: Any) -> None:
-        """Drop the step."""
+        """Keep the step for the next claim."""
+        self._steps.append((step, args))
+
+    async def begin(self, begin: ClaimBegin) -> ClaimState:
+        """Take the steps that were kept, then begin."""
+        while self._steps:
+            step, args = self._steps.pop(0)
+            await step(*args)
+        return await super().begin(begin)
 
 
 class FakeDispatcher:
