--- a/src/cowslipwood/keeper/_directory.py
+++ b/src/cowslipwood/keeper/_directory.py
@@ -1,15 +1,27 @@
 """What the leader knows of live processes; kept in memory only."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from ..kernel.messages import AgentReport, EntryReport, ServerView
 
-__all__ = ["Directory", "server_view"]
+__all__ = ["AGENT_TIMEOUT_MS", "Directory", "Heard", "server_view"]
 
 AGENT_TIMEOUT_MS = 2_000
+LEAVING_HOLD_MS = 10_000  # a list that flaps says leaving again within this time
+PLATFORM_TIMEOUT_MS = 10_000
 
 
-class _Heard(NamedTuple):
+class Heard(NamedTuple):
+    """A report and when it arrived.
+
+    Parameters
+    ----------
+    report : AgentReport or EntryReport
+    at_ms : float
+        Monotonic time in milliseconds.
+    """
+
     report: AgentReport | EntryReport
     at_ms: float
 
@@ -40,16 +52,62 @@
     """The newest report of each agent and entry."""
 
     def __init__(self):
-        self._agents: dict[str, _Heard] = {}
-        self._entries: dict[str, _Heard] = {}
+        self._agents: dict[str, Heard] = {}
+        self._entries: dict[str, Heard] = {}
+        self._leaving_incarnations: dict[str, str] = {}
+        self._platform: Mapping[str, str] = {}
+        self._platform_at_ms = float("-inf")
+        self._ever_listed: set[str] = set()
+        self._listed_leaving_at_ms: dict[str, float] = {}
 
     def hear_agent(self, report: AgentReport, now_ms: float) -> None:
         """Keep an agent's report."""
-        self._agents[report.server_id] = _Heard(report, now_ms)
+        self._agents[report.server_id] = Heard(report, now_ms)
+        if report.leaving:
+            self._leaving_incarnations[report.server_id] = report.incarnation
 
     def hear_entry(self, report: EntryReport, now_ms: float) -> None:
         """Keep an entry's report."""
-        self._entries[report.entry_id] = _Heard(report, now_ms)
+        self._entries[report.entry_id] = Heard(report, now_ms)
+
+    def hear_platform(self, hosts: Mapping[str, str], now_ms: float) -> None:
+        """Keep the platform's list: live or leaving by server."""
+        self._platform = hosts
+        self._platform_at_ms = now_ms
+        self._ever_listed.update(hosts)
+        for server_id, state in hosts.items():
+            if state == "leaving":
+                self._listed_leaving_at_ms[server_id] = now_ms
+
+    def is_leaving(self, server_id: str, now_ms: float) -> bool:
+        """Return whether the agent or the platform says that a server leaves.
+
+        An agent's notice holds for its incarnation, the platform's for some time
+        after it was last seen in the list.
+        """
+        heard = self._agents.get(server_id)
+        notice = self._leaving_incarnations.get(server_id)
+        if heard is not None and notice == heard.report.incarnation:
+            return True
+        listed_at_ms = self._listed_leaving_at_ms.get(server_id)
+        return listed_at_ms is not None and now_ms - listed_at_ms <= LEAVING_HOLD_MS
+
+    def is_unlisted(self, server_id: str, now_ms: float) -> bool:
+        """Return whether the platform took a server off its list."""
+        if now_ms - self._platform_at_ms > PLATFORM_TIMEOUT_MS:
+            return False
+        return server_id in self._ever_listed and server_id not in self._platform
+
+    def heard_agents(self) -> dict[str, Heard]:
+        """Return the newest report of each agent ever heard, by server."""
+        return dict(self._agents)
+
+    def forget_agent(self, server_id: str) -> None:
+        """Drop all that is known of a server."""
+        self._agents.pop(server_id, None)
+        self._leaving_incarnations.pop(server_id, None)
+        self._listed_leaving_at_ms.pop(server_id, None)
+        self._ever_listed.discard(server_id)
 
     def live_agents(self, now_ms: float) -> list[AgentReport]:
         """Return the reports of agents heard within the timeout."""
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -3,7 +3,6 @@
 from typing import Any, NamedTuple
 
 import anyio
-from returns.result import Failure as Err
 
 from ..kernel.channel import Channel, as_refused
 from ..kernel.clock import monotonic_ms
@@ -18,17 +17,20 @@
     EntryReport,
     Hello,
     OperatorRequest,
+    PermitRelease,
+    PermitRequest,
     Welcome,
 )
 from ..kernel.metrics import Metrics
-from ..kernel.settings import Check, address, parse_address, within
+from ..kernel.registry import PluginKind, plugin_names
+from ..kernel.settings import Check, address, one_of, parse_address, within
 from ..kernel.tokens import read_token, token_matches
-from ..placement import ServerState, first_fit
 from ..replication import LocalReplica
-from ._commands import AssignCommand, encode_command
 from ._directory import Directory, server_view
-from ._machine import AssignedModels, KeeperMachine
+from ._machine import KeeperMachine
 from ._operators import Operators
+from ._planner import Planner, PlannerSettings
+from ._platform import poll_platform
 from ._subscribers import Subscriber
 
 __all__ = ["KeeperSettings", "keeper_checks", "run_keeper"]
@@ -56,6 +58,27 @@
         Milliseconds between two rounds of telling agents and entries.
     plan_ms : int
         Milliseconds between two placement rounds.
+    placement : str
+        Placement policy: marginal_gain, static or on_demand_lru.
+    move_weight : float
+        Requests in flight that one move must bring within their limits; higher
+        spends fewer moves.
+    max_pending_loads : int
+        Loads that may be under way at once.
+    dead_after_ms : int
+        Milliseconds of silence after which a server's models go elsewhere.
+    min_residence_ms : int
+        Milliseconds for which a placed model is not released for another.
+    loads_per_s : float
+        Loads that the weight store allows per second.
+    max_loads_at_once : int
+        Loads that the weight store allows at once.
+    permit_valid_ms : int
+        Milliseconds within which a permitted load has to begin.
+    platform_dialect : str
+        Dialect of the platform's list of hosts.
+    platform_url : str
+        http://ip:port of the platform's list; empty for none.
     cluster_token : str
         Token of the system's own connections, or @file.
     operator_token : str
@@ -71,6 +94,16 @@
     zone: str = "zone-1"
     tick_ms: int = 50
     plan_ms: int = 200
+    placement: str = "marginal_gain"
+    move_weight: float = 0.5
+    max_pending_loads: int = 16
+    dead_after_ms: int = 5_000
+    min_residence_ms: int = 10_000
+    loads_per_s: float = 1.0
+    max_loads_at_once: int = 2
+    permit_valid_ms: int = 2_000
+    platform_dialect: str = "http_hosts"
+    platform_url: str = ""
     cluster_token: str = ""
     operator_token: str = ""
     allow_no_token: bool = False
@@ -83,6 +116,18 @@
     "http_listen": address(),
     "tick_ms": within(5, 5_000),
     "plan_ms": within(10, 60_000),
+    "placement": one_of(*plugin_names(PluginKind.PLACEMENT_POLICY)),
+    "move_weight": within(0, 1_000),
+    "max_pending_loads": within(1, 10_000),
+    "dead_after_ms": within(2_000, 3_600_000),
+    "min_residence_ms": within(0, 3_600_000),
+    "loads_per_s": within(0.01, 10_000),
+    "max_loads_at_once": within(1, 10_000),
+    "permit_valid_ms": within(100, 600_000),
+    "platform_dialect": one_of(*plugin_names(PluginKind.PLATFORM_DIALECT)),
+    "platform_url": Check(
+        "http://ip:port, or empty", lambda url: not url or url.startswith("http://")
+    ),
 }
 
 
@@ -108,6 +153,14 @@
         self._operators = Operators(
             self._machine, self._replica, self._directory, op_token
         )
+        planning = {name: getattr(settings, name) for name in PlannerSettings._fields}
+        self._planner = Planner(
+            PlannerSettings(**planning),
+            self._machine,
+            self._directory,
+            self._replica,
+            self._metrics,
+        )
         self._subscribers: set[Subscriber] = set()
 
     async def run(self, stop: anyio.Event) -> None:
@@ -123,7 +176,8 @@
             tasks.start_soon(self._replica.run)
             tasks.start_soon(listener.serve, self._serve_connection)
             tasks.start_soon(self._tell_loop)
-            tasks.start_soon(self._plan_loop)
+            tasks.start_soon(self._planner.run)
+            tasks.start_soon(self._poll_platform)
             await stop.wait()
             http.stop()
             tasks.cancel_scope.cancel()
@@ -173,6 +227,9 @@
                 self._directory.hear_agent(value, now_ms)
             case EntryReport():
                 self._directory.hear_entry(value, now_ms)
+                self._planner.hear_entry(value, now_ms)
+            case PermitRequest() | PermitRelease():
+                return self._planner.answer(value, now_ms)
             case OperatorRequest():
                 return await self._operators.answer(value, subscriber.peer_id)
             case _:
@@ -184,7 +241,9 @@
             now_ms = monotonic_ms()
             views = {
                 report.server_id: server_view(
-                    report, report.server_id in self._machine.drained
+                    report,
+                    report.server_id in self._machine.drained
+                    or self._directory.is_leaving(report.server_id, now_ms),
                 )
                 for report in self._directory.live_agents(now_ms)
             }
@@ -214,36 +273,13 @@
                 )
             )
 
-    async def _plan_loop(self) -> None:
-        while True:
-            now_ms = monotonic_ms()
-            if self._replica.leads(now_ms):
-                await self._plan(now_ms)
-            await anyio.sleep(self._settings.plan_ms / 1000)
-
-    async def _plan(self, now_ms: float) -> None:
-        servers = [
-            ServerState(
-                report.server_id,
-                report.zone,
-                report.capacity_bytes,
-                self._assigned(report.server_id).desired,
-                report.leaving or report.server_id in self._machine.drained,
-            )
-            for report in self._directory.live_agents(now_ms)
-            if report.kind == "engine"
-        ]
-        plan = first_fit(self._machine.catalogue.entries, servers)
-        for server_id, desired in plan.desired.items():
-            if desired == self._assigned(server_id).desired:
-                continue
-            command = encode_command(AssignCommand(server_id, desired))
-            if isinstance(await self._replica.propose(command), Err):
-                return
-            self._metrics.count("assignments_total")
-
-    def _assigned(self, server_id: str) -> AssignedModels:
-        return self._machine.assignments.get(server_id, AssignedModels(0, ()))
+    async def _poll_platform(self) -> None:
+        await poll_platform(
+            self._settings.platform_dialect,
+            self._settings.platform_url,
+            self._directory,
+            self._metrics,
+        )
 
 
 async def _no_route(scope: dict, receive: Any, send: Any) -> None:
--- /dev/null
+++ b/src/cowslipwood/keeper/_platform.py
@@ -0,0 +1,93 @@
+"""The platform's list of live and leaving hosts.
+
+The list lags and may flap. A dialect fetches it; `Directory` weighs it against
+the agents' own notices and heartbeats.
+"""
+
+from collections.abc import Mapping
+from typing import Protocol
+
+import anyio
+import httpcore
+import orjson
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..kernel.clock import monotonic_ms
+from ..kernel.codes import Code, Failure, failure
+from ..kernel.metrics import Metrics
+from ..kernel.registry import PluginKind, lookup, register
+from ._directory import Directory
+
+__all__ = ["HttpHosts", "PlatformDialect", "poll_platform"]
+
+POLL_MS = 500
+FETCH_TIMEOUT_MS = 2_000
+STATES = ("live", "leaving")
+
+
+class PlatformDialect(Protocol):
+    """Fetches the platform's list."""
+
+    async def hosts(self) -> Result[Mapping[str, str], Failure]:
+        """Return live or leaving by server; fails with PEER_GONE or BAD_MESSAGE."""
+
+
+@register(PluginKind.PLATFORM_DIALECT, "http_hosts")
+class HttpHosts:
+    """Reads ``GET url/hosts``: a JSON list of ``server_id`` and ``state``.
+
+    Parameters
+    ----------
+    url : str
+        ``http://ip:port`` of the platform.
+    """
+
+    def __init__(self, url: str):
+        self._url = url.rstrip("/") + "/hosts"
+        self._pool = httpcore.AsyncConnectionPool()
+
+    async def hosts(self) -> Result[Mapping[str, str], Failure]:
+        """Fetch and check the list."""
+        timeout_s = FETCH_TIMEOUT_MS / 1000
+        limits = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
+        try:
+            with anyio.fail_after(timeout_s):
+                response = await self._pool.request(
+                    "GET", self._url, extensions={"timeout": limits}
+                )
+        except (httpcore.NetworkError, httpcore.TimeoutException, TimeoutError):
+            return Err(failure(Code.PEER_GONE, "the platform does not answer"))
+        except httpcore.ProtocolError:
+            return Err(failure(Code.BAD_MESSAGE, "the platform's answer is broken"))
+        if response.status != 200:
+            return Err(failure(Code.BAD_MESSAGE, f"got status {response.status}"))
+        return parse_hosts(response.content)
+
+
+def parse_hosts(body: bytes) -> Result[Mapping[str, str], Failure]:
+    """Check the body of the list; fails with BAD_MESSAGE."""
+    try:
+        hosts = {str(item["server_id"]): item["state"] for item in orjson.loads(body)}
+    except (orjson.JSONDecodeError, TypeError, KeyError):
+        return Err(failure(Code.BAD_MESSAGE, "the list of hosts is malformed"))
+    if not all(state in STATES for state in hosts.values()):
+        return Err(failure(Code.BAD_MESSAGE, f"expected states {STATES}"))
+    return Success(hosts)
+
+
+async def poll_platform(
+    dialect: str, url: str, directory: Directory, metrics: Metrics
+) -> None:
+    """Keep the directory's copy of the list fresh; return at once without a URL."""
+    if not url:
+        return
+    platform: PlatformDialect = lookup(PluginKind.PLATFORM_DIALECT, dialect)(url)
+    while True:
+        listed = await platform.hosts()
+        if isinstance(listed, Err):
+            code = listed.failure().code
+            metrics.count("platform_errors_total", reason=code.name)
+        else:
+            directory.hear_platform(listed.unwrap(), monotonic_ms())
+        await anyio.sleep(POLL_MS / 1000)
--- a/src/cowslipwood/placement/__init__.py
+++ b/src/cowslipwood/placement/__init__.py
@@ -1,5 +1,23 @@
 """Plans which backend server holds which models."""
 
-from ._plan import Plan, ServerState, first_fit
+from . import _baselines, _marginal_gain  # noqa: F401
+from ._demand import DemandEstimator, offered_in_flight
+from ._types import (
+    ModelKey,
+    PlacementRequest,
+    Plan,
+    ServerState,
+    ServerStatus,
+    as_desired,
+)
 
-__all__ = ["Plan", "ServerState", "first_fit"]
+__all__ = [
+    "DemandEstimator",
+    "ModelKey",
+    "PlacementRequest",
+    "Plan",
+    "ServerState",
+    "ServerStatus",
+    "as_desired",
+    "offered_in_flight",
+]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -26,3 +26,9 @@
     """Return the JSON value of a service's catalogue entry."""
     value = {"name": name, "kind": "service", "owner": "kitchen", "version": "1"}
     return {**value, **fields}
+
+
+def demand_report(**samples: tuple[float, float, float]) -> EntryReport:
+    """Return an entry's report: arrivals per second, in flight, missed by model."""
+    demand = tuple(DemandSample(name, *sample) for name, sample in samples.items())
+    return EntryReport("e1", "i1", "zone-1", "127.0.0.1:1", False, 0, demand)
