--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the protocols, checked by model checking."""
--- a/src/cowslipwood/keeper/_platform.py
+++ b/src/cowslipwood/keeper/_platform.py
@@ -68,7 +68,10 @@
 def parse_hosts(body: bytes) -> Result[Mapping[str, str], Failure]:
     """Check the body of the list; fails with BAD_MESSAGE."""
     try:
-        hosts = {str(item["server_id"]): item["state"] for item in orjson.loads(body)}
+        listed = orjson.loads(body)
+        if not isinstance(listed, list):
+            raise TypeError("expected a list")
+        hosts = {str(item["server_id"]): item["state"] for item in listed}
     except (orjson.JSONDecodeError, TypeError, KeyError):
         return Err(failure(Code.BAD_MESSAGE, "the list of hosts is malformed"))
     if not all(state in STATES for state in hosts.values()):
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "adapter_value",
+    "agent_report",
     "demand_report",
     "model_value",
     "reports",
@@ -47,6 +48,15 @@
     return {**value, **fields}
 
 
+def agent_report(server_id: str = "s1", **fields: Any) -> AgentReport:
+    """Return the report of an engine's agent without models."""
+    report = AgentReport(
+        server_id, "i1", "zone-1", "127.0.0.1:1", "engine", "", 100, 0, False,
+        0, 0, 0, (), 0, 0, 0.0, 16,
+    )  # fmt: skip
+    return report._replace(**fields)
+
+
 def demand_report(**samples: tuple[float, float, float]) -> EntryReport:
     """Return an entry's report: arrivals per second, in flight, missed by model."""
     demand = tuple(DemandSample(name, *sample) for name, sample in samples.items())
--- /dev/null
+++ b/tests/test_permits.py
@@ -0,0 +1,150 @@
+"""Permits of the weight store, and who counts as leaving."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.pipeline import is_successful
+
+from cowslipwood.keeper._directory import AGENT_TIMEOUT_MS, LEAVING_HOLD_MS, Directory
+from cowslipwood.keeper._permits import Permits
+from cowslipwood.keeper._platform import parse_hosts
+from cowslipwood.kernel.codes import Code
+from cowslipwood.kernel.messages import PermitRelease, PermitRequest, Resident
+
+from .builders import agent_report
+
+VALID_MS = 2_000
+
+
+def leading(loads_per_s=1.0, max_at_once=2):
+    """Return the permits of a leader that may grant from time 0."""
+    permits = Permits(loads_per_s, max_at_once, VALID_MS)
+    permits.lead(-VALID_MS)
+    return permits
+
+
+def loading(server_id, model):
+    """Return the report of an agent that is loading a model."""
+    resident = Resident(model, "1", "loading", 1)
+    return agent_report(server_id, residents=(resident,))
+
+
+class TestPermits(unittest.TestCase):
+    """The leader's permits."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.floats(0.5, 4.0),
+        st.integers(1, 3),
+        st.lists(
+            st.tuples(st.integers(0, 800), st.integers(0, 5), st.booleans()),
+            max_size=60,
+        ),
+    )
+    def test_rate_and_concurrency_are_kept(self, loads_per_s, max_at_once, events):
+        """Over any requests and releases, both limits of the store hold."""
+        permits = leading(loads_per_s, max_at_once)
+        now_ms, begun, running = 0.0, [], {}
+        for wait_ms, number, releases in events:
+            now_ms += wait_ms
+            permits.observe(loading(f"s{i}", "m") for i in running)
+            if releases and running:
+                server, permit_id = running.popitem()
+                permits.release(PermitRelease(permit_id, f"s{server}"))
+            if number in running:
+                continue
+            asked = permits.request(PermitRequest(f"s{number}", "m"), now_ms)
+            if is_successful(asked):
+                begun.append(now_ms)
+                running[number] = asked.unwrap().permit_id
+            else:
+                self.assertGreater(asked.failure().retry_after_ms, 0)
+            self.assertLessEqual(len(running), max_at_once)
+        for first, second in zip(begun, begun[1:], strict=False):
+            self.assertGreaterEqual(second - first, 1000.0 / loads_per_s - 1e-6)
+
+    def test_repeated_request_gets_the_same_permit(self):
+        """A request resent after its answer was lost takes no second place."""
+        permits = leading()
+        asked = [permits.request(PermitRequest("s1", "m1"), t) for t in (0.0, 10.0)]
+        self.assertEqual(asked[0], asked[1])
+        self.assertEqual(permits.n_held, 1)
+
+    def test_unused_permit_expires(self):
+        """A permit whose load never began is free again after its validity."""
+        permits = leading(max_at_once=1)
+        permits.request(PermitRequest("s1", "m1"), 0.0)
+        refused = permits.request(PermitRequest("s2", "m1"), VALID_MS - 1.0)
+        self.assertEqual(refused.failure().code, Code.NO_PERMIT)
+        granted = permits.request(PermitRequest("s2", "m1"), VALID_MS + 1.0)
+        self.assertTrue(is_successful(granted))
+
+    def test_running_load_keeps_its_permit(self):
+        """A load that the agent reports under way holds its place beyond validity."""
+        permits = leading(max_at_once=1)
+        permits.request(PermitRequest("s1", "m1"), 0.0)
+        permits.observe([loading("s1", "m1")])
+        refused = permits.request(PermitRequest("s2", "m1"), 10.0 * VALID_MS)
+        self.assertEqual(refused.failure().code, Code.NO_PERMIT)
+
+    def test_new_leader_counts_loads_of_the_one_before(self):
+        """A new leader waits one validity, then counts the loads under way."""
+        permits = Permits(10.0, 2, VALID_MS)
+        permits.lead(0.0)
+        permits.observe([loading("s1", "m1"), loading("s2", "m1")])
+        early = permits.request(PermitRequest("s3", "m1"), VALID_MS - 1.0)
+        self.assertEqual(early.failure().retry_after_ms, 50)
+        late = permits.request(PermitRequest("s3", "m1"), VALID_MS + 1.0)
+        self.assertEqual(late.failure().code, Code.NO_PERMIT)
+        own = permits.request(PermitRequest("s1", "m1"), VALID_MS + 1.0)
+        self.assertTrue(is_successful(own))
+
+
+class TestLeaving(unittest.TestCase):
+    """Any sign of leaving wins."""
+
+    def test_agents_notice_holds_for_its_incarnation(self):
+        """A late report without the notice does not take it back; a restart does."""
+        directory = Directory()
+        directory.hear_agent(agent_report("s1", leaving=True), 0.0)
+        directory.hear_agent(agent_report("s1"), 1.0)
+        self.assertTrue(directory.is_leaving("s1", 2.0))
+        directory.hear_agent(agent_report("s1", incarnation="i2"), 3.0)
+        self.assertFalse(directory.is_leaving("s1", 4.0))
+
+    def test_flapping_list_reads_as_leaving(self):
+        """A list that turns to live and back leaves the server leaving throughout."""
+        directory = Directory()
+        directory.hear_agent(agent_report("s1"), 0.0)
+        for now_ms in range(0, 40_000, 500):
+            state = "leaving" if now_ms % 5_000 < 500 else "live"
+            directory.hear_platform({"s1": state}, now_ms)
+            self.assertTrue(directory.is_leaving("s1", now_ms))
+        self.assertFalse(directory.is_leaving("s1", 40_000 + LEAVING_HOLD_MS))
+
+    def test_unlisted_is_known_only_while_the_list_is_fresh(self):
+        """A host taken off the list is told from a list that cannot be read."""
+        directory = Directory()
+        directory.hear_platform({"s1": "live", "s2": "live"}, 0.0)
+        directory.hear_platform({"s2": "live"}, 1_000.0)
+        self.assertTrue(directory.is_unlisted("s1", 1_500.0))
+        self.assertFalse(directory.is_unlisted("s2", 1_500.0))
+        self.assertFalse(directory.is_unlisted("s1", 60_000.0))
+
+    def test_silent_agent_is_not_live(self):
+        """An agent that was not heard in time is told to no entry."""
+        directory = Directory()
+        directory.hear_agent(agent_report("s1"), 0.0)
+        self.assertEqual(len(directory.live_agents(AGENT_TIMEOUT_MS)), 1)
+        self.assertEqual(directory.live_agents(AGENT_TIMEOUT_MS + 1.0), [])
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.binary(max_size=60) | st.sampled_from([b"[1]", b'[{"server_id":1}]']))
+    def test_malformed_list_is_refused(self, body):
+        """A list that is not one is a numbered failure and changes nothing."""
+        parsed = parse_hosts(body)
+        if is_successful(parsed):
+            self.assertEqual(dict(parsed.unwrap()), {})
+        else:
+            self.assertEqual(parsed.failure().code, Code.BAD_MESSAGE)
