--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and experiments; run each as ``python -m benchmarks.NAME``."""
