Leave out groups whose whole loss is under the cost of a move

Cause: a profile showed the time of a round in evaluating moves that cannot pay, and in looking up wanted keys one by one.

Change: a group is evaluated only if its servers' loss and its second zone are worth more than one move (an upper bound, so decisions stay the same); wanted keys are computed once. The on_demand_lru baseline loads an adapter beside its base, which makes it a better baseline.

--- a/src/cowslipwood/placement/_baselines.py
+++ b/src/cowslipwood/placement/_baselines.py
@@ -34,11 +34,18 @@
 
 
 def _load(layout: Layout, name: str) -> None:
-    """Add a name to the freest server, releasing colder names until it fits."""
+    """Add a name beside its base or where most is free, evicting until it fits."""
     servers = layout.open_servers()
     if not servers:
         return
-    server = max(servers, key=lambda s: (layout.free_bytes(s.server_id), s.server_id))
+    server = min(
+        servers,
+        key=lambda s: (
+            len(layout.missing_parts(s.server_id, name)),
+            -layout.free_bytes(s.server_id),
+            s.server_id,
+        ),
+    )
     while not layout.add(server.server_id, name):
         colder = [
             item
--- a/src/cowslipwood/placement/_layout.py
+++ b/src/cowslipwood/placement/_layout.py
@@ -47,6 +47,7 @@
     def __init__(self, request: PlacementRequest):
         self.demand = request.demand
         self.wanted = wanted_models(request.entries)
+        self._wanted_keys = {name: key_of(item) for name, item in self.wanted.items()}
         self.servers = {s.server_id: s for s in request.servers}
         self.homes: dict[str, set[str]] = {name: set() for name in self.wanted}
         self.adapters_of: dict[str, list[str]] = {}
@@ -144,8 +145,7 @@
 
     def wanted_key(self, name: str) -> ModelKey | None:
         """Return the catalogue's key for a name; None when it has none."""
-        item = self.wanted.get(name)
-        return None if item is None else key_of(item)
+        return self._wanted_keys.get(name)
 
     def open_servers(self) -> list[ServerState]:
         """Return the servers that may be given more, in order of name."""
@@ -182,13 +182,17 @@
 
     def holds(self, server_id: str, name: str) -> bool:
         """Return whether a server is assigned the wanted version of a name."""
-        return self.wanted_key(name) in self._held[server_id]
+        return self._wanted_keys[name] in self._held[server_id]
 
     def missing_parts(self, server_id: str, name: str) -> list[DesiredModel]:
         """Return what a server lacks to serve a name, the base first."""
         item = self.wanted[name]
-        parts = [self.wanted[item.base], item] if item.base else [item]
-        return [part for part in parts if not self.holds(server_id, part.name)]
+        held = self._held[server_id]
+        keys = self._wanted_keys
+        missing = [] if keys[name] in held else [item]
+        if item.base and keys[item.base] not in held:
+            missing.insert(0, self.wanted[item.base])
+        return missing
 
     def zones_of(self, name: str) -> set[str]:
         """Return the availability zones of a name's replicas."""
--- a/src/cowslipwood/placement/_marginal_gain.py
+++ b/src/cowslipwood/placement/_marginal_gain.py
@@ -65,10 +65,11 @@
 
 def _best_move(layout: Layout, move_weight: float) -> _Move | None:
     """Return the move with the largest net gain; None when none pays."""
-    targets = _targets(layout)
+    groups = _hot_groups(layout, move_weight)
+    targets = _targets(layout) if groups else []
     moves = [
         move
-        for names in _hot_groups(layout)
+        for names in groups
         for server_id in targets
         if (move := _evaluate(layout, server_id, names, move_weight)) is not None
     ]
@@ -96,30 +97,50 @@
     return sorted(chosen)
 
 
-def _hot_groups(layout: Layout) -> list[list[str]]:
-    """Return names on overloaded servers, each base with its hot adapters.
+class _Group:
+    """A base and its adapters on overloaded servers.
 
-    Names are in order of the loss that their share of the load causes.
+    Attributes
+    ----------
+    lost : dict of str to float
+        Part of the servers' loss that each name's share of the load causes.
+    servers : dict of str to float
+        Loss of each server that holds one of the names.
     """
-    lost: dict[str, float] = {}
+
+    def __init__(self):
+        self.lost: dict[str, float] = {}
+        self.servers: dict[str, float] = {}
+
+    def names(self) -> list[str]:
+        """Return the names that cause loss, the worst first."""
+        return sorted(self.lost, key=lambda name: (-self.lost[name], name))
+
+    def most_gain(self, layout: Layout) -> float:
+        """Return a bound on what one more replica of the group can gain."""
+        spread = sum(_second_zone_worth(layout, name) for name in self.lost)
+        return sum(self.servers.values()) + spread
+
+
+def _hot_groups(layout: Layout, move_weight: float) -> list[list[str]]:
+    """Return the names of groups where a move can pay, the worst first."""
+    groups: dict[str, _Group] = {}
     for server_id in layout.servers:
         loss = _loss(layout, server_id)
         if loss < MIN_LOSS:
             continue
         for item in layout.held(server_id):
             homes = layout.homes.get(item.name, ())
-            if server_id in homes:
-                share = layout.demand.get(item.name, 0.0) / len(homes)
-                part = loss * share / layout.load[server_id]
-                lost[item.name] = lost.get(item.name, 0.0) + part
-    groups: dict[str, list[str]] = {}
-    for name in sorted(lost, key=lambda name: (-lost[name], name)):
-        if lost[name] > 0:
-            groups.setdefault(layout.wanted[name].base or name, []).append(name)
-    ranked = sorted(
-        groups.values(), key=lambda names: (-sum(lost[n] for n in names), names)
-    )
-    return ranked[:MAX_GROUPS]
+            demand = layout.demand.get(item.name, 0.0)
+            if server_id not in homes or not demand:
+                continue
+            group = groups.setdefault(item.base or item.name, _Group())
+            part = loss * demand / len(homes) / layout.load[server_id]
+            group.lost[item.name] = group.lost.get(item.name, 0.0) + part
+            group.servers[server_id] = loss
+    paying = [g for g in groups.values() if g.most_gain(layout) > move_weight]
+    ranked = sorted((-sum(g.lost.values()), g.names()) for g in paying)
+    return [names for _, names in ranked[:MAX_GROUPS]]
 
 
 def _evaluate(
@@ -202,8 +223,10 @@
 def _spread_value(layout: Layout, name: str, homes: set[str]) -> float:
     """Return what standing in two availability zones is worth to a name."""
     zones = {layout.servers[server_id].zone for server_id in homes}
-    if len(zones) < 2:
-        return 0.0
+    return 0.0 if len(zones) < 2 else _second_zone_worth(layout, name)
+
+
+def _second_zone_worth(layout: Layout, name: str) -> float:
     return SECOND_ZONE_SHARE * max(layout.demand.get(name, 0.0), COLD_DEMAND)
 
 
@@ -214,8 +237,7 @@
     sole = [name for name in layout.homes if len(layout.zones_of(name)) == 1]
     sole.sort(key=lambda name: (-layout.demand.get(name, 0.0), name))
     for name in sole:
-        worth = SECOND_ZONE_SHARE * max(layout.demand.get(name, 0.0), COLD_DEMAND)
-        if n_left <= 0 or worth <= move_weight:
+        if n_left <= 0 or _second_zone_worth(layout, name) <= move_weight:
             return
         n_left -= _add_second_zone(layout, name)
 
--- a/src/cowslipwood/placement/_required.py
+++ b/src/cowslipwood/placement/_required.py
@@ -57,16 +57,20 @@
     """Add a name where it fits best; False when it fits nowhere."""
     fitting = []
     group_bytes = _group_bytes(layout, name)
+    least_bytes = layout.wanted[name].memory_bytes
+    zones = layout.zones_of(name)
     for server in layout.open_servers():
-        parts = layout.missing_parts(server.server_id, name)
         free_bytes = layout.free_bytes(server.server_id)
+        if least_bytes > free_bytes:
+            continue
+        parts = layout.missing_parts(server.server_id, name)
         if sum(part.memory_bytes for part in parts) > free_bytes:
             continue
         rank = (
             len(parts),
             free_bytes < group_bytes,
             -layout.n_adapters_of(server.server_id, name),
-            server.zone in layout.zones_of(name),
+            server.zone in zones,
             round(layout.load[server.server_id], 1),
             -free_bytes,
             server.server_id,
