--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -1,11 +1,13 @@
 """Runs one keeper: its replica, its connections and its planning."""
 
+import random
+from pathlib import Path
 from typing import Any, NamedTuple
 
 import anyio
 
 from ..kernel.channel import Channel, as_refused, serve_channels
-from ..kernel.clock import monotonic_ms
+from ..kernel.clock import monotonic_ms, wall_ms
 from ..kernel.codes import Code, failure
 from ..kernel.http import HttpServer, bind_socket, send_failure, with_health
 from ..kernel.lifecycle import check_tokens
@@ -14,6 +16,9 @@
     Ack,
     AgentReport,
     Assignment,
+    ClaimAttempt,
+    ClaimBegin,
+    ClaimFinish,
     EntryReport,
     Hello,
     OperatorRequest,
@@ -23,11 +28,26 @@
 )
 from ..kernel.metrics import Metrics
 from ..kernel.registry import PluginKind, plugin_names
-from ..kernel.settings import Check, address, one_of, parse_address, within
+from ..kernel.settings import (
+    Check,
+    address,
+    exit_with,
+    one_of,
+    parse_address,
+    within,
+)
 from ..kernel.tokens import read_token, token_matches
-from ..replication import LocalReplica
+from ..replication import (
+    DataDamagedError,
+    DataLockedError,
+    LogReplica,
+    ReplicaSettings,
+    StateMachine,
+)
+from ._claims import ClaimLimits, Claims
 from ._directory import Directory, server_view
 from ._machine import KeeperMachine
+from ._members import parse_peers
 from ._operators import Operators
 from ._planner import Planner, PlannerSettings
 from ._platform import poll_platform
@@ -52,8 +72,14 @@
         ip:port for the system's own connections and for operators.
     http_listen : str
         ip:port for /healthz, /readyz and /metrics.
+    peers : str
+        The initial members as name=ip:port with commas between, this keeper
+        included; empty for a keeper that stands alone. A keeper that replaces
+        another is given the members that there are.
     zone : str
         Availability zone of this host.
+    snapshot_entries : int
+        Log entries between two snapshots.
     tick_ms : int
         Milliseconds between two rounds of telling agents and entries.
     plan_ms : int
@@ -79,6 +105,14 @@
         Dialect of the platform's list of hosts.
     platform_url : str
         http://ip:port of the platform's list; empty for none.
+    claim_keep_ms : int
+        Milliseconds that the claim of an Idempotency-Key lasts.
+    claims_max : int
+        Claims held at once; more are refused.
+    claim_answer_bytes : int
+        Largest answer kept for resends, in bytes.
+    claim_answers_bytes : int
+        All answers kept for resends, in bytes; the oldest go first.
     cluster_token : str
         Token of the system's own connections, or @file.
     operator_token : str
@@ -91,7 +125,9 @@
     data: str
     listen: str = "127.0.0.1:8100"
     http_listen: str = "127.0.0.1:8101"
+    peers: str = ""
     zone: str = "zone-1"
+    snapshot_entries: int = 10_000
     tick_ms: int = 50
     plan_ms: int = 200
     placement: str = "marginal_gain"
@@ -104,16 +140,30 @@
     permit_valid_ms: int = 2_000
     platform_dialect: str = "http_hosts"
     platform_url: str = ""
+    claim_keep_ms: int = 43_200_000
+    claims_max: int = 50_000
+    claim_answer_bytes: int = 16_384
+    claim_answers_bytes: int = 16_777_216
     cluster_token: str = ""
     operator_token: str = ""
     allow_no_token: bool = False
 
 
+def _are_peers(text: str) -> bool:
+    try:
+        parse_peers(text)
+    except ValueError:
+        return False
+    return True
+
+
 keeper_checks = {
     "keeper_id": Check("a name", bool),
     "data": Check("a folder", bool),
     "listen": address(),
     "http_listen": address(),
+    "peers": Check("name=ip:port, with commas between several", _are_peers),
+    "snapshot_entries": within(10, 1_000_000),
     "tick_ms": within(5, 5_000),
     "plan_ms": within(10, 60_000),
     "placement": one_of(*plugin_names(PluginKind.PLACEMENT_POLICY)),
@@ -128,6 +178,10 @@
     "platform_url": Check(
         "http://ip:port, or empty", lambda url: not url or url.startswith("http://")
     ),
+    "claim_keep_ms": within(1_000, 30 * 86_400_000),
+    "claims_max": within(1, 10_000_000),
+    "claim_answer_bytes": within(0, 1_048_576),
+    "claim_answers_bytes": within(0, 2**32),
 }
 
 
@@ -148,7 +202,9 @@
         self._cluster_token = cluster_token
         self._metrics = Metrics("keeper")
         self._machine = KeeperMachine()
-        self._replica = LocalReplica(settings.data, self._machine, settings.listen)
+        self._replica = _open_replica(
+            settings, cluster_token, self._machine, self._metrics
+        )
         self._directory = Directory()
         self._operators = Operators(
             self._machine, self._replica, self._directory, op_token
@@ -161,6 +217,13 @@
             self._replica,
             self._metrics,
         )
+        limits = ClaimLimits(
+            settings.claim_keep_ms,
+            settings.claims_max,
+            settings.claim_answer_bytes,
+            settings.claim_answers_bytes,
+        )
+        self._claims = Claims(self._machine, self._replica, limits, self._metrics)
         self._subscribers: set[Subscriber] = set()
 
     async def run(self, stop: anyio.Event) -> None:
@@ -181,6 +244,7 @@
             tasks.start_soon(self._planner.run)
             tasks.start_soon(self._poll_platform)
             await stop.wait()
+            await self._replica.hand_over()
             http.stop()
             tasks.cancel_scope.cancel()
 
@@ -222,6 +286,11 @@
 
     async def _on_message(self, value: Any, subscriber: Subscriber) -> Any:
         now_ms = monotonic_ms()
+        if subscriber.role == "keeper":
+            return await self._replica.handle(value, now_ms)
+        if not self._replica.leads(now_ms):
+            self._metrics.count("refusals_total", reason=Code.NOT_LEADER.name)
+            return as_refused(failure(Code.NOT_LEADER), self._replica.leader_addr)
         match value:
             case AgentReport():
                 self._directory.hear_agent(value, now_ms)
@@ -232,6 +301,8 @@
                 return self._planner.answer(value, now_ms)
             case OperatorRequest():
                 return await self._operators.answer(value, subscriber.peer_id)
+            case ClaimBegin() | ClaimAttempt() | ClaimFinish():
+                return await self._claims.answer(value, wall_ms())
             case _:
                 return as_refused(failure(Code.BAD_MESSAGE))
         return Ack(self._machine.catalogue.revision)
@@ -239,6 +310,12 @@
     async def _tell_loop(self) -> None:
         while True:
             now_ms = monotonic_ms()
+            self._replica.measure(now_ms)
+            self._metrics.gauge("revision", self._machine.catalogue.revision)
+            if not self._replica.leads(now_ms):
+                await self._drop_subscribers()
+                await anyio.sleep(self._settings.tick_ms / 1000)
+                continue
             views = {
                 report.server_id: server_view(
                     report,
@@ -252,9 +329,19 @@
                     tasks.start_soon(self._tell, subscriber, views, now_ms)
             await anyio.sleep(self._settings.tick_ms / 1000)
 
+    async def _drop_subscribers(self) -> None:
+        """Close the connections that belong to the leader, once it is another."""
+        if self._replica.is_leader:
+            return
+        for subscriber in list(self._subscribers):
+            if subscriber.role != "keeper":
+                await subscriber.close(failure(Code.NOT_LEADER))
+
     async def _tell(self, subscriber: Subscriber, views: dict, now_ms: float) -> None:
         if subscriber.role not in ("agent", "entry"):
             return
+        if not self._replica.leads(monotonic_ms()):
+            return
         await subscriber.tell_heartbeat(self._machine.catalogue.revision, now_ms)
         await subscriber.tell_catalogue(self._machine.catalogue)
         if subscriber.role == "entry":
@@ -262,7 +349,7 @@
             return
         server_id = subscriber.peer_id
         assigned = self._machine.assignments.get(server_id)
-        if assigned is not None:
+        if assigned is not None and self._replica.leads(monotonic_ms()):
             await subscriber.tell_assignment(
                 Assignment(
                     server_id,
@@ -282,5 +369,33 @@
         )
 
 
+def _open_replica(
+    settings: KeeperSettings,
+    cluster_token: str,
+    machine: StateMachine,
+    metrics: Metrics,
+) -> LogReplica:
+    """Open the data folder, or end the process with a numbered error."""
+    peers = parse_peers(settings.peers) or {settings.keeper_id: settings.listen}
+    replica_settings = ReplicaSettings(
+        name=settings.keeper_id,
+        folder=Path(settings.data),
+        addr=peers.get(settings.keeper_id, settings.listen),
+        peers=peers,
+        zone=settings.zone,
+        cluster_token=cluster_token,
+        snapshot_entries=settings.snapshot_entries,
+    )
+    rng = random.Random()
+    try:
+        return LogReplica(replica_settings, machine, metrics, rng, monotonic_ms())
+    except DataLockedError as exc:
+        exit_with(Code.DATA_LOCKED, str(exc))
+    except DataDamagedError as exc:
+        exit_with(Code.DATA_DAMAGED, str(exc))
+    except OSError as exc:
+        exit_with(Code.DISK_FAILED, str(exc))
+
+
 async def _no_route(scope: dict, receive: Any, send: Any) -> None:
     await send_failure(send, failure(Code.NO_SUCH_ROUTE))
--- a/src/cowslipwood/keeper/_planner.py
+++ b/src/cowslipwood/keeper/_planner.py
@@ -45,6 +45,8 @@
 OVERDUE_MS = 60_000.0
 FORGET_MS = 3_600_000.0
 THREAD_FROM_SERVERS = 50
+PLAN_SHARE = 0.025  # of a core, at most, until the delay reaches its bound
+MAX_DELAY_MS = 5_000.0
 
 
 class PlannerSettings(NamedTuple):
@@ -142,8 +144,11 @@
     async def run(self) -> None:
         """Plan for as long as the process runs."""
         while True:
-            await self._round(monotonic_ms())
-            await anyio.sleep(self._settings.plan_ms / 1000)
+            begun_ms = monotonic_ms()
+            await self._round(begun_ms)
+            spent_ms = monotonic_ms() - begun_ms
+            delay_ms = min(spent_ms / PLAN_SHARE, MAX_DELAY_MS)
+            await anyio.sleep(max(delay_ms, self._settings.plan_ms) / 1000)
 
     def _check_leading(self, now_ms: float) -> bool:
         """Return whether this keeper leads, noting when that began."""
@@ -260,7 +265,7 @@
                 for key in keys
                 if key not in ready and age_ms[key] >= OVERDUE_MS
             ),
-            unassigned_bytes=unassigned_bytes,
+            unassigned_bytes=unassigned_bytes + report.reserved_bytes,
         )
 
     def _date_assignments(self, now_ms: float) -> None:
--- a/src/cowslipwood/placement/_types.py
+++ b/src/cowslipwood/placement/_types.py
@@ -58,7 +58,8 @@
     overdue : frozenset of str
         Names assigned long ago that never became ready.
     unassigned_bytes : int
-        Memory of models that the engine still holds without an assignment.
+        Memory that the engine still holds, or may yet take, for models that
+        are not assigned.
     """
 
     server_id: str
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -16,6 +16,7 @@
     "agent_report",
     "demand_report",
     "model_value",
+    "order_value",
     "reports",
     "service_value",
 ]
@@ -63,6 +64,20 @@
     return EntryReport("e1", "i1", "zone-1", "127.0.0.1:1", False, 0, demand)
 
 
+def order_value(model: str = "m1", **fields: Any) -> dict[str, Any]:
+    """Return the JSON value of a load order to an engine."""
+    return {
+        "order_id": f"order-{model}",
+        "op": "load",
+        "model": model,
+        "version": "1",
+        "base": "",
+        "memory_bytes": 1_000,
+        "fence": 1,
+        **fields,
+    }
+
+
 def reports() -> st.SearchStrategy[AgentReport]:
     """Return a strategy of agent reports."""
     residents = st.builds(Resident, _words, _words, _words, _sizes)
