--- a/benchmarks/installation.py
+++ b/benchmarks/installation.py
@@ -33,8 +33,8 @@
 def keeper_flags(profile: Profile, policies: Policies) -> list[str]:
     """Return the flags of the keepers."""
     flags = [
-        f"--store-loads-per-s={profile.store_loads_per_s}",
-        f"--store-at-once={profile.store_at_once}",
+        f"--loads-per-s={profile.store_loads_per_s}",
+        f"--max-loads-at-once={profile.store_at_once}",
     ]
     if policies.placement:
         flags.append(f"--placement={policies.placement}")
