Give a model no order before the last one is seen in the engine's state

Cause: an unload that ended while the state was being read was neither applied nor under way, so it was ordered again, which ended during the next read, and so on: 1,303 unloads of one model in a test that then waited in vain (1 run of 12).

Change: a model whose order was under way at the beginning or the end of a read is not settled by it and gets no order from it.

Unload orders that end an open stream at the stand-in engine make the test of unassigned models fail without its wait.

--- a/src/cowslipwood/agent/_reconcile.py
+++ b/src/cowslipwood/agent/_reconcile.py
@@ -2,7 +2,8 @@
 
 One task reads the engine's state and decides; each order runs as a child task
 of it, one at a time for each model. A model's bytes are freed, and a model
-counts as ready, only on a read that began after its last order had ended.
+counts as ready, only on a read that began after its last order had ended; until
+then it is not settled and gets no other order.
 """
 
 import anyio
@@ -60,6 +61,7 @@
         self._busy: set[ModelKey] = set()
         self._backoff_ms: dict[ModelKey, float] = {}
         self._not_before_ms: dict[ModelKey, float] = {}
+        self._unsettled: set[ModelKey] = set()
         self._unfit: set[ModelKey] = set()
         self._read_ms = 0.0
         self._wake = anyio.Event()
@@ -110,7 +112,8 @@
             self._note_unread(now_ms)
             return
         self._read_ms = now_ms
-        self._apply(read.unwrap(), busy_before | self._busy, read_ms)
+        self._unsettled = busy_before | self._busy
+        self._apply(read.unwrap(), read_ms)
         if not self.superseded:
             self._order_loads(tasks, now_ms)
             self._order_unloads(tasks, now_ms)
@@ -122,8 +125,9 @@
             self._models.reachable = False
             self.on_change()
 
-    def _apply(self, state: EngineState, busy: set[ModelKey], read_ms: float) -> None:
-        """Take what the engine shows of all models without an order under way."""
+    def _apply(self, state: EngineState, read_ms: float) -> None:
+        """Take what the engine shows of all settled models."""
+        busy = self._unsettled
         before = (self._models.reachable, dict(self._models.held))
         self._models.reachable = True
         self._ledger.see_engine_kv(state.kv_bytes)
@@ -176,8 +180,8 @@
             tasks.start_soon(self._unload, key)
 
     def _is_held_up(self, key: ModelKey, now_ms: float) -> bool:
-        """Return whether an order is under way or was refused a moment ago."""
-        return key in self._busy or now_ms < self._not_before_ms.get(key, 0)
+        """Return whether an order is not settled or was refused a moment ago."""
+        return key in self._unsettled or now_ms < self._not_before_ms.get(key, 0)
 
     def _must_stay(self, key: ModelKey) -> bool:
         """Return whether something still needs a model that is not assigned."""
--- a/src/cowslipwood/standins/engine.py
+++ b/src/cowslipwood/standins/engine.py
@@ -264,6 +264,8 @@
         for index in range(done, len(tokens)):
             if fails and index - done >= self.faults.fail_after_tokens:
                 raise BrokenAnswerError("stream ended on command")
+            if (body["model"], body.get("version", "")) not in self._memory.held:
+                raise BrokenAnswerError("the model was unloaded")
             chunk = {"index": index, "text": tokens[index]}
             data = b"data: " + orjson.dumps(chunk) + b"\n\n"
             await send({"type": "http.response.body", "body": data, "more_body": True})
--- a/tests/agent_bench.py
+++ b/tests/agent_bench.py
@@ -87,8 +87,11 @@
 async def agent_bench(config: EngineConfig, *flags: str) -> AsyncIterator[AgentBench]:
     """Run an agent with flags beside an engine."""
     engine = StandinEngine(config)
-    with Cluster() as cluster:
-        async with fake_keeper() as keeper, serving(engine) as client:
+    async with fake_keeper() as keeper, serving(engine) as client:
+        with Cluster() as cluster:
             bench = AgentBench(cluster, keeper, engine, client, flags)
-            await bench.start()
-            yield bench
+            try:
+                await bench.start()
+                yield bench
+            finally:
+                engine.faults.set({"hold_orders": 0})
--- a/tests/test_agent_orders.py
+++ b/tests/test_agent_orders.py
@@ -58,6 +58,40 @@
                     "--order-life-ms=1000",
                 )
 
+    def test_late_copy_at_a_fenced_engine(self):
+        """An order that arrives after its copy was run is not run again."""
+
+        async def check(bench: AgentBench) -> None:
+            await self._leave_copy_on_its_way(bench)
+            await until(lambda: bench.keeper.is_ready("m2"), "m2")
+            n_answers = len(bench.engine.answers)
+            bench.engine.faults.set({"hold_orders": 0})
+            await until(lambda: len(bench.engine.answers) > n_answers, "the late copy")
+            self.assertLessEqual(bench.engine.high_water_bytes, CAPACITY)
+
+        config = KV_FREE._replace(checks_fence=True)
+        run(check, config, "--dialect=fenced", "--order-timeout-ms=100")
+
+    def test_late_copy_at_an_unfenced_engine(self):
+        """An order that arrives after its model was unloaded finds its bytes free."""
+
+        async def check(bench: AgentBench) -> None:
+            await self._leave_copy_on_its_way(bench)
+            await until(lambda: bench.keeper.report.reserved_bytes, "the reservation")
+            bench.engine.faults.set({"hold_orders": 0})
+            await until(lambda: bench.keeper.is_ready("m2"), "m2")
+            self.assertLessEqual(bench.engine.high_water_bytes, CAPACITY)
+            self.assertGreaterEqual(bench.engine.state()["n_loads"], 3)
+
+        flags = ("--dialect=unfenced", "--order-timeout-ms=100", "--order-life-ms=4000")
+        run(check, KV_FREE, *flags)
+
+    async def _leave_copy_on_its_way(self, bench: AgentBench) -> None:
+        bench.engine.faults.set({"hold_orders": 1})
+        await bench.keeper.assign(1, 1, model("m1"))
+        await until(lambda: not bench.engine.faults.left("hold_orders"), "the order")
+        await bench.keeper.assign(1, 2, model("m2"))
+
     def test_unwanted_uncertain_load_is_undone(self):
         """A load whose answer is lost is undone once it is no longer assigned."""
 
@@ -131,6 +165,7 @@
             await until(lambda: bench.keeper.is_ready("m2"), "m2")
             await bench.keeper.assign(1, 9, model("m1"))
             await bench.keeper.assign(2, 4, model("m1"))
+            await until(lambda: _counts_refused(bench, 2), "two refusals")
             await bench.keeper.assign(2, 6, model("m2"), model("m3", size=500))
             await until(lambda: bench.keeper.is_ready("m3"), "m3")
             self.assertEqual(bench.keeper.permits, ["m2", "m3"])
@@ -180,3 +215,9 @@
             self.assertEqual(refused, [])
 
         run(check, KV_FREE._replace(checks_fence=True))
+
+
+async def _counts_refused(bench: AgentBench, count: int) -> bool:
+    _, text = await bench.client.call("GET", "/metrics")
+    name = b'cowslip_agent_assignments_refused_total{reason="ORDER_STALE"}'
+    return name + f" {count}".encode() in text
