--- /dev/null
+++ b/tests/keepers.py
@@ -0,0 +1,160 @@
+"""Starts three keepers as separate processes for tests."""
+
+import json
+import shutil
+import signal
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import anyio
+
+from cowslipwood.kernel.channel import Channel, open_channel
+from cowslipwood.kernel.keeper_link import KeeperLink
+from cowslipwood.kernel.messages import Hello, OperatorRequest
+from cowslipwood.kernel.settings import parse_address
+
+from .builders import model_value
+from .processes import Cluster, call, free_port, wait_for
+
+__all__ = ["KeeperCluster", "open_operator", "operator_request"]
+
+N_KEEPERS = 3
+ANSWER_TIMEOUT_MS = 60_000
+_HELLO = Hello("operator", "tester", "", "", "cluster-secret")
+
+
+def operator_request(op: str, name: str = "", body: bytes = b"") -> OperatorRequest:
+    """Return a request whose edit id is made of what it asks."""
+    return OperatorRequest(op, name, body, f"{op}-{name}", -1, "operator-secret")
+
+
+async def open_operator(addr: str) -> Channel:
+    """Return an operator's connection to one keeper, whether it leads or not."""
+    opened = await open_channel(*parse_address(addr), ANSWER_TIMEOUT_MS)
+    channel = opened.unwrap()
+    await channel.send(_HELLO)
+    (await channel.receive()).unwrap()
+    return channel
+
+
+async def _put_many(keepers: str, names: Sequence[str]) -> None:
+    async def ignore(value: Any) -> None:
+        """Drop heartbeats."""
+
+    link = KeeperLink(keepers, _HELLO, ignore)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(link.run)
+        while not link.connected:
+            await anyio.sleep(0.01)
+        for name in names:
+            body = json.dumps(model_value(name)).encode()
+            request = operator_request("put", name, body)
+            (await link.request(request, ANSWER_TIMEOUT_MS)).unwrap()
+        tasks.cancel_scope.cancel()
+
+
+class KeeperCluster(Cluster):
+    """Three keepers named k1 to k3; a context manager."""
+
+    def __init__(self, *flags: str):
+        super().__init__()
+        self._flags = flags
+        names = [f"k{place + 1}" for place in range(N_KEEPERS)]
+        self.addresses = {name: f"127.0.0.1:{free_port()}" for name in names}
+        self.http_ports = {name: free_port() for name in names}
+        self.keepers = ",".join(self.addresses.values())
+        self.peers = ",".join(f"{n}={a}" for n, a in self.addresses.items())
+
+    def start_all(self) -> str:
+        """Start every keeper and return the leader's name."""
+        for name in self.addresses:
+            self.start_one(name)
+        return self.leader()
+
+    def stop_all(self) -> None:
+        """Kill every keeper."""
+        for name in self.addresses:
+            self.kill(name)
+
+    def start_one(self, name: str) -> None:
+        """Start one keeper, again after it ended or for the first time."""
+        self.start(
+            name,
+            "keeper",
+            f"--keeper-id={name}",
+            f"--data={self.folder}/{name}",
+            f"--listen={self.addresses[name]}",
+            f"--http-listen=127.0.0.1:{self.http_ports[name]}",
+            f"--peers={self.peers}",
+            *self._flags,
+            COWSLIP_OPERATOR_TOKEN="operator-secret",
+        )
+
+    def signal(self, name: str, signum: signal.Signals) -> None:
+        """Send a signal to one keeper."""
+        self.processes[name].send_signal(signum)
+
+    def kill(self, name: str) -> None:
+        """Kill one keeper and wait for its end."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def wipe(self, name: str) -> None:
+        """Lose the disk of a keeper that has ended."""
+        shutil.rmtree(self.folder / name)
+
+    def ended(self, name: str) -> int:
+        """Wait for a process to end by itself and return its exit status."""
+        return self.processes[name].wait(timeout=60)
+
+    def last_segment(self, name: str) -> Path:
+        """Return the newest log file of a keeper."""
+        return sorted((self.folder / name).glob("*.log"))[-1]
+
+    def put_many(self, names: Sequence[str]) -> None:
+        """Put models one after another on one connection."""
+        anyio.run(_put_many, self.keepers, names)
+
+    def metric(self, name: str, metric: str) -> float:
+        """Return a metric of a keeper; 0 when it was never set."""
+        _, _, body = call(self.http_ports[name], "GET", "/metrics")
+        for line in body.decode().splitlines():
+            if line.startswith(f"cowslip_keeper_{metric}{{") or line.startswith(
+                f"cowslip_keeper_{metric} "
+            ):
+                return float(line.rpartition(" ")[2])
+        return 0.0
+
+    def leaders(self, *without: str) -> list[str]:
+        """Return the live keepers that say they lead."""
+        live = [
+            name
+            for name, process in self.processes.items()
+            if name in self.addresses and name not in without and process.poll() is None
+        ]
+        return [name for name in live if self.metric(name, "leader") == 1]
+
+    def leader(self, *without: str) -> str:
+        """Wait for a leader among the keepers and return its name."""
+        return wait_for(lambda: self.leaders(*without), "a leader")[0]
+
+    def followers(self) -> list[str]:
+        """Return the names of the others."""
+        leader = self.leader()
+        return [name for name in self.addresses if name != leader]
+
+    def names(self) -> set[str]:
+        """Return the names of the catalogue's entries."""
+        ended = self.ctl("list", "--json")
+        if ended.returncode:
+            raise AssertionError(ended.stderr)
+        return {entry["name"] for entry in json.loads(ended.stdout)}
+
+    def voters(self) -> dict[str, str]:
+        """Return the identities of the voting keepers by name."""
+        ended = self.ctl("members", "--json")
+        if ended.returncode:
+            raise AssertionError(ended.stderr)
+        members: list[dict[str, Any]] = json.loads(ended.stdout)["members"]
+        return {m["name"]: m["replica_id"] for m in members if m["voter"]}
