Face claims with a killed leader and a lost quorum; send no answer that is not kept

An answer over the bound took room in the log although it was dropped on arrival; the leader now strips it first. A test that froze an entry could do so before the entry had asked for its claim; it now tries again.

--- a/src/cowslipwood/keeper/_claims.py
+++ b/src/cowslipwood/keeper/_claims.py
@@ -118,7 +118,10 @@
                 return ClaimAttemptCommand(message, wall_ms)
             case ClaimFinish():
                 return ClaimFinishCommand(
-                    message, wall_ms, limits.max_answer_bytes, limits.max_answers_bytes
+                    _without_large_answer(message, limits.max_answer_bytes),
+                    wall_ms,
+                    limits.max_answer_bytes,
+                    limits.max_answers_bytes,
                 )
 
     def _not_recorded(self, message: Any, fault: Failure) -> Failure:
@@ -143,6 +146,13 @@
         self._metrics.gauge("claims_answers_bytes", table.answers_bytes)
 
 
+def _without_large_answer(finish: ClaimFinish, max_bytes: int) -> ClaimFinish:
+    """Drop an answer that would not be kept before it takes room in the log."""
+    if len(finish.headers) + len(finish.body) <= max_bytes:
+        return finish
+    return finish._replace(headers=b"", body=b"", kept=False)
+
+
 def _is_bounded(message: Any) -> bool:
     if not 0 < len(message.key) <= MAX_KEY_CHARS:
         return False
--- a/tests/test_claims_processes.py
+++ b/tests/test_claims_processes.py
@@ -10,19 +10,30 @@
 from typing import Any
 
 from .builders import service_value
-from .processes import WAIT_S, Cluster, call, free_port, wait_for
+from .keepers import KeeperCluster
+from .processes import WAIT_S, call, free_port, wait_for
 
 BODY = {"family": 12, "meals": 3}
 SLOW_MS = 1_500
+MAX_TRIES = 20
+CLAIM_WAIT_S = 2.0
 
 
-class ClaimsCluster(Cluster):
-    """A keeper, two entries, and agents beside stand-ins of ``deliveries``."""
+class ClaimsCluster(KeeperCluster):
+    """Keepers, two entries, and agents beside stand-ins of ``deliveries``."""
 
-    def __init__(self, n_agents: int = 1, answer_ms: int = 5, **keeper_flags: int):
+    def __init__(
+        self,
+        n_agents: int = 1,
+        answer_ms: int = 5,
+        one_keeper: bool = True,
+        **keeper_flags: int,
+    ):
         super().__init__()
+        self.is_alone = one_keeper
         self.keeper_port = free_port()
-        self.keepers = f"127.0.0.1:{self.keeper_port}"
+        if one_keeper:
+            self.keepers = f"127.0.0.1:{self.keeper_port}"
         self.keeper_http_port = free_port()
         self.entry_ports = [free_port(), free_port()]
         self.agent_ports = [free_port() for _ in range(n_agents)]
@@ -36,7 +47,10 @@
 
     def __enter__(self) -> "ClaimsCluster":
         """Start every process and wait until the entries can serve."""
-        self.start_keeper()
+        if self.is_alone:
+            self.start_keeper()
+        else:
+            self.start_all()
         for n, port in enumerate(self.service_ports):
             self.start(
                 f"service-{n}",
@@ -103,11 +117,6 @@
             lambda: call(port, "GET", "/services/deliveries/warm")[0] == 200, "entry"
         )
 
-    def kill(self, name: str) -> None:
-        """Kill a process at once."""
-        self.processes[name].send_signal(signal.SIGKILL)
-        self.processes[name].wait()
-
     def pause(self, name: str) -> None:
         """Freeze a process until `resume`."""
         self.processes[name].send_signal(signal.SIGSTOP)
@@ -127,7 +136,7 @@
         """Post a delivery from a thread."""
         return Later(lambda: self.deliver(n, key))
 
-    def metric(self, port: int, name: str) -> float:
+    def value(self, port: int, name: str) -> float:
         """Return the value of one metric of a process; 0 when it has none."""
         for line in call(port, "GET", "/metrics")[2].decode().splitlines():
             if line.startswith(f"{name} "):
@@ -257,7 +266,7 @@
 
     def n_attempts(self) -> float:
         """Return how many attempts the first agent has marked."""
-        return self._cluster.metric(
+        return self._cluster.value(
             self._cluster.agent_ports[0], "cowslip_agent_attempts"
         )
 
@@ -269,12 +278,40 @@
         """Wait until the first agent has marked a new attempt."""
         wait_for(lambda: self.n_attempts() > self._n_attempts, "dispatch")
 
-    def wait_claimed(self) -> None:
-        """Wait until the keeper holds an open claim."""
+    def freeze_after_claim(self) -> tuple[str, "Later"]:
+        """Freeze the first entry between its claim and the dispatch.
+
+        An entry that was frozen before it had asked for the claim is let go on,
+        and another request tried.
+        """
+        cluster = self._cluster
+        port = cluster.entry_ports[0]
+        for key in map(str, range(MAX_TRIES)):
+            cluster.pause("keeper")
+            late = cluster.deliver_later(0, key)
+            wait_for(
+                lambda: cluster.value(port, "cowslip_entry_claims_open") == 1,
+                "request",
+            )
+            cluster.pause("entry-0")
+            cluster.resume("keeper")
+            with contextlib.suppress(AssertionError):
+                self.wait_claimed(CLAIM_WAIT_S)
+                return key, late
+            cluster.resume("entry-0")
+            late.answer()
+            self._before = cluster.n_runs()
+        raise AssertionError("the entry was frozen too early each time")
+
+    def wait_claimed(self, limit_s: float = WAIT_S) -> None:
+        """Wait until the leading keeper holds an open claim."""
         port = self._cluster.keeper_http_port
+        if not self._cluster.is_alone:
+            port = self._cluster.http_ports[self._cluster.leader()]
         wait_for(
-            lambda: self._cluster.metric(port, "cowslip_keeper_claims_open") == 1,
+            lambda: self._cluster.value(port, "cowslip_keeper_claims_open") == 1,
             "claim",
+            limit_s,
         )
 
     def test_entry_killed_after_dispatch(self):
@@ -291,38 +328,20 @@
     def test_entry_killed_after_claim(self):
         """A claim whose entry died before dispatch is voided and runs once."""
         cluster = self.start()
-        cluster.pause("keeper")
-        cluster.deliver_later(0, "k")
-        self.wait_queued()
-        cluster.pause("entry-0")
-        cluster.resume("keeper")
-        self.wait_claimed()
+        key, _ = self.freeze_after_claim()
         cluster.kill("entry-0")
-        self.assertEqual(cluster.deliver(1, "k")[0], 200)
+        self.assertEqual(cluster.deliver(1, key)[0], 200)
         self.assertEqual(self.n_runs(), 1)
 
     def test_frozen_entry_wakes_with_a_voided_attempt(self):
         """An entry frozen before dispatch finds its attempt voided, not run twice."""
         cluster = self.start()
-        cluster.pause("keeper")
-        late = cluster.deliver_later(0, "k")
-        self.wait_queued()
-        cluster.pause("entry-0")
-        cluster.resume("keeper")
-        self.wait_claimed()
-        _, _, first = cluster.deliver(1, "k")
+        key, late = self.freeze_after_claim()
+        _, _, first = cluster.deliver(1, key)
         cluster.resume("entry-0")
         self.assertEqual(late.answer()[2], first)
         self.assertEqual(self.n_runs(), 1)
 
-    def wait_queued(self) -> None:
-        """Wait until the first entry has a claim on its way."""
-        port = self._cluster.entry_ports[0]
-        wait_for(
-            lambda: self._cluster.metric(port, "cowslip_entry_claims_open") == 1,
-            "request",
-        )
-
     def test_late_dispatch_of_a_dead_entry(self):
         """A dispatch that reaches a frozen agent late runs once or not at all."""
         cluster = self.start()
@@ -333,7 +352,7 @@
         second = cluster.deliver_later(1, "k")
         port = cluster.entry_ports[1]
         wait_for(
-            lambda: cluster.metric(port, "cowslip_entry_claims_open") == 1, "resend"
+            lambda: cluster.value(port, "cowslip_entry_claims_open") == 1, "resend"
         )
         cluster.resume("agent-0")
         self.assertEqual(second.answer()[0], 200)
@@ -391,6 +410,30 @@
         self.assertEqual(resent[2], first.answer()[2])
         self.assertEqual(self.n_runs(), 1)
 
+    def test_leader_killed_between_claim_and_answer(self):
+        """A claim outlives its leader; without a quorum a new key is not run."""
+        cluster = self.start(one_keeper=False)
+        cluster.pause("agent-0")
+        first = cluster.deliver_later(0, "k")
+        self.wait_claimed()
+        killed = cluster.leader()
+        cluster.kill(killed)
+        second = cluster.deliver_later(1, "k")
+        cluster.resume("agent-0")
+        self.assertEqual(first.answer()[0], 200)
+        second.answer()
+        resent = wait_for(
+            lambda: (a := cluster.deliver(1, "k"))[0] == 200 and a, "a new leader"
+        )
+        self.assertEqual(resent[2], first.answer()[2])
+        cluster.kill(cluster.leader(killed))
+        _, headers, _ = cluster.deliver(0, "new")
+        self.assertEqual(headers["x-cowslip-outcome"], "not-run")
+        self.assertEqual(self.n_runs(), 1)
+        cluster.start_one(killed)
+        wait_for(lambda: cluster.deliver(1, "new")[0] == 200, "a quorum")
+        self.assertEqual(self.n_runs(), 2)
+
     def test_without_keepers(self):
         """Without keepers a new key is refused as not run, and all else is served."""
         cluster = self.start()
