Use connections again after streams, and write tokens that come at once at once

Profile of one stream of 8 tokens in one process: the connection to the agent was closed after each stream, because reading stopped at the closing event, and each token was a write of its own. The end of the answer is now read out, and what one read brings is one write. TestReuse failed before (5 connections).

--- a/src/cowslipwood/entry/_caller.py
+++ b/src/cowslipwood/entry/_caller.py
@@ -1,6 +1,6 @@
 """The caller's side of one request: what is sent to it, and how."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 import anyio
@@ -89,13 +89,13 @@
         """Begin a stream of server-sent events."""
         await self.start(200, _EVENTS)
 
-    async def event(self, value: Any) -> None:
-        """Send one event."""
-        await self.write(b"data: " + orjson.dumps(value) + b"\n\n")
+    async def events(self, values: Iterable[Any]) -> None:
+        """Send events in one write."""
+        await self.write(_event_bytes(values))
 
-    async def end_events(self) -> None:
-        """Send the closing event of a whole answer."""
-        await self.end(b"data: [DONE]\n\n")
+    async def end_events(self, values: Iterable[Any]) -> None:
+        """Send the last events and the closing one of a whole answer."""
+        await self.end(_event_bytes(values) + b"data: [DONE]\n\n")
 
     async def break_events(self, fault: Failure) -> None:
         """Send an error event and leave the stream without its end."""
@@ -109,3 +109,7 @@
                 await self._send(message)
         except TimeoutError:
             raise CallerStalledError from None
+
+
+def _event_bytes(values: Iterable[Any]) -> bytes:
+    return b"".join(b"data: " + orjson.dumps(value) + b"\n\n" for value in values)
--- a/src/cowslipwood/entry/_generation.py
+++ b/src/cowslipwood/entry/_generation.py
@@ -34,7 +34,7 @@
     ServiceClass.BATCH: 2,
 }
 
-Deliver = Callable[[Chunk], Awaitable[None]]
+Deliver = Callable[[list[Chunk]], Awaitable[None]]
 
 
 class Generation(NamedTuple):
@@ -79,6 +79,8 @@
 ) -> Result[Finish, Failure]:
     """Deliver each token of a completion, in order and once.
 
+    Tokens that come at once are delivered at once.
+
     When an attempt fails on the way, the next one resumes after the tokens
     that were delivered. The result's failure is the caller's final answer.
     """
@@ -139,10 +141,10 @@
     attempt = _make_attempt(generation, progress.n_tokens, serving.now_ms())
     first_at_ms = 0.0
 
-    async def deliver_timed(chunk: Chunk) -> None:
+    async def deliver_timed(chunks: list[Chunk]) -> None:
         nonlocal first_at_ms
         first_at_ms = first_at_ms or serving.now_ms()
-        await deliver(chunk)
+        await deliver(chunks)
 
     async with serving.dispatcher.send(backend.view, attempt) as sent:
         if isinstance(sent, Err):
@@ -177,17 +179,17 @@
 async def _deliver_rest(
     generation: Generation, answer: Answer, progress: _Progress, deliver: Deliver
 ) -> None:
-    chunks = read_chunks(
+    batches = read_chunks(
         answer,
         generation.call.request_id,
         progress.n_tokens,
         generation.max_tokens,
     )
-    async with aclosing(chunks):
-        async for chunk in chunks:
-            progress.n_tokens += 1
-            progress.finish_reason = chunk.finish_reason
-            await deliver(chunk)
+    async with aclosing(batches):
+        async for chunks in batches:
+            progress.n_tokens += len(chunks)
+            progress.finish_reason = chunks[-1].finish_reason
+            await deliver(chunks)
 
 
 def _make_attempt(generation: Generation, n_done: int, now_ms: float) -> Attempt:
--- a/src/cowslipwood/entry/_meters.py
+++ b/src/cowslipwood/entry/_meters.py
@@ -34,11 +34,11 @@
         self.n_tokens = 0
         self.refused = False
 
-    def token(self, now_ms: float) -> None:
-        """Count a token, or the beginning of a service's answer."""
+    def tokens(self, n_tokens: int, now_ms: float) -> None:
+        """Count tokens, or the beginning of a service's answer."""
         if not self.n_tokens:
             self.first_ms = now_ms
-        self.n_tokens += 1
+        self.n_tokens += n_tokens
 
     def whole(self, now_ms: float) -> None:
         """Note that the caller was sent its whole answer."""
--- a/src/cowslipwood/entry/_service_call.py
+++ b/src/cowslipwood/entry/_service_call.py
@@ -132,7 +132,7 @@
             return sent
         answer = sent.unwrap()
         serving.router.heard(backend, answer.report, serving.now_ms())
-        timing.token(serving.now_ms())
+        timing.tokens(1, serving.now_ms())
         if not 200 <= answer.status <= 599:
             message = f"the service answered status {answer.status}"
             return Err(failure(Code.ANSWER_CUT, message))
--- a/src/cowslipwood/entry/fronts/_writing.py
+++ b/src/cowslipwood/entry/fronts/_writing.py
@@ -76,34 +76,37 @@
         self._created_s = int(time.time())
         self._texts: list[str] = []
 
-    async def token(self, chunk: Chunk) -> None:
-        """Pass a token on, or keep it for the whole answer."""
+    async def tokens(self, chunks: list[Chunk]) -> None:
+        """Pass tokens on, or keep them for the whole answer."""
         if not self._fields.stream:
-            self._texts.append(chunk.text)
+            self._texts += [chunk.text for chunk in chunks]
             return
+        shape = self._kind.shape
+        choices = [shape.chunk(chunk.text, None) for chunk in chunks]
         if not self.caller.started:
             await self.caller.start_events()
-            opening = self._kind.shape.opening()
+            opening = shape.opening()
             if opening is not None:
-                await self._event([opening])
-        await self._event([self._kind.shape.chunk(chunk.text, None)])
+                choices.insert(0, opening)
+        events = [self._object(self._kind.chunk_object, [each]) for each in choices]
+        await self.caller.events(events)
 
     async def finish(self, finish: Finish) -> None:
         """End a whole answer."""
-        usage = self._usage(finish)
+        shape, usage = self._kind.shape, self._usage(finish)
         if not self._fields.stream:
-            text = "".join(self._texts)
-            choice = self._kind.shape.whole(text, finish.reason)
+            choice = shape.whole("".join(self._texts), finish.reason)
             value = self._object(self._kind.whole_object, [choice])
             await self.caller.answer_json({**value, "usage": usage})
             return
         if not self.caller.started:
             await self.caller.start_events()
-        await self._event([self._kind.shape.chunk("", finish.reason)])
+        last = shape.chunk("", finish.reason)
+        events = [self._object(self._kind.chunk_object, [last])]
         if self._fields.include_usage:
-            value = self._object(self._kind.chunk_object, [])
-            await self.caller.event({**value, "usage": usage})
-        await self.caller.end_events()
+            counted = self._object(self._kind.chunk_object, [])
+            events.append({**counted, "usage": usage})
+        await self.caller.end_events(events)
 
     async def fail(self, fault: Failure) -> None:
         """Refuse, or break off a stream that has begun."""
@@ -112,9 +115,6 @@
         else:
             await self.caller.refuse(fault)
 
-    async def _event(self, choices: list[dict[str, Any]]) -> None:
-        await self.caller.event(self._object(self._kind.chunk_object, choices))
-
     def _object(self, name: str, choices: list[dict[str, Any]]) -> dict[str, Any]:
         return {
             "id": self._id,
@@ -173,9 +173,9 @@
 ) -> None:
     timing = opened.timing
 
-    async def deliver(chunk: Chunk) -> None:
-        timing.token(serving.now_ms())
-        await writer.token(chunk)
+    async def deliver(chunks: list[Chunk]) -> None:
+        timing.tokens(len(chunks), serving.now_ms())
+        await writer.tokens(chunks)
 
     async def work(serving: Serving, opened: OpenCall) -> Result[Finish, Failure]:
         generation = Generation(opened.call, prompt, fields.max_tokens)
--- a/tests/test_entry_generation.py
+++ b/tests/test_entry_generation.py
@@ -115,8 +115,8 @@
         call = make_entry_call(entry_of(value), monotonic_ms())
         texts = []
 
-        async def deliver(chunk):
-            texts.append(chunk.text)
+        async def deliver(chunks):
+            texts.extend(chunk.text for chunk in chunks)
 
         async def run():
             return await generate(serving, Generation(call, PROMPT, N_TOKENS), deliver)
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -35,6 +35,7 @@
     def __init__(self, agent: Agent):
         self._agent = agent
         self.n_agent_calls = 0
+        self.n_agent_connections = 0
         self.agent_lost = anyio.Event()
 
     async def run(self, test: Callable[["_Entry"], Awaitable[None]]) -> None:
@@ -65,6 +66,7 @@
                 tasks.cancel_scope.cancel()
 
     async def _serve_agent(self, stream: anyio.abc.SocketStream) -> None:
+        self.n_agent_connections += 1
         try:
             while True:
                 request = await _read_request(stream)
@@ -151,6 +153,27 @@
         anyio.run(_Entry(agent).run, test)
 
 
+class TestReuse(unittest.TestCase):
+    """Connections to agents are used again."""
+
+    def test_after_stream(self):
+        """A stream that ended whole leaves its connection for the next one."""
+
+        async def agent(stream, request):
+            parts = (EVENT, b"data: [DONE]\n\n")
+            await stream.send(STREAM_HEAD + b"".join(map(_chunk, parts)))
+            await stream.send(b"0\r\n\r\n")
+
+        async def test(entry):
+            body = b'{"model": "m1", "prompt": "p", "max_tokens": 1}'
+            for _ in range(5):
+                status, _ = await entry.call("/v1/completions", body)
+                self.assertEqual(status, 200)
+            self.assertEqual(entry.n_agent_connections, 1)
+
+        anyio.run(_Entry(agent).run, test)
+
+
 class TestBadCallers(unittest.TestCase):
     """A bad caller loses its own connection only."""
 
