--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -1,4 +1,4 @@
-"""A planned stop of an entry, in separate processes."""
+"""A caller's hang-up and a planned stop of an entry, in separate processes."""
 
 import http.client
 import json
@@ -16,8 +16,8 @@
 N_STREAMS = 6
 
 
-class TestEntryStop(unittest.TestCase):
-    """SIGTERM to an entry under open streams."""
+class TestEntry(unittest.TestCase):
+    """Hang-up, and SIGTERM to an entry under open streams."""
 
     @classmethod
     def setUpClass(cls):
@@ -25,6 +25,7 @@
         cls.cluster = cls.enterClassContext(Cluster())
         cls.cluster.start_keeper()
         engine, agent, cls.port = free_port(), free_port(), free_port()
+        cls.engine = engine
         keepers = ("--keepers", cls.cluster.keepers)
         cls.cluster.start(
             "engine",
@@ -50,6 +51,20 @@
         ask = {"model": "m1", "prompt": "p", "max_tokens": 1}
         return call(cls.port, "POST", "/v1/completions", ask)[0] == 200
 
+    def test_hang_up_cancels_at_the_engine(self):
+        """When a caller hangs up, the engine stops writing its answer."""
+        n_cancelled = self._engine_state()["n_cancelled"]
+        stream = _open_stream(self.port, max_tokens=30_000)
+        stream.read1(1)
+        stream.close()
+        wait_for(
+            lambda: self._engine_state()["n_cancelled"] > n_cancelled,
+            "the engine to cancel",
+        )
+
+    def _engine_state(self) -> dict:
+        return json.loads(call(self.engine, "GET", "/standin/state")[2])
+
     def test_streams_are_finished(self):
         """Every open stream ends whole, new requests are refused, the exit is 0."""
         entry = self.cluster.processes["entry"]
@@ -69,10 +84,11 @@
         return call(self.port, "GET", "/readyz")[0] == 503
 
 
-def _open_stream(port: int) -> http.client.HTTPResponse:
+def _open_stream(port: int, max_tokens: int = N_TOKENS) -> http.client.HTTPResponse:
     conn = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_S)
-    ask = {"model": "m1", "prompt": PROMPT, "max_tokens": N_TOKENS, "stream": True}
-    conn.request("POST", "/v1/completions", json.dumps(ask))
+    ask = {"model": "m1", "prompt": PROMPT, "max_tokens": max_tokens, "stream": True}
+    headers = {"connection": "close"}
+    conn.request("POST", "/v1/completions", json.dumps(ask), headers)
     return conn.getresponse()
 
 
