--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,11 +4,18 @@
 
 from hypothesis import strategies as st
 
-from cowslipwood.kernel.messages import AgentReport, Resident
+from cowslipwood.kernel.messages import (
+    AgentReport,
+    DemandSample,
+    EntryReport,
+    Resident,
+)
 
 __all__ = [
     "adapter_value",
     "ask_value",
+    "agent_report",
+    "demand_report",
     "model_value",
     "order_value",
     "reports",
@@ -54,6 +61,21 @@
     }
 
 
+def agent_report(server_id: str = "s1", **fields: Any) -> AgentReport:
+    """Return the report of an engine's agent without models."""
+    report = AgentReport(
+        server_id, "i1", "zone-1", "127.0.0.1:1", "engine", "", 100, 0, False,
+        0, 0, 0, (), 0, 0, 0.0, 16,
+    )  # fmt: skip
+    return report._replace(**fields)
+
+
+def demand_report(**samples: tuple[float, float, float]) -> EntryReport:
+    """Return an entry's report: arrivals per second, in flight, missed by model."""
+    demand = tuple(DemandSample(name, *sample) for name, sample in samples.items())
+    return EntryReport("e1", "i1", "zone-1", "127.0.0.1:1", False, 0, demand)
+
+
 def order_value(model: str = "m1", **fields: Any) -> dict[str, Any]:
     """Return the JSON value of a load order to an engine."""
     return {
