Keep a drained server open until its models are ready elsewhere, at most 3 s

Cause: a drain or the platform's list closed a server at once, so a name whose only replica it held could not be reached for the time of a load.

Change: the leader closes it when another server has all of it ready, or after 3 s. Agents are now told of the platform's leaving as well as of drains, so an entry with an old view is refused there.

Ruled out: waiting for the copy without a bound; new work has to end within 5 s.

--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -45,6 +45,7 @@
     StateMachine,
 )
 from ._claims import ClaimLimits, Claims
+from ._closing import Closing
 from ._directory import Directory, server_view
 from ._machine import KeeperMachine
 from ._members import parse_peers
@@ -206,6 +207,8 @@
             settings, cluster_token, self._machine, self._metrics
         )
         self._directory = Directory()
+        self._closing = Closing(self._directory)
+        self._closed: set[str] = set()
         self._operators = Operators(
             self._machine, self._replica, self._directory, op_token
         )
@@ -316,12 +319,9 @@
                 await self._drop_subscribers()
                 await anyio.sleep(self._settings.tick_ms / 1000)
                 continue
+            self._closed = self._closing.closed(self._machine.drained, now_ms)
             views = {
-                report.server_id: server_view(
-                    report,
-                    report.server_id in self._machine.drained
-                    or self._directory.is_leaving(report.server_id, now_ms),
-                )
+                report.server_id: server_view(report, report.server_id in self._closed)
                 for report in self._directory.live_agents(now_ms)
             }
             async with anyio.create_task_group() as tasks:
@@ -356,7 +356,7 @@
                     self._replica.term,
                     assigned.revision,
                     assigned.desired,
-                    server_id in self._machine.drained,
+                    server_id in self._closed,
                 )
             )
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
 
+from cowslipwood.keeper._closing import CLOSE_AFTER_MS, Closing
 from cowslipwood.keeper._directory import AGENT_TIMEOUT_MS, LEAVING_HOLD_MS, Directory
 from cowslipwood.keeper._permits import Permits
 from cowslipwood.keeper._platform import parse_hosts
@@ -139,6 +140,30 @@
         self.assertEqual(len(directory.live_agents(AGENT_TIMEOUT_MS)), 1)
         self.assertEqual(directory.live_agents(AGENT_TIMEOUT_MS + 1.0), [])
 
+    def test_drained_server_serves_until_its_models_are_ready_elsewhere(self):
+        """A drain closes a server once another is ready, or after the bound."""
+        ready = (Resident("m1", "1", "ready", 1),)
+        directory = Directory()
+        closing = Closing(directory)
+        directory.hear_agent(agent_report("s1", residents=ready), 0.0)
+        directory.hear_agent(agent_report("s2"), 0.0)
+        self.assertEqual(closing.closed({"s1"}, 0.0), set())
+        directory.hear_agent(agent_report("s2", residents=ready), 1_000.0)
+        self.assertEqual(closing.closed({"s1"}, 1_000.0), {"s1"})
+        directory.hear_agent(agent_report("s2"), 1_500.0)
+        directory.hear_agent(agent_report("s1", residents=ready), 1_500.0)
+        self.assertEqual(closing.closed({"s1"}, 1_500.0), set())
+        directory.hear_agent(agent_report("s1", residents=ready), CLOSE_AFTER_MS)
+        self.assertEqual(closing.closed({"s1"}, CLOSE_AFTER_MS), {"s1"})
+        self.assertEqual(closing.closed(set(), CLOSE_AFTER_MS), set())
+
+    def test_agents_notice_closes_at_once(self):
+        """An agent that is stopping gets no new work, whatever it alone holds."""
+        ready = (Resident("m1", "1", "ready", 1),)
+        directory = Directory()
+        directory.hear_agent(agent_report("s1", residents=ready, leaving=True), 0.0)
+        self.assertEqual(Closing(directory).closed(set(), 0.0), {"s1"})
+
     @settings(derandomize=True, deadline=None)
     @given(st.binary(max_size=60) | st.sampled_from([b"[1]", b'[{"server_id":1}]']))
     def test_malformed_list_is_refused(self, body):
