--- a/benchmarks/bench_placement.py
+++ b/benchmarks/bench_placement.py
@@ -324,10 +324,12 @@
             load[min(servers, key=lambda s: (load[s], s))] += portion
 
 
-def compare_policies(users: list[User], minutes: int, seeds: list[int]) -> None:
+def compare_policies(
+    users: list[User], minutes: int, seeds: list[int], weights: list[float]
+) -> None:
     """Print each policy's outcome for some users, as the mean over seeds."""
     cases = [("static", 0.0), ("on_demand_lru", 0.0)]
-    cases += [("marginal_gain", weight) for weight in (0.0, 0.2, 0.5, 1.0, 2.0)]
+    cases += [("marginal_gain", weight) for weight in weights]
     for user in users:
         print(f"{user} {minutes} minutes, seeds {seeds}")
         print("policy          weight  share  per-acc  worst  loads unloads unreach")
@@ -383,6 +385,9 @@
     parser.add_argument("--user", choices=[user.name for user in USERS])
     parser.add_argument("--utilisation", type=float, default=0.45)
     parser.add_argument("--gib", type=int, default=80, help="memory of a server")
+    parser.add_argument(
+        "--weights", type=float, nargs="+", default=[0.0, 0.2, 0.5, 1.0, 2.0]
+    )
     parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2])
     options = parser.parse_args()
     if options.part == "round":
@@ -393,7 +398,7 @@
             for user in USERS
             if options.user in (None, user.name)
         ]
-        compare_policies(chosen, options.minutes, options.seeds)
+        compare_policies(chosen, options.minutes, options.seeds, options.weights)
 
 
 if __name__ == "__main__":
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -15,6 +15,7 @@
     "adapter_value",
     "agent_report",
     "demand_report",
+    "ask_value",
     "model_value",
     "order_value",
     "reports",
@@ -64,6 +65,17 @@
     return EntryReport("e1", "i1", "zone-1", "127.0.0.1:1", False, 0, demand)
 
 
+def ask_value(model: str = "m1", **fields: Any) -> dict[str, Any]:
+    """Return the JSON value of a call of a model at an agent."""
+    return {
+        "model": model,
+        "version": "1",
+        "prompt": "bread for 9",
+        "max_tokens": 4,
+        **fields,
+    }
+
+
 def order_value(model: str = "m1", **fields: Any) -> dict[str, Any]:
     """Return the JSON value of a load order to an engine."""
     return {
