Grant extra replicas no permit while a model without any waits

Cause: agents were served in the order in which they asked, so extra replicas took the store's rate from names that had no ready replica.

Change: a request for a model that no agent reports ready is urgent; while one is refused, others are too. The leader reads the reports at most each 200 ms for this.

The new test fails with the rule switched off on a scratch copy.

Run: test_permits, test_placement_failures, test_thin_path pass; lint clean.

--- a/benchmarks/bench_placement.py
+++ b/benchmarks/bench_placement.py
@@ -178,6 +178,7 @@
         self._since_ms: dict[tuple[str, ModelKey], float] = {}
         self._permit_of: dict[tuple[str, ModelKey], int] = {}
         self._left_out: set[str] = set()
+        self._ready_names: set[str] = set()
         self.n_loads = 0
         self.n_unloads = 0
 
@@ -205,6 +206,7 @@
             now_ms = float(step * STEP_MS)
             offered = self._demand.at(now_ms / 1000)
             homes = self._ready_homes(now_ms)
+            self._ready_names = set(homes)
             self._report(offered, homes, now_ms)
             self._plan(now_ms)
             self._load(now_ms)
@@ -292,7 +294,11 @@
         place = (server_id, ModelKey(item.name, item.version))
         if place in self._ready_at_ms:
             return
-        asked = self._permits.request(PermitRequest(server_id, item.name), now_ms)
+        asked = self._permits.request(
+            PermitRequest(server_id, item.name),
+            now_ms,
+            urgent=item.name not in self._ready_names,
+        )
         permit = asked.value_or(None)
         if permit is None:
             return
--- a/src/cowslipwood/keeper/_permits.py
+++ b/src/cowslipwood/keeper/_permits.py
@@ -17,6 +17,7 @@
 __all__ = ["Permits"]
 
 MAX_LOAD_MS = 600_000.0
+URGENT_MS = 3_000.0  # a refused agent asks again sooner than this
 MIN_RETRY_MS = 50
 LOADING_STATES = ("loading", "uncertain")
 
@@ -54,6 +55,7 @@
         self._grants_from_ms = 0.0
         self._adopting = False
         self._next_id = 1
+        self._urgent_asked_at_ms: dict[_Load, float] = {}
 
     @property
     def n_held(self) -> int:
@@ -77,13 +79,31 @@
         )
 
     def request(
-        self, request: PermitRequest, now_ms: float
+        self, request: PermitRequest, now_ms: float, *, urgent: bool
     ) -> Result[PermitGrant, Failure]:
         """Grant one load, or fail with NO_PERMIT and when to come back.
 
         A request for a load that holds a permit gets that permit again, so an
-        answer that was lost costs nothing.
+        answer that was lost costs nothing. While an urgent load is refused, no
+        other is granted.
+
+        Parameters
+        ----------
+        request : PermitRequest
+        now_ms : float
+        urgent : bool
+            Whether the model has no ready replica.
         """
+        asked = self._request(request, now_ms, urgent)
+        load = _Load(request.server_id, request.model)
+        self._urgent_asked_at_ms.pop(load, None)
+        if urgent and isinstance(asked, Err):
+            self._urgent_asked_at_ms[load] = now_ms
+        return asked
+
+    def _request(
+        self, request: PermitRequest, now_ms: float, urgent: bool
+    ) -> Result[PermitGrant, Failure]:
         self._expire(now_ms)
         if now_ms < self._grants_from_ms:
             return self._refuse(self._grants_from_ms - now_ms)
@@ -94,6 +114,8 @@
         if held is not None:
             self._held[load] = held._replace(granted_at_ms=now_ms)
             return Success(PermitGrant(held.permit_id, self._valid_ms))
+        if not urgent and self._urgent_asked_at_ms:
+            return self._refuse(1000.0 / self._loads_per_s)
         if now_ms < self._next_at_ms:
             return self._refuse(self._next_at_ms - now_ms)
         if len(self._held) >= self._max_at_once:
@@ -127,6 +149,9 @@
             unused = age_ms > self._valid_ms and load not in self._loading
             if unused or age_ms > MAX_LOAD_MS:
                 del self._held[load]
+        for load, at_ms in list(self._urgent_asked_at_ms.items()):
+            if now_ms - at_ms > URGENT_MS:
+                del self._urgent_asked_at_ms[load]
 
     def _refuse(self, wait_ms: float) -> Result[PermitGrant, Failure]:
         retry_ms = max(int(wait_ms) + 1, MIN_RETRY_MS)
--- a/src/cowslipwood/keeper/_planner.py
+++ b/src/cowslipwood/keeper/_planner.py
@@ -43,6 +43,7 @@
 
 SETTLE_MS = 1_000.0  # agents need this long to find a new leader and report
 OVERDUE_MS = 60_000.0
+OBSERVE_MS = 200.0
 FORGET_MS = 3_600_000.0
 THREAD_FROM_SERVERS = 50
 PLAN_SHARE = 0.025  # of a core, at most, until the delay reaches its bound
@@ -120,6 +121,8 @@
         self._leader_since_ms: float | None = None
         self._assigned_at_ms: dict[tuple[str, ModelKey], float] = {}
         self._left_out: frozenset[str] = frozenset()
+        self._observed_at_ms = float("-inf")
+        self._ready_names: frozenset[str] = frozenset()
 
     def hear_entry(self, report: EntryReport, now_ms: float) -> None:
         """Take the demand that an entry reports."""
@@ -132,8 +135,9 @@
         if isinstance(message, PermitRelease):
             self._permits.release(message)
             return Ack(self._machine.catalogue.revision)
-        self._permits.observe(self._directory.live_agents(now_ms))
-        asked = self._permits.request(message, now_ms)
+        self._observe(now_ms)
+        urgent = message.model not in self._ready_names
+        asked = self._permits.request(message, now_ms, urgent=urgent)
         if isinstance(asked, Err):
             reason = asked.failure().code.name
             self._metrics.count("refusals_total", reason=reason)
@@ -141,6 +145,20 @@
         self._metrics.count("permits_granted_total")
         return asked.unwrap()
 
+    def _observe(self, now_ms: float) -> None:
+        """Read the agents' reports, not for each of many requests anew."""
+        if now_ms - self._observed_at_ms < OBSERVE_MS:
+            return
+        self._observed_at_ms = now_ms
+        reports = self._directory.live_agents(now_ms)
+        self._permits.observe(reports)
+        self._ready_names = frozenset(
+            held.model
+            for report in reports
+            for held in report.residents
+            if held.state == "ready"
+        )
+
     async def run(self) -> None:
         """Plan for as long as the process runs."""
         while True:
@@ -159,6 +177,7 @@
             self._leader_since_ms = now_ms
             self._assigned_at_ms.clear()
             self._permits.lead(now_ms)
+            self._observed_at_ms = float("-inf")
         return True
 
     async def _round(self, now_ms: float) -> None:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -31,6 +31,11 @@
     return agent_report(server_id, residents=(resident,))
 
 
+def ask(permits, request, now_ms, *, urgent=True):
+    """Return the answer to a request."""
+    return permits.request(request, now_ms, urgent=urgent)
+
+
 class TestPermits(unittest.TestCase):
     """The leader's permits."""
 
@@ -55,7 +60,7 @@
                 permits.release(PermitRelease(permit_id, f"s{server}"))
             if number in running:
                 continue
-            asked = permits.request(PermitRequest(f"s{number}", "m"), now_ms)
+            asked = ask(permits, PermitRequest(f"s{number}", "m"), now_ms)
             if is_successful(asked):
                 begun.append(now_ms)
                 running[number] = asked.unwrap().permit_id
@@ -68,25 +73,25 @@
     def test_repeated_request_gets_the_same_permit(self):
         """A request resent after its answer was lost takes no second place."""
         permits = leading()
-        asked = [permits.request(PermitRequest("s1", "m1"), t) for t in (0.0, 10.0)]
+        asked = [ask(permits, PermitRequest("s1", "m1"), t) for t in (0.0, 10.0)]
         self.assertEqual(asked[0], asked[1])
         self.assertEqual(permits.n_held, 1)
 
     def test_unused_permit_expires(self):
         """A permit whose load never began is free again after its validity."""
         permits = leading(max_at_once=1)
-        permits.request(PermitRequest("s1", "m1"), 0.0)
-        refused = permits.request(PermitRequest("s2", "m1"), VALID_MS - 1.0)
+        ask(permits, PermitRequest("s1", "m1"), 0.0)
+        refused = ask(permits, PermitRequest("s2", "m1"), VALID_MS - 1.0)
         self.assertEqual(refused.failure().code, Code.NO_PERMIT)
-        granted = permits.request(PermitRequest("s2", "m1"), VALID_MS + 1.0)
+        granted = ask(permits, PermitRequest("s2", "m1"), VALID_MS + 1.0)
         self.assertTrue(is_successful(granted))
 
     def test_running_load_keeps_its_permit(self):
         """A load that the agent reports under way holds its place beyond validity."""
         permits = leading(max_at_once=1)
-        permits.request(PermitRequest("s1", "m1"), 0.0)
+        ask(permits, PermitRequest("s1", "m1"), 0.0)
         permits.observe([loading("s1", "m1")])
-        refused = permits.request(PermitRequest("s2", "m1"), 10.0 * VALID_MS)
+        refused = ask(permits, PermitRequest("s2", "m1"), 10.0 * VALID_MS)
         self.assertEqual(refused.failure().code, Code.NO_PERMIT)
 
     def test_new_leader_counts_loads_of_the_one_before(self):
@@ -94,13 +99,25 @@
         permits = Permits(10.0, 2, VALID_MS)
         permits.lead(0.0)
         permits.observe([loading("s1", "m1"), loading("s2", "m1")])
-        early = permits.request(PermitRequest("s3", "m1"), VALID_MS - 1.0)
+        early = ask(permits, PermitRequest("s3", "m1"), VALID_MS - 1.0)
         self.assertEqual(early.failure().retry_after_ms, 50)
-        late = permits.request(PermitRequest("s3", "m1"), VALID_MS + 1.0)
+        late = ask(permits, PermitRequest("s3", "m1"), VALID_MS + 1.0)
         self.assertEqual(late.failure().code, Code.NO_PERMIT)
-        own = permits.request(PermitRequest("s1", "m1"), VALID_MS + 1.0)
+        own = ask(permits, PermitRequest("s1", "m1"), VALID_MS + 1.0)
         self.assertTrue(is_successful(own))
 
+    def test_extra_replica_waits_for_a_model_without_any(self):
+        """While a model without a ready replica is refused, no other is granted."""
+        permits = leading(max_at_once=5)
+        ask(permits, PermitRequest("s1", "m1"), 0.0)
+        ask(permits, PermitRequest("s2", "m2"), 500.0)
+        extra = ask(permits, PermitRequest("s3", "m1"), 1_000.0, urgent=False)
+        self.assertEqual(extra.failure().code, Code.NO_PERMIT)
+        urgent = ask(permits, PermitRequest("s2", "m2"), 1_000.0)
+        self.assertTrue(is_successful(urgent))
+        extra = ask(permits, PermitRequest("s3", "m1"), 2_000.0, urgent=False)
+        self.assertTrue(is_successful(extra))
+
 
 class TestLeaving(unittest.TestCase):
     """Any sign of leaving wins."""
