Commit a plan only in the term in which it was made

Cause: a keeper that lost and regained the lead while a round ran, or between two of its proposals, could commit a plan made from assignments that another leader had changed since, and it did not wait anew for reports and old permits.

Change: the planner checks the term with the lease before each proposal, and a new term begins a new leadership. tests/test_planner.py states silence, the grace of a new leader, confirmed reports and this rule with the present time given.

On a scratch copy, each of these switched off made its test fail: the term check, the new leadership in a new term, confirmation by revision, silence counted from the leadership, the platform's list with silence.

Run: test_planner, test_placement_failures and test_permits pass; lint clean.

--- a/src/cowslipwood/keeper/_planner.py
+++ b/src/cowslipwood/keeper/_planner.py
@@ -119,6 +119,7 @@
             settings.loads_per_s, settings.max_loads_at_once, settings.permit_valid_ms
         )
         self._leader_since_ms: float | None = None
+        self._leading_term = 0
         self._assigned_at_ms: dict[tuple[str, ModelKey], float] = {}
         self._left_out: frozenset[str] = frozenset()
         self._observed_at_ms = float("-inf")
@@ -173,8 +174,9 @@
         if not self._replica.leads(now_ms):
             self._leader_since_ms = None
             return False
-        if self._leader_since_ms is None:
+        if self._leader_since_ms is None or self._leading_term != self._replica.term:
             self._leader_since_ms = now_ms
+            self._leading_term = self._replica.term
             self._assigned_at_ms.clear()
             self._permits.lead(now_ms)
             self._observed_at_ms = float("-inf")
@@ -185,13 +187,15 @@
             return
         if now_ms - self._leader_since_ms < SETTLE_MS:
             return
+        term = self._replica.term
         request = self.request(now_ms)
         if len(request.servers) < THREAD_FROM_SERVERS:
             plan = self._policy(request)
         else:
             plan = await anyio.to_thread.run_sync(self._policy, request)
-        self._note(plan, request)
-        await self._commit(plan)
+        if self._may_commit(term):
+            self._note(plan, request)
+            await self._commit(plan, term)
         await self._forget_long_gone(now_ms)
 
     def request(self, now_ms: float) -> PlacementRequest:
@@ -315,9 +319,16 @@
             self._metrics.count("moves_total", n_added, kind="load")
             self._metrics.count("moves_total", n_removed, kind="unload")
 
-    async def _commit(self, plan: Plan) -> None:
+    def _may_commit(self, term: int) -> bool:
+        """Return whether this keeper still leads in the term of a plan.
+
+        Another leader in between may have changed what the plan was made from.
+        """
+        return self._replica.leads(monotonic_ms()) and self._replica.term == term
+
+    async def _commit(self, plan: Plan, term: int) -> None:
         for server_id, desired in sorted(plan.desired.items()):
-            if not self._replica.leads(monotonic_ms()):
+            if not self._may_commit(term):
                 return
             command = encode_command(AssignCommand(server_id, desired))
             if isinstance(await self._replica.propose(command), Err):
@@ -333,5 +344,5 @@
                 continue
             self._directory.forget_agent(server_id)
             if assigned.desired:
-                await self._commit(Plan({server_id: ()}))
+                await self._commit(Plan({server_id: ()}), self._replica.term)
                 return
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,123 @@
+"""The planner: what it relies on, and what it commits."""
+
+import unittest
+
+import anyio
+from returns.result import Success
+
+from cowslipwood.keeper._commands import AssignCommand, decode_command
+from cowslipwood.keeper._directory import AGENT_TIMEOUT_MS, Directory
+from cowslipwood.keeper._machine import AssignedModels, KeeperMachine
+from cowslipwood.keeper._planner import SETTLE_MS, Planner, PlannerSettings
+from cowslipwood.kernel.codes import Code
+from cowslipwood.kernel.messages import DesiredModel, PermitRequest
+from cowslipwood.kernel.metrics import Metrics
+from cowslipwood.placement import ServerStatus
+
+from .builders import agent_report
+
+DEAD_AFTER_MS = 5_000
+MODEL = DesiredModel("m1", "1", "model", "", 10)
+
+
+class FixedReplica:
+    """A replica that leads when told to and keeps what is proposed."""
+
+    def __init__(self):
+        self.term = 1
+        self.leader_addr = "127.0.0.1:1"
+        self.leading = True
+        self.commands = []
+
+    def leads(self, now_ms):
+        return self.leading
+
+    async def propose(self, command):
+        self.commands.append(decode_command(command).unwrap())
+        return Success(Success(None))
+
+
+class TestPlanner(unittest.TestCase):
+    """One keeper's planner, with the present time given."""
+
+    def setUp(self):
+        self.machine = KeeperMachine()
+        self.directory = Directory()
+        self.replica = FixedReplica()
+        settings = PlannerSettings(dead_after_ms=DEAD_AFTER_MS)
+        self.planner = Planner(
+            settings, self.machine, self.directory, self.replica, Metrics("keeper")
+        )
+
+    def round(self, now_ms):
+        """Run one round at a time."""
+        anyio.run(self.planner._round, now_ms)
+
+    def status(self, server_id, now_ms):
+        """Return how far a server may be relied on; None when it is gone."""
+        servers = self.planner.request(now_ms).servers
+        return {state.server_id: state.status for state in servers}.get(server_id)
+
+    def test_silence(self):
+        """A silent server is waited for, then it is gone."""
+        self.round(0.0)
+        self.directory.hear_agent(agent_report("s1"), 100.0)
+        self.assertIs(self.status("s1", 100.0), ServerStatus.LIVE)
+        silent_ms = 100.0 + AGENT_TIMEOUT_MS + 1.0
+        self.assertIs(self.status("s1", silent_ms), ServerStatus.SILENT)
+        self.assertIsNone(self.status("s1", 101.0 + DEAD_AFTER_MS))
+
+    def test_silent_server_off_the_list_is_gone_at_once(self):
+        """Silence and the platform's list together need no further wait."""
+        self.round(0.0)
+        self.directory.hear_agent(agent_report("s1"), 100.0)
+        self.directory.hear_platform({"s1": "live"}, 100.0)
+        self.directory.hear_platform({}, 200.0)
+        self.assertIs(self.status("s1", 300.0), ServerStatus.LIVE)
+        self.assertIsNone(self.status("s1", 101.0 + AGENT_TIMEOUT_MS))
+
+    def test_new_leader_gives_agents_time_to_report(self):
+        """Silence counts from the begin of the leadership, in each term."""
+        self.machine.assignments["s1"] = AssignedModels(1, (MODEL,))
+        self.round(0.0)
+        self.assertIsNone(self.status("s1", 1.0 + DEAD_AFTER_MS))
+        self.replica.term = 2
+        self.round(1.0 + DEAD_AFTER_MS)
+        again = self.status("s1", 2.0 + DEAD_AFTER_MS)
+        self.assertIs(again, ServerStatus.SILENT)
+
+    def test_report_on_an_older_assignment_is_not_confirmed(self):
+        """Only a report that answers the newest assignment counts as ready."""
+        self.machine.assignments["s1"] = AssignedModels(7, (MODEL,))
+        self.round(0.0)
+        for revision, confirmed in ((6, False), (7, True)):
+            report = agent_report("s1", assignment_revision=revision)
+            self.directory.hear_agent(report, 0.0)
+            (state,) = self.planner.request(0.0).servers
+            self.assertIs(state.confirmed, confirmed)
+
+    def test_plan_of_an_earlier_term_is_dropped(self):
+        """A plan is committed only in the term in which it was made."""
+        self.machine.assignments["s1"] = AssignedModels(7, (MODEL,))
+        self.directory.hear_agent(agent_report("s1"), SETTLE_MS)
+        decide = self.planner._policy
+
+        def decide_late(request):
+            self.replica.term += 1
+            return decide(request)
+
+        self.round(0.0)
+        self.planner._policy = decide_late
+        self.round(SETTLE_MS)
+        self.assertEqual(self.replica.commands, [])
+        self.planner._policy = decide
+        self.round(SETTLE_MS)
+        self.round(2.0 * SETTLE_MS)
+        self.assertEqual(self.replica.commands, [AssignCommand("s1", ())])
+
+    def test_permits_come_from_the_leader_only(self):
+        """A keeper that does not lead refuses and names the leader."""
+        self.replica.leading = False
+        refused = self.planner.answer(PermitRequest("s1", "m1"), 0.0)
+        self.assertEqual(refused.code, Code.NOT_LEADER)
+        self.assertEqual(refused.leader_addr, self.replica.leader_addr)
