--- a/src/cowslipwood/keeper/_planner.py
+++ b/src/cowslipwood/keeper/_planner.py
@@ -43,6 +43,7 @@
 
 SETTLE_MS = 1_000.0  # agents need this long to find a new leader and report
 OVERDUE_MS = 60_000.0
+OBSERVE_MS = 200.0
 FORGET_MS = 3_600_000.0
 THREAD_FROM_SERVERS = 50
 PLAN_SHARE = 0.025  # of a core, at most, until the delay reaches its bound
@@ -118,8 +119,11 @@
             settings.loads_per_s, settings.max_loads_at_once, settings.permit_valid_ms
         )
         self._leader_since_ms: float | None = None
+        self._leading_term = 0
         self._assigned_at_ms: dict[tuple[str, ModelKey], float] = {}
         self._left_out: frozenset[str] = frozenset()
+        self._observed_at_ms = float("-inf")
+        self._ready_names: frozenset[str] = frozenset()
 
     def hear_entry(self, report: EntryReport, now_ms: float) -> None:
         """Take the demand that an entry reports."""
@@ -132,8 +136,9 @@
         if isinstance(message, PermitRelease):
             self._permits.release(message)
             return Ack(self._machine.catalogue.revision)
-        self._permits.observe(self._directory.live_agents(now_ms))
-        asked = self._permits.request(message, now_ms)
+        self._observe(now_ms)
+        urgent = message.model not in self._ready_names
+        asked = self._permits.request(message, now_ms, urgent=urgent)
         if isinstance(asked, Err):
             reason = asked.failure().code.name
             self._metrics.count("refusals_total", reason=reason)
@@ -141,6 +146,20 @@
         self._metrics.count("permits_granted_total")
         return asked.unwrap()
 
+    def _observe(self, now_ms: float) -> None:
+        """Read the agents' reports, not for each of many requests anew."""
+        if now_ms - self._observed_at_ms < OBSERVE_MS:
+            return
+        self._observed_at_ms = now_ms
+        reports = self._directory.live_agents(now_ms)
+        self._permits.observe(reports)
+        self._ready_names = frozenset(
+            held.model
+            for report in reports
+            for held in report.residents
+            if held.state == "ready"
+        )
+
     async def run(self) -> None:
         """Plan for as long as the process runs."""
         while True:
@@ -155,10 +174,12 @@
         if not self._replica.leads(now_ms):
             self._leader_since_ms = None
             return False
-        if self._leader_since_ms is None:
+        if self._leader_since_ms is None or self._leading_term != self._replica.term:
             self._leader_since_ms = now_ms
+            self._leading_term = self._replica.term
             self._assigned_at_ms.clear()
             self._permits.lead(now_ms)
+            self._observed_at_ms = float("-inf")
         return True
 
     async def _round(self, now_ms: float) -> None:
@@ -166,13 +187,15 @@
             return
         if now_ms - self._leader_since_ms < SETTLE_MS:
             return
+        term = self._replica.term
         request = self.request(now_ms)
         if len(request.servers) < THREAD_FROM_SERVERS:
             plan = self._policy(request)
         else:
             plan = await anyio.to_thread.run_sync(self._policy, request)
-        self._note(plan, request)
-        await self._commit(plan)
+        if self._may_commit(term):
+            self._note(plan, request)
+            await self._commit(plan, term)
         await self._forget_long_gone(now_ms)
 
     def request(self, now_ms: float) -> PlacementRequest:
@@ -296,9 +319,16 @@
             self._metrics.count("moves_total", n_added, kind="load")
             self._metrics.count("moves_total", n_removed, kind="unload")
 
-    async def _commit(self, plan: Plan) -> None:
+    def _may_commit(self, term: int) -> bool:
+        """Return whether this keeper still leads in the term of a plan.
+
+        Another leader in between may have changed what the plan was made from.
+        """
+        return self._replica.leads(monotonic_ms()) and self._replica.term == term
+
+    async def _commit(self, plan: Plan, term: int) -> None:
         for server_id, desired in sorted(plan.desired.items()):
-            if not self._replica.leads(monotonic_ms()):
+            if not self._may_commit(term):
                 return
             command = encode_command(AssignCommand(server_id, desired))
             if isinstance(await self._replica.propose(command), Err):
@@ -314,5 +344,5 @@
                 continue
             self._directory.forget_agent(server_id)
             if assigned.desired:
-                await self._commit(Plan({server_id: ()}))
+                await self._commit(Plan({server_id: ()}), self._replica.term)
                 return
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -13,9 +13,9 @@
 
 __all__ = [
     "adapter_value",
-    "ask_value",
     "agent_report",
     "demand_report",
+    "ask_value",
     "model_value",
     "order_value",
     "reports",
@@ -50,17 +50,6 @@
     return {**value, **fields}
 
 
-def ask_value(model: str = "m1", **fields: Any) -> dict[str, Any]:
-    """Return the JSON value of a call of a model at an agent."""
-    return {
-        "model": model,
-        "version": "1",
-        "prompt": "bread for 9",
-        "max_tokens": 4,
-        **fields,
-    }
-
-
 def agent_report(server_id: str = "s1", **fields: Any) -> AgentReport:
     """Return the report of an engine's agent without models."""
     report = AgentReport(
@@ -76,6 +65,17 @@
     return EntryReport("e1", "i1", "zone-1", "127.0.0.1:1", False, 0, demand)
 
 
+def ask_value(model: str = "m1", **fields: Any) -> dict[str, Any]:
+    """Return the JSON value of a call of a model at an agent."""
+    return {
+        "model": model,
+        "version": "1",
+        "prompt": "bread for 9",
+        "max_tokens": 4,
+        **fields,
+    }
+
+
 def order_value(model: str = "m1", **fields: Any) -> dict[str, Any]:
     """Return the JSON value of a load order to an engine."""
     return {
