Measure commits a second against concurrent proposers

Cause: the log's throughput was unknown. Change: benchmarks/bench_log.py starts three keepers and puts entries through one connection to the leader.

--- /dev/null
+++ b/benchmarks/bench_log.py
@@ -0,0 +1,114 @@
+"""Commits a second and their latency, by the number of concurrent proposers.
+
+Three keepers run as separate processes on loopback; the proposers are tasks of
+this process and put catalogue entries through one connection to the leader.
+
+    python -m benchmarks.bench_log --proposers 1 8 64 --edits 2000
+"""
+
+import sys
+import uuid
+from typing import Any, NamedTuple
+
+import anyio
+import defopt
+import orjson
+from hdrh.histogram import HdrHistogram
+from returns.result import Failure as Err
+from tests.builders import model_value
+from tests.keepers import KeeperCluster
+
+from cowslipwood.kernel.clock import monotonic_ms
+from cowslipwood.kernel.keeper_link import KeeperLink
+from cowslipwood.kernel.messages import Hello, OperatorRequest
+
+__all__ = ["main"]
+
+ANSWER_TIMEOUT_MS = 30_000
+MAX_LATENCY_US = 60_000_000
+N_NAMES = 64
+_HELLO = Hello("operator", "bench", "", "", "cluster-secret")
+
+
+class _Row(NamedTuple):
+    n_proposers: int
+    n_commits: int
+    commits_per_s: float
+    p50_ms: float
+    p99_ms: float
+
+
+async def _ignore(value: Any) -> None:
+    """Drop the leader's heartbeats."""
+
+
+async def _measure(link: KeeperLink, n_proposers: int, n_edits: int) -> _Row:
+    latencies_us = HdrHistogram(1, MAX_LATENCY_US, 3)
+    turns = iter(range(n_edits))
+
+    async def propose() -> None:
+        for turn in turns:
+            name = f"m{turn % N_NAMES}"
+            body = orjson.dumps(model_value(name, version=str(turn)))
+            request = OperatorRequest(
+                "put", name, body, uuid.uuid4().hex, -1, "operator-secret"
+            )
+            sent_ms = monotonic_ms()
+            answer = await link.request(request, ANSWER_TIMEOUT_MS)
+            if isinstance(answer, Err):
+                sys.exit(f"refused: {answer.failure()}")
+            latencies_us.record_value(int((monotonic_ms() - sent_ms) * 1000))
+
+    started_ms = monotonic_ms()
+    async with anyio.create_task_group() as tasks:
+        for _ in range(n_proposers):
+            tasks.start_soon(propose)
+    spent_s = (monotonic_ms() - started_ms) / 1000
+    return _Row(
+        n_proposers,
+        n_edits,
+        n_edits / spent_s,
+        latencies_us.get_value_at_percentile(50) / 1000,
+        latencies_us.get_value_at_percentile(99) / 1000,
+    )
+
+
+async def _run(keepers: str, proposers: list[int], n_edits: int) -> list[_Row]:
+    link = KeeperLink(keepers, _HELLO, _ignore)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(link.run)
+        while not link.connected:
+            await anyio.sleep(0.01)
+        rows = [await _measure(link, n, n_edits) for n in proposers]
+        tasks.cancel_scope.cancel()
+    return rows
+
+
+def bench(*, proposers: list[int] = (1, 8, 64, 256), edits: int = 2_000) -> None:
+    """Print a row for each number of proposers.
+
+    Parameters
+    ----------
+    proposers : list[int]
+        How many edits are under way at once.
+    edits : int
+        Edits for each row.
+    """
+    with KeeperCluster() as cluster:
+        cluster.start_all()
+        rows = anyio.run(_run, cluster.keepers, list(proposers), edits)
+    print("proposers  commits  commits/s  p50 ms  p99 ms")
+    for row in rows:
+        print(
+            f"{row.n_proposers:9}  {row.n_commits:7}  {row.commits_per_s:9.0f}"
+            f"  {row.p50_ms:6.2f}  {row.p99_ms:6.2f}"
+        )
+
+
+def main() -> None:
+    """Run the benchmark."""
+    defopt.run(bench)
+
+
+if __name__ == "__main__":
+    main()
