Show what a leader that is cut off or frozen may do

Change: a test of the lease with the present time as an argument; a leader whose followers are frozen answers NO_QUORUM to the edit under way and NOT_LEADER to the next; every refusal of a keeper is counted by reason; Cluster.start_keepers.

--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -23,6 +23,7 @@
     EntryReport,
     Hello,
     OperatorRequest,
+    Refused,
     Welcome,
 )
 from ..kernel.metrics import Metrics
@@ -228,21 +229,28 @@
         if subscriber.role == "keeper":
             return await self._replica.handle(value, now_ms)
         if not self._replica.leads(now_ms):
-            self._metrics.count("refusals_total", reason=Code.NOT_LEADER.name)
-            return as_refused(failure(Code.NOT_LEADER), self._replica.leader_addr)
+            not_leader = failure(Code.NOT_LEADER)
+            return self._counted(as_refused(not_leader, self._replica.leader_addr))
         match value:
             case AgentReport():
                 self._directory.hear_agent(value, now_ms)
             case EntryReport():
                 self._directory.hear_entry(value, now_ms)
             case OperatorRequest():
-                return await self._operators.answer(value, subscriber.peer_id)
+                reply = await self._operators.answer(value, subscriber.peer_id)
+                return self._counted(reply)
             case ClaimBegin() | ClaimAttempt() | ClaimFinish():
                 return await self._claims.answer(value, wall_ms())
             case _:
-                return as_refused(failure(Code.BAD_MESSAGE))
+                return self._counted(as_refused(failure(Code.BAD_MESSAGE)))
         return Ack(self._machine.catalogue.revision)
 
+    def _counted(self, reply: Any) -> Any:
+        """Count a reply that is a refusal, and return it."""
+        if isinstance(reply, Refused):
+            self._metrics.count("refusals_total", reason=Code(reply.code).name)
+        return reply
+
     async def _tell_loop(self) -> None:
         while True:
             now_ms = monotonic_ms()
--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -79,16 +79,13 @@
 
     def start_one(self, name: str) -> None:
         """Start one keeper, again after it ended or for the first time."""
-        self.start(
+        self.start_member(
             name,
-            "keeper",
-            f"--keeper-id={name}",
-            f"--data={self.folder}/{name}",
-            f"--listen={self.addresses[name]}",
-            f"--http-listen=127.0.0.1:{self.http_ports[name]}",
+            name,
+            self.addresses[name],
+            self.http_ports[name],
             f"--peers={self.peers}",
             *self._flags,
-            COWSLIP_OPERATOR_TOKEN="operator-secret",
         )
 
     def signal(self, name: str, signum: signal.Signals) -> None:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -85,13 +85,28 @@
     def start_keeper(self, *flags: str) -> None:
         """Start one keeper that stands alone."""
         self.keepers = f"127.0.0.1:{free_port()}"
+        self.start_member("keeper", "k1", self.keepers, free_port(), *flags)
+
+    def start_keepers(self, n_keepers: int, *flags: str) -> None:
+        """Start keepers k1, k2, ... that share a log."""
+        addrs = [f"127.0.0.1:{free_port()}" for _ in range(n_keepers)]
+        self.keepers = ",".join(addrs)
+        peers = ",".join(f"k{n}={addr}" for n, addr in enumerate(addrs, 1))
+        for n, addr in enumerate(addrs, 1):
+            name = f"k{n}"
+            self.start_member(name, name, addr, free_port(), f"--peers={peers}", *flags)
+
+    def start_member(
+        self, process: str, keeper_id: str, addr: str, http_port: int, *flags: str
+    ) -> None:
+        """Start one keeper under a process name."""
         self.start(
+            process,
             "keeper",
-            "keeper",
-            "--keeper-id=k1",
-            f"--data={self.folder}/k1",
-            f"--listen={self.keepers}",
-            f"--http-listen=127.0.0.1:{free_port()}",
+            f"--keeper-id={keeper_id}",
+            f"--data={self.folder}/{keeper_id}",
+            f"--listen={addr}",
+            f"--http-listen=127.0.0.1:{http_port}",
             *flags,
             COWSLIP_OPERATOR_TOKEN="operator-secret",
         )
--- a/tests/test_keeper_failures.py
+++ b/tests/test_keeper_failures.py
@@ -1,5 +1,6 @@
 """Three keepers as processes: killed, frozen, and bereft of their disks."""
 
+import json
 import resource
 import signal
 import unittest
@@ -74,13 +75,10 @@
         async def ask(place: int) -> None:
             answers[place] = await channels[place].request(requests[place], 60_000)
 
-        async def ignore(value: object) -> None:
-            """Drop what the keeper sends of its own accord."""
-
         cluster.signal(first, signal.SIGSTOP)
         async with anyio.create_task_group() as reading:
             for channel in channels:
-                reading.start_soon(channel.run, ignore)
+                reading.start_soon(channel.run, _ignore)
             async with anyio.create_task_group() as asking:
                 asking.start_soon(ask, 0)
                 asking.start_soon(ask, 1)
@@ -90,6 +88,36 @@
             reading.cancel_scope.cancel()
         return answers
 
+    def test_cut_off_leader(self):
+        """A leader without a quorum says what it can't know, then refuses."""
+        with KeeperCluster() as cluster:
+            first = cluster.start_all()
+            cluster.put(model_value("m1"))
+            others = cluster.followers()
+            for name in others:
+                cluster.signal(name, signal.SIGSTOP)
+            unknown, refused = anyio.run(self._put_twice, cluster.addresses[first])
+            self.assertEqual(unknown.failure().code, Code.NO_QUORUM)
+            self.assertEqual(refused.failure().code, Code.NOT_LEADER)
+            for name in others:
+                cluster.signal(name, signal.SIGCONT)
+            cluster.put_many(["m2"])
+            self.assertEqual(cluster.names(), {"m1", "m2"})
+            self.assertEqual(cluster.metric(cluster.leader(), "revision"), 2)
+
+    async def _put_twice(self, addr: str) -> list:
+        """Put one model, and another one after the answer."""
+        answers = []
+        for name in ("m2", "m3"):
+            channel = await open_operator(addr)
+            async with anyio.create_task_group() as reading:
+                reading.start_soon(channel.run, _ignore)
+                body = json.dumps(model_value(name)).encode()
+                request = operator_request("put", name, body)
+                answers.append(await channel.request(request, 60_000))
+                reading.cancel_scope.cancel()
+        return answers
+
     def test_planned_stop(self):
         """A leader that is asked to stop hands over before it ends."""
         with KeeperCluster() as cluster:
@@ -210,5 +238,9 @@
             self.assertEqual(cluster.names(), {"m1", "m2"})
 
 
+async def _ignore(value: object) -> None:
+    """Drop what a keeper sends of its own accord."""
+
+
 def _exit_status(code: Code) -> int:
     return CODE_INFO[code].exit_status
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -5,19 +5,25 @@
 import unittest
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import anyio
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from returns.result import Success
 
+from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.replication import DataDamagedError
 from cowslipwood.replication._applier import Applier
 from cowslipwood.replication._follower import Follower
-from cowslipwood.replication._log import DurableLog
+from cowslipwood.replication._leader import Leadership
+from cowslipwood.replication._log import DurableLog, members_entry
 from cowslipwood.replication._membership import has_quorum, next_members
 from cowslipwood.replication._messages import (
+    AppendReply,
     AppendRequest,
+    HeartbeatReply,
     HeartbeatRequest,
     LogEntry,
     Member,
@@ -191,6 +197,53 @@
         self.assertNotIn(old_id, [m.replica_id for m in members])
 
 
+class TestLease(unittest.TestCase):
+    """What lets a leader act."""
+
+    def test_lease(self):
+        """A leader acts until the lease after a quorum's last answer, no longer."""
+
+        async def check(folder: Path) -> None:
+            _, state, _ = _follower(folder)
+            members = tuple(Member(f"k{n}.a", "", True) for n in (2, 3))
+            own = Member(state.replica_id, "", True)
+            state.log.append([members_entry(1, 0, (own, *members))])
+            state.stand()
+            now_ms = monotonic_ms()
+            leading = Leadership(state, _AnsweringLinks(), now_ms)
+            self.assertFalse(leading.holds_lease(now_ms))
+            with anyio.move_on_after(60):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(leading.run)
+                    while state.commit_index < leading.first_index:
+                        await state.changed.wait()
+                    leading.stop()
+            acked_ms = leading.quorum_acked_ms(monotonic_ms())
+            self.assertEqual(state.commit_index, leading.first_index)
+            self.assertTrue(leading.holds_lease(acked_ms + TIMING.lease_ms - 1))
+            self.assertFalse(leading.holds_lease(acked_ms + TIMING.lease_ms))
+            self.assertLess(TIMING.lease_ms, TIMING.election_min_ms)
+
+        with tempfile.TemporaryDirectory() as name:
+            anyio.run(check, Path(name))
+
+
+class _AnsweringLinks:
+    """Stands in for followers that take everything."""
+
+    def link(self, addr: str) -> "_AnsweringLinks":
+        return self
+
+    async def request(self, value: Any, timeout_ms: float) -> Success:
+        await anyio.sleep(0)
+        match value:
+            case AppendRequest():
+                match_index = value.prev_index + len(value.entries)
+                return Success(AppendReply(value.term, True, match_index, 0))
+            case _:
+                return Success(HeartbeatReply(value.term))
+
+
 class TestFollower(unittest.TestCase):
     """A follower asked by leaders and candidates."""
 
