--- a/benchmarks/bench_log.py
+++ b/benchmarks/bench_log.py
@@ -17,6 +17,7 @@
 from returns.result import Failure as Err
 from tests.builders import model_value
 from tests.keepers import KeeperCluster
+from tests.processes import wait_for
 
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.keeper_link import KeeperLink
@@ -84,8 +85,10 @@
     return rows
 
 
-def bench(*, proposers: list[int] = (1, 8, 64, 256), edits: int = 2_000) -> None:
-    """Print a row for each number of proposers.
+def bench(
+    *, proposers: list[int] = (1, 8, 64, 256), edits: int = 2_000, kills: int = 0
+) -> None:
+    """Print a row for each number of proposers, and how long failovers took.
 
     Parameters
     ----------
@@ -93,10 +96,14 @@
         How many edits are under way at once.
     edits : int
         Edits for each row.
+    kills : int
+        How often the leader is killed, and restarted after its successor's
+        first commit.
     """
     with KeeperCluster() as cluster:
         cluster.start_all()
         rows = anyio.run(_run, cluster.keepers, list(proposers), edits)
+        failovers_ms = [_failover_ms(cluster) for _ in range(kills)]
     print("proposers  commits  commits/s  p50 ms  p99 ms")
     for row in rows:
         print(
@@ -104,6 +111,26 @@
             f"  {row.p50_ms:6.2f}  {row.p99_ms:6.2f}"
         )
 
+    if failovers_ms:
+        shown = " ".join(f"{ms:.0f}" for ms in sorted(failovers_ms))
+        print(f"ms from kill to the next commit: {shown}")
+
+
+def _failover_ms(cluster: KeeperCluster) -> float:
+    """Kill the leader; return when the next edit was answered."""
+    wait_for(lambda: _is_whole(cluster), "three keepers with one log")
+    first = cluster.leader()
+    killed_ms = monotonic_ms()
+    cluster.kill(first)
+    cluster.put_many([f"f{killed_ms:.0f}"])
+    spent_ms = monotonic_ms() - killed_ms
+    cluster.start_one(first)
+    return spent_ms
+
+
+def _is_whole(cluster: KeeperCluster) -> bool:
+    return len({cluster.metric(name, "revision") for name in cluster.addresses}) == 1
+
 
 def main() -> None:
     """Run the benchmark."""
--- a/src/cowslipwood/replication/_applier.py
+++ b/src/cowslipwood/replication/_applier.py
@@ -18,6 +18,7 @@
 
 APPLY_BATCH = 64
 MIN_TRAILING = 64
+SNAPSHOT_LOG_BYTES = 8 * 1024 * 1024
 CAUGHT_UP_POLL_MS = 20
 
 
@@ -126,13 +127,20 @@
     async def _snapshot_if_due(self) -> None:
         log = self._state.log
         index = self.applied_index
-        if index - log.header.index < self._snapshot_entries:
+        n_entries = index - log.header.index
+        if n_entries < self._snapshot_entries and not self._log_is_large():
             return
         header = SnapshotHeader(index, log.term_at(index), log.members_at(index))
         snapshot = Snapshot(header, self._machine.snapshot())
-        n_trailing = max(MIN_TRAILING, self._snapshot_entries // 10)
+        n_trailing = max(MIN_TRAILING, n_entries // 10)
         await log.save_snapshot(snapshot, n_trailing)
         self._metrics.count("snapshots_total")
         get_logger().info(
             "snapshot_saved", index=index, state_bytes=len(snapshot.state)
         )
+
+    def _log_is_large(self) -> bool:
+        """Return whether the log takes more memory than a snapshot would."""
+        log = self._state.log
+        state_bytes = 0 if log.snapshot is None else len(log.snapshot.state)
+        return log.n_bytes > max(SNAPSHOT_LOG_BYTES, state_bytes)
--- a/src/cowslipwood/replication/_leader.py
+++ b/src/cowslipwood/replication/_leader.py
@@ -49,7 +49,7 @@
         self.term = state.term
         self._state = state
         self._links = links
-        self._started_ms = now_ms
+        self.started_ms = now_ms
         self._match: dict[str, int] = {}
         self._next: dict[str, int] = {}
         self._acked_ms: dict[str, float] = {}
@@ -149,7 +149,7 @@
         state = self._state
         while True:
             now_ms = monotonic_ms()
-            heard_ms = max(self._started_ms, self.quorum_acked_ms(now_ms))
+            heard_ms = max(self.started_ms, self.quorum_acked_ms(now_ms))
             is_lost = now_ms - heard_ms > state.timing.election_max_ms
             is_removed = (
                 not state.is_voter and state.commit_index >= state.log.members_index
--- a/src/cowslipwood/replication/_log.py
+++ b/src/cowslipwood/replication/_log.py
@@ -52,10 +52,13 @@
         self._snapshots = SnapshotFiles(folder)
         self._disk = anyio.Lock()
         self._changes: list[tuple[int, tuple[Member, ...]]] = []
+        self._n_bytes = 0
         self.snapshot = self._snapshots.load()
         self._entries = self._recover()
         for entry in self._entries:
             self._note_members(entry)
+            if entry.index > self.header.index:
+                self._n_bytes += len(entry.payload)
         self.synced_index = self.last_index
 
     @property
@@ -65,6 +68,11 @@
             return SnapshotHeader(0, 0, ())
         return self.snapshot.header
 
+    @property
+    def n_bytes(self) -> int:
+        """Bytes of the payloads appended since the last snapshot."""
+        return self._n_bytes
+
     @property
     def first_index(self) -> int:
         """Index of the first entry held; one past the last when none is."""
@@ -133,6 +141,7 @@
         """Append in memory."""
         for entry in entries:
             self._entries.append(entry)
+            self._n_bytes += len(entry.payload)
             self._note_members(entry)
 
     async def sync(self, index: int) -> None:
@@ -163,6 +172,7 @@
                 return
             await on_disk(self._snapshots.save, snapshot)
             self.snapshot = snapshot
+            self._n_bytes = 0
             self._segments.close_file()
             keep_from = max(snapshot.header.index - n_trailing, 0)
             await on_disk(self._segments.drop_before, keep_from)
--- a/src/cowslipwood/replication/_peers.py
+++ b/src/cowslipwood/replication/_peers.py
@@ -11,12 +11,14 @@
 from ..kernel.codes import Code, Failure, failure
 from ..kernel.messages import Hello, Welcome
 from ..kernel.settings import parse_address
+from ._messages import IdentityQuery
 
 __all__ = ["PeerLink", "PeerLinks"]
 
 IDLE_TIMEOUT_MS = 10_000
 WELCOME_TIMEOUT_MS = 1_000
 REDIAL_MS = 50
+KEEP_ALIVE_MS = 3_000
 
 
 async def _ignore(value: Any) -> None:
@@ -61,11 +63,20 @@
         try:
             if await self._is_welcome(channel):
                 self._channel = channel
-                await channel.run(_ignore)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._keep_alive)
+                    await channel.run(_ignore)
+                    tasks.cancel_scope.cancel()
         finally:
             self._channel = None
             await channel.close(failure(Code.PEER_GONE))
 
+    async def _keep_alive(self) -> None:
+        """Keep an idle connection open, so that votes find it."""
+        while True:
+            await anyio.sleep(KEEP_ALIVE_MS / 1000)
+            await self.request(IdentityQuery(self._hello.peer_id, ""), IDLE_TIMEOUT_MS)
+
     async def _is_welcome(self, channel: Channel) -> bool:
         await channel.send(self._hello)
         with anyio.move_on_after(WELCOME_TIMEOUT_MS / 1000):
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -156,6 +156,12 @@
         """Whether this replica leads its term, with a lease or without."""
         return self._state.leading is not None
 
+    @property
+    def leading_since_ms(self) -> float | None:
+        """When this replica began to lead, on the monotonic clock; None if not."""
+        leading = self._state.leading
+        return leading.started_ms if isinstance(leading, Leadership) else None
+
     def leads(self, now_ms: float) -> bool:
         """Return whether this replica may act as leader now.
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -15,7 +15,7 @@
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.replication import DataDamagedError
-from cowslipwood.replication._applier import Applier
+from cowslipwood.replication._applier import SNAPSHOT_LOG_BYTES, Applier
 from cowslipwood.replication._follower import Follower
 from cowslipwood.replication._leader import Leadership
 from cowslipwood.replication._log import DurableLog, members_entry
@@ -35,6 +35,7 @@
 from cowslipwood.replication._state import ReplicaState, Timing
 
 SEGMENT_BYTES = 300
+LARGE = b"x" * 1024 * 1024
 TIMING = Timing()
 AFTER_LEASE_MS = TIMING.election_max_ms + 1
 
@@ -197,6 +198,37 @@
         self.assertNotIn(old_id, [m.replica_id for m in members])
 
 
+class TestCompaction(unittest.TestCase):
+    """What keeps the log in memory small."""
+
+    def test_large_entries(self):
+        """A few large entries bring a snapshot on, after which they can go."""
+
+        async def check(folder: Path) -> None:
+            _, state, _ = _follower(folder)
+            machine = _Machine()
+            applier = Applier(state, machine, Metrics("test"), 1_000_000)
+            n_entries = SNAPSHOT_LOG_BYTES // len(LARGE) + 1
+            entries = [LogEntry(n + 1, 0, 1, LARGE) for n in range(n_entries)]
+            state.log.append(entries)
+            await state.log.sync(n_entries)
+            state.commit(n_entries)
+            with anyio.move_on_after(60):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(applier.run)
+                    while state.log.header.index == 0:
+                        await anyio.sleep(0.01)
+                    tasks.cancel_scope.cancel()
+            self.assertEqual(state.log.header.index, n_entries)
+            self.assertEqual(state.log.n_bytes, 0)
+            restored = _Machine()
+            Applier(_follower(folder)[1], restored, Metrics("test"), 100)
+            self.assertEqual(restored.applied, machine.applied)
+
+        with tempfile.TemporaryDirectory() as name:
+            anyio.run(check, Path(name))
+
+
 class TestLease(unittest.TestCase):
     """What lets a leader act."""
 
