Cut the leader off in silence and heal the network

Cause: a frozen process is no partition: it takes no edits meanwhile. Change: proxies between the keepers hold what passes to and from one of them without closing a connection. The cut-off leader answers NO_QUORUM to the edit under way and NOT_LEADER to the next; the others elect a leader and commit; after the heal the old leader's entry has given way, and its resend is accepted.

--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -61,10 +61,15 @@
         super().__init__()
         self._flags = flags
         names = [f"k{place + 1}" for place in range(N_KEEPERS)]
-        self.addresses = {name: f"127.0.0.1:{free_port()}" for name in names}
+        self.listens = {name: f"127.0.0.1:{free_port()}" for name in names}
         self.http_ports = {name: free_port() for name in names}
-        self.keepers = ",".join(self.addresses.values())
-        self.peers = ",".join(f"{n}={a}" for n, a in self.addresses.items())
+        self.set_addresses(self.listens)
+
+    def set_addresses(self, addresses: dict[str, str]) -> None:
+        """Set where the keepers are reached."""
+        self.addresses = dict(addresses)
+        self.keepers = ",".join(addresses.values())
+        self.peers = ",".join(f"{name}={a}" for name, a in addresses.items())
 
     def start_all(self) -> str:
         """Start every keeper and return the leader's name."""
@@ -82,7 +87,7 @@
         self.start_member(
             name,
             name,
-            self.addresses[name],
+            self.listens[name],
             self.http_ports[name],
             f"--peers={self.peers}",
             *self._flags,
--- a/tests/test_keeper_failures.py
+++ b/tests/test_keeper_failures.py
@@ -13,6 +13,7 @@
 
 from .builders import model_value
 from .keepers import KeeperCluster, open_operator, operator_request
+from .partition import PartitionedCluster
 from .processes import wait_for
 
 N_RACING_EDITS = 8
@@ -96,7 +97,7 @@
             others = cluster.followers()
             for name in others:
                 cluster.signal(name, signal.SIGSTOP)
-            unknown, refused = anyio.run(self._put_twice, cluster.addresses[first])
+            unknown, refused = anyio.run(self._put_twice, cluster.listens[first])
             self.assertEqual(unknown.failure().code, Code.NO_QUORUM)
             self.assertEqual(refused.failure().code, Code.NOT_LEADER)
             for name in others:
@@ -105,6 +106,24 @@
             self.assertEqual(cluster.names(), {"m1", "m2"})
             self.assertEqual(cluster.metric(cluster.leader(), "revision"), 2)
 
+    def test_silent_partition(self):
+        """A leader that is cut off in silence commits nothing, then or later."""
+        with PartitionedCluster() as cluster:
+            first = cluster.start_all()
+            cluster.put(model_value("m1"))
+            cluster.network.set_cut_off(first)
+            unknown, refused = anyio.run(self._put_twice, cluster.listens[first])
+            self.assertEqual(unknown.failure().code, Code.NO_QUORUM)
+            self.assertEqual(refused.failure().code, Code.NOT_LEADER)
+            cluster.leader(first)
+            cluster.put(model_value("m4"))
+            self.assertEqual(cluster.leaders(first), cluster.leaders())
+            cluster.network.set_cut_off()
+            wait_for(lambda: cluster.metric(first, "revision") == 2, "the healed log")
+            self.assertEqual(cluster.names(), {"m1", "m4"})
+            cluster.put_many(["m2"])
+            self.assertEqual(cluster.names(), {"m1", "m2", "m4"})
+
     async def _put_twice(self, addr: str) -> list:
         """Put one model, and another one after the answer."""
         answers = []
@@ -215,7 +234,7 @@
             cluster.start_one(damaged)
             self.assertEqual(cluster.ended(damaged), _exit_status(Code.DATA_DAMAGED))
             cluster.http_ports[torn] += 1
-            cluster.addresses[torn] = "127.0.0.1:0"
+            cluster.listens[torn] = "127.0.0.1:0"
             running = cluster.processes.pop(torn)
             cluster.start_one(torn)
             taken = cluster.ended(torn)
