--- a/tests/test_keeper_failures.py
+++ b/tests/test_keeper_failures.py
@@ -120,6 +120,9 @@
             self.assertEqual(cluster.leaders(first), cluster.leaders())
             cluster.network.set_cut_off()
             wait_for(lambda: cluster.metric(first, "revision") == 2, "the healed log")
+            healed = cluster.last_segment(first).read_bytes()
+            held = [name for name in (b"m2", b"m4") if b'"name":"%s"' % name in healed]
+            self.assertEqual(held, [b"m4"])
             self.assertEqual(cluster.names(), {"m1", "m4"})
             cluster.put_many(["m2"])
             self.assertEqual(cluster.names(), {"m1", "m2", "m4"})
