Refuse to start without a log that others count on

Cause: a keeper whose log files were gone, but not the small file with its vote, came back under its old identity with an empty log, and would have voted and acknowledged as if it still held what it once synced. And two keepers with empty disks would have begun a new log beside a third that had only voted. A replica that voted answers that a log has begun.

--- a/src/cowslipwood/replication/_follower.py
+++ b/src/cowslipwood/replication/_follower.py
@@ -157,6 +157,7 @@
             await log.truncate_from(new[0].index)
         log.append(new)
         await log.sync(request.prev_index + len(entries))
+        await self._state.note_log()
 
     def _collect(self, chunk: SnapshotChunk) -> int:
         """Add a part; return the offset of the next."""
@@ -180,6 +181,7 @@
             return 0
         if snapshot.header.index > self._state.commit_index:
             await self._state.log.install_snapshot(snapshot)
+            await self._state.note_log()
             self._applier.restore(snapshot)
             self._state.commit(snapshot.header.index)
             get_logger().info("snapshot_installed", index=snapshot.header.index)
--- a/src/cowslipwood/replication/_formation.py
+++ b/src/cowslipwood/replication/_formation.py
@@ -1,8 +1,8 @@
 """Begins a new log, once, when every initial member has an empty disk.
 
 A replica whose disk was lost is a new replica. It begins no log, because
-another initial member answers that its log has begun; and nobody asks it to
-vote, because votes are asked of replicas by their identity.
+another initial member answers that it holds a log or voted in one; and nobody
+asks it to vote, because votes are asked of replicas by their identity.
 """
 
 from collections.abc import Mapping
@@ -65,7 +65,8 @@
     query = IdentityQuery(state.replica_id, canonical_peers(peers))
     identities = []
     if name in peers:
-        identities.append(Identity(state.replica_id, peers[name], False, True))
+        own = Identity(state.replica_id, peers[name], state.has_taken_part, True)
+        identities.append(own)
 
     async def ask(addr: str) -> None:
         result = await links.link(addr).request(query, QUERY_TIMEOUT_MS)
@@ -87,5 +88,6 @@
     members = sorted(Member(i.replica_id, i.addr, True) for i in identities)
     state.log.append([members_entry(_FIRST_INDEX, _FIRST_TERM, members)])
     await state.log.sync(_FIRST_INDEX)
+    await state.note_log()
     state.changed.notify()
     get_logger().info("log_begun", members=len(members))
--- a/src/cowslipwood/replication/_identity.py
+++ b/src/cowslipwood/replication/_identity.py
@@ -26,11 +26,14 @@
     term : int
     voted_for : str
         Whom it voted for in the term; empty for nobody.
+    has_log : bool
+        Whether it has told anyone of an entry that it holds.
     """
 
     replica_id: str
     term: int
     voted_for: str
+    has_log: bool = False
 
 
 def load_ballot(folder: Path, name: str, rng: random.Random) -> Ballot:
@@ -39,7 +42,8 @@
     Raises
     ------
     DataDamagedError
-        When the file is damaged, or missing beside a log, or another keeper's.
+        When the file is damaged or another keeper's, or when the file or the log
+        is missing beside the other.
     """
     data = read_checked(folder / _NAME)
     if data is not None:
@@ -47,14 +51,20 @@
         held = ballot.replica_id.rpartition(".")[0]
         if held != name:
             raise DataDamagedError(f"{folder} belongs to keeper {held}, not {name}")
+        if ballot.has_log and not _holds_log(folder):
+            raise DataDamagedError(f"the log in {folder} is missing")
         return ballot
-    if any(folder.glob("*.log")) or any(folder.glob("*.snapshot")):
+    if _holds_log(folder):
         raise DataDamagedError(f"{folder / _NAME} is missing")
     ballot = Ballot(f"{name}.{rng.getrandbits(_RANDOM_BITS):012x}", 0, "")
     save_ballot(folder, ballot)
     return ballot
 
 
+def _holds_log(folder: Path) -> bool:
+    return any(folder.glob("*.log")) or any(folder.glob("*.snapshot"))
+
+
 def save_ballot(folder: Path, ballot: Ballot) -> None:
     """Replace the file and sync it."""
     replace_checked(folder / _NAME, orjson.dumps(ballot._asdict()))
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -264,7 +264,10 @@
     def _identity(self, query: IdentityQuery) -> Identity:
         peers = canonical_peers(self._settings.peers)
         return Identity(
-            self.replica_id, self._state.addr, self._state.formed, query.peers == peers
+            self.replica_id,
+            self._state.addr,
+            self._state.has_taken_part,
+            query.peers == peers,
         )
 
     async def _lead(self) -> None:
--- a/src/cowslipwood/replication/_state.py
+++ b/src/cowslipwood/replication/_state.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from ._identity import Ballot, load_ballot, save_ballot
+from ._identity import load_ballot, save_ballot
 from ._log import DurableLog, on_disk
 from ._membership import voters
 from ._signal import Signal
@@ -118,6 +118,11 @@
         """Whether the log has begun."""
         return self.log.last_index > 0
 
+    @property
+    def has_taken_part(self) -> bool:
+        """Whether there was a log that this replica held or voted in."""
+        return self.formed or self.term > 0
+
     @property
     def is_voter(self) -> bool:
         """Whether this replica votes, by the newest membership it holds."""
@@ -134,7 +139,7 @@
     def follow(self, term: int, leader_id: str = "", leader_addr: str = "") -> None:
         """Become a follower, in a newer term or in the present one."""
         if term > self.term:
-            self.ballot = Ballot(self.replica_id, term, "")
+            self.ballot = self.ballot._replace(term=term, voted_for="")
         if self.leading is not None:
             self.leading.stop()
             self.leading = None
@@ -156,7 +161,9 @@
 
     def stand(self) -> None:
         """Become a candidate in the next term."""
-        self.ballot = Ballot(self.replica_id, self.term + 1, self.replica_id)
+        self.ballot = self.ballot._replace(
+            term=self.term + 1, voted_for=self.replica_id
+        )
         self.role = Role.CANDIDATE
         self.leader_id = ""
         self.leader_addr = ""
@@ -169,6 +176,12 @@
                 await on_disk(save_ballot, self._folder, ballot)
                 self._saved = ballot
 
+    async def note_log(self) -> None:
+        """Remember that others may count on the log, before they are told of it."""
+        if self.formed and not self.ballot.has_log:
+            self.ballot = self.ballot._replace(has_log=True)
+            await self.save_ballot()
+
     def commit(self, index: int) -> None:
         """Move the commit index forward."""
         if index > self.commit_index:
--- a/src/cowslipwood/schema/replication.capnp
+++ b/src/cowslipwood/schema/replication.capnp
@@ -93,7 +93,7 @@
 struct Identity {
   replicaId @0 :Text;
   addr @1 :Text;
-  formed @2 :Bool;       # the log is not empty
+  formed @2 :Bool;       # it holds a log, or has voted in one
   peersAgree @3 :Bool;   # both sides were given the same initial members
 }
 
--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -93,6 +93,16 @@
             *self._flags,
         )
 
+    def start_new(self, name: str) -> str:
+        """Start a keeper beside the initial ones; return ``name=ip:port``."""
+        if name not in self.listens:
+            self.listens[name] = f"127.0.0.1:{free_port()}"
+            self.http_ports[name] = free_port()
+            self.addresses[name] = self.listens[name]
+            self.keepers += f",{self.listens[name]}"
+        self.start_one(name)
+        return f"{name}={self.listens[name]}"
+
     def signal(self, name: str, signum: signal.Signals) -> None:
         """Send a signal to one keeper."""
         self.processes[name].send_signal(signum)
--- a/tests/test_keeper_failures.py
+++ b/tests/test_keeper_failures.py
@@ -194,6 +194,25 @@
             self.assertEqual(cluster.names(), {"m1", "m2"})
             self.assertIn(cluster.leader(), (lost, second))
 
+    def test_new_host(self):
+        """A keeper of another name takes a lost one's place; asked twice, once."""
+        with KeeperCluster() as cluster:
+            cluster.start_all()
+            cluster.put(model_value("m1"))
+            lost, other = cluster.followers()
+            cluster.kill(lost)
+            new = cluster.start_new("k4")
+            for _ in range(2):
+                replaced = cluster.ctl("replace-member", lost, new)
+                self.assertEqual(replaced.returncode, 0, replaced.stderr)
+            self.assertEqual(cluster.voters().keys(), {"k1", "k2", "k3", "k4"} - {lost})
+            cluster.kill(other)
+            cluster.put(model_value("m2"))
+            cluster.kill("k4")
+            cluster.start_new("k4")
+            cluster.put(model_value("m3"))
+            self.assertEqual(cluster.names(), {"m1", "m2", "m3"})
+
 
 class TestData(unittest.TestCase):
     """What stands in the data folder when a keeper starts or writes."""
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -301,6 +301,31 @@
 
         self._run(check)
 
+    def test_lost_log(self):
+        """A replica whose log is gone, but not its vote, doesn't start."""
+
+        async def check(follower: Follower, state: ReplicaState, folder: Path) -> None:
+            entry = LogEntry(1, 1, 1, b"held")
+            await follower.on_append(_append(1, 0, 0, 0, (entry,)), AFTER_LEASE_MS)
+            for path in folder.glob("*.log"):
+                path.unlink()
+            with self.assertRaises(DataDamagedError):
+                _follower(folder)
+
+        self._run(check)
+
+    def test_voted_before_log(self):
+        """A replica that voted says so to others that would begin a new log."""
+
+        async def check(follower: Follower, state: ReplicaState, folder: Path) -> None:
+            self.assertFalse(state.has_taken_part)
+            await follower.on_vote(_vote("a", 1), AFTER_LEASE_MS)
+            _, restarted, _ = _follower(folder)
+            self.assertTrue(restarted.has_taken_part)
+            self.assertFalse(restarted.formed)
+
+        self._run(check)
+
     def test_no_vote_within_lease(self):
         """A replica that may have heard a leader refuses votes in newer terms."""
 
