--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -61,10 +61,15 @@
         super().__init__()
         self._flags = flags
         names = [f"k{place + 1}" for place in range(N_KEEPERS)]
-        self.addresses = {name: f"127.0.0.1:{free_port()}" for name in names}
+        self.listens = {name: f"127.0.0.1:{free_port()}" for name in names}
         self.http_ports = {name: free_port() for name in names}
-        self.keepers = ",".join(self.addresses.values())
-        self.peers = ",".join(f"{n}={a}" for n, a in self.addresses.items())
+        self.set_addresses(self.listens)
+
+    def set_addresses(self, addresses: dict[str, str]) -> None:
+        """Set where the keepers are reached."""
+        self.addresses = dict(addresses)
+        self.keepers = ",".join(addresses.values())
+        self.peers = ",".join(f"{name}={a}" for name, a in addresses.items())
 
     def start_all(self) -> str:
         """Start every keeper and return the leader's name."""
@@ -79,18 +84,25 @@
 
     def start_one(self, name: str) -> None:
         """Start one keeper, again after it ended or for the first time."""
-        self.start(
+        self.start_member(
+            name,
             name,
-            "keeper",
-            f"--keeper-id={name}",
-            f"--data={self.folder}/{name}",
-            f"--listen={self.addresses[name]}",
-            f"--http-listen=127.0.0.1:{self.http_ports[name]}",
+            self.listens[name],
+            self.http_ports[name],
             f"--peers={self.peers}",
             *self._flags,
-            COWSLIP_OPERATOR_TOKEN="operator-secret",
         )
 
+    def start_new(self, name: str) -> str:
+        """Start a keeper beside the initial ones; return ``name=ip:port``."""
+        if name not in self.listens:
+            self.listens[name] = f"127.0.0.1:{free_port()}"
+            self.http_ports[name] = free_port()
+            self.addresses[name] = self.listens[name]
+            self.keepers += f",{self.listens[name]}"
+        self.start_one(name)
+        return f"{name}={self.listens[name]}"
+
     def signal(self, name: str, signum: signal.Signals) -> None:
         """Send a signal to one keeper."""
         self.processes[name].send_signal(signum)
--- a/tests/test_keeper_failures.py
+++ b/tests/test_keeper_failures.py
@@ -1,5 +1,6 @@
 """Three keepers as processes: killed, frozen, and bereft of their disks."""
 
+import json
 import resource
 import signal
 import unittest
@@ -12,6 +13,7 @@
 
 from .builders import model_value
 from .keepers import KeeperCluster, open_operator, operator_request
+from .partition import PartitionedCluster
 from .processes import wait_for
 
 N_RACING_EDITS = 8
@@ -74,13 +76,10 @@
         async def ask(place: int) -> None:
             answers[place] = await channels[place].request(requests[place], 60_000)
 
-        async def ignore(value: object) -> None:
-            """Drop what the keeper sends of its own accord."""
-
         cluster.signal(first, signal.SIGSTOP)
         async with anyio.create_task_group() as reading:
             for channel in channels:
-                reading.start_soon(channel.run, ignore)
+                reading.start_soon(channel.run, _ignore)
             async with anyio.create_task_group() as asking:
                 asking.start_soon(ask, 0)
                 asking.start_soon(ask, 1)
@@ -90,6 +89,57 @@
             reading.cancel_scope.cancel()
         return answers
 
+    def test_cut_off_leader(self):
+        """A leader without a quorum says what it can't know, then refuses."""
+        with KeeperCluster() as cluster:
+            first = cluster.start_all()
+            cluster.put(model_value("m1"))
+            others = cluster.followers()
+            for name in others:
+                cluster.signal(name, signal.SIGSTOP)
+            unknown, refused = anyio.run(self._put_twice, cluster.listens[first])
+            self.assertEqual(unknown.failure().code, Code.NO_QUORUM)
+            self.assertEqual(refused.failure().code, Code.NOT_LEADER)
+            for name in others:
+                cluster.signal(name, signal.SIGCONT)
+            cluster.put_many(["m2"])
+            self.assertEqual(cluster.names(), {"m1", "m2"})
+            self.assertEqual(cluster.metric(cluster.leader(), "revision"), 2)
+
+    def test_silent_partition(self):
+        """A leader that is cut off in silence commits nothing, then or later."""
+        with PartitionedCluster() as cluster:
+            first = cluster.start_all()
+            cluster.put(model_value("m1"))
+            cluster.network.set_cut_off(first)
+            unknown, refused = anyio.run(self._put_twice, cluster.listens[first])
+            self.assertEqual(unknown.failure().code, Code.NO_QUORUM)
+            self.assertEqual(refused.failure().code, Code.NOT_LEADER)
+            cluster.leader(first)
+            cluster.put(model_value("m4"))
+            self.assertEqual(cluster.leaders(first), cluster.leaders())
+            cluster.network.set_cut_off()
+            wait_for(lambda: cluster.metric(first, "revision") == 2, "the healed log")
+            healed = cluster.last_segment(first).read_bytes()
+            held = [name for name in (b"m2", b"m4") if b'"name":"%s"' % name in healed]
+            self.assertEqual(held, [b"m4"])
+            self.assertEqual(cluster.names(), {"m1", "m4"})
+            cluster.put_many(["m2"])
+            self.assertEqual(cluster.names(), {"m1", "m2", "m4"})
+
+    async def _put_twice(self, addr: str) -> list:
+        """Put one model, and another one after the answer."""
+        answers = []
+        for name in ("m2", "m3"):
+            channel = await open_operator(addr)
+            async with anyio.create_task_group() as reading:
+                reading.start_soon(channel.run, _ignore)
+                body = json.dumps(model_value(name)).encode()
+                request = operator_request("put", name, body)
+                answers.append(await channel.request(request, 60_000))
+                reading.cancel_scope.cancel()
+        return answers
+
     def test_planned_stop(self):
         """A leader that is asked to stop hands over before it ends."""
         with KeeperCluster() as cluster:
@@ -144,6 +194,25 @@
             self.assertEqual(cluster.names(), {"m1", "m2"})
             self.assertIn(cluster.leader(), (lost, second))
 
+    def test_new_host(self):
+        """A keeper of another name takes a lost one's place; asked twice, once."""
+        with KeeperCluster() as cluster:
+            cluster.start_all()
+            cluster.put(model_value("m1"))
+            lost, other = cluster.followers()
+            cluster.kill(lost)
+            new = cluster.start_new("k4")
+            for _ in range(2):
+                replaced = cluster.ctl("replace-member", lost, new)
+                self.assertEqual(replaced.returncode, 0, replaced.stderr)
+            self.assertEqual(cluster.voters().keys(), {"k1", "k2", "k3", "k4"} - {lost})
+            cluster.kill(other)
+            cluster.put(model_value("m2"))
+            cluster.kill("k4")
+            cluster.start_new("k4")
+            cluster.put(model_value("m3"))
+            self.assertEqual(cluster.names(), {"m1", "m2", "m3"})
+
 
 class TestData(unittest.TestCase):
     """What stands in the data folder when a keeper starts or writes."""
@@ -187,7 +256,7 @@
             cluster.start_one(damaged)
             self.assertEqual(cluster.ended(damaged), _exit_status(Code.DATA_DAMAGED))
             cluster.http_ports[torn] += 1
-            cluster.addresses[torn] = "127.0.0.1:0"
+            cluster.listens[torn] = "127.0.0.1:0"
             running = cluster.processes.pop(torn)
             cluster.start_one(torn)
             taken = cluster.ended(torn)
@@ -210,5 +279,9 @@
             self.assertEqual(cluster.names(), {"m1", "m2"})
 
 
+async def _ignore(value: object) -> None:
+    """Drop what a keeper sends of its own accord."""
+
+
 def _exit_status(code: Code) -> int:
     return CODE_INFO[code].exit_status
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -5,19 +5,25 @@
 import unittest
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import anyio
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from returns.result import Success
 
+from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.replication import DataDamagedError
-from cowslipwood.replication._applier import Applier
+from cowslipwood.replication._applier import SNAPSHOT_LOG_BYTES, Applier
 from cowslipwood.replication._follower import Follower
-from cowslipwood.replication._log import DurableLog
+from cowslipwood.replication._leader import Leadership
+from cowslipwood.replication._log import DurableLog, members_entry
 from cowslipwood.replication._membership import has_quorum, next_members
 from cowslipwood.replication._messages import (
+    AppendReply,
     AppendRequest,
+    HeartbeatReply,
     HeartbeatRequest,
     LogEntry,
     Member,
@@ -29,6 +35,7 @@
 from cowslipwood.replication._state import ReplicaState, Timing
 
 SEGMENT_BYTES = 300
+LARGE = b"x" * 1024 * 1024
 TIMING = Timing()
 AFTER_LEASE_MS = TIMING.election_max_ms + 1
 
@@ -191,6 +198,84 @@
         self.assertNotIn(old_id, [m.replica_id for m in members])
 
 
+class TestCompaction(unittest.TestCase):
+    """What keeps the log in memory small."""
+
+    def test_large_entries(self):
+        """A few large entries bring a snapshot on, after which they can go."""
+
+        async def check(folder: Path) -> None:
+            _, state, _ = _follower(folder)
+            machine = _Machine()
+            applier = Applier(state, machine, Metrics("test"), 1_000_000)
+            n_entries = SNAPSHOT_LOG_BYTES // len(LARGE) + 1
+            entries = [LogEntry(n + 1, 0, 1, LARGE) for n in range(n_entries)]
+            state.log.append(entries)
+            await state.log.sync(n_entries)
+            state.commit(n_entries)
+            with anyio.move_on_after(60):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(applier.run)
+                    while state.log.header.index == 0:
+                        await anyio.sleep(0.01)
+                    tasks.cancel_scope.cancel()
+            self.assertEqual(state.log.header.index, n_entries)
+            self.assertEqual(state.log.n_bytes, 0)
+            restored = _Machine()
+            Applier(_follower(folder)[1], restored, Metrics("test"), 100)
+            self.assertEqual(restored.applied, machine.applied)
+
+        with tempfile.TemporaryDirectory() as name:
+            anyio.run(check, Path(name))
+
+
+class TestLease(unittest.TestCase):
+    """What lets a leader act."""
+
+    def test_lease(self):
+        """A leader acts until the lease after a quorum's last answer, no longer."""
+
+        async def check(folder: Path) -> None:
+            _, state, _ = _follower(folder)
+            members = tuple(Member(f"k{n}.a", "", True) for n in (2, 3))
+            own = Member(state.replica_id, "", True)
+            state.log.append([members_entry(1, 0, (own, *members))])
+            state.stand()
+            now_ms = monotonic_ms()
+            leading = Leadership(state, _AnsweringLinks(), now_ms)
+            self.assertFalse(leading.holds_lease(now_ms))
+            with anyio.move_on_after(60):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(leading.run)
+                    while state.commit_index < leading.first_index:
+                        await state.changed.wait()
+                    leading.stop()
+            acked_ms = leading.quorum_acked_ms(monotonic_ms())
+            self.assertEqual(state.commit_index, leading.first_index)
+            self.assertTrue(leading.holds_lease(acked_ms + TIMING.lease_ms - 1))
+            self.assertFalse(leading.holds_lease(acked_ms + TIMING.lease_ms))
+            self.assertLess(TIMING.lease_ms, TIMING.election_min_ms)
+
+        with tempfile.TemporaryDirectory() as name:
+            anyio.run(check, Path(name))
+
+
+class _AnsweringLinks:
+    """Stands in for followers that take everything."""
+
+    def link(self, addr: str) -> "_AnsweringLinks":
+        return self
+
+    async def request(self, value: Any, timeout_ms: float) -> Success:
+        await anyio.sleep(0)
+        match value:
+            case AppendRequest():
+                match_index = value.prev_index + len(value.entries)
+                return Success(AppendReply(value.term, True, match_index, 0))
+            case _:
+                return Success(HeartbeatReply(value.term))
+
+
 class TestFollower(unittest.TestCase):
     """A follower asked by leaders and candidates."""
 
@@ -216,6 +301,31 @@
 
         self._run(check)
 
+    def test_lost_log(self):
+        """A replica whose log is gone, but not its vote, doesn't start."""
+
+        async def check(follower: Follower, state: ReplicaState, folder: Path) -> None:
+            entry = LogEntry(1, 1, 1, b"held")
+            await follower.on_append(_append(1, 0, 0, 0, (entry,)), AFTER_LEASE_MS)
+            for path in folder.glob("*.log"):
+                path.unlink()
+            with self.assertRaises(DataDamagedError):
+                _follower(folder)
+
+        self._run(check)
+
+    def test_voted_before_log(self):
+        """A replica that voted says so to others that would begin a new log."""
+
+        async def check(follower: Follower, state: ReplicaState, folder: Path) -> None:
+            self.assertFalse(state.has_taken_part)
+            await follower.on_vote(_vote("a", 1), AFTER_LEASE_MS)
+            _, restarted, _ = _follower(folder)
+            self.assertTrue(restarted.has_taken_part)
+            self.assertFalse(restarted.formed)
+
+        self._run(check)
+
     def test_no_vote_within_lease(self):
         """A replica that may have heard a leader refuses votes in newer terms."""
 
