Answer what is under way before a lost leader's connections close

Change: proposers are told in the step that loses the leadership, and the connections close one round later.

--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -257,8 +257,9 @@
             self._replica.measure(now_ms)
             self._metrics.gauge("revision", self._machine.catalogue.revision)
             if not self._replica.leads(now_ms):
-                await self._drop_subscribers()
+                # Requests under way are answered in the pause, then cut off.
                 await anyio.sleep(self._settings.tick_ms / 1000)
+                await self._drop_subscribers()
                 continue
             views = {
                 report.server_id: server_view(
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -125,6 +125,7 @@
         self._applier = Applier(
             self._state, machine, metrics, settings.snapshot_entries
         )
+        self._state.on_lost = self._applier.fail_waiters
         self._follower = Follower(self._state, self._applier)
         self._replacing = anyio.Lock()
         self._is_stopping = False
--- a/src/cowslipwood/replication/_state.py
+++ b/src/cowslipwood/replication/_state.py
@@ -2,6 +2,7 @@
 
 import enum
 import random
+from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple, Protocol
 
@@ -56,6 +57,10 @@
         """End the leadership."""
 
 
+def _ignore() -> None:
+    """Do nothing when the leadership is lost."""
+
+
 class ReplicaState:
     """The state that a replica's tasks share.
 
@@ -94,6 +99,7 @@
         self.leader_id = ""
         self.leader_addr = ""
         self.leading: Leading | None = None
+        self.on_lost: Callable[[], None] = _ignore
         self.handover_asked = False
         # A restarted replica may have heard the leader just before it stopped.
         self.heard_ms = now_ms
@@ -143,6 +149,7 @@
         if self.leading is not None:
             self.leading.stop()
             self.leading = None
+            self.on_lost()
         changed = self.role != Role.FOLLOWER or self.leader_id != leader_id
         self.role = Role.FOLLOWER
         self.leader_id = leader_id
