Make the hang-up test independent of the entry's silence bound

Without the cancellation the test still passed after ten seconds, because the silent fake agent was given up on. It now writes on for longer than the test's limit, and the test fails without the cancellation.

--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -18,6 +18,7 @@
 from .entry_builders import engine_view, make_front, make_serving, service_view
 
 LIMIT_S = 60.0
+MAX_TOKENS = 30_000
 HEAD_TIMEOUT_MS = 100.0
 EVENT = b'data: {"index": 0, "text": "a "}\n\n'
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -138,12 +139,16 @@
         """When a caller of a stream hangs up, the agent's connection is closed."""
 
         async def agent(stream, request):
-            await stream.send(STREAM_HEAD + _chunk(EVENT))
-            await stream.receive()
+            await stream.send(STREAM_HEAD)
+            for index in range(MAX_TOKENS):
+                event = EVENT.replace(b"0", str(index).encode())
+                await stream.send(_chunk(event))
+                await anyio.sleep(0.005)
 
         async def test(entry):
             caller = await entry.connect()
-            body = b'{"model": "m1", "prompt": "p", "stream": true}'
+            value = {"model": "m1", "prompt": "p", "stream": True}
+            body = orjson.dumps({**value, "max_tokens": MAX_TOKENS})
             await caller.send(_post("/v1/completions", body))
             await caller.receive()
             await caller.aclose()
