Read the load report also from refusals, and in the shape that agents send

The agent names the knee "knee"; the entry looked for "knee_in_flight" only and so dropped every report. Both are read now, and a test reads a real agent's report. A refusal's report was dropped as well, where it matters most.

--- a/src/cowslipwood/entry/_dispatch.py
+++ b/src/cowslipwood/entry/_dispatch.py
@@ -1,6 +1,6 @@
 """Sends one attempt of a request to an agent."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
@@ -14,7 +14,7 @@
 from ..kernel.messages import ServerView
 from ._backend import LoadReport
 
-__all__ = ["Answer", "AnswerCutError", "Attempt", "Dispatcher"]
+__all__ = ["Answer", "AnswerCutError", "Attempt", "Dispatcher", "parse_report"]
 
 CONNECT_TIMEOUT_S = 1.0
 WRITE_TIMEOUT_S = 10.0
@@ -30,6 +30,8 @@
 )
 _BROKEN = (httpcore.NetworkError, httpcore.ProtocolError)
 
+Hear = Callable[[str, LoadReport], None]
+
 
 class AnswerCutError(Exception):
     """The answer ended before it was whole, or stopped coming."""
@@ -85,9 +87,12 @@
     Parameters
     ----------
     cluster_token : str
+    hear : callable
+        Gets the server's id and the load report that came with a refusal.
     """
 
-    def __init__(self, cluster_token: str):
+    def __init__(self, cluster_token: str, hear: Hear):
+        self._hear = hear
         self._auth = (
             {"authorization": f"Bearer {cluster_token}"} if cluster_token else {}
         )
@@ -109,7 +114,7 @@
             return
         response = opened.unwrap()
         try:
-            yield await _as_answer(response)
+            yield await self._as_answer(server, response)
         finally:
             with anyio.CancelScope(shield=True):
                 await response.aclose()
@@ -155,6 +160,21 @@
         except _BROKEN as exc:
             return Err(failure(Code.OUTCOME_UNKNOWN, _said(exc)))
 
+    async def _as_answer(
+        self, server: ServerView, response: httpcore.Response
+    ) -> Result[Answer, Failure]:
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in response.headers
+        }
+        chunks = _whole_body(response)
+        report = parse_report(headers.get("x-cowslip-report", ""))
+        if "x-cowslip-outcome" not in headers:
+            return Success(Answer(response.status, headers, chunks, report))
+        if report is not None:
+            self._hear(server.server_id, report)
+        return Err(await _refusal(chunks))
+
     def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
         pool = self._pools.get(address)
         if pool is None:
@@ -170,18 +190,6 @@
     return f"{type(exc).__name__}: {exc}"[:200]
 
 
-async def _as_answer(response: httpcore.Response) -> Result[Answer, Failure]:
-    headers = {
-        name.decode("latin-1").lower(): value.decode("latin-1")
-        for name, value in response.headers
-    }
-    chunks = _whole_body(response)
-    if "x-cowslip-outcome" in headers:
-        return Err(await _refusal(chunks))
-    report = parse_report(headers.get("x-cowslip-report", ""))
-    return Success(Answer(response.status, headers, chunks, report))
-
-
 async def _whole_body(response: httpcore.Response) -> AsyncIterator[bytes]:
     try:
         async for chunk in response.aiter_stream():
@@ -223,7 +231,7 @@
             max(0, int(value["n_in_flight"])),
             max(0, int(value["n_queued"])),
             max(0.0, float(value["wait_ms"])),
-            max(0, int(value["knee_in_flight"])),
+            max(0, int(value.get("knee_in_flight", value.get("knee", 0)))),
         )
     except (ValueError, TypeError, KeyError):
         return None
--- a/src/cowslipwood/entry/_entry.py
+++ b/src/cowslipwood/entry/_entry.py
@@ -20,6 +20,7 @@
 from ..kernel.tokens import read_token
 from . import fronts  # noqa: F401
 from ._attempt_client import AttemptClient
+from ._backend import LoadReport
 from ._claims import Claims
 from ._dispatch import Dispatcher
 from ._front import Bounds, Front
@@ -209,10 +210,15 @@
     now_ms = monotonic_ms()
     rng = random.Random()
     policy = lookup(PluginKind.ROUTING_POLICY, settings.routing)()
+    router = Router(view, policy, settings.zone, metrics, rng, now_ms)
+
+    def hear(server_id: str, report: LoadReport) -> None:
+        router.heard_refusal(server_id, report, monotonic_ms())
+
     return Serving(
         view=view,
-        router=Router(view, policy, settings.zone, metrics, rng, now_ms),
-        dispatcher=Dispatcher(token),
+        router=router,
+        dispatcher=Dispatcher(token, hear),
         shares=Shares(),
         meters=Meters(metrics, now_ms),
         metrics=metrics,
--- a/src/cowslipwood/entry/_router.py
+++ b/src/cowslipwood/entry/_router.py
@@ -133,6 +133,12 @@
         if report is not None:
             self._view.typical_load.add(backend.others_load)
 
+    def heard_refusal(self, server_id: str, report: LoadReport, now_ms: float) -> None:
+        """Take in the load report that came with a refusal."""
+        backend = self._view.backends.get(server_id)
+        if backend is not None:
+            self.heard(backend, report, now_ms)
+
     def succeeded(
         self,
         backend: Backend,
@@ -169,13 +175,13 @@
             self._metrics.count("ejections_total", reason=cause)
 
     def _no_replica(self, call: Call) -> Failure:
-        retry_after_ms = self._spread(NO_REPLICA_RETRY_MS)
+        retry_after_ms = self.spread(NO_REPLICA_RETRY_MS)
         return failure(Code.NO_REPLICA, f"{call.entry.name}: none", retry_after_ms)
 
     def _overloaded(self, wait_ms: float) -> Failure:
-        return failure(Code.OVERLOADED, "", self._spread(wait_ms))
+        return failure(Code.OVERLOADED, "", self.spread(wait_ms))
 
-    def _spread(self, wait_ms: float) -> int:
+    def spread(self, wait_ms: float) -> int:
         """Return a time to come back, spread so that callers don't return at once."""
         bounded_ms = min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms))
         return round(bounded_ms * self._rng.uniform(JITTER_LOW, JITTER_HIGH))
@@ -258,5 +264,5 @@
             return self._unknown
         last = self._last
         message = f"last cause {last.code.value} {last.code.name}: {last.message}"
-        retry_after_ms = self._router._spread(last.retry_after_ms)
+        retry_after_ms = self._router.spread(last.retry_after_ms)
         return failure(Code.RETRIES_EXHAUSTED, message, retry_after_ms)
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -8,11 +8,12 @@
 import anyio.abc
 import orjson
 
+from cowslipwood.entry._backend import LoadReport
 from cowslipwood.entry._dispatch import Dispatcher
 from cowslipwood.entry._protocol import caller_protocol
 from cowslipwood.kernel.clock import monotonic_ms
-from cowslipwood.kernel.codes import Code
-from cowslipwood.kernel.http import HttpServer, bind_socket
+from cowslipwood.kernel.codes import Code, failure
+from cowslipwood.kernel.http import HttpServer, bind_socket, error_body
 
 from .builders import model_value, service_value
 from .entry_builders import engine_view, make_front, make_serving, service_view
@@ -50,7 +51,9 @@
             service_view("s1", "rosters", http_addr=addr),
         ]
         self.front = make_front(None, values, servers)
-        serving = make_serving(self.front._serving.view, Dispatcher("token"))
+        self.reports: list[tuple[str, LoadReport]] = []
+        dispatcher = Dispatcher("token", lambda *heard: self.reports.append(heard))
+        serving = make_serving(self.front._serving.view, dispatcher)
         serving.view.heard_at_ms = monotonic_ms()
         self.front._serving = serving
         self.metrics = serving.metrics
@@ -271,6 +274,31 @@
 
         self.assertEqual(self._call(agent), (504, "OUTCOME_UNKNOWN", "unknown"))
 
+    def test_report_of_a_refusal(self):
+        """The load report that comes with a refusal is heard."""
+        fault = error_body(failure(Code.AGENT_OVERLOADED, "", 100))
+        report = {"n_in_flight": 3, "n_queued": 2, "wait_ms": 7.5, "knee_in_flight": 4}
+        body = orjson.dumps(fault)
+
+        async def agent(stream, request):
+            await stream.send(
+                b"HTTP/1.1 503 No\r\nx-cowslip-outcome: not-run\r\n"
+                + b"x-cowslip-report: "
+                + orjson.dumps(report)
+                + f"\r\ncontent-length: {len(body)}\r\n\r\n".encode()
+                + body
+            )
+
+        entry = _Entry(agent)
+
+        async def test(entry):
+            body = b'{"model": "m1", "prompt": "p"}'
+            status, value = await entry.call("/v1/completions", body)
+            self.assertEqual((status, value["error"]["outcome"]), (503, "not-run"))
+            self.assertEqual(entry.reports, [("s0", LoadReport(3, 2, 7.5, 4))])
+
+        anyio.run(entry.run, test)
+
     def test_no_connection(self):
         """A connection that is never made is told as not run, with the cause."""
         entry = _Entry(_echo)
--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -6,6 +6,7 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
+from cowslipwood.entry._dispatch import parse_report
 from cowslipwood.standins.engine import expected_text
 
 from .builders import model_value
@@ -25,7 +26,7 @@
         cls.cluster = cls.enterClassContext(Cluster())
         cls.cluster.start_keeper()
         engine, agent, cls.port = free_port(), free_port(), free_port()
-        cls.engine = engine
+        cls.engine, cls.agent = engine, agent
         keepers = ("--keepers", cls.cluster.keepers)
         cls.cluster.start(
             "engine",
@@ -51,6 +52,12 @@
         ask = {"model": "m1", "prompt": "p", "max_tokens": 1}
         return call(cls.port, "POST", "/v1/completions", ask)[0] == 200
 
+    def test_agent_reports_its_load(self):
+        """The load report on an agent's answers can be read by the entry."""
+        _, headers, _ = call(self.agent, "POST", "/v1/completions", {})
+        report = parse_report(headers["x-cowslip-report"])
+        self.assertEqual(report.knee_in_flight, 16)
+
     def test_hang_up_cancels_at_the_engine(self):
         """When a caller hangs up, the engine stops writing its answer."""
         n_cancelled = self._engine_state()["n_cancelled"]
