Send only the load of an agent while nothing else has changed

Cause: each report named every resident model, five times a second: 5.4 to 5.6 KB/s from an agent with 15 models, over the 3 KB/s that a daemon may spend. Change: a full report when anything but the load has changed and at the start of a connection, else a record of the load alone. Ruled out: longer intervals, which slow the finding of dead agents.

--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -22,6 +22,7 @@
 from tests.builders import model_value, service_value
 from tests.processes import Cluster, call, free_port, wait_for
 
+from cowslipwood.agent._load_report import load_of, without_load
 from cowslipwood.kernel.channel import Channel, open_channel
 from cowslipwood.kernel.messages import AgentReport, Hello, Resident
 from cowslipwood.kernel.settings import parse_address
@@ -151,6 +152,7 @@
     async def _agent(self, number: int) -> None:
         opened = await open_channel(*parse_address(self._address), IDLE_TIMEOUT_MS)
         channel: Channel = opened.unwrap()
+        told = None
         hello = Hello("agent", f"fake-{number}", "i", "zone-1", "cluster-secret")
         await channel.send(hello)
         await channel.receive()
@@ -159,7 +161,10 @@
             turn = 0
             while True:
                 turn += 1
-                message = _fake_report(number, (number + turn) % 16)
+                report = _fake_report(number, (number + turn) % 16)
+                steady = without_load(report)
+                message = load_of(report) if steady == told else report
+                told = steady
                 self.n_sent_bytes += len(encode_frame(message))
                 await channel.send(message)
                 await anyio.sleep(REPORT_S)
--- a/src/cowslipwood/agent/_agent.py
+++ b/src/cowslipwood/agent/_agent.py
@@ -24,6 +24,7 @@
 from ._engine_side import EngineSide
 from ._forward import Forwarder
 from ._freeze import TICK_MS
+from ._load_report import load_of, without_load
 from ._permits import Permits
 from .engines import http_engine  # noqa: F401
 
@@ -229,9 +230,13 @@
         self._calls.drained = assignment.drained
 
     async def _report_loop(self, channel: Channel) -> None:
+        told = None
         while True:
             self._report_now = anyio.Event()
-            await channel.send(self._report())
+            report = self._report()
+            steady = without_load(report)
+            await channel.send(load_of(report) if steady == told else report)
+            told = steady
             with anyio.move_on_after(self._settings.report_ms / 1000):
                 await self._report_now.wait()
 
--- a/src/cowslipwood/keeper/_directory.py
+++ b/src/cowslipwood/keeper/_directory.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from ..kernel.messages import AgentReport, EntryReport, ServerView
+from ..kernel.messages import AgentLoad, AgentReport, EntryReport, ServerView
 
 __all__ = ["AGENT_TIMEOUT_MS", "Directory", "Heard", "server_view"]
 
@@ -66,6 +66,16 @@
         if report.leaving:
             self._leaving_incarnations[report.server_id] = report.incarnation
 
+    def hear_load(self, load: AgentLoad, now_ms: float) -> None:
+        """Keep an agent's load; dropped when its full report was never heard."""
+        heard = self._agents.get(load.server_id)
+        if heard is None or heard.report.incarnation != load.incarnation:
+            return
+        report = heard.report._replace(
+            n_in_flight=load.n_in_flight, n_queued=load.n_queued, wait_ms=load.wait_ms
+        )
+        self._agents[load.server_id] = Heard(report, now_ms)
+
     def hear_entry(self, report: EntryReport, now_ms: float) -> None:
         """Keep an entry's report."""
         self._entries[report.entry_id] = Heard(report, now_ms)
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -14,6 +14,7 @@
 from ..kernel.logs import get_logger
 from ..kernel.messages import (
     Ack,
+    AgentLoad,
     AgentReport,
     Assignment,
     ClaimAttempt,
@@ -298,6 +299,8 @@
         match value:
             case AgentReport():
                 self._directory.hear_agent(value, now_ms)
+            case AgentLoad():
+                self._directory.hear_load(value, now_ms)
             case EntryReport():
                 self._directory.hear_entry(value, now_ms)
                 self._planner.hear_entry(value, now_ms)
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "Ack",
+    "AgentLoad",
     "AgentReport",
     "Assignment",
     "AttemptEnd",
@@ -100,6 +101,17 @@
     reserved_bytes: int = 0
 
 
+@message("control")
+class AgentLoad(NamedTuple):
+    """An agent's heartbeat while nothing but its load has changed."""
+
+    server_id: str
+    incarnation: str
+    n_in_flight: int
+    n_queued: int
+    wait_ms: float
+
+
 @message("control")
 class DesiredModel(NamedTuple):
     """A model that a backend server is to hold."""
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -51,6 +51,14 @@
   reservedBytes @17 :UInt64; # for orders that may still arrive
 }
 
+struct AgentLoad {
+  serverId @0 :Text;
+  incarnation @1 :Text;
+  nInFlight @2 :UInt32;
+  nQueued @3 :UInt32;
+  waitMs @4 :Float64;
+}
+
 struct DesiredModel {
   name @0 :Text;
   version @1 :Text;
