--- a/src/cowslipwood/agent/_attempts.py
+++ b/src/cowslipwood/agent/_attempts.py
@@ -55,11 +55,23 @@
     Leaving the context before the answer is whole marks the attempt as cut.
     """
 
+    # Marks are held as long as claims last, and there may be many.
+    __slots__ = (
+        "_changed",
+        "_table",
+        "attempt_id",
+        "body",
+        "headers",
+        "kept",
+        "state",
+        "status",
+    )
+
     def __init__(self, table: "Attempts", attempt_id: str):
         self._table = table
         self.attempt_id = attempt_id
         self.state = AttemptState.AWAITED
-        self.changed = anyio.Event()
+        self._changed: anyio.Event | None = None
         self.status = 0
         self.headers = b"[]"
         self.body = b""
@@ -77,8 +89,17 @@
     def move(self, state: AttemptState) -> None:
         """Change the state and wake those who wait for a change."""
         self.state = state
-        self.changed.set()
-        self.changed = anyio.Event()
+        if self._changed is not None:
+            self._changed.set()
+            self._changed = None
+
+    async def wait_while(self, state: AttemptState, limit_ms: int) -> None:
+        """Wait until the attempt has left a state, up to a time."""
+        with anyio.move_on_after(min(limit_ms, MAX_WAIT_MS) / 1000):
+            while self.state is state:
+                if self._changed is None:
+                    self._changed = anyio.Event()
+                await self._changed.wait()
 
     def recorder(self, send: Any) -> Any:
         """Return an ASGI send that passes the answer on and keeps it.
@@ -212,10 +233,10 @@
         if isinstance(found, Err):
             return found
         attempt = found.unwrap()
-        await _wait_while(attempt, AttemptState.AWAITED, query.void_after_ms)
+        await attempt.wait_while(AttemptState.AWAITED, query.void_after_ms)
         if attempt.state is AttemptState.AWAITED:
             attempt.move(AttemptState.VOID)
-        await _wait_while(attempt, AttemptState.RUNNING, query.wait_ms)
+        await attempt.wait_while(AttemptState.RUNNING, query.wait_ms)
         self._metrics.count("attempt_queries_total", state=attempt.state.value)
         return Success(attempt.end())
 
@@ -278,9 +299,3 @@
             return Err(failure(Code.ATTEMPT_VOIDED))
         case _:
             return Err(failure(Code.ATTEMPT_REPEATED))
-
-
-async def _wait_while(attempt: Attempt, state: AttemptState, limit_ms: int) -> None:
-    with anyio.move_on_after(min(limit_ms, MAX_WAIT_MS) / 1000):
-        while attempt.state is state:
-            await attempt.changed.wait()
