--- a/src/cowslipwood/entry/_claimed_dispatch.py
+++ b/src/cowslipwood/entry/_claimed_dispatch.py
@@ -9,8 +9,8 @@
 
 import uuid
 from collections.abc import AsyncIterator
-from contextlib import aclosing, asynccontextmanager
-from typing import Any, NamedTuple
+from contextlib import asynccontextmanager
+from typing import Any
 
 import orjson
 from returns.result import Failure as Err
@@ -29,6 +29,7 @@
 )
 from ._claim_keys import ClaimKey
 from ._dispatch import Answer, Attempt, Dispatcher
+from ._kept_answer import AnswerCopy, KeptAnswer
 
 __all__ = ["ClaimRefusedError", "ClaimedDispatcher", "in_doubt"]
 
@@ -37,9 +38,6 @@
 WAIT_MS = 10_000
 RETRY_AFTER_MS = 1_000
 MAX_STEPS = 16
-MAX_COPY_BYTES = 1_048_576
-KEPT_HEADERS = ("content-type", "etag", "location")
-_LAST_EVENT = b"data: [DONE]\n\n"
 
 
 class ClaimRefusedError(Exception):
@@ -55,15 +53,6 @@
     return failure(Code.CLAIM_IN_PROGRESS, message, RETRY_AFTER_MS)
 
 
-class _Kept(NamedTuple):
-    """A whole answer, as the log and the agents keep it."""
-
-    status: int
-    headers: bytes
-    body: bytes
-    is_kept: bool = True
-
-
 class ClaimedDispatcher:
     """Sends attempts as `Dispatcher` does, each under the request's claim.
 
@@ -107,7 +96,7 @@
                 yield await self._not_answered(state, sent.failure())
                 return
             answer = sent.unwrap()
-            copy = _Copy(answer)
+            copy = AnswerCopy(answer)
             try:
                 yield Success(answer._replace(chunks=copy.chunks()))
             finally:
@@ -155,7 +144,7 @@
                     self._state = await self._leave_free(state, server)
                 case "answered":
                     return _as_answer(
-                        _Kept(
+                        KeptAnswer(
                             state.answer_status,
                             state.answer_headers,
                             state.answer_body,
@@ -240,7 +229,7 @@
                 self._state = await self._finish(state, "void")
                 return None
             case "answered":
-                kept = _Kept(end.status, end.headers, end.body, end.kept)
+                kept = KeptAnswer(end.status, end.headers, end.body, end.kept)
                 self._claims.later(self._finish_answered, state, kept)
                 return _as_answer(kept)
             case "running":
@@ -258,7 +247,7 @@
                     )
                 )
 
-    async def _end(self, state: ClaimState, copy: "_Copy") -> None:
+    async def _end(self, state: ClaimState, copy: "AnswerCopy") -> None:
         """Record how an attempt ended that had begun to answer."""
         if copy.is_whole:
             await self._finish_answered(state, copy.kept())
@@ -267,7 +256,7 @@
         if end.state in ("cut", "other-incarnation"):
             await self._finish(state, "unknown")
         elif end.state == "answered":
-            kept = _Kept(end.status, end.headers, end.body, end.kept)
+            kept = KeptAnswer(end.status, end.headers, end.body, end.kept)
             await self._finish_answered(state, kept)
 
     async def _ask_agent(self, state: ClaimState) -> AttemptEnd:
@@ -289,7 +278,7 @@
             ClaimFinish(state.key, state.attempt, outcome, 0, b"", b"", state.epoch)
         )
 
-    async def _finish_answered(self, state: ClaimState, kept: _Kept) -> None:
+    async def _finish_answered(self, state: ClaimState, kept: KeptAnswer) -> None:
         await self._claims.record(
             ClaimFinish(
                 state.key,
@@ -304,39 +293,6 @@
         )
 
 
-class _Copy:
-    """Passes an answer's chunks on and keeps them, up to a bound."""
-
-    def __init__(self, answer: Answer):
-        self._answer = answer
-        self._body = bytearray()
-        self._n_bytes = 0
-        self._ended = False
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the chunks of the answer."""
-        async with aclosing(self._answer.chunks) as chunks:
-            async for chunk in chunks:
-                self._n_bytes += len(chunk)
-                if self._n_bytes <= MAX_COPY_BYTES:
-                    self._body += chunk
-                yield chunk
-        self._ended = True
-
-    @property
-    def is_whole(self) -> bool:
-        """Whether the answer was read to its end."""
-        return self._ended or self._body.endswith(_LAST_EVENT)
-
-    def kept(self) -> _Kept:
-        """Return the whole answer."""
-        is_kept = self._n_bytes <= MAX_COPY_BYTES
-        headers = self._answer.headers
-        pairs = [(name, headers[name]) for name in KEPT_HEADERS if name in headers]
-        body = bytes(self._body) if is_kept else b""
-        return _Kept(self._answer.status, orjson.dumps(pairs), body, is_kept)
-
-
 def _with_claim(attempt: Attempt, state: ClaimState) -> Attempt:
     claim = {
         "x-cowslip-attempt": _attempt_id(state),
@@ -351,7 +307,7 @@
     return f"{state.key}-{state.epoch}-{state.attempt}"
 
 
-def _as_answer(kept: _Kept) -> Answer:
+def _as_answer(kept: KeptAnswer) -> Answer:
     if not kept.is_kept:
         raise ClaimRefusedError(failure(Code.ANSWER_NOT_KEPT))
     headers = dict(orjson.loads(kept.headers or b"[]"))
