--- a/tests/test_claims_processes.py
+++ b/tests/test_claims_processes.py
@@ -47,6 +47,13 @@
 
     def __enter__(self) -> "ClaimsCluster":
         """Start every process and wait until the entries can serve."""
+        with contextlib.ExitStack() as stack:
+            stack.push(super().__exit__)
+            self._start()
+            stack.pop_all()
+        return self
+
+    def _start(self) -> None:
         if self.is_alone:
             self.start_keeper()
         else:
@@ -67,7 +74,6 @@
         )
         for n in range(2):
             self.wait_routed(n, len(self.agent_ports))
-        return self
 
     def start_keeper(self) -> None:
         """Start the keeper on its data folder."""
