Refuse one connection too many by number

Past its own bound uvicorn answered plain text without a code or a time to come back. The callers' connection class now refuses below that bound. The test failed with the check off.

--- a/src/cowslipwood/entry/_protocol.py
+++ b/src/cowslipwood/entry/_protocol.py
@@ -14,8 +14,13 @@
 
 __all__ = ["caller_protocol"]
 
+MAX_CONNECTIONS = 4_000
+RETRY_AFTER_MS = 1_000
 
-def caller_protocol(metrics: Metrics, head_timeout_ms: float) -> type[H11Protocol]:
+
+def caller_protocol(
+    metrics: Metrics, head_timeout_ms: float, max_connections: int = MAX_CONNECTIONS
+) -> type[H11Protocol]:
     """Return a connection class for uvicorn.
 
     A connection on which a request's head is begun but not ended in time, or
@@ -26,6 +31,8 @@
     metrics : Metrics
     head_timeout_ms : float
         Longest time that a request's first line and headers may take.
+    max_connections : int
+        Connections that may be open at once; one more is refused.
     """
     # A hostile caller could fill the log; the counters tell of it as well.
     quiet = logging.getLogger("cowslipwood.callers")
@@ -41,6 +48,10 @@
 
         def connection_made(self, transport: asyncio.Transport) -> None:
             super().connection_made(transport)
+            if len(self.connections) > max_connections:
+                fault = failure(Code.TOO_MANY_CONNECTIONS, "", RETRY_AFTER_MS)
+                self._close_with(fault)
+                return
             self._await_head()
 
         def connection_lost(self, exc: Exception | None) -> None:
@@ -92,6 +103,9 @@
         (b"connection", b"close"),
         (b"x-cowslip-outcome", fault.outcome.value.encode()),
     ]
+    if fault.retry_after_ms:
+        seconds = -(-fault.retry_after_ms // 1000)
+        headers.append((b"retry-after", str(seconds).encode()))
     status = CODE_INFO[fault.code].http_status
     response = h11.Response(status_code=status, headers=headers, reason=b"")
     parts = [response, h11.Data(data=body), h11.EndOfMessage()]
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -20,6 +20,7 @@
 
 LIMIT_S = 60.0
 MAX_TOKENS = 30_000
+MAX_CONNECTIONS = 20
 HEAD_TIMEOUT_MS = 100.0
 EVENT = b'data: {"index": 0, "text": "a "}\n\n'
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -34,8 +35,9 @@
 class _Entry:
     """An entry's front on a socket, with one fake agent behind it."""
 
-    def __init__(self, agent: Agent):
+    def __init__(self, agent: Agent, head_timeout_ms: float = HEAD_TIMEOUT_MS):
         self._agent = agent
+        self._head_timeout_ms = head_timeout_ms
         self.n_agent_calls = 0
         self.n_agent_connections = 0
         self.agent_lost = anyio.Event()
@@ -59,7 +61,7 @@
         self.metrics = serving.metrics
         sock = bind_socket("127.0.0.1:0")
         self.port = sock.getsockname()[1]
-        protocol = caller_protocol(self.metrics, HEAD_TIMEOUT_MS)
+        protocol = caller_protocol(self.metrics, self._head_timeout_ms, MAX_CONNECTIONS)
         server = HttpServer(self.front, sock, protocol)
         with anyio.fail_after(LIMIT_S):
             async with anyio.create_task_group() as tasks:
@@ -220,6 +222,23 @@
 
         self._run(test)
 
+    def test_too_many_connections(self):
+        """One connection over the bound is refused by number; the others stay."""
+
+        async def test(entry):
+            held = [await entry.connect() for _ in range(MAX_CONNECTIONS)]
+            data = await _read_to_end(await entry.connect())
+            self.assertIn(b" 503 ", data)
+            self.assertIn(b'"TOO_MANY_CONNECTIONS"', data)
+            self.assertIn(b"retry-after: 1", data)
+            for caller in held:
+                await caller.aclose()
+            await entry.counted("refusals_total", "TOO_MANY_CONNECTIONS")
+            await self._assert_serves(entry)
+
+        # The open connections must outlast the test.
+        anyio.run(_Entry(_echo, LIMIT_S * 1_000).run, test)
+
     def test_no_http(self):
         """Bytes that are no HTTP are refused with a numbered error."""
 
