--- a/src/cowslipwood/agent/_permits.py
+++ b/src/cowslipwood/agent/_permits.py
@@ -6,7 +6,6 @@
 from returns.result import Failure as Err
 
 from ..kernel.clock import monotonic_ms
-from ..kernel.codes import Code
 from ..kernel.keeper_link import KeeperLink
 from ..kernel.messages import PermitGrant, PermitRelease, PermitRequest
 from ..kernel.metrics import Metrics
@@ -42,8 +41,6 @@
             )
             if isinstance(answer, Err):
                 fault = answer.failure()
-                if fault.code is Code.BAD_MESSAGE:
-                    return 0
                 self._metrics.count("permit_waits_total", reason=fault.code.name)
                 retry_ms = max(MIN_RETRY_MS, min(MAX_RETRY_MS, fault.retry_after_ms))
                 await anyio.sleep(retry_ms / 1000)
