Close a lost leader's connections one round after the loss is seen

Cause: the pause before the close could end right at the loss, and connections made after it were closed too; in 4 runs of TestLeaderLoss one edit got PEER_GONE in place of its refusal, in 3 more runs another. Change: the connections held when the loss is seen close one round later, once. Open: in one of those 4 runs test_silent_partition waited 60 s for a leader; its log was not kept and it did not come again in 11 later runs.

--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -252,15 +252,20 @@
         return reply
 
     async def _tell_loop(self) -> None:
+        was_leader = False
         while True:
             now_ms = monotonic_ms()
             self._replica.measure(now_ms)
             self._metrics.gauge("revision", self._machine.catalogue.revision)
             if not self._replica.leads(now_ms):
+                is_lost = was_leader and not self._replica.is_leader
+                stale = list(self._subscribers) if is_lost else []
                 # Requests under way are answered in the pause, then cut off.
                 await anyio.sleep(self._settings.tick_ms / 1000)
-                await self._drop_subscribers()
+                await self._drop(stale)
+                was_leader = was_leader and not is_lost
                 continue
+            was_leader = True
             views = {
                 report.server_id: server_view(
                     report, report.server_id in self._machine.drained
@@ -273,11 +278,9 @@
                     tasks.start_soon(self._tell, subscriber, views, entry_ids, now_ms)
             await anyio.sleep(self._settings.tick_ms / 1000)
 
-    async def _drop_subscribers(self) -> None:
-        """Close the connections that belong to the leader, once it is another."""
-        if self._replica.is_leader:
-            return
-        for subscriber in list(self._subscribers):
+    async def _drop(self, stale: list[Subscriber]) -> None:
+        """Close the connections that were made to the leader that this one was."""
+        for subscriber in stale:
             if subscriber.role != "keeper":
                 await subscriber.close(failure(Code.NOT_LEADER))
 
