Send entries a change of nothing but load once a second

Change: readiness, leaving and membership go at once, load each second. Ruled out: no load at all, which would leave an entry without traffic blind.

--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -363,7 +363,7 @@
         await subscriber.tell_heartbeat(self._machine.catalogue.revision, now_ms)
         await subscriber.tell_catalogue(self._machine.catalogue)
         if subscriber.role == "entry":
-            await subscriber.tell_routing(views, entry_ids)
+            await subscriber.tell_routing(views, entry_ids, now_ms)
             return
         server_id = subscriber.peer_id
         assigned = self._machine.assignments.get(server_id)
--- a/src/cowslipwood/keeper/_subscribers.py
+++ b/src/cowslipwood/keeper/_subscribers.py
@@ -3,6 +3,7 @@
 Each subscriber is sent only what changed since it was last told.
 """
 
+import math
 from collections.abc import Sequence
 
 import orjson
@@ -21,6 +22,7 @@
 __all__ = ["Subscriber"]
 
 HEARTBEAT_MS = 500
+LOAD_INTERVAL_MS = 1_000
 
 
 class Subscriber:
@@ -45,6 +47,7 @@
         self._place = (1, 0)
         self._assignment: Assignment | None = None
         self._heartbeat_at_ms = 0.0
+        self._load_told_ms = -math.inf
 
     async def close(self, why: Failure) -> None:
         """Close the connection."""
@@ -76,28 +79,40 @@
         )
 
     async def tell_routing(
-        self, views: dict[str, ServerView], entry_ids: Sequence[str]
+        self, views: dict[str, ServerView], entry_ids: Sequence[str], now_ms: float
     ) -> None:
         """Send the backend servers that changed since the last call.
 
+        Entries learn a server's load from each of its answers, so a change of
+        nothing but load is sent at most once each `LOAD_INTERVAL_MS`.
+
         Parameters
         ----------
         views : dict of str to ServerView
         entry_ids : sequence of str
             The live entry hosts, sorted.
+        now_ms : float
         """
         place = _place(entry_ids, self.peer_id)
-        changed = tuple(
-            view for key, view in views.items() if self._views.get(key) != view
-        )
+        with_load = now_ms >= self._load_told_ms + LOAD_INTERVAL_MS
+        changed = {
+            key: view
+            for key, view in views.items()
+            if _differs(self._views.get(key), view, with_load)
+        }
         removed = tuple(self._views.keys() - views.keys())
         if self._routed and not changed and not removed and place == self._place:
             return
         full = not self._routed
         self._routed = True
-        self._views = dict(views)
+        self._views.update(changed)
+        for key in removed:
+            del self._views[key]
+        if with_load:
+            self._load_told_ms = now_ms
         self._place = place
-        await self._channel.send(RoutingUpdate(full, changed, removed, *place))
+        update = RoutingUpdate(full, tuple(changed.values()), removed, *place)
+        await self._channel.send(update)
 
     async def tell_assignment(self, assignment: Assignment) -> None:
         """Send the assignment when it is not the one sent last."""
@@ -115,3 +130,14 @@
     if entry_id in entry_ids:
         return len(entry_ids), entry_ids.index(entry_id)
     return len(entry_ids) + 1, len(entry_ids)
+
+
+def _differs(told: ServerView | None, view: ServerView, with_load: bool) -> bool:
+    """Return whether a view is news to an entry that was told another."""
+    if told is None or with_load:
+        return told != view
+    return told != view._replace(
+        n_in_flight=told.n_in_flight,
+        n_queued=told.n_queued,
+        wait_ms=told.wait_ms,
+    )
