--- a/src/cowslipwood/kernel/http.py
+++ b/src/cowslipwood/kernel/http.py
@@ -1,8 +1,6 @@
 """HTTP helpers: a uvicorn server as a task, and small ASGI functions."""
 
-import importlib.util
 import socket
-import sys
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, NamedTuple
 
@@ -74,16 +72,6 @@
     return sock
 
 
-def _skip_absent_sniffio() -> None:
-    """Spare httpcore a search of the whole path on each call.
-
-    It asks for sniffio, which is optional, several times for each request, and a
-    failed import is not remembered unless the module table says so.
-    """
-    if importlib.util.find_spec("sniffio") is None:
-        sys.modules["sniffio"] = None
-
-
 class _Server(uvicorn.Server):
     """A uvicorn server that leaves signals to the program."""
 
@@ -105,8 +93,6 @@
     """
 
     def __init__(self, app: App, sock: socket.socket, protocol: str | type = "h11"):
-        if "sniffio" not in sys.modules:
-            _skip_absent_sniffio()
         config = uvicorn.Config(
             app,
             log_config=None,
