--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -24,6 +24,7 @@
     OperatorRequest,
     PermitRelease,
     PermitRequest,
+    Refused,
     Welcome,
 )
 from ..kernel.metrics import Metrics
@@ -45,6 +46,7 @@
     StateMachine,
 )
 from ._claims import ClaimLimits, Claims
+from ._closing import Closing
 from ._directory import Directory, server_view
 from ._machine import KeeperMachine
 from ._members import parse_peers
@@ -206,6 +208,8 @@
             settings, cluster_token, self._machine, self._metrics
         )
         self._directory = Directory()
+        self._closing = Closing(self._directory)
+        self._closed: set[str] = set()
         self._operators = Operators(
             self._machine, self._replica, self._directory, op_token
         )
@@ -289,8 +293,8 @@
         if subscriber.role == "keeper":
             return await self._replica.handle(value, now_ms)
         if not self._replica.leads(now_ms):
-            self._metrics.count("refusals_total", reason=Code.NOT_LEADER.name)
-            return as_refused(failure(Code.NOT_LEADER), self._replica.leader_addr)
+            not_leader = failure(Code.NOT_LEADER)
+            return self._counted(as_refused(not_leader, self._replica.leader_addr))
         match value:
             case AgentReport():
                 self._directory.hear_agent(value, now_ms)
@@ -300,28 +304,33 @@
             case PermitRequest() | PermitRelease():
                 return self._planner.answer(value, now_ms)
             case OperatorRequest():
-                return await self._operators.answer(value, subscriber.peer_id)
+                reply = await self._operators.answer(value, subscriber.peer_id)
+                return self._counted(reply)
             case ClaimBegin() | ClaimAttempt() | ClaimFinish():
                 return await self._claims.answer(value, wall_ms())
             case _:
-                return as_refused(failure(Code.BAD_MESSAGE))
+                return self._counted(as_refused(failure(Code.BAD_MESSAGE)))
         return Ack(self._machine.catalogue.revision)
 
+    def _counted(self, reply: Any) -> Any:
+        """Count a reply that is a refusal, and return it."""
+        if isinstance(reply, Refused):
+            self._metrics.count("refusals_total", reason=Code(reply.code).name)
+        return reply
+
     async def _tell_loop(self) -> None:
         while True:
             now_ms = monotonic_ms()
             self._replica.measure(now_ms)
             self._metrics.gauge("revision", self._machine.catalogue.revision)
             if not self._replica.leads(now_ms):
-                await self._drop_subscribers()
+                # Requests under way are answered in the pause, then cut off.
                 await anyio.sleep(self._settings.tick_ms / 1000)
+                await self._drop_subscribers()
                 continue
+            self._closed = self._closing.closed(self._machine.drained, now_ms)
             views = {
-                report.server_id: server_view(
-                    report,
-                    report.server_id in self._machine.drained
-                    or self._directory.is_leaving(report.server_id, now_ms),
-                )
+                report.server_id: server_view(report, report.server_id in self._closed)
                 for report in self._directory.live_agents(now_ms)
             }
             entry_ids = self._directory.live_entry_ids(now_ms)
@@ -359,7 +368,7 @@
                     self._replica.term,
                     assigned.revision,
                     assigned.desired,
-                    server_id in self._machine.drained,
+                    server_id in self._closed,
                 )
             )
 
