Give tests ports from below the outgoing range

Cause: a port that was free a moment ago can be taken by an outgoing connection before the program listens on it. Change: test ports come from 10,000 to 29,999, none twice. Ruled out: keeping the socket open, which the program then cannot bind. Figures: test_silent_partition once waited 60 s for a leader, unexplained; its log was not kept, so this is a likely cause and not a shown one.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -16,14 +16,26 @@
 __all__ = ["Cluster", "free_port", "wait_for"]
 
 WAIT_S = 60.0
+FIRST_PORT = 10_000
+N_PORTS = 20_000
+_START = os.getpid() * 500 % N_PORTS
+_PORTS = iter([FIRST_PORT + (_START + i) % N_PORTS for i in range(N_PORTS)])
 LOG_TAIL_CHARS = 4_000
 
 
 def free_port() -> int:
-    """Return a TCP port on loopback that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a TCP port on loopback that no process listens on.
+
+    Ports come from below the range that outgoing connections take theirs from,
+    and none is given twice by this process.
+    """
+    for port in _PORTS:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            with contextlib.suppress(OSError):
+                sock.bind(("127.0.0.1", port))
+                return port
+    raise AssertionError("no free port is left")
 
 
 def wait_for(condition: Any, what: str, limit_s: float = WAIT_S) -> Any:
