Count a service's runs without running it

Cause: test_agent_killed_after_dispatch failed once with 0 runs: the agent was killed between its mark of the attempt and the call, which is allowed, but not what the test means. Its count of runs was itself a run and took as long as one. Change: runs are read from the stand-in's state; the kill waits for the run. Ruled out: allowing 0 runs, which would let the test pass without a run.

--- a/tests/test_claims_processes.py
+++ b/tests/test_claims_processes.py
@@ -39,7 +39,6 @@
         self.agent_ports = [free_port() for _ in range(n_agents)]
         self.service_ports = [free_port() for _ in range(n_agents)]
         self._answer_ms = answer_ms
-        self._n_probes = 0
         self._keeper_flags = [
             f"--{name.replace('_', '-')}={value}"
             for name, value in keeper_flags.items()
@@ -150,13 +149,11 @@
         return 0
 
     def n_runs(self) -> int:
-        """Return how many calls the services have run, without those from here."""
-        self._n_probes += len(self.service_ports)
-        counts = [
-            json.loads(call(port, "GET", "/")[2])["run_count"]
+        """Return how many calls the services have begun."""
+        return sum(
+            json.loads(call(port, "GET", "/standin/state")[2])["run_count"]
             for port in self.service_ports
-        ]
-        return sum(counts) - self._n_probes
+        )
 
 
 class Later(threading.Thread):
@@ -368,7 +365,8 @@
         """A request whose agent died in its run is unknown and never runs again."""
         cluster = self.start(answer_ms=SLOW_MS)
         first = cluster.deliver_later(0, "k")
-        self.wait_dispatched()
+        # The agent's mark comes before the call; the kill has to come after it.
+        wait_for(lambda: self.n_runs() == 1, "the run")
         cluster.kill("agent-0")
         self.assertEqual(first.answer()[1]["x-cowslip-outcome"], "unknown")
         cluster.start_agent(0)
