--- a/src/cowslipwood/programs/solo.py
+++ b/src/cowslipwood/programs/solo.py
@@ -27,6 +27,7 @@
 __all__ = ["SoloSettings", "main", "run_solo"]
 
 N_ENGINES = 3
+LOADS_PER_S = 20.0
 ZONES = ("zone-1", "zone-2", "zone-3")
 SERVICES = ("rosters", "deliveries")
 
@@ -91,6 +92,8 @@
         data=data,
         listen=keepers,
         http_listen=http,
+        loads_per_s=LOADS_PER_S,
+        max_loads_at_once=N_ENGINES,
         allow_no_token=True,
     )
     entry = EntrySettings(
