Name the knee alike in the agent's and the keepers' reports

Cause: the agent's answers said knee, all else knee_in_flight; the entry read both. Change: one name. Ruled out: nothing.

--- a/src/cowslipwood/agent/_calls.py
+++ b/src/cowslipwood/agent/_calls.py
@@ -293,7 +293,7 @@
             "n_in_flight": admission.n_in_flight,
             "n_queued": admission.n_queued,
             "wait_ms": round(admission.wait_ms(monotonic_ms(), CallClass.STANDARD), 1),
-            "knee": admission.knee_in_flight,
+            "knee_in_flight": admission.knee_in_flight,
         }
         return {"x-cowslip-report": orjson.dumps(value).decode()}
 
--- a/src/cowslipwood/entry/_dispatch.py
+++ b/src/cowslipwood/entry/_dispatch.py
@@ -231,7 +231,7 @@
             max(0, int(value["n_in_flight"])),
             max(0, int(value["n_queued"])),
             max(0.0, float(value["wait_ms"])),
-            max(0, int(value.get("knee_in_flight", value.get("knee", 0)))),
+            max(0, int(value.get("knee_in_flight", 0))),
         )
     except (ValueError, TypeError, KeyError):
         return None
