Resume a stream that breaks after the limit on its first token

Cause: attempts that go on with a begun stream were held to the time by which its first token was due: that had passed, so no candidate was in time, and an agent was told of 1 ms left. Ruled out: a fresh first-token limit for each resume, which would end a stream that the caller still wants. Figures: test_resumes_after_the_first_token_limit fails before with ANSWER_CUT and passes after; 48 tests of the entry pass.

--- a/src/cowslipwood/entry/_call.py
+++ b/src/cowslipwood/entry/_call.py
@@ -10,7 +10,7 @@
 from ..catalogue import Entry, EntryKind, ServiceClass
 from ..kernel.codes import Code, Failure, failure
 
-__all__ = ["Call", "make_call", "parse_deadline", "parse_request_id"]
+__all__ = ["Call", "begun_call", "make_call", "parse_deadline", "parse_request_id"]
 
 MAX_DEADLINE_MS = 24 * 3_600_000
 MAX_ID_CHARS = 128
@@ -93,3 +93,12 @@
     return Call(
         request_id, entry, key, prefix_hash, arrived_ms, deadline_ms, first_by_ms
     )
+
+
+def begun_call(call: Call) -> Call:
+    """Return a call whose answer has begun, for attempts that go on with it.
+
+    The time by which an answer is to begin holds for its beginning only; from
+    then on the caller's own deadline does.
+    """
+    return call._replace(first_by_ms=call.deadline_ms)
--- a/src/cowslipwood/entry/_generation.py
+++ b/src/cowslipwood/entry/_generation.py
@@ -13,7 +13,7 @@
 from ..catalogue import ServiceClass
 from ..kernel.codes import Code, Failure, failure
 from ._backend import Backend
-from ._call import Call
+from ._call import Call, begun_call
 from ._dispatch import Answer, AnswerCutError, Attempt
 from ._events import Chunk, read_chunks
 from ._serving import Serving
@@ -99,6 +99,9 @@
         now_ms = serving.now_ms()
         if isinstance(ended, Err):
             attempts.failed(backend, ended.failure(), now_ms)
+            if progress.n_tokens:
+                attempts.answer_began()
+                generation = generation._replace(call=begun_call(call))
             continue
         attempts.succeeded(
             backend, ended.unwrap() - began_ms, now_ms - began_ms, now_ms
@@ -108,12 +111,14 @@
 
 def attempt_headers(call: Call, now_ms: float) -> dict[str, str]:
     """Return the headers that tell an agent whose attempt this is and its times."""
-    left_ms = max(1, math.ceil(call.first_by_ms - now_ms))
-    return {
+    headers = {
         "x-request-id": call.request_id,
-        "x-deadline-ms": str(left_ms),
         "x-cowslip-class": call.entry.service_class.value,
     }
+    if math.isfinite(call.first_by_ms):
+        left_ms = max(1, math.ceil(call.first_by_ms - now_ms))
+        headers["x-deadline-ms"] = str(left_ms)
+    return headers
 
 
 async def _within_deadline(
--- a/src/cowslipwood/entry/_router.py
+++ b/src/cowslipwood/entry/_router.py
@@ -20,7 +20,7 @@
     LoadReport,
 )
 from ._budget import RetryBudget
-from ._call import Call
+from ._call import Call, begun_call
 from ._view import View
 from .routing import RoutingContext, RoutingPolicy, usable_candidates
 
@@ -235,6 +235,10 @@
         self._tried.add(backend.view.server_id)
         return Success(backend)
 
+    def answer_began(self) -> None:
+        """Take the next attempt as one that goes on with a begun answer."""
+        self._call = begun_call(self._call)
+
     def failed(self, backend: Backend, fault: Failure, now_ms: float) -> None:
         """Record how the attempt at a server failed."""
         self._last = fault
--- a/tests/test_entry_generation.py
+++ b/tests/test_entry_generation.py
@@ -107,16 +107,28 @@
         _, ended, _ = self._generate(script)
         self.assertEqual(ended.failure().code, Code.ANSWER_CUT)
 
-    def _generate(self, script, n_servers=2):
+    def test_resumes_after_the_first_token_limit(self):
+        """A stream that breaks long after it began goes on, without that limit."""
+        text, ended, dispatcher = self._generate(_scripted([3]), late_ms=60_000.0)
+        self.assertIsInstance(ended, Success)
+        self.assertEqual(text, expected_text(PROMPT, N_TOKENS))
+        _, resumed = dispatcher.sent[1]
+        self.assertNotIn("x-deadline-ms", resumed.headers)
+
+    def _generate(self, script, n_servers=2, late_ms=0.0):
+        """Generate; `late_ms` pass when the first tokens are delivered."""
         dispatcher = FakeDispatcher(script)
         servers = [engine_view(f"s{i}", "m1") for i in range(n_servers)]
         value = model_value("m1")
         serving = make_serving(make_view([value], servers, monotonic_ms()), dispatcher)
         call = make_entry_call(entry_of(value), monotonic_ms())
         texts = []
+        clock = {"ahead_ms": 0.0}
+        serving = serving._replace(now_ms=lambda: monotonic_ms() + clock["ahead_ms"])
 
         async def deliver(chunks):
             texts.extend(chunk.text for chunk in chunks)
+            clock["ahead_ms"] = late_ms
 
         async def run():
             return await generate(serving, Generation(call, PROMPT, N_TOKENS), deliver)
