Break an engine's stream on real programs after its first-token limit

Cause: the resume of a late stream was tested with fakes only. Change: two replicas in two zones; one breaks off after 50 of 60 tokens. Ruled out: a loop over both engines; the entry prefers the one in its zone.

--- a/tests/test_whole_system.py
+++ b/tests/test_whole_system.py
@@ -1,6 +1,7 @@
 """Three keepers, two entries, two engines and a service, restarted and cut."""
 
 import json
+import re
 import signal
 import threading
 import unittest
@@ -14,6 +15,8 @@
 
 N_TOKENS = 60
 TOKEN_MS = 10
+N_BEFORE_BREAK = 50
+FIRST_TOKEN_MS = 300
 N_CALLERS = 4
 N_EDITS = 500
 PROMPT = "the evening round to the north"
@@ -22,8 +25,8 @@
 class WholeCluster(KeeperCluster):
     """Every process of a small installation; a context manager."""
 
-    def __init__(self):
-        super().__init__()
+    def __init__(self, *keeper_flags: str):
+        super().__init__(*keeper_flags)
         self.ports = {
             name: free_port() for name in (*self.back_ends, *self.agents, *self.entries)
         }
@@ -56,10 +59,8 @@
                 flags = [f"--backend-url=http://127.0.0.1:{self.ports[back_end]}"]
                 if back_end.startswith("service"):
                     flags += ["--dialect=service", "--service-name=rosters"]
-                keepers = f"--keepers={self.keepers}"
-                self.start(
-                    name, "agent", f"--server-id=s{number}", listen, keepers, *flags
-                )
+                flags += [f"--zone=zone-{number}", f"--keepers={self.keepers}"]
+                self.start(name, "agent", f"--server-id=s{number}", listen, *flags)
             case "entry":
                 self.start(name, "entry", listen, f"--keepers={self.keepers}")
 
@@ -154,6 +155,37 @@
             endings.append("whole" if status == 200 and whole else f"{status} {body}")
 
 
+class TestBrokenStreams(unittest.TestCase):
+    """An engine that breaks off in the middle of streams."""
+
+    def test_goes_on_elsewhere(self):
+        """A stream broken after its first-token limit goes on at the other engine."""
+        with WholeCluster("--move-weight=0") as cluster:
+            cluster.start_whole()
+            limits = {"first_token_ms": FIRST_TOKEN_MS}
+            cluster.put(model_value("m1", limits=limits))
+            wait_for(lambda: self._n_ready(cluster) == 2, "two replicas")
+            fault = {"fail_streams": 1, "fail_after_tokens": N_BEFORE_BREAK}
+            call(cluster.ports["engine-1"], "POST", "/standin/fault", fault)
+            wait_for(lambda: self._resumed(cluster), "a resumed stream")
+
+    def _resumed(self, cluster: WholeCluster) -> bool:
+        """Ask for a whole stream; return whether any stream was resumed so far."""
+        _, _, body = cluster.complete("entry-1", N_TOKENS)
+        self.assertEqual(_text(body), expected_text(PROMPT, N_TOKENS))
+        return self._n_resumed(cluster) > 0
+
+    def _n_ready(self, cluster: WholeCluster) -> int:
+        status = json.loads(cluster.ctl("status", "--json").stdout)
+        models = [m for s in status["servers"] for m in s["models"]]
+        return sum(m["name"] == "m1" and m["state"] == "ready" for m in models)
+
+    def _n_resumed(self, cluster: WholeCluster) -> float:
+        text = call(cluster.ports["entry-1"], "GET", "/metrics")[2].decode()
+        found = re.search(r"^cowslip_entry_resumes_total ([0-9.]+)$", text, re.M)
+        return float(found.group(1)) if found else 0.0
+
+
 class TestWithoutKeepers(unittest.TestCase):
     """Entries and agents while no keeper runs."""
 
