--- a/src/cowslipwood/replication/_election.py
+++ b/src/cowslipwood/replication/_election.py
@@ -56,7 +56,7 @@
     term = state.term
     await state.save_ballot()
     metrics.count("elections_total")
-    get_logger().info("standing", term=term, handover=handover)
+    get_logger().info("election_started", term=term, handover=handover)
     won = await _ask_voters(state, links, _vote(state, handover))
     return won and state.term == term and state.role == Role.CANDIDATE
 
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -274,10 +274,10 @@
     async def _lead(self) -> None:
         leading = Leadership(self._state, self._links, monotonic_ms())
         log = get_logger()
-        log.info("leading", term=leading.term, replica=self.replica_id)
+        log.info("leadership_won", term=leading.term, replica=self.replica_id)
         self._state.changed.notify()
         try:
             await leading.run()
         finally:
             self._applier.fail_waiters()
-        log.info("leading_ended", term=leading.term, newest_term=self.term)
+        log.info("leadership_lost", term=leading.term, newest_term=self.term)
