Tell the agent of a drained plain service that it is drained

Cause: only servers with an assignment were told; plain services have none, so their agents went on serving entries that lag. Change: a plain service's agent is sent an empty assignment with its drain. Ruled out: the same for engines, whose models an empty assignment would unload before the log has one for them.

--- a/src/cowslipwood/keeper/_directory.py
+++ b/src/cowslipwood/keeper/_directory.py
@@ -112,6 +112,11 @@
         """Return the newest report of each agent ever heard, by server."""
         return dict(self._agents)
 
+    def is_service(self, server_id: str) -> bool:
+        """Return whether an agent reported a plain service behind it."""
+        heard = self._agents.get(server_id)
+        return heard is not None and heard.report.kind == "service"
+
     def forget_agent(self, server_id: str) -> None:
         """Drop all that is known of a server."""
         self._agents.pop(server_id, None)
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -41,7 +41,7 @@
 from ._claims import ClaimLimits, Claims
 from ._closing import Closing
 from ._directory import Directory, server_view
-from ._machine import KeeperMachine
+from ._machine import AssignedModels, KeeperMachine
 from ._members import parse_peers
 from ._operators import Operators
 from ._planner import Planner, PlannerSettings
@@ -234,6 +234,8 @@
             return
         server_id = subscriber.peer_id
         assigned = self._machine.assignments.get(server_id)
+        if assigned is None and self._directory.is_service(server_id):
+            assigned = AssignedModels(0, ())
         if assigned is not None and self._replica.leads(monotonic_ms()):
             await subscriber.tell_assignment(
                 Assignment(
--- a/tests/test_whole_system.py
+++ b/tests/test_whole_system.py
@@ -155,6 +155,28 @@
             endings.append("whole" if status == 200 and whole else f"{status} {body}")
 
 
+class TestDrainedService(unittest.TestCase):
+    """An operator's drain of a plain service's server."""
+
+    def test_its_own_agent_refuses(self):
+        """A drained service's agent refuses calls, also from an entry that lags."""
+        with WholeCluster() as cluster:
+            cluster.start_whole()
+            self.assertEqual(cluster.ctl("drain", "s3").returncode, 0)
+            headers = {
+                "authorization": "Bearer cluster-secret",
+                "x-cowslip-server": "s3",
+            }
+            port = cluster.ports["agent-3"]
+
+            def is_refused() -> bool:
+                _, _, body = call(port, "POST", "/x", {}, headers)
+                return json.loads(body).get("error", {}).get("name") == "AGENT_LEAVING"
+
+            wait_for(is_refused, "the refusal")
+            self.assertEqual(cluster.roster("entry-1")[0], 503)
+
+
 class TestBrokenStreams(unittest.TestCase):
     """An engine that breaks off in the middle of streams."""
 
