Compare the counters of each daemon by itself

Cause: the load tool summed counters over daemons before it compared them, so a killed agent's loads were taken off those of the others: a run that placed a lost server's models elsewhere showed 0 loads. Ruled out: reading moves from the keepers, which count assignments, not loads.

--- a/src/cowslipwood/load/_run.py
+++ b/src/cowslipwood/load/_run.py
@@ -11,7 +11,7 @@
 from ._arrivals import Request, arrivals
 from ._client import Client, Ending, Sample
 from ._profile import PROFILES, Scenario, catalogue_values, targets
-from ._scrape import scrape_counters
+from ._scrape import growth, scrape_counters
 from ._summary import Summary, summarize
 
 __all__ = ["Fault", "LoadOptions", "run_load"]
@@ -79,9 +79,8 @@
     samples = await _send_all(options, requests, profile.max_tokens)
     after = await scrape_counters(options.daemons)
     limits = {item["name"]: item["limits"] for item in catalogue}
-    return summarize(
-        options._asdict(), samples, limits, profile.n_engines, before, after
-    )
+    counters = growth(before, after)
+    return summarize(options._asdict(), samples, limits, profile.n_engines, counters)
 
 
 async def _send_all(
--- a/src/cowslipwood/load/_scrape.py
+++ b/src/cowslipwood/load/_scrape.py
@@ -6,22 +6,37 @@
 
 import httpcore
 
-__all__ = ["scrape_counters"]
+__all__ = ["Scrape", "growth", "scrape_counters"]
+
+Scrape = dict[str, Counter[str]]
 
 TIMEOUT_S = 2.0
 _SAMPLE = re.compile(r"^(cowslip_[a-z_]+_total)(?:\{([^}]*)\})? ([0-9.e+]+)$", re.M)
 
 
-async def scrape_counters(daemons: Iterable[str]) -> Counter[str]:
-    """Return the sum of each counter over the daemons that answer.
+async def scrape_counters(daemons: Iterable[str]) -> Scrape:
+    """Return the counters of each daemon that answers.
 
-    Keys are ``name`` or ``name{labels}`` as in the exposition text.
+    Keys of a daemon's counters are ``name`` or ``name{labels}`` as in the
+    exposition text.
     """
-    total: Counter[str] = Counter()
     async with httpcore.AsyncConnectionPool() as pool:
-        for daemon in daemons:
-            total.update(await _scrape(pool, daemon))
-    return total
+        return {daemon: await _scrape(pool, daemon) for daemon in daemons}
+
+
+def growth(before: Scrape, after: Scrape) -> Counter[str]:
+    """Return by how much each counter grew, summed over the daemons.
+
+    Daemons are compared one by one: one that ended in between takes nothing
+    off the others, and one that was started again counts from 0.
+    """
+    grown: Counter[str] = Counter()
+    for daemon, counters in after.items():
+        earlier = before.get(daemon, Counter())
+        for name, value in counters.items():
+            held = earlier[name] if earlier[name] <= value else 0.0
+            grown[name] += value - held
+    return +grown
 
 
 async def _scrape(pool: httpcore.AsyncConnectionPool, daemon: str) -> Counter[str]:
--- a/src/cowslipwood/load/_summary.py
+++ b/src/cowslipwood/load/_summary.py
@@ -55,8 +55,7 @@
     samples: Sequence[Sample],
     limits: Mapping[str, Mapping[str, int]],
     n_engines: int,
-    before: Counter[str],
-    after: Counter[str],
+    grown: Mapping[str, float],
 ) -> Summary:
     """Return the summary of a run.
 
@@ -68,15 +67,11 @@
     limits : mapping of str to mapping
         Limits of each catalogue entry, by name.
     n_engines : int
-    before, after : Counter
-        Counters of the daemons.
+    grown : mapping of str to float
+        By how much the daemons' counters grew.
     """
     met = [_met(sample, limits[sample.request.target]) for sample in samples]
-    counters = {
-        name: after[name] - before[name]
-        for name in sorted(after)
-        if after[name] > before[name]
-    }
+    counters = dict(sorted(grown.items()))
     duration_s = options["duration_s"]
     return Summary(
         options={**options, "faults": [list(f) for f in options["faults"]]},
