--- /dev/null
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -0,0 +1,293 @@
+"""Runs an entry that reaches its backend servers directly."""
+
+import random
+import uuid
+from typing import Any, NamedTuple, Protocol
+
+import anyio
+from returns.result import Failure as Err
+from returns.result import Result
+
+from ...kernel.channel import Channel
+from ...kernel.clock import monotonic_ms
+from ...kernel.codes import Code, Failure, failure
+from ...kernel.http import HttpServer, bind_socket, send_failure, with_health
+from ...kernel.keeper_link import KeeperLink
+from ...kernel.logs import get_logger
+from ...kernel.messages import (
+    DocumentUpdate,
+    EntryReport,
+    Hello,
+    RoutingUpdate,
+)
+from ...kernel.metrics import Metrics
+from ...kernel.registry import PluginKind, lookup, plugin_names
+from ...kernel.settings import address, one_of, optional_address, peer_list, within
+from ...kernel.tokens import read_token
+from ...routes import parse_document
+from .. import routing  # noqa: F401  registers the routing policies
+from .._protocol import caller_protocol
+from ._app import RouteApp
+from ._headers import HeaderNames
+from ._holders import Holders
+from ._retries import BudgetTerms
+from ._servers import Holdings, ListedServer, routing_update
+from ._state import DirectState
+
+__all__ = ["DirectEntry", "DirectSettings", "ListSource", "direct_checks"]
+
+SWEEP_MS = 500.0
+DRAIN_POLL_MS = 20.0
+HEAD_TIMEOUT_MS = 10_000.0
+# An entry whose list is older may send to servers that have left.
+STALE_LIST_MS = 10_000.0
+
+
+class ListSource(Protocol):
+    """The platform's list of backend servers."""
+
+    async def read(self) -> Result[list[ListedServer], Failure]:
+        """Return all servers; entries that cannot be read are left out."""
+
+
+class DirectSettings(NamedTuple):
+    """An entry host that reaches its backend servers directly.
+
+    Parameters
+    ----------
+    keepers : str
+        ip:port of each keeper, with commas between.
+    listen : str
+        ip:port for callers.
+    ready_listen : str
+        ip:port of the readiness answer; empty to give it beside the metrics.
+    metrics_listen : str
+        ip:port for /healthz, /readyz and /metrics.
+    entry_id : str
+        Name of this entry.
+    zone : str
+        Availability zone of this host.
+    routing : str
+        Routing policy.
+    list_ms : int
+        Milliseconds between two readings of the list of backend servers.
+    report_ms : int
+        Milliseconds between two reports to the keepers.
+    retry_share : float
+        Repeats allowed for each fresh request, over all entries.
+    retry_extra : float
+        Repeats allowed beyond that in one window, over all entries.
+    retry_window_ms : int
+        Length of that window in milliseconds.
+    drain_ms : int
+        Milliseconds for which a stopping entry goes on serving, so that the
+        balancer before it notices.
+    grace_ms : int
+        Milliseconds after which a stopping process is killed.
+    cluster_token : str
+        Token of the system's own connections, or @file.
+    """
+
+    keepers: str
+    listen: str
+    metrics_listen: str
+    entry_id: str
+    zone: str
+    ready_listen: str = ""
+    routing: str = "least_cost"
+    list_ms: int = 900
+    report_ms: int = 500
+    retry_share: float = 0.2
+    retry_extra: float = 64.0
+    retry_window_ms: int = 10_000
+    drain_ms: int = 3_000
+    grace_ms: int = 8_000
+    cluster_token: str = ""
+
+
+direct_checks = {
+    "keepers": peer_list(),
+    "listen": address(),
+    "metrics_listen": address(),
+    "ready_listen": optional_address(),
+    "routing": one_of(*plugin_names(PluginKind.ROUTING_POLICY)),
+    "list_ms": within(50, 60_000),
+    "report_ms": within(10, 10_000),
+    "retry_share": within(0, 10),
+    "retry_extra": within(0, 1e6),
+    "retry_window_ms": within(100, 600_000),
+    "drain_ms": within(0, 600_000),
+    "grace_ms": within(0, 600_000),
+}
+
+
+class DirectEntry:
+    """One entry process.
+
+    Parameters
+    ----------
+    settings : DirectSettings
+    names : HeaderNames
+    source : ListSource
+    """
+
+    def __init__(
+        self, settings: DirectSettings, names: HeaderNames, source: ListSource
+    ):
+        self._settings = settings
+        self._source = source
+        self._metrics = Metrics("entry")
+        self._listed: list[ListedServer] = []
+        self._holdings = Holdings()
+        self._incarnation = uuid.uuid4().hex
+        hello = Hello(
+            "entry",
+            settings.entry_id,
+            self._incarnation,
+            settings.zone,
+            read_token(settings.cluster_token),
+        )
+        self.link = KeeperLink(
+            settings.keepers, hello, self._on_message, self._report_loop
+        )
+        holders = Holders(self.link, self._holdings, self._refresh, monotonic_ms)
+        terms = BudgetTerms(
+            settings.retry_share, settings.retry_extra, settings.retry_window_ms
+        )
+        policy = lookup(PluginKind.ROUTING_POLICY, settings.routing)()
+        self._state = DirectState(
+            settings.zone, names, policy, holders, terms, self._metrics
+        )
+        self._app = RouteApp(self._state, random.Random())
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            not self._app.is_leaving
+            and self._state.document is not None
+            and bool(self._state.listed_ms)
+        )
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Serve until `stop`, then finish what was read."""
+        settings = self._settings
+        protocol = caller_protocol(self._metrics, HEAD_TIMEOUT_MS)
+        server = HttpServer(self._app, bind_socket(settings.listen), protocol)
+        side = with_health(_nothing, self._metrics, lambda: self.is_ready)
+        sides = [
+            HttpServer(side, bind_socket(listen))
+            for listen in (settings.metrics_listen, settings.ready_listen)
+            if listen
+        ]
+        get_logger().info("started", listen=settings.listen, zone=settings.zone)
+        async with anyio.create_task_group() as tasks:
+            for each in (server, *sides):
+                tasks.start_soon(each.run)
+            tasks.start_soon(self.link.run)
+            tasks.start_soon(self._list_loop)
+            tasks.start_soon(self._sweep_loop)
+            await stop.wait()
+            await self._drain(server)
+            tasks.cancel_scope.cancel()
+        get_logger().info("drained")
+
+    async def _drain(self, server: HttpServer) -> None:
+        """Go on serving until the balancer has noticed, then end what is open."""
+        self._app.is_leaving = True
+        with anyio.move_on_after(self._settings.grace_ms / 1000):
+            await anyio.sleep(self._settings.drain_ms / 1000)
+            server.stop()
+            while self._app.n_in_flight:
+                await anyio.sleep(DRAIN_POLL_MS / 1000)
+
+    async def _on_message(self, value: Any) -> None:
+        match value:
+            case DocumentUpdate():
+                self._use(value)
+            case RoutingUpdate():
+                self._state.n_entries = max(1, value.n_entries)
+
+    def _use(self, update: DocumentUpdate) -> None:
+        parsed = parse_document(update.document)
+        log = get_logger()
+        if isinstance(parsed, Err):
+            reason = parsed.failure().message
+            log.error("document_unreadable", version=update.version, reason=reason)
+            return
+        if self._state.use(parsed.unwrap()):
+            self._metrics.gauge("document_version", update.version)
+            log.info(
+                "document_in_force",
+                version=update.version,
+                routes=len(parsed.unwrap().routes),
+                term=self.link.term,
+            )
+
+    async def _list_loop(self) -> None:
+        """Read the list again and again; a reading that fails leaves the last one."""
+        was_lost = False
+        while True:
+            began_ms = monotonic_ms()
+            listed = await self._source.read()
+            if isinstance(listed, Err):
+                fault = listed.failure()
+                self._metrics.count("list_failures_total", reason=fault.code.name)
+                if not was_lost:
+                    get_logger().warning("list_lost", reason=fault.message)
+                was_lost = True
+            else:
+                if was_lost:
+                    get_logger().info("list_regained")
+                was_lost = False
+                self._take_list(listed.unwrap(), began_ms)
+            took_ms = monotonic_ms() - began_ms
+            await anyio.sleep(max(0.05, (self._settings.list_ms - took_ms) / 1000))
+
+    def _take_list(self, listed: list[ListedServer], began_ms: float) -> None:
+        self._state.listed_ms = began_ms
+        self._listed = listed
+        self._refresh()
+
+    def _refresh(self) -> None:
+        now_ms = monotonic_ms()
+        view = self._state.view
+        update = routing_update(view, self._listed, self._holdings, now_ms)
+        for server in update.servers:
+            held = view.backends.get(server.server_id)
+            if held is None or held.view.leaving != server.leaving:
+                get_logger().info(
+                    "server_listed",
+                    server=server.server_id,
+                    addr=server.http_addr,
+                    leaving=server.leaving,
+                    holds=len(server.ready),
+                )
+        for server_id in update.removed:
+            get_logger().info("server_unlisted", server=server_id)
+        view.update_routing(update, now_ms)
+
+    async def _sweep_loop(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP_MS / 1000)
+            addrs = {each.view.http_addr for each in self._state.view.backends.values()}
+            await self._state.pool.sweep(addrs, monotonic_ms())
+
+    async def _report_loop(self, channel: Channel) -> None:
+        while True:
+            report = EntryReport(
+                entry_id=self._settings.entry_id,
+                incarnation=self._incarnation,
+                zone=self._settings.zone,
+                http_addr=self._settings.listen,
+                leaving=self._app.is_leaving,
+                catalogue_revision=self._state.version,
+                demand=(),
+            )
+            await channel.send(report)
+            await anyio.sleep(self._settings.report_ms / 1000)
+
+
+async def _nothing(scope: dict, receive: Any, send: Any) -> None:
+    """Answer what is no health question."""
+    await send_failure(send, failure(Code.NO_SUCH_ROUTE))
--- /dev/null
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -0,0 +1,100 @@
+"""What the parts of an entry with direct routes share."""
+
+import random
+from collections.abc import Callable
+
+from ...kernel.clock import monotonic_ms
+from ...kernel.http_pool import ConnectionPool
+from ...kernel.metrics import Metrics
+from ...routes import RouteDocument, RouteTable
+from .._backend import Backend, LoadReport
+from .._view import View
+from ..routing import RoutingContext, RoutingPolicy
+from ._headers import HeaderNames
+from ._holders import Holders
+from ._retries import BudgetTerms, SharedBudget
+
+__all__ = ["DirectState"]
+
+
+class DirectState:
+    """The routes in force, the servers, and how requests reach them.
+
+    Parameters
+    ----------
+    zone : str
+    names : HeaderNames
+    policy : RoutingPolicy
+    holders : Holders
+    terms : BudgetTerms
+    metrics : Metrics
+    now_ms : callable
+        Returns the present time.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        names: HeaderNames,
+        policy: RoutingPolicy,
+        holders: Holders,
+        terms: BudgetTerms,
+        metrics: Metrics,
+        now_ms: Callable[[], float] = monotonic_ms,
+    ):
+        self.zone = zone
+        self.names = names
+        self.holders = holders
+        self.metrics = metrics
+        self.now_ms = now_ms
+        self.view = View()
+        self.pool = ConnectionPool()
+        self.document: RouteDocument | None = None
+        self.table = RouteTable()
+        self.listed_ms = 0.0
+        self.n_entries = 1
+        self._policy = policy
+        self._terms = terms
+        self._budgets: dict[str, SharedBudget] = {}
+
+    @property
+    def version(self) -> int:
+        """Version of the document in force; 0 while there is none."""
+        return self.document.version if self.document is not None else 0
+
+    def use(self, document: RouteDocument) -> bool:
+        """Put a document in force unless a newer one is; return whether it is."""
+        if document.version <= self.version:
+            return False
+        self.document = document
+        self.table = RouteTable(document.routes)
+        return True
+
+    def budget(self, service: str) -> SharedBudget:
+        """Return the retry budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = SharedBudget(self._terms)
+        return budget
+
+    def choose(
+        self, context: RoutingContext, rng: random.Random, now_ms: float
+    ) -> Backend | None:
+        """Return the server for a request; one ejected for errors if none else is."""
+        candidates = self.view.candidates(context.key)
+        chosen = self._policy.choose(candidates, context, rng, now_ms)
+        if chosen is not None:
+            return chosen
+        left = [
+            backend
+            for backend in candidates
+            if backend.view.server_id not in context.tried
+            and backend.reachable(context.key, now_ms)
+        ]
+        return min(left, key=lambda each: each.health.ejected_until_ms, default=None)
+
+    def heard(self, backend: Backend, report: LoadReport | None, now_ms: float) -> None:
+        """Take in the load that came with an answer."""
+        backend.answered(report, now_ms)
+        if report is not None:
+            self.view.typical_load.add(backend.others_load)
--- a/src/cowslipwood/entry/routing/_policy.py
+++ b/src/cowslipwood/entry/routing/_policy.py
@@ -6,7 +6,7 @@
 
 from .._backend import Backend
 
-__all__ = ["RoutingContext", "RoutingPolicy", "usable_candidates"]
+__all__ = ["RoutingContext", "RoutingPolicy", "usable_candidates", "zone_distance"]
 
 
 class RoutingContext(NamedTuple):
@@ -59,3 +59,13 @@
         if backend.view.server_id not in context.tried
         and backend.usable(context.key, now_ms)
     ]
+
+
+def zone_distance(zone: str, other: str) -> int:
+    """Return 0 in one zone, 1 within a region (``region/zone``), otherwise 2."""
+    if zone == other:
+        return 0
+    region, slash, _ = zone.partition("/")
+    other_region, other_slash, _ = other.partition("/")
+    same_region = not slash or not other_slash or region == other_region
+    return 1 if same_region else 2
--- a/src/cowslipwood/entry/routing/sampled_load.py
+++ b/src/cowslipwood/entry/routing/sampled_load.py
@@ -10,9 +10,9 @@
 from ...kernel.registry import PluginKind, register
 from .._backend import Backend
 from ._affinity import preferred_backend
-from ._policy import RoutingContext, usable_candidates
+from ._policy import RoutingContext, usable_candidates, zone_distance
 
-__all__ = ["SampledLoad", "zone_distance"]
+__all__ = ["SampledLoad"]
 
 N_SAMPLES = 2
 N_TRIES = 8
@@ -23,16 +23,6 @@
 RECENT_ANSWER_MS = 5_000.0
 
 
-def zone_distance(zone: str, other: str) -> int:
-    """Return 0 in one zone, 1 within a region (``region/zone``), otherwise 2."""
-    if zone == other:
-        return 0
-    region, slash, _ = zone.partition("/")
-    other_region, other_slash, _ = other.partition("/")
-    same_region = not slash or not other_slash or region == other_region
-    return 1 if same_region else 2
-
-
 @register(PluginKind.ROUTING_POLICY, "sampled_load")
 class SampledLoad:
     """Compares few candidates by load, errors, zone and prefix affinity."""
--- a/src/cowslipwood/keeper/_commands.py
+++ b/src/cowslipwood/keeper/_commands.py
@@ -15,6 +15,7 @@
 )
 
 __all__ = [
+    "ApplyCommand",
     "AssignCommand",
     "ClaimAttemptCommand",
     "ClaimBeginCommand",
@@ -48,6 +49,15 @@
     desired: tuple[DesiredModel, ...]
 
 
+@message("commands")
+class ApplyCommand(NamedTuple):
+    """A whole document of routes; takes effect when its version is the highest."""
+
+    version: int
+    source: bytes
+    document: bytes
+
+
 @message("commands")
 class DrainCommand(NamedTuple):
     """An operator drains a backend server, or takes the drain back."""
--- /dev/null
+++ b/src/cowslipwood/keeper/_documents.py
@@ -0,0 +1,78 @@
+"""Applies whole documents of routes and reads back the one in force."""
+
+from typing import Any
+
+from returns.result import Failure as Err
+
+from ..kernel.channel import as_refused
+from ..kernel.clock import monotonic_ms
+from ..kernel.codes import Code, failure
+from ..kernel.logs import get_logger
+from ..kernel.messages import AppliedDocument, ApplyDocument, ReadDocument
+from ..kernel.tokens import token_matches
+from ..replication import LogReplica
+from ..routes import parse_document
+from ._commands import ApplyCommand, encode_command
+from ._machine import KeeperMachine
+
+__all__ = ["Documents"]
+
+
+class Documents:
+    """Serves `ApplyDocument` and `ReadDocument` on the leader.
+
+    Parameters
+    ----------
+    machine : KeeperMachine
+    replica : LogReplica
+    operator_token : str
+    """
+
+    def __init__(
+        self, machine: KeeperMachine, replica: LogReplica, operator_token: str
+    ):
+        self._machine = machine
+        self._replica = replica
+        self._operator_token = operator_token
+
+    async def answer(self, request: ApplyDocument | ReadDocument) -> Any:
+        """Return the reply to one request."""
+        match request:
+            case ApplyDocument():
+                return await self._apply(request)
+            case ReadDocument():
+                return self._read()
+
+    async def _apply(self, request: ApplyDocument) -> Any:
+        """Commit a document; one that is not newer is acknowledged unchanged."""
+        log = get_logger()
+        if not token_matches(self._operator_token, request.operator_token):
+            return as_refused(failure(Code.BAD_TOKEN))
+        parsed = parse_document(request.document)
+        if isinstance(parsed, Err):
+            fault = parsed.failure()
+            log.info("document_refused", version=request.version, reason=fault.message)
+            return as_refused(fault)
+        held = self._machine.applied.version
+        if request.version <= held and self._replica.leads(monotonic_ms()):
+            log.info("document_not_newer", version=request.version, held=held)
+            return AppliedDocument(held, b"")
+        command = ApplyCommand(request.version, request.source, request.document)
+        proposed = await self._replica.propose(encode_command(command))
+        if isinstance(proposed, Err):
+            fault = proposed.failure()
+            log.warning(
+                "document_unsure", version=request.version, reason=fault.message
+            )
+            return as_refused(fault, self._replica.leader_addr)
+        version = self._machine.applied.version
+        log.info("document_committed", version=request.version, in_force=version)
+        return AppliedDocument(version, b"")
+
+    def _read(self) -> Any:
+        # Checked right before the answer: a leader whose lease has run out
+        # while it was suspended may hold an older document than the quorum.
+        if not self._replica.leads(monotonic_ms()):
+            return as_refused(failure(Code.NOT_LEADER))
+        applied = self._machine.applied
+        return AppliedDocument(applied.version, applied.source)
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -10,12 +10,15 @@
 from ..kernel.clock import monotonic_ms, wall_ms
 from ..kernel.codes import Code, failure
 from ..kernel.http import HttpServer, bind_socket, send_failure, with_health
+from ..kernel.keeper_link import KeeperLink
 from ..kernel.lifecycle import check_tokens
 from ..kernel.logs import get_logger
 from ..kernel.messages import (
     Ack,
     AgentLoad,
     AgentReport,
+    Announce,
+    ApplyDocument,
     Assignment,
     ClaimAttempt,
     ClaimBegin,
@@ -25,6 +28,7 @@
     OperatorRequest,
     PermitRelease,
     PermitRequest,
+    ReadDocument,
     Refused,
     Welcome,
 )
@@ -41,11 +45,13 @@
 from ._claims import ClaimLimits, Claims
 from ._closing import Closing
 from ._directory import Directory, server_view
+from ._documents import Documents
 from ._machine import AssignedModels, KeeperMachine
 from ._members import parse_peers
 from ._operators import Operators
 from ._planner import Planner, PlannerSettings
 from ._platform import poll_platform
+from ._recruiting import Recruiter
 from ._settings import KeeperSettings
 from ._subscribers import Subscriber
 
@@ -53,6 +59,8 @@
 
 IDLE_TIMEOUT_MS = 10_000
 HELLO_TIMEOUT_MS = 2_000
+# Several rounds fit into the time after which an announcement counts as old.
+RECRUIT_MS = 300
 
 
 async def run_keeper(settings: KeeperSettings, stop: anyio.Event) -> None:
@@ -82,6 +90,8 @@
             self._machine, self._replica, self._directory, op_token
         )
         planning = {name: getattr(settings, name) for name in PlannerSettings._fields}
+        self._documents = Documents(self._machine, self._replica, op_token)
+        self._recruiter = Recruiter(self._replica)
         self._planner = Planner(
             PlannerSettings(**planning),
             self._machine,
@@ -115,6 +125,9 @@
             tasks.start_soon(self._tell_loop)
             tasks.start_soon(self._planner.run)
             tasks.start_soon(self._poll_platform)
+            tasks.start_soon(self._recruit_loop)
+            if self._settings.join:
+                tasks.start_soon(self._join)
             await stop.wait()
             await self._replica.hand_over()
             http.stop()
@@ -176,6 +189,10 @@
             case OperatorRequest():
                 reply = await self._operators.answer(value, subscriber.peer_id)
                 return self._counted(reply)
+            case ApplyDocument() | ReadDocument():
+                return self._counted(await self._documents.answer(value))
+            case Announce():
+                self._recruiter.announced(value, now_ms)
             case ClaimBegin() | ClaimAttempt() | ClaimFinish():
                 return await self._claims.answer(value, wall_ms())
             case _:
@@ -214,6 +231,25 @@
                     tasks.start_soon(self._tell, subscriber, views, entry_ids, now_ms)
             await anyio.sleep(self._settings.tick_ms / 1000)
 
+    async def _recruit_loop(self) -> None:
+        while True:
+            now_ms = monotonic_ms()
+            if self._replica.leads(now_ms):
+                await self._recruiter.step(now_ms)
+            await anyio.sleep(RECRUIT_MS / 1000)
+
+    async def _join(self) -> None:
+        """Announce this keeper to the others while it holds no log."""
+        hello = Hello("operator", self._settings.keeper_id, "", "", self._cluster_token)
+        link = KeeperLink(self._settings.join, hello, _ignore)
+        announce = Announce(self._replica.replica_id, self._settings.listen)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.run)
+            while not self._replica.has_log:
+                await link.send(announce)
+                await anyio.sleep(RECRUIT_MS / 1000)
+            tasks.cancel_scope.cancel()
+
     async def _drop(self, stale: list[Subscriber]) -> None:
         """Close the connections that were made to the leader that this one was."""
         for subscriber in stale:
@@ -223,13 +259,17 @@
     async def _tell(
         self, subscriber: Subscriber, views: dict, entry_ids: list, now_ms: float
     ) -> None:
-        if subscriber.role not in ("agent", "entry"):
-            return
-        if not self._replica.leads(monotonic_ms()):
+        if subscriber.role == "keeper" or not self._replica.leads(monotonic_ms()):
             return
         await subscriber.tell_heartbeat(self._machine.catalogue.revision, now_ms)
+        if subscriber.role not in ("agent", "entry"):
+            return
         await subscriber.tell_catalogue(self._machine.catalogue)
         if subscriber.role == "entry":
+            members = tuple(member.addr for member in self._replica.members)
+            await subscriber.tell_keepers(members)
+            applied = self._machine.applied
+            await subscriber.tell_document(applied.version, applied.document)
             await subscriber.tell_routing(views, entry_ids, now_ms)
             return
         server_id = subscriber.peer_id
@@ -263,7 +303,9 @@
     metrics: Metrics,
 ) -> LogReplica:
     """Open the data folder, or end the process with a numbered error."""
-    peers = parse_peers(settings.peers) or {settings.keeper_id: settings.listen}
+    peers = parse_peers(settings.peers)
+    if not peers and not settings.join:
+        peers = {settings.keeper_id: settings.listen}
     replica_settings = ReplicaSettings(
         name=settings.keeper_id,
         folder=Path(settings.data),
@@ -284,5 +326,9 @@
         exit_with(Code.DISK_FAILED, str(exc))
 
 
+async def _ignore(value: Any) -> None:
+    """Drop what the leader tells a keeper that only announces itself."""
+
+
 async def _no_route(scope: dict, receive: Any, send: Any) -> None:
     await send_failure(send, failure(Code.NO_SUCH_ROUTE))
--- a/src/cowslipwood/keeper/_machine.py
+++ b/src/cowslipwood/keeper/_machine.py
@@ -1,5 +1,6 @@
 """The replicated state: catalogue, assignments, drains and claims."""
 
+import base64
 from typing import Any, NamedTuple
 
 import orjson
@@ -19,6 +20,7 @@
 from ..kernel.messages import DesiredModel
 from ._claim_table import ClaimTable
 from ._commands import (
+    ApplyCommand,
     AssignCommand,
     ClaimAttemptCommand,
     ClaimBeginCommand,
@@ -31,6 +33,9 @@
 __all__ = ["AssignedModels", "KeeperMachine"]
 
 
+NO_DOCUMENT = ApplyCommand(0, b"", b"")
+
+
 class AssignedModels(NamedTuple):
     """What one backend server is to hold.
 
@@ -53,6 +58,7 @@
         self.assignments: dict[str, AssignedModels] = {}
         self.drained: set[str] = set()
         self.claims = ClaimTable()
+        self.applied = NO_DOCUMENT
         self.on_change = lambda: None
 
     def apply(self, index: int, command: bytes) -> Result[Any, Failure]:
@@ -72,6 +78,10 @@
                 assigned = AssignedModels(index, command.desired)
                 self.assignments[command.server_id] = assigned
                 return Success(assigned)
+            case ApplyCommand():
+                if command.version > self.applied.version:
+                    self.applied = command
+                return Success(self.applied)
             case DrainCommand(server_id, True):
                 self.drained.add(server_id)
                 return Success(index)
@@ -106,6 +116,11 @@
                 },
                 "drained": sorted(self.drained),
                 "claims": self.claims.to_json(),
+                "applied": [
+                    self.applied.version,
+                    base64.b64encode(self.applied.source).decode(),
+                    base64.b64encode(self.applied.document).decode(),
+                ],
             }
         )
 
@@ -121,4 +136,6 @@
         }
         self.drained = set(value["drained"])
         self.claims = ClaimTable.from_json(value["claims"])
+        version, *contents = value.get("applied", [0, "", ""])
+        self.applied = ApplyCommand(version, *map(base64.b64decode, contents))
         self.on_change()
--- a/src/cowslipwood/keeper/_settings.py
+++ b/src/cowslipwood/keeper/_settings.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from ..kernel.registry import PluginKind, plugin_names
-from ..kernel.settings import Check, address, one_of, within
+from ..kernel.settings import Check, address, one_of, peer_list, within
 from . import (
     _planner,  # noqa: F401  registers the placement policies
     _platform,  # noqa: F401  registers the platform dialects
@@ -30,6 +30,9 @@
         The initial members as name=ip:port with commas between, this keeper
         included; empty for a keeper that stands alone. A keeper that replaces
         another is given the members that there are.
+    join : str
+        ip:port of keepers, with commas between, whose log this keeper asks to
+        join while it holds none; it then begins no log without `peers`.
     zone : str
         Availability zone of this host.
     snapshot_entries : int
@@ -80,6 +83,7 @@
     listen: str = "127.0.0.1:8100"
     http_listen: str = "127.0.0.1:8101"
     peers: str = ""
+    join: str = ""
     zone: str = "zone-1"
     snapshot_entries: int = 10_000
     tick_ms: int = 50
@@ -117,6 +121,10 @@
     "listen": address(),
     "http_listen": address(),
     "peers": Check("name=ip:port, with commas between several", _are_peers),
+    "join": Check(
+        "ip:port, with commas between several, or empty",
+        lambda text: not text or peer_list().holds(text),
+    ),
     "snapshot_entries": within(10, 1_000_000),
     "tick_ms": within(5, 5_000),
     "plan_ms": within(10, 60_000),
--- a/src/cowslipwood/keeper/_subscribers.py
+++ b/src/cowslipwood/keeper/_subscribers.py
@@ -15,6 +15,8 @@
     Ack,
     Assignment,
     CatalogueUpdate,
+    DocumentUpdate,
+    KeepersUpdate,
     RoutingUpdate,
     ServerView,
 )
@@ -46,6 +48,8 @@
         self._routed = False
         self._place = (1, 0)
         self._assignment: Assignment | None = None
+        self._document_version = 0
+        self._keepers: tuple[str, ...] = ()
         self._heartbeat_at_ms = 0.0
         self._load_told_ms = -math.inf
 
@@ -78,6 +82,18 @@
             CatalogueUpdate(catalogue.revision, full, changed, deleted)
         )
 
+    async def tell_document(self, version: int, document: bytes) -> None:
+        """Send the document of routes when a newer one is in force."""
+        if version > self._document_version:
+            self._document_version = version
+            await self._channel.send(DocumentUpdate(version, document))
+
+    async def tell_keepers(self, addrs: tuple[str, ...]) -> None:
+        """Send where the keepers are when that has changed."""
+        if addrs != self._keepers:
+            self._keepers = addrs
+            await self._channel.send(KeepersUpdate(addrs))
+
     async def tell_routing(
         self, views: dict[str, ServerView], entry_ids: Sequence[str], now_ms: float
     ) -> None:
--- a/src/cowslipwood/kernel/clock.py
+++ b/src/cowslipwood/kernel/clock.py
@@ -10,8 +10,12 @@
 
 
 def monotonic_ms() -> float:
-    """Return milliseconds on the monotonic clock; for leases and timeouts."""
-    return time.monotonic() * 1000.0
+    """Return milliseconds on the boot-time clock; for leases and timeouts.
+
+    Unlike the plain monotonic clock it goes on while the host is suspended, so
+    that a lease held by a suspended process has ended when the process wakes.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
 
 
 def wall_ms() -> int:
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -51,6 +51,7 @@
     CLAIMS_UNAVAILABLE = 1206
     CLAIM_IN_PROGRESS = 1207
     TOO_MANY_CONNECTIONS = 1208
+    NO_CATALOGUE = 1209
 
     OUTCOME_UNKNOWN = 1301
     ANSWER_CUT = 1302
@@ -184,6 +185,9 @@
         504, _U, 12, "The same key is being run; resend the same request later."
     ),
     Code.TOO_MANY_CONNECTIONS: CodeInfo(503, _N, 11, "Too many open requests."),
+    Code.NO_CATALOGUE: CodeInfo(
+        503, _N, 11, "This entry does not know the catalogue yet."
+    ),
     Code.OUTCOME_UNKNOWN: CodeInfo(
         504, _U, 12, "The request may have run; it is not run again."
     ),
--- a/src/cowslipwood/kernel/keeper_link.py
+++ b/src/cowslipwood/kernel/keeper_link.py
@@ -10,12 +10,14 @@
 from .channel import Channel, Handler, open_channel, refused_failure
 from .codes import Code, Failure, failure
 from .logs import get_logger
-from .messages import Hello, Refused, Welcome
+from .messages import Hello, KeepersUpdate, Refused, Welcome
 from .settings import parse_address
 
 __all__ = ["KeeperLink"]
 
-IDLE_TIMEOUT_MS = 3_000
+# Longer than two of the leader's heartbeats; a leader whose host went dark is
+# noticed by this alone.
+IDLE_TIMEOUT_MS = 1_500
 REDIAL_MS = 100
 RETRY_AFTER_MS = 1_000
 
@@ -49,7 +51,8 @@
         handle: Handler,
         on_connect: Callable[[Channel], Awaitable[None]] | None = None,
     ):
-        self._addresses = keepers.split(",")
+        self._configured = keepers.split(",")
+        self._learned: tuple[str, ...] = ()
         self._hello = hello
         self._handle = handle
         self._on_connect = on_connect
@@ -66,13 +69,18 @@
         """Dial for as long as the process runs."""
         turn = 0
         while True:
-            address = self._addresses[turn % len(self._addresses)]
+            addresses = [*dict.fromkeys([*self._learned, *self._configured])]
+            address = addresses[turn % len(addresses)]
             turn += 1
             hint = await self._dial(address)
             if hint and hint != address:
                 await self._dial(hint)
             await anyio.sleep(REDIAL_MS / 1000)
 
+    def use_keepers(self, keepers: str) -> None:
+        """Replace the configured addresses, after a reload of the settings."""
+        self._configured = keepers.split(",")
+
     async def request(self, value: Any, timeout_ms: float) -> Result[Any, Failure]:
         """Ask the leader; fails with NO_QUORUM when none is connected.
 
@@ -117,6 +125,12 @@
         await self._stay(channel, welcome)
         return ""
 
+    async def _on_message(self, value: Any) -> Any:
+        if isinstance(value, KeepersUpdate):
+            self._learned = value.addrs
+            return None
+        return await self._handle(value)
+
     async def _stay(self, channel: Channel, welcome: Welcome) -> None:
         self.term = welcome.term
         self._channel = channel
@@ -126,7 +140,7 @@
             async with anyio.create_task_group() as tasks:
                 if self._on_connect is not None:
                     tasks.start_soon(self._on_connect, channel)
-                why = await channel.run(self._handle)
+                why = await channel.run(self._on_message)
                 tasks.cancel_scope.cancel()
         finally:
             self._channel = None
--- a/src/cowslipwood/kernel/lifecycle.py
+++ b/src/cowslipwood/kernel/lifecycle.py
@@ -9,10 +9,10 @@
 import anyio
 
 from .codes import Code
-from .logs import configure_logs, get_logger
+from .logs import bounded_stdout, configure_logs, get_logger
 from .settings import Check, exit_with, load_settings
 
-__all__ = ["check_tokens", "run_program", "set_on_signal"]
+__all__ = ["check_tokens", "run_daemon", "run_program", "set_on_signal"]
 
 
 def run_program(
@@ -40,7 +40,14 @@
         What `serve` returned.
     """
     settings = load_settings(record, checks, os.environ, sys.argv[1:])
-    configure_logs(name)
+    return run_daemon(name, settings, serve)
+
+
+def run_daemon(
+    name: str, settings: Any, serve: Callable[[Any, anyio.Event], Awaitable[Any]]
+) -> Any:
+    """Run a daemon with settings that are loaded already; see `run_program`."""
+    configure_logs(name, output=bounded_stdout())
 
     async def run() -> Any:
         stop = anyio.Event()
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -9,6 +9,9 @@
 
 __all__ = [
     "Ack",
+    "Announce",
+    "AppliedDocument",
+    "ApplyDocument",
     "AgentLoad",
     "AgentReport",
     "Assignment",
@@ -21,13 +24,18 @@
     "ClaimState",
     "DemandSample",
     "DesiredModel",
+    "DocumentUpdate",
     "EntryReport",
+    "HolderReply",
+    "HolderRequest",
     "Hello",
+    "KeepersUpdate",
     "OperatorReply",
     "OperatorRequest",
     "PermitGrant",
     "PermitRelease",
     "PermitRequest",
+    "ReadDocument",
     "Refused",
     "Resident",
     "RoutingUpdate",
@@ -250,6 +258,74 @@
     revision: int
 
 
+@message("control")
+class ApplyDocument(NamedTuple):
+    """An operator replaces the whole document of routes.
+
+    `source` is what the operator sent, to be read back unchanged; `document`
+    is what it means to the entries.
+    """
+
+    version: int
+    source: bytes
+    document: bytes
+    operator_token: str
+
+
+@message("control")
+class ReadDocument(NamedTuple):
+    """An operator reads the document in force."""
+
+
+@message("control")
+class AppliedDocument(NamedTuple):
+    """The document in force; version 0 while none was applied."""
+
+    version: int
+    source: bytes
+
+
+@message("control")
+class DocumentUpdate(NamedTuple):
+    """The leader tells an entry the document in force."""
+
+    version: int
+    document: bytes
+
+
+@message("control")
+class KeepersUpdate(NamedTuple):
+    """The leader tells where the keepers are now."""
+
+    addrs: tuple[str, ...]
+
+
+@message("control")
+class Announce(NamedTuple):
+    """A keeper without a log asks to become a member."""
+
+    replica_id: str
+    addr: str
+
+
+@message("control")
+class HolderRequest(NamedTuple):
+    """An entry needs a server that holds a model, and an adapter if named."""
+
+    service: str
+    model: str
+    adapter: str
+    zone: str
+
+
+@message("control")
+class HolderReply(NamedTuple):
+    """The server that holds what was asked for, and what is ready there now."""
+
+    server_id: str
+    ready: tuple[str, ...]
+
+
 @message("claims")
 class ClaimBegin(NamedTuple):
     """An entry asks for a key's state and, where it may run, for an attempt."""
--- a/src/cowslipwood/replication/__init__.py
+++ b/src/cowslipwood/replication/__init__.py
@@ -1,6 +1,7 @@
 """The keepers' replicated log."""
 
 from ._errors import DataDamagedError, DataLockedError
+from ._messages import Member
 from ._protocols import Replica, StateMachine
 from ._replica import LogReplica, ReplicaSettings
 from ._state import Timing
@@ -9,6 +10,7 @@
     "DataDamagedError",
     "DataLockedError",
     "LogReplica",
+    "Member",
     "Replica",
     "ReplicaSettings",
     "StateMachine",
--- a/src/cowslipwood/replication/_formation.py
+++ b/src/cowslipwood/replication/_formation.py
@@ -49,7 +49,7 @@
             if not told_waiting:
                 get_logger().info("waiting_to_join", replica=state.replica_id)
             told_waiting = True
-        elif name == min(peers) and _all_agree(identities, peers):
+        elif peers and name == min(peers) and _all_agree(identities, peers):
             await _begin(state, identities)
         await anyio.sleep(PAUSE_MS / 1000)
 
--- a/src/cowslipwood/replication/_leader.py
+++ b/src/cowslipwood/replication/_leader.py
@@ -76,6 +76,18 @@
         newest_ms = quorum_value(self._state.log.members, acked_ms)
         return max(newest_ms, 0)
 
+    def silent_ms(self, now_ms: float) -> dict[str, float]:
+        """Return the time since each follower's last answer, or since the election."""
+        others = (
+            member.replica_id
+            for member in self._state.log.members
+            if member.replica_id != self._state.replica_id
+        )
+        return {
+            replica_id: now_ms - max(self._acked_ms.get(replica_id, 0), self.started_ms)
+            for replica_id in others
+        }
+
     def holds_lease(self, now_ms: float) -> bool:
         """Return whether a quorum answered recently enough to act on."""
         return now_ms < self.quorum_acked_ms(now_ms) + self._state.timing.lease_ms
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -163,6 +163,18 @@
         leading = self._state.leading
         return leading.started_ms if isinstance(leading, Leadership) else None
 
+    def silent_ms(self, now_ms: float) -> dict[str, float]:
+        """Return the time since each follower's last answer; empty if not leading."""
+        leading = self._state.leading
+        if not isinstance(leading, Leadership):
+            return {}
+        return leading.silent_ms(now_ms)
+
+    @property
+    def has_log(self) -> bool:
+        """Whether this replica holds a log, its own or one that it joined."""
+        return self._state.formed
+
     def leads(self, now_ms: float) -> bool:
         """Return whether this replica may act as leader now.
 
--- a/src/cowslipwood/schema/commands.capnp
+++ b/src/cowslipwood/schema/commands.capnp
@@ -43,3 +43,9 @@
   maxAnswerBytes @2 :UInt64;
   maxAnswersBytes @3 :UInt64; # of all kept answers together
 }
+
+struct ApplyCommand {
+  version @0 :UInt64;
+  source @1 :Data;
+  document @2 :Data;         # JSON
+}
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -154,3 +154,44 @@
   body @0 :Data;             # JSON
   revision @1 :UInt64;
 }
+
+struct ApplyDocument {
+  version @0 :UInt64;
+  source @1 :Data;       # as the operator sent it
+  document @2 :Data;     # JSON, as entries read it
+  operatorToken @3 :Text;
+}
+
+struct ReadDocument {
+}
+
+struct AppliedDocument {
+  version @0 :UInt64;    # 0 while none was applied
+  source @1 :Data;
+}
+
+struct DocumentUpdate {
+  version @0 :UInt64;
+  document @1 :Data;
+}
+
+struct KeepersUpdate {
+  addrs @0 :List(Text);
+}
+
+struct Announce {
+  replicaId @0 :Text;
+  addr @1 :Text;
+}
+
+struct HolderRequest {
+  service @0 :Text;
+  model @1 :Text;
+  adapter @2 :Text;      # empty for the model itself
+  zone @3 :Text;
+}
+
+struct HolderReply {
+  serverId @0 :Text;
+  ready @1 :List(Text);
+}
