Order models and adapters by the leading keeper; answer the balancer's readiness question

Change: the leader keeps an exact record of each engine by the sequence of its orders, names that sequence in each order, and answers entries' questions for a holder. A request for which nobody can be found is refused instead of asked again.

--- a/src/cowslipwood/entry/_meters.py
+++ b/src/cowslipwood/entry/_meters.py
@@ -9,6 +9,7 @@
 from ..kernel.messages import DemandSample
 from ..kernel.metrics import Metrics
 from ._call import Call
+from ._demand import DemandMeter
 
 __all__ = ["Meters", "Timing", "within_limits"]
 
@@ -62,28 +63,6 @@
     )
 
 
-class _Demand:
-    """Demand for one entry since the last report."""
-
-    __slots__ = ("at_ms", "held_ms", "n_arrived", "n_in_flight", "n_met", "n_missed")
-
-    def __init__(self, now_ms: float):
-        self.n_in_flight = 0
-        self.clear(now_ms)
-
-    def clear(self, now_ms: float) -> None:
-        self.n_arrived = 0
-        self.n_met = 0
-        self.n_missed = 0
-        self.held_ms = 0.0
-        self.at_ms = now_ms
-
-    def change(self, n_more: int, now_ms: float) -> None:
-        self.held_ms += self.n_in_flight * (now_ms - self.at_ms)
-        self.at_ms = now_ms
-        self.n_in_flight += n_more
-
-
 class _Window(NamedTuple):
     first: HdrHistogram
     answer: HdrHistogram
@@ -101,20 +80,19 @@
     def __init__(self, metrics: Metrics, now_ms: float):
         self._metrics = metrics
         self._windows: dict[str, _Window] = {}
-        self._demand: dict[str, _Demand] = {}
-        self._reported_ms = now_ms
+        self._demand = DemandMeter(now_ms)
 
     def arrived(self, entry: Entry) -> None:
         """Count a fresh request."""
-        self._demand_of(entry).n_arrived += 1
+        self._demand.arrived(entry.name)
 
     def began(self, entry: Entry, now_ms: float) -> None:
         """Count a request that was let in."""
-        self._demand_of(entry).change(1, now_ms)
+        self._demand.began(entry.name, now_ms)
 
     def missed(self, entry: Entry) -> None:
         """Count a request outside its limits, or refused."""
-        self._demand_of(entry).n_missed += 1
+        self._demand.missed(entry.name)
         class_name = entry.service_class.value
         self._metrics.count(
             "attainment_total", service_class=class_name, result="missed"
@@ -123,12 +101,11 @@
     def ended(self, timing: Timing, now_ms: float) -> None:
         """Take in the end of a request that was let in."""
         entry = timing.call.entry
-        demand = self._demand_of(entry)
-        demand.change(-1, now_ms)
+        self._demand.ended(entry.name, now_ms)
         if timing.ended_ms:
             self._record(timing)
         if timing.ended_ms and within_limits(timing):
-            demand.n_met += 1
+            self._demand.met(entry.name)
             class_name = entry.service_class.value
             self._metrics.count(
                 "attainment_total", service_class=class_name, result="met"
@@ -138,26 +115,7 @@
 
     def demand_samples(self, now_ms: float) -> tuple[DemandSample, ...]:
         """Return the demand since the last call and begin anew."""
-        span_ms = max(1.0, now_ms - self._reported_ms)
-        self._reported_ms = now_ms
-        samples = []
-        for name, demand in list(self._demand.items()):
-            demand.change(0, now_ms)
-            if not (demand.n_arrived or demand.held_ms or demand.n_missed):
-                if not demand.n_in_flight:
-                    del self._demand[name]
-                continue
-            n_ended = demand.n_met + demand.n_missed
-            samples.append(
-                DemandSample(
-                    name,
-                    demand.n_arrived / span_ms * 1000,
-                    demand.held_ms / span_ms,
-                    demand.n_missed / n_ended if n_ended else 0.0,
-                )
-            )
-            demand.clear(now_ms)
-        return tuple(samples)
+        return self._demand.samples(now_ms)
 
     def publish(self) -> None:
         """Set the percentile gauges from the window and begin a new one."""
@@ -187,12 +145,6 @@
         window.first.record_value(_bounded(timing.first_ms - arrived_ms))
         window.answer.record_value(_bounded(timing.ended_ms - arrived_ms))
 
-    def _demand_of(self, entry: Entry) -> _Demand:
-        demand = self._demand.get(entry.name)
-        if demand is None:
-            demand = self._demand[entry.name] = _Demand(self._reported_ms)
-        return demand
-
 
 def _new_histogram() -> HdrHistogram:
     return HdrHistogram(1, MAX_TIME_MS, N_DIGITS)
--- a/src/cowslipwood/entry/_view.py
+++ b/src/cowslipwood/entry/_view.py
@@ -4,15 +4,15 @@
 
 from ..catalogue import Entry, EntryKind, entry_from_json
 from ..kernel.messages import CatalogueUpdate, RoutingUpdate, ServerView
+from ..listing import service_key
 from ._backend import Backend, model_key
 from ._ewma import Ewma
 
-__all__ = ["View", "entry_key", "service_key"]
+__all__ = ["View", "entry_key"]
 
 UNLISTED_GRACE_MS = 3_000.0
 STALE_VIEW_MS = 3_000.0
 TYPICAL_WEIGHT = 0.02
-SERVICE_PREFIX = "service:"
 
 
 def entry_key(entry: Entry) -> str:
@@ -22,11 +22,6 @@
     return model_key(entry.name, entry.version)
 
 
-def service_key(name: str) -> str:
-    """Return the key under which the servers of a plain service are found."""
-    return SERVICE_PREFIX + name
-
-
 def _server_keys(view: ServerView) -> set[str]:
     keys = set(view.ready)
     if view.service_name:
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -2,15 +2,14 @@
 
 import random
 import uuid
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple
 
 import anyio
 from returns.result import Failure as Err
-from returns.result import Result
 
 from ...kernel.channel import Channel
 from ...kernel.clock import monotonic_ms
-from ...kernel.codes import Code, Failure, failure
+from ...kernel.codes import Code, failure
 from ...kernel.http import HttpServer, bind_socket, send_failure, with_health
 from ...kernel.keeper_link import KeeperLink
 from ...kernel.logs import get_logger
@@ -24,6 +23,7 @@
 from ...kernel.registry import PluginKind, lookup, plugin_names
 from ...kernel.settings import address, one_of, optional_address, peer_list, within
 from ...kernel.tokens import read_token
+from ...listing import ListedServer, ListSource
 from ...routes import parse_document
 from .. import routing  # noqa: F401  registers the routing policies
 from .._protocol import caller_protocol
@@ -31,10 +31,10 @@
 from ._headers import HeaderNames
 from ._holders import Holders
 from ._retries import BudgetTerms
-from ._servers import Holdings, ListedServer, routing_update
+from ._servers import Holdings, routing_update
 from ._state import DirectState
 
-__all__ = ["DirectEntry", "DirectSettings", "ListSource", "direct_checks"]
+__all__ = ["DirectEntry", "DirectSettings", "direct_checks"]
 
 SWEEP_MS = 500.0
 DRAIN_POLL_MS = 20.0
@@ -43,13 +43,6 @@
 STALE_LIST_MS = 10_000.0
 
 
-class ListSource(Protocol):
-    """The platform's list of backend servers."""
-
-    async def read(self) -> Result[list[ListedServer], Failure]:
-        """Return all servers; entries that cannot be read are left out."""
-
-
 class DirectSettings(NamedTuple):
     """An entry host that reaches its backend servers directly.
 
@@ -61,6 +54,8 @@
         ip:port for callers.
     ready_listen : str
         ip:port of the readiness answer; empty to give it beside the metrics.
+    ready_path : str
+        Path of the readiness answer beside /readyz.
     metrics_listen : str
         ip:port for /healthz, /readyz and /metrics.
     entry_id : str
@@ -94,6 +89,7 @@
     entry_id: str
     zone: str
     ready_listen: str = ""
+    ready_path: str = ""
     routing: str = "least_cost"
     list_ms: int = 900
     report_ms: int = 500
@@ -174,7 +170,9 @@
         settings = self._settings
         protocol = caller_protocol(self._metrics, HEAD_TIMEOUT_MS)
         server = HttpServer(self._app, bind_socket(settings.listen), protocol)
-        side = with_health(_nothing, self._metrics, lambda: self.is_ready)
+        side = with_health(
+            _nothing, self._metrics, lambda: self.is_ready, settings.ready_path
+        )
         sides = [
             HttpServer(side, bind_socket(listen))
             for listen in (settings.metrics_listen, settings.ready_listen)
@@ -252,6 +250,9 @@
     def _refresh(self) -> None:
         now_ms = monotonic_ms()
         view = self._state.view
+        for server_id, key in self._holdings.news():
+            if server_id in view.backends:
+                view.backends[server_id].pass_over(key, 0.0)
         update = routing_update(view, self._listed, self._holdings, now_ms)
         for server in update.servers:
             held = view.backends.get(server.server_id)
@@ -282,7 +283,7 @@
                 http_addr=self._settings.listen,
                 leaving=self._app.is_leaving,
                 catalogue_revision=self._state.version,
-                demand=(),
+                demand=self._state.demand.samples(monotonic_ms()),
             )
             await channel.send(report)
             await anyio.sleep(self._settings.report_ms / 1000)
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -11,6 +11,7 @@
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.http_connection import AnswerHead, BrokenAnswerError, ServerConnection
 from ...kernel.logs import get_logger
+from ...listing import holding_key
 from ...routes import Route, RouteKind
 from .._backend import NOT_READY_MS, UNREACHABLE_MS, Backend, LoadReport
 from ..routing import RoutingContext
@@ -22,8 +23,7 @@
     request_headers,
     response_headers,
 )
-from ._retries import Attempted, final_failure, may_try_again
-from ._servers import holding_key
+from ._retries import Attempted, SharedBudget, final_failure, may_try_again
 from ._state import DirectState
 
 __all__ = ["AnswerSink", "Exchange", "RoutedRequest"]
@@ -31,11 +31,16 @@
 # Statuses by which a server promises that a request did not run; without the
 # header that says so, the promise is not passed on.
 PROMISES = frozenset((408, 421, 429, 503))
+# The list shows what a server no longer holds for up to this long.
+NOT_HELD_MS = 1_500.0
+MISDIRECTED = 421  # another server, or one that lacks the model; never run
 # A repeatable request that is silent this many times its target is taken to
 # another server, if there is one; shorter would repeat what is merely queued.
 PATIENCE_TARGETS = 2.0
 RETRY_AFTER_MS = 250.0
 MAX_HELD_BYTES = 65_536
+# Nothing was sent, and asking again at once would find the same.
+FINAL_CODES = frozenset((Code.NO_REPLICA, Code.DEADLINE_PASSED))
 
 
 class RoutedRequest(NamedTuple):
@@ -115,6 +120,15 @@
         """Answer the request; return the failure when no server's answer was sent."""
         budget = self._state.budget(self._request.service)
         budget.fresh(self._state.now_ms())
+        key = self._request.key
+        self._state.demand.arrived(key)
+        self._state.demand.began(key, self._state.now_ms())
+        try:
+            return await self._run(budget)
+        finally:
+            self._state.demand.ended(key, self._state.now_ms())
+
+    async def _run(self, budget: SharedBudget) -> Failure | None:
         while True:
             fault = await self._attempt()
             if fault is None:
@@ -122,6 +136,7 @@
             now_ms = self._state.now_ms()
             left_ms = self._request.answer_by_ms - now_ms
             again = may_try_again(self._request.route, self._attempted, fault, left_ms)
+            again = again and fault.code not in FINAL_CODES
             again = again and (not self._started or self._request.route.is_resumable)
             if again and self._attempted.n_sent:
                 again = budget.take(self._state.n_entries, now_ms)
@@ -259,7 +274,7 @@
             fault = failure(Code.OUTCOME_UNKNOWN, "an answer to another request came")
             return self._failed(backend, fault)
         self._note_load(backend, facts, now_ms)
-        if facts.not_run:
+        if facts.not_run or head.status == MISDIRECTED:
             return await self._not_run(backend, conn, head)
         if head.status in PROMISES:
             await conn.close()
@@ -296,8 +311,8 @@
         with anyio.move_on_after(NOT_READY_MS / 1000):
             await _drain(conn)
         now_ms = self._state.now_ms()
-        if head.status == 421:
-            backend.pass_over(self._request.key, now_ms + NOT_READY_MS)
+        if head.status == MISDIRECTED:
+            backend.pass_over(self._request.key, now_ms + NOT_HELD_MS)
             return failure(Code.MODEL_NOT_READY, backend.view.server_id)
         return failure(Code.AGENT_OVERLOADED, f"{backend.view.server_id} {head.status}")
 
--- a/src/cowslipwood/entry/direct/_holders.py
+++ b/src/cowslipwood/entry/direct/_holders.py
@@ -12,7 +12,8 @@
 from ...kernel.keeper_link import KeeperLink
 from ...kernel.logs import get_logger
 from ...kernel.messages import HolderReply, HolderRequest
-from ._servers import Holdings, holding_key
+from ...listing import holding_key
+from ._servers import Holdings
 
 if TYPE_CHECKING:
     from ._exchange import RoutedRequest
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -8,6 +8,7 @@
 from ...kernel.metrics import Metrics
 from ...routes import RouteDocument, RouteTable
 from .._backend import Backend, LoadReport
+from .._demand import DemandMeter
 from .._view import View
 from ..routing import RoutingContext, RoutingPolicy
 from ._headers import HeaderNames
@@ -48,6 +49,7 @@
         self.metrics = metrics
         self.now_ms = now_ms
         self.view = View()
+        self.demand = DemandMeter(now_ms())
         self.pool = ConnectionPool()
         self.document: RouteDocument | None = None
         self.table = RouteTable()
--- a/src/cowslipwood/keeper/__init__.py
+++ b/src/cowslipwood/keeper/__init__.py
@@ -1,6 +1,6 @@
-"""The process that keeps the catalogue, membership, placement and claims."""
+"""Keepers: the replicated log, the catalogue, placement and claims."""
 
-from ._keeper import run_keeper
+from ._keeper import DirectEngines, run_keeper
 from ._settings import KeeperSettings, keeper_checks
 
-__all__ = ["KeeperSettings", "keeper_checks", "run_keeper"]
+__all__ = ["DirectEngines", "KeeperSettings", "keeper_checks", "run_keeper"]
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -2,7 +2,7 @@
 
 import random
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 
@@ -25,6 +25,7 @@
     ClaimFinish,
     EntryReport,
     Hello,
+    HolderRequest,
     OperatorRequest,
     PermitRelease,
     PermitRequest,
@@ -35,6 +36,7 @@
 from ..kernel.metrics import Metrics
 from ..kernel.settings import exit_with, parse_address
 from ..kernel.tokens import read_token, token_matches
+from ..listing import ListSource
 from ..replication import (
     DataDamagedError,
     DataLockedError,
@@ -54,8 +56,9 @@
 from ._recruiting import Recruiter
 from ._settings import KeeperSettings
 from ._subscribers import Subscriber
+from .engines import EngineClient, EngineController, EngineTerms
 
-__all__ = ["run_keeper"]
+__all__ = ["DirectEngines", "run_keeper"]
 
 IDLE_TIMEOUT_MS = 10_000
 HELLO_TIMEOUT_MS = 2_000
@@ -63,19 +66,45 @@
 RECRUIT_MS = 300
 
 
-async def run_keeper(settings: KeeperSettings, stop: anyio.Event) -> None:
-    """Run a keeper until `stop` is set."""
+class DirectEngines(NamedTuple):
+    """The list of engines without an agent, and the dialect that they speak."""
+
+    source: ListSource
+    client: EngineClient
+    store_window_ms: float = 5_000.0
+
+
+async def run_keeper(
+    settings: KeeperSettings,
+    stop: anyio.Event,
+    engines: DirectEngines | None = None,
+) -> None:
+    """Run a keeper until `stop` is set.
+
+    Parameters
+    ----------
+    settings : KeeperSettings
+    stop : anyio.Event
+    engines : DirectEngines, optional
+        How to reach engines that have no agent beside them.
+    """
     cluster_token = read_token(settings.cluster_token)
     operator_token = read_token(settings.operator_token)
     check_tokens(
         settings.listen, settings.allow_no_token, cluster_token, operator_token
     )
-    keeper = _Keeper(settings, cluster_token, operator_token)
+    keeper = _Keeper(settings, cluster_token, operator_token, engines)
     await keeper.run(stop)
 
 
 class _Keeper:
-    def __init__(self, settings: KeeperSettings, cluster_token: str, op_token: str):
+    def __init__(
+        self,
+        settings: KeeperSettings,
+        cluster_token: str,
+        op_token: str,
+        engines: DirectEngines | None,
+    ):
         self._settings = settings
         self._cluster_token = cluster_token
         self._metrics = Metrics("keeper")
@@ -107,6 +136,22 @@
         )
         self._claims = Claims(self._machine, self._replica, limits, self._metrics)
         self._subscribers: set[Subscriber] = set()
+        self._engines = self._make_controller(engines)
+
+    def _make_controller(
+        self, engines: DirectEngines | None
+    ) -> EngineController | None:
+        if engines is None:
+            return None
+        return EngineController(
+            EngineTerms(self._settings.keeper_id, engines.store_window_ms),
+            engines.source,
+            engines.client,
+            self._replica.leads,
+            lambda: self._replica.term,
+            self._machine.document,
+            self._metrics,
+        )
 
     async def run(self, stop: anyio.Event) -> None:
         """Serve until `stop`."""
@@ -126,6 +171,8 @@
             tasks.start_soon(self._planner.run)
             tasks.start_soon(self._poll_platform)
             tasks.start_soon(self._recruit_loop)
+            if self._engines is not None:
+                tasks.start_soon(self._engines.run)
             if self._settings.join:
                 tasks.start_soon(self._join)
             await stop.wait()
@@ -184,6 +231,10 @@
             case EntryReport():
                 self._directory.hear_entry(value, now_ms)
                 self._planner.hear_entry(value, now_ms)
+                if self._engines is not None:
+                    self._engines.take_demand(value, now_ms)
+            case HolderRequest() if self._engines is not None:
+                return self._counted(await self._engines.find(value))
             case PermitRequest() | PermitRelease():
                 return self._planner.answer(value, now_ms)
             case OperatorRequest():
--- a/src/cowslipwood/keeper/_machine.py
+++ b/src/cowslipwood/keeper/_machine.py
@@ -18,6 +18,7 @@
 )
 from ..kernel.codes import Code, Failure, failure
 from ..kernel.messages import DesiredModel
+from ..routes import RouteDocument, parse_document
 from ._claim_table import ClaimTable
 from ._commands import (
     ApplyCommand,
@@ -59,6 +60,7 @@
         self.drained: set[str] = set()
         self.claims = ClaimTable()
         self.applied = NO_DOCUMENT
+        self._parsed: RouteDocument | None = None
         self.on_change = lambda: None
 
     def apply(self, index: int, command: bytes) -> Result[Any, Failure]:
@@ -105,6 +107,15 @@
         )
         return apply_edit(self.catalogue, edit, command.max_memory_bytes)
 
+    def document(self) -> RouteDocument | None:
+        """Return the document of routes in force; None while there is none."""
+        if self._parsed is None or self._parsed.version != self.applied.version:
+            parsed = (
+                parse_document(self.applied.document) if self.applied.version else None
+            )
+            self._parsed = parsed.unwrap() if parsed is not None else None
+        return self._parsed
+
     def snapshot(self) -> bytes:
         """Return the whole state as JSON."""
         return orjson.dumps(
--- /dev/null
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -0,0 +1,381 @@
+"""Keeps the engines' models and adapters where requests need them."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import anyio
+import anyio.abc
+from returns.result import Failure as Err
+
+from ...kernel.channel import as_refused
+from ...kernel.clock import monotonic_ms
+from ...kernel.codes import Code, failure
+from ...kernel.logs import get_logger
+from ...kernel.messages import DemandSample, EntryReport, HolderReply, HolderRequest
+from ...kernel.metrics import Metrics
+from ...listing import ListedServer, ListSource, holding_key
+from ...routes import ModelSpec, RouteDocument, ServiceSpec
+from ._decide import Step, adapter_step, copy_step, missing_step
+from ._orders import EngineClient, EngineOrder, OrderOp, OrderOutcome
+from ._record import EngineRecord
+
+__all__ = ["EngineController", "EngineTerms"]
+
+LIST_MS = 500.0
+STEP_MS = 100.0
+# Reports lag by about this much, so one read sooner shows nothing new.
+REPORT_LAG_MS = 100.0
+RESYNC_MS = 60.0
+# An adapter is on the engine this long after the order was accepted.
+ADAPTER_LOAD_MS = 7.0
+RETRY_MS = 20.0
+# A question is answered within this time, or the entry refuses its request.
+FIND_TIMEOUT_MS = 4_000.0
+MAX_STORE_LOADS = 2
+# An unload waits for its runs; after this long another engine is looked for.
+MAKE_ROOM_MS = 3_000.0
+DEMAND_HALF_LIFE_WEIGHT = 0.5
+SAMPLE_VALID_MS = 2_500.0
+
+
+class EngineTerms(NamedTuple):
+    """What orders have to keep to.
+
+    Parameters
+    ----------
+    holder : str
+        Name under which this keeper gives orders.
+    store_window_ms : float
+        Window in which loads from the weight store are counted.
+    """
+
+    holder: str
+    store_window_ms: float = 5_000.0
+
+
+class EngineController:
+    """Gives orders while its keeper leads.
+
+    Parameters
+    ----------
+    terms : EngineTerms
+    source : ListSource
+    client : EngineClient
+    leads : callable
+        Returns whether this keeper may act now, given the present time.
+    term : callable
+        Returns the term of the leadership.
+    document : callable
+        Returns the document in force, or None.
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        terms: EngineTerms,
+        source: ListSource,
+        client: EngineClient,
+        leads: Callable[[float], bool],
+        term: Callable[[], int],
+        document: Callable[[], RouteDocument | None],
+        metrics: Metrics,
+    ):
+        self._terms = terms
+        self._source = source
+        self._client = client
+        self._leads = leads
+        self._term = term
+        self._document = document
+        self._metrics = metrics
+        self._records: dict[str, EngineRecord] = {}
+        self._led_term = 0
+        self._listed_ms = 0.0
+        self._samples: dict[str, tuple[float, tuple[DemandSample, ...]]] = {}
+        self._demand: dict[str, float] = {}
+        self._used_ms: dict[tuple[str, str], float] = {}
+        self._store_loads: deque[float] = deque()
+        self._room_for: dict[str, tuple[EngineRecord, float]] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Act for as long as the process runs, whenever the keeper leads."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            while True:
+                now_ms = monotonic_ms()
+                if self._leads(now_ms):
+                    await self._round(now_ms)
+                await anyio.sleep(STEP_MS / 1000)
+
+    def take_demand(self, report: EntryReport, now_ms: float) -> None:
+        """Take in what an entry says of demand."""
+        self._samples[report.entry_id] = (now_ms, report.demand)
+        for sample in report.demand:
+            _, _, rest = sample.model.partition("|")
+            model, _, adapter = rest.partition("/")
+            if adapter and (sample.in_flight or sample.arrivals_per_s):
+                self._used_ms[model, adapter] = now_ms
+
+    async def find(self, request: HolderRequest) -> Any:
+        """Return a server that holds what an entry needs, loading it if need be."""
+        service = self._service(request.service)
+        spec = _model_spec(service, request.model)
+        if spec is None:
+            message = f"no model {request.model!r:.60} in {request.service}"
+            return as_refused(failure(Code.NO_SUCH_MODEL, message))
+        if request.adapter:
+            self._used_ms[request.model, request.adapter] = monotonic_ms()
+        with anyio.move_on_after(FIND_TIMEOUT_MS / 1000):
+            while self._leads(monotonic_ms()):
+                held = await self._provide(request, spec)
+                if held is not None:
+                    return self._reply(held, request)
+                await anyio.sleep(RETRY_MS / 1000)
+        if not self._leads(monotonic_ms()):
+            return as_refused(failure(Code.NOT_LEADER))
+        message = f"{request.model}/{request.adapter}: no engine can take it"
+        return as_refused(failure(Code.NO_REPLICA, message, retry_after_ms=500))
+
+    async def _provide(
+        self, request: HolderRequest, spec: ModelSpec
+    ) -> EngineRecord | None:
+        """Take one step towards a holder; return it when there is one."""
+        records = self._of(request.service)
+        for each in records:
+            if not each.server.is_leaving and each.holds(spec.name, request.adapter):
+                return each
+        holders = [e for e in records if e.holds(spec.name) and not e.server.is_leaving]
+        now_ms = monotonic_ms()
+        if not holders:
+            step = self._missing_step(records, spec, now_ms)
+            if step is not None:
+                await self._take_model_step(spec, step)
+            return None
+        step = adapter_step(holders, spec, {}, self._used_ms, now_ms)
+        if step is None:
+            return None
+        return await self._take_adapter_step(request, step)
+
+    def _missing_step(
+        self, records: list[EngineRecord], spec: ModelSpec, now_ms: float
+    ) -> Step | None:
+        """Return the next step for a model that nobody holds yet."""
+        if any(each.loading == spec.name for each in records):
+            return None
+        chosen, until_ms = self._room_for.get(spec.name, (None, 0.0))
+        if chosen in records and now_ms < until_ms:
+            if not chosen.is_usable:
+                return None
+            return missing_step([chosen], spec, self._demand, now_ms)
+        return missing_step(records, spec, self._demand, now_ms)
+
+    async def _take_adapter_step(
+        self, request: HolderRequest, step: Step
+    ) -> EngineRecord | None:
+        record = step.record
+        async with record.lock:
+            if not record.is_usable or record.holds(request.model, request.adapter):
+                return None
+            if step.drop_adapter is not None:
+                if step.drop_adapter[1] not in record.held.get(
+                    step.drop_adapter[0], ()
+                ):
+                    return None
+                dropped = await self._order(record, OrderOp.UNLOAD, *step.drop_adapter)
+                if not dropped or record.n_adapters >= record.spec.max_adapters:
+                    return None
+            elif record.n_adapters >= record.spec.max_adapters:
+                return None
+            if not await self._order(
+                record, OrderOp.LOAD, request.model, request.adapter
+            ):
+                return None
+        await anyio.sleep(ADAPTER_LOAD_MS / 1000)
+        return record
+
+    async def _take_model_step(self, spec: ModelSpec, step: Step) -> None:
+        record = step.record
+        async with record.lock:
+            if not record.is_usable or spec.name in record.held:
+                return
+            if step.drop_model:
+                until_ms = monotonic_ms() + MAKE_ROOM_MS
+                self._room_for[spec.name] = (record, until_ms)
+                await self._order(record, OrderOp.UNLOAD, step.drop_model, "")
+                return
+            if record.free_mb < spec.weights_mb:
+                return
+            from_store = spec.name not in record.cached
+            if from_store and not self._store_allows(record, monotonic_ms()):
+                return
+            if from_store:
+                # Counted before the order: one without an answer may load too.
+                self._store_loads.append(monotonic_ms())
+            load_s = spec.load_time_s if from_store else spec.disk_load_s
+            await self._order(record, OrderOp.LOAD, spec.name, "", load_s * 1000)
+
+    def _store_allows(self, record: EngineRecord, now_ms: float) -> bool:
+        """Return whether the weight store's rate allows one more load now."""
+        window_ms = self._terms.store_window_ms
+        while self._store_loads and self._store_loads[0] < now_ms - window_ms:
+            self._store_loads.popleft()
+        allowed = max(1, int(record.spec.loads_per_s * window_ms / 1000))
+        n_under_way = sum(1 for each in self._records.values() if each.loading)
+        return len(self._store_loads) < allowed and n_under_way < MAX_STORE_LOADS
+
+    async def _order(
+        self,
+        record: EngineRecord,
+        op: OrderOp,
+        model: str,
+        adapter: str,
+        takes_ms: float = 0.0,
+    ) -> bool:
+        """Give one order under the record's lock; return whether it was accepted."""
+        now_ms = monotonic_ms()
+        if not self._leads(now_ms) or record.sequence is None:
+            return False
+        order = EngineOrder(
+            op, model, adapter, record.sequence, self._terms.holder, self._term()
+        )
+        ended = await self._client.order(record.server, order)
+        log = get_logger()
+        outcome = "no-answer" if isinstance(ended, Err) else ended.unwrap().value
+        self._metrics.count("orders_total", op=op.value, outcome=outcome)
+        log.info(
+            "order_given",
+            server=record.server.server_id,
+            op=op.value,
+            model=model,
+            adapter=adapter,
+            sequence=order.expected_sequence,
+            term=order.fencing_token,
+            outcome=outcome,
+            reason=ended.failure().message if isinstance(ended, Err) else "",
+        )
+        if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.DONE):
+            record.accepted(op, model, adapter, takes_ms, monotonic_ms())
+            if outcome == OrderOutcome.DONE and not adapter:
+                record.sequence = None  # whether it counted is for the report to say
+            return True
+        # What the engine holds now is unknown until its next report.
+        record.sequence = None
+        return False
+
+    async def _round(self, now_ms: float) -> None:
+        if self._term() != self._led_term:
+            self._led_term = self._term()
+            self._records.clear()
+            self._samples.clear()
+            self._room_for.clear()
+            self._store_loads.clear()
+            self._listed_ms = 0.0
+        if now_ms - self._listed_ms > LIST_MS:
+            self._listed_ms = now_ms
+            listed = await self._source.read()
+            if isinstance(listed, Err):
+                reason = listed.failure().message
+                get_logger().warning("list_not_read", reason=reason)
+            else:
+                self._take_list(listed.unwrap())
+        self._update_demand(now_ms)
+        async with anyio.create_task_group() as tasks:
+            for record in list(self._records.values()):
+                if self._needs_report(record, now_ms):
+                    tasks.start_soon(self._sync, record)
+        await self._add_copies(monotonic_ms())
+
+    def _take_list(self, listed: list[ListedServer]) -> None:
+        document = self._document()
+        specs = {s.name: s.engine for s in document.services} if document else {}
+        found: dict[str, EngineRecord] = {}
+        for server in listed:
+            spec = specs.get(server.service)
+            if spec is None:
+                continue
+            record = self._records.get(server.server_id)
+            if record is None or record.server.born_ms != server.born_ms:
+                record = EngineRecord(server, spec)
+            record.server = server
+            record.spec = spec
+            found[server.server_id] = record
+        self._records = found
+
+    def _needs_report(self, record: EngineRecord, now_ms: float) -> bool:
+        if record.lock.locked():
+            return False
+        if not record.is_synced:
+            return now_ms - record.read_at_ms > RESYNC_MS
+        return record.is_busy and now_ms > record.busy_until_ms
+
+    async def _sync(self, record: EngineRecord) -> None:
+        """Read a report; an engine that gives none is left alone until it does."""
+        async with record.lock:
+            read = await self._client.report(record.server)
+            now_ms = monotonic_ms()
+            record.read_at_ms = now_ms
+            if isinstance(read, Err):
+                reason = read.failure().message
+                get_logger().info(
+                    "report_not_read", server=record.server.server_id, reason=reason
+                )
+                return
+            report = read.unwrap()
+            born_ms = record.server.born_ms
+            if report.born_ms and born_ms and report.born_ms != born_ms:
+                return  # another life than the one that the list showed
+            record.take_report(report, now_ms)
+
+    def _update_demand(self, now_ms: float) -> None:
+        """Smooth the requests in flight for each model over the entries' reports."""
+        fresh: dict[str, float] = {}
+        for entry_id, (at_ms, samples) in list(self._samples.items()):
+            if now_ms - at_ms > SAMPLE_VALID_MS:
+                del self._samples[entry_id]
+                continue
+            for sample in samples:
+                _, _, rest = sample.model.partition("|")
+                model = rest.partition("/")[0]
+                fresh[model] = fresh.get(model, 0.0) + sample.in_flight
+        weight = DEMAND_HALF_LIFE_WEIGHT * STEP_MS / 500.0
+        for model in self._demand.keys() | fresh.keys():
+            held = self._demand.get(model, 0.0)
+            value = held + weight * (fresh.get(model, 0.0) - held)
+            if value < 0.01:
+                self._demand.pop(model, None)
+            else:
+                self._demand[model] = value
+
+    async def _add_copies(self, now_ms: float) -> None:
+        document = self._document()
+        for service in document.services if document else ():
+            if service.engine is None:
+                continue
+            records = self._of(service.name)
+            found = copy_step(records, service.engine.models, self._demand, now_ms)
+            if found is not None and self._tasks is not None:
+                self._tasks.start_soon(self._take_model_step, *found)
+
+    def _of(self, service: str) -> list[EngineRecord]:
+        return [
+            each for each in self._records.values() if each.server.service == service
+        ]
+
+    def _service(self, name: str) -> ServiceSpec | None:
+        document = self._document()
+        return document.service(name) if document else None
+
+    def _reply(self, record: EngineRecord, request: HolderRequest) -> HolderReply:
+        keys = tuple(
+            holding_key(request.service, model, adapter)
+            for model, adapters in record.held.items()
+            for adapter in ("", *adapters)
+        )
+        return HolderReply(record.server.server_id, keys)
+
+
+def _model_spec(service: ServiceSpec | None, model: str) -> ModelSpec | None:
+    if service is None or service.engine is None:
+        return None
+    return next((m for m in service.engine.models if m.name == model), None)
--- /dev/null
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -0,0 +1,218 @@
+"""Decides where a model or an adapter goes, and what makes way for it."""
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from ...routes import ModelSpec
+from ._record import EngineRecord
+
+__all__ = [
+    "Step",
+    "adapter_step",
+    "copy_step",
+    "missing_step",
+]
+
+# Requests in flight for each copy below which another copy gains little.
+HOT_IN_FLIGHT = 5.0
+# A copy is added only where it gains this many times what it displaces, since
+# a load costs the store's time and the displaced prompts.
+GAIN_FACTOR = 3.0
+# A model loaded more lately than this is not displaced by a mere copy.
+RESIDENCE_MS = 6_000.0
+# Adapters used more lately than this are displaced only if all are.
+ADAPTER_IDLE_MS = 300.0
+# In requests in flight: what the last copy of a model without demand is worth,
+# so that copies go before it and it goes before what is asked for.
+LAST_COPY = 0.05
+# What the last copy of a model in demand is worth beyond its demand.
+LAST_IN_DEMAND = 1_000.0
+# In requests in flight, for each second of loading.
+LOAD_COST_PER_S = 0.2
+
+
+class Step(NamedTuple):
+    """The next order, or the one that makes room for it.
+
+    Parameters
+    ----------
+    record : EngineRecord
+    drop_model : str
+        Model to unload first; empty for none.
+    drop_adapter : tuple of str or None
+        Model and adapter to unload first.
+    """
+
+    record: EngineRecord
+    drop_model: str = ""
+    drop_adapter: tuple[str, str] | None = None
+
+
+def adapter_step(
+    records: Sequence[EngineRecord],
+    model: ModelSpec,
+    in_flight: Mapping[str, float],
+    used_ms: Mapping[tuple[str, str], float],
+    now_ms: float,
+) -> Step | None:
+    """Return where an adapter goes; None while no engine can take it.
+
+    Free places go first, where fewest adapters are; then the adapter that has
+    not been used for longest makes way.
+
+    Parameters
+    ----------
+    records : sequence of EngineRecord
+    model : ModelSpec
+        The adapter's model.
+    in_flight : mapping of str to float
+        Requests in flight by server.
+    used_ms : mapping of tuple of str to float
+        When each model's adapter was last asked for.
+    now_ms : float
+    """
+    able = [each for each in records if each.is_usable and each.holds(model.name)]
+    free = [
+        each
+        for each in able
+        if each.n_adapters < each.spec.max_adapters
+        and each.free_mb >= model.adapter_size_mb
+    ]
+    if free:
+        best = min(
+            free, key=lambda e: (in_flight.get(e.server.server_id, 0.0), e.n_adapters)
+        )
+        return Step(best)
+    found = None
+    oldest_ms = now_ms - ADAPTER_IDLE_MS
+    for each in able:
+        for name, adapters in each.held.items():
+            for adapter in adapters:
+                at_ms = used_ms.get((name, adapter), 0.0)
+                if at_ms < oldest_ms:
+                    oldest_ms = at_ms
+                    found = Step(each, "", (name, adapter))
+    return found
+
+
+def missing_step(
+    records: Sequence[EngineRecord],
+    model: ModelSpec,
+    demand: Mapping[str, float],
+    now_ms: float,
+) -> Step | None:
+    """Return where a model that nobody holds goes; None while none can take it."""
+    options = [
+        option
+        for each in records
+        if each.is_usable and model.name not in each.held
+        for option in [_option(each, model, records, demand)]
+        if option is not None
+    ]
+    if not options:
+        return None
+    return min(options, key=lambda option: option[0])[1]
+
+
+def copy_step(
+    records: Sequence[EngineRecord],
+    models: Sequence[ModelSpec],
+    demand: Mapping[str, float],
+    now_ms: float,
+) -> tuple[ModelSpec, Step] | None:
+    """Return the copy that gains most, if it gains enough; None otherwise.
+
+    Parameters
+    ----------
+    records : sequence of EngineRecord
+    models : sequence of ModelSpec
+    demand : mapping of str to float
+        Requests in flight by model.
+    now_ms : float
+    """
+    copies = copies_of(records)
+    ranked = sorted(
+        models,
+        key=lambda m: demand.get(m.name, 0.0) / (copies.get(m.name, 0) + 1),
+        reverse=True,
+    )
+    for model in ranked:
+        n_copies = copies.get(model.name, 0)
+        wanted = demand.get(model.name, 0.0)
+        if n_copies and wanted / n_copies < HOT_IN_FLIGHT:
+            continue
+        if not n_copies and not wanted:
+            continue
+        gain = wanted / (n_copies * (n_copies + 1)) if n_copies else LAST_IN_DEMAND
+        step = _best_copy(records, model, demand, gain, now_ms)
+        if step is not None:
+            return model, step
+    return None
+
+
+def _best_copy(
+    records: Sequence[EngineRecord],
+    model: ModelSpec,
+    demand: Mapping[str, float],
+    gain: float,
+    now_ms: float,
+) -> Step | None:
+    best = None
+    for each in records:
+        if not each.is_usable or model.name in each.held:
+            continue
+        option = _option(each, model, records, demand)
+        if option is None or option[0] * GAIN_FACTOR > gain:
+            continue
+        dropped = option[1].drop_model
+        if dropped and now_ms - each.since_ms.get(dropped, 0.0) < RESIDENCE_MS:
+            continue
+        if best is None or option[0] < best[0]:
+            best = option
+    return best[1] if best else None
+
+
+def _option(
+    record: EngineRecord,
+    model: ModelSpec,
+    records: Sequence[EngineRecord],
+    demand: Mapping[str, float],
+) -> tuple[float, Step] | None:
+    """Return the cost of a load on one engine, and its first step."""
+    load_s = model.warm_load_s if model.name in record.cached else model.load_time_s
+    cost = LOAD_COST_PER_S * load_s
+    free_mb = record.free_mb
+    if free_mb >= model.weights_mb:
+        return cost, Step(record)
+    sizes = {each.name: each for each in record.spec.models}
+    copies = copies_of(records)
+    first = ""
+    for name in sorted(record.held, key=lambda n: _worth(n, copies, demand)):
+        spec = sizes.get(name)
+        size_mb = spec.weights_mb if spec else 0.0
+        size_mb += len(record.held[name]) * (spec.adapter_size_mb if spec else 0.0)
+        first = first or name
+        free_mb += size_mb
+        cost += _worth(name, copies, demand)
+        if free_mb >= model.weights_mb:
+            return cost, Step(record, first)
+    return None
+
+
+def _worth(name: str, copies: Mapping[str, int], demand: Mapping[str, float]) -> float:
+    """Return what one copy of a model is worth, in requests in flight."""
+    n_copies = copies.get(name, 1)
+    wanted = demand.get(name, 0.0)
+    if n_copies <= 1:
+        return wanted + LAST_IN_DEMAND if wanted else LAST_COPY
+    return wanted / (n_copies * (n_copies - 1))
+
+
+def copies_of(records: Sequence[EngineRecord]) -> dict[str, int]:
+    """Return how many engines that stay hold each model."""
+    copies: dict[str, int] = {}
+    for each in records:
+        if not each.server.is_leaving:
+            for name in each.held:
+                copies[name] = copies.get(name, 0) + 1
+    return copies
--- /dev/null
+++ b/src/cowslipwood/keeper/engines/_orders.py
@@ -0,0 +1,92 @@
+"""What is said to an engine, and what it says of itself."""
+
+import enum
+from typing import NamedTuple, Protocol
+
+from returns.result import Result
+
+from ...kernel.codes import Failure
+from ...listing import ListedModel, ListedServer
+
+__all__ = ["EngineClient", "EngineOrder", "EngineReport", "OrderOp", "OrderOutcome"]
+
+
+class OrderOp(enum.StrEnum):
+    """What an order asks for."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+class OrderOutcome(enum.StrEnum):
+    """An engine's answer to an order."""
+
+    ACCEPTED = "accepted"
+    DONE = "done"  # it already holds, or took effect at once
+    CONFLICT = "conflict"  # another order is under way, or the state is newer
+    FENCED = "fenced"  # a newer leader has given orders
+    REFUSED = "refused"
+    WRONG_SERVER = "wrong-server"
+
+
+class EngineOrder(NamedTuple):
+    """One order.
+
+    Parameters
+    ----------
+    op : OrderOp
+    model, adapter : str
+        `adapter` is empty for the model itself.
+    expected_sequence : int
+        Orders that the engine has accepted so far; it refuses the order when
+        the number differs, so that an order that arrives late has no effect.
+    holder : str
+        Name of the keeper that gives the order.
+    fencing_token : int
+        Term of its leadership.
+    """
+
+    op: OrderOp
+    model: str
+    adapter: str
+    expected_sequence: int
+    holder: str
+    fencing_token: int
+
+
+class EngineReport(NamedTuple):
+    """What an engine says of itself; the values may be some 100 ms old.
+
+    Parameters
+    ----------
+    sequence : int
+        Orders accepted since its start.
+    is_busy : bool
+        Whether an order on a model is being carried out.
+    models : tuple of ListedModel
+    pending : tuple of tuple of str
+        Model and name of each adapter on its way.
+    cached : frozenset of str
+        Models whose weights the host keeps in memory or on disk.
+    born_ms : int
+        When the engine started; 0 when it does not say.
+    """
+
+    sequence: int
+    is_busy: bool
+    models: tuple[ListedModel, ...]
+    pending: tuple[tuple[str, str], ...] = ()
+    cached: frozenset[str] = frozenset()
+    born_ms: int = 0
+
+
+class EngineClient(Protocol):
+    """Speaks an engine's dialect."""
+
+    async def report(self, server: ListedServer) -> Result[EngineReport, Failure]:
+        """Read an engine's report."""
+
+    async def order(
+        self, server: ListedServer, order: EngineOrder
+    ) -> Result[OrderOutcome, Failure]:
+        """Give an order; after a failure it may still be carried out, also late."""
--- /dev/null
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -0,0 +1,104 @@
+"""What the leader knows of one engine, exact up to its last accepted order."""
+
+import anyio
+
+from ...listing import ListedServer
+from ...routes import EngineSpec, ModelSpec
+from ._orders import EngineReport, OrderOp
+
+__all__ = ["EngineRecord"]
+
+
+class EngineRecord:
+    """One life of one engine.
+
+    Orders name the sequence that this record stands for, so what it says of
+    memory holds at the moment at which an order is carried out.
+
+    Parameters
+    ----------
+    server : ListedServer
+    spec : EngineSpec
+    """
+
+    def __init__(self, server: ListedServer, spec: EngineSpec):
+        self.server = server
+        self.spec = spec
+        self.sequence: int | None = None
+        self.held: dict[str, set[str]] = {}
+        self.cached: frozenset[str] = frozenset()
+        self.is_busy = False
+        self.busy_until_ms = 0.0
+        self.loading = ""
+        self.since_ms: dict[str, float] = {}
+        self.read_at_ms = 0.0
+        self.lock = anyio.Lock()
+
+    @property
+    def is_synced(self) -> bool:
+        """Whether the record may be ordered by."""
+        return self.sequence is not None
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the engine may be given an order now."""
+        return self.is_synced and not self.is_busy and not self.server.is_leaving
+
+    @property
+    def n_adapters(self) -> int:
+        """Adapters held or on their way."""
+        return sum(len(adapters) for adapters in self.held.values())
+
+    @property
+    def free_mb(self) -> float:
+        """Room for further weights and adapters."""
+        return self.spec.weights_mb - self.used_mb()
+
+    def used_mb(self) -> float:
+        """Return what models and adapters take, those on their way included."""
+        specs = {model.name: model for model in self.spec.models}
+        total = 0.0
+        for name, adapters in self.held.items():
+            spec = specs.get(name) or ModelSpec(name, self.spec.weights_mb)
+            total += spec.weights_mb + len(adapters) * spec.adapter_size_mb
+        return total
+
+    def holds(self, model: str, adapter: str = "") -> bool:
+        """Return whether a request for it can be served."""
+        if model not in self.held or model == self.loading:
+            return False
+        return not adapter or adapter in self.held[model]
+
+    def take_report(self, report: EngineReport, now_ms: float) -> bool:
+        """Adopt a report unless it is older than the last accepted order."""
+        if self.sequence is not None and report.sequence < self.sequence:
+            return False
+        self.sequence = report.sequence
+        self.is_busy = report.is_busy
+        held = {model.name: set(model.adapters) for model in report.models}
+        for model, adapter in report.pending:
+            held.setdefault(model, set()).add(adapter)
+        if self.loading and report.is_busy:
+            held.setdefault(self.loading, set())
+        if not report.is_busy:
+            self.loading = ""
+        self.held = held
+        self.cached = report.cached
+        self.read_at_ms = now_ms
+        return True
+
+    def accepted(
+        self, op: OrderOp, model: str, adapter: str, takes_ms: float, now_ms: float
+    ) -> None:
+        """Take in that the engine accepted an order."""
+        self.sequence = (self.sequence or 0) + 1
+        if adapter:
+            adapters = self.held.setdefault(model, set())
+            adapters.add(adapter) if op is OrderOp.LOAD else adapters.discard(adapter)
+            return
+        self.is_busy = True
+        self.busy_until_ms = now_ms + takes_ms
+        if op is OrderOp.LOAD:
+            self.held.setdefault(model, set())
+            self.loading = model
+            self.since_ms[model] = now_ms
--- a/src/cowslipwood/kernel/http.py
+++ b/src/cowslipwood/kernel/http.py
@@ -196,11 +196,17 @@
     await send_json(send, status, error_body(fault), merged)
 
 
-def with_health(app: App, metrics: Metrics, is_ready: Callable[[], bool]) -> App:
-    """Return the application with ``/healthz``, ``/readyz`` and ``/metrics``."""
+def with_health(
+    app: App, metrics: Metrics, is_ready: Callable[[], bool], ready_path: str = ""
+) -> App:
+    """Return the application with ``/healthz``, ``/readyz`` and ``/metrics``.
+
+    `ready_path` is answered as ``/readyz`` is, for a balancer that asks there.
+    """
 
     async def outer(scope: dict, receive: Any, send: Any) -> None:
-        match scope["path"]:
+        path = scope["path"]
+        match "/readyz" if ready_path and path == ready_path else path:
             case "/healthz":
                 await send_response(send, 200, {"content-type": "text/plain"}, b"ok\n")
             case "/readyz" if is_ready():
