--- /dev/null
+++ b/tests/test_engine_orders.py
@@ -0,0 +1,238 @@
+"""Orders to engines: never over their room, whatever becomes of an order."""
+
+import random
+import unittest
+
+import anyio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cowslipwood.keeper.engines._decide import (
+    adapter_step,
+    copy_step,
+    missing_step,
+)
+from cowslipwood.kernel.messages import HolderReply, HolderRequest, Refused
+
+from .engine_builders import MODELS, SPEC, FakeEngine, FakeFleet, record
+
+ASK_S = 3.0
+
+
+async def ask(controller, model: str, adapter: str = ""):
+    """Ask for a holder."""
+    with anyio.move_on_after(ASK_S):
+        return await controller.find(HolderRequest("llm", model, adapter, ""))
+    return None
+
+
+def run(fleet: FakeFleet, act) -> None:
+    """Run a controller beside an action."""
+
+    async def main():
+        controller = fleet.controller()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(controller.run)
+            await anyio.sleep(0.05)
+            await act(controller)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+class HolderTest(unittest.TestCase):
+    """Questions for a holder."""
+
+    def test_adapter_is_loaded(self):
+        """An adapter that nobody holds is loaded where its model is."""
+        fleet = FakeFleet([FakeEngine("s0", {"m0": set()}), FakeEngine("s1", {})])
+
+        async def act(controller):
+            reply = await ask(controller, "m0", "a1")
+            self.assertEqual(reply.server_id, "s0")
+            self.assertIn("llm|m0/a1", reply.ready)
+
+        run(fleet, act)
+        self.assertIn("a1", fleet.engines["s0"].held["m0"])
+
+    def test_model_is_loaded(self):
+        """A model that nobody holds is loaded where there is room."""
+        full = FakeEngine("s0", {"m0": set(), "m1": set()})
+        fleet = FakeFleet([full, FakeEngine("s1", {"m2": set()})])
+
+        async def act(controller):
+            self.assertEqual((await ask(controller, "m5")).server_id, "s1")
+
+        run(fleet, act)
+
+    def test_unknown_model(self):
+        """A model that the document does not name is refused at once."""
+        fleet = FakeFleet([FakeEngine("s0", {})])
+
+        async def act(controller):
+            self.assertIsInstance(await ask(controller, "m99"), Refused)
+
+        run(fleet, act)
+
+    def test_least_recent_adapter_yields(self):
+        """With all places taken, the adapter unused for longest makes way."""
+        engine = FakeEngine("s0", {"m0": {"a1", "a2", "a3"}})
+        fleet = FakeFleet([engine])
+
+        async def act(controller):
+            await ask(controller, "m0", "a2")
+            await ask(controller, "m0", "a3")
+            await anyio.sleep(0.4)
+            reply = await ask(controller, "m0", "a9")
+            self.assertIsInstance(reply, HolderReply)
+
+        run(fleet, act)
+        self.assertEqual(engine.held["m0"], {"a2", "a3", "a9"})
+        self.assertEqual(engine.overflows, 0)
+
+    def test_many_questions_at_once(self):
+        """Questions that meet never order more than the places hold."""
+        engines = [FakeEngine(f"s{i}", {"m0": set()}) for i in range(2)]
+        fleet = FakeFleet(engines)
+
+        async def act(controller):
+            async with anyio.create_task_group() as tasks:
+                for i in range(12):
+                    tasks.start_soon(ask, controller, "m0", f"a{i}")
+
+        run(fleet, act)
+        self.assertEqual([engine.overflows for engine in engines], [0, 0])
+
+    def test_answer_lost(self):
+        """An order whose answer was lost is found out by the engine's report."""
+        engine = FakeEngine("s0", {"m0": set()})
+        engine.loses_answers = True
+        fleet = FakeFleet([engine])
+
+        async def act(controller):
+            reply = await ask(controller, "m0", "a1")
+            self.assertIsInstance(reply, HolderReply)
+
+        run(fleet, act)
+        self.assertEqual(len(fleet.orders), 1)
+
+    def test_late_order(self):
+        """An order that arrives after newer ones has no effect."""
+        engine = FakeEngine("s0", {"m0": {"a1", "a2"}})
+        engine.defers = True
+        fleet = FakeFleet([engine])
+
+        async def act(controller):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask, controller, "m0", "a3")
+                await anyio.sleep(0.05)
+                engine.defers = False
+                tasks.start_soon(ask, controller, "m0", "a4")
+                await anyio.sleep(0.5)
+                engine.run_late()
+                tasks.cancel_scope.cancel()
+
+        run(fleet, act)
+        self.assertEqual(engine.overflows, 0)
+        self.assertLessEqual(engine.n_adapters(), SPEC.max_adapters)
+
+    def test_not_leading(self):
+        """A keeper that does not lead gives no order."""
+        fleet = FakeFleet([FakeEngine("s0", {"m0": set()})])
+
+        async def act(controller):
+            fleet.leads = False
+            self.assertIsInstance(await ask(controller, "m0", "a1"), Refused)
+
+        run(fleet, act)
+        self.assertEqual(fleet.orders, [])
+
+    def test_new_leader_reads_first(self):
+        """A new leader's first order names the state that it read."""
+        engine = FakeEngine("s0", {"m0": set()})
+        engine.sequence = 5
+        engine.token = 1
+        fleet = FakeFleet([engine])
+        fleet.term = 2
+
+        async def act(controller):
+            await ask(controller, "m0", "a1")
+
+        run(fleet, act)
+        self.assertEqual(fleet.orders[0].expected_sequence, 5)
+        self.assertEqual(fleet.orders[0].fencing_token, 2)
+
+    @settings(max_examples=15, derandomize=True, deadline=None)
+    @given(st.integers(0, 2**32))
+    def test_never_over_room(self, seed):
+        """Lost answers and late orders in any order never overfill an engine."""
+        rng = random.Random(seed)
+        engines = [FakeEngine(f"s{i}", {"m0": set(), "m1": set()}) for i in range(2)]
+        fleet = FakeFleet(engines)
+
+        async def act(controller):
+            async with anyio.create_task_group() as tasks:
+                for _ in range(10):
+                    model = f"m{rng.randrange(4)}"
+                    adapter = rng.choice(["", "a1", "a2", "a3", "a4", "a5"])
+                    tasks.start_soon(ask, controller, model, adapter)
+                    for engine in engines:
+                        engine.loses_answers = rng.random() < 0.3
+                        engine.defers = rng.random() < 0.3
+                        if rng.random() < 0.5:
+                            engine.run_late()
+                    await anyio.sleep(0.03)
+                tasks.cancel_scope.cancel()
+
+        run(fleet, act)
+        self.assertEqual([engine.overflows for engine in engines], [0, 0])
+
+
+class DecideTest(unittest.TestCase):
+    """Where models and adapters go."""
+
+    def test_copy_of_a_busy_model(self):
+        """Demand that moves to a model on one engine gets it a second one."""
+        records = [
+            record("s0", {"m0": set(), "m1": set()}),
+            record("s1", {"m2": set(), "m3": set()}),
+            record("s2", {"m2": set(), "m4": set()}),
+        ]
+        found = copy_step(records, MODELS, {"m0": 20.0, "m2": 0.1}, 60_000.0)
+        self.assertIsNotNone(found)
+        model, step = found
+        self.assertEqual(model.name, "m0")
+        self.assertEqual(step.drop_model, "m2")
+
+    def test_no_copy_without_demand(self):
+        """Calm demand moves nothing."""
+        records = [record("s0", {"m0": set()}), record("s1", {"m1": set()})]
+        self.assertIsNone(copy_step(records, MODELS, {"m0": 1.0, "m1": 1.0}, 60_000.0))
+
+    def test_last_copy_in_demand_stays(self):
+        """The only copy of a model in demand is not displaced by a mere copy."""
+        records = [
+            record("s0", {"m0": set(), "m1": set()}),
+            record("s1", {"m2": set(), "m3": set()}),
+        ]
+        demand = {"m0": 50.0, "m1": 1.0, "m2": 1.0, "m3": 1.0}
+        self.assertIsNone(copy_step(records, MODELS, demand, 60_000.0))
+
+    def test_rare_model_asked_for(self):
+        """A model that nobody holds displaces a spare copy before a last one."""
+        records = [
+            record("s0", {"m0": set(), "m1": set()}),
+            record("s1", {"m0": set(), "m2": set()}),
+        ]
+        step = missing_step(records, MODELS[5], {"m0": 1.0}, 60_000.0)
+        self.assertIn(step.drop_model, ("m1", "m2", "m0"))
+        demand = {"m0": 0.5, "m1": 3.0, "m2": 3.0}
+        step = missing_step(records, MODELS[5], demand, 60_000.0)
+        self.assertEqual(step.drop_model, "m0")
+
+    def test_adapters_spread(self):
+        """A free place on the engine with fewest adapters goes first."""
+        records = [record("s0", {"m0": {"a1", "a2"}}), record("s1", {"m0": {"a1"}})]
+        step = adapter_step(records, MODELS[0], {}, {}, 60_000.0)
+        self.assertEqual(step.record.server.server_id, "s1")
+        self.assertIsNone(step.drop_adapter)
--- /dev/null
+++ b/tests/test_http_connection.py
@@ -0,0 +1,164 @@
+"""Connections to backend servers: whose bytes are whose, and what is whole."""
+
+import unittest
+
+import anyio
+
+from cowslipwood.kernel.clock import monotonic_ms
+from cowslipwood.kernel.http_connection import BrokenAnswerError, connect
+from cowslipwood.kernel.http_pool import ConnectionPool
+from cowslipwood.kernel.settings import parse_address
+
+from .direct_builders import always, reply, scripted_server
+
+HEADERS = [(b"host", b"shop.example"), (b"x-request-id", b"q1")]
+
+
+async def fetch(conn) -> bytes:
+    """Send a request and return the whole body."""
+    await conn.send(b"GET", b"/", HEADERS, b"")
+    await conn.head()
+    return b"".join([chunk async for chunk in conn.chunks()])
+
+
+async def open_to(addr: str):
+    """Connect."""
+    return await connect(*parse_address(addr), 1_000.0)
+
+
+class ServerConnectionTest(unittest.TestCase):
+    """One exchange after the other on one connection."""
+
+    def test_reuse(self):
+        """A connection whose answer was whole carries the next request."""
+
+        async def run():
+            async with scripted_server(always(reply())) as (addr, _):
+                conn = await open_to(addr)
+                self.assertEqual(await fetch(conn), b"ok")
+                self.assertTrue(conn.reusable())
+                self.assertEqual(await fetch(conn), b"ok")
+                await conn.close()
+
+        anyio.run(run)
+
+    def test_surplus_bytes(self):
+        """Bytes after a complete answer make the connection unusable."""
+
+        async def run():
+            async with scripted_server(always(reply() + reply(b"late"))) as (addr, _):
+                conn = await open_to(addr)
+                self.assertEqual(await fetch(conn), b"ok")
+                self.assertFalse(conn.reusable())
+                await conn.close()
+
+        anyio.run(run)
+
+    def test_late_surplus(self):
+        """An answer that comes while none is due is seen before the next request."""
+
+        async def serve(stream, head):
+            await stream.send(reply())
+            await anyio.sleep(0.05)
+            await stream.send(reply(b"late"))
+
+        async def run():
+            async with scripted_server(serve) as (addr, _):
+                conn = await open_to(addr)
+                await fetch(conn)
+                self.assertTrue(conn.reusable())
+                await anyio.sleep(0.2)
+                self.assertTrue(conn.has_surplus())
+                await conn.close()
+
+        anyio.run(run)
+
+    def check_broken(self, data: bytes) -> None:
+        async def serve(stream, head):
+            await stream.send(data)
+            await stream.aclose()
+
+        async def run():
+            async with scripted_server(serve) as (addr, _):
+                conn = await open_to(addr)
+                with self.assertRaises(BrokenAnswerError):
+                    await fetch(conn)
+                await conn.close()
+
+        anyio.run(run)
+
+    def test_cut_answer(self):
+        """An answer shorter than its length is not whole."""
+        self.check_broken(reply(b"whole body")[:-3])
+
+    def test_no_http(self):
+        """Bytes that are no answer are told as such."""
+        self.check_broken(b"\x00\x01 garbage\r\n\r\n")
+
+    def test_early_answer(self):
+        """An answer before a long body was read spoils the connection only."""
+
+        async def serve(stream, head):
+            await stream.send(reply(b"no", status="413 Too Large"))
+            await anyio.sleep(1)
+
+        async def run():
+            async with scripted_server(serve) as (addr, _):
+                conn = await open_to(addr)
+                body = b"x" * 8_000_000
+                length = (b"content-length", str(len(body)).encode())
+                await conn.send(b"POST", b"/", [*HEADERS, length], body)
+                head = await conn.head()
+                self.assertEqual(head.status, 413)
+                data = [chunk async for chunk in conn.chunks()]
+                self.assertEqual(b"".join(data), b"no")
+                self.assertFalse(conn.reusable())
+                await conn.close()
+
+        anyio.run(run)
+
+
+class ConnectionPoolTest(unittest.TestCase):
+    """Kept connections."""
+
+    def test_kept_connection_is_used(self):
+        """The second request to an address goes over the first one's connection."""
+
+        async def run():
+            async with scripted_server(always(reply())) as (addr, _):
+                pool = ConnectionPool()
+                first = await pool.take(addr, monotonic_ms(), 1000)
+                await fetch(first)
+                await pool.put(addr, first, monotonic_ms())
+                second = await pool.take(addr, monotonic_ms(), 1000)
+                self.assertIs(first, second)
+                await second.close()
+
+        anyio.run(run)
+
+    def test_idle_limit(self):
+        """A connection idle for half the server's own limit is not used again."""
+
+        async def run():
+            script = always(reply(more="Keep-Alive: timeout=2\r\n"))
+            async with scripted_server(script) as (addr, _):
+                pool = ConnectionPool()
+                now_ms = monotonic_ms()
+                first = await pool.take(addr, now_ms, 1000)
+                await fetch(first)
+                await pool.put(addr, first, now_ms)
+                second = await pool.take(addr, now_ms + 1_001, 1000)
+                self.assertIsNot(first, second)
+                await second.close()
+
+        anyio.run(run)
+
+    def test_nobody_listens(self):
+        """No connection means that nothing was sent."""
+
+        async def run():
+            pool = ConnectionPool()
+            conn = await pool.take("127.0.0.1:1", monotonic_ms(), 1000)
+            self.assertIsNone(conn)
+
+        anyio.run(run)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,163 @@
+"""The adapter for the users' platform: names, formats, nothing decided."""
+
+import importlib
+import json
+import sys
+import unittest
+from pathlib import Path
+
+import orjson
+
+from cowslipwood.routes import parse_document
+
+ADAPTER = Path(__file__).resolve().parent.parent / "platform"
+
+
+def adapter_module(name: str):
+    """Import a module of the adapter as its programs do."""
+    sys.path.insert(0, str(ADAPTER))
+    try:
+        return importlib.import_module(f"adapter.{name}")
+    finally:
+        sys.path.remove(str(ADAPTER))
+
+
+def config() -> dict:
+    """Return a config in the platform's names."""
+    return {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r1",
+                "host": "a.example",
+                "pathPrefix": "/x/",
+                "kind": "streaming",
+                "timeoutMs": 8000,
+                "targetLatencyMs": 1500,
+                "priority": 1,
+                "split": [
+                    {"service": "llm", "weight": 90},
+                    {"service": "desk", "weight": 10},
+                ],
+                "maxAttempts": 2,
+                "sticky": True,
+                "resumable": True,
+                "gapTargetMs": 400,
+            },
+            {
+                "name": "r2",
+                "host": "a.example",
+                "pathPrefix": "/y/",
+                "kind": "unsafe",
+                "timeoutMs": 1000.5,
+                "service": "desk",
+            },
+        ],
+        "services": [
+            {
+                "name": "llm",
+                "maxConnections": 390,
+                "engine": {
+                    "slots": 64,
+                    "weightsMb": 200000.0,
+                    "maxAdapters": 5,
+                    "loadsPerS": 2.1,
+                    "kvCacheTokens": 232000,
+                    "models": [
+                        {"name": "m1", "weightsMb": 65100, "adapters": 47, "diskS": 0.5}
+                    ],
+                },
+            },
+            {"name": "desk", "healthPath": "/health", "maxConnections": 130},
+        ],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304},
+    }
+
+
+class ConfigTest(unittest.TestCase):
+    """Configs become documents."""
+
+    def parse(self, value):
+        body = value if isinstance(value, bytes) else json.dumps(value).encode()
+        translated = adapter_module("_config").document_json(body)
+        return translated.bind(lambda each: parse_document(orjson.dumps(each)))
+
+    def test_translated(self):
+        """Each field arrives under the name that says what it holds."""
+        document = self.parse(config()).unwrap()
+        first, second = document.routes
+        self.assertEqual([part.weight for part in first.services], [90.0, 10.0])
+        self.assertTrue(first.is_resumable)
+        self.assertEqual(second.timeout_ms, 1000.5)
+        self.assertEqual(second.max_attempts, 1)
+        engine = document.service("llm").engine
+        self.assertEqual(engine.models[0].n_adapters, 47)
+        self.assertEqual(engine.models[0].disk_load_s, 0.5)
+        self.assertIsNone(document.service("desk").engine)
+        self.assertEqual(document.limits.max_body_bytes, 4194304)
+
+    def test_unknown_kind(self):
+        """A kind that is not known may run once at most."""
+        value = config()
+        value["routes"][0]["kind"] = "keyed"
+        self.assertEqual(self.parse(value).unwrap().routes[0].kind, "unsafe")
+
+    def test_refused(self):
+        """What cannot be read in full is refused, whatever is wrong with it."""
+        broken = [b"{", b"[]", b'{"version":1}', b"null"]
+        for change in ({"routes": [1]}, {"services": None}, {"routes": [{}]}):
+            broken.append(json.dumps({**config(), **change}).encode())
+        for body in broken:
+            with self.subTest(body=body[:40]):
+                self.assertEqual(type(self.parse(body)).__name__, "Failure")
+
+
+class ListTest(unittest.TestCase):
+    """Entries of the list."""
+
+    ENTRY = {
+        "id": "i-1",
+        "service": "llm",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "slots": 4,
+        "state": "draining",
+        "born": 12,
+        "models": [{"name": "m1", "version": 1, "adapters": ["a1"]}],
+    }
+
+    def test_read(self):
+        """A proper entry names a server."""
+        server = adapter_module("_list")._server(self.ENTRY)
+        self.assertTrue(server.is_leaving)
+        self.assertEqual(server.models[0].adapters, ("a1",))
+
+    def test_spoiled_entries(self):
+        """An entry with a field missing or of another type names no server."""
+        spoiled = [None, 3, {}, "text"]
+        for name in ("id", "service", "address", "zone", "slots", "state"):
+            spoiled.append({**self.ENTRY, name: None})
+            spoiled.append({**self.ENTRY, name: 7 if name != "slots" else "4"})
+        spoiled.append({**self.ENTRY, "state": "melting"})
+        spoiled.append({**self.ENTRY, "models": [3]})
+        for entry in spoiled:
+            with self.subTest(entry=entry):
+                self.assertIsNone(adapter_module("_list")._server(entry))
+
+
+class FolderTest(unittest.TestCase):
+    """What the folder must not do."""
+
+    def test_standard_library(self):
+        """The standard library's own ``platform`` is still found."""
+        import platform
+
+        self.assertTrue(platform.python_version().startswith("3."))
+
+    def test_wire_names_stay_here(self):
+        """The platform's names stand nowhere else in the source."""
+        names = ("pathPrefix", "expect-instance", "fencingToken", "COWSLIPWOOD_NODE")
+        for path in (ADAPTER.parent / "src").rglob("*.py"):
+            text = path.read_text()
+            for name in names:
+                self.assertNotIn(name, text, path.name)
