--- a/src/cowslipwood/entry/_backend.py
+++ b/src/cowslipwood/entry/_backend.py
@@ -48,7 +48,9 @@
 class Backend:
     """One backend server as this entry sees it.
 
-    `knee` is the number of requests that it serves at full speed at once.
+    `knee` is the number of requests that it serves at full speed at once,
+    `n_pending_tokens` are prompt tokens that this entry sent and that have not
+    led to a first event yet.
 
     Parameters
     ----------
@@ -66,6 +68,7 @@
         "first_ms",
         "health",
         "knee",
+        "n_pending_tokens",
         "n_in_flight",
         "report",
         "seed",
@@ -77,6 +80,7 @@
         self.view = view
         self.seed = xxhash.xxh3_64_intdigest(view.server_id.encode())
         self.n_in_flight = 0
+        self.n_pending_tokens = 0
         self.health = Health()
         self.first_ms = Ewma(FIRST_WEIGHT)
         self.answer_ms = Ewma(FIRST_WEIGHT)
@@ -101,6 +105,10 @@
         if report is not None:
             self._take_report(report, now_ms)
 
+    def reported(self, report: LoadReport, now_ms: float) -> None:
+        """Take a report that came by another way than an answer."""
+        self._take_report(report, now_ms)
+
     def load(self, typical_load: float, now_ms: float) -> float:
         """Return the requests that it is likely to hold now.
 
@@ -148,6 +156,20 @@
         finally:
             self.n_in_flight -= 1
 
+    @contextmanager
+    def pending(self, n_tokens: int) -> Iterator[None]:
+        """Count prompt tokens that wait for their answer's first event."""
+        self.n_pending_tokens += n_tokens
+        try:
+            yield
+        finally:
+            self.n_pending_tokens -= n_tokens
+
+    def queued(self, now_ms: float) -> float:
+        """Return the requests reported as waiting, less as the report gets old."""
+        age_ms = now_ms - self._report_at_ms
+        return self.report.n_queued * 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
+
     def pass_over(self, what: str, until_ms: float) -> None:
         """Give it no request for a model key, or for any (""), until then."""
         self._passed_over[what] = until_ms
--- a/src/cowslipwood/entry/direct/_app.py
+++ b/src/cowslipwood/entry/direct/_app.py
@@ -19,6 +19,8 @@
 # Until a document says what bodies are allowed.
 DEFAULT_BODY_BYTES = 8_388_608
 NO_CATALOGUE_RETRY_MS = 500
+# Of the caller's time: enough of it is left to come back to another entry.
+DOCUMENT_WAIT_SHARE = 0.25
 NO_REPLY_STATUS = 499  # what the log gives for a caller that left
 
 
@@ -59,6 +61,7 @@
         body = await self._read_body(receive)
         if body is None:
             return
+        await self._await_document(scope)
         routed = self._route(scope, body, arrived_ms)
         if isinstance(routed, Failure):
             await self._refuse(answer, _request_id(scope, self._state), routed)
@@ -91,6 +94,15 @@
             if not event.get("more_body"):
                 return bytes(parts)
 
+    async def _await_document(self, scope: dict) -> None:
+        """Wait for a document after a start, for a part of the caller's time."""
+        if self._state.document is not None:
+            return
+        headers = [(bytes(name), bytes(value)) for name, value in scope["headers"]]
+        left_ms = read_request_facts(headers, self._state.names).left_ms or 0.0
+        with anyio.move_on_after(left_ms * DOCUMENT_WAIT_SHARE / 1000):
+            await self._state.has_document.wait()
+
     def _route(
         self, scope: dict, body: bytes, arrived_ms: float
     ) -> RoutedRequest | Failure:
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -16,6 +16,7 @@
 from ...kernel.messages import (
     DocumentUpdate,
     EntryReport,
+    FleetLoad,
     Hello,
     RoutingUpdate,
 )
@@ -23,24 +24,24 @@
 from ...kernel.registry import PluginKind, lookup, plugin_names
 from ...kernel.settings import address, one_of, optional_address, peer_list, within
 from ...kernel.tokens import read_token
-from ...listing import ListedServer, ListSource
+from ...listing import ListSource
 from ...routes import parse_document
 from .. import routing  # noqa: F401  registers the routing policies
 from .._protocol import caller_protocol
+from .._view import View
 from ._app import RouteApp
 from ._headers import HeaderNames
 from ._holders import Holders
 from ._retries import BudgetTerms
-from ._servers import Holdings, routing_update
+from ._servers import KnownServers
 from ._state import DirectState
 
 __all__ = ["DirectEntry", "DirectSettings", "direct_checks"]
 
 SWEEP_MS = 500.0
+LIST_CHECK_MS = 100.0
 DRAIN_POLL_MS = 20.0
 HEAD_TIMEOUT_MS = 10_000.0
-# An entry whose list is older may send to servers that have left.
-STALE_LIST_MS = 10_000.0
 
 
 class DirectSettings(NamedTuple):
@@ -133,8 +134,8 @@
         self._settings = settings
         self._source = source
         self._metrics = Metrics("entry")
-        self._listed: list[ListedServer] = []
-        self._holdings = Holdings()
+        self._view = View()
+        self._servers = KnownServers(self._view)
         self._incarnation = uuid.uuid4().hex
         hello = Hello(
             "entry",
@@ -146,13 +147,20 @@
         self.link = KeeperLink(
             settings.keepers, hello, self._on_message, self._report_loop
         )
-        holders = Holders(self.link, self._holdings, self._refresh, monotonic_ms)
+        self._holders = Holders(self.link, self._servers, monotonic_ms)
         terms = BudgetTerms(
             settings.retry_share, settings.retry_extra, settings.retry_window_ms
         )
         policy = lookup(PluginKind.ROUTING_POLICY, settings.routing)()
         self._state = DirectState(
-            settings.zone, names, policy, holders, terms, self._metrics
+            settings.zone,
+            names,
+            policy,
+            self._view,
+            self._servers,
+            self._holders,
+            terms,
+            self._metrics,
         )
         self._app = RouteApp(self._state, random.Random())
 
@@ -162,7 +170,7 @@
         return (
             not self._app.is_leaving
             and self._state.document is not None
-            and bool(self._state.listed_ms)
+            and bool(self._servers.listed_ms)
         )
 
     async def run(self, stop: anyio.Event) -> None:
@@ -183,6 +191,7 @@
             for each in (server, *sides):
                 tasks.start_soon(each.run)
             tasks.start_soon(self.link.run)
+            tasks.start_soon(self._holders.run)
             tasks.start_soon(self._list_loop)
             tasks.start_soon(self._sweep_loop)
             await stop.wait()
@@ -205,6 +214,9 @@
                 self._use(value)
             case RoutingUpdate():
                 self._state.n_entries = max(1, value.n_entries)
+                self._servers.take_update(value, monotonic_ms())
+            case FleetLoad():
+                self._servers.take_load(value, monotonic_ms())
 
     def _use(self, update: DocumentUpdate) -> None:
         parsed = parse_document(update.document)
@@ -227,6 +239,9 @@
         was_lost = False
         while True:
             began_ms = monotonic_ms()
+            if not self._servers.needs_reading(began_ms):
+                await anyio.sleep(LIST_CHECK_MS / 1000)
+                continue
             listed = await self._source.read()
             if isinstance(listed, Err):
                 fault = listed.failure()
@@ -238,36 +253,10 @@
                 if was_lost:
                     get_logger().info("list_regained")
                 was_lost = False
-                self._take_list(listed.unwrap(), began_ms)
+                self._servers.take_list(listed.unwrap(), began_ms)
             took_ms = monotonic_ms() - began_ms
             await anyio.sleep(max(0.05, (self._settings.list_ms - took_ms) / 1000))
 
-    def _take_list(self, listed: list[ListedServer], began_ms: float) -> None:
-        self._state.listed_ms = began_ms
-        self._listed = listed
-        self._refresh()
-
-    def _refresh(self) -> None:
-        now_ms = monotonic_ms()
-        view = self._state.view
-        for server_id, key in self._holdings.news():
-            if server_id in view.backends:
-                view.backends[server_id].pass_over(key, 0.0)
-        update = routing_update(view, self._listed, self._holdings, now_ms)
-        for server in update.servers:
-            held = view.backends.get(server.server_id)
-            if held is None or held.view.leaving != server.leaving:
-                get_logger().info(
-                    "server_listed",
-                    server=server.server_id,
-                    addr=server.http_addr,
-                    leaving=server.leaving,
-                    holds=len(server.ready),
-                )
-        for server_id in update.removed:
-            get_logger().info("server_unlisted", server=server_id)
-        view.update_routing(update, now_ms)
-
     async def _sweep_loop(self) -> None:
         while True:
             await anyio.sleep(SWEEP_MS / 1000)
@@ -275,6 +264,7 @@
             await self._state.pool.sweep(addrs, monotonic_ms())
 
     async def _report_loop(self, channel: Channel) -> None:
+        self._servers.leader_lost()
         while True:
             report = EntryReport(
                 entry_id=self._settings.entry_id,
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -31,8 +31,6 @@
 # Statuses by which a server promises that a request did not run; without the
 # header that says so, the promise is not passed on.
 PROMISES = frozenset((408, 421, 429, 503))
-# The list shows what a server no longer holds for up to this long.
-NOT_HELD_MS = 1_500.0
 MISDIRECTED = 421  # another server, or one that lacks the model; never run
 # A repeatable request that is silent this many times its target is taken to
 # another server, if there is one; shorter would repeat what is merely queued.
@@ -113,6 +111,7 @@
         self._tried: set[str] = set()
         self._log = get_logger()
         self._started = False
+        self._has_begun = False
         self._last_event_id = b""
         self._kept: tuple[AnswerHead, bytes] | None = None
 
@@ -126,7 +125,13 @@
         try:
             return await self._run(budget)
         finally:
-            self._state.demand.ended(key, self._state.now_ms())
+            self._first_event()
+
+    def _first_event(self) -> None:
+        """Count the request as waiting no longer; once, whatever comes after."""
+        if not self._has_begun:
+            self._has_begun = True
+            self._state.demand.ended(self._request.key, self._state.now_ms())
 
     async def _run(self, budget: SharedBudget) -> Failure | None:
         while True:
@@ -195,12 +200,15 @@
             state.view.typical_load.value,
             False,
             self._tried,
+            request.facts.n_shared_tokens,
         )
         chosen = state.choose(context, self._rng, now_ms)
         if chosen is None and request.facts.model:
             held = await state.holders.find(request, now_ms)
             if isinstance(held, Err):
                 return held.failure()
+            # The leader knows of what happened since that server refused.
+            self._tried.discard(held.unwrap())
             chosen = state.choose(context, self._rng, state.now_ms())
         if chosen is None:
             return failure(Code.NO_REPLICA, f"no server for {request.key}")
@@ -236,7 +244,10 @@
             n_maybe_run=self._attempted.n_maybe_run + 1,
         )
         try:
-            with anyio.fail_after(self._patience_ms(left_ms) / 1000):
+            with (
+                backend.pending(request.facts.n_prompt_tokens),
+                anyio.fail_after(self._patience_ms(left_ms) / 1000),
+            ):
                 await conn.send(request.method, request.target, headers, request.body)
                 head = await conn.head()
         except TimeoutError:
@@ -274,6 +285,8 @@
             fault = failure(Code.OUTCOME_UNKNOWN, "an answer to another request came")
             return self._failed(backend, fault)
         self._note_load(backend, facts, now_ms)
+        if head.status < 300:
+            self._first_event()
         if facts.not_run or head.status == MISDIRECTED:
             return await self._not_run(backend, conn, head)
         if head.status in PROMISES:
@@ -312,7 +325,7 @@
             await _drain(conn)
         now_ms = self._state.now_ms()
         if head.status == MISDIRECTED:
-            backend.pass_over(self._request.key, now_ms + NOT_HELD_MS)
+            backend.pass_over(self._request.key, now_ms + NOT_READY_MS)
             return failure(Code.MODEL_NOT_READY, backend.view.server_id)
         return failure(Code.AGENT_OVERLOADED, f"{backend.view.server_id} {head.status}")
 
--- a/src/cowslipwood/entry/direct/_headers.py
+++ b/src/cowslipwood/entry/direct/_headers.py
@@ -87,6 +87,8 @@
     n_prompt_tokens, n_output_tokens : int
     prefix_hash : int
         Hash of the parts of the prompt that other requests may share; 0 for none.
+    n_shared_tokens : int
+        Tokens of these parts.
     """
 
     request_id: str
@@ -96,6 +98,7 @@
     n_prompt_tokens: int = 0
     n_output_tokens: int = 0
     prefix_hash: int = 0
+    n_shared_tokens: int = 0
 
 
 class AnswerFacts(NamedTuple):
@@ -127,7 +130,7 @@
         adapter,
         tokens[0] if tokens else 0,
         tokens[1] if len(tokens) > 1 else 0,
-        _prefix_hash(_text(held, names.prefix)),
+        *_shared_prefix(_text(held, names.prefix)),
     )
 
 
@@ -204,7 +207,11 @@
     return [int(part) for part in parts]
 
 
-def _prefix_hash(text: str) -> int:
-    """Hash all parts but the last, which belongs to one request or session."""
+def _shared_prefix(text: str) -> tuple[int, int]:
+    """Return the hash and tokens of all parts but the last, which is one's own."""
     shared = text.rpartition(",")[0]
-    return xxhash.xxh3_64_intdigest(shared.encode()) if shared else 0
+    if not shared:
+        return 0, 0
+    sizes = (part.rpartition(":")[2] for part in shared.split(","))
+    n_tokens = sum(int(size) for size in sizes if size.isdigit())
+    return xxhash.xxh3_64_intdigest(shared.encode()), n_tokens
--- a/src/cowslipwood/entry/direct/_holders.py
+++ b/src/cowslipwood/entry/direct/_holders.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
+import anyio.abc
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
@@ -12,8 +13,7 @@
 from ...kernel.keeper_link import KeeperLink
 from ...kernel.logs import get_logger
 from ...kernel.messages import HolderReply, HolderRequest
-from ...listing import holding_key
-from ._servers import Holdings
+from ._servers import KnownServers
 
 if TYPE_CHECKING:
     from ._exchange import RoutedRequest
@@ -23,6 +23,8 @@
 # A request keeps this much of its time for its run after a load.
 RUN_RESERVE_MS = 100.0
 RETRY_AFTER_MS = 500
+# A load from the store takes seconds; a leader that answers no more is lost.
+ASK_TIMEOUT_MS = 4_500.0
 
 
 class Holders:
@@ -31,19 +33,17 @@
     Parameters
     ----------
     link : KeeperLink
-    holdings : Holdings
+    servers : KnownServers
         Takes in what the leader answers.
-    refresh : callable
-        Called after an answer, so that routing sees it.
     now_ms : callable
     """
 
-    def __init__(self, link: KeeperLink, holdings: Holdings, refresh: Any, now_ms: Any):
+    def __init__(self, link: KeeperLink, servers: KnownServers, now_ms: Any):
         self._link = link
-        self._holdings = holdings
-        self._refresh = refresh
+        self._servers = servers
         self._now_ms = now_ms
         self._asking: dict[str, _Asked] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
 
     async def find(self, request: RoutedRequest, now_ms: float) -> Result[str, Failure]:
         """Return the id of a server that holds what the request needs.
@@ -55,25 +55,29 @@
             return Err(failure(Code.NO_REPLICA, "no time left for a load"))
         asked = self._asking.get(request.key)
         if asked is None:
-            return await self._ask(request, left_ms)
+            asked = self._asking[request.key] = _Asked()
+            # In a task of its own: others may wait for it when its caller leaves.
+            self._tasks.start_soon(self._ask, request, asked)
         with anyio.move_on_after(left_ms / 1000):
             await asked.done.wait()
             return asked.result
         return Err(failure(Code.NO_REPLICA, f"{request.key} is not ready yet"))
 
-    async def _ask(
-        self, request: RoutedRequest, left_ms: float
-    ) -> Result[str, Failure]:
-        asked = self._asking[request.key] = _Asked()
+    async def run(self) -> None:
+        """Keep the questions that are under way until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await anyio.sleep_forever()
+
+    async def _ask(self, request: RoutedRequest, asked: _Asked) -> None:
         facts = request.facts
         wanted = HolderRequest(request.service, facts.model, facts.adapter, "")
         try:
-            replied = await self._link.request(wanted, left_ms)
+            replied = await self._link.request(wanted, ASK_TIMEOUT_MS)
             asked.result = self._take(request, replied)
         finally:
             del self._asking[request.key]
             asked.done.set()
-        return asked.result
 
     def _take(
         self, request: RoutedRequest, replied: Result[Any, Failure]
@@ -91,10 +95,7 @@
             retry_after_ms = fault.retry_after_ms or RETRY_AFTER_MS
             return Err(failure(Code.NO_REPLICA, fault.message, retry_after_ms))
         reply: HolderReply = replied.unwrap()
-        facts = request.facts
-        keys = [request.key, holding_key(request.service, facts.model)]
-        self._holdings.told(reply.server_id, keys, self._now_ms())
-        self._refresh()
+        self._servers.take_holder(reply.server_id, reply.ready, self._now_ms())
         log.info(
             "holder_found",
             request=request.facts.request_id,
--- a/src/cowslipwood/entry/direct/_servers.py
+++ b/src/cowslipwood/entry/direct/_servers.py
@@ -1,74 +1,137 @@
-"""The backend servers that the platform's list names, and what they hold."""
+"""The backend servers that an entry knows, by the leader's word or its own reading."""
 
-from collections.abc import Iterable, Sequence
+import math
+from collections.abc import Iterable
 
-from ...kernel.messages import RoutingUpdate, ServerView
-from ...listing import ListedServer, listed_keys
+from ...kernel.logs import get_logger
+from ...kernel.messages import FleetLoad, RoutingUpdate, ServerView
+from ...listing import ListedServer, as_view, listed_keys
+from .._backend import LoadReport
 from .._view import View
 
-__all__ = ["Holdings", "routing_update"]
-
-# How long a holder named by the leader counts as one while the list, which
-# lags, does not show it yet: the list's lag and one period of polling.
-OVERLAY_MS = 2_500.0
-
-
-class Holdings:
-    """What servers hold by the list, with what the leader told since."""
-
-    def __init__(self):
-        self._told: dict[str, dict[str, float]] = {}
-        self._news: list[tuple[str, str]] = []
-
-    def told(self, server_id: str, keys: Iterable[str], now_ms: float) -> None:
-        """Take in what the leader says that a server holds now."""
-        held = self._told.setdefault(server_id, {})
-        for key in keys:
-            held[key] = now_ms + OVERLAY_MS
-            self._news.append((server_id, key))
-
-    def news(self) -> list[tuple[str, str]]:
-        """Return the server and key of all that was told since the last call."""
-        news, self._news = self._news, []
-        return news
-
-    def keys(self, server: ListedServer, now_ms: float) -> tuple[str, ...]:
-        """Return the keys of all that a server holds, sorted."""
-        told = self._told.get(server.server_id, {})
-        fresh = {key for key, until_ms in told.items() if now_ms < until_ms}
-        return tuple(sorted(listed_keys(server) | fresh))
-
-
-def as_view(server: ListedServer, keys: tuple[str, ...]) -> ServerView:
-    """Return a listed server as the routing view shows it."""
-    return ServerView(
-        server_id=server.server_id,
-        incarnation=str(server.born_ms),
-        zone=server.zone,
-        http_addr=server.addr,
-        kind="engine" if server.models else "service",
-        service_name=server.service,
-        leaving=server.is_leaving,
-        ready=keys,
-        n_in_flight=0,
-        n_queued=0,
-        wait_ms=0.0,
-        knee_in_flight=server.n_slots,
-    )
-
-
-def routing_update(
-    view: View, servers: Sequence[ListedServer], holdings: Holdings, now_ms: float
-) -> RoutingUpdate:
-    """Return what changes in the view by a newer list."""
-    listed = {
-        server.server_id: as_view(server, holdings.keys(server, now_ms))
-        for server in servers
-    }
-    changed = tuple(
-        item
-        for server_id, item in listed.items()
-        if server_id not in view.backends or view.backends[server_id].view != item
-    )
-    removed = tuple(view.backends.keys() - listed.keys())
-    return RoutingUpdate(False, changed, removed)
+__all__ = ["KnownServers"]
+
+# An entry reads the list itself when what it goes by is older: a server that
+# leaves must be left alone within the platform's bound, also by an entry that
+# the leader cannot reach, and one reading may fail in between.
+OWN_READING_MS = 1_200.0
+
+
+class KnownServers:
+    """Keeps a routing view up to date from two sources.
+
+    The leading keeper tells what servers hold as it orders it; while it is out
+    of reach, or its own list is old, the entry goes by the list.
+
+    Parameters
+    ----------
+    view : View
+    """
+
+    def __init__(self, view: View):
+        self._view = view
+        self._told: dict[str, ServerView] = {}
+        self._told_list_ms = -math.inf
+        self._is_told = False
+        self.listed_ms = 0.0
+
+    def needs_reading(self, now_ms: float) -> bool:
+        """Return whether the entry should read the list itself."""
+        return now_ms - self.listed_ms > OWN_READING_MS
+
+    def take_update(self, update: RoutingUpdate, now_ms: float) -> None:
+        """Take in what the leader says has changed."""
+        if update.full:
+            self._told.clear()
+        for server in update.servers:
+            self._told[server.server_id] = server
+        for server_id in update.removed:
+            self._told.pop(server_id, None)
+        if not self._is_told:
+            return
+        if update.full:
+            self._replace(self._told.values(), now_ms)
+        else:
+            self._apply(update.servers, update.removed, now_ms)
+
+    def take_load(self, load: FleetLoad, now_ms: float) -> None:
+        """Take in the engines' load and how old the leader's list is."""
+        self._take_list_age(load.list_age_ms, now_ms)
+        loads = zip(load.server_ids, load.n_running, load.n_queued, strict=True)
+        for server_id, n_running, n_queued in loads:
+            backend = self._view.backends.get(server_id)
+            if backend is not None:
+                slots = backend.view.knee_in_flight
+                backend.reported(LoadReport(n_running, n_queued, 0.0, slots), now_ms)
+
+    def _take_list_age(self, age_ms: float, now_ms: float) -> None:
+        self._told_list_ms = max(self._told_list_ms, now_ms - age_ms)
+        if now_ms - self._told_list_ms > OWN_READING_MS:
+            self._is_told = False
+            return
+        self.listed_ms = max(self.listed_ms, self._told_list_ms)
+        if not self._is_told:
+            self._is_told = True
+            self._replace(self._told.values(), now_ms)
+
+    def leader_lost(self) -> None:
+        """Forget what a leader said, when the connection to it has ended."""
+        self._told.clear()
+        self._is_told = False
+
+    def take_list(self, servers: Iterable[ListedServer], now_ms: float) -> None:
+        """Take in a reading of the list made at this time."""
+        self.listed_ms = max(self.listed_ms, now_ms)
+        if not self._is_told:
+            views = [
+                as_view(each, tuple(sorted(listed_keys(each)))) for each in servers
+            ]
+            self._replace(views, now_ms)
+
+    def take_holder(
+        self, server_id: str, ready: tuple[str, ...], now_ms: float
+    ) -> None:
+        """Take in the leader's answer that a server holds these keys now."""
+        backend = self._view.backends.get(server_id)
+        if backend is None:
+            return
+        server = backend.view._replace(ready=ready)
+        if server_id in self._told:
+            self._told[server_id] = server
+        self._apply([server], (), now_ms)
+
+    def _replace(self, servers: Iterable[ServerView], now_ms: float) -> None:
+        known = {server.server_id: server for server in servers}
+        held = self._view.backends
+        changed = [
+            server
+            for server_id, server in known.items()
+            if server_id not in held or held[server_id].view != server
+        ]
+        self._apply(changed, tuple(held.keys() - known.keys()), now_ms)
+
+    def _apply(
+        self, changed: Iterable[ServerView], removed: Iterable[str], now_ms: float
+    ) -> None:
+        log = get_logger()
+        for server in changed:
+            held = self._view.backends.get(server.server_id)
+            if held is None or held.view.leaving != server.leaving:
+                log.info(
+                    "server_listed",
+                    server=server.server_id,
+                    addr=server.http_addr,
+                    leaving=server.leaving,
+                    holds=len(server.ready),
+                    told=self._is_told,
+                )
+            if held is not None:
+                for key in set(server.ready) - set(held.view.ready):
+                    held.pass_over(key, 0.0)
+        for server_id in removed:
+            log.info("server_unlisted", server=server_id, told=self._is_told)
+        update = RoutingUpdate(False, tuple(changed), tuple(removed))
+        n_entries, rank = self._view.n_entries, self._view.entry_rank
+        self._view.update_routing(
+            update._replace(n_entries=n_entries, entry_rank=rank), now_ms
+        )
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Callable
 
+import anyio
+
 from ...kernel.clock import monotonic_ms
 from ...kernel.http_pool import ConnectionPool
 from ...kernel.metrics import Metrics
@@ -14,6 +16,7 @@
 from ._headers import HeaderNames
 from ._holders import Holders
 from ._retries import BudgetTerms, SharedBudget
+from ._servers import KnownServers
 
 __all__ = ["DirectState"]
 
@@ -26,6 +29,8 @@
     zone : str
     names : HeaderNames
     policy : RoutingPolicy
+    view : View
+    servers : KnownServers
     holders : Holders
     terms : BudgetTerms
     metrics : Metrics
@@ -38,6 +43,8 @@
         zone: str,
         names: HeaderNames,
         policy: RoutingPolicy,
+        view: View,
+        servers: KnownServers,
         holders: Holders,
         terms: BudgetTerms,
         metrics: Metrics,
@@ -48,17 +55,23 @@
         self.holders = holders
         self.metrics = metrics
         self.now_ms = now_ms
-        self.view = View()
-        self.demand = DemandMeter(now_ms())
+        self.view = view
+        self._servers = servers
+        self.demand = DemandMeter(now_ms())  # in flight: waiting for a first event
         self.pool = ConnectionPool()
         self.document: RouteDocument | None = None
+        self.has_document = anyio.Event()
         self.table = RouteTable()
-        self.listed_ms = 0.0
         self.n_entries = 1
         self._policy = policy
         self._terms = terms
         self._budgets: dict[str, SharedBudget] = {}
 
+    @property
+    def listed_ms(self) -> float:
+        """When the list was read by which servers are chosen."""
+        return self._servers.listed_ms
+
     @property
     def version(self) -> int:
         """Version of the document in force; 0 while there is none."""
@@ -70,6 +83,7 @@
             return False
         self.document = document
         self.table = RouteTable(document.routes)
+        self.has_document.set()
         return True
 
     def budget(self, service: str) -> SharedBudget:
--- a/src/cowslipwood/entry/routing/_policy.py
+++ b/src/cowslipwood/entry/routing/_policy.py
@@ -26,6 +26,8 @@
         Whether the keepers have been silent for too long.
     tried : collection of str
         Ids of the servers that this request was sent to before.
+    n_shared_tokens : int
+        Prompt tokens in parts that other requests share.
     """
 
     key: str
@@ -34,6 +36,7 @@
     typical_load: float = 0.0
     view_is_stale: bool = False
     tried: Collection[str] = ()
+    n_shared_tokens: int = 0
 
 
 class RoutingPolicy(Protocol):
--- a/src/cowslipwood/entry/routing/least_cost.py
+++ b/src/cowslipwood/entry/routing/least_cost.py
@@ -1,4 +1,4 @@
-"""The routing policy ``least_cost``: the cheapest of all candidates.
+"""The routing policy ``least_cost``: the shortest expected wait of all candidates.
 
 For services with few servers, where looking at each costs less than the load
 that a sample of two would miss.
@@ -14,17 +14,27 @@
 
 __all__ = ["LeastCost"]
 
-# Cost of one zone's distance, as a share of a server's slots: crossing costs a
-# millisecond, which a nearly idle server elsewhere does not make up for.
-ZONE_COST = 0.04
-# What a kept prompt part is worth, as a share of slots; above it, load decides.
-AFFINITY_CREDIT = 0.12
+# Prompt tokens that an engine reads in a millisecond. Engines do not tell it; a
+# wrong figure only shifts how queue, distance and kept prompts are weighed.
+PREFILL_TOKENS_PER_MS = 30.0
+# Tokens of a prompt that another entry sent, of which only the count is known.
+TYPICAL_PROMPT_TOKENS = 2_500.0
+# In milliseconds, for a server that is as full as it may be at full speed: a
+# fuller batch gives every token later.
+FULL_BATCH_MS = 150.0
+# In milliseconds of wait: what a zone's distance is worth; besides the way,
+# bytes between zones are dear.
+ZONE_MS = 12.0
+# The share of cases in which the preferred server still holds the parts.
+KEPT_SHARE = 0.7
 ERROR_FACTOR = 6.0
+# In milliseconds of wait, so that errors weigh on an idle server too.
+ERROR_BASE_MS = 40.0
 
 
 @register(PluginKind.ROUTING_POLICY, "least_cost")
 class LeastCost:
-    """Weighs load, errors, distance and kept prompt parts of each candidate."""
+    """Weighs queue, batch, errors, distance and kept prompt parts."""
 
     def choose(
         self,
@@ -40,15 +50,25 @@
         preferred = None
         if context.prefix_hash:
             preferred = preferred_backend(usable, context.prefix_hash)
+        kept_ms = KEPT_SHARE * context.n_shared_tokens / PREFILL_TOKENS_PER_MS
 
         def cost(backend: Backend) -> tuple[float, float]:
-            credit = AFFINITY_CREDIT if backend is preferred else 0.0
-            return _cost(backend, context, now_ms) - credit, rng.random()
+            credit_ms = kept_ms if backend is preferred else 0.0
+            return expected_wait_ms(backend, context, now_ms) - credit_ms, rng.random()
 
         return min(usable, key=cost)
 
 
-def _cost(backend: Backend, context: RoutingContext, now_ms: float) -> float:
-    load = (backend.load(context.typical_load, now_ms) + 1.0) / backend.knee
-    load *= 1.0 + ERROR_FACTOR * backend.health.error_share(now_ms)
-    return load + ZONE_COST * zone_distance(context.zone, backend.view.zone)
+def expected_wait_ms(backend: Backend, context: RoutingContext, now_ms: float) -> float:
+    """Return the cost of one more request at a server, as a time."""
+    load = backend.load(context.typical_load, now_ms)
+    wait_ms = backend.wait_ms(load, now_ms) + FULL_BATCH_MS * (load + 1) / backend.knee
+    own_tokens = backend.n_pending_tokens
+    others_tokens = max(
+        0.0, backend.queued(now_ms) * TYPICAL_PROMPT_TOKENS - own_tokens
+    )
+    if context.n_shared_tokens or own_tokens:
+        wait_ms += (own_tokens + others_tokens) / PREFILL_TOKENS_PER_MS
+    wait_ms += ZONE_MS * zone_distance(context.zone, backend.view.zone)
+    error_share = backend.health.error_share(now_ms)
+    return wait_ms + ERROR_FACTOR * error_share * (wait_ms + ERROR_BASE_MS)
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -24,6 +24,7 @@
     ClaimBegin,
     ClaimFinish,
     EntryReport,
+    FleetLoad,
     Hello,
     HolderRequest,
     OperatorRequest,
@@ -276,10 +277,16 @@
                 report.server_id: server_view(report, report.server_id in self._closed)
                 for report in self._directory.live_agents(now_ms)
             }
+            fleet = None
+            if self._engines is not None:
+                views.update(self._engines.views())
+                fleet = self._engines.load(now_ms)
             entry_ids = self._directory.live_entry_ids(now_ms)
             async with anyio.create_task_group() as tasks:
                 for subscriber in list(self._subscribers):
-                    tasks.start_soon(self._tell, subscriber, views, entry_ids, now_ms)
+                    tasks.start_soon(
+                        self._tell, subscriber, views, fleet, entry_ids, now_ms
+                    )
             await anyio.sleep(self._settings.tick_ms / 1000)
 
     async def _recruit_loop(self) -> None:
@@ -308,7 +315,12 @@
                 await subscriber.close(failure(Code.NOT_LEADER))
 
     async def _tell(
-        self, subscriber: Subscriber, views: dict, entry_ids: list, now_ms: float
+        self,
+        subscriber: Subscriber,
+        views: dict,
+        fleet: FleetLoad | None,
+        entry_ids: list,
+        now_ms: float,
     ) -> None:
         if subscriber.role == "keeper" or not self._replica.leads(monotonic_ms()):
             return
@@ -321,6 +333,8 @@
             await subscriber.tell_keepers(members)
             applied = self._machine.applied
             await subscriber.tell_document(applied.version, applied.document)
+            if fleet is not None:
+                await subscriber.tell_fleet_load(fleet, now_ms)
             await subscriber.tell_routing(views, entry_ids, now_ms)
             return
         server_id = subscriber.peer_id
--- a/src/cowslipwood/keeper/_subscribers.py
+++ b/src/cowslipwood/keeper/_subscribers.py
@@ -16,6 +16,7 @@
     Assignment,
     CatalogueUpdate,
     DocumentUpdate,
+    FleetLoad,
     KeepersUpdate,
     RoutingUpdate,
     ServerView,
@@ -24,6 +25,8 @@
 __all__ = ["Subscriber"]
 
 HEARTBEAT_MS = 500
+# Several of these fit into the time after which an entry reads the list itself.
+FLEET_LOAD_MS = 250.0
 LOAD_INTERVAL_MS = 1_000
 
 
@@ -50,6 +53,7 @@
         self._assignment: Assignment | None = None
         self._document_version = 0
         self._keepers: tuple[str, ...] = ()
+        self._fleet_told_ms = -math.inf
         self._heartbeat_at_ms = 0.0
         self._load_told_ms = -math.inf
 
@@ -94,6 +98,12 @@
             self._keepers = addrs
             await self._channel.send(KeepersUpdate(addrs))
 
+    async def tell_fleet_load(self, load: FleetLoad, now_ms: float) -> None:
+        """Send the load of engines, at most once each `FLEET_LOAD_MS`."""
+        if now_ms >= self._fleet_told_ms + FLEET_LOAD_MS:
+            self._fleet_told_ms = now_ms
+            await self._channel.send(load)
+
     async def tell_routing(
         self, views: dict[str, ServerView], entry_ids: Sequence[str], now_ms: float
     ) -> None:
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -1,5 +1,6 @@
 """Keeps the engines' models and adapters where requests need them."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -12,9 +13,16 @@
 from ...kernel.clock import monotonic_ms
 from ...kernel.codes import Code, failure
 from ...kernel.logs import get_logger
-from ...kernel.messages import DemandSample, EntryReport, HolderReply, HolderRequest
+from ...kernel.messages import (
+    DemandSample,
+    EntryReport,
+    FleetLoad,
+    HolderReply,
+    HolderRequest,
+    ServerView,
+)
 from ...kernel.metrics import Metrics
-from ...listing import ListedServer, ListSource, holding_key
+from ...listing import ListedServer, ListSource, as_view, listed_keys
 from ...routes import ModelSpec, RouteDocument, ServiceSpec
 from ._decide import Step, adapter_step, copy_step, missing_step
 from ._orders import EngineClient, EngineOrder, OrderOp, OrderOutcome
@@ -23,19 +31,19 @@
 __all__ = ["EngineController", "EngineTerms"]
 
 LIST_MS = 500.0
-STEP_MS = 100.0
-# Reports lag by about this much, so one read sooner shows nothing new.
-REPORT_LAG_MS = 100.0
+STEP_MS = 50.0
+# Entries choose by the load that reports tell; a queue forms within this time.
+LOAD_MS = 250.0
 RESYNC_MS = 60.0
 # An adapter is on the engine this long after the order was accepted.
 ADAPTER_LOAD_MS = 7.0
 RETRY_MS = 20.0
 # A question is answered within this time, or the entry refuses its request.
 FIND_TIMEOUT_MS = 4_000.0
-MAX_STORE_LOADS = 2
 # An unload waits for its runs; after this long another engine is looked for.
 MAKE_ROOM_MS = 3_000.0
-DEMAND_HALF_LIFE_WEIGHT = 0.5
+# A burst shorter than a load is over before a copy could serve it.
+DEMAND_TIME_MS = 1_500.0
 SAMPLE_VALID_MS = 2_500.0
 
 
@@ -89,8 +97,10 @@
         self._document = document
         self._metrics = metrics
         self._records: dict[str, EngineRecord] = {}
+        self._listed: list[ListedServer] = []
         self._led_term = 0
         self._listed_ms = 0.0
+        self._asked_ms = 0.0
         self._samples: dict[str, tuple[float, tuple[DemandSample, ...]]] = {}
         self._demand: dict[str, float] = {}
         self._used_ms: dict[tuple[str, str], float] = {}
@@ -108,6 +118,31 @@
                     await self._round(now_ms)
                 await anyio.sleep(STEP_MS / 1000)
 
+    def load(self, now_ms: float) -> FleetLoad | None:
+        """Return the engines' load; None before a list was read in this term."""
+        if self._led_term != self._term() or not self._listed_ms:
+            return None
+        synced = [each for each in self._records.values() if each.is_synced]
+        return FleetLoad(
+            now_ms - self._listed_ms,
+            tuple(each.server.server_id for each in synced),
+            tuple(each.n_running for each in synced),
+            tuple(each.n_queued for each in synced),
+        )
+
+    def views(self) -> dict[str, ServerView]:
+        """Return the listed servers with what they hold by the latest orders."""
+        views = {}
+        for server in self._listed:
+            record = self._records.get(server.server_id)
+            is_exact = record is not None and record.server.born_ms == server.born_ms
+            if is_exact and record.sequence is not None:
+                keys = record.ready_keys()
+            else:
+                keys = tuple(sorted(listed_keys(server)))
+            views[server.server_id] = as_view(server, keys)
+        return views
+
     def take_demand(self, report: EntryReport, now_ms: float) -> None:
         """Take in what an entry says of demand."""
         self._samples[report.entry_id] = (now_ms, report.demand)
@@ -130,7 +165,7 @@
             while self._leads(monotonic_ms()):
                 held = await self._provide(request, spec)
                 if held is not None:
-                    return self._reply(held, request)
+                    return HolderReply(held.server.server_id, held.ready_keys())
                 await anyio.sleep(RETRY_MS / 1000)
         if not self._leads(monotonic_ms()):
             return as_refused(failure(Code.NOT_LEADER))
@@ -221,8 +256,11 @@
         while self._store_loads and self._store_loads[0] < now_ms - window_ms:
             self._store_loads.popleft()
         allowed = max(1, int(record.spec.loads_per_s * window_ms / 1000))
+        # More at once than the rate allows would only slow each other down.
+        longest_s = max(model.load_time_s for model in record.spec.models)
         n_under_way = sum(1 for each in self._records.values() if each.loading)
-        return len(self._store_loads) < allowed and n_under_way < MAX_STORE_LOADS
+        at_once = math.ceil(record.spec.loads_per_s * longest_s)
+        return len(self._store_loads) < allowed and n_under_way < at_once
 
     async def _order(
         self,
@@ -270,14 +308,16 @@
             self._samples.clear()
             self._room_for.clear()
             self._store_loads.clear()
-            self._listed_ms = 0.0
-        if now_ms - self._listed_ms > LIST_MS:
-            self._listed_ms = now_ms
+            self._listed = []
+            self._asked_ms = self._listed_ms = 0.0
+        if now_ms - self._asked_ms > LIST_MS:
+            self._asked_ms = now_ms
             listed = await self._source.read()
             if isinstance(listed, Err):
                 reason = listed.failure().message
                 get_logger().warning("list_not_read", reason=reason)
             else:
+                self._listed_ms = now_ms
                 self._take_list(listed.unwrap())
         self._update_demand(now_ms)
         async with anyio.create_task_group() as tasks:
@@ -301,13 +341,16 @@
             record.spec = spec
             found[server.server_id] = record
         self._records = found
+        self._listed = listed
 
     def _needs_report(self, record: EngineRecord, now_ms: float) -> bool:
         if record.lock.locked():
             return False
         if not record.is_synced:
             return now_ms - record.read_at_ms > RESYNC_MS
-        return record.is_busy and now_ms > record.busy_until_ms
+        if record.is_busy:
+            return now_ms > record.busy_until_ms
+        return now_ms - record.read_at_ms > LOAD_MS
 
     async def _sync(self, record: EngineRecord) -> None:
         """Read a report; an engine that gives none is left alone until it does."""
@@ -328,7 +371,7 @@
             record.take_report(report, now_ms)
 
     def _update_demand(self, now_ms: float) -> None:
-        """Smooth the requests in flight for each model over the entries' reports."""
+        """Smooth the requests that wait for each model over the entries' reports."""
         fresh: dict[str, float] = {}
         for entry_id, (at_ms, samples) in list(self._samples.items()):
             if now_ms - at_ms > SAMPLE_VALID_MS:
@@ -338,7 +381,7 @@
                 _, _, rest = sample.model.partition("|")
                 model = rest.partition("/")[0]
                 fresh[model] = fresh.get(model, 0.0) + sample.in_flight
-        weight = DEMAND_HALF_LIFE_WEIGHT * STEP_MS / 500.0
+        weight = STEP_MS / DEMAND_TIME_MS
         for model in self._demand.keys() | fresh.keys():
             held = self._demand.get(model, 0.0)
             value = held + weight * (fresh.get(model, 0.0) - held)
@@ -366,14 +409,6 @@
         document = self._document()
         return document.service(name) if document else None
 
-    def _reply(self, record: EngineRecord, request: HolderRequest) -> HolderReply:
-        keys = tuple(
-            holding_key(request.service, model, adapter)
-            for model, adapters in record.held.items()
-            for adapter in ("", *adapters)
-        )
-        return HolderReply(record.server.server_id, keys)
-
 
 def _model_spec(service: ServiceSpec | None, model: str) -> ModelSpec | None:
     if service is None or service.engine is None:
--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -13,21 +13,23 @@
     "missing_step",
 ]
 
-# Requests in flight for each copy below which another copy gains little.
-HOT_IN_FLIGHT = 5.0
+# Requests that wait for their first event, for each copy, below which another
+# copy gains little: an engine that reads prompts for half of the time.
+HOT_WAITING = 0.8
 # A copy is added only where it gains this many times what it displaces, since
 # a load costs the store's time and the displaced prompts.
-GAIN_FACTOR = 3.0
+GAIN_FACTOR = 1.5
 # A model loaded more lately than this is not displaced by a mere copy.
 RESIDENCE_MS = 6_000.0
 # Adapters used more lately than this are displaced only if all are.
 ADAPTER_IDLE_MS = 300.0
-# In requests in flight: what the last copy of a model without demand is worth,
-# so that copies go before it and it goes before what is asked for.
-LAST_COPY = 0.05
+# In waiting requests: what the last copy of a model without demand is worth,
+# so that spare copies go before it and it goes before what is asked for. Its
+# next request would wait for a load.
+LAST_COPY = 0.25
 # What the last copy of a model in demand is worth beyond its demand.
 LAST_IN_DEMAND = 1_000.0
-# In requests in flight, for each second of loading.
+# In waiting requests, for each second of loading.
 LOAD_COST_PER_S = 0.2
 
 
@@ -127,7 +129,7 @@
     records : sequence of EngineRecord
     models : sequence of ModelSpec
     demand : mapping of str to float
-        Requests in flight by model.
+        Requests that wait for their first event, by model.
     now_ms : float
     """
     copies = copies_of(records)
@@ -139,7 +141,7 @@
     for model in ranked:
         n_copies = copies.get(model.name, 0)
         wanted = demand.get(model.name, 0.0)
-        if n_copies and wanted / n_copies < HOT_IN_FLIGHT:
+        if n_copies and wanted / n_copies < HOT_WAITING:
             continue
         if not n_copies and not wanted:
             continue
@@ -200,7 +202,7 @@
 
 
 def _worth(name: str, copies: Mapping[str, int], demand: Mapping[str, float]) -> float:
-    """Return what one copy of a model is worth, in requests in flight."""
+    """Return what one copy of a model is worth, in waiting requests."""
     n_copies = copies.get(name, 1)
     wanted = demand.get(name, 0.0)
     if n_copies <= 1:
--- a/src/cowslipwood/keeper/engines/_orders.py
+++ b/src/cowslipwood/keeper/engines/_orders.py
@@ -70,6 +70,8 @@
         Models whose weights the host keeps in memory or on disk.
     born_ms : int
         When the engine started; 0 when it does not say.
+    n_running, n_queued : int
+        Requests.
     """
 
     sequence: int
@@ -78,6 +80,8 @@
     pending: tuple[tuple[str, str], ...] = ()
     cached: frozenset[str] = frozenset()
     born_ms: int = 0
+    n_running: int = 0
+    n_queued: int = 0
 
 
 class EngineClient(Protocol):
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from ...listing import ListedServer
+from ...listing import ListedServer, holding_key
 from ...routes import EngineSpec, ModelSpec
 from ._orders import EngineReport, OrderOp
 
@@ -30,8 +30,11 @@
         self.is_busy = False
         self.busy_until_ms = 0.0
         self.loading = ""
+        self.dropping = ""
         self.since_ms: dict[str, float] = {}
         self.read_at_ms = 0.0
+        self.n_running = 0
+        self.n_queued = 0
         self.lock = anyio.Lock()
 
     @property
@@ -65,12 +68,26 @@
 
     def holds(self, model: str, adapter: str = "") -> bool:
         """Return whether a request for it can be served."""
-        if model not in self.held or model == self.loading:
+        if model not in self.held or model in (self.loading, self.dropping):
             return False
         return not adapter or adapter in self.held[model]
 
+    def ready_keys(self) -> tuple[str, ...]:
+        """Return the keys of all that requests can be sent here for, sorted."""
+        service = self.server.service
+        return tuple(
+            sorted(
+                holding_key(service, model, adapter)
+                for model, adapters in self.held.items()
+                if self.holds(model)
+                for adapter in ("", *adapters)
+            )
+        )
+
     def take_report(self, report: EngineReport, now_ms: float) -> bool:
         """Adopt a report unless it is older than the last accepted order."""
+        self.n_running = report.n_running
+        self.n_queued = report.n_queued
         if self.sequence is not None and report.sequence < self.sequence:
             return False
         self.sequence = report.sequence
@@ -82,6 +99,7 @@
             held.setdefault(self.loading, set())
         if not report.is_busy:
             self.loading = ""
+            self.dropping = ""
         self.held = held
         self.cached = report.cached
         self.read_at_ms = now_ms
@@ -102,3 +120,5 @@
             self.held.setdefault(model, set())
             self.loading = model
             self.since_ms[model] = now_ms
+        else:
+            self.dropping = model
--- a/src/cowslipwood/kernel/channel.py
+++ b/src/cowslipwood/kernel/channel.py
@@ -37,7 +37,8 @@
 ]
 
 SEND_TIMEOUT_MS = 5_000
-CONNECT_TIMEOUT_MS = 1_000
+# A dark host must not keep a starting keeper from the others for long.
+CONNECT_TIMEOUT_MS = 300
 MAX_OPEN_REQUESTS = 1_024
 MAX_CONNECTIONS = 16_384
 
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -26,6 +26,7 @@
     "DesiredModel",
     "DocumentUpdate",
     "EntryReport",
+    "FleetLoad",
     "HolderReply",
     "HolderRequest",
     "Hello",
@@ -300,6 +301,19 @@
     addrs: tuple[str, ...]
 
 
+@message("control")
+class FleetLoad(NamedTuple):
+    """The load of engines by their reports, and the age of the list they stand in.
+
+    The three tuples go together, one item for each server.
+    """
+
+    list_age_ms: float
+    server_ids: tuple[str, ...]
+    n_running: tuple[int, ...]
+    n_queued: tuple[int, ...]
+
+
 @message("control")
 class Announce(NamedTuple):
     """A keeper without a log asks to become a member."""
--- a/src/cowslipwood/listing/_servers.py
+++ b/src/cowslipwood/listing/_servers.py
@@ -5,11 +5,13 @@
 from returns.result import Result
 
 from ..kernel.codes import Failure
+from ..kernel.messages import ServerView
 
 __all__ = [
     "ListSource",
     "ListedModel",
     "ListedServer",
+    "as_view",
     "holding_key",
     "listed_keys",
     "service_key",
@@ -81,3 +83,21 @@
         for adapter in model.adapters:
             keys.add(holding_key(server.service, model.name, adapter))
     return frozenset(keys)
+
+
+def as_view(server: ListedServer, keys: tuple[str, ...]) -> ServerView:
+    """Return a listed server as the routing view shows it."""
+    return ServerView(
+        server_id=server.server_id,
+        incarnation=str(server.born_ms),
+        zone=server.zone,
+        http_addr=server.addr,
+        kind="engine" if server.models else "service",
+        service_name=server.service,
+        leaving=server.is_leaving,
+        ready=keys,
+        n_in_flight=0,
+        n_queued=0,
+        wait_ms=0.0,
+        knee_in_flight=server.n_slots,
+    )
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -195,3 +195,10 @@
   serverId @0 :Text;
   ready @1 :List(Text);
 }
+
+struct FleetLoad {
+  listAgeMs @0 :Float64;   # of the platform's list
+  serverIds @1 :List(Text);
+  nRunning @2 :List(UInt32);
+  nQueued @3 :List(UInt32);
+}
--- a/tests/direct_builders.py
+++ b/tests/direct_builders.py
@@ -11,10 +11,11 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from cowslipwood.entry._view import View
 from cowslipwood.entry.direct._exchange import RoutedRequest
 from cowslipwood.entry.direct._headers import HeaderNames, read_request_facts
 from cowslipwood.entry.direct._retries import BudgetTerms
-from cowslipwood.entry.direct._servers import Holdings, routing_update
+from cowslipwood.entry.direct._servers import KnownServers
 from cowslipwood.entry.direct._state import DirectState
 from cowslipwood.entry.routing.least_cost import LeastCost
 from cowslipwood.kernel.clock import monotonic_ms
@@ -138,19 +139,19 @@
 
 def direct_state(servers: list[ListedServer], holders: Any = None) -> DirectState:
     """Return the state of an entry that knows these servers."""
-    state = DirectState(
+    view = View()
+    known = KnownServers(view)
+    known.take_list(servers, monotonic_ms())
+    return DirectState(
         "zone-1",
         NAMES,
         LeastCost(),
+        view,
+        known,
         holders or NoHolders(),
         BudgetTerms(),
         Metrics("entry"),
     )
-    now_ms = monotonic_ms()
-    state.view.update_routing(
-        routing_update(state.view, servers, Holdings(), now_ms), now_ms
-    )
-    return state
 
 
 def seeded() -> random.Random:
