--- a/src/cowslipwood/entry/_demand.py
+++ b/src/cowslipwood/entry/_demand.py
@@ -1,5 +1,8 @@
 """Measures the demand for each model, or whatever else is named."""
 
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
 from ..kernel.messages import DemandSample
 
 __all__ = ["DemandMeter"]
@@ -51,6 +54,15 @@
         """Take out a request that was let in."""
         self._of(name).change(-1, now_ms)
 
+    @contextmanager
+    def counted(self, name: str, clock_ms: Callable[[], float]) -> Iterator[None]:
+        """Count one request as in flight for the length of the block."""
+        self.began(name, clock_ms())
+        try:
+            yield
+        finally:
+            self.ended(name, clock_ms())
+
     def met(self, name: str) -> None:
         """Count a request answered within its limits."""
         self._of(name).n_met += 1
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -273,7 +273,7 @@
                 http_addr=self._settings.listen,
                 leaving=self._app.is_leaving,
                 catalogue_revision=self._state.version,
-                demand=self._state.demand.samples(monotonic_ms()),
+                demand=self._state.demand_samples(monotonic_ms()),
             )
             await channel.send(report)
             await anyio.sleep(self._settings.report_ms / 1000)
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -111,7 +111,6 @@
         self._tried: set[str] = set()
         self._log = get_logger()
         self._started = False
-        self._has_begun = False
         self._last_event_id = b""
         self._kept: tuple[AnswerHead, bytes] | None = None
 
@@ -125,13 +124,7 @@
         try:
             return await self._run(budget)
         finally:
-            self._first_event()
-
-    def _first_event(self) -> None:
-        """Count the request as waiting no longer; once, whatever comes after."""
-        if not self._has_begun:
-            self._has_begun = True
-            self._state.demand.ended(self._request.key, self._state.now_ms())
+            self._state.demand.ended(key, self._state.now_ms())
 
     async def _run(self, budget: SharedBudget) -> Failure | None:
         while True:
@@ -246,6 +239,7 @@
         try:
             with (
                 backend.pending(request.facts.n_prompt_tokens),
+                state.waiting.counted(request.key, state.now_ms),
                 anyio.fail_after(self._patience_ms(left_ms) / 1000),
             ):
                 await conn.send(request.method, request.target, headers, request.body)
@@ -285,8 +279,6 @@
             fault = failure(Code.OUTCOME_UNKNOWN, "an answer to another request came")
             return self._failed(backend, fault)
         self._note_load(backend, facts, now_ms)
-        if head.status < 300:
-            self._first_event()
         if facts.not_run or head.status == MISDIRECTED:
             return await self._not_run(backend, conn, head)
         if head.status in PROMISES:
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -7,6 +7,7 @@
 
 from ...kernel.clock import monotonic_ms
 from ...kernel.http_pool import ConnectionPool
+from ...kernel.messages import DemandSample
 from ...kernel.metrics import Metrics
 from ...routes import RouteDocument, RouteTable
 from .._backend import Backend, LoadReport
@@ -57,7 +58,8 @@
         self.now_ms = now_ms
         self.view = view
         self._servers = servers
-        self.demand = DemandMeter(now_ms())  # in flight: waiting for a first event
+        self.demand = DemandMeter(now_ms())
+        self.waiting = DemandMeter(now_ms())  # at a server, before the first event
         self.pool = ConnectionPool()
         self.document: RouteDocument | None = None
         self.has_document = anyio.Event()
@@ -109,6 +111,16 @@
         ]
         return min(left, key=lambda each: each.health.ejected_until_ms, default=None)
 
+    def demand_samples(self, now_ms: float) -> tuple[DemandSample, ...]:
+        """Return the demand since the last call, with what waited at servers."""
+        waiting = {each.model: each for each in self.waiting.samples(now_ms)}
+        return tuple(
+            sample._replace(waiting=waiting[sample.model].in_flight)
+            if sample.model in waiting
+            else sample
+            for sample in self.demand.samples(now_ms)
+        )
+
     def heard(self, backend: Backend, report: LoadReport | None, now_ms: float) -> None:
         """Take in the load that came with an answer."""
         backend.answered(report, now_ms)
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -24,7 +24,7 @@
 from ...kernel.metrics import Metrics
 from ...listing import ListedServer, ListSource, as_view, listed_keys
 from ...routes import ModelSpec, RouteDocument, ServiceSpec
-from ._decide import Step, adapter_step, copy_step, missing_step
+from ._decide import NO_DEMAND, ModelDemand, Step, adapter_step, copy_step, missing_step
 from ._orders import EngineClient, EngineOrder, OrderOp, OrderOutcome
 from ._record import EngineRecord
 
@@ -44,6 +44,8 @@
 MAKE_ROOM_MS = 3_000.0
 # A burst shorter than a load is over before a copy could serve it.
 DEMAND_TIME_MS = 1_500.0
+# A model asked for within this time is likelier to be asked for again.
+RECENT_MS = 20_000.0
 SAMPLE_VALID_MS = 2_500.0
 
 
@@ -102,7 +104,8 @@
         self._listed_ms = 0.0
         self._asked_ms = 0.0
         self._samples: dict[str, tuple[float, tuple[DemandSample, ...]]] = {}
-        self._demand: dict[str, float] = {}
+        self._demand: dict[str, ModelDemand] = {}
+        self._asked_at_ms: dict[str, float] = {}
         self._used_ms: dict[tuple[str, str], float] = {}
         self._store_loads: deque[float] = deque()
         self._room_for: dict[str, tuple[EngineRecord, float]] = {}
@@ -147,10 +150,12 @@
         """Take in what an entry says of demand."""
         self._samples[report.entry_id] = (now_ms, report.demand)
         for sample in report.demand:
-            _, _, rest = sample.model.partition("|")
-            model, _, adapter = rest.partition("/")
-            if adapter and (sample.in_flight or sample.arrivals_per_s):
-                self._used_ms[model, adapter] = now_ms
+            if sample.in_flight or sample.arrivals_per_s:
+                model = _model_of(sample)
+                self._asked_at_ms[model] = now_ms
+                adapter = sample.model.partition("/")[2]
+                if adapter:
+                    self._used_ms[model, adapter] = now_ms
 
     async def find(self, request: HolderRequest) -> Any:
         """Return a server that holds what an entry needs, loading it if need be."""
@@ -371,24 +376,26 @@
             record.take_report(report, now_ms)
 
     def _update_demand(self, now_ms: float) -> None:
-        """Smooth the requests that wait for each model over the entries' reports."""
-        fresh: dict[str, float] = {}
+        """Smooth what the entries' reports say of each model."""
+        waiting: dict[str, float] = {}
+        in_flight: dict[str, float] = {}
         for entry_id, (at_ms, samples) in list(self._samples.items()):
             if now_ms - at_ms > SAMPLE_VALID_MS:
                 del self._samples[entry_id]
                 continue
             for sample in samples:
-                _, _, rest = sample.model.partition("|")
-                model = rest.partition("/")[0]
-                fresh[model] = fresh.get(model, 0.0) + sample.in_flight
+                model = _model_of(sample)
+                waiting[model] = waiting.get(model, 0.0) + sample.waiting
+                in_flight[model] = in_flight.get(model, 0.0) + sample.in_flight
         weight = STEP_MS / DEMAND_TIME_MS
-        for model in self._demand.keys() | fresh.keys():
-            held = self._demand.get(model, 0.0)
-            value = held + weight * (fresh.get(model, 0.0) - held)
-            if value < 0.01:
-                self._demand.pop(model, None)
-            else:
-                self._demand[model] = value
+        for model in self._asked_at_ms:
+            held = self._demand.get(model, NO_DEMAND)
+            age_ms = now_ms - self._asked_at_ms[model]
+            self._demand[model] = ModelDemand(
+                held.waiting + weight * (waiting.get(model, 0.0) - held.waiting),
+                held.in_flight + weight * (in_flight.get(model, 0.0) - held.in_flight),
+                max(0.0, 1.0 - age_ms / RECENT_MS),
+            )
 
     async def _add_copies(self, now_ms: float) -> None:
         document = self._document()
@@ -414,3 +421,8 @@
     if service is None or service.engine is None:
         return None
     return next((m for m in service.engine.models if m.name == model), None)
+
+
+def _model_of(sample: DemandSample) -> str:
+    """Return the model that a sample is about; empty for a plain service."""
+    return sample.model.partition("|")[2].partition("/")[0]
--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -7,6 +7,8 @@
 from ._record import EngineRecord
 
 __all__ = [
+    "NO_DEMAND",
+    "ModelDemand",
     "Step",
     "adapter_step",
     "copy_step",
@@ -27,12 +29,35 @@
 # so that spare copies go before it and it goes before what is asked for. Its
 # next request would wait for a load.
 LAST_COPY = 0.25
-# What the last copy of a model in demand is worth beyond its demand.
-LAST_IN_DEMAND = 1_000.0
+# Of a request that runs: an unload waits for its end, and blocks the engine.
+RUNNING_WORTH = 0.05
+# In waiting requests, for each that waits on the engine that would be loaded.
+BUSY_COST = 0.1
 # In waiting requests, for each second of loading.
 LOAD_COST_PER_S = 0.2
 
 
+class ModelDemand(NamedTuple):
+    """What entries ask of one model, smoothed.
+
+    Parameters
+    ----------
+    waiting : float
+        Requests at engines that wait for their first event.
+    in_flight : float
+        Requests that were let in and have not ended.
+    recent : float
+        1 for a model asked for just now, falling to 0 with time.
+    """
+
+    waiting: float = 0.0
+    in_flight: float = 0.0
+    recent: float = 0.0
+
+
+NO_DEMAND = ModelDemand()
+
+
 class Step(NamedTuple):
     """The next order, or the one that makes room for it.
 
@@ -100,7 +125,7 @@
 def missing_step(
     records: Sequence[EngineRecord],
     model: ModelSpec,
-    demand: Mapping[str, float],
+    demand: Mapping[str, ModelDemand],
     now_ms: float,
 ) -> Step | None:
     """Return where a model that nobody holds goes; None while none can take it."""
@@ -119,7 +144,7 @@
 def copy_step(
     records: Sequence[EngineRecord],
     models: Sequence[ModelSpec],
-    demand: Mapping[str, float],
+    demand: Mapping[str, ModelDemand],
     now_ms: float,
 ) -> tuple[ModelSpec, Step] | None:
     """Return the copy that gains most, if it gains enough; None otherwise.
@@ -128,24 +153,24 @@
     ----------
     records : sequence of EngineRecord
     models : sequence of ModelSpec
-    demand : mapping of str to float
-        Requests that wait for their first event, by model.
+    demand : mapping of str to ModelDemand
     now_ms : float
     """
     copies = copies_of(records)
     ranked = sorted(
         models,
-        key=lambda m: demand.get(m.name, 0.0) / (copies.get(m.name, 0) + 1),
+        key=lambda m: (
+            demand.get(m.name, NO_DEMAND).waiting / (copies.get(m.name, 0) + 1)
+        ),
         reverse=True,
     )
     for model in ranked:
         n_copies = copies.get(model.name, 0)
-        wanted = demand.get(model.name, 0.0)
-        if n_copies and wanted / n_copies < HOT_WAITING:
-            continue
-        if not n_copies and not wanted:
+        wanted = demand.get(model.name, NO_DEMAND).waiting
+        # What nobody holds is loaded when it is asked for.
+        if not n_copies or wanted / n_copies < HOT_WAITING:
             continue
-        gain = wanted / (n_copies * (n_copies + 1)) if n_copies else LAST_IN_DEMAND
+        gain = wanted / (n_copies * (n_copies + 1))
         step = _best_copy(records, model, demand, gain, now_ms)
         if step is not None:
             return model, step
@@ -155,7 +180,7 @@
 def _best_copy(
     records: Sequence[EngineRecord],
     model: ModelSpec,
-    demand: Mapping[str, float],
+    demand: Mapping[str, ModelDemand],
     gain: float,
     now_ms: float,
 ) -> Step | None:
@@ -178,11 +203,11 @@
     record: EngineRecord,
     model: ModelSpec,
     records: Sequence[EngineRecord],
-    demand: Mapping[str, float],
+    demand: Mapping[str, ModelDemand],
 ) -> tuple[float, Step] | None:
     """Return the cost of a load on one engine, and its first step."""
     load_s = model.warm_load_s if model.name in record.cached else model.load_time_s
-    cost = LOAD_COST_PER_S * load_s
+    cost = LOAD_COST_PER_S * load_s + BUSY_COST * record.n_queued
     free_mb = record.free_mb
     if free_mb >= model.weights_mb:
         return cost, Step(record)
@@ -201,13 +226,16 @@
     return None
 
 
-def _worth(name: str, copies: Mapping[str, int], demand: Mapping[str, float]) -> float:
+def _worth(
+    name: str, copies: Mapping[str, int], demand: Mapping[str, ModelDemand]
+) -> float:
     """Return what one copy of a model is worth, in waiting requests."""
     n_copies = copies.get(name, 1)
-    wanted = demand.get(name, 0.0)
+    wanted = demand.get(name, NO_DEMAND)
+    running = RUNNING_WORTH * wanted.in_flight / n_copies
     if n_copies <= 1:
-        return wanted + LAST_IN_DEMAND if wanted else LAST_COPY
-    return wanted / (n_copies * (n_copies - 1))
+        return LAST_COPY * (1.0 + wanted.recent) + 2.0 * wanted.waiting + running
+    return wanted.waiting / (n_copies * (n_copies - 1)) + running
 
 
 def copies_of(records: Sequence[EngineRecord]) -> dict[str, int]:
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -211,12 +211,16 @@
 
 @message("control")
 class DemandSample(NamedTuple):
-    """Demand for one model since the entry's last report."""
+    """Demand for one model since the entry's last report.
+
+    `waiting` counts the requests in flight at a server before their first event.
+    """
 
     model: str
     arrivals_per_s: float
     in_flight: float
     missed_share: float
+    waiting: float = 0.0
 
 
 @message("control")
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -125,6 +125,7 @@
   arrivalsPerS @1 :Float64;
   inFlight @2 :Float64;
   missedShare @3 :Float64;   # share of requests outside their limits, 0 to 1
+  waiting @4 :Float64;     # at a server, before the first event
 }
 
 struct EntryReport {
