--- a/src/cowslipwood/keeper/_subscribers.py
+++ b/src/cowslipwood/keeper/_subscribers.py
@@ -24,7 +24,8 @@
 
 __all__ = ["Subscriber"]
 
-HEARTBEAT_MS = 500
+# Two of these may be late before the other side takes the leader for lost.
+HEARTBEAT_MS = 300
 # Several of these fit into the time after which an entry reads the list itself.
 FLEET_LOAD_MS = 250.0
 LOAD_INTERVAL_MS = 1_000
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -24,7 +24,16 @@
 from ...kernel.metrics import Metrics
 from ...listing import ListedServer, ListSource, as_view, listed_keys
 from ...routes import ModelSpec, RouteDocument, ServiceSpec
-from ._decide import NO_DEMAND, ModelDemand, Step, adapter_step, copy_step, missing_step
+from ._decide import (
+    NO_DEMAND,
+    ModelDemand,
+    Step,
+    adapter_step,
+    copies_of,
+    copy_step,
+    missing_step,
+    prior_demand,
+)
 from ._orders import EngineClient, EngineOrder, OrderOp, OrderOutcome
 from ._record import EngineRecord
 
@@ -42,8 +51,12 @@
 FIND_TIMEOUT_MS = 4_000.0
 # An unload waits for its runs; after this long another engine is looked for.
 MAKE_ROOM_MS = 3_000.0
-# A burst shorter than a load is over before a copy could serve it.
-DEMAND_TIME_MS = 1_500.0
+# A burst shorter than a load is over before a copy could serve it; demand that
+# pauses comes back more often than not, and a dropped copy takes seconds to load.
+DEMAND_RISE_MS = 1_000.0
+DEMAND_FALL_MS = 5_000.0
+# Until the entries' reports have shown the demand to a new leader.
+PRIOR_MS = 4_000.0
 # A model asked for within this time is likelier to be asked for again.
 RECENT_MS = 20_000.0
 SAMPLE_VALID_MS = 2_500.0
@@ -101,6 +114,7 @@
         self._records: dict[str, EngineRecord] = {}
         self._listed: list[ListedServer] = []
         self._led_term = 0
+        self._led_since_ms = 0.0
         self._listed_ms = 0.0
         self._asked_ms = 0.0
         self._samples: dict[str, tuple[float, tuple[DemandSample, ...]]] = {}
@@ -108,7 +122,6 @@
         self._asked_at_ms: dict[str, float] = {}
         self._used_ms: dict[tuple[str, str], float] = {}
         self._store_loads: deque[float] = deque()
-        self._room_for: dict[str, tuple[EngineRecord, float]] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
 
     async def run(self) -> None:
@@ -203,11 +216,9 @@
         """Return the next step for a model that nobody holds yet."""
         if any(each.loading == spec.name for each in records):
             return None
-        chosen, until_ms = self._room_for.get(spec.name, (None, 0.0))
-        if chosen in records and now_ms < until_ms:
-            if not chosen.is_usable:
-                return None
-            return missing_step([chosen], spec, self._demand, now_ms)
+        for each in records:
+            if each.reserved_for == spec.name and now_ms < each.reserved_until_ms:
+                return missing_step([each], spec, self._demand, now_ms)
         return missing_step(records, spec, self._demand, now_ms)
 
     async def _take_adapter_step(
@@ -237,11 +248,12 @@
     async def _take_model_step(self, spec: ModelSpec, step: Step) -> None:
         record = step.record
         async with record.lock:
-            if not record.is_usable or spec.name in record.held:
+            now_ms = monotonic_ms()
+            if not record.takes(spec.name, now_ms):
                 return
             if step.drop_model:
-                until_ms = monotonic_ms() + MAKE_ROOM_MS
-                self._room_for[spec.name] = (record, until_ms)
+                record.reserved_for = spec.name
+                record.reserved_until_ms = now_ms + MAKE_ROOM_MS
                 await self._order(record, OrderOp.UNLOAD, step.drop_model, "")
                 return
             if record.free_mb < spec.weights_mb:
@@ -309,9 +321,9 @@
     async def _round(self, now_ms: float) -> None:
         if self._term() != self._led_term:
             self._led_term = self._term()
+            self._led_since_ms = now_ms
             self._records.clear()
             self._samples.clear()
-            self._room_for.clear()
             self._store_loads.clear()
             self._listed = []
             self._asked_ms = self._listed_ms = 0.0
@@ -387,13 +399,23 @@
                 model = _model_of(sample)
                 waiting[model] = waiting.get(model, 0.0) + sample.waiting
                 in_flight[model] = in_flight.get(model, 0.0) + sample.in_flight
-        weight = STEP_MS / DEMAND_TIME_MS
+        if now_ms - self._led_since_ms < PRIOR_MS:
+            for model, expected in prior_demand(
+                copies_of(self._records.values())
+            ).items():
+                self._asked_at_ms.setdefault(model, now_ms)
+                waiting[model] = max(expected, waiting.get(model, 0.0))
         for model in self._asked_at_ms:
             held = self._demand.get(model, NO_DEMAND)
+            seen = waiting.get(model, 0.0)
+            time_ms = DEMAND_RISE_MS if seen > held.waiting else DEMAND_FALL_MS
             age_ms = now_ms - self._asked_at_ms[model]
             self._demand[model] = ModelDemand(
-                held.waiting + weight * (waiting.get(model, 0.0) - held.waiting),
-                held.in_flight + weight * (in_flight.get(model, 0.0) - held.in_flight),
+                held.waiting + STEP_MS / time_ms * (seen - held.waiting),
+                held.in_flight
+                + STEP_MS
+                / DEMAND_RISE_MS
+                * (in_flight.get(model, 0.0) - held.in_flight),
                 max(0.0, 1.0 - age_ms / RECENT_MS),
             )
 
--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -1,6 +1,7 @@
 """Decides where a model or an adapter goes, and what makes way for it."""
 
-from collections.abc import Mapping, Sequence
+import math
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from ...routes import ModelSpec
@@ -11,8 +12,10 @@
     "ModelDemand",
     "Step",
     "adapter_step",
+    "copies_of",
     "copy_step",
     "missing_step",
+    "prior_demand",
 ]
 
 # Requests that wait for their first event, for each copy, below which another
@@ -21,8 +24,10 @@
 # A copy is added only where it gains this many times what it displaces, since
 # a load costs the store's time and the displaced prompts.
 GAIN_FACTOR = 1.5
-# A model loaded more lately than this is not displaced by a mere copy.
-RESIDENCE_MS = 6_000.0
+# In waiting requests: what a model is worth beyond its demand that was loaded so
+# lately that its load would have been in vain.
+FRESH_WORTH = 1.0
+FRESH_MS = 6_000.0
 # Adapters used more lately than this are displaced only if all are.
 ADAPTER_IDLE_MS = 300.0
 # In waiting requests: what the last copy of a model without demand is worth,
@@ -30,7 +35,7 @@
 # next request would wait for a load.
 LAST_COPY = 0.25
 # Of a request that runs: an unload waits for its end, and blocks the engine.
-RUNNING_WORTH = 0.05
+RUNNING_WORTH = 0.1
 # In waiting requests, for each that waits on the engine that would be loaded.
 BUSY_COST = 0.1
 # In waiting requests, for each second of loading.
@@ -58,6 +63,14 @@
 NO_DEMAND = ModelDemand()
 
 
+def prior_demand(copies: Mapping[str, int]) -> dict[str, float]:
+    """Return what waits for each model as the present copies let expect.
+
+    A new leader knows no demand yet; the layout shows what its predecessor saw.
+    """
+    return {name: HOT_WAITING * n * n / 2 for name, n in copies.items() if n > 1}
+
+
 class Step(NamedTuple):
     """The next order, or the one that makes room for it.
 
@@ -132,8 +145,8 @@
     options = [
         option
         for each in records
-        if each.is_usable and model.name not in each.held
-        for option in [_option(each, model, records, demand)]
+        if each.takes(model.name, now_ms)
+        for option in [_option(each, model, records, demand, now_ms)]
         if option is not None
     ]
     if not options:
@@ -186,14 +199,11 @@
 ) -> Step | None:
     best = None
     for each in records:
-        if not each.is_usable or model.name in each.held:
+        if not each.takes(model.name, now_ms):
             continue
-        option = _option(each, model, records, demand)
+        option = _option(each, model, records, demand, now_ms)
         if option is None or option[0] * GAIN_FACTOR > gain:
             continue
-        dropped = option[1].drop_model
-        if dropped and now_ms - each.since_ms.get(dropped, 0.0) < RESIDENCE_MS:
-            continue
         if best is None or option[0] < best[0]:
             best = option
     return best[1] if best else None
@@ -204,6 +214,7 @@
     model: ModelSpec,
     records: Sequence[EngineRecord],
     demand: Mapping[str, ModelDemand],
+    now_ms: float,
 ) -> tuple[float, Step] | None:
     """Return the cost of a load on one engine, and its first step."""
     load_s = model.warm_load_s if model.name in record.cached else model.load_time_s
@@ -213,14 +224,23 @@
         return cost, Step(record)
     sizes = {each.name: each for each in record.spec.models}
     copies = copies_of(records)
+    worth = {
+        name: _worth(name, copies, demand)
+        + (
+            FRESH_WORTH
+            if now_ms - record.since_ms.get(name, -math.inf) < FRESH_MS
+            else 0
+        )
+        for name in record.held
+    }
     first = ""
-    for name in sorted(record.held, key=lambda n: _worth(n, copies, demand)):
+    for name in sorted(worth, key=worth.__getitem__):
         spec = sizes.get(name)
         size_mb = spec.weights_mb if spec else 0.0
         size_mb += len(record.held[name]) * (spec.adapter_size_mb if spec else 0.0)
         first = first or name
         free_mb += size_mb
-        cost += _worth(name, copies, demand)
+        cost += worth[name]
         if free_mb >= model.weights_mb:
             return cost, Step(record, first)
     return None
@@ -238,7 +258,7 @@
     return wanted.waiting / (n_copies * (n_copies - 1)) + running
 
 
-def copies_of(records: Sequence[EngineRecord]) -> dict[str, int]:
+def copies_of(records: Iterable[EngineRecord]) -> dict[str, int]:
     """Return how many engines that stay hold each model."""
     copies: dict[str, int] = {}
     for each in records:
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -33,6 +33,8 @@
         self.dropping = ""
         self.since_ms: dict[str, float] = {}
         self.read_at_ms = 0.0
+        self.reserved_for = ""
+        self.reserved_until_ms = 0.0
         self.n_running = 0
         self.n_queued = 0
         self.lock = anyio.Lock()
@@ -47,6 +49,16 @@
         """Whether the engine may be given an order now."""
         return self.is_synced and not self.is_busy and not self.server.is_leaving
 
+    def takes(self, model: str, now_ms: float) -> bool:
+        """Return whether the engine may be ordered to load a model now.
+
+        Room that was made for one model is not given to another meanwhile.
+        """
+        if not self.is_usable or model in self.held:
+            return False
+        is_reserved = self.reserved_for and now_ms < self.reserved_until_ms
+        return not is_reserved or self.reserved_for == model
+
     @property
     def n_adapters(self) -> int:
         """Adapters held or on their way."""
@@ -119,6 +131,7 @@
         if op is OrderOp.LOAD:
             self.held.setdefault(model, set())
             self.loading = model
+            self.reserved_for = ""
             self.since_ms[model] = now_ms
         else:
             self.dropping = model
--- a/src/cowslipwood/kernel/keeper_link.py
+++ b/src/cowslipwood/kernel/keeper_link.py
@@ -15,9 +15,9 @@
 
 __all__ = ["KeeperLink"]
 
-# Longer than two of the leader's heartbeats; a leader whose host went dark is
-# noticed by this alone.
-IDLE_TIMEOUT_MS = 1_500
+# Longer than two of the leader's heartbeats, and than an election takes; a leader
+# whose host went dark is noticed by this alone.
+IDLE_TIMEOUT_MS = 900
 REDIAL_MS = 100
 RETRY_AFTER_MS = 1_000
 
--- a/src/cowslipwood/kernel/settings.py
+++ b/src/cowslipwood/kernel/settings.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, NamedTuple, NoReturn
 
-import defopt
-
 from .codes import CODE_INFO, Code
 
 __all__ = [
@@ -134,6 +132,9 @@
     SystemExit
         With the exit status of BAD_SETTING or UNKNOWN_SETTING.
     """
+    # Programs that get their settings elsewhere start without the command line.
+    import defopt
+
     from_env = _env_flags(record, environ)
     try:
         settings = defopt.run(_as_function(record), argv=[*from_env, *argv])
--- a/src/cowslipwood/replication/_election.py
+++ b/src/cowslipwood/replication/_election.py
@@ -49,6 +49,9 @@
     state.timer_ms = monotonic_ms()
     term = state.term
     if not handover and not await _ask_voters(state, links, _pre_vote(state)):
+        # Asking has no effect, so it is repeated sooner than a whole timeout:
+        # after a loss of power the others start within moments of each other.
+        state.timer_ms = monotonic_ms() - state.timing.election_min_ms
         return False
     if state.term != term or (not handover and state.hears_leader(monotonic_ms())):
         return False
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -10,8 +10,10 @@
 from cowslipwood.keeper.engines._decide import (
     ModelDemand,
     adapter_step,
+    copies_of,
     copy_step,
     missing_step,
+    prior_demand,
 )
 from cowslipwood.kernel.messages import HolderReply, HolderRequest, Refused
 
@@ -246,6 +248,33 @@
         step = missing_step(records, MODELS[5], demand, 60_000.0)
         self.assertEqual(step.drop_model, "m0")
 
+    def test_new_leader_keeps_copies(self):
+        """Before any demand is reported, copies stay and single models make way."""
+        records = [
+            record("s0", {"m0": set(), "m1": set()}),
+            record("s1", {"m0": set(), "m2": set()}),
+        ]
+        expected = prior_demand(copies_of(records))
+        demand = {name: ModelDemand(waiting=each) for name, each in expected.items()}
+        step = missing_step(records, MODELS[5], demand, 60_000.0)
+        self.assertIn(step.drop_model, ("m1", "m2"))
+
+    def test_reserved_room(self):
+        """Room that was made for one model is not taken by another."""
+        held = record("s0", {"m1": set()})
+        held.reserved_for, held.reserved_until_ms = "m5", 61_000.0
+        self.assertIsNone(missing_step([held], MODELS[4], {}, 60_000.0))
+        self.assertIsNotNone(missing_step([held], MODELS[5], {}, 60_000.0))
+        self.assertIsNotNone(missing_step([held], MODELS[4], {}, 62_000.0))
+
+    def test_fresh_load_stays(self):
+        """A model that was loaded a moment ago is not the one that makes way."""
+        held = record("s0", {"m1": set(), "m2": set()})
+        held.since_ms["m1"] = 59_500.0
+        demand = {"m2": ModelDemand(recent=1.0)}
+        step = missing_step([held], MODELS[5], demand, 60_000.0)
+        self.assertEqual(step.drop_model, "m2")
+
     def test_adapters_spread(self):
         """A free place on the engine with fewest adapters goes first."""
         records = [record("s0", {"m0": {"a1", "a2"}}), record("s1", {"m0": {"a1"}})]
