Mend what a new user found: readiness without a catalogue, 413, dot segments, counters

Cause: /readyz answered 200 before a catalogue was known, so a catalogued service got 404; a body far over its bound ended in a reset because unread bytes were left when the connection closed; services passed dot segments on; counters were absent until they first counted. Change: ready and served only once a keeper has told the catalogue, 503 NO_CATALOGUE before; bodies over the bound are read to their end and dropped, within 128 MiB; dot segments are refused as BAD_PATH (1014); reasons are shown at 0 from the start.

--- a/src/cowslipwood/entry/_entry.py
+++ b/src/cowslipwood/entry/_entry.py
@@ -9,6 +9,7 @@
 
 from ..kernel.channel import Channel
 from ..kernel.clock import monotonic_ms
+from ..kernel.codes import Code
 from ..kernel.http import HttpServer, bind_socket, with_health
 from ..kernel.keeper_link import KeeperLink
 from ..kernel.lifecycle import check_tokens
@@ -22,6 +23,7 @@
 from ._attempt_client import AttemptClient
 from ._backend import LoadReport
 from ._claims import Claims
+from ._counters import REASON_COUNTERS
 from ._dispatch import Dispatcher
 from ._front import Bounds, Front
 from ._meters import Meters
@@ -117,6 +119,7 @@
     def __init__(self, settings: EntrySettings, token: str):
         self._settings = settings
         self._metrics = Metrics("entry")
+        self._metrics.expose(REASON_COUNTERS, [code.name for code in Code])
         self._view = View()
         self._entry_id = settings.entry_id or f"entry-{settings.listen}"
         self._incarnation = uuid.uuid4().hex
@@ -137,7 +140,7 @@
         """Serve until `stop`, then refuse new requests and finish open ones."""
         sock = bind_socket(self._settings.listen)
         _drop_stalled_callers(sock, self._settings.send_timeout_ms)
-        app = with_health(self._front, self._metrics, lambda: not self._front.leaving)
+        app = with_health(self._front, self._metrics, lambda: self._is_ready)
         protocol = caller_protocol(self._metrics, self._settings.head_timeout_ms)
         server = HttpServer(app, sock, protocol)
         get_logger().info("listening", addr=self._settings.listen)
@@ -151,6 +154,11 @@
             server.stop()
             tasks.cancel_scope.cancel()
 
+    @property
+    def _is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self._view.knows_catalogue and not self._front.leaving
+
     async def _drain(self) -> None:
         self._front.leaving = True
         self._report_now.set()
--- a/src/cowslipwood/entry/_front.py
+++ b/src/cowslipwood/entry/_front.py
@@ -99,6 +99,8 @@
         if self.leaving:
             caller.headers["connection"] = "close"
             return Err(failure(Code.ENTRY_LEAVING, "", RETRY_AFTER_MS))
+        if not self._serving.view.knows_catalogue:
+            return Err(failure(Code.NO_CATALOGUE, "", RETRY_AFTER_MS))
         if self.n_in_flight > self._bounds.max_open_requests:
             return Err(failure(Code.TOO_MANY_CONNECTIONS, "", RETRY_AFTER_MS))
         return Success(None)
--- a/src/cowslipwood/entry/_view.py
+++ b/src/cowslipwood/entry/_view.py
@@ -32,12 +32,16 @@
 class View:
     """The catalogue and the backend servers by what they can serve.
 
+    `knows_catalogue` is false until a keeper has told the catalogue; until then
+    nothing can be said of what there is.
+
     The servers of each key are kept in the order of their seeds, so that a
     choice by hash finds its place without looking at them all.
     """
 
     def __init__(self):
         self.revision = 0
+        self.knows_catalogue = False
         self.entries: dict[str, Entry] = {}
         self.backends: dict[str, Backend] = {}
         self.n_entries = 1
@@ -58,6 +62,7 @@
         for name in update.deleted:
             self.entries.pop(name, None)
         self.revision = update.revision
+        self.knows_catalogue = True
 
     def update_routing(self, update: RoutingUpdate, now_ms: float) -> None:
         """Apply a full or partial list of backend servers.
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -27,6 +27,7 @@
 from ...listing import ListSource
 from ...routes import parse_document
 from .. import routing  # noqa: F401  registers the routing policies
+from .._counters import REASON_COUNTERS
 from .._protocol import caller_protocol
 from .._view import View
 from ._app import RouteApp
@@ -134,6 +135,7 @@
         self._settings = settings
         self._source = source
         self._metrics = Metrics("entry")
+        self._metrics.expose(REASON_COUNTERS, [code.name for code in Code])
         self._view = View()
         self._servers = KnownServers(self._view)
         self._incarnation = uuid.uuid4().hex
--- a/src/cowslipwood/entry/fronts/services.py
+++ b/src/cowslipwood/entry/fronts/services.py
@@ -32,6 +32,9 @@
         self, request: CallerRequest, caller: Caller, serving: Serving
     ) -> None:
         """Serve one request to its end."""
+        if _has_dot_segment(request.http.path):
+            await caller.refuse(failure(Code.BAD_PATH))
+            return
         name = request.http.path.removeprefix(_PREFIX).split("/")[0]
         entry = serving.view.entries.get(name)
         if entry is None or entry.kind is not EntryKind.SERVICE:
@@ -45,6 +48,12 @@
             await _serve(request, opened.unwrap(), caller, serving)
 
 
+def _has_dot_segment(path: str) -> bool:
+    """Return whether a decoded path could lead out of the service's own."""
+    segments = path.replace("\\", "/").split("/")
+    return any(segment in (".", "..") for segment in segments)
+
+
 async def _serve(
     request: CallerRequest, opened: OpenCall, caller: Caller, serving: Serving
 ) -> None:
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -42,6 +42,7 @@
     DEADLINE_PASSED = 1011
     BODY_TIMEOUT = 1012
     HEAD_TIMEOUT = 1013
+    BAD_PATH = 1014
 
     ENTRY_LEAVING = 1201
     NO_REPLICA = 1202
@@ -173,6 +174,7 @@
     Code.DEADLINE_PASSED: CodeInfo(503, _N, 11, "The deadline passed before dispatch."),
     Code.BODY_TIMEOUT: CodeInfo(408, _N, 10, "The body did not arrive in time."),
     Code.HEAD_TIMEOUT: CodeInfo(408, _N, 10, "The headers did not arrive in time."),
+    Code.BAD_PATH: CodeInfo(400, _N, 10, "The path has a dot segment."),
     Code.ENTRY_LEAVING: CodeInfo(503, _N, 11, "The entry is stopping; use another."),
     Code.NO_REPLICA: CodeInfo(503, _N, 11, "No replica is ready yet."),
     Code.OVERLOADED: CodeInfo(503, _N, 11, "No replica can answer in time."),
--- a/src/cowslipwood/kernel/http.py
+++ b/src/cowslipwood/kernel/http.py
@@ -30,6 +30,9 @@
 MAX_HEADER_BYTES = 32 * 1024
 MAX_CONNECTIONS = 4_096
 BACKLOG = 1_024
+# A body over its bound is read to its end, within this, and dropped: closing a
+# connection with unread bytes resets it, and the caller never reads the refusal.
+MAX_DISCARDED_BYTES = 128 * 1024 * 1024
 
 App = Callable[[dict, Any, Any], Awaitable[None]]
 
@@ -137,15 +140,20 @@
         for name, value in scope["headers"]
     }
     body = bytearray()
+    n_bytes = 0
     while True:
         event = await receive()
         if event["type"] == "http.disconnect":
             return Err(failure(Code.PEER_GONE))
-        body += event.get("body", b"")
-        if len(body) > max_body_bytes:
-            return Err(failure(Code.BODY_TOO_LARGE, f"over {max_body_bytes} bytes"))
+        n_bytes += len(event.get("body", b""))
+        if n_bytes <= max_body_bytes:
+            body += event.get("body", b"")
+        elif n_bytes > max_body_bytes + MAX_DISCARDED_BYTES:
+            break
         if not event.get("more_body"):
             break
+    if n_bytes > max_body_bytes:
+        return Err(failure(Code.BODY_TOO_LARGE, f"over {max_body_bytes} bytes"))
     query = scope["query_string"].decode("latin-1")
     raw_path = scope.get("raw_path", scope["path"].encode()).decode("latin-1")
     target = f"{raw_path}?{query}" if query else raw_path
--- a/src/cowslipwood/kernel/metrics.py
+++ b/src/cowslipwood/kernel/metrics.py
@@ -1,5 +1,6 @@
 """Prometheus metrics of one daemon, kept in a registry of its own."""
 
+from collections.abc import Iterable
 from typing import Any
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
@@ -36,6 +37,13 @@
         self._registry = Registry()
         self._held: dict[str, Counter | Gauge | Histogram] = {}
 
+    def expose(self, names: Iterable[str], reasons: Iterable[str]) -> None:
+        """Show counters at 0 for each reason, so that none is first seen at 1."""
+        reasons = list(reasons)
+        for name in names:
+            for reason in reasons:
+                self.count(name, 0, reason=reason)
+
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to the counter `name`."""
         self._metric(Counter, name).add(labels, amount)
--- a/tests/test_entry_front.py
+++ b/tests/test_entry_front.py
@@ -8,8 +8,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cowslipwood.entry._counters import REASON_COUNTERS
 from cowslipwood.entry._front import Bounds
 from cowslipwood.kernel.codes import CODE_INFO, Code
+from cowslipwood.kernel.metrics import Metrics
 
 from .builders import model_value, service_value
 from .entry_builders import (
@@ -307,3 +309,56 @@
         self.assertEqual(len(sent), 2)
         self.assertEqual(caller.error["outcome"], "unknown")
         self.assertEqual(caller.status, 504)
+
+
+class TestNoCatalogue(unittest.TestCase):
+    """Before a keeper has told the catalogue."""
+
+    def test_refused_as_not_ready(self):
+        """An entry that knows no catalogue answers 503, never that there is none."""
+        for path in ("/services/rosters/x", "/v1/models", "/v1/completions"):
+            front = make_front(_engine)
+            front._serving.view.knows_catalogue = False
+            caller = Caller()
+            anyio.run(caller.call, front, "GET", path)
+            self.assertEqual(caller.status, 503)
+            self.assertEqual(caller.error["name"], "NO_CATALOGUE")
+
+
+class TestDotSegments(unittest.TestCase):
+    """Paths that could step out of the named service."""
+
+    def test_refused(self):
+        """A dot segment is refused by number, however it was written."""
+        for path in ("/services/rosters/../../x", "/services/rosters/./x"):
+            caller = Caller()
+            anyio.run(caller.call, make_front(_engine), "GET", path)
+            self.assertEqual(caller.status, 400)
+            self.assertEqual(caller.error["name"], "BAD_PATH")
+
+    def test_dots_in_names(self):
+        """Dots inside a segment are no dot segment."""
+        caller = Caller()
+        path = "/services/rosters/..a/b..c"
+        anyio.run(caller.call, make_front(_engine), "GET", path)
+        self.assertEqual(caller.status, 200)
+
+
+class TestCounters(unittest.TestCase):
+    """The counters of refusals."""
+
+    def test_shown_at_zero(self):
+        """Each reason is shown at 0 before it was ever counted."""
+        metrics = Metrics("entry")
+        metrics.expose(REASON_COUNTERS, [code.name for code in Code])
+        text = metrics.text()[0].decode()
+        self.assertIn('cowslip_entry_refusals_total{reason="BAD_JSON"} 0', text)
+        self.assertIn('cowslip_entry_retries_total{reason="OUTCOME_UNKNOWN"} 0', text)
+
+    def test_bad_input_is_counted(self):
+        """A refused body is counted under its reason."""
+        front = make_front(_engine)
+        caller = Caller()
+        anyio.run(caller.call, front, "POST", "/v1/completions", b"{")
+        counted = front._serving.metrics.value("refusals_total", reason="BAD_JSON")
+        self.assertEqual(counted, 1)
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -350,3 +350,29 @@
                         tasks.start_soon(one, 10 * batch + number)
 
         anyio.run(entry.run, test)
+
+
+class TestLargeBody(unittest.TestCase):
+    """A body far over its bound."""
+
+    def test_refusal_is_read(self):
+        """A caller that sends 64 MiB reads a 413 with its number."""
+
+        async def test(entry: _Entry) -> None:
+            stream = await entry.connect()
+            n_bytes = 64 * 1024 * 1024
+            head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\n"
+            await stream.send(f"{head}content-length: {n_bytes}\r\n\r\n".encode())
+            part = b"x" * (1024 * 1024)
+            for _ in range(n_bytes // len(part)):
+                await stream.send(part)
+            data = await _read_to_end(stream)
+            self.assertTrue(data.startswith(b"HTTP/1.1 413"))
+            answer = orjson.loads(data.partition(b"\r\n\r\n")[2])
+            self.assertEqual(answer["error"]["code"], Code.BODY_TOO_LARGE)
+
+        anyio.run(_Entry(_no_agent).run, test)
+
+
+async def _no_agent(stream: anyio.abc.SocketStream, request: bytes) -> None:
+    """Answer nothing."""
