--- a/src/cowslipwood/programs/_ctl_client.py
+++ b/src/cowslipwood/programs/_ctl_client.py
@@ -12,7 +12,14 @@
 from ..kernel.clock import monotonic_ms
 from ..kernel.codes import Code, Failure, failure
 from ..kernel.keeper_link import KeeperLink
-from ..kernel.messages import Hello, OperatorReply, OperatorRequest
+from ..kernel.messages import (
+    AppliedDocument,
+    ApplyDocument,
+    Hello,
+    OperatorReply,
+    OperatorRequest,
+    ReadDocument,
+)
 
 __all__ = ["Access", "Command", "run_command"]
 
@@ -51,6 +58,8 @@
     expect_revision : int
     wait : bool
         Wait until the edit is in force everywhere.
+    version : int
+        Of the document of routes that is applied.
     """
 
     op: str
@@ -59,6 +68,7 @@
     edit_id: str = ""
     expect_revision: int = -1
     wait: bool = False
+    version: int = 0
 
 
 async def run_command(access: Access, command: Command) -> Result[Any, Failure]:
@@ -86,20 +96,12 @@
 
     async def ask(self, command: Command) -> Result[Any, Failure]:
         """Ask until there is an answer or the time is over."""
-        request = OperatorRequest(
-            command.op,
-            command.name,
-            command.body,
-            command.edit_id or uuid.uuid4().hex,
-            command.expect_revision,
-            self._operator_token,
-        )
+        request = self._request(command)
         give_up_at_ms = monotonic_ms() + GIVE_UP_MS
         while True:
             answer = await self.link.request(request, ANSWER_TIMEOUT_MS)
             if not isinstance(answer, Err):
-                reply: OperatorReply = answer.unwrap()
-                return Success(orjson.loads(reply.body))
+                return Success(_value(answer.unwrap()))
             if answer.failure().code not in _TRY_AGAIN:
                 return answer
             if self.link.refusal is not None:
@@ -108,6 +110,25 @@
                 return answer
             await anyio.sleep(POLL_MS / 1000)
 
+    def _request(self, command: Command) -> Any:
+        """Return the message that carries a command."""
+        match command.op:
+            case "apply":
+                return ApplyDocument(
+                    command.version, command.body, command.body, self._operator_token
+                )
+            case "document":
+                return ReadDocument()
+            case op:
+                return OperatorRequest(
+                    op,
+                    command.name,
+                    command.body,
+                    command.edit_id or uuid.uuid4().hex,
+                    command.expect_revision,
+                    self._operator_token,
+                )
+
     async def wait(self, revision: int) -> Result[Any, Failure]:
         """Poll the status until every live process has the revision."""
         give_up_at_ms = monotonic_ms() + WAIT_LIMIT_MS
@@ -128,6 +149,17 @@
         )
 
 
+def _value(reply: OperatorReply | AppliedDocument) -> Any:
+    """Return the JSON value of an answer."""
+    match reply:
+        case AppliedDocument(version, b""):
+            return {"version": version}
+        case AppliedDocument(_, source):
+            return orjson.loads(source)
+        case OperatorReply(body, _):
+            return orjson.loads(body)
+
+
 def _behind(status: dict[str, Any], revision: int) -> list[str]:
     """Return the live processes that have not applied a revision."""
     processes = [
--- a/src/cowslipwood/programs/_ctl_tables.py
+++ b/src/cowslipwood/programs/_ctl_tables.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from typing import Any
 
+import orjson
 from tabulate import tabulate
 
 __all__ = ["render"]
@@ -24,6 +25,10 @@
             return _members(value)
         case "status":
             return _status(value)
+        case "apply":
+            return f"document version {value['version']} is in force"
+        case "document":
+            return orjson.dumps(value, option=orjson.OPT_INDENT_2).decode()
         case _:
             return _accepted(value)
 
--- a/src/cowslipwood/programs/ctl.py
+++ b/src/cowslipwood/programs/ctl.py
@@ -131,7 +131,34 @@
     return Command("undrain" if undo else "drain", server)
 
 
+def apply(file: Path, *, version: int) -> Command:
+    """Replace the whole document of routes by a newer one.
+
+    The same version again changes nothing and is acknowledged.
+
+    Parameters
+    ----------
+    file : Path
+        JSON file with the document; - reads standard input.
+    version : int
+        Takes effect when it is higher than the one in force.
+    """
+    body = sys.stdin.buffer.read() if str(file) == "-" else _read(file)
+    try:
+        value = {**orjson.loads(body), "version": version}
+    except (orjson.JSONDecodeError, TypeError) as exc:
+        exit_with(Code.BAD_JSON, f"{file}: {exc}")
+    return Command("apply", body=orjson.dumps(value), version=version)
+
+
+def document() -> Command:
+    """Show the document of routes in force."""
+    return Command("document")
+
+
 COMMANDS = {
+    "apply": apply,
+    "document": document,
     "put": put,
     "delete": delete,
     "get": get,
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -4,6 +4,7 @@
 import unittest
 
 from .builders import adapter_value, model_value
+from .direct_builders import document_value, route_value
 from .processes import Cluster
 
 
@@ -80,3 +81,19 @@
         ended = self.cluster.ctl("list", COWSLIP_COLOUR="red")
         self.assertEqual(ended.returncode, 41)
         self.assertIn("COWSLIP_COLOUR", ended.stderr)
+
+    def test_apply_document(self):
+        """A document takes effect once, by the highest version, and is read back."""
+        value = document_value()
+        path = self._file(value)
+        applied = self.cluster.ctl("apply", path, "--version", "7", "--json")
+        self.assertEqual(json.loads(applied.stdout), {"version": 7}, applied.stderr)
+        older = self._file(document_value(routes=[]))
+        again = self.cluster.ctl("apply", older, "--version", "6", "--json")
+        self.assertEqual(json.loads(again.stdout), {"version": 7})
+        held = json.loads(self.cluster.ctl("document", "--json").stdout)
+        self.assertEqual(held, {**value, "version": 7})
+        broken = self._file(document_value(routes=[route_value(timeout_ms=0)]))
+        self._refused(23, "BAD_VALUE", "apply", broken, "--version", "9")
+        held = json.loads(self.cluster.ctl("document", "--json").stdout)
+        self.assertEqual(held["version"], 7)
