--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -37,6 +37,11 @@
 PATIENCE_TARGETS = 2.0
 RETRY_AFTER_MS = 250.0
 MAX_HELD_BYTES = 65_536
+# Before a request goes again to a server that refused it: an adapter's load.
+SAME_SERVER_PAUSE_MS = 15.0
+LEAST_URGENT = 9
+# More than the ranks that operators use for their routes.
+LATE_RANKS = 4
 # Nothing was sent, and asking again at once would find the same.
 FINAL_CODES = frozenset((Code.NO_REPLICA, Code.DEADLINE_PASSED))
 
@@ -72,6 +77,15 @@
         return holding_key(self.service, self.facts.model, self.facts.adapter)
 
 
+def urgency(route: Route, waited_ms: float) -> int:
+    """Return the rank at which a server takes a request, 0 first and 9 last.
+
+    What has missed its target already stands behind what can still meet it.
+    """
+    is_late = 0 < route.target_latency_ms < waited_ms
+    return min(LEAST_URGENT, route.priority + (LATE_RANKS if is_late else 0))
+
+
 class AnswerSink(Protocol):
     """Where an answer goes as it arrives."""
 
@@ -200,8 +214,11 @@
             held = await state.holders.find(request, now_ms)
             if isinstance(held, Err):
                 return held.failure()
-            # The leader knows of what happened since that server refused.
-            self._tried.discard(held.unwrap())
+            if held.unwrap() in self._tried:
+                # The leader knows of what happened since that server refused, or
+                # an order there is about to end.
+                self._tried.discard(held.unwrap())
+                await anyio.sleep(SAME_SERVER_PAUSE_MS / 1000)
             chosen = state.choose(context, self._rng, state.now_ms())
         if chosen is None:
             return failure(Code.NO_REPLICA, f"no server for {request.key}")
@@ -217,7 +234,8 @@
             (names.server_id, backend.view.server_id.encode()),
         ]
         if request.facts.model:
-            own.append((names.urgency, str(min(9, request.route.priority)).encode()))
+            level = urgency(request.route, now_ms - request.arrived_ms)
+            own.append((names.urgency, str(level).encode()))
         if self._last_event_id:
             own.append((names.last_event_id, self._last_event_id))
         headers = request_headers(request.headers, names, own, len(request.body))
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -45,7 +45,9 @@
 LOAD_MS = 250.0
 RESYNC_MS = 60.0
 # An adapter is on the engine this long after the order was accepted.
-ADAPTER_LOAD_MS = 7.0
+ADAPTER_LOAD_MS = 9.0
+# Adapters on their way from the store at once; with more, each takes longer.
+MAX_FAST_ADAPTERS = 16
 RETRY_MS = 20.0
 # A question is answered within this time, or the entry refuses its request.
 FIND_TIMEOUT_MS = 4_000.0
@@ -205,6 +207,8 @@
             if step is not None:
                 await self._take_model_step(spec, step)
             return None
+        if any((spec.name, request.adapter) in each.in_transit for each in holders):
+            return None
         step = adapter_step(holders, spec, {}, self._used_ms, now_ms)
         if step is None:
             return None
@@ -224,27 +228,38 @@
     async def _take_adapter_step(
         self, request: HolderRequest, step: Step
     ) -> EngineRecord | None:
+        """Order an adapter and wait until it is there; None when it is not."""
         record = step.record
+        key = (request.model, request.adapter)
         async with record.lock:
-            if not record.is_usable or record.holds(request.model, request.adapter):
-                return None
-            if step.drop_adapter is not None:
-                if step.drop_adapter[1] not in record.held.get(
-                    step.drop_adapter[0], ()
-                ):
-                    return None
-                dropped = await self._order(record, OrderOp.UNLOAD, *step.drop_adapter)
-                if not dropped or record.n_adapters >= record.spec.max_adapters:
-                    return None
-            elif record.n_adapters >= record.spec.max_adapters:
+            if not record.is_usable or record.has(*key):
                 return None
-            if not await self._order(
-                record, OrderOp.LOAD, request.model, request.adapter
+            if step.drop_adapter is not None and not await self._drop_adapter(
+                record, *step.drop_adapter
             ):
                 return None
-        await anyio.sleep(ADAPTER_LOAD_MS / 1000)
+            if record.n_adapters >= record.spec.max_adapters:
+                return None
+            record.in_transit.add(key)
+            if not await self._order(record, OrderOp.LOAD, *key):
+                record.in_transit.discard(key)
+                return None
+        try:
+            n_in_transit = sum(len(e.in_transit) for e in self._records.values())
+            slowed = max(1.0, n_in_transit / MAX_FAST_ADAPTERS)
+            await anyio.sleep(ADAPTER_LOAD_MS * slowed / 1000)
+        finally:
+            record.in_transit.discard(key)
         return record
 
+    async def _drop_adapter(
+        self, record: EngineRecord, model: str, adapter: str
+    ) -> bool:
+        """Order an adapter away; return whether the order was accepted."""
+        if not record.has(model, adapter):
+            return False
+        return await self._order(record, OrderOp.UNLOAD, model, adapter)
+
     async def _take_model_step(self, spec: ModelSpec, step: Step) -> None:
         record = step.record
         async with record.lock:
--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -38,6 +38,9 @@
 RUNNING_WORTH = 0.1
 # In waiting requests, for each that waits on the engine that would be loaded.
 BUSY_COST = 0.1
+# In waiting requests, for a second copy in one availability zone: callers of the
+# others would go on sending their prompts across.
+SAME_ZONE_COST = 0.05
 # In waiting requests, for each second of loading.
 LOAD_COST_PER_S = 0.2
 
@@ -219,6 +222,11 @@
     """Return the cost of a load on one engine, and its first step."""
     load_s = model.warm_load_s if model.name in record.cached else model.load_time_s
     cost = LOAD_COST_PER_S * load_s + BUSY_COST * record.n_queued
+    if any(
+        model.name in each.held and each.server.zone == record.server.zone
+        for each in records
+    ):
+        cost += SAME_ZONE_COST
     free_mb = record.free_mb
     if free_mb >= model.weights_mb:
         return cost, Step(record)
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -33,6 +33,7 @@
         self.dropping = ""
         self.since_ms: dict[str, float] = {}
         self.read_at_ms = 0.0
+        self.in_transit: set[tuple[str, str]] = set()
         self.reserved_for = ""
         self.reserved_until_ms = 0.0
         self.n_running = 0
@@ -78,11 +79,17 @@
             total += spec.weights_mb + len(adapters) * spec.adapter_size_mb
         return total
 
+    def has(self, model: str, adapter: str) -> bool:
+        """Return whether an adapter takes one of the places, ready or not."""
+        return adapter in self.held.get(model, ())
+
     def holds(self, model: str, adapter: str = "") -> bool:
         """Return whether a request for it can be served."""
         if model not in self.held or model in (self.loading, self.dropping):
             return False
-        return not adapter or adapter in self.held[model]
+        if not adapter:
+            return True
+        return adapter in self.held[model] and (model, adapter) not in self.in_transit
 
     def ready_keys(self) -> tuple[str, ...]:
         """Return the keys of all that requests can be sent here for, sorted."""
@@ -93,6 +100,7 @@
                 for model, adapters in self.held.items()
                 if self.holds(model)
                 for adapter in ("", *adapters)
+                if self.holds(model, adapter)
             )
         )
 
--- a/src/cowslipwood/replication/_state.py
+++ b/src/cowslipwood/replication/_state.py
@@ -41,10 +41,10 @@
         answered for this long steps down.
     """
 
-    heartbeat_ms: float = 80
-    lease_ms: float = 320
-    election_min_ms: float = 420
-    election_max_ms: float = 840
+    heartbeat_ms: float = 60
+    lease_ms: float = 240
+    election_min_ms: float = 300
+    election_max_ms: float = 600
 
 
 class Leading(Protocol):
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from cowslipwood.entry.direct._exchange import Exchange
+from cowslipwood.entry.direct._exchange import Exchange, urgency
 from cowslipwood.kernel.codes import CODE_INFO, Code, Outcome
 from cowslipwood.listing import ListedModel
 from cowslipwood.routes import RouteKind
@@ -195,6 +195,21 @@
         self.assertNotIn(b"\r\nte:", heads[0].lower())
 
 
+class UrgencyTest(unittest.TestCase):
+    """Who goes first at a server that many wait for."""
+
+    def test_late_requests_stand_behind(self):
+        """What can still meet its target goes before what has missed it."""
+        used = route(priority=2, target_latency_ms=500.0)
+        self.assertEqual(urgency(used, 100.0), 2)
+        self.assertGreater(urgency(used, 501.0), 2)
+
+    def test_bounds(self):
+        """The rank is one that servers know, and a route without target is not late."""
+        self.assertEqual(urgency(route(priority=8, target_latency_ms=1.0), 9.0), 9)
+        self.assertEqual(urgency(route(priority=1), 60_000.0), 1)
+
+
 def events(first: int, last: int) -> bytes:
     """Return server-sent events with ids."""
     return b"".join(b"id: %d\ndata: x%d\n\n" % (i, i) for i in range(first, last + 1))
