--- a/src/cowslipwood/entry/routing/least_cost.py
+++ b/src/cowslipwood/entry/routing/least_cost.py
@@ -24,7 +24,7 @@
 FULL_BATCH_MS = 150.0
 # In milliseconds of wait: what a zone's distance is worth; besides the way,
 # bytes between zones are dear.
-ZONE_MS = 12.0
+ZONE_MS = 20.0
 # The share of cases in which the preferred server still holds the parts.
 KEPT_SHARE = 0.7
 ERROR_FACTOR = 6.0
--- a/src/cowslipwood/keeper/_subscribers.py
+++ b/src/cowslipwood/keeper/_subscribers.py
@@ -27,7 +27,7 @@
 # Two of these may be late before the other side takes the leader for lost.
 HEARTBEAT_MS = 300
 # Several of these fit into the time after which an entry reads the list itself.
-FLEET_LOAD_MS = 250.0
+FLEET_LOAD_MS = 400.0
 LOAD_INTERVAL_MS = 1_000
 
 
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -39,10 +39,10 @@
 
 __all__ = ["EngineController", "EngineTerms"]
 
-LIST_MS = 500.0
+LIST_MS = 600.0
 STEP_MS = 50.0
 # Entries choose by the load that reports tell; a queue forms within this time.
-LOAD_MS = 250.0
+LOAD_MS = 450.0
 RESYNC_MS = 60.0
 # An adapter is on the engine this long after the order was accepted.
 ADAPTER_LOAD_MS = 9.0
