--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -35,7 +35,7 @@
     prior_demand,
 )
 from ._orders import EngineClient, EngineOrder, OrderOp, OrderOutcome
-from ._record import EngineRecord
+from ._record import LOST_READS, EngineRecord
 
 __all__ = ["EngineController", "EngineTerms"]
 
@@ -43,6 +43,9 @@
 STEP_MS = 50.0
 # Entries choose by the load that reports tell; a queue forms within this time.
 LOAD_MS = 450.0
+# Requests that an engine without reports is told to have waiting: entries use it
+# only where there is no other.
+LOST_QUEUE = 10_000
 RESYNC_MS = 60.0
 # An adapter is on the engine this long after the order was accepted.
 ADAPTER_LOAD_MS = 9.0
@@ -145,7 +148,7 @@
             now_ms - self._listed_ms,
             tuple(each.server.server_id for each in synced),
             tuple(each.n_running for each in synced),
-            tuple(each.n_queued for each in synced),
+            tuple(LOST_QUEUE if e.is_lost else e.n_queued for e in synced),
         )
 
     def views(self) -> dict[str, ServerView]:
@@ -197,10 +200,11 @@
     ) -> EngineRecord | None:
         """Take one step towards a holder; return it when there is one."""
         records = self._of(request.service)
-        for each in records:
-            if not each.server.is_leaving and each.holds(spec.name, request.adapter):
+        staying = [e for e in records if not e.server.is_leaving and not e.is_lost]
+        for each in staying:
+            if each.holds(spec.name, request.adapter):
                 return each
-        holders = [e for e in records if e.holds(spec.name) and not e.server.is_leaving]
+        holders = [each for each in staying if each.holds(spec.name)]
         now_ms = monotonic_ms()
         if not holders:
             step = self._missing_step(records, spec, now_ms)
@@ -322,6 +326,7 @@
             sequence=order.expected_sequence,
             term=order.fencing_token,
             outcome=outcome,
+            cached=not adapter and model in record.cached,
             reason=ended.failure().message if isinstance(ended, Err) else "",
         )
         if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.DONE):
@@ -378,7 +383,9 @@
     def _needs_report(self, record: EngineRecord, now_ms: float) -> bool:
         if record.lock.locked():
             return False
-        if not record.is_synced:
+        if record.is_lost:
+            return now_ms - record.read_at_ms > LOAD_MS
+        if not record.is_synced or record.n_failed_reads:
             return now_ms - record.read_at_ms > RESYNC_MS
         if record.is_busy:
             return now_ms > record.busy_until_ms
@@ -391,10 +398,15 @@
             now_ms = monotonic_ms()
             record.read_at_ms = now_ms
             if isinstance(read, Err):
+                record.n_failed_reads += 1
                 reason = read.failure().message
-                get_logger().info(
-                    "report_not_read", server=record.server.server_id, reason=reason
-                )
+                if record.n_failed_reads <= LOST_READS:
+                    get_logger().info(
+                        "report_not_read",
+                        server=record.server.server_id,
+                        reason=reason,
+                        lost=record.is_lost,
+                    )
                 return
             report = read.unwrap()
             born_ms = record.server.born_ms
--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -42,7 +42,7 @@
 # others would go on sending their prompts across.
 SAME_ZONE_COST = 0.05
 # In waiting requests, for each second of loading.
-LOAD_COST_PER_S = 0.2
+LOAD_COST_PER_S = 0.5
 
 
 class ModelDemand(NamedTuple):
@@ -270,7 +270,7 @@
     """Return how many engines that stay hold each model."""
     copies: dict[str, int] = {}
     for each in records:
-        if not each.server.is_leaving:
+        if not each.server.is_leaving and not each.is_lost:
             for name in each.held:
                 copies[name] = copies.get(name, 0) + 1
     return copies
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -6,7 +6,11 @@
 from ...routes import EngineSpec, ModelSpec
 from ._orders import EngineReport, OrderOp
 
-__all__ = ["EngineRecord"]
+__all__ = ["LOST_READS", "EngineRecord"]
+
+
+# One report may be lost on its way; an engine that is down gives none.
+LOST_READS = 2
 
 
 class EngineRecord:
@@ -33,6 +37,7 @@
         self.dropping = ""
         self.since_ms: dict[str, float] = {}
         self.read_at_ms = 0.0
+        self.n_failed_reads = 0
         self.in_transit: set[tuple[str, str]] = set()
         self.reserved_for = ""
         self.reserved_until_ms = 0.0
@@ -45,10 +50,16 @@
         """Whether the record may be ordered by."""
         return self.sequence is not None
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the engine seems to be down though it is still listed."""
+        return self.n_failed_reads >= LOST_READS
+
     @property
     def is_usable(self) -> bool:
         """Whether the engine may be given an order now."""
-        return self.is_synced and not self.is_busy and not self.server.is_leaving
+        is_free = self.is_synced and not self.is_busy
+        return is_free and not self.server.is_leaving and not self.is_lost
 
     def takes(self, model: str, now_ms: float) -> bool:
         """Return whether the engine may be ordered to load a model now.
@@ -106,6 +117,7 @@
 
     def take_report(self, report: EngineReport, now_ms: float) -> bool:
         """Adopt a report unless it is older than the last accepted order."""
+        self.n_failed_reads = 0
         self.n_running = report.n_running
         self.n_queued = report.n_queued
         if self.sequence is not None and report.sequence < self.sequence:
--- a/tests/engine_builders.py
+++ b/tests/engine_builders.py
@@ -64,6 +64,7 @@
         self.late: list[EngineOrder] = []
         self.loses_answers = False
         self.defers = False
+        self.is_dark = False
         self.overflows = 0
         self.holders: list[str] = []
 
@@ -127,7 +128,9 @@
         return Success([server(name) for name in self.engines])
 
     async def report(self, listed: ListedServer) -> Result[EngineReport, Failure]:
-        """Return an engine's report."""
+        """Return an engine's report; none from one that is dark."""
+        if self.engines[listed.server_id].is_dark:
+            return Err(failure(Code.BACKEND_TIMEOUT))
         return Success(self.engines[listed.server_id].report())
 
     async def order(
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -196,6 +196,23 @@
         self.assertEqual([engine.overflows for engine in engines], [0, 0])
 
 
+class LostEngineTest(unittest.TestCase):
+    """Engines that are listed but give no report."""
+
+    def test_dark_holder(self):
+        """A model whose only holder went dark is loaded on another engine."""
+        dark = FakeEngine("s0", {"m0": set()})
+        fleet = FakeFleet([dark, FakeEngine("s1", {})])
+
+        async def act(controller):
+            dark.is_dark = True
+            await anyio.sleep(1.2)
+            reply = await ask(controller, "m0")
+            self.assertEqual(reply.server_id, "s1")
+
+        run(fleet, act)
+
+
 class DecideTest(unittest.TestCase):
     """Where models and adapters go."""
 
