--- a/benchmarks/bench_placement.py
+++ b/benchmarks/bench_placement.py
@@ -230,7 +230,7 @@
             in_flight = 0.0 if missed else seen
             samples.append(DemandSample(name, seen, in_flight, missed))
         report = EntryReport("e1", "i", "z", "a", False, 0, tuple(samples))
-        self._estimator.hear(report, now_ms)
+        self._estimator.take_report(report, now_ms)
 
     def _plan(self, now_ms: float) -> None:
         request = PlacementRequest(
--- a/src/cowslipwood/entry/_backend.py
+++ b/src/cowslipwood/entry/_backend.py
@@ -61,7 +61,7 @@
 
     __slots__ = (
         "_n_others",
-        "_passed_over",
+        "_avoided_until",
         "_report_at_ms",
         "answer_ms",
         "answered_at_ms",
@@ -86,14 +86,14 @@
         self.answer_ms = Ewma(FIRST_WEIGHT)
         self.answered_at_ms = 0.0
         self.unlisted_at_ms = 0.0
-        self._passed_over: dict[str, float] = {}
+        self._avoided_until: dict[str, float] = {}
         self._take_report(_view_report(view), now_ms)
 
     def update_view(self, view: ServerView, now_ms: float) -> None:
         """Take a newer view; another incarnation starts with a clean record."""
         if view.incarnation != self.view.incarnation:
             self.health = Health()
-            self._passed_over.clear()
+            self._avoided_until.clear()
         self.view = view
         self.unlisted_at_ms = 0.0
         if now_ms - self._report_at_ms > FRESH_REPORT_MS:
@@ -170,9 +170,9 @@
         age_ms = now_ms - self._report_at_ms
         return self.report.n_queued * 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
 
-    def pass_over(self, what: str, until_ms: float) -> None:
+    def avoid(self, what: str, until_ms: float) -> None:
         """Give it no request for a model key, or for any (""), until then."""
-        self._passed_over[what] = until_ms
+        self._avoided_until[what] = until_ms
 
     def usable(self, key: str, now_ms: float) -> bool:
         """Return whether it may get one more request for a model key."""
@@ -184,12 +184,10 @@
         """Return whether it stays and is not passed over, however it answers."""
         if self.view.leaving:
             return False
-        passed_over = self._passed_over
-        if not passed_over:
+        avoided = self._avoided_until
+        if not avoided:
             return True
-        return now_ms >= passed_over.get("", 0.0) and now_ms >= passed_over.get(
-            key, 0.0
-        )
+        return now_ms >= avoided.get("", 0.0) and now_ms >= avoided.get(key, 0.0)
 
     def _take_report(self, report: LoadReport, now_ms: float) -> None:
         self.report = report
--- a/src/cowslipwood/entry/_claimed_dispatch.py
+++ b/src/cowslipwood/entry/_claimed_dispatch.py
@@ -33,10 +33,17 @@
 
 __all__ = ["ClaimRefusedError", "ClaimedDispatcher", "in_doubt"]
 
+# An agent refuses a dispatch that arrives later, so a frozen entry cannot send
+# an attempt that has been given up meanwhile.
 DISPATCH_WITHIN_MS = 5_000
+# Longer than a dispatch takes to reach its agent; an attempt voided sooner could
+# be one that another entry has just recorded and is about to send.
 VOID_AFTER_MS = 300
+# One question to an agent waits no longer, so that a lost agent is noticed.
 WAIT_MS = 10_000
 RETRY_AFTER_MS = 1_000
+# Each step needs another process to have acted in between; more than a few mean
+# that callers resend one key faster than it can be settled.
 MAX_STEPS = 16
 
 
--- a/src/cowslipwood/entry/_dispatch.py
+++ b/src/cowslipwood/entry/_dispatch.py
@@ -30,7 +30,7 @@
 )
 _BROKEN = (httpcore.NetworkError, httpcore.ProtocolError)
 
-Hear = Callable[[str, LoadReport], None]
+OnReport = Callable[[str, LoadReport], None]
 
 
 class AnswerCutError(Exception):
@@ -87,12 +87,12 @@
     Parameters
     ----------
     cluster_token : str
-    hear : callable
+    on_report : callable
         Gets the server's id and the load report that came with a refusal.
     """
 
-    def __init__(self, cluster_token: str, hear: Hear):
-        self._hear = hear
+    def __init__(self, cluster_token: str, on_report: OnReport):
+        self._on_report = on_report
         self._auth = (
             {"authorization": f"Bearer {cluster_token}"} if cluster_token else {}
         )
@@ -172,7 +172,7 @@
         if "x-cowslip-outcome" not in headers:
             return Success(Answer(response.status, headers, chunks, report))
         if report is not None:
-            self._hear(server.server_id, report)
+            self._on_report(server.server_id, report)
         return Err(await _refusal(chunks))
 
     def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
--- a/src/cowslipwood/entry/_entry.py
+++ b/src/cowslipwood/entry/_entry.py
@@ -168,7 +168,7 @@
 
     async def _on_message(self, value: Any) -> None:
         now_ms = monotonic_ms()
-        self._view.heard_at_ms = now_ms
+        self._view.reported_at_ms = now_ms
         match value:
             case CatalogueUpdate():
                 self._view.update_catalogue(value)
@@ -220,13 +220,13 @@
     policy = lookup(PluginKind.ROUTING_POLICY, settings.routing)()
     router = Router(view, policy, settings.zone, metrics, rng, now_ms)
 
-    def hear(server_id: str, report: LoadReport) -> None:
-        router.heard_refusal(server_id, report, monotonic_ms())
+    def on_refusal(server_id: str, report: LoadReport) -> None:
+        router.take_refusal_report(server_id, report, monotonic_ms())
 
     return Serving(
         view=view,
         router=router,
-        dispatcher=Dispatcher(token, hear),
+        dispatcher=Dispatcher(token, on_refusal),
         shares=Shares(),
         meters=Meters(metrics, now_ms),
         metrics=metrics,
--- a/src/cowslipwood/entry/_generation.py
+++ b/src/cowslipwood/entry/_generation.py
@@ -155,7 +155,7 @@
         if isinstance(sent, Err):
             return sent
         answer = sent.unwrap()
-        serving.router.heard(backend, answer.report, serving.now_ms())
+        serving.router.take_load_report(backend, answer.report, serving.now_ms())
         if answer.status != 200:
             message = f"the engine answered status {answer.status}"
             return Err(failure(Code.OUTCOME_UNKNOWN, message))
--- a/src/cowslipwood/entry/_router.py
+++ b/src/cowslipwood/entry/_router.py
@@ -35,7 +35,7 @@
 MEDIAN_STEP = 0.05
 MIN_MEDIAN_MS = 5.0
 N_COMPARED = 4
-_PASS_OVER_MS = {
+_AVOID_MS = {
     Code.BACKEND_UNREACHABLE: UNREACHABLE_MS,
     Code.AGENT_LEAVING: LEAVING_MS,
     Code.WRONG_SERVER: UNREACHABLE_MS,
@@ -127,17 +127,21 @@
         self._metrics.count("retries_total", reason=cause.code.name)
         return True
 
-    def heard(self, backend: Backend, report: LoadReport | None, now_ms: float) -> None:
+    def take_load_report(
+        self, backend: Backend, report: LoadReport | None, now_ms: float
+    ) -> None:
         """Take in the load report that came with an answer."""
         backend.answered(report, now_ms)
         if report is not None:
             self._view.typical_load.add(backend.others_load)
 
-    def heard_refusal(self, server_id: str, report: LoadReport, now_ms: float) -> None:
+    def take_refusal_report(
+        self, server_id: str, report: LoadReport, now_ms: float
+    ) -> None:
         """Take in the load report that came with a refusal."""
         backend = self._view.backends.get(server_id)
         if backend is not None:
-            self.heard(backend, report, now_ms)
+            self.take_load_report(backend, report, now_ms)
 
     def succeeded(
         self,
@@ -161,10 +165,10 @@
 
     def failed(self, backend: Backend, key: str, fault: Failure, now_ms: float) -> None:
         """Take in the end of an attempt that gave no whole answer."""
-        if fault.code in _PASS_OVER_MS:
-            backend.pass_over("", now_ms + _PASS_OVER_MS[fault.code])
+        if fault.code in _AVOID_MS:
+            backend.avoid("", now_ms + _AVOID_MS[fault.code])
         elif fault.code is Code.MODEL_NOT_READY:
-            backend.pass_over(key, now_ms + NOT_READY_MS)
+            backend.avoid(key, now_ms + NOT_READY_MS)
         elif fault.code in _BLAMED:
             ejected_before = backend.health.ejected_until_ms
             backend.health.failed(now_ms)
--- a/src/cowslipwood/entry/_service_call.py
+++ b/src/cowslipwood/entry/_service_call.py
@@ -131,7 +131,7 @@
         if isinstance(sent, Err):
             return sent
         answer = sent.unwrap()
-        serving.router.heard(backend, answer.report, serving.now_ms())
+        serving.router.take_load_report(backend, answer.report, serving.now_ms())
         timing.tokens(1, serving.now_ms())
         if not 200 <= answer.status <= 599:
             message = f"the service answered status {answer.status}"
--- a/src/cowslipwood/entry/_view.py
+++ b/src/cowslipwood/entry/_view.py
@@ -46,7 +46,7 @@
         self.backends: dict[str, Backend] = {}
         self.n_entries = 1
         self.entry_rank = 0
-        self.heard_at_ms = 0.0
+        self.reported_at_ms = 0.0
         self.typical_load = Ewma(TYPICAL_WEIGHT)
         self._by_key: dict[str, list[Backend]] = {}
 
@@ -89,7 +89,7 @@
 
     def is_stale(self, now_ms: float) -> bool:
         """Return whether the keepers have been silent for too long."""
-        return now_ms - self.heard_at_ms > STALE_VIEW_MS
+        return now_ms - self.reported_at_ms > STALE_VIEW_MS
 
     def candidates(self, key: str) -> list[Backend]:
         """Return the servers that list a key, in the order of their seeds."""
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -187,7 +187,7 @@
             return failure(Code.DEADLINE_PASSED)
         conn = await self._state.pool.take(backend.view.http_addr, now_ms, left_ms)
         if conn is None:
-            backend.pass_over("", self._state.now_ms() + UNREACHABLE_MS)
+            backend.avoid("", self._state.now_ms() + UNREACHABLE_MS)
             return failure(Code.BACKEND_UNREACHABLE, backend.view.server_id)
         try:
             with backend.in_flight():
@@ -335,7 +335,7 @@
             await _drain(conn)
         now_ms = self._state.now_ms()
         if head.status == MISDIRECTED:
-            backend.pass_over(self._request.key, now_ms + NOT_READY_MS)
+            backend.avoid(self._request.key, now_ms + NOT_READY_MS)
             return failure(Code.MODEL_NOT_READY, backend.view.server_id)
         return failure(Code.AGENT_OVERLOADED, f"{backend.view.server_id} {head.status}")
 
@@ -421,7 +421,7 @@
         if facts.load is not None:
             running, waiting, slots = facts.load
             report = LoadReport(running, waiting, 0.0, slots)
-        self._state.heard(backend, report, now_ms)
+        self._state.take_load_report(backend, report, now_ms)
 
     def _failed(self, backend: Backend, fault: Failure) -> Failure:
         backend.health.failed(self._state.now_ms())
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -121,7 +121,9 @@
             for sample in self.demand.samples(now_ms)
         )
 
-    def heard(self, backend: Backend, report: LoadReport | None, now_ms: float) -> None:
+    def take_load_report(
+        self, backend: Backend, report: LoadReport | None, now_ms: float
+    ) -> None:
         """Take in the load that came with an answer."""
         backend.answered(report, now_ms)
         if report is not None:
--- a/src/cowslipwood/keeper/_directory.py
+++ b/src/cowslipwood/keeper/_directory.py
@@ -5,14 +5,14 @@
 
 from ..kernel.messages import AgentLoad, AgentReport, EntryReport, ServerView
 
-__all__ = ["AGENT_TIMEOUT_MS", "Directory", "Heard", "server_view"]
+__all__ = ["AGENT_TIMEOUT_MS", "Directory", "Reported", "server_view"]
 
 AGENT_TIMEOUT_MS = 2_000
 LEAVING_HOLD_MS = 10_000  # a list that flaps says leaving again within this time
 PLATFORM_TIMEOUT_MS = 10_000
 
 
-class Heard(NamedTuple):
+class Reported(NamedTuple):
     """A report and when it arrived.
 
     Parameters
@@ -52,35 +52,35 @@
     """The newest report of each agent and entry."""
 
     def __init__(self):
-        self._agents: dict[str, Heard] = {}
-        self._entries: dict[str, Heard] = {}
+        self._agents: dict[str, Reported] = {}
+        self._entries: dict[str, Reported] = {}
         self._leaving_incarnations: dict[str, str] = {}
         self._platform: Mapping[str, str] = {}
         self._platform_at_ms = float("-inf")
         self._ever_listed: set[str] = set()
         self._listed_leaving_at_ms: dict[str, float] = {}
 
-    def hear_agent(self, report: AgentReport, now_ms: float) -> None:
+    def take_agent_report(self, report: AgentReport, now_ms: float) -> None:
         """Keep an agent's report."""
-        self._agents[report.server_id] = Heard(report, now_ms)
+        self._agents[report.server_id] = Reported(report, now_ms)
         if report.leaving:
             self._leaving_incarnations[report.server_id] = report.incarnation
 
-    def hear_load(self, load: AgentLoad, now_ms: float) -> None:
-        """Keep an agent's load; dropped when its full report was never heard."""
-        heard = self._agents.get(load.server_id)
-        if heard is None or heard.report.incarnation != load.incarnation:
+    def take_agent_load(self, load: AgentLoad, now_ms: float) -> None:
+        """Keep an agent's load; dropped when its full report was never reported."""
+        reported = self._agents.get(load.server_id)
+        if reported is None or reported.report.incarnation != load.incarnation:
             return
-        report = heard.report._replace(
+        report = reported.report._replace(
             n_in_flight=load.n_in_flight, n_queued=load.n_queued, wait_ms=load.wait_ms
         )
-        self._agents[load.server_id] = Heard(report, now_ms)
+        self._agents[load.server_id] = Reported(report, now_ms)
 
-    def hear_entry(self, report: EntryReport, now_ms: float) -> None:
+    def take_entry_report(self, report: EntryReport, now_ms: float) -> None:
         """Keep an entry's report."""
-        self._entries[report.entry_id] = Heard(report, now_ms)
+        self._entries[report.entry_id] = Reported(report, now_ms)
 
-    def hear_platform(self, hosts: Mapping[str, str], now_ms: float) -> None:
+    def take_platform_hosts(self, hosts: Mapping[str, str], now_ms: float) -> None:
         """Keep the platform's list: live or leaving by server."""
         self._platform = hosts
         self._platform_at_ms = now_ms
@@ -95,9 +95,9 @@
         An agent's notice holds for its incarnation, the platform's for some time
         after it was last seen in the list.
         """
-        heard = self._agents.get(server_id)
+        reported = self._agents.get(server_id)
         notice = self._leaving_incarnations.get(server_id)
-        if heard is not None and notice == heard.report.incarnation:
+        if reported is not None and notice == reported.report.incarnation:
             return True
         listed_at_ms = self._listed_leaving_at_ms.get(server_id)
         return listed_at_ms is not None and now_ms - listed_at_ms <= LEAVING_HOLD_MS
@@ -108,14 +108,14 @@
             return False
         return server_id in self._ever_listed and server_id not in self._platform
 
-    def heard_agents(self) -> dict[str, Heard]:
-        """Return the newest report of each agent ever heard, by server."""
+    def reporting_agents(self) -> dict[str, Reported]:
+        """Return the newest report of each agent ever reported, by server."""
         return dict(self._agents)
 
     def is_service(self, server_id: str) -> bool:
         """Return whether an agent reported a plain service behind it."""
-        heard = self._agents.get(server_id)
-        return heard is not None and heard.report.kind == "service"
+        reported = self._agents.get(server_id)
+        return reported is not None and reported.report.kind == "service"
 
     def forget_agent(self, server_id: str) -> None:
         """Drop all that is known of a server."""
@@ -125,19 +125,19 @@
         self._ever_listed.discard(server_id)
 
     def live_agents(self, now_ms: float) -> list[AgentReport]:
-        """Return the reports of agents heard within the timeout."""
+        """Return the reports of agents reported within the timeout."""
         return [
-            heard.report
-            for heard in self._agents.values()
-            if now_ms - heard.at_ms <= AGENT_TIMEOUT_MS
+            reported.report
+            for reported in self._agents.values()
+            if now_ms - reported.at_ms <= AGENT_TIMEOUT_MS
         ]
 
     def live_entries(self, now_ms: float) -> list[EntryReport]:
-        """Return the reports of entries heard within the timeout."""
+        """Return the reports of entries reported within the timeout."""
         return [
-            heard.report
-            for heard in self._entries.values()
-            if now_ms - heard.at_ms <= AGENT_TIMEOUT_MS
+            reported.report
+            for reported in self._entries.values()
+            if now_ms - reported.at_ms <= AGENT_TIMEOUT_MS
         ]
 
     def live_entry_ids(self, now_ms: float) -> list[str]:
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -226,12 +226,12 @@
             return self._counted(as_refused(not_leader, self._replica.leader_addr))
         match value:
             case AgentReport():
-                self._directory.hear_agent(value, now_ms)
+                self._directory.take_agent_report(value, now_ms)
             case AgentLoad():
-                self._directory.hear_load(value, now_ms)
+                self._directory.take_agent_load(value, now_ms)
             case EntryReport():
-                self._directory.hear_entry(value, now_ms)
-                self._planner.hear_entry(value, now_ms)
+                self._directory.take_entry_report(value, now_ms)
+                self._planner.take_entry_report(value, now_ms)
                 if self._engines is not None:
                     self._engines.take_demand(value, now_ms)
             case HolderRequest() if self._engines is not None:
--- a/src/cowslipwood/keeper/_planner.py
+++ b/src/cowslipwood/keeper/_planner.py
@@ -35,7 +35,7 @@
 )
 from ..replication import Replica
 from ._commands import AssignCommand, encode_command
-from ._directory import AGENT_TIMEOUT_MS, Directory, Heard
+from ._directory import AGENT_TIMEOUT_MS, Directory, Reported
 from ._machine import AssignedModels, KeeperMachine
 from ._permits import Permits
 
@@ -125,9 +125,9 @@
         self._observed_at_ms = float("-inf")
         self._ready_names: frozenset[str] = frozenset()
 
-    def hear_entry(self, report: EntryReport, now_ms: float) -> None:
+    def take_entry_report(self, report: EntryReport, now_ms: float) -> None:
         """Take the demand that an entry reports."""
-        self._demand.hear(report, now_ms)
+        self._demand.take_report(report, now_ms)
 
     def answer(self, message: PermitRequest | PermitRelease, now_ms: float) -> Any:
         """Return the reply to an agent's message about a permit."""
@@ -210,33 +210,33 @@
         )
 
     def _servers(self, now_ms: float) -> list[ServerState]:
-        heard = self._directory.heard_agents()
-        known = heard.keys() | self._machine.assignments.keys()
+        reported = self._directory.reporting_agents()
+        known = reported.keys() | self._machine.assignments.keys()
         self._date_assignments(now_ms)
         servers = []
         for server_id in sorted(known):
-            status = self._status(server_id, heard.get(server_id), now_ms)
+            status = self._status(server_id, reported.get(server_id), now_ms)
             if status is None:
                 continue
-            if server_id not in heard:
-                servers.append(self._unheard(server_id, status))
-            elif heard[server_id].report.kind == "engine":
-                report = heard[server_id].report
-                servers.append(self._heard(report, status, now_ms))
+            if server_id not in reported:
+                servers.append(self._silent_state(server_id, status))
+            elif reported[server_id].report.kind == "engine":
+                report = reported[server_id].report
+                servers.append(self._reporting_state(report, status, now_ms))
         return servers
 
     def _status(
-        self, server_id: str, heard: Heard | None, now_ms: float
+        self, server_id: str, reported: Reported | None, now_ms: float
     ) -> ServerStatus | None:
         """Return how far a server may be relied on; None when it is gone.
 
         Any sign of leaving wins. A leader counts silence from the begin of its
         leadership at the earliest.
         """
-        heard_at_ms = heard.at_ms if heard else float("-inf")
-        since_ms = max(heard_at_ms, self._leader_since_ms)
+        reported_at_ms = reported.at_ms if reported else float("-inf")
+        since_ms = max(reported_at_ms, self._leader_since_ms)
         silent_ms = now_ms - since_ms
-        is_silent = now_ms - heard_at_ms > AGENT_TIMEOUT_MS
+        is_silent = now_ms - reported_at_ms > AGENT_TIMEOUT_MS
         is_gone = silent_ms > self._settings.dead_after_ms or (
             is_silent and self._directory.is_unlisted(server_id, now_ms)
         )
@@ -248,11 +248,11 @@
             return ServerStatus.LEAVING
         return ServerStatus.SILENT if is_silent else ServerStatus.LIVE
 
-    def _unheard(self, server_id: str, status: ServerStatus) -> ServerState:
+    def _silent_state(self, server_id: str, status: ServerStatus) -> ServerState:
         assigned = self._assigned(server_id).desired
         return ServerState(server_id, "", status, 0, 0, assigned, confirmed=False)
 
-    def _heard(
+    def _reporting_state(
         self, report: AgentReport, status: ServerStatus, now_ms: float
     ) -> ServerState:
         server_id = report.server_id
@@ -337,9 +337,11 @@
 
     async def _forget_long_gone(self, now_ms: float) -> None:
         """Empty the assignment of one server that has been silent for long."""
-        heard = self._directory.heard_agents()
+        reported = self._directory.reporting_agents()
         for server_id, assigned in self._machine.assignments.items():
-            at_ms = heard[server_id].at_ms if server_id in heard else float("-inf")
+            at_ms = (
+                reported[server_id].at_ms if server_id in reported else float("-inf")
+            )
             if now_ms - max(at_ms, self._leader_since_ms) <= FORGET_MS:
                 continue
             self._directory.forget_agent(server_id)
--- a/src/cowslipwood/keeper/_platform.py
+++ b/src/cowslipwood/keeper/_platform.py
@@ -92,5 +92,5 @@
             code = listed.failure().code
             metrics.count("platform_errors_total", reason=code.name)
         else:
-            directory.hear_platform(listed.unwrap(), monotonic_ms())
+            directory.take_platform_hosts(listed.unwrap(), monotonic_ms())
         await anyio.sleep(POLL_MS / 1000)
--- a/src/cowslipwood/placement/_demand.py
+++ b/src/cowslipwood/placement/_demand.py
@@ -31,7 +31,7 @@
     return sample.in_flight / max(1.0 - missed, MIN_SERVED_SHARE)
 
 
-class _Heard(NamedTuple):
+class _Reported(NamedTuple):
     at_ms: float
     offered: dict[str, float]
 
@@ -40,15 +40,15 @@
     """Smooths the sum of all entries' demand for each model."""
 
     def __init__(self):
-        self._heard: dict[str, _Heard] = {}
+        self._reported: dict[str, _Reported] = {}
         self._estimate: dict[str, float] = {}
         self._waiting_since_ms: dict[str, float] = {}
         self._updated_at_ms: float | None = None
 
-    def hear(self, report: EntryReport, now_ms: float) -> None:
+    def take_report(self, report: EntryReport, now_ms: float) -> None:
         """Keep the demand in an entry's report."""
         offered = {s.model: offered_in_flight(s) for s in report.demand}
-        self._heard[report.entry_id] = _Heard(now_ms, offered)
+        self._reported[report.entry_id] = _Reported(now_ms, offered)
 
     def update(self, now_ms: float) -> dict[str, float]:
         """Return the estimate, brought up to the present."""
@@ -70,11 +70,11 @@
 
     def _observed(self, now_ms: float) -> dict[str, float]:
         total: dict[str, float] = {}
-        for entry_id, heard in list(self._heard.items()):
-            if now_ms - heard.at_ms > REPORT_TIMEOUT_MS:
-                del self._heard[entry_id]
+        for entry_id, reported in list(self._reported.items()):
+            if now_ms - reported.at_ms > REPORT_TIMEOUT_MS:
+                del self._reported[entry_id]
                 continue
-            for name, offered in heard.offered.items():
+            for name, offered in reported.offered.items():
                 total[name] = total.get(name, 0.0) + offered
         return total
 
--- a/src/cowslipwood/replication/_election.py
+++ b/src/cowslipwood/replication/_election.py
@@ -53,7 +53,7 @@
         # after a loss of power the others start within moments of each other.
         state.timer_ms = monotonic_ms() - state.timing.election_min_ms
         return False
-    if state.term != term or (not handover and state.hears_leader(monotonic_ms())):
+    if state.term != term or (not handover and state.has_live_leader(monotonic_ms())):
         return False
     state.stand()
     term = state.term
--- a/src/cowslipwood/replication/_follower.py
+++ b/src/cowslipwood/replication/_follower.py
@@ -51,7 +51,7 @@
         state = self._state
         if request.term < state.term:
             return VoteReply(state.term, False)
-        if not request.handover and state.hears_leader(now_ms):
+        if not request.handover and state.has_live_leader(now_ms):
             return VoteReply(state.term, False)
         log = state.log
         candidate = (request.last_term, request.last_index)
@@ -126,7 +126,7 @@
             get_logger().error("two_leaders", term=state.term, other=request.leader_id)
             return False
         state.follow(request.term, request.leader_id, request.leader_addr)
-        state.hear(now_ms)
+        state.note_leader(now_ms)
         return True
 
     def _conflict(self, request: AppendRequest) -> int:
--- a/src/cowslipwood/replication/_formation.py
+++ b/src/cowslipwood/replication/_formation.py
@@ -42,13 +42,13 @@
     peers : mapping of str to str
         ``ip:port`` of each initial member by name.
     """
-    told_waiting = False
+    is_logged = False
     while not state.formed:
         identities = await _ask_all(state, links, name, peers)
         if any(identity.formed for identity in identities):
-            if not told_waiting:
+            if not is_logged:
                 get_logger().info("waiting_to_join", replica=state.replica_id)
-            told_waiting = True
+            is_logged = True
         elif peers and name == min(peers) and _all_agree(identities, peers):
             await _begin(state, identities)
         await anyio.sleep(PAUSE_MS / 1000)
--- a/src/cowslipwood/replication/_leader.py
+++ b/src/cowslipwood/replication/_leader.py
@@ -161,8 +161,8 @@
         state = self._state
         while True:
             now_ms = monotonic_ms()
-            heard_ms = max(self.started_ms, self.quorum_acked_ms(now_ms))
-            is_lost = now_ms - heard_ms > state.timing.election_max_ms
+            leader_seen_ms = max(self.started_ms, self.quorum_acked_ms(now_ms))
+            is_lost = now_ms - leader_seen_ms > state.timing.election_max_ms
             is_removed = (
                 not state.is_voter and state.commit_index >= state.log.members_index
             )
--- a/src/cowslipwood/replication/_state.py
+++ b/src/cowslipwood/replication/_state.py
@@ -102,7 +102,7 @@
         self.on_lost: Callable[[], None] = _ignore
         self.handover_asked = False
         # A restarted replica may have heard the leader just before it stopped.
-        self.heard_ms = now_ms
+        self.leader_seen_ms = now_ms
         self.timer_ms = now_ms
         self.changed = Signal()
         self._folder = folder
@@ -134,13 +134,13 @@
         """Whether this replica votes, by the newest membership it holds."""
         return self.replica_id in voters(self.log.members)
 
-    def hears_leader(self, now_ms: float) -> bool:
+    def has_live_leader(self, now_ms: float) -> bool:
         """Return whether a leader may hold a lease that rests on this replica."""
         if self.leading is not None:
-            heard_ms = self.leading.quorum_acked_ms(now_ms)
+            leader_seen_ms = self.leading.quorum_acked_ms(now_ms)
         else:
-            heard_ms = self.heard_ms
-        return now_ms - heard_ms < self.timing.election_min_ms
+            leader_seen_ms = self.leader_seen_ms
+        return now_ms - leader_seen_ms < self.timing.election_min_ms
 
     def follow(self, term: int, leader_id: str = "", leader_addr: str = "") -> None:
         """Become a follower, in a newer term or in the present one."""
@@ -157,9 +157,9 @@
         if changed:
             self.changed.notify()
 
-    def hear(self, now_ms: float) -> None:
+    def note_leader(self, now_ms: float) -> None:
         """Note that the leader of the present term was heard."""
-        self.heard_ms = now_ms
+        self.leader_seen_ms = now_ms
         self.timer_ms = now_ms
 
     def vote_for(self, candidate_id: str) -> None:
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -99,7 +99,7 @@
 ) -> View:
     """Return a view of a catalogue and servers."""
     view = View()
-    view.heard_at_ms = now_ms
+    view.reported_at_ms = now_ms
     entries = tuple(orjson.dumps(value) for value in values)
     view.update_catalogue(CatalogueUpdate(1, True, entries, ()))
     view.update_routing(RoutingUpdate(True, tuple(servers), ()), now_ms)
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -56,7 +56,7 @@
         self.reports: list[tuple[str, LoadReport]] = []
         dispatcher = Dispatcher("token", lambda *heard: self.reports.append(heard))
         serving = make_serving(self.front._serving.view, dispatcher)
-        serving.view.heard_at_ms = monotonic_ms()
+        serving.view.reported_at_ms = monotonic_ms()
         self.front._serving = serving
         self.metrics = serving.metrics
         sock = bind_socket("127.0.0.1:0")
--- a/tests/test_keeper_directory.py
+++ b/tests/test_keeper_directory.py
@@ -15,15 +15,15 @@
         """The load replaces the last one, and the rest of the report stays."""
         directory = Directory()
         report = agent_report("s1", n_in_flight=1)
-        directory.hear_agent(report, 0.0)
+        directory.take_agent_report(report, 0.0)
         later = report._replace(n_in_flight=7, n_queued=2, wait_ms=3.0)
-        directory.hear_load(load_of(later), 1_500.0)
+        directory.take_agent_load(load_of(later), 1_500.0)
         self.assertEqual(directory.live_agents(3_000.0), [later])
 
     def test_other_incarnation(self):
         """A load of a process whose full report is unknown is dropped."""
         directory = Directory()
-        directory.hear_agent(agent_report("s1"), 0.0)
+        directory.take_agent_report(agent_report("s1"), 0.0)
         restarted = agent_report("s1", incarnation="i2", n_in_flight=7)
-        directory.hear_load(load_of(restarted), 10.0)
+        directory.take_agent_load(load_of(restarted), 10.0)
         self.assertEqual(directory.live_agents(20.0), [agent_report("s1")])
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -125,27 +125,27 @@
     def test_agents_notice_holds_for_its_incarnation(self):
         """A late report without the notice does not take it back; a restart does."""
         directory = Directory()
-        directory.hear_agent(agent_report("s1", leaving=True), 0.0)
-        directory.hear_agent(agent_report("s1"), 1.0)
+        directory.take_agent_report(agent_report("s1", leaving=True), 0.0)
+        directory.take_agent_report(agent_report("s1"), 1.0)
         self.assertTrue(directory.is_leaving("s1", 2.0))
-        directory.hear_agent(agent_report("s1", incarnation="i2"), 3.0)
+        directory.take_agent_report(agent_report("s1", incarnation="i2"), 3.0)
         self.assertFalse(directory.is_leaving("s1", 4.0))
 
     def test_flapping_list_reads_as_leaving(self):
         """A list that turns to live and back leaves the server leaving throughout."""
         directory = Directory()
-        directory.hear_agent(agent_report("s1"), 0.0)
+        directory.take_agent_report(agent_report("s1"), 0.0)
         for now_ms in range(0, 40_000, 500):
             state = "leaving" if now_ms % 5_000 < 500 else "live"
-            directory.hear_platform({"s1": state}, now_ms)
+            directory.take_platform_hosts({"s1": state}, now_ms)
             self.assertTrue(directory.is_leaving("s1", now_ms))
         self.assertFalse(directory.is_leaving("s1", 40_000 + LEAVING_HOLD_MS))
 
     def test_unlisted_is_known_only_while_the_list_is_fresh(self):
         """A host taken off the list is told from a list that cannot be read."""
         directory = Directory()
-        directory.hear_platform({"s1": "live", "s2": "live"}, 0.0)
-        directory.hear_platform({"s2": "live"}, 1_000.0)
+        directory.take_platform_hosts({"s1": "live", "s2": "live"}, 0.0)
+        directory.take_platform_hosts({"s2": "live"}, 1_000.0)
         self.assertTrue(directory.is_unlisted("s1", 1_500.0))
         self.assertFalse(directory.is_unlisted("s2", 1_500.0))
         self.assertFalse(directory.is_unlisted("s1", 60_000.0))
@@ -153,7 +153,7 @@
     def test_silent_agent_is_not_live(self):
         """An agent that was not heard in time is told to no entry."""
         directory = Directory()
-        directory.hear_agent(agent_report("s1"), 0.0)
+        directory.take_agent_report(agent_report("s1"), 0.0)
         self.assertEqual(len(directory.live_agents(AGENT_TIMEOUT_MS)), 1)
         self.assertEqual(directory.live_agents(AGENT_TIMEOUT_MS + 1.0), [])
 
@@ -162,15 +162,15 @@
         ready = (Resident("m1", "1", "ready", 1),)
         directory = Directory()
         closing = Closing(directory)
-        directory.hear_agent(agent_report("s1", residents=ready), 0.0)
-        directory.hear_agent(agent_report("s2"), 0.0)
+        directory.take_agent_report(agent_report("s1", residents=ready), 0.0)
+        directory.take_agent_report(agent_report("s2"), 0.0)
         self.assertEqual(closing.closed({"s1"}, 0.0), set())
-        directory.hear_agent(agent_report("s2", residents=ready), 1_000.0)
+        directory.take_agent_report(agent_report("s2", residents=ready), 1_000.0)
         self.assertEqual(closing.closed({"s1"}, 1_000.0), {"s1"})
-        directory.hear_agent(agent_report("s2"), 1_500.0)
-        directory.hear_agent(agent_report("s1", residents=ready), 1_500.0)
+        directory.take_agent_report(agent_report("s2"), 1_500.0)
+        directory.take_agent_report(agent_report("s1", residents=ready), 1_500.0)
         self.assertEqual(closing.closed({"s1"}, 1_500.0), set())
-        directory.hear_agent(agent_report("s1", residents=ready), CLOSE_AFTER_MS)
+        directory.take_agent_report(agent_report("s1", residents=ready), CLOSE_AFTER_MS)
         self.assertEqual(closing.closed({"s1"}, CLOSE_AFTER_MS), {"s1"})
         self.assertEqual(closing.closed(set(), CLOSE_AFTER_MS), set())
 
@@ -178,7 +178,9 @@
         """An agent that is stopping gets no new work, whatever it alone holds."""
         ready = (Resident("m1", "1", "ready", 1),)
         directory = Directory()
-        directory.hear_agent(agent_report("s1", residents=ready, leaving=True), 0.0)
+        directory.take_agent_report(
+            agent_report("s1", residents=ready, leaving=True), 0.0
+        )
         self.assertEqual(Closing(directory).closed(set(), 0.0), {"s1"})
 
     @settings(derandomize=True, deadline=None)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -353,10 +353,10 @@
         demand = DemandEstimator()
         demand.update(0.0)
         for now_ms in range(500, 10_500, 500):
-            demand.hear(demand_report(m1=(5.0, 20.0, 0.0)), now_ms)
+            demand.take_report(demand_report(m1=(5.0, 20.0, 0.0)), now_ms)
             risen = demand.update(now_ms)["m1"]
         for now_ms in range(10_500, 20_500, 500):
-            demand.hear(demand_report(), now_ms)
+            demand.take_report(demand_report(), now_ms)
             fallen = demand.update(now_ms)["m1"]
         self.assertGreater(risen, 19.0)
         self.assertGreater(fallen, risen * 0.8)
@@ -364,7 +364,7 @@
     def test_missed_requests_count(self):
         """A model that no server holds is in demand by its arrivals."""
         demand = DemandEstimator()
-        demand.hear(demand_report(m1=(5.0, 0.0, 1.0)), 0.0)
+        demand.take_report(demand_report(m1=(5.0, 0.0, 1.0)), 0.0)
         self.assertEqual(demand.update(0.0), {"m1": 5.0})
         self.assertEqual(demand.waiting_s({"m1", "m2"}, 0.0), {"m1": 0.0})
         self.assertEqual(demand.waiting_s({"m1"}, 4_000.0), {"m1": 4.0})
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -61,7 +61,7 @@
     def test_silence(self):
         """A silent server is waited for, then it is gone."""
         self.round(0.0)
-        self.directory.hear_agent(agent_report("s1"), 100.0)
+        self.directory.take_agent_report(agent_report("s1"), 100.0)
         self.assertIs(self.status("s1", 100.0), ServerStatus.LIVE)
         silent_ms = 100.0 + AGENT_TIMEOUT_MS + 1.0
         self.assertIs(self.status("s1", silent_ms), ServerStatus.SILENT)
@@ -70,9 +70,9 @@
     def test_silent_server_off_the_list_is_gone_at_once(self):
         """Silence and the platform's list together need no further wait."""
         self.round(0.0)
-        self.directory.hear_agent(agent_report("s1"), 100.0)
-        self.directory.hear_platform({"s1": "live"}, 100.0)
-        self.directory.hear_platform({}, 200.0)
+        self.directory.take_agent_report(agent_report("s1"), 100.0)
+        self.directory.take_platform_hosts({"s1": "live"}, 100.0)
+        self.directory.take_platform_hosts({}, 200.0)
         self.assertIs(self.status("s1", 300.0), ServerStatus.LIVE)
         self.assertIsNone(self.status("s1", 101.0 + AGENT_TIMEOUT_MS))
 
@@ -92,14 +92,14 @@
         self.round(0.0)
         for revision, confirmed in ((6, False), (7, True)):
             report = agent_report("s1", assignment_revision=revision)
-            self.directory.hear_agent(report, 0.0)
+            self.directory.take_agent_report(report, 0.0)
             (state,) = self.planner.request(0.0).servers
             self.assertIs(state.confirmed, confirmed)
 
     def test_plan_of_an_earlier_term_is_dropped(self):
         """A plan is committed only in the term in which it was made."""
         self.machine.assignments["s1"] = AssignedModels(7, (MODEL,))
-        self.directory.hear_agent(agent_report("s1"), SETTLE_MS)
+        self.directory.take_agent_report(agent_report("s1"), SETTLE_MS)
         decide = self.planner._policy
 
         def decide_late(request):
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -334,10 +334,12 @@
             just_started = await follower.on_vote(_vote("a", 5), late_ms)
             heartbeat = HeartbeatRequest("", "l", "", 1, 0)
             await follower.on_heartbeat(heartbeat, AFTER_LEASE_MS)
-            just_heard = await follower.on_vote(_vote("a", 5), AFTER_LEASE_MS + late_ms)
+            just_followed = await follower.on_vote(
+                _vote("a", 5), AFTER_LEASE_MS + late_ms
+            )
             later_ms = AFTER_LEASE_MS + TIMING.election_min_ms
             later = await follower.on_vote(_vote("a", 5), later_ms)
-            answers = (just_started.granted, just_heard.granted, later.granted)
+            answers = (just_started.granted, just_followed.granted, later.granted)
             self.assertEqual(answers, (False, False, True))
 
         self._run(check)
