--- /dev/null
+++ b/src/cowslipwood/keeper/engines/_demand.py
@@ -0,0 +1,102 @@
+"""What the entries ask of each model, smoothed over their reports."""
+
+from collections.abc import Mapping
+
+from ...kernel.messages import DemandSample, EntryReport
+from ._decide import NO_DEMAND, ModelDemand
+
+__all__ = ["DemandView"]
+
+# A burst shorter than a load is over before a copy could serve it; demand that
+# pauses comes back more often than not, and a dropped copy takes seconds to load.
+RISE_MS = 1_000.0
+FALL_MS = 5_000.0
+# A model asked for within this time is likelier to be asked for again.
+RECENT_MS = 20_000.0
+# Several of an entry's reports; an older one is of an entry that has stopped.
+SAMPLE_VALID_MS = 2_500.0
+
+
+class DemandView:
+    """Demand by model, and when each adapter was last asked for.
+
+    Attributes
+    ----------
+    by_model : dict of str to ModelDemand
+    adapter_used_ms : dict of tuple of str to float
+        By model and adapter.
+    """
+
+    def __init__(self):
+        self.by_model: dict[str, ModelDemand] = {}
+        self.adapter_used_ms: dict[tuple[str, str], float] = {}
+        self._asked_ms: dict[str, float] = {}
+        self._samples: dict[str, tuple[float, tuple[DemandSample, ...]]] = {}
+
+    def clear_reports(self) -> None:
+        """Forget the entries' reports, at the start of a leadership."""
+        self._samples.clear()
+
+    def asked(self, model: str, adapter: str, now_ms: float) -> None:
+        """Note a question for a model, or for an adapter of it."""
+        self._asked_ms[model] = now_ms
+        if adapter:
+            self.adapter_used_ms[model, adapter] = now_ms
+
+    def take_report(self, report: EntryReport, now_ms: float) -> None:
+        """Take in what an entry says of demand."""
+        self._samples[report.entry_id] = (now_ms, report.demand)
+        for sample in report.demand:
+            if sample.in_flight or sample.arrivals_per_s:
+                self.asked(*_names(sample), now_ms)
+
+    def update(
+        self, expected: Mapping[str, float], step_ms: float, now_ms: float
+    ) -> None:
+        """Move the smoothed values on by one step.
+
+        Parameters
+        ----------
+        expected : mapping of str to float
+            Waiting requests by model to assume at least; empty once the reports
+            tell of demand.
+        step_ms : float
+            Time since the last step.
+        now_ms : float
+        """
+        waiting, in_flight = self._sums(now_ms)
+        for model, value in expected.items():
+            self._asked_ms.setdefault(model, now_ms)
+            waiting[model] = max(value, waiting.get(model, 0.0))
+        for model, asked_ms in self._asked_ms.items():
+            held = self.by_model.get(model, NO_DEMAND)
+            self.by_model[model] = ModelDemand(
+                _smoothed(held.waiting, waiting.get(model, 0.0), step_ms),
+                _smoothed(held.in_flight, in_flight.get(model, 0.0), step_ms),
+                max(0.0, 1.0 - (now_ms - asked_ms) / RECENT_MS),
+            )
+
+    def _sums(self, now_ms: float) -> tuple[dict[str, float], dict[str, float]]:
+        """Return waiting requests and those in flight by model, over all entries."""
+        waiting: dict[str, float] = {}
+        in_flight: dict[str, float] = {}
+        for entry_id, (at_ms, samples) in list(self._samples.items()):
+            if now_ms - at_ms > SAMPLE_VALID_MS:
+                del self._samples[entry_id]
+                continue
+            for sample in samples:
+                model = _names(sample)[0]
+                waiting[model] = waiting.get(model, 0.0) + sample.waiting
+                in_flight[model] = in_flight.get(model, 0.0) + sample.in_flight
+        return waiting, in_flight
+
+
+def _smoothed(held: float, seen: float, step_ms: float) -> float:
+    time_ms = RISE_MS if seen > held else FALL_MS
+    return held + min(1.0, step_ms / time_ms) * (seen - held)
+
+
+def _names(sample: DemandSample) -> tuple[str, str]:
+    """Return the model and adapter of a sample; empty for a plain service."""
+    model, _, adapter = sample.model.partition("|")[2].partition("/")
+    return model, adapter
