Give the entry's modules rooms by the stage of a request; spread load when all servers fail

Cause: entry/ held 25 modules in one folder. And when every server of a service fails a part of its requests, all are ejected and the one whose ejection ended first got everything: the test of that pattern showed 20 of 20 requests on one of four servers. Change: folders taking, choosing, sending, claims and metering; when no server is usable, all that are reachable count again. Load patterns have a test module of their own, which needs no network.

--- a/benchmarks/bench_routing.py
+++ b/benchmarks/bench_routing.py
@@ -14,10 +14,10 @@
 
 from cowslipwood.catalogue import parse_entry
 from cowslipwood.entry import fronts  # noqa: F401
-from cowslipwood.entry._backend import LoadReport
-from cowslipwood.entry._call import Call, make_call
-from cowslipwood.entry._router import Router
-from cowslipwood.entry._view import View, entry_key
+from cowslipwood.entry.choosing._backend import LoadReport
+from cowslipwood.entry.choosing._router import Router
+from cowslipwood.entry.choosing._view import View, entry_key
+from cowslipwood.entry.taking._call import Call, make_call
 from cowslipwood.kernel.messages import CatalogueUpdate, RoutingUpdate, ServerView
 from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.kernel.registry import PluginKind, lookup, plugin_names
--- a/src/cowslipwood/entry/_entry.py
+++ b/src/cowslipwood/entry/_entry.py
@@ -20,18 +20,18 @@
 from ..kernel.settings import address, one_of, peer_list, within
 from ..kernel.tokens import read_token
 from . import fronts  # noqa: F401
-from ._attempt_client import AttemptClient
-from ._backend import LoadReport
-from ._claims import Claims
-from ._counters import REASON_COUNTERS
-from ._dispatch import Dispatcher
-from ._front import Bounds, Front
-from ._meters import Meters
-from ._protocol import caller_protocol
-from ._router import Router
 from ._serving import Serving
-from ._shares import Shares
-from ._view import View
+from .choosing._backend import LoadReport
+from .choosing._router import Router
+from .choosing._view import View
+from .claims._claims import Claims
+from .metering._meters import Meters
+from .sending._attempt_client import AttemptClient
+from .sending._dispatch import Dispatcher
+from .taking._counters import REASON_COUNTERS
+from .taking._front import Bounds, Front
+from .taking._protocol import caller_protocol
+from .taking._shares import Shares
 
 __all__ = ["EntrySettings", "entry_checks", "run_entry"]
 
--- a/src/cowslipwood/entry/_serving.py
+++ b/src/cowslipwood/entry/_serving.py
@@ -13,15 +13,15 @@
 from ..kernel.codes import Failure
 from ..kernel.http import Request
 from ..kernel.metrics import Metrics
-from ._call import Call, make_call, parse_deadline
-from ._caller import Caller
-from ._claim_keys import KEY_HEADER, claim_key
-from ._claims import Claims
-from ._dispatch import Answer, Dispatcher
-from ._meters import Meters, Timing
-from ._router import Router
-from ._shares import Shares
-from ._view import View, entry_key
+from .choosing._router import Router
+from .choosing._view import View, entry_key
+from .claims._claim_keys import KEY_HEADER, claim_key
+from .claims._claims import Claims
+from .metering._meters import Meters, Timing
+from .sending._dispatch import Answer, Dispatcher
+from .taking._call import Call, make_call, parse_deadline
+from .taking._caller import Caller
+from .taking._shares import Shares
 
 __all__ = ["CallerRequest", "FrontEnd", "OpenCall", "Serving", "run_claimed"]
 
--- /dev/null
+++ b/src/cowslipwood/entry/choosing/__init__.py
@@ -0,0 +1,1 @@
+"""What an entry knows of backend servers, and which of them gets a request."""
--- a/src/cowslipwood/entry/_backend.py
+++ b/src/cowslipwood/entry/choosing/_backend.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from ..kernel.messages import ServerView
+from ...kernel.messages import ServerView
 from ._ewma import Ewma
 from ._health import Health
 
--- a/src/cowslipwood/entry/_router.py
+++ b/src/cowslipwood/entry/choosing/_router.py
@@ -9,9 +9,11 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..kernel.codes import Code, Failure, Outcome, failure
-from ..kernel.metrics import Metrics
-from ._admission import can_begin_in_time, predicted_first_ms
+from ...kernel.codes import Code, Failure, Outcome, failure
+from ...kernel.metrics import Metrics
+from ..routing import RoutingContext, RoutingPolicy, usable_candidates
+from ..taking._admission import can_begin_in_time, predicted_first_ms
+from ..taking._call import Call, begun_call
 from ._backend import (
     LEAVING_MS,
     NOT_READY_MS,
@@ -20,9 +22,7 @@
     LoadReport,
 )
 from ._budget import RetryBudget
-from ._call import Call, begun_call
 from ._view import View
-from .routing import RoutingContext, RoutingPolicy, usable_candidates
 
 __all__ = ["Attempts", "Router"]
 
--- a/src/cowslipwood/entry/_view.py
+++ b/src/cowslipwood/entry/choosing/_view.py
@@ -2,9 +2,9 @@
 
 import bisect
 
-from ..catalogue import Entry, EntryKind, entry_from_json
-from ..kernel.messages import CatalogueUpdate, RoutingUpdate, ServerView
-from ..listing import service_key
+from ...catalogue import Entry, EntryKind, entry_from_json
+from ...kernel.messages import CatalogueUpdate, RoutingUpdate, ServerView
+from ...listing import service_key
 from ._backend import Backend, model_key
 from ._ewma import Ewma
 
--- /dev/null
+++ b/src/cowslipwood/entry/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that may run at most once, by their keys."""
--- a/src/cowslipwood/entry/_claim_keys.py
+++ b/src/cowslipwood/entry/claims/_claim_keys.py
@@ -17,9 +17,9 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..catalogue import Entry
-from ..kernel.codes import Code, Failure, failure
-from ..kernel.http import Request
+from ...catalogue import Entry
+from ...kernel.codes import Code, Failure, failure
+from ...kernel.http import Request
 
 __all__ = ["KEY_HEADER", "ClaimKey", "claim_key"]
 
--- a/src/cowslipwood/entry/_claimed_dispatch.py
+++ b/src/cowslipwood/entry/claims/_claimed_dispatch.py
@@ -16,9 +16,9 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..kernel.clock import monotonic_ms
-from ..kernel.codes import Code, Failure, Outcome, failure
-from ..kernel.messages import (
+from ...kernel.clock import monotonic_ms
+from ...kernel.codes import Code, Failure, Outcome, failure
+from ...kernel.messages import (
     AttemptEnd,
     AttemptQuery,
     ClaimAttempt,
@@ -27,8 +27,8 @@
     ClaimState,
     ServerView,
 )
+from ..sending._dispatch import Answer, Attempt, Dispatcher
 from ._claim_keys import ClaimKey
-from ._dispatch import Answer, Attempt, Dispatcher
 from ._kept_answer import AnswerCopy, KeptAnswer
 
 __all__ = ["ClaimRefusedError", "ClaimedDispatcher", "in_doubt"]
--- a/src/cowslipwood/entry/_claims.py
+++ b/src/cowslipwood/entry/claims/_claims.py
@@ -13,10 +13,10 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..kernel.clock import monotonic_ms
-from ..kernel.codes import Code, Failure, Outcome, failure
-from ..kernel.keeper_link import KeeperLink
-from ..kernel.messages import (
+from ...kernel.clock import monotonic_ms
+from ...kernel.codes import Code, Failure, Outcome, failure
+from ...kernel.keeper_link import KeeperLink
+from ...kernel.messages import (
     AttemptEnd,
     AttemptQuery,
     ClaimAttempt,
@@ -24,11 +24,11 @@
     ClaimFinish,
     ClaimState,
 )
-from ..kernel.metrics import Metrics
-from ._attempt_client import AttemptClient
+from ...kernel.metrics import Metrics
+from ..sending._attempt_client import AttemptClient
+from ..sending._dispatch import Answer, Dispatcher
 from ._claim_keys import ClaimKey
 from ._claimed_dispatch import ClaimedDispatcher, ClaimRefusedError, in_doubt
-from ._dispatch import Answer, Dispatcher
 
 __all__ = ["Claims"]
 
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -27,9 +27,9 @@
 from ...listing import ListSource
 from ...routes import parse_document
 from .. import routing  # noqa: F401  registers the routing policies
-from .._counters import REASON_COUNTERS
-from .._protocol import caller_protocol
-from .._view import View
+from ..choosing._view import View
+from ..taking._counters import REASON_COUNTERS
+from ..taking._protocol import caller_protocol
 from ._app import RouteApp
 from ._headers import HeaderNames
 from ._holders import Holders
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -13,7 +13,7 @@
 from ...kernel.logs import get_logger
 from ...listing import holding_key
 from ...routes import Route, RouteKind
-from .._backend import NOT_READY_MS, UNREACHABLE_MS, Backend, LoadReport
+from ..choosing._backend import NOT_READY_MS, UNREACHABLE_MS, Backend, LoadReport
 from ..routing import RoutingContext
 from ._events import EventSplitter
 from ._headers import (
--- a/src/cowslipwood/entry/direct/_servers.py
+++ b/src/cowslipwood/entry/direct/_servers.py
@@ -6,8 +6,8 @@
 from ...kernel.logs import get_logger
 from ...kernel.messages import FleetLoad, RoutingUpdate, ServerView
 from ...listing import ListedServer, as_view, listed_keys
-from .._backend import LoadReport
-from .._view import View
+from ..choosing._backend import LoadReport
+from ..choosing._view import View
 
 __all__ = ["KnownServers"]
 
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -10,9 +10,9 @@
 from ...kernel.messages import DemandSample
 from ...kernel.metrics import Metrics
 from ...routes import RouteDocument, RouteTable
-from .._backend import Backend, LoadReport
-from .._demand import DemandMeter
-from .._view import View
+from ..choosing._backend import Backend, LoadReport
+from ..choosing._view import View
+from ..metering._demand import DemandMeter
 from ..routing import RoutingContext, RoutingPolicy
 from ._headers import HeaderNames
 from ._holders import Holders
@@ -98,18 +98,9 @@
     def choose(
         self, context: RoutingContext, rng: random.Random, now_ms: float
     ) -> Backend | None:
-        """Return the server for a request; one ejected for errors if none else is."""
+        """Return the server for a request; None when there is none."""
         candidates = self.view.candidates(context.key)
-        chosen = self._policy.choose(candidates, context, rng, now_ms)
-        if chosen is not None:
-            return chosen
-        left = [
-            backend
-            for backend in candidates
-            if backend.view.server_id not in context.tried
-            and backend.reachable(context.key, now_ms)
-        ]
-        return min(left, key=lambda each: each.health.ejected_until_ms, default=None)
+        return self._policy.choose(candidates, context, rng, now_ms)
 
     def demand_samples(self, now_ms: float) -> tuple[DemandSample, ...]:
         """Return the demand since the last call, with what waited at servers."""
--- a/src/cowslipwood/entry/fronts/_fields.py
+++ b/src/cowslipwood/entry/fronts/_fields.py
@@ -9,7 +9,7 @@
 
 from ...catalogue import Entry, EntryKind
 from ...kernel.codes import Code, Failure, failure
-from .._view import View
+from ..choosing._view import View
 
 __all__ = ["BadFieldError", "CompletionFields", "prefix_hash", "read_object", "shared"]
 
--- a/src/cowslipwood/entry/fronts/_writing.py
+++ b/src/cowslipwood/entry/fronts/_writing.py
@@ -8,11 +8,11 @@
 from returns.result import Result, Success
 
 from ...kernel.codes import Code, Failure, failure
-from .._caller import Caller
-from .._dispatch import Answer, AnswerCutError
-from .._events import Chunk
-from .._generation import Finish, Generation, deliver_answer, generate
 from .._serving import CallerRequest, OpenCall, Serving, run_claimed
+from ..sending._dispatch import Answer, AnswerCutError
+from ..sending._events import Chunk
+from ..sending._generation import Finish, Generation, deliver_answer, generate
+from ..taking._caller import Caller
 from ._fields import (
     BadFieldError,
     CompletionFields,
--- a/src/cowslipwood/entry/fronts/chat.py
+++ b/src/cowslipwood/entry/fronts/chat.py
@@ -3,8 +3,8 @@
 from typing import Any
 
 from ...kernel.registry import PluginKind, register
-from .._caller import Caller
 from .._serving import CallerRequest, Serving
+from ..taking._caller import Caller
 from ._fields import BadFieldError
 from ._writing import Kind, serve_completion
 
--- a/src/cowslipwood/entry/fronts/models.py
+++ b/src/cowslipwood/entry/fronts/models.py
@@ -5,8 +5,8 @@
 from ...catalogue import Entry, EntryKind
 from ...kernel.codes import Code, failure
 from ...kernel.registry import PluginKind, register
-from .._caller import Caller
 from .._serving import CallerRequest, Serving
+from ..taking._caller import Caller
 
 __all__ = ["Models"]
 
--- a/src/cowslipwood/entry/fronts/services.py
+++ b/src/cowslipwood/entry/fronts/services.py
@@ -8,10 +8,10 @@
 from ...catalogue import EntryKind
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.registry import PluginKind, register
-from .._caller import Caller
-from .._dispatch import Answer, Attempt
-from .._service_call import WholeAnswer, call_service, read_whole
 from .._serving import CallerRequest, OpenCall, Serving, run_claimed
+from ..sending._dispatch import Answer, Attempt
+from ..sending._service_call import WholeAnswer, call_service, read_whole
+from ..taking._caller import Caller
 
 __all__ = ["Services"]
 
--- /dev/null
+++ b/src/cowslipwood/entry/metering/__init__.py
@@ -0,0 +1,1 @@
+"""Measures latency and demand."""
--- a/src/cowslipwood/entry/_demand.py
+++ b/src/cowslipwood/entry/metering/_demand.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from ..kernel.messages import DemandSample
+from ...kernel.messages import DemandSample
 
 __all__ = ["DemandMeter"]
 
--- a/src/cowslipwood/entry/_meters.py
+++ b/src/cowslipwood/entry/metering/_meters.py
@@ -5,10 +5,10 @@
 
 from hdrh.histogram import HdrHistogram
 
-from ..catalogue import Entry
-from ..kernel.messages import DemandSample
-from ..kernel.metrics import Metrics
-from ._call import Call
+from ...catalogue import Entry
+from ...kernel.messages import DemandSample
+from ...kernel.metrics import Metrics
+from ..taking._call import Call
 from ._demand import DemandMeter
 
 __all__ = ["Meters", "Timing", "within_limits"]
--- a/src/cowslipwood/entry/routing/_affinity.py
+++ b/src/cowslipwood/entry/routing/_affinity.py
@@ -3,7 +3,7 @@
 import bisect
 from collections.abc import Sequence
 
-from .._backend import Backend
+from ..choosing._backend import Backend
 
 __all__ = ["preferred_backend"]
 
--- a/src/cowslipwood/entry/routing/_policy.py
+++ b/src/cowslipwood/entry/routing/_policy.py
@@ -4,7 +4,7 @@
 from collections.abc import Collection, Sequence
 from typing import NamedTuple, Protocol
 
-from .._backend import Backend
+from ..choosing._backend import Backend
 
 __all__ = ["RoutingContext", "RoutingPolicy", "usable_candidates", "zone_distance"]
 
--- a/src/cowslipwood/entry/routing/least_cost.py
+++ b/src/cowslipwood/entry/routing/least_cost.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 
 from ...kernel.registry import PluginKind, register
-from .._backend import Backend
+from ..choosing._backend import Backend
 from ._affinity import preferred_backend
 from ._policy import RoutingContext, usable_candidates, zone_distance
 
@@ -43,8 +43,20 @@
         rng: random.Random,
         now_ms: float,
     ) -> Backend | None:
-        """Return the server of least cost; None when no candidate is usable."""
+        """Return the server of least cost; None when no candidate is reachable.
+
+        When every server has been ejected for its errors, they all count again:
+        what they have in common is the service's own fault, and one of them
+        could not take the load of all.
+        """
         usable = usable_candidates(candidates, context, now_ms)
+        if not usable:
+            usable = [
+                backend
+                for backend in candidates
+                if backend.view.server_id not in context.tried
+                and backend.reachable(context.key, now_ms)
+            ]
         if not usable:
             return None
         preferred = None
--- a/src/cowslipwood/entry/routing/random_choice.py
+++ b/src/cowslipwood/entry/routing/random_choice.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from ...kernel.registry import PluginKind, register
-from .._backend import Backend
+from ..choosing._backend import Backend
 from ._policy import RoutingContext, usable_candidates
 
 __all__ = ["RandomChoice"]
--- a/src/cowslipwood/entry/routing/sampled_load.py
+++ b/src/cowslipwood/entry/routing/sampled_load.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 
 from ...kernel.registry import PluginKind, register
-from .._backend import Backend
+from ..choosing._backend import Backend
 from ._affinity import preferred_backend
 from ._policy import RoutingContext, usable_candidates, zone_distance
 
--- /dev/null
+++ b/src/cowslipwood/entry/sending/__init__.py
@@ -0,0 +1,1 @@
+"""Sends attempts to agents and passes their answers on."""
--- a/src/cowslipwood/entry/_attempt_client.py
+++ b/src/cowslipwood/entry/sending/_attempt_client.py
@@ -4,9 +4,9 @@
 from returns.result import Failure as Err
 from returns.result import Result
 
-from ..kernel.codes import Code, Failure, failure
-from ..kernel.messages import AttemptEnd, AttemptQuery
-from ..kernel.wire import decode_record, encode_record
+from ...kernel.codes import Code, Failure, failure
+from ...kernel.messages import AttemptEnd, AttemptQuery
+from ...kernel.wire import decode_record, encode_record
 
 __all__ = ["AttemptClient"]
 
--- a/src/cowslipwood/entry/_dispatch.py
+++ b/src/cowslipwood/entry/sending/_dispatch.py
@@ -10,9 +10,9 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..kernel.codes import Code, Failure, Outcome, failure
-from ..kernel.messages import ServerView
-from ._backend import LoadReport
+from ...kernel.codes import Code, Failure, Outcome, failure
+from ...kernel.messages import ServerView
+from ..choosing._backend import LoadReport
 
 __all__ = ["Answer", "AnswerCutError", "Attempt", "Dispatcher", "parse_report"]
 
--- a/src/cowslipwood/entry/_events.py
+++ b/src/cowslipwood/entry/sending/_events.py
@@ -7,7 +7,7 @@
 import anyio
 import orjson
 
-from ..kernel.codes import Code, failure
+from ...kernel.codes import Code, failure
 from ._dispatch import Answer, AnswerCutError
 
 __all__ = ["Chunk", "read_chunks"]
--- a/src/cowslipwood/entry/_generation.py
+++ b/src/cowslipwood/entry/sending/_generation.py
@@ -10,13 +10,13 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..catalogue import ServiceClass
-from ..kernel.codes import Code, Failure, failure
-from ._backend import Backend
-from ._call import Call, begun_call
+from ...catalogue import ServiceClass
+from ...kernel.codes import Code, Failure, failure
+from .._serving import Serving
+from ..choosing._backend import Backend
+from ..taking._call import Call, begun_call
 from ._dispatch import Answer, AnswerCutError, Attempt
 from ._events import Chunk, read_chunks
-from ._serving import Serving
 
 __all__ = [
     "Finish",
--- a/src/cowslipwood/entry/_service_call.py
+++ b/src/cowslipwood/entry/sending/_service_call.py
@@ -7,14 +7,14 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..kernel.codes import Code, Failure, failure
-from ._backend import Backend
-from ._caller import Caller
+from ...kernel.codes import Code, Failure, failure
+from .._serving import OpenCall, Serving
+from ..choosing._backend import Backend
+from ..choosing._router import Attempts
+from ..metering._meters import Timing
+from ..taking._caller import Caller
 from ._dispatch import Answer, AnswerCutError, Attempt
 from ._generation import attempt_headers
-from ._meters import Timing
-from ._router import Attempts
-from ._serving import OpenCall, Serving
 
 __all__ = ["WholeAnswer", "call_service", "read_whole", "run_attempt"]
 
--- a/src/cowslipwood/entry/_admission.py
+++ b/src/cowslipwood/entry/taking/_admission.py
@@ -1,7 +1,7 @@
 """Predicts whether a backend server can begin an answer in time."""
 
-from ..catalogue import ServiceClass
-from ._backend import Backend
+from ...catalogue import ServiceClass
+from ..choosing._backend import Backend
 from ._call import Call
 
 __all__ = ["can_begin_in_time", "predicted_first_ms"]
--- a/src/cowslipwood/entry/_call.py
+++ b/src/cowslipwood/entry/taking/_call.py
@@ -7,8 +7,8 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..catalogue import Entry, EntryKind, ServiceClass
-from ..kernel.codes import Code, Failure, failure
+from ...catalogue import Entry, EntryKind, ServiceClass
+from ...kernel.codes import Code, Failure, failure
 
 __all__ = ["Call", "begun_call", "make_call", "parse_deadline", "parse_request_id"]
 
--- a/src/cowslipwood/entry/_caller.py
+++ b/src/cowslipwood/entry/taking/_caller.py
@@ -6,9 +6,9 @@
 import anyio
 import orjson
 
-from ..kernel.codes import CODE_INFO, Failure
-from ..kernel.http import error_body
-from ..kernel.metrics import Metrics
+from ...kernel.codes import CODE_INFO, Failure
+from ...kernel.http import error_body
+from ...kernel.metrics import Metrics
 
 __all__ = ["Caller", "CallerStalledError"]
 
--- a/src/cowslipwood/entry/_front.py
+++ b/src/cowslipwood/entry/taking/_front.py
@@ -8,12 +8,12 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..kernel.codes import Code, Failure, failure
-from ..kernel.http import Request, read_request
-from ..kernel.logs import get_logger
+from ...kernel.codes import Code, Failure, failure
+from ...kernel.http import Request, read_request
+from ...kernel.logs import get_logger
+from .._serving import CallerRequest, FrontEnd, Serving
 from ._call import parse_request_id
 from ._caller import Caller, CallerStalledError
-from ._serving import CallerRequest, FrontEnd, Serving
 
 __all__ = ["Bounds", "Front"]
 
--- a/src/cowslipwood/entry/_protocol.py
+++ b/src/cowslipwood/entry/taking/_protocol.py
@@ -8,9 +8,9 @@
 import orjson
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from ..kernel.codes import CODE_INFO, Code, Failure, failure
-from ..kernel.http import error_body
-from ..kernel.metrics import Metrics
+from ...kernel.codes import CODE_INFO, Code, Failure, failure
+from ...kernel.http import error_body
+from ...kernel.metrics import Metrics
 
 __all__ = ["caller_protocol"]
 
--- a/src/cowslipwood/entry/_shares.py
+++ b/src/cowslipwood/entry/taking/_shares.py
@@ -7,8 +7,8 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ..catalogue import Entry
-from ..kernel.codes import Code, Failure, failure
+from ...catalogue import Entry
+from ...kernel.codes import Code, Failure, failure
 
 __all__ = ["Shares", "share_of"]
 
--- a/tests/direct_builders.py
+++ b/tests/direct_builders.py
@@ -11,7 +11,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from cowslipwood.entry._view import View
+from cowslipwood.entry.choosing._view import View
 from cowslipwood.entry.direct._exchange import RoutedRequest
 from cowslipwood.entry.direct._headers import HeaderNames, read_request_facts
 from cowslipwood.entry.direct._retries import BudgetTerms
--- a/tests/entry_builders.py
+++ b/tests/entry_builders.py
@@ -12,16 +12,16 @@
 
 from cowslipwood.catalogue import Entry, parse_entry
 from cowslipwood.entry import fronts  # noqa: F401
-from cowslipwood.entry._backend import LoadReport
-from cowslipwood.entry._call import Call, make_call
-from cowslipwood.entry._claims import Claims
-from cowslipwood.entry._dispatch import Answer, AnswerCutError, Attempt
-from cowslipwood.entry._front import Bounds, Front
-from cowslipwood.entry._meters import Meters
-from cowslipwood.entry._router import Router
 from cowslipwood.entry._serving import Serving
-from cowslipwood.entry._shares import Shares
-from cowslipwood.entry._view import View, entry_key
+from cowslipwood.entry.choosing._backend import LoadReport
+from cowslipwood.entry.choosing._router import Router
+from cowslipwood.entry.choosing._view import View, entry_key
+from cowslipwood.entry.claims._claims import Claims
+from cowslipwood.entry.metering._meters import Meters
+from cowslipwood.entry.sending._dispatch import Answer, AnswerCutError, Attempt
+from cowslipwood.entry.taking._call import Call, make_call
+from cowslipwood.entry.taking._front import Bounds, Front
+from cowslipwood.entry.taking._shares import Shares
 from cowslipwood.keeper._claim_table import ClaimTable
 from cowslipwood.keeper._commands import (
     ClaimAttemptCommand,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -17,7 +17,7 @@
     Attempts,
 )
 from cowslipwood.catalogue import parse_entry
-from cowslipwood.entry._claim_keys import claim_key
+from cowslipwood.entry.claims._claim_keys import claim_key
 from cowslipwood.keeper._claim_table import ClaimTable
 from cowslipwood.keeper._commands import (
     ClaimAttemptCommand,
--- a/tests/test_entry_front.py
+++ b/tests/test_entry_front.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cowslipwood.entry._counters import REASON_COUNTERS
-from cowslipwood.entry._front import Bounds
+from cowslipwood.entry.taking._counters import REASON_COUNTERS
+from cowslipwood.entry.taking._front import Bounds
 from cowslipwood.kernel.codes import CODE_INFO, Code
 from cowslipwood.kernel.metrics import Metrics
 
--- a/tests/test_entry_generation.py
+++ b/tests/test_entry_generation.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from returns.result import Success
 
-from cowslipwood.entry._generation import Generation, generate
+from cowslipwood.entry.sending._generation import Generation, generate
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.codes import Code
 from cowslipwood.standins.engine import expected_text
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -8,9 +8,9 @@
 import anyio.abc
 import orjson
 
-from cowslipwood.entry._backend import LoadReport
-from cowslipwood.entry._dispatch import Dispatcher
-from cowslipwood.entry._protocol import caller_protocol
+from cowslipwood.entry.choosing._backend import LoadReport
+from cowslipwood.entry.sending._dispatch import Dispatcher
+from cowslipwood.entry.taking._protocol import caller_protocol
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.codes import Code, failure
 from cowslipwood.kernel.http import HttpServer, bind_socket, error_body
--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -6,7 +6,7 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from cowslipwood.entry._dispatch import parse_report
+from cowslipwood.entry.sending._dispatch import parse_report
 from cowslipwood.standins.engine import expected_text
 
 from .builders import model_value
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -8,8 +8,8 @@
 from returns.result import Failure as Err
 from returns.result import Success
 
-from cowslipwood.entry._backend import LoadReport
-from cowslipwood.entry._shares import Shares, share_of
+from cowslipwood.entry.choosing._backend import LoadReport
+from cowslipwood.entry.taking._shares import Shares, share_of
 from cowslipwood.kernel.codes import Code, Outcome, failure
 from cowslipwood.kernel.messages import RoutingUpdate
 from cowslipwood.kernel.metrics import Metrics
--- /dev/null
+++ b/tests/test_load_patterns.py
@@ -0,0 +1,212 @@
+"""Load patterns seen on heavy days, and the decisions that answer them.
+
+No network: each test feeds a deciding function what it would see under the
+pattern that its class is named for.
+"""
+
+import unittest
+from collections import Counter
+
+from cowslipwood.entry.choosing._backend import Backend, LoadReport
+from cowslipwood.entry.direct._retries import BudgetTerms, SharedBudget
+from cowslipwood.entry.routing import RoutingContext
+from cowslipwood.entry.routing.least_cost import LeastCost
+from cowslipwood.keeper.engines._decide import ModelDemand, copy_step, missing_step
+from cowslipwood.keeper.engines._demand import DemandView
+from cowslipwood.kernel.messages import DemandSample, EntryReport
+from cowslipwood.listing import as_view
+
+from .direct_builders import listed, seeded
+from .engine_builders import MODELS, record
+
+NOW_MS = 60_000.0
+N_SERVERS = 4
+
+
+def backends(n_slots: int = 64, zones: tuple[str, ...] = ("zone-1",)) -> list[Backend]:
+    """Return idle servers, in turn in the zones."""
+    views = [
+        as_view(
+            listed(f"s{i}", f"127.0.0.1:{i + 1}", n_slots=n_slots)._replace(
+                zone=zones[i % len(zones)]
+            ),
+            ("k",),
+        )
+        for i in range(N_SERVERS)
+    ]
+    return [Backend(view, NOW_MS) for view in views]
+
+
+def choose(servers: list[Backend], **changes) -> Backend | None:
+    """Return the policy's choice."""
+    context = RoutingContext("k", zone="zone-1")._replace(**changes)
+    return LeastCost().choose(servers, context, seeded(), NOW_MS)
+
+
+def demand_report(entry_id: str, **waiting: float) -> EntryReport:
+    """Return an entry's report of requests that wait for models."""
+    samples = tuple(
+        DemandSample(f"llm|{name}", value, value, 0.0, value)
+        for name, value in waiting.items()
+    )
+    return EntryReport(entry_id, "i", "zone-1", "127.0.0.1:1", False, 1, samples)
+
+
+class LongPromptsTest(unittest.TestCase):
+    """Long prompts that share their first parts."""
+
+    def test_shared_parts_stay_on_one_server(self):
+        """Requests with the same parts go to one server while its queue is short."""
+        servers = backends()
+        chosen = {
+            choose(servers, prefix_hash=99, n_shared_tokens=6_300).view.server_id
+            for _ in range(20)
+        }
+        self.assertEqual(len(chosen), 1)
+
+    def test_queue_outweighs_kept_parts(self):
+        """A queue longer than the parts would take to read sends it elsewhere."""
+        servers = backends()
+        first = choose(servers, prefix_hash=99, n_shared_tokens=6_300)
+        first.n_pending_tokens = 60_000
+        second = choose(servers, prefix_hash=99, n_shared_tokens=6_300)
+        self.assertIsNot(first, second)
+
+
+class BurstTest(unittest.TestCase):
+    """Many requests within a report's age."""
+
+    def test_own_requests_spread(self):
+        """One entry's burst spreads over servers that all look idle."""
+        servers = backends()
+        counts: Counter[str] = Counter()
+        for _ in range(40):
+            chosen = choose(servers)
+            chosen.n_in_flight += 1
+            chosen.n_pending_tokens += 800
+            counts[chosen.view.server_id] += 1
+        self.assertEqual(sorted(counts.values()), [10] * N_SERVERS)
+
+    def test_reported_queue(self):
+        """A server with a reported queue gets nothing while others are idle."""
+        servers = backends()
+        servers[0].reported(LoadReport(8, 12, 0.0, 64), NOW_MS)
+        chosen = {
+            choose(servers, n_shared_tokens=100).view.server_id for _ in range(20)
+        }
+        self.assertNotIn("s0", chosen)
+
+
+class FailingServiceTest(unittest.TestCase):
+    """All servers of a service fail a part of their requests."""
+
+    def test_load_stays_spread(self):
+        """With every server ejected, requests still go to all of them."""
+        servers = backends(n_slots=6)
+        for server in servers:
+            for _ in range(10):
+                server.health.failed(NOW_MS - 10)
+        counts: Counter[str] = Counter()
+        for _ in range(20):
+            chosen = choose(servers)
+            chosen.n_in_flight += 1
+            counts[chosen.view.server_id] += 1
+        self.assertEqual(sorted(counts.values()), [5] * N_SERVERS)
+
+
+class DistanceTest(unittest.TestCase):
+    """Idle servers in several availability zones."""
+
+    def test_own_zone_first(self):
+        """An idle server of the own zone goes before idle ones elsewhere."""
+        servers = backends(zones=("zone-2", "zone-1"))
+        self.assertEqual(choose(servers).view.zone, "zone-1")
+
+    def test_load_outweighs_distance(self):
+        """A queue in the own zone sends requests to the next one."""
+        servers = backends(zones=("zone-2", "zone-1"))
+        for server in servers:
+            if server.view.zone == "zone-1":
+                server.n_pending_tokens = 9_000
+        self.assertEqual(choose(servers).view.zone, "zone-2")
+
+
+class ShiftingDemandTest(unittest.TestCase):
+    """Demand moves to a model that one engine holds."""
+
+    def test_copy_follows_within_seconds(self):
+        """Waits at the only holder lead to a second copy within two seconds."""
+        view = DemandView()
+        records = [
+            record("s0", {"m0": set(), "m1": set()}),
+            record("s1", {"m2": set(), "m3": set()}),
+        ]
+        for step in range(40):
+            now_ms = NOW_MS + step * 50
+            view.take_report(demand_report("e1", m0=6.0), now_ms)
+            view.update({}, 50.0, now_ms)
+            if copy_step(records, MODELS, view.by_model, now_ms) is not None:
+                break
+        self.assertLess(step, 39)
+
+    def test_pause_keeps_copies(self):
+        """A pause of a second in the demand does not cost a copy its worth."""
+        view = DemandView()
+        for step in range(100):
+            view.take_report(demand_report("e1", m0=6.0), NOW_MS + step * 50)
+            view.update({}, 50.0, NOW_MS + step * 50)
+        before = view.by_model["m0"].waiting
+        for step in range(100, 120):
+            view.take_report(demand_report("e1"), NOW_MS + step * 50)
+            view.update({}, 50.0, NOW_MS + step * 50)
+        self.assertGreater(view.by_model["m0"].waiting, 0.7 * before)
+
+
+class RareModelsTest(unittest.TestCase):
+    """Rare models are asked for at once while a busy one needs its copies."""
+
+    def test_spare_copies_go_first(self):
+        """A rare model displaces a spare copy without waits, not another rare one."""
+        records = [
+            record("s0", {"m0": set(), "m1": set()}),
+            record("s1", {"m0": set(), "m2": set()}),
+        ]
+        demand = {
+            "m0": ModelDemand(waiting=0.1, recent=1.0),
+            "m1": ModelDemand(recent=1.0),
+            "m2": ModelDemand(recent=1.0),
+        }
+        step = missing_step(records, MODELS[5], demand, NOW_MS)
+        self.assertEqual(step.drop_model, "m0")
+
+    def test_least_recent_goes_first(self):
+        """Among single models, the one not asked for in a while makes way."""
+        records = [record("s0", {"m1": set(), "m2": set()})]
+        demand = {"m1": ModelDemand(recent=0.9), "m2": ModelDemand(recent=0.1)}
+        step = missing_step(records, MODELS[5], demand, NOW_MS)
+        self.assertEqual(step.drop_model, "m2")
+
+
+class RepeatingCallersTest(unittest.TestCase):
+    """Callers repeat at once and often while servers fail."""
+
+    def test_window_bound(self):
+        """Within any window all entries together keep to the service's budget."""
+        terms = BudgetTerms(0.2, 64.0, 10_000.0)
+        budgets = [SharedBudget(terms) for _ in range(8)]
+        taken: list[float] = []
+        for step in range(4_000):
+            now_ms = step * 10.0
+            budget = budgets[step % 8]
+            if step % 4 == 0:
+                budget.fresh(now_ms)
+            if budget.take(8, now_ms):
+                taken.append(now_ms)
+        for start_ms in range(0, 30_000, 500):
+            n_repeats = sum(start_ms <= at < start_ms + 10_000 for at in taken)
+            self.assertLessEqual(n_repeats, 0.2 * 250 + 64)
+
+    def test_calm_service_may_repeat(self):
+        """A service with few requests may still repeat some."""
+        budget = SharedBudget(BudgetTerms(0.2, 64.0, 10_000.0))
+        self.assertTrue(budget.take(8, 0.0))
