--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -22,7 +22,14 @@
 )
 from ...kernel.metrics import Metrics
 from ...kernel.registry import PluginKind, lookup, plugin_names
-from ...kernel.settings import address, one_of, optional_address, peer_list, within
+from ...kernel.settings import (
+    Check,
+    address,
+    one_of,
+    optional_address,
+    peer_list,
+    within,
+)
 from ...kernel.tokens import read_token
 from ...listing import ListSource
 from ...routes import parse_document
@@ -64,6 +71,9 @@
         Name of this entry.
     zone : str
         Availability zone of this host.
+    list_url : str
+        http://ip:port/path of the list of backend servers; empty where the
+        program is given another source.
     routing : str
         Routing policy.
     list_ms : int
@@ -92,6 +102,7 @@
     zone: str
     ready_listen: str = ""
     ready_path: str = ""
+    list_url: str = ""
     routing: str = "least_cost"
     list_ms: int = 900
     report_ms: int = 500
@@ -108,6 +119,10 @@
     "listen": address(),
     "metrics_listen": address(),
     "ready_listen": optional_address(),
+    "list_url": Check(
+        "http://ip:port/path, or empty",
+        lambda url: not url or url.startswith("http://"),
+    ),
     "routing": one_of(*plugin_names(PluginKind.ROUTING_POLICY)),
     "list_ms": within(50, 60_000),
     "report_ms": within(10, 10_000),
--- a/src/cowslipwood/listing/__init__.py
+++ b/src/cowslipwood/listing/__init__.py
@@ -1,5 +1,6 @@
 """The platform's list of backend servers, and what servers hold."""
 
+from ._http_list import HttpList
 from ._servers import (
     ListedModel,
     ListedServer,
@@ -11,6 +12,7 @@
 )
 
 __all__ = [
+    "HttpList",
     "ListSource",
     "ListedModel",
     "ListedServer",
--- /dev/null
+++ b/src/cowslipwood/listing/_http_list.py
@@ -0,0 +1,56 @@
+"""A list of backend servers as JSON from one address."""
+
+import orjson
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..kernel.clock import monotonic_ms
+from ..kernel.codes import Code, Failure, failure
+from ..kernel.http_pool import ConnectionPool
+from ..kernel.logs import get_logger
+from ..routes import FieldError, decode_record
+from ._servers import ListedServer
+
+__all__ = ["HttpList"]
+
+# A reading that hangs must leave time for another one.
+TIMEOUT_MS = 800.0
+
+
+class HttpList:
+    """A `ListSource`: ``{"servers": [...]}`` with the fields of `ListedServer`.
+
+    Parameters
+    ----------
+    url : str
+        ``http://ip:port/path``.
+    """
+
+    def __init__(self, url: str):
+        self._addr, _, path = url.removeprefix("http://").partition("/")
+        self._target = "/" + path
+        self._pool = ConnectionPool()
+
+    async def read(self) -> Result[list[ListedServer], Failure]:
+        """Return all servers; entries that cannot be read are left out."""
+        answered = await self._pool.exchange(
+            self._addr, "GET", self._target, [], b"", monotonic_ms(), TIMEOUT_MS
+        )
+        if isinstance(answered, Err):
+            return answered
+        answer = answered.unwrap()
+        if answer.status != 200:
+            return Err(failure(Code.OVERLOADED, f"list: status {answer.status}"))
+        try:
+            values = orjson.loads(answer.body)["servers"]
+        except (orjson.JSONDecodeError, KeyError, TypeError) as exc:
+            return Err(failure(Code.BAD_MESSAGE, f"list: {type(exc).__name__}"))
+        return Success([each for each in map(_server, values) if each is not None])
+
+
+def _server(value: object) -> ListedServer | None:
+    try:
+        return decode_record(ListedServer, value, "server")
+    except FieldError as exc:
+        get_logger().info("list_entry_ignored", reason=str(exc)[:120])
+        return None
--- a/src/cowslipwood/routes/__init__.py
+++ b/src/cowslipwood/routes/__init__.py
@@ -1,6 +1,6 @@
 """Routes by host and path prefix, and the document that lists them all."""
 
-from ._decode import encode_record
+from ._decode import FieldError, decode_record, encode_record
 from ._document import (
     CallerLimits,
     EngineSpec,
@@ -17,6 +17,7 @@
 __all__ = [
     "CallerLimits",
     "EngineSpec",
+    "FieldError",
     "ModelSpec",
     "Route",
     "RouteDocument",
@@ -24,6 +25,7 @@
     "RouteTable",
     "ServiceSpec",
     "WeightedService",
+    "decode_record",
     "encode_record",
     "parse_document",
     "pick_service",
