Keep keepers' connections open before they are needed; a stopping keeper does not stand

A restarted follower had never asked for a vote, so its connections were first dialled when the votes were due, and every question failed as not connected. Change: each member is dialled from the start; a keeper that is stopping no longer stands for election. Ruled out: a slow disk (ballots were saved within 2 ms), the votes' rules (the same candidate won later with the same log).

--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -46,9 +46,13 @@
 
 __all__ = ["DirectEntry", "DirectSettings", "direct_checks"]
 
+# Idle connections are kept for seconds; they may outlive that by this much.
 SWEEP_MS = 500.0
+# An own reading of the list begins at most this late.
 LIST_CHECK_MS = 100.0
+# Adds at most this to the length of a stop.
 DRAIN_POLL_MS = 20.0
+# A caller that takes longer over a request's head holds a connection for nothing.
 HEAD_TIMEOUT_MS = 10_000.0
 
 
--- a/src/cowslipwood/entry/direct/_headers.py
+++ b/src/cowslipwood/entry/direct/_headers.py
@@ -134,7 +134,9 @@
     )
 
 
-def read_answer(headers: Iterable[tuple[bytes, bytes]], names: HeaderNames):
+def read_answer(
+    headers: Iterable[tuple[bytes, bytes]], names: HeaderNames
+) -> AnswerFacts:
     """Read a server's headers."""
     held = dict(headers)
     load = _numbers(_text(held, names.load))
--- a/src/cowslipwood/entry/direct/_retries.py
+++ b/src/cowslipwood/entry/direct/_retries.py
@@ -7,8 +7,14 @@
 
 __all__ = ["Attempted", "SharedBudget", "final_failure", "may_try_again"]
 
-# A window shorter than this share of the budget's own would not see its sums.
+# A window is counted in this many parts, so a sum is at most one part too long.
 N_PARTS = 10
+# Entries that have just come or gone are not yet counted everywhere.
+MARGIN = 0.75
+# Less than a connection and a short run take.
+MIN_LEFT_MS = 20.0
+# Refusals of this many servers mean that the service is full, not the server.
+MAX_SENT = 3
 
 
 class Attempted(NamedTuple):
@@ -91,10 +97,6 @@
                 del counts[old]
 
 
-# Entries that have just come or gone are not yet counted everywhere.
-MARGIN = 0.75
-
-
 def may_try_again(
     route: Route, attempted: Attempted, fault: Failure, left_ms: float
 ) -> bool:
@@ -116,12 +118,6 @@
     return attempted.n_sent < MAX_SENT
 
 
-# Less than a connection and a short run take.
-MIN_LEFT_MS = 20.0
-# Refusals of this many servers mean that the service is full, not the server.
-MAX_SENT = 3
-
-
 def final_failure(attempted: Attempted, fault: Failure, retry_after_ms: int) -> Failure:
     """Return the failure to answer with; what may have run is never called not run."""
     if attempted.n_maybe_run and fault.outcome is Outcome.NOT_RUN:
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -41,6 +41,8 @@
 
 RETRY_AFTER_MS = 500
 HANDOVER_TIMEOUT_MS = 2_000
+# A member that was just added is dialled this soon, before it can be asked to vote.
+DIAL_CHECK_MS = 500
 MAX_COMMAND_BYTES = 8 * 1024 * 1024
 
 
@@ -193,6 +195,7 @@
         """Take part in the log for as long as the process runs."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._links.run)
+            tasks.start_soon(self._keep_links)
             tasks.start_soon(self._applier.run)
             tasks.start_soon(
                 form_log,
@@ -203,9 +206,20 @@
             )
             while True:
                 await wait_until_due(self._state)
+                if self._is_stopping:
+                    # It would win, as its log is newest, and be gone at once.
+                    await anyio.sleep_forever()
                 if await stand_for_election(self._state, self._links, self._metrics):
                     await self._lead()
 
+    async def _keep_links(self) -> None:
+        """Dial every member, so that a first election finds its connections."""
+        while True:
+            for member in self.members:
+                if member.replica_id != self.replica_id:
+                    self._links.link(member.addr)
+            await self._state.changed.wait_for(DIAL_CHECK_MS)
+
     async def propose(self, command: bytes) -> Result[Any, Failure]:
         """Commit a command and return what applying it returned.
 
--- a/tests/test_routes_processes.py
+++ b/tests/test_routes_processes.py
@@ -115,6 +115,20 @@
         addrs = self.cluster.keepers.split(",")
         return f"k{addrs.index(status['leader']) + 1}"
 
+    def restart(self, name: str) -> None:
+        """Stop a keeper as planned and start it again with its folder."""
+        self.cluster.processes[name].send_signal(signal.SIGTERM)
+        self.cluster.processes[name].wait()
+        addr = self.cluster.keepers.split(",")[int(name[1]) - 1]
+        addrs = enumerate(self.cluster.keepers.split(","), 1)
+        peers = ",".join(f"k{n}={each}" for n, each in addrs)
+        self.cluster.start_member(name, name, addr, free_port(), f"--peers={peers}")
+        wait_for(lambda: self._follows(name), f"{name} to follow again")
+
+    def count(self, text: str) -> int:
+        """Return how many lines of the keepers' logs hold a text."""
+        return sum(self.cluster.log(f"k{n}").count(text) for n in (1, 2, 3))
+
     def test_before_and_after_a_document(self):
         """Without a document the entry is not ready and answers 503, never 404."""
         port, side = self.start_entry()
@@ -156,6 +170,22 @@
         self.cluster.processes[self.leader()].kill()
         self.assertEqual(self.apply(4), 4)
 
+    def test_planned_stop_hands_over(self):
+        """A stopping leader is followed by one election, which its successor wins.
+
+        The followers have been restarted, so none has asked for a vote before.
+        """
+        self.apply(1)
+        leader = self.leader()
+        for name in {"k1", "k2", "k3"} - {leader}:
+            self.restart(name)
+        n_before = self.count("event=election_started")
+        self.apply(2)
+        self.cluster.processes[leader].send_signal(signal.SIGTERM)
+        self.assertEqual(self.cluster.processes[leader].wait(), 0)
+        self.assertEqual(self.apply(3), 3)
+        self.assertEqual(self.count("event=election_started"), n_before + 1)
+
     def test_stop_finishes_what_was_read(self):
         """SIGTERM answers the request under way, and the process ends well."""
         port, side = self.start_entry()
@@ -172,6 +202,11 @@
         self.assertEqual(answers, [(200, b"ran /orders/slow")])
         self.assertEqual(self.cluster.processes["entry"].wait(), 0)
 
+    def _follows(self, name: str) -> bool:
+        """Return whether a keeper has begun to listen since its last start."""
+        log = self.cluster.log(name)
+        return "event=listening" in log.rpartition("event=stopped")[2]
+
     def _member_ids(self) -> set[str]:
         members = json.loads(self.cluster.ctl("members", "--json").stdout)
         return {each["replica_id"] for each in members["members"]}
