--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,12 @@
 	$(BIN)/nose2 --start-dir tests
 
 lint: install
-	$(BIN)/ruff format --check src tests spec benchmarks
-	$(BIN)/ruff check src tests spec benchmarks
+	$(BIN)/ruff format --check src platform tests spec benchmarks
+	$(BIN)/ruff check src platform tests spec benchmarks
 
 format: install
-	$(BIN)/ruff format src tests spec benchmarks
-	$(BIN)/ruff check --fix src tests spec benchmarks
+	$(BIN)/ruff format src platform tests spec benchmarks
+	$(BIN)/ruff check --fix src platform tests spec benchmarks
 
 demo: install
 	$(BIN)/cowslip-solo --demo
