Let an entry's own reading count when no leader tells; share the retry budget by the highest count

And a newly elected leader that has heard from few entries gave each a larger part of the shared retry budget than is there.

--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -234,8 +234,9 @@
             case DocumentUpdate():
                 self._use(value)
             case RoutingUpdate():
-                self._state.n_entries = max(1, value.n_entries)
-                self._servers.take_update(value, monotonic_ms())
+                now_ms = monotonic_ms()
+                self._state.entries.told(value.n_entries, now_ms)
+                self._servers.take_update(value, now_ms)
             case FleetLoad():
                 self._servers.take_load(value, monotonic_ms())
 
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -151,7 +151,7 @@
             again = again and fault.code not in FINAL_CODES
             again = again and (not self._started or self._request.route.is_resumable)
             if again and self._attempted.n_sent:
-                again = budget.take(self._state.n_entries, now_ms)
+                again = budget.take(self._state.entries.n_entries, now_ms)
                 outcome = "retries_total" if again else "retries_denied_total"
                 self._state.metrics.count(outcome, reason=fault.code.name)
             if not again:
--- a/src/cowslipwood/entry/direct/_retries.py
+++ b/src/cowslipwood/entry/direct/_retries.py
@@ -1,11 +1,19 @@
 """Decides whether a failed attempt is followed by another, and the final answer."""
 
+import math
 from typing import NamedTuple
 
 from ...kernel.codes import Code, Failure, Outcome, failure
 from ...routes import Route
 
-__all__ = ["Attempted", "SharedBudget", "final_failure", "may_try_again"]
+__all__ = [
+    "Attempted",
+    "BudgetTerms",
+    "EntryCount",
+    "SharedBudget",
+    "final_failure",
+    "may_try_again",
+]
 
 # A window is counted in this many parts, so a sum is at most one part too long.
 N_PARTS = 10
@@ -49,6 +57,30 @@
     window_ms: float = 10_000.0
 
 
+class EntryCount:
+    """The live entries among which a budget is shared.
+
+    A leader that has just been elected has heard from few; the highest count of
+    the last window counts, so that no entry takes another's part meanwhile.
+
+    Parameters
+    ----------
+    window_ms : float
+    """
+
+    def __init__(self, window_ms: float):
+        self._window_ms = window_ms
+        self._highest_ms = -math.inf
+        self.n_entries = 1
+
+    def told(self, n_entries: int, now_ms: float) -> None:
+        """Take in the leader's count."""
+        is_old = now_ms - self._highest_ms > self._window_ms
+        if n_entries >= self.n_entries or is_old:
+            self.n_entries = max(1, n_entries)
+            self._highest_ms = now_ms
+
+
 class SharedBudget:
     """One entry's part of the repeats that all entries may send to a service.
 
--- a/src/cowslipwood/entry/direct/_servers.py
+++ b/src/cowslipwood/entry/direct/_servers.py
@@ -80,8 +80,13 @@
         self._is_told = False
 
     def take_list(self, servers: Iterable[ListedServer], now_ms: float) -> None:
-        """Take in a reading of the list made at this time."""
+        """Take in a reading of the list made at this time.
+
+        It counts once what the leader told is older than an entry may go by.
+        """
         self.listed_ms = max(self.listed_ms, now_ms)
+        if now_ms - self._told_list_ms > OWN_READING_MS:
+            self._is_told = False
         if not self._is_told:
             views = [
                 as_view(each, tuple(sorted(listed_keys(each)))) for each in servers
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -16,7 +16,7 @@
 from ..routing import RoutingContext, RoutingPolicy
 from ._headers import HeaderNames
 from ._holders import Holders
-from ._retries import BudgetTerms, SharedBudget
+from ._retries import BudgetTerms, EntryCount, SharedBudget
 from ._servers import KnownServers
 
 __all__ = ["DirectState"]
@@ -64,7 +64,7 @@
         self.document: RouteDocument | None = None
         self.has_document = anyio.Event()
         self.table = RouteTable()
-        self.n_entries = 1
+        self.entries = EntryCount(terms.window_ms)
         self._policy = policy
         self._terms = terms
         self._budgets: dict[str, SharedBudget] = {}
--- a/src/cowslipwood/replication/_election.py
+++ b/src/cowslipwood/replication/_election.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import anyio
+from returns.result import Failure as Err
 from returns.result import Success
 
 from ..kernel.clock import monotonic_ms
@@ -101,6 +102,15 @@
             case Success(VoteReply(term, _)) if term > state.term:
                 state.follow(term)
                 done.set()
+            case Err(fault):
+                get_logger().info(
+                    "vote_not_answered",
+                    member=member.replica_id,
+                    term=request.term,
+                    pre=request.pre,
+                    code=fault.code.value,
+                    reason=fault.message,
+                )
         if has_quorum(members, granted):
             done.set()
 
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -8,7 +8,7 @@
 from collections import Counter
 
 from cowslipwood.entry.choosing._backend import Backend, LoadReport
-from cowslipwood.entry.direct._retries import BudgetTerms, SharedBudget
+from cowslipwood.entry.direct._retries import BudgetTerms, EntryCount, SharedBudget
 from cowslipwood.entry.routing import RoutingContext
 from cowslipwood.entry.routing.least_cost import LeastCost
 from cowslipwood.keeper.engines._decide import ModelDemand, copy_step, missing_step
@@ -206,6 +206,15 @@
             n_repeats = sum(start_ms <= at < start_ms + 10_000 for at in taken)
             self.assertLessEqual(n_repeats, 0.2 * 250 + 64)
 
+    def test_new_leader_counts_few(self):
+        """A leader that has heard from few entries does not raise their parts."""
+        count = EntryCount(10_000.0)
+        count.told(8, 0.0)
+        count.told(1, 500.0)
+        self.assertEqual(count.n_entries, 8)
+        count.told(3, 10_600.0)
+        self.assertEqual(count.n_entries, 3)
+
     def test_calm_service_may_repeat(self):
         """A service with few requests may still repeat some."""
         budget = SharedBudget(BudgetTerms(0.2, 64.0, 10_000.0))
