Check an adapter's room before its order; keep quiet after an election where tokens are not checked

Cause, found by reading: an adapter that takes the place of a smaller one was checked by number only, and where engines do not check fencing tokens a new leader could order while an order of the leader before is on its way. Change: number and room are checked under the engine's lock; without checked tokens a new leader gives no order for one lease. Tests for both.

--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -73,6 +73,7 @@
     source: ListSource
     client: EngineClient
     store_window_ms: float = 5_000.0
+    quiet_ms: float = 0.0
 
 
 async def run_keeper(
@@ -145,7 +146,9 @@
         if engines is None:
             return None
         return EngineController(
-            EngineTerms(self._settings.keeper_id, engines.store_window_ms),
+            EngineTerms(
+                self._settings.keeper_id, engines.store_window_ms, engines.quiet_ms
+            ),
             engines.source,
             engines.client,
             self._replica.leads,
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -63,10 +63,14 @@
         Name under which this keeper gives orders.
     store_window_ms : float
         Window in which loads from the weight store are counted.
+    quiet_ms : float
+        How long a new leader gives no order, where engines do not check fencing
+        tokens: an order of the leader before may still be on its way.
     """
 
     holder: str
     store_window_ms: float = 5_000.0
+    quiet_ms: float = 0.0
 
 
 class EngineController:
@@ -197,7 +201,7 @@
                 record, *step.drop_adapter
             ):
                 return None
-            if record.n_adapters >= record.spec.max_adapters:
+            if not record.has_place(request.model):
                 return None
             record.in_transit.add(key)
             if not await self._order(record, OrderOp.LOAD, *key):
@@ -241,6 +245,11 @@
             load_s = spec.load_time_s if from_store else spec.disk_load_s
             await self._order(record, OrderOp.LOAD, spec.name, "", load_s * 1000)
 
+    def _may_order(self, now_ms: float) -> bool:
+        """Return whether this keeper leads and the leader before has gone quiet."""
+        is_quiet_over = now_ms - self._led_since_ms >= self._terms.quiet_ms
+        return self._leads(now_ms) and self._led_term == self._term() and is_quiet_over
+
     def _store_allows(self, record: EngineRecord, now_ms: float) -> bool:
         """Return whether the weight store's rate allows one more load now."""
         window_ms = self._terms.store_window_ms
@@ -263,7 +272,7 @@
     ) -> bool:
         """Give one order under the record's lock; return whether it was accepted."""
         now_ms = monotonic_ms()
-        if not self._leads(now_ms) or record.sequence is None:
+        if not self._may_order(now_ms) or record.sequence is None:
             return False
         order = EngineOrder(
             op, model, adapter, record.sequence, self._terms.holder, self._term()
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -90,6 +90,12 @@
             total += spec.weights_mb + len(adapters) * spec.adapter_size_mb
         return total
 
+    def has_place(self, model: str) -> bool:
+        """Return whether one more adapter of a model fits, by number and by room."""
+        sizes = {each.name: each.adapter_size_mb for each in self.spec.models}
+        is_free = self.n_adapters < self.spec.max_adapters
+        return is_free and self.free_mb >= sizes.get(model, self.spec.weights_mb)
+
     def has(self, model: str, adapter: str) -> bool:
         """Return whether an adapter takes one of the places, ready or not."""
         return adapter in self.held.get(model, ())
--- a/tests/engine_builders.py
+++ b/tests/engine_builders.py
@@ -148,11 +148,11 @@
             return Err(failure(Code.BACKEND_TIMEOUT))
         return Success(outcome)
 
-    def controller(self, holder: str = "k1") -> EngineController:
+    def controller(self, quiet_ms: float = 0.0) -> EngineController:
         """Return a controller that gives orders to these engines."""
         document = RouteDocument(1, (), (ServiceSpec("llm", engine=SPEC),))
         return EngineController(
-            EngineTerms(holder),
+            EngineTerms("k1", quiet_ms=quiet_ms),
             self,
             self,
             lambda now_ms: self.leads,
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -29,11 +29,11 @@
     return None
 
 
-def run(fleet: FakeFleet, act) -> None:
+def run(fleet: FakeFleet, act, quiet_ms: float = 0.0) -> None:
     """Run a controller beside an action."""
 
     async def main():
-        controller = fleet.controller()
+        controller = fleet.controller(quiet_ms)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(controller.run)
             await anyio.sleep(0.05)
@@ -170,6 +170,20 @@
         self.assertEqual(fleet.orders[0].expected_sequence, 5)
         self.assertEqual(fleet.orders[0].fencing_token, 2)
 
+    def test_quiet_new_leader(self):
+        """Where tokens are not checked, a new leader orders nothing for a while."""
+        fleet = FakeFleet([FakeEngine("s0", {"m0": set()})])
+
+        async def act(controller):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask, controller, "m0", "a1")
+                await anyio.sleep(0.3)
+                self.assertEqual(fleet.orders, [])
+                await anyio.sleep(0.6)
+                self.assertEqual(len(fleet.orders), 1)
+
+        run(fleet, act, quiet_ms=600.0)
+
     @settings(max_examples=15, derandomize=True, deadline=None)
     @given(st.integers(0, 2**32))
     def test_never_over_room(self, seed):
@@ -276,6 +290,13 @@
         step = missing_step(records, MODELS[5], demand, 60_000.0)
         self.assertIn(step.drop_model, ("m1", "m2"))
 
+    def test_adapter_needs_room(self):
+        """A free place is none where the adapter's weights do not fit."""
+        tight = SPEC._replace(weights_mb=61.5)
+        held = record("s0", {"m0": {"a1"}, "m1": set()}, spec=tight)
+        self.assertFalse(held.has_place("m0"))
+        self.assertTrue(record("s1", {"m0": {"a1"}}, spec=tight).has_place("m0"))
+
     def test_reserved_room(self):
         """Room that was made for one model is not taken by another."""
         held = record("s0", {"m1": set()})
