Let the tests' fake keeper send heartbeats as a real one does

Cause: an agent takes a keeper for lost after 0.9 s of silence (3 s before); the fake one never spoke unasked, so the agent dialled it anew each second, and an assignment sent in between was lost: one agent test waited 60 s in a run beside other work. Change: the fake sends a heartbeat each 0.3 s. Ruled out: the agent's own heartbeat.

--- a/tests/fake_keeper.py
+++ b/tests/fake_keeper.py
@@ -9,6 +9,7 @@
 from cowslipwood.kernel.channel import Channel
 from cowslipwood.kernel.codes import Code, failure
 from cowslipwood.kernel.messages import (
+    Ack,
     AgentReport,
     Assignment,
     DesiredModel,
@@ -21,6 +22,8 @@
 __all__ = ["FakeKeeper", "fake_keeper"]
 
 IDLE_TIMEOUT_MS = 60_000
+# As a leading keeper sends them; an agent takes a silent one for lost.
+HEARTBEAT_S = 0.3
 
 
 class FakeKeeper:
@@ -39,7 +42,16 @@
         await channel.receive()
         await channel.send(Welcome("k1", 1, self.addr))
         self._channel = channel
-        await channel.run(self._handle)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._send_heartbeats, channel)
+            await channel.run(self._handle)
+            tasks.cancel_scope.cancel()
+
+    async def _send_heartbeats(self, channel: Channel) -> None:
+        """Show that the leader is alive, as a real one does."""
+        while True:
+            await channel.send(Ack(0))
+            await anyio.sleep(HEARTBEAT_S)
 
     async def assign(
         self, term: int, revision: int, *models: DesiredModel, drained: bool = False
