Wait for the restarted agent's own report in tests

Cause: after an agent was killed and started again, a report of the killed one that was still on its way counted as the new one's, so the assignment went to a connection that was gone and the test waited 60 s; seen three times beside heavy load, in tests that kill the agent. The log shows the agent connected and no order after it. Change: the report must come from another incarnation. Nothing is waited for less.

--- a/tests/agent_bench.py
+++ b/tests/agent_bench.py
@@ -36,8 +36,11 @@
         self.client = Client(f"127.0.0.1:{self._port}")
 
     async def start(self) -> None:
-        """Start the agent's process and wait for its first report."""
-        self.keeper.report = None
+        """Start the agent's process and wait for its first report.
+
+        Reports of a process that was killed may still be on their way.
+        """
+        before = self.keeper.report.incarnation if self.keeper.report else None
         self._cluster.start(
             "agent",
             "agent",
@@ -48,7 +51,12 @@
             "--report-ms=20",
             *self._flags,
         )
-        await until(lambda: self.keeper.report is not None, "the agent's report")
+        await until(lambda: self._has_reported(before), "the agent's report")
+
+    def _has_reported(self, before: str | None) -> bool:
+        """Return whether a report came from another incarnation than before."""
+        report = self.keeper.report
+        return report is not None and report.incarnation != before
 
     def signal(self, signum: signal.Signals) -> None:
         """Send a signal to the agent."""
