Take no request late in a stop's grace

Change: requests are taken for at most 0.3 of the grace (2.4 s of 8). Test: test_room_for_long_streams.

--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -50,6 +50,9 @@
 SWEEP_MS = 500.0
 # An own reading of the list begins at most this late.
 LIST_CHECK_MS = 100.0
+# Of the grace: a request that is read later may not end before the process is
+# killed, and its caller could still have gone elsewhere.
+SERVING_SHARE = 0.3
 # Adds at most this to the length of a stop.
 DRAIN_POLL_MS = 20.0
 # A caller that takes longer over a request's head holds a connection for nothing.
@@ -224,7 +227,8 @@
         """Go on serving until the balancer has noticed, then end what is open."""
         self._app.is_leaving = True
         with anyio.move_on_after(self._settings.grace_ms / 1000):
-            await anyio.sleep(self._settings.drain_ms / 1000)
+            settings = self._settings
+            await anyio.sleep(serving_ms(settings.drain_ms, settings.grace_ms) / 1000)
             server.stop()
             while self._app.n_in_flight:
                 await anyio.sleep(DRAIN_POLL_MS / 1000)
@@ -301,6 +305,19 @@
             await anyio.sleep(self._settings.report_ms / 1000)
 
 
+def serving_ms(drain_ms: float, grace_ms: float) -> float:
+    """Return for how long a stopping entry takes requests.
+
+    Parameters
+    ----------
+    drain_ms : float
+        Time that the balancer may need to notice.
+    grace_ms : float
+        Time from the signal to the kill.
+    """
+    return min(drain_ms, SERVING_SHARE * grace_ms)
+
+
 async def _nothing(scope: dict, receive: Any, send: Any) -> None:
     """Answer what is no health question."""
     await send_failure(send, failure(Code.NO_SUCH_ROUTE))
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -8,6 +8,7 @@
 from collections import Counter
 
 from cowslipwood.entry.choosing._backend import Backend, LoadReport
+from cowslipwood.entry.direct._entry import serving_ms
 from cowslipwood.entry.direct._retries import BudgetTerms, EntryCount, SharedBudget
 from cowslipwood.entry.routing import RoutingContext
 from cowslipwood.entry.routing.least_cost import LeastCost
@@ -219,3 +220,12 @@
         """A service with few requests may still repeat some."""
         budget = SharedBudget(BudgetTerms(0.2, 64.0, 10_000.0))
         self.assertTrue(budget.take(8, 0.0))
+
+
+class PlannedStopTest(unittest.TestCase):
+    """Entries are stopped in turn while long streams run."""
+
+    def test_room_for_long_streams(self):
+        """A request is taken only while most of the grace is left to finish it."""
+        self.assertLessEqual(serving_ms(3_000.0, 8_000.0), 2_400.0)
+        self.assertEqual(serving_ms(300.0, 8_000.0), 300.0)
