--- /dev/null
+++ b/benchmarks/bench_direct.py
@@ -0,0 +1,158 @@
+"""Processor time of an entry with direct routes, per request and per event.
+
+The entry runs in the main thread, whose processor time alone is counted; the
+backend server and the callers run in another.
+
+Run: ``python -m benchmarks.bench_direct [N_REQUESTS] [--profile]``
+"""
+
+import cProfile
+import pstats
+import random
+import sys
+import threading
+import time
+
+import anyio
+import anyio.to_thread
+import h11
+
+from cowslipwood.entry.direct._app import RouteApp
+from cowslipwood.entry.taking._protocol import caller_protocol
+from cowslipwood.kernel.http import HttpServer, bind_socket
+from cowslipwood.kernel.logs import configure_logs
+from tests.direct_builders import direct_state, document, listed
+
+ENTRY_PORT = 18_931
+SERVER_PORT = 18_932
+EVENTS = (1, 19)
+PAUSE_S = 0.001  # apart, so that each event is a wake-up of its own
+HEAD_TIMEOUT_MS = 10_000.0
+
+
+async def _serve_one(stream: anyio.abc.SocketStream, n_events: int) -> None:
+    conn = h11.Connection(h11.SERVER)
+    async with stream:
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    conn.receive_data(await stream.receive())
+                except anyio.EndOfStream:
+                    return
+            elif isinstance(event, h11.Request):
+                request_id = dict(event.headers).get(b"x-request-id", b"")
+            elif isinstance(event, h11.EndOfMessage):
+                head = h11.Response(
+                    status_code=200,
+                    headers=[
+                        ("content-type", "text/event-stream"),
+                        ("x-request-id", request_id),
+                        ("transfer-encoding", "chunked"),
+                    ],
+                )
+                await stream.send(conn.send(head))
+                for number in range(n_events):
+                    data = b"id: %d\ndata: %s\n\n" % (number, b"x" * 60)
+                    await stream.send(conn.send(h11.Data(data=data)))
+                    await anyio.sleep(PAUSE_S)
+                await stream.send(conn.send(h11.EndOfMessage()))
+                conn.start_next_cycle()
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+
+async def _call(n_requests: int) -> None:
+    stream = await anyio.connect_tcp("127.0.0.1", ENTRY_PORT)
+    conn = h11.Connection(h11.CLIENT)
+    async with stream:
+        for number in range(n_requests):
+            headers = [
+                ("host", "shop.example"),
+                ("x-request-id", f"q{number}"),
+                ("content-length", "1700"),
+            ]
+            sent = h11.Request(method="POST", target="/orders/7", headers=headers)
+            data = conn.send(sent) + conn.send(h11.Data(data=b"y" * 1700))
+            await stream.send(data + conn.send(h11.EndOfMessage()))
+            while True:
+                event = conn.next_event()
+                if event is h11.NEED_DATA:
+                    conn.receive_data(await stream.receive())
+                elif isinstance(event, h11.Response) and event.status_code != 200:
+                    raise RuntimeError(f"status {event.status_code}")
+                elif isinstance(event, h11.EndOfMessage):
+                    conn.start_next_cycle()
+                    break
+
+
+async def _others(n_requests: int, n_events: int, ready: threading.Event) -> None:
+    async with anyio.create_task_group() as tasks:
+        listener = await anyio.create_tcp_listener(
+            local_host="127.0.0.1", local_port=SERVER_PORT, reuse_port=True
+        )
+
+        async def serve(stream: anyio.abc.SocketStream) -> None:
+            await _serve_one(stream, n_events)
+
+        tasks.start_soon(listener.serve, serve)
+        ready.wait()
+        async with anyio.create_task_group() as callers:
+            for _ in range(4):
+                callers.start_soon(_call, n_requests // 4)
+        tasks.cancel_scope.cancel()
+
+
+async def _entry(n_requests: int, n_events: int) -> float:
+    """Return the entry's processor milliseconds for each request."""
+    state = direct_state([listed("s1", f"127.0.0.1:{SERVER_PORT}")])
+    routes = [
+        {
+            "name": "r1",
+            "host": "shop.example",
+            "path_prefix": "/orders/",
+            "kind": "streaming",
+            "timeout_ms": 15_000,
+            "services": [{"service": "desk", "weight": 1}],
+            "max_attempts": 1,
+        }
+    ]
+    state.use(document(routes=routes))
+    app = RouteApp(state, random.Random(1))
+    protocol = caller_protocol(state.metrics, HEAD_TIMEOUT_MS)
+    server = HttpServer(app, bind_socket(f"127.0.0.1:{ENTRY_PORT}"), protocol)
+    ready = threading.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run)
+        await anyio.sleep(0.2)
+        began_s = time.thread_time()
+        ready.set()
+        await anyio.to_thread.run_sync(
+            lambda: anyio.run(_others, n_requests, n_events, ready)
+        )
+        used_s = time.thread_time() - began_s
+        tasks.cancel_scope.cancel()
+    return used_s * 1000 / n_requests
+
+
+def main() -> None:
+    """Print the cost of a request and of an event."""
+    arguments = [each for each in sys.argv[1:] if each != "--profile"]
+    n_requests = int(arguments[0]) if arguments else 2_000
+    configure_logs("bench", output=open("/dev/null", "w"))  # noqa: SIM115
+    profile = cProfile.Profile() if "--profile" in sys.argv else None
+    costs = []
+    for n_events in EVENTS:
+        if profile and n_events == EVENTS[-1]:
+            profile.enable()
+        costs.append(anyio.run(_entry, n_requests, n_events))
+    if profile:
+        profile.disable()
+        pstats.Stats(profile).sort_stats("tottime").print_stats(45)
+    few, many = EVENTS
+    event_ms = (costs[1] - costs[0]) / (many - few)
+    print(f"request {costs[0] - event_ms * few:.3f} ms, event {event_ms:.4f} ms")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cowslipwood/entry/__init__.py
+++ b/src/cowslipwood/entry/__init__.py
@@ -1,5 +1,4 @@
-"""The process that callers reach: limits, admission, routing, retries."""
+"""The process that callers reach: limits, admission, routing, retries.
 
-from ._entry import EntrySettings, entry_checks, run_entry
-
-__all__ = ["EntrySettings", "entry_checks", "run_entry"]
+`through_agents` and `direct` are its two programs; a process loads only its own.
+"""
--- /dev/null
+++ b/src/cowslipwood/entry/through_agents/__init__.py
@@ -0,0 +1,5 @@
+"""An entry whose backend servers have agents beside them."""
+
+from ._entry import EntrySettings, entry_checks, run_entry
+
+__all__ = ["EntrySettings", "entry_checks", "run_entry"]
--- a/src/cowslipwood/entry/_entry.py
+++ b/src/cowslipwood/entry/through_agents/_entry.py
@@ -7,31 +7,31 @@
 
 import anyio
 
-from ..kernel.channel import Channel
-from ..kernel.clock import monotonic_ms
-from ..kernel.codes import Code
-from ..kernel.http import HttpServer, bind_socket, with_health
-from ..kernel.keeper_link import KeeperLink
-from ..kernel.lifecycle import check_tokens
-from ..kernel.logs import get_logger
-from ..kernel.messages import CatalogueUpdate, EntryReport, Hello, RoutingUpdate
-from ..kernel.metrics import Metrics
-from ..kernel.registry import PluginKind, lookup, plugin_names
-from ..kernel.settings import address, one_of, peer_list, within
-from ..kernel.tokens import read_token
-from . import fronts  # noqa: F401
-from ._serving import Serving
-from .choosing._backend import LoadReport
-from .choosing._router import Router
-from .choosing._view import View
-from .claims._claims import Claims
-from .metering._meters import Meters
-from .sending._attempt_client import AttemptClient
-from .sending._dispatch import Dispatcher
-from .taking._counters import REASON_COUNTERS
-from .taking._front import Bounds, Front
-from .taking._protocol import caller_protocol
-from .taking._shares import Shares
+from ...kernel.channel import Channel
+from ...kernel.clock import monotonic_ms
+from ...kernel.codes import Code
+from ...kernel.http import HttpServer, bind_socket, with_health
+from ...kernel.keeper_link import KeeperLink
+from ...kernel.lifecycle import check_tokens
+from ...kernel.logs import get_logger
+from ...kernel.messages import CatalogueUpdate, EntryReport, Hello, RoutingUpdate
+from ...kernel.metrics import Metrics
+from ...kernel.registry import PluginKind, lookup, plugin_names
+from ...kernel.settings import address, one_of, peer_list, within
+from ...kernel.tokens import read_token
+from .. import fronts  # noqa: F401
+from .._serving import Serving
+from ..choosing._backend import LoadReport
+from ..choosing._router import Router
+from ..choosing._view import View
+from ..claims._claims import Claims
+from ..metering._meters import Meters
+from ..sending._attempt_client import AttemptClient
+from ..sending._dispatch import Dispatcher
+from ..taking._counters import REASON_COUNTERS
+from ..taking._front import Bounds, Front
+from ..taking._protocol import caller_protocol
+from ..taking._shares import Shares
 
 __all__ = ["EntrySettings", "entry_checks", "run_entry"]
 
--- a/src/cowslipwood/keeper/_platform.py
+++ b/src/cowslipwood/keeper/_platform.py
@@ -8,13 +8,13 @@
 from typing import Protocol
 
 import anyio
-import httpcore
 import orjson
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
 from ..kernel.clock import monotonic_ms
 from ..kernel.codes import Code, Failure, failure
+from ..kernel.http_pool import ConnectionPool
 from ..kernel.metrics import Metrics
 from ..kernel.registry import PluginKind, lookup, register
 from ._directory import Directory
@@ -44,25 +44,30 @@
     """
 
     def __init__(self, url: str):
-        self._url = url.rstrip("/") + "/hosts"
-        self._pool = httpcore.AsyncConnectionPool()
+        self._addr, _, path = url.removeprefix("http://").partition("/")
+        self._target = f"/{path.rstrip('/')}/hosts" if path else "/hosts"
+        self._pool = ConnectionPool()
 
     async def hosts(self) -> Result[Mapping[str, str], Failure]:
         """Fetch and check the list."""
-        timeout_s = FETCH_TIMEOUT_MS / 1000
-        limits = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
-        try:
-            with anyio.fail_after(timeout_s):
-                response = await self._pool.request(
-                    "GET", self._url, extensions={"timeout": limits}
-                )
-        except (httpcore.NetworkError, httpcore.TimeoutException, TimeoutError):
-            return Err(failure(Code.PEER_GONE, "the platform does not answer"))
-        except httpcore.ProtocolError:
-            return Err(failure(Code.BAD_MESSAGE, "the platform's answer is broken"))
-        if response.status != 200:
-            return Err(failure(Code.BAD_MESSAGE, f"got status {response.status}"))
-        return parse_hosts(response.content)
+        answered = await self._pool.exchange(
+            self._addr,
+            "GET",
+            self._target,
+            [],
+            b"",
+            monotonic_ms(),
+            FETCH_TIMEOUT_MS,
+        )
+        match answered:
+            case Success(answer) if answer.status == 200:
+                return parse_hosts(answer.body)
+            case Success(answer):
+                return Err(failure(Code.BAD_MESSAGE, f"got status {answer.status}"))
+            case _ if answered.failure().code is Code.ANSWER_CUT:
+                message = "the platform's answer is broken"
+                return Err(failure(Code.BAD_MESSAGE, message))
+        return Err(failure(Code.PEER_GONE, "the platform does not answer"))
 
 
 def parse_hosts(body: bytes) -> Result[Mapping[str, str], Failure]:
--- a/src/cowslipwood/kernel/http.py
+++ b/src/cowslipwood/kernel/http.py
@@ -76,11 +76,21 @@
 
 
 class _Server(uvicorn.Server):
-    """A uvicorn server that leaves signals to the program."""
+    """A uvicorn server that leaves signals to the program.
+
+    uvicorn's own loop looks ten times a second for its end; this one is told.
+    """
+
+    def __init__(self, config: uvicorn.Config):
+        super().__init__(config)
+        self.stopping = anyio.Event()
 
     def install_signal_handlers(self) -> None:
         pass
 
+    async def main_loop(self) -> None:
+        await self.stopping.wait()
+
 
 class HttpServer:
     """Serves an ASGI application on a bound socket.
@@ -129,6 +139,7 @@
     def stop(self) -> None:
         """Stop accepting and let open requests finish."""
         self._server.should_exit = True
+        self._server.stopping.set()
 
 
 async def read_request(
--- a/src/cowslipwood/programs/entry.py
+++ b/src/cowslipwood/programs/entry.py
@@ -1,6 +1,6 @@
 """The program ``cowslip-entry``."""
 
-from ..entry import EntrySettings, entry_checks, run_entry
+from ..entry.through_agents import EntrySettings, entry_checks, run_entry
 from ..kernel.lifecycle import run_program
 
 __all__ = ["main"]
--- a/src/cowslipwood/programs/solo.py
+++ b/src/cowslipwood/programs/solo.py
@@ -15,7 +15,7 @@
 from returns.result import Failure as Err
 
 from ..agent import AgentSettings, run_agent
-from ..entry import EntrySettings, run_entry
+from ..entry.through_agents import EntrySettings, run_entry
 from ..keeper import KeeperSettings, run_keeper
 from ..kernel.lifecycle import run_program
 from ..kernel.logs import get_logger
