Spread adapters by load; leave one in use where it is

A report that lagged behind an accepted order was adopted after a conflict. And adapters went to the engine with fewest of them, whatever ran there (26 to 39 requests beside an engine with 5 to 13).

Change: an adapter makes way only when no entry has reported it for 700 ms; one whose unload waits keeps its place, gets no request and blocks further orders; a report older than the last accepted order is never adopted; adapters go where least runs and are copied to engines with 6 requests fewer; questions that find no place count as waiting for another copy of the model; pauses at one server that refuses grow from 15 ms to 1 s. Servers are told before their load.

Ruled out: full engines (36 to 48 of 64 places) and late orders as the cause of 503.

--- a/benchmarks/bench_direct.py
+++ b/benchmarks/bench_direct.py
@@ -16,12 +16,12 @@
 import anyio
 import anyio.to_thread
 import h11
+from tests.direct_builders import direct_state, document, listed
 
 from cowslipwood.entry.direct._app import RouteApp
 from cowslipwood.entry.taking._protocol import caller_protocol
 from cowslipwood.kernel.http import HttpServer, bind_socket
 from cowslipwood.kernel.logs import configure_logs
-from tests.direct_builders import direct_state, document, listed
 
 ENTRY_PORT = 18_931
 SERVER_PORT = 18_932
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -37,8 +37,10 @@
 PATIENCE_TARGETS = 2.0
 RETRY_AFTER_MS = 250.0
 MAX_HELD_BYTES = 65_536
-# Before a request goes again to a server that refused it: an adapter's load.
+# Before a request goes again to a server that refused it: an adapter's load. Each
+# further pause is longer by the factor, as a place or a run there may have to end.
 SAME_SERVER_PAUSE_MS = 15.0
+PAUSE_FACTOR = 4.0
 LEAST_URGENT = 9
 # More than the ranks that operators use for their routes.
 LATE_RANKS = 4
@@ -123,6 +125,7 @@
         self._rng = rng
         self._attempted = Attempted()
         self._tried: set[str] = set()
+        self._pause_ms = SAME_SERVER_PAUSE_MS
         self._log = get_logger()
         self._started = False
         self._last_event_id = b""
@@ -218,7 +221,8 @@
                 # The leader knows of what happened since that server refused, or
                 # an order there is about to end.
                 self._tried.discard(held.unwrap())
-                await anyio.sleep(SAME_SERVER_PAUSE_MS / 1000)
+                await anyio.sleep(self._pause_ms / 1000)
+                self._pause_ms *= PAUSE_FACTOR
             chosen = state.choose(context, self._rng, state.now_ms())
         if chosen is None:
             return failure(Code.NO_REPLICA, f"no server for {request.key}")
--- a/src/cowslipwood/entry/direct/_retries.py
+++ b/src/cowslipwood/entry/direct/_retries.py
@@ -21,8 +21,9 @@
 MARGIN = 0.75
 # Less than a connection and a short run take.
 MIN_LEFT_MS = 20.0
-# Refusals of this many servers mean that the service is full, not the server.
-MAX_SENT = 3
+# After this many refusals the service is full, or its order hangs, for longer than
+# the pauses between: the caller does better to come back.
+MAX_SENT = 5
 
 
 class Attempted(NamedTuple):
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -80,6 +80,7 @@
     settings: KeeperSettings,
     stop: anyio.Event,
     engines: DirectEngines | None = None,
+    started_ms: float | None = None,
 ) -> None:
     """Run a keeper until `stop` is set.
 
@@ -89,13 +90,17 @@
     stop : anyio.Event
     engines : DirectEngines, optional
         How to reach engines that have no agent beside them.
+    started_ms : float, optional
+        A time after which no earlier process of this keeper ran; by default when
+        the folder was locked. Until an election's shortest timeout after it, the
+        keeper votes for nobody, as it may have answered a leader just before.
     """
     cluster_token = read_token(settings.cluster_token)
     operator_token = read_token(settings.operator_token)
     check_tokens(
         settings.listen, settings.allow_no_token, cluster_token, operator_token
     )
-    keeper = _Keeper(settings, cluster_token, operator_token, engines)
+    keeper = _Keeper(settings, cluster_token, operator_token, engines, started_ms)
     await keeper.run(stop)
 
 
@@ -106,13 +111,14 @@
         cluster_token: str,
         op_token: str,
         engines: DirectEngines | None,
+        started_ms: float | None,
     ):
         self._settings = settings
         self._cluster_token = cluster_token
         self._metrics = Metrics("keeper")
         self._machine = KeeperMachine()
         self._replica = _open_replica(
-            settings, cluster_token, self._machine, self._metrics
+            settings, cluster_token, self._machine, self._metrics, started_ms
         )
         self._directory = Directory()
         self._closing = Closing(self._directory)
@@ -336,9 +342,7 @@
             await subscriber.tell_keepers(members)
             applied = self._machine.applied
             await subscriber.tell_document(applied.version, applied.document)
-            if fleet is not None:
-                await subscriber.tell_fleet_load(fleet, now_ms)
-            await subscriber.tell_routing(views, entry_ids, now_ms)
+            await subscriber.tell_servers(views, fleet, entry_ids, now_ms)
             return
         server_id = subscriber.peer_id
         assigned = self._machine.assignments.get(server_id)
@@ -369,6 +373,7 @@
     cluster_token: str,
     machine: StateMachine,
     metrics: Metrics,
+    started_ms: float | None,
 ) -> LogReplica:
     """Open the data folder, or end the process with a numbered error."""
     peers = parse_peers(settings.peers)
@@ -384,8 +389,9 @@
         snapshot_entries=settings.snapshot_entries,
     )
     rng = random.Random()
+    began_ms = monotonic_ms() if started_ms is None else started_ms
     try:
-        return LogReplica(replica_settings, machine, metrics, rng, monotonic_ms())
+        return LogReplica(replica_settings, machine, metrics, rng, began_ms)
     except DataLockedError as exc:
         exit_with(Code.DATA_LOCKED, str(exc))
     except DataDamagedError as exc:
--- a/src/cowslipwood/keeper/_subscribers.py
+++ b/src/cowslipwood/keeper/_subscribers.py
@@ -99,11 +99,22 @@
             self._keepers = addrs
             await self._channel.send(KeepersUpdate(addrs))
 
-    async def tell_fleet_load(self, load: FleetLoad, now_ms: float) -> None:
-        """Send the load of engines, at most once each `FLEET_LOAD_MS`."""
-        if now_ms >= self._fleet_told_ms + FLEET_LOAD_MS:
+    async def tell_servers(
+        self,
+        views: dict[str, ServerView],
+        fleet: FleetLoad | None,
+        entry_ids: Sequence[str],
+        now_ms: float,
+    ) -> None:
+        """Send the changed servers, then the load, at most once each `FLEET_LOAD_MS`.
+
+        The load says how old the list is by which the servers are told; an entry
+        that had it first would go by the servers told before, or by none.
+        """
+        await self.tell_routing(views, entry_ids, now_ms)
+        if fleet is not None and now_ms >= self._fleet_told_ms + FLEET_LOAD_MS:
             self._fleet_told_ms = now_ms
-            await self._channel.send(load)
+            await self._channel.send(fleet)
 
     async def tell_routing(
         self, views: dict[str, ServerView], entry_ids: Sequence[str], now_ms: float
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
 import anyio
@@ -30,6 +30,7 @@
     copy_step,
     missing_step,
     prior_demand,
+    spread_step,
 )
 from ._demand import DemandView
 from ._fleet import Fleet
@@ -144,16 +145,27 @@
             return as_refused(failure(Code.NO_SUCH_MODEL, message))
         self._demand.asked(request.model, request.adapter, monotonic_ms())
         with anyio.move_on_after(FIND_TIMEOUT_MS / 1000):
-            while self._leads(monotonic_ms()):
-                held = await self._provide(request, spec)
-                if held is not None:
-                    return HolderReply(held.server.server_id, held.ready_keys())
-                await anyio.sleep(RETRY_MS / 1000)
+            held = await self._find(request, spec)
+            if held is not None:
+                return HolderReply(held.server.server_id, held.ready_keys())
         if not self._leads(monotonic_ms()):
             return as_refused(failure(Code.NOT_LEADER))
         message = f"{request.model}/{request.adapter}: no engine can take it"
         return as_refused(failure(Code.NO_REPLICA, message, retry_after_ms=500))
 
+    async def _find(
+        self, request: HolderRequest, spec: ModelSpec
+    ) -> EngineRecord | None:
+        """Return an engine once one holds what is asked for; None without the lead."""
+        while self._leads(monotonic_ms()):
+            held = await self._provide(request, spec)
+            if held is not None:
+                return held
+            has_model = any(e.holds(spec.name) for e in self._fleet.of(request.service))
+            with self._demand.held_up(spec.name if has_model else ""):
+                await anyio.sleep(RETRY_MS / 1000)
+        return None
+
     async def _provide(
         self, request: HolderRequest, spec: ModelSpec
     ) -> EngineRecord | None:
@@ -172,10 +184,10 @@
             return None
         if any((spec.name, request.adapter) in each.in_transit for each in holders):
             return None
-        step = adapter_step(holders, spec, {}, self._demand.adapter_used_ms, now_ms)
+        step = adapter_step(staying, spec, self._demand.adapter_used_ms, now_ms)
         if step is None:
             return None
-        return await self._take_adapter_step(request, step)
+        return await self._take_adapter_step(request.model, request.adapter, step)
 
     def _missing_step(
         self, records: list[EngineRecord], spec: ModelSpec, now_ms: float
@@ -189,11 +201,11 @@
         return missing_step(records, spec, self._demand.by_model, now_ms)
 
     async def _take_adapter_step(
-        self, request: HolderRequest, step: Step
+        self, model: str, adapter: str, step: Step
     ) -> EngineRecord | None:
         """Order an adapter and wait until it is there; None when it is not."""
         record = step.record
-        key = (request.model, request.adapter)
+        key = (model, adapter)
         async with record.lock:
             if not record.is_usable or record.has(*key):
                 return None
@@ -201,7 +213,7 @@
                 record, *step.drop_adapter
             ):
                 return None
-            if not record.has_place(request.model):
+            if not record.has_place(model):
                 return None
             record.in_transit.add(key)
             if not await self._order(record, OrderOp.LOAD, *key):
@@ -218,10 +230,11 @@
     async def _drop_adapter(
         self, record: EngineRecord, model: str, adapter: str
     ) -> bool:
-        """Order an adapter away; return whether the order was accepted."""
+        """Order an adapter away; return whether its place is free."""
         if not record.has(model, adapter):
             return False
-        return await self._order(record, OrderOp.UNLOAD, model, adapter)
+        await self._order(record, OrderOp.UNLOAD, model, adapter)
+        return not record.has(model, adapter)
 
     async def _take_model_step(self, spec: ModelSpec, step: Step) -> None:
         record = step.record
@@ -294,8 +307,9 @@
             reason=ended.failure().message if isinstance(ended, Err) else "",
         )
         if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.DONE):
-            record.accepted(op, model, adapter, takes_ms, monotonic_ms())
-            if outcome == OrderOutcome.DONE and not adapter:
+            is_over = outcome == OrderOutcome.DONE
+            record.accepted(op, model, adapter, takes_ms, monotonic_ms(), is_over)
+            if is_over and not adapter:
                 record.sequence = None  # whether it counted is for the report to say
             return True
         # What the engine holds now is unknown until its next report.
@@ -330,6 +344,22 @@
             )
             if found is not None:
                 self._tasks.start_soon(self._take_model_step, *found)
+            self._spread_adapters(records, service.engine.models, now_ms)
+
+    def _spread_adapters(
+        self, records: list[EngineRecord], models: Sequence[ModelSpec], now_ms: float
+    ) -> None:
+        staying = [e for e in records if not e.server.is_leaving and not e.is_lost]
+        spread = spread_step(
+            staying,
+            models,
+            self._demand.adapters_in_flight,
+            self._demand.adapter_used_ms,
+            now_ms,
+        )
+        if spread is not None:
+            spec, adapter, step = spread
+            self._tasks.start_soon(self._take_adapter_step, spec.name, adapter, step)
 
     def _service(self, name: str) -> ServiceSpec | None:
         document = self._document()
--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -1,6 +1,7 @@
 """Decides where a model or an adapter goes, and what makes way for it."""
 
 import math
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
@@ -16,6 +17,7 @@
     "copy_step",
     "missing_step",
     "prior_demand",
+    "spread_step",
 ]
 
 # Requests that wait for their first event, for each copy, below which another
@@ -28,14 +30,29 @@
 # lately that its load would have been in vain.
 FRESH_WORTH = 1.0
 FRESH_MS = 6_000.0
-# Adapters used more lately than this are displaced only if all are.
-ADAPTER_IDLE_MS = 300.0
+# Longer than the entries' report interval: an adapter that was reported within it
+# may be in use, and its unload would wait for its runs and block the engine.
+ADAPTER_IDLE_MS = 700.0
+# A copy displaces only what has not been used for this long, or copies would
+# drive out adapters that are asked for now and then.
+SPREAD_IDLE_MS = 5_000.0
+# Requests that an engine must have fewer before an adapter is copied to it:
+# below this the reports' age hides which of the two is busier.
+SPREAD_GAP = 6
+# Requests at once below which an adapter's copy would take nearly no load away.
+MIN_SPREAD_IN_FLIGHT = 0.5
 # In waiting requests: what the last copy of a model without demand is worth,
 # so that spare copies go before it and it goes before what is asked for. Its
 # next request would wait for a load.
 LAST_COPY = 0.25
-# Of a request that runs: an unload waits for its end, and blocks the engine.
+# Of a request that runs: an unload waits for its end.
 RUNNING_WORTH = 0.1
+# In waiting requests, for an unload that has to wait for a run: meanwhile the
+# engine takes no other order.
+BLOCKED_COST = 1.0
+# In waiting requests, for each in flight at a model's only engine: when that engine
+# is lost, its callers wait for a load from the store.
+SOLE_COPY_RISK = 0.15
 # In waiting requests, for each that waits on the engine that would be loaded.
 BUSY_COST = 0.1
 # In waiting requests, for a second copy in one availability zone: callers of the
@@ -94,48 +111,92 @@
 def adapter_step(
     records: Sequence[EngineRecord],
     model: ModelSpec,
-    in_flight: Mapping[str, float],
     used_ms: Mapping[tuple[str, str], float],
     now_ms: float,
+    idle_ms: float = ADAPTER_IDLE_MS,
 ) -> Step | None:
     """Return where an adapter goes; None while no engine can take it.
 
-    Free places go first, where fewest adapters are; then the adapter that has
-    not been used for longest makes way.
+    Free places go first, where the load is least; then an adapter that other
+    engines hold too makes way, then the one not used for longest.
 
     Parameters
     ----------
     records : sequence of EngineRecord
+        All engines; those that hold the model may take the adapter.
     model : ModelSpec
         The adapter's model.
-    in_flight : mapping of str to float
-        Requests in flight by server.
     used_ms : mapping of tuple of str to float
         When each model's adapter was last asked for.
     now_ms : float
+    idle_ms : float
+        Time since its last use after which an adapter may make way.
     """
     able = [each for each in records if each.is_usable and each.holds(model.name)]
-    free = [
-        each
+    free = [each for each in able if each.has_place(model.name)]
+    if free:
+        return Step(min(free, key=_adapter_load))
+    copies = Counter(key for each in records for key in each.adapter_keys())
+    oldest_ms = now_ms - idle_ms
+    idle = [
+        (copies[key] <= 1, used_ms.get(key, 0.0), each, key)
         for each in able
-        if each.n_adapters < each.spec.max_adapters
-        and each.free_mb >= model.adapter_size_mb
+        for key in each.adapter_keys()
+        if used_ms.get(key, 0.0) < oldest_ms and key not in each.in_transit
     ]
-    if free:
-        best = min(
-            free, key=lambda e: (in_flight.get(e.server.server_id, 0.0), e.n_adapters)
-        )
-        return Step(best)
-    found = None
-    oldest_ms = now_ms - ADAPTER_IDLE_MS
-    for each in able:
-        for name, adapters in each.held.items():
-            for adapter in adapters:
-                at_ms = used_ms.get((name, adapter), 0.0)
-                if at_ms < oldest_ms:
-                    oldest_ms = at_ms
-                    found = Step(each, "", (name, adapter))
-    return found
+    if not idle:
+        return None
+    _, _, record, key = min(idle, key=lambda option: option[:2])
+    return Step(record, "", key)
+
+
+def spread_step(
+    records: Sequence[EngineRecord],
+    models: Sequence[ModelSpec],
+    in_flight: Mapping[tuple[str, str], float],
+    used_ms: Mapping[tuple[str, str], float],
+    now_ms: float,
+) -> tuple[ModelSpec, str, Step] | None:
+    """Return a copy of an adapter for an engine with less to do; None for none.
+
+    Requests for an adapter go only where it is; a copy lets them go where its
+    model is and little runs. The adapter that is asked for most goes first.
+
+    Parameters
+    ----------
+    records : sequence of EngineRecord
+    models : sequence of ModelSpec
+    in_flight : mapping of tuple of str to float
+        Requests by model and adapter.
+    used_ms : mapping of tuple of str to float
+    now_ms : float
+    """
+    specs = {each.name: each for each in models}
+    for name, adapter in sorted(in_flight, key=in_flight.__getitem__, reverse=True):
+        spec = specs.get(name)
+        if spec is None or not adapter:
+            continue
+        if in_flight[name, adapter] < MIN_SPREAD_IN_FLIGHT:
+            return None
+        holders = [each for each in records if each.has(name, adapter)]
+        if not holders or any((name, adapter) in each.in_transit for each in holders):
+            continue
+        least = min(each.n_running + each.n_queued for each in holders)
+        others = [
+            each
+            for each in records
+            if each not in holders
+            and least - each.n_running - each.n_queued >= SPREAD_GAP
+        ]
+        step = adapter_step(others, spec, used_ms, now_ms, SPREAD_IDLE_MS)
+        if step is not None:
+            return spec, adapter, step
+    return None
+
+
+def _adapter_load(record: EngineRecord) -> float:
+    """Return what runs on an engine, and what its adapters will bring there."""
+    return record.n_running + record.n_queued + record.n_adapters
 
 
 def missing_step(
@@ -176,23 +237,31 @@
     ranked = sorted(
         models,
         key=lambda m: (
-            demand.get(m.name, NO_DEMAND).waiting / (copies.get(m.name, 0) + 1)
+            _asked(demand.get(m.name, NO_DEMAND)) / (copies.get(m.name, 0) + 1)
         ),
         reverse=True,
     )
     for model in ranked:
         n_copies = copies.get(model.name, 0)
-        wanted = demand.get(model.name, NO_DEMAND).waiting
+        wanted = demand.get(model.name, NO_DEMAND)
         # What nobody holds is loaded when it is asked for.
-        if not n_copies or wanted / n_copies < HOT_WAITING:
+        if not n_copies:
+            continue
+        gain = _risk(wanted) if n_copies == 1 else 0.0
+        if wanted.waiting / n_copies >= HOT_WAITING:
+            gain += wanted.waiting / (n_copies * (n_copies + 1))
+        if not gain:
             continue
-        gain = wanted / (n_copies * (n_copies + 1))
         step = _best_copy(records, model, demand, gain, now_ms)
         if step is not None:
             return model, step
     return None
 
 
+def _asked(demand: ModelDemand) -> float:
+    return demand.waiting + _risk(demand)
+
+
 def _best_copy(
     records: Sequence[EngineRecord],
     model: ModelSpec,
@@ -260,10 +329,17 @@
     """Return what one copy of a model is worth, in waiting requests."""
     n_copies = copies.get(name, 1)
     wanted = demand.get(name, NO_DEMAND)
-    running = RUNNING_WORTH * wanted.in_flight / n_copies
+    n_running = wanted.in_flight / n_copies
+    running = RUNNING_WORTH * n_running + BLOCKED_COST * min(1.0, n_running)
     if n_copies <= 1:
         return LAST_COPY * (1.0 + wanted.recent) + 2.0 * wanted.waiting + running
-    return wanted.waiting / (n_copies * (n_copies - 1)) + running
+    worth = wanted.waiting / (n_copies * (n_copies - 1)) + running
+    return worth + _risk(wanted) if n_copies == 2 else worth
+
+
+def _risk(demand: ModelDemand) -> float:
+    """Return what a second copy of a model is worth against the loss of the first."""
+    return SOLE_COPY_RISK * demand.in_flight
 
 
 def copies_of(records: Iterable[EngineRecord]) -> dict[str, int]:
--- a/src/cowslipwood/keeper/engines/_demand.py
+++ b/src/cowslipwood/keeper/engines/_demand.py
@@ -1,6 +1,8 @@
 """What the entries ask of each model, smoothed over their reports."""
 
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 
 from ...kernel.messages import DemandSample, EntryReport
 from ._decide import NO_DEMAND, ModelDemand
@@ -25,11 +27,15 @@
     by_model : dict of str to ModelDemand
     adapter_used_ms : dict of tuple of str to float
         By model and adapter.
+    adapters_in_flight : dict of tuple of str to float
+        Requests by model and adapter in the last reports.
     """
 
     def __init__(self):
         self.by_model: dict[str, ModelDemand] = {}
         self.adapter_used_ms: dict[tuple[str, str], float] = {}
+        self.adapters_in_flight: dict[tuple[str, str], float] = {}
+        self._held_up: Counter[str] = Counter()
         self._asked_ms: dict[str, float] = {}
         self._samples: dict[str, tuple[float, tuple[DemandSample, ...]]] = {}
 
@@ -43,6 +49,18 @@
         if adapter:
             self.adapter_used_ms[model, adapter] = now_ms
 
+    @contextmanager
+    def held_up(self, model: str) -> Iterator[None]:
+        """Count a question for which the model's engines have no place, for a while.
+
+        It waits as a request at an engine does, and another copy helps it too.
+        """
+        self._held_up[model] += 1
+        try:
+            yield
+        finally:
+            self._held_up[model] -= 1
+
     def take_report(self, report: EntryReport, now_ms: float) -> None:
         """Take in what an entry says of demand."""
         self._samples[report.entry_id] = (now_ms, report.demand)
@@ -80,14 +98,21 @@
         """Return waiting requests and those in flight by model, over all entries."""
         waiting: dict[str, float] = {}
         in_flight: dict[str, float] = {}
+        adapters: dict[tuple[str, str], float] = {}
         for entry_id, (at_ms, samples) in list(self._samples.items()):
             if now_ms - at_ms > SAMPLE_VALID_MS:
                 del self._samples[entry_id]
                 continue
             for sample in samples:
-                model = _names(sample)[0]
+                model, adapter = _names(sample)
+                if adapter:
+                    n_before = adapters.get((model, adapter), 0.0)
+                    adapters[model, adapter] = n_before + sample.in_flight
                 waiting[model] = waiting.get(model, 0.0) + sample.waiting
                 in_flight[model] = in_flight.get(model, 0.0) + sample.in_flight
+        self.adapters_in_flight = adapters
+        for model, n_held_up in self._held_up.items():
+            waiting[model] = waiting.get(model, 0.0) + n_held_up
         return waiting, in_flight
 
 
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -18,6 +18,8 @@
 LOAD_MS = 450.0
 # Reports lag, so a question repeated sooner than this gets the same values.
 RESYNC_MS = 60.0
+# An unload ends with its runs, at no known time; each report is a call.
+BUSY_MS = 120.0
 # Requests that an engine without reports is told to have waiting: entries use it
 # only where there is no other.
 LOST_QUEUE = 10_000
@@ -135,7 +137,7 @@
     if not record.is_synced or record.n_failed_reads:
         return age_ms > RESYNC_MS
     if record.is_busy:
-        return now_ms > record.busy_until_ms
+        return now_ms > record.busy_until_ms and age_ms > BUSY_MS
     return age_ms > LOAD_MS
 
 
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -29,6 +29,7 @@
         self.server = server
         self.spec = spec
         self.sequence: int | None = None
+        self._least_sequence = 0  # reports that lag may tell of a state before it
         self.held: dict[str, set[str]] = {}
         self.cached: frozenset[str] = frozenset()
         self.is_busy = False
@@ -39,6 +40,7 @@
         self.read_at_ms = 0.0
         self.n_failed_reads = 0
         self.in_transit: set[tuple[str, str]] = set()
+        self.leaving_adapters: set[tuple[str, str]] = set()
         self.reserved_for = ""
         self.reserved_until_ms = 0.0
         self.n_running = 0
@@ -100,13 +102,19 @@
         """Return whether an adapter takes one of the places, ready or not."""
         return adapter in self.held.get(model, ())
 
+    def adapter_keys(self) -> list[tuple[str, str]]:
+        """Return model and adapter of each place that is taken."""
+        return [(name, each) for name, held in self.held.items() for each in held]
+
     def holds(self, model: str, adapter: str = "") -> bool:
         """Return whether a request for it can be served."""
         if model not in self.held or model in (self.loading, self.dropping):
             return False
         if not adapter:
             return True
-        return adapter in self.held[model] and (model, adapter) not in self.in_transit
+        key = (model, adapter)
+        is_moving = key in self.in_transit or key in self.leaving_adapters
+        return adapter in self.held[model] and not is_moving
 
     def ready_keys(self) -> tuple[str, ...]:
         """Return the keys of all that requests can be sent here for, sorted."""
@@ -126,9 +134,9 @@
         self.n_failed_reads = 0
         self.n_running = report.n_running
         self.n_queued = report.n_queued
-        if self.sequence is not None and report.sequence < self.sequence:
+        if report.sequence < self._least_sequence:
             return False
-        self.sequence = report.sequence
+        self.sequence = self._least_sequence = report.sequence
         self.is_busy = report.is_busy
         held = {model.name: set(model.adapters) for model in report.models}
         for model, adapter in report.pending:
@@ -138,19 +146,37 @@
         if not report.is_busy:
             self.loading = ""
             self.dropping = ""
+            self.leaving_adapters.clear()
         self.held = held
         self.cached = report.cached
         self.read_at_ms = now_ms
         return True
 
     def accepted(
-        self, op: OrderOp, model: str, adapter: str, takes_ms: float, now_ms: float
+        self,
+        op: OrderOp,
+        model: str,
+        adapter: str,
+        takes_ms: float,
+        now_ms: float,
+        is_over: bool = False,
     ) -> None:
-        """Take in that the engine accepted an order."""
-        self.sequence = (self.sequence or 0) + 1
+        """Take in that the engine accepted an order, or that it is carried out.
+
+        An adapter in use goes when its runs have ended. Until then it takes its
+        place, gets no request, and the engine takes no further order.
+        """
+        self.sequence = self._least_sequence = (self.sequence or 0) + 1
         if adapter:
             adapters = self.held.setdefault(model, set())
-            adapters.add(adapter) if op is OrderOp.LOAD else adapters.discard(adapter)
+            if op is OrderOp.LOAD:
+                adapters.add(adapter)
+            elif is_over:
+                adapters.discard(adapter)
+            else:
+                self.leaving_adapters.add((model, adapter))
+                self.is_busy = True
+                self.busy_until_ms = now_ms
             return
         self.is_busy = True
         self.busy_until_ms = now_ms + takes_ms
--- a/src/cowslipwood/kernel/clock.py
+++ b/src/cowslipwood/kernel/clock.py
@@ -6,7 +6,7 @@
 
 import time
 
-__all__ = ["monotonic_ms", "wall_ms"]
+__all__ = ["LOADED_MS", "monotonic_ms", "wall_ms"]
 
 
 def monotonic_ms() -> float:
@@ -21,3 +21,7 @@
 def wall_ms() -> int:
     """Return milliseconds since the epoch; for history and key dates only."""
     return int(time.time() * 1000)
+
+
+# When this module was loaded: for a program that loads it first, when it began.
+LOADED_MS = monotonic_ms()
--- a/tests/engine_builders.py
+++ b/tests/engine_builders.py
@@ -67,6 +67,8 @@
         self.is_dark = False
         self.overflows = 0
         self.holders: list[str] = []
+        self.in_use: set[tuple[str, str]] = set()
+        self.waiting: list[tuple[str, str]] = []
 
     def used_mb(self) -> float:
         """Return what is held."""
@@ -89,8 +91,12 @@
             adapters = self.held[order.model]
             if order.op is OrderOp.LOAD:
                 adapters.add(order.adapter)
+            elif (order.model, order.adapter) in self.in_use:
+                self.waiting.append((order.model, order.adapter))
+                self.is_busy = True
             else:
                 adapters.discard(order.adapter)
+                return OrderOutcome.DONE
         elif order.op is OrderOp.LOAD:
             self.held[order.model] = set()
         else:
@@ -99,6 +105,14 @@
             self.overflows += 1
         return OrderOutcome.ACCEPTED
 
+    def end_runs(self) -> None:
+        """End all runs, and what waited for them."""
+        self.in_use.clear()
+        for model, adapter in self.waiting:
+            self.held[model].discard(adapter)
+        self.waiting.clear()
+        self.is_busy = False
+
     def run_late(self) -> None:
         """Carry out what was deferred."""
         late, self.late = self.late, []
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -15,7 +15,9 @@
     missing_step,
     prior_demand,
 )
+from cowslipwood.keeper.engines._orders import EngineReport, OrderOp
 from cowslipwood.kernel.messages import HolderReply, HolderRequest, Refused
+from cowslipwood.listing import ListedModel
 
 from .engine_builders import MODELS, SPEC, FakeEngine, FakeFleet, record
 
@@ -98,6 +100,37 @@
         self.assertEqual(engine.held["m0"], {"a2", "a3", "a9"})
         self.assertEqual(engine.overflows, 0)
 
+    def test_adapter_in_use_keeps_its_place(self):
+        """An unload that waits for runs frees no place until they have ended."""
+        engine = FakeEngine("s0", {"m0": {"a1", "a2", "a3"}})
+        engine.in_use = {("m0", "a1"), ("m0", "a2"), ("m0", "a3")}
+        fleet = FakeFleet([engine])
+
+        async def act(controller):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask, controller, "m0", "a9")
+                await anyio.sleep(0.3)
+                self.assertEqual(len(fleet.orders), 1)
+                offered = controller.views()["s0"].ready
+                self.assertNotIn(f"llm|m0/{fleet.orders[0].adapter}", offered)
+                engine.end_runs()
+                await anyio.sleep(0.5)
+                tasks.cancel_scope.cancel()
+
+        run(fleet, act)
+        self.assertIn("a9", engine.held["m0"])
+        self.assertEqual(engine.overflows, 0)
+
+    def test_report_from_before_an_order(self):
+        """After doubt, a report that lags behind an accepted order is not adopted."""
+        held = record("s0", {"m0": set()})
+        held.accepted(OrderOp.LOAD, "m0", "a1", 0.0, 1_000.0)
+        held.sequence = None
+        old = EngineReport(0, False, (ListedModel("m0"),))
+        self.assertFalse(held.take_report(old, 1_100.0))
+        self.assertFalse(held.is_synced)
+        self.assertTrue(held.take_report(old._replace(sequence=1), 1_300.0))
+
     def test_many_questions_at_once(self):
         """Questions that meet never order more than the places hold."""
         engines = [FakeEngine(f"s{i}", {"m0": set()}) for i in range(2)]
@@ -316,6 +349,6 @@
     def test_adapters_spread(self):
         """A free place on the engine with fewest adapters goes first."""
         records = [record("s0", {"m0": {"a1", "a2"}}), record("s1", {"m0": {"a1"}})]
-        step = adapter_step(records, MODELS[0], {}, {}, 60_000.0)
+        step = adapter_step(records, MODELS[0], {}, 60_000.0)
         self.assertEqual(step.record.server.server_id, "s1")
         self.assertIsNone(step.drop_adapter)
--- a/tests/test_keeper_subscribers.py
+++ b/tests/test_keeper_subscribers.py
@@ -4,8 +4,12 @@
 
 import anyio
 
+from cowslipwood.entry.choosing._view import View
+from cowslipwood.entry.direct._servers import KnownServers
 from cowslipwood.keeper._subscribers import LOAD_INTERVAL_MS, Subscriber
+from cowslipwood.kernel.messages import FleetLoad, RoutingUpdate
 
+from .direct_builders import listed
 from .entry_builders import engine_view
 
 
@@ -58,3 +62,27 @@
         view = engine_view("s1", "m1")
         told = self._told(([view], 0.0), ([], 50.0), ([view], 100.0))
         self.assertEqual(told, [["s1"], [], ["s1"]])
+
+    def test_servers_before_their_load(self):
+        """A new leader that reads its list late never tells of no servers."""
+        channel = _Channel()
+        subscriber = Subscriber(channel, "entry", "e1")
+        known = KnownServers(View())
+        view = engine_view("s1", "m1")
+        known.take_list([listed("s1", "127.0.0.1:1")], 0.0)
+        seen = []
+
+        async def run():
+            await subscriber.tell_servers({}, None, ["e1"], 10.0)
+            load = FleetLoad(5.0, ("s1",), (0,), (0,))
+            await subscriber.tell_servers({"s1": view}, load, ["e1"], 60.0)
+
+        anyio.run(run)
+        for number, message in enumerate(channel.sent):
+            now_ms = 20.0 + number
+            if isinstance(message, RoutingUpdate):
+                known.take_update(message, now_ms)
+            else:
+                known.take_load(message, now_ms)
+            seen.append(set(known._view.backends))
+        self.assertEqual(seen, [{"s1"}] * len(channel.sent))
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -12,7 +12,13 @@
 from cowslipwood.entry.direct._retries import BudgetTerms, EntryCount, SharedBudget
 from cowslipwood.entry.routing import RoutingContext
 from cowslipwood.entry.routing.least_cost import LeastCost
-from cowslipwood.keeper.engines._decide import ModelDemand, copy_step, missing_step
+from cowslipwood.keeper.engines._decide import (
+    ModelDemand,
+    adapter_step,
+    copy_step,
+    missing_step,
+    spread_step,
+)
 from cowslipwood.keeper.engines._demand import DemandView
 from cowslipwood.kernel.messages import DemandSample, EntryReport
 from cowslipwood.listing import as_view
@@ -229,3 +235,81 @@
         """A request is taken only while most of the grace is left to finish it."""
         self.assertLessEqual(serving_ms(3_000.0, 8_000.0), 2_400.0)
         self.assertEqual(serving_ms(300.0, 8_000.0), 300.0)
+
+
+class CrowdedAdapterTest(unittest.TestCase):
+    """Many requests for adapters of which one engine holds most."""
+
+    def setUp(self):
+        self.crowded = record("s1", {"m0": {"a1", "a2"}})
+        self.calm = record("s2", {"m0": set()})
+        self.crowded.n_running = 20
+        self.wanted = {("m0", "a1"): 9.0, ("m0", "a2"): 0.1}
+
+    def _spread(self, used_ms: dict | None = None):
+        used_ms = used_ms or {}
+        records = [self.crowded, self.calm]
+        return spread_step(records, MODELS, self.wanted, used_ms, NOW_MS)
+
+    def test_new_adapter_goes_where_little_runs(self):
+        """Fewer adapters do not make up for a long queue."""
+        self.crowded.held["m0"].clear()
+        self.calm.held["m0"].add("a3")
+        step = adapter_step([self.crowded, self.calm], MODELS[0], {}, NOW_MS)
+        self.assertIs(step.record, self.calm)
+
+    def test_busy_adapter_is_copied(self):
+        """The adapter asked for most goes to the engine with less to do."""
+        spec, adapter, step = self._spread()
+        self.assertEqual((spec.name, adapter), ("m0", "a1"))
+        self.assertIs(step.record, self.calm)
+
+    def test_no_copy_without_a_gap(self):
+        """Engines about as busy as each other keep what they have."""
+        self.calm.n_running = 18
+        self.assertIsNone(self._spread())
+
+    def test_copy_displaces_nothing_in_use(self):
+        """A full engine takes a copy only for an adapter long unused."""
+        self.calm.held["m0"] = {"a7", "a8", "a9"}
+        used_ms = {("m0", name): NOW_MS - 1_000.0 for name in ("a7", "a8", "a9")}
+        self.assertIsNone(self._spread(used_ms))
+        used_ms["m0", "a8"] = 0.0
+        _, _, step = self._spread(used_ms)
+        self.assertEqual(step.drop_adapter, ("m0", "a8"))
+
+    def test_copies_make_way_first(self):
+        """An adapter that another engine holds goes before a sole one."""
+        self.calm.held["m0"] = {"a1", "a8", "a9"}
+        self.crowded.held["m0"] = {"a1", "a2", "a3"}
+        used_ms = {("m0", "a1"): NOW_MS - 1_000.0}
+        step = adapter_step([self.calm, self.crowded], MODELS[0], used_ms, NOW_MS)
+        self.assertEqual(step.drop_adapter, ("m0", "a1"))
+
+
+class SoleCopyTest(unittest.TestCase):
+    """A model with much traffic on one engine, which may be lost at any moment."""
+
+    def _copy(self, in_flight: float, held: dict | None = None):
+        records = [record("s0", {"m0": set()}), record("s1", held or {"m1": set()})]
+        demand = {"m0": ModelDemand(in_flight=in_flight)}
+        return copy_step(records, MODELS, demand, NOW_MS)
+
+    def test_busy_model_gets_a_second_copy(self):
+        """Nothing waits yet, but all of its callers hang on one engine."""
+        spec, step = self._copy(20.0)
+        self.assertEqual((spec.name, step.record.server.server_id), ("m0", "s1"))
+
+    def test_quiet_model_does_not(self):
+        """A few requests at once are not worth a load."""
+        self.assertIsNone(self._copy(0.1))
+
+    def test_second_copy_stays(self):
+        """The copy that guards a busy model is not what makes way."""
+        records = [
+            record("s0", {"m0": set(), "m1": set()}),
+            record("s1", {"m0": set()}),
+        ]
+        demand = {"m0": ModelDemand(in_flight=20.0)}
+        step = missing_step(records[:1], MODELS[5], demand, NOW_MS)
+        self.assertEqual(step.drop_model, "m1")
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,9 +2,12 @@
 
 import importlib
 import json
+import os
 import sys
+import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import orjson
 
@@ -145,6 +148,20 @@
                 self.assertIsNone(adapter_module("_list")._server(entry))
 
 
+class ReloadTest(unittest.TestCase):
+    """Settings that change while a program runs."""
+
+    def test_spoiled_settings(self):
+        """A file that cannot be read is logged and leaves what was known."""
+        reload = adapter_module("_reload")
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "local.json"
+            path.write_text('{"nodeName": ')
+            with mock.patch.dict(os.environ, {"COWSLIPWOOD_NODE_FILE": str(path)}):
+                known = object()
+                self.assertIs(reload._reload(None, known), known)
+
+
 class FolderTest(unittest.TestCase):
     """What the folder must not do."""
 
