Let rare models wait for an engine with room; ask across elections

Three loads from the store at once took 3.1 s in place of 2. The only engine of a model with a quarter of the traffic left at 2 s notice. 34 requests were refused at a planned change of leader with 5 to 13 s left, since an open question for a holder ended with its leader.

Change: engines that are busy count with their time left; a second copy guards a model that many use; what runs on an engine and a model's size weigh in what makes way; one load at once is left to models that many ask for; questions are put to the next leader; a holder out of reach is tried again after pauses. Long prompts stay in their zone, whose engines keep the shared parts themselves.

Ruled out: the lagging list (the leader's record was right), adapters' places.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -41,6 +41,9 @@
 # further pause is longer by the factor, as a place or a run there may have to end.
 SAME_SERVER_PAUSE_MS = 15.0
 PAUSE_FACTOR = 4.0
+# With the pauses before it, longer than a crash goes unnoticed; after it the caller
+# does better to come back.
+MAX_PAUSE_MS = 1_000.0
 LEAST_URGENT = 9
 # More than the ranks that operators use for their routes.
 LATE_RANKS = 4
@@ -211,18 +214,24 @@
             False,
             self._tried,
             request.facts.n_shared_tokens,
+            len(request.body),
         )
         chosen = state.choose(context, self._rng, now_ms)
-        if chosen is None and request.facts.model:
-            held = await state.holders.find(request, now_ms)
+        while chosen is None and request.facts.model:
+            held = await state.holders.find(request, state.now_ms())
             if isinstance(held, Err):
                 return held.failure()
-            if held.unwrap() in self._tried:
-                # The leader knows of what happened since that server refused, or
-                # an order there is about to end.
-                self._tried.discard(held.unwrap())
-                await anyio.sleep(self._pause_ms / 1000)
-                self._pause_ms *= PAUSE_FACTOR
+            if held.unwrap() not in self._tried:
+                chosen = state.choose(context, self._rng, state.now_ms())
+                if chosen is not None:
+                    break
+            if self._pause_ms > MAX_PAUSE_MS:
+                break
+            # It refused, or was out of reach: an order there is about to end, or
+            # the leader is about to notice.
+            self._tried.discard(held.unwrap())
+            await anyio.sleep(self._pause_ms / 1000)
+            self._pause_ms *= PAUSE_FACTOR
             chosen = state.choose(context, self._rng, state.now_ms())
         if chosen is None:
             return failure(Code.NO_REPLICA, f"no server for {request.key}")
--- a/src/cowslipwood/entry/direct/_holders.py
+++ b/src/cowslipwood/entry/direct/_holders.py
@@ -25,6 +25,12 @@
 RETRY_AFTER_MS = 500
 # A load from the store takes seconds; a leader that answers no more is lost.
 ASK_TIMEOUT_MS = 4_500.0
+# Without an answer from a leader the question is asked again after this pause; an
+# election takes several.
+ASK_AGAIN_MS = 50.0
+NO_LEADER = frozenset(
+    (Code.PEER_GONE, Code.PEER_SILENT, Code.NOT_LEADER, Code.NO_QUORUM)
+)
 
 
 class Holders:
@@ -73,12 +79,23 @@
         facts = request.facts
         wanted = HolderRequest(request.service, facts.model, facts.adapter, "")
         try:
-            replied = await self._link.request(wanted, ASK_TIMEOUT_MS)
-            asked.result = self._take(request, replied)
+            asked.result = self._take(request, await self._ask_a_leader(wanted))
         finally:
             del self._asking[request.key]
             asked.done.set()
 
+    async def _ask_a_leader(self, wanted: HolderRequest) -> Result[Any, Failure]:
+        """Ask whoever leads until one answers, also across an election."""
+        until_ms = self._now_ms() + ASK_TIMEOUT_MS
+        while True:
+            left_ms = until_ms - self._now_ms()
+            replied = await self._link.request(wanted, max(1.0, left_ms))
+            if not isinstance(replied, Err) or replied.failure().code not in NO_LEADER:
+                return replied
+            if self._now_ms() + ASK_AGAIN_MS >= until_ms:
+                return replied
+            await anyio.sleep(ASK_AGAIN_MS / 1000)
+
     def _take(
         self, request: RoutedRequest, replied: Result[Any, Failure]
     ) -> Result[str, Failure]:
--- a/src/cowslipwood/entry/routing/_policy.py
+++ b/src/cowslipwood/entry/routing/_policy.py
@@ -28,6 +28,8 @@
         Ids of the servers that this request was sent to before.
     n_shared_tokens : int
         Prompt tokens in parts that other requests share.
+    n_bytes : int
+        Length of the request's body, which goes to the server.
     """
 
     key: str
@@ -37,6 +39,7 @@
     view_is_stale: bool = False
     tried: Collection[str] = ()
     n_shared_tokens: int = 0
+    n_bytes: int = 0
 
 
 class RoutingPolicy(Protocol):
--- a/src/cowslipwood/entry/routing/least_cost.py
+++ b/src/cowslipwood/entry/routing/least_cost.py
@@ -22,9 +22,10 @@
 # In milliseconds, for a server that is as full as it may be at full speed: a
 # fuller batch gives every token later.
 FULL_BATCH_MS = 150.0
-# In milliseconds of wait: what a zone's distance is worth; besides the way,
-# bytes between zones are dear.
+# In milliseconds of wait: what a zone's distance is worth, and each kilobyte that
+# is sent there; bytes between zones are dear, and a short wait costs nothing.
 ZONE_MS = 20.0
+ZONE_MS_PER_KB = 4.0
 # The share of cases in which the preferred server still holds the parts.
 KEPT_SHARE = 0.7
 ERROR_FACTOR = 6.0
@@ -61,7 +62,13 @@
             return None
         preferred = None
         if context.prefix_hash:
-            preferred = preferred_backend(usable, context.prefix_hash)
+            # Each zone keeps the parts once, so that prompts need not leave it.
+            near = [
+                backend
+                for backend in usable
+                if not zone_distance(context.zone, backend.view.zone)
+            ]
+            preferred = preferred_backend(near or usable, context.prefix_hash)
         kept_ms = KEPT_SHARE * context.n_shared_tokens / PREFILL_TOKENS_PER_MS
 
         def cost(backend: Backend) -> tuple[float, float]:
@@ -81,6 +88,7 @@
     )
     if context.n_shared_tokens or own_tokens:
         wait_ms += (own_tokens + others_tokens) / PREFILL_TOKENS_PER_MS
-    wait_ms += ZONE_MS * zone_distance(context.zone, backend.view.zone)
+    zone_ms = ZONE_MS + ZONE_MS_PER_KB * context.n_bytes / 1000
+    wait_ms += zone_ms * zone_distance(context.zone, backend.view.zone)
     error_share = backend.health.error_share(now_ms)
     return wait_ms + ERROR_FACTOR * error_share * (wait_ms + ERROR_BASE_MS)
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -1,6 +1,5 @@
 """Keeps the engines' models and adapters where requests need them."""
 
-import math
 from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
@@ -51,6 +50,9 @@
 FIND_TIMEOUT_MS = 4_000.0
 # An unload waits for its runs; after this long another engine is looked for.
 MAKE_ROOM_MS = 3_000.0
+# Requests at once from which a model counts as asked for by many: fewer wait for
+# no longer than a load takes.
+BUSY_IN_FLIGHT = 3.0
 # Until the entries' reports have shown the demand to a new leader.
 PRIOR_MS = 4_000.0
 
@@ -250,7 +252,7 @@
             if record.free_mb < spec.weights_mb:
                 return
             from_store = spec.name not in record.cached
-            if from_store and not self._store_allows(record, monotonic_ms()):
+            if from_store and not self._store_allows(record, spec, monotonic_ms()):
                 return
             if from_store:
                 # Counted before the order: one without an answer may load too.
@@ -263,17 +265,24 @@
         is_quiet_over = now_ms - self._led_since_ms >= self._terms.quiet_ms
         return self._leads(now_ms) and self._led_term == self._term() and is_quiet_over
 
-    def _store_allows(self, record: EngineRecord, now_ms: float) -> bool:
-        """Return whether the weight store's rate allows one more load now."""
+    def _store_allows(
+        self, record: EngineRecord, model: ModelSpec, now_ms: float
+    ) -> bool:
+        """Return whether the weight store's rate allows one more load now.
+
+        Models that few ask for leave one of the loads at once to those that many do.
+        """
         window_ms = self._terms.store_window_ms
         while self._store_loads and self._store_loads[0] < now_ms - window_ms:
             self._store_loads.popleft()
         allowed = max(1, int(record.spec.loads_per_s * window_ms / 1000))
         # More at once than the rate allows would only slow each other down.
-        longest_s = max(model.load_time_s for model in record.spec.models)
+        longest_s = max(each.load_time_s for each in record.spec.models)
         n_under_way = sum(1 for each in self._fleet.records.values() if each.loading)
-        at_once = math.ceil(record.spec.loads_per_s * longest_s)
-        return len(self._store_loads) < allowed and n_under_way < at_once
+        at_once = round(record.spec.loads_per_s * longest_s)
+        if self._demand.of(model.name).in_flight < BUSY_IN_FLIGHT:
+            at_once -= 1
+        return len(self._store_loads) < allowed and n_under_way < max(1, at_once)
 
     async def _order(
         self,
--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -49,7 +49,7 @@
 RUNNING_WORTH = 0.1
 # In waiting requests, for an unload that has to wait for a run: meanwhile the
 # engine takes no other order.
-BLOCKED_COST = 1.0
+BLOCKED_COST = 2.0
 # In waiting requests, for each in flight at a model's only engine: when that engine
 # is lost, its callers wait for a load from the store.
 SOLE_COPY_RISK = 0.15
@@ -205,17 +205,22 @@
     demand: Mapping[str, ModelDemand],
     now_ms: float,
 ) -> Step | None:
-    """Return where a model that nobody holds goes; None while none can take it."""
+    """Return where a model that nobody holds goes; None while none can take it.
+
+    An engine that carries out another order counts with the time that this takes:
+    to wait for it can be better than to displace what is in use elsewhere.
+    """
     options = [
-        option
+        (option[0] + LOAD_COST_PER_S * each.busy_ms(now_ms) / 1000, option[1])
         for each in records
-        if each.takes(model.name, now_ms)
+        if each.will_take(model.name, now_ms)
         for option in [_option(each, model, records, demand, now_ms)]
         if option is not None
     ]
     if not options:
         return None
-    return min(options, key=lambda option: option[0])[1]
+    step = min(options, key=lambda option: option[0])[1]
+    return step if step.record.is_usable else None
 
 
 def copy_step(
@@ -296,40 +301,56 @@
         for each in records
     ):
         cost += SAME_ZONE_COST
-    free_mb = record.free_mb
-    if free_mb >= model.weights_mb:
+    if record.free_mb >= model.weights_mb:
         return cost, Step(record)
-    sizes = {each.name: each for each in record.spec.models}
     copies = copies_of(records)
-    worth = {
-        name: _worth(name, copies, demand)
-        + (
-            FRESH_WORTH
-            if now_ms - record.since_ms.get(name, -math.inf) < FRESH_MS
-            else 0
-        )
-        for name in record.held
-    }
-    first = ""
-    for name in sorted(worth, key=worth.__getitem__):
-        spec = sizes.get(name)
-        size_mb = spec.weights_mb if spec else 0.0
-        size_mb += len(record.held[name]) * (spec.adapter_size_mb if spec else 0.0)
-        first = first or name
-        free_mb += size_mb
-        cost += worth[name]
-        if free_mb >= model.weights_mb:
-            return cost, Step(record, first)
+    worth = {}
+    for name in record.held:
+        worth[name] = _worth(name, copies, demand, record.n_running)
+        if now_ms - record.since_ms.get(name, -math.inf) < FRESH_MS:
+            worth[name] += FRESH_WORTH
+    room = _cheapest_room(record, model.weights_mb - record.free_mb, worth)
+    if room is None:
+        return None
+    return cost + room[0], Step(record, room[1])
+
+
+def _cheapest_room(
+    record: EngineRecord, needed_mb: float, worth: Mapping[str, float]
+) -> tuple[float, str] | None:
+    """Return what making room costs and the model to drop first.
+
+    Either one model that is large enough makes way, or several of little worth.
+    """
+    ranked = sorted(worth, key=worth.__getitem__)
+    for name in ranked:
+        if record.model_mb(name) >= needed_mb:
+            single = (worth[name], name)
+            break
+    else:
+        single = (math.inf, "")
+    total = 0.0
+    for name in ranked:
+        total += worth[name]
+        needed_mb -= record.model_mb(name)
+        if needed_mb <= 0:
+            return min(single, (total, ranked[0]))
     return None
 
 
 def _worth(
-    name: str, copies: Mapping[str, int], demand: Mapping[str, ModelDemand]
+    name: str,
+    copies: Mapping[str, int],
+    demand: Mapping[str, ModelDemand],
+    n_on_engine: int,
 ) -> float:
-    """Return what one copy of a model is worth, in waiting requests."""
+    """Return what one copy of a model is worth, in waiting requests.
+
+    `n_on_engine` are the requests that run on the copy's engine, for any model.
+    """
     n_copies = copies.get(name, 1)
     wanted = demand.get(name, NO_DEMAND)
-    n_running = wanted.in_flight / n_copies
+    n_running = min(wanted.in_flight / n_copies, n_on_engine)
     running = RUNNING_WORTH * n_running + BLOCKED_COST * min(1.0, n_running)
     if n_copies <= 1:
         return LAST_COPY * (1.0 + wanted.recent) + 2.0 * wanted.waiting + running
--- a/src/cowslipwood/keeper/engines/_demand.py
+++ b/src/cowslipwood/keeper/engines/_demand.py
@@ -39,6 +39,10 @@
         self._asked_ms: dict[str, float] = {}
         self._samples: dict[str, tuple[float, tuple[DemandSample, ...]]] = {}
 
+    def of(self, model: str) -> ModelDemand:
+        """Return what is asked of one model."""
+        return self.by_model.get(model, NO_DEMAND)
+
     def clear_reports(self) -> None:
         """Forget the entries' reports, at the start of a leadership."""
         self._samples.clear()
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -122,7 +122,7 @@
             if record is None or record.server.born_ms != server.born_ms:
                 record = EngineRecord(server, spec)
             record.server = server
-            record.spec = spec
+            record.use_spec(spec)
             found[server.server_id] = record
         self.records = found
         self._listed = listed
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -3,12 +3,13 @@
 import anyio
 
 from ...listing import ListedServer, holding_key
-from ...routes import EngineSpec, ModelSpec
+from ...routes import EngineSpec
 from ._orders import EngineReport, OrderOp
 
 __all__ = ["LOST_READS", "EngineRecord"]
 
-
+# An unload ends with its model's runs; most streams have ended after this time.
+UNLOAD_MS = 1_000.0
 # One report may be lost on its way; an engine that is down gives none.
 LOST_READS = 2
 
@@ -27,7 +28,7 @@
 
     def __init__(self, server: ListedServer, spec: EngineSpec):
         self.server = server
-        self.spec = spec
+        self.use_spec(spec)
         self.sequence: int | None = None
         self._least_sequence = 0  # reports that lag may tell of a state before it
         self.held: dict[str, set[str]] = {}
@@ -47,6 +48,11 @@
         self.n_queued = 0
         self.lock = anyio.Lock()
 
+    def use_spec(self, spec: EngineSpec) -> None:
+        """Take in what the document in force says of the engine."""
+        self.spec = spec
+        self._specs = {model.name: model for model in spec.models}
+
     @property
     def is_synced(self) -> bool:
         """Whether the record may be ordered by."""
@@ -63,12 +69,24 @@
         is_free = self.is_synced and not self.is_busy
         return is_free and not self.server.is_leaving and not self.is_lost
 
+    def busy_ms(self, now_ms: float) -> float:
+        """Return for how long the engine is likely to carry out its order yet."""
+        if not self.is_busy:
+            return 0.0
+        return max(self.busy_until_ms - now_ms, 0.0 if self.loading else UNLOAD_MS)
+
     def takes(self, model: str, now_ms: float) -> bool:
-        """Return whether the engine may be ordered to load a model now.
+        """Return whether the engine may be ordered to load a model now."""
+        return self.is_usable and self.will_take(model, now_ms)
+
+    def will_take(self, model: str, now_ms: float) -> bool:
+        """Return whether it may be, once it has carried out its present order.
 
         Room that was made for one model is not given to another meanwhile.
         """
-        if not self.is_usable or model in self.held:
+        if not self.is_synced or self.server.is_leaving or self.is_lost:
+            return False
+        if model in self.held:
             return False
         is_reserved = self.reserved_for and now_ms < self.reserved_until_ms
         return not is_reserved or self.reserved_for == model
@@ -85,12 +103,14 @@
 
     def used_mb(self) -> float:
         """Return what models and adapters take, those on their way included."""
-        specs = {model.name: model for model in self.spec.models}
-        total = 0.0
-        for name, adapters in self.held.items():
-            spec = specs.get(name) or ModelSpec(name, self.spec.weights_mb)
-            total += spec.weights_mb + len(adapters) * spec.adapter_size_mb
-        return total
+        return sum(map(self.model_mb, self.held))
+
+    def model_mb(self, name: str) -> float:
+        """Return what a held model takes with its adapters."""
+        spec = self._specs.get(name)
+        if spec is None:
+            return self.spec.weights_mb
+        return spec.weights_mb + len(self.held[name]) * spec.adapter_size_mb
 
     def has_place(self, model: str) -> bool:
         """Return whether one more adapter of a model fits, by number and by room."""
--- a/tests/direct_builders.py
+++ b/tests/direct_builders.py
@@ -114,6 +114,17 @@
         return Err(failure(Code.NO_REPLICA))
 
 
+class SameHolder:
+    """Holders that always name one server."""
+
+    def __init__(self, server_id: str):
+        self._server_id = server_id
+
+    async def find(self, request: RoutedRequest, now_ms: float) -> Result[str, Failure]:
+        """Name the server."""
+        return Success(self._server_id)
+
+
 class Sink:
     """Takes an answer in memory."""
 
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -4,14 +4,22 @@
 from typing import Any
 
 import anyio
+from returns.result import Failure as Err
+from returns.result import Success
 
+from cowslipwood.entry.choosing._view import View
 from cowslipwood.entry.direct._exchange import Exchange, urgency
-from cowslipwood.kernel.codes import CODE_INFO, Code, Outcome
+from cowslipwood.entry.direct._holders import Holders
+from cowslipwood.entry.direct._servers import KnownServers
+from cowslipwood.kernel.clock import monotonic_ms
+from cowslipwood.kernel.codes import CODE_INFO, Code, Outcome, failure
+from cowslipwood.kernel.messages import HolderReply
 from cowslipwood.listing import ListedModel
 from cowslipwood.routes import RouteKind
 
 from .direct_builders import (
     NoHolders,
+    SameHolder,
     Sink,
     always,
     direct_state,
@@ -65,6 +73,34 @@
     return anyio.run(main)
 
 
+class ScriptedLink:
+    """A link to keepers that gives these replies in turn."""
+
+    def __init__(self, replies: list):
+        self._replies = replies
+
+    async def request(self, value: Any, timeout_ms: float) -> Any:
+        """Return the next reply."""
+        return self._replies.pop(0)
+
+
+def ask_holder(link: ScriptedLink) -> Any:
+    """Ask for a holder of a model over a link."""
+
+    async def main() -> Any:
+        holders = Holders(link, KnownServers(View()), monotonic_ms)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(holders.run)
+            await anyio.sleep(0)
+            found = await holders.find(
+                request(route(), x_cowslip_model="m1"), monotonic_ms()
+            )
+            tasks.cancel_scope.cancel()
+        return found
+
+    return anyio.run(main)
+
+
 class AnswerTest(unittest.TestCase):
     """What of an answer reaches the caller."""
 
@@ -171,6 +207,33 @@
         self.assertEqual(holders.n_asked, 1)
         self.assertEqual(heads, [])
 
+    def test_holder_refuses_for_a_while(self):
+        """The only holder refuses until its order has ended; then it answers."""
+        refusal = reply(b"", "503 Service Unavailable", more=NOT_RUN)
+        answers = [refusal, refusal, reply()]
+
+        async def serve(stream: Any, head: bytes) -> None:
+            await stream.send(answers.pop(0))
+
+        used = route(kind=RouteKind.STREAMING, max_attempts=1)
+        fault, sink, heads = run(
+            [serve], used, SameHolder("s0"), x_cowslip_model="m1", holds="yes"
+        )
+        self.assertIsNone(fault)
+        self.assertEqual((sink.status, len(heads)), (200, 3))
+
+    def test_leader_changes(self):
+        """A question that a lost leader leaves open is put to the next one."""
+        gone, none = failure(Code.PEER_GONE), failure(Code.NO_QUORUM)
+        link = ScriptedLink([Err(gone), Err(none), Success(HolderReply("s1", ()))])
+        self.assertEqual(ask_holder(link).unwrap(), "s1")
+
+    def test_leader_refuses(self):
+        """What the leader itself refuses is not asked again."""
+        refused = failure(Code.NO_REPLICA, "", 700.0)
+        link = ScriptedLink([Err(refused)])
+        self.assertEqual(ask_holder(link).failure().retry_after_ms, 700.0)
+
 
 class HeaderTest(unittest.TestCase):
     """What of a request reaches a server."""
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -13,6 +13,7 @@
 from cowslipwood.entry.routing import RoutingContext
 from cowslipwood.entry.routing.least_cost import LeastCost
 from cowslipwood.keeper.engines._decide import (
+    NO_DEMAND,
     ModelDemand,
     adapter_step,
     copy_step,
@@ -24,7 +25,7 @@
 from cowslipwood.listing import as_view
 
 from .direct_builders import listed, seeded
-from .engine_builders import MODELS, record
+from .engine_builders import MODELS, SPEC, record
 
 NOW_MS = 60_000.0
 N_SERVERS = 4
@@ -79,6 +80,27 @@
         second = choose(servers, prefix_hash=99, n_shared_tokens=6_300)
         self.assertIsNot(first, second)
 
+    def test_parts_are_kept_in_each_zone(self):
+        """Long prompts stay in the zone, also when another holds their parts."""
+        servers = backends(zones=("zone-1", "zone-2"))
+        for prefix_hash in range(1, 40):
+            chosen = choose(
+                servers,
+                prefix_hash=prefix_hash,
+                n_shared_tokens=6_300,
+                n_bytes=18_000,
+            )
+            self.assertEqual(chosen.view.zone, "zone-1")
+
+    def test_queue_outweighs_the_zone(self):
+        """A prompt leaves the zone when it would wait there."""
+        servers = backends(zones=("zone-1", "zone-2"))
+        for server in servers:
+            if server.view.zone == "zone-1":
+                server.n_pending_tokens = 30_000
+        chosen = choose(servers, prefix_hash=5, n_shared_tokens=6_300, n_bytes=18_000)
+        self.assertEqual(chosen.view.zone, "zone-2")
+
 
 class BurstTest(unittest.TestCase):
     """Many requests within a report's age."""
@@ -306,10 +328,51 @@
 
     def test_second_copy_stays(self):
         """The copy that guards a busy model is not what makes way."""
-        records = [
-            record("s0", {"m0": set(), "m1": set()}),
-            record("s1", {"m0": set()}),
+        held = record("s0", {"m0": set(), "m1": set()})
+        other = record("s1", {"m0": set()})
+        other.is_busy = True
+        demand = {"m0": ModelDemand(in_flight=20.0), "m1": ModelDemand(recent=1.0)}
+        step = missing_step([held, other], MODELS[5], demand, NOW_MS)
+        self.assertEqual(step.drop_model, "m1")
+
+
+class RareModelTest(unittest.TestCase):
+    """A rare model is asked for while engines are busy with others' loads."""
+
+    def test_waits_for_an_engine_with_room(self):
+        """A load under way is waited for before a busy copy is displaced."""
+        in_use = record("s0", {"m0": set(), "m1": set()})
+        in_use.n_running = 18
+        loading = record("s1", {"m2": set()})
+        loading.is_busy, loading.loading = True, "m2"
+        loading.busy_until_ms = NOW_MS + 500.0
+        demand = {name: ModelDemand(in_flight=9.0) for name in ("m0", "m1")}
+        records = [in_use, loading]
+        self.assertIsNone(missing_step(records, MODELS[5], demand, NOW_MS))
+        loading.is_busy, loading.loading = False, ""
+        step = missing_step(records, MODELS[5], demand, NOW_MS)
+        self.assertIs(step.record, loading)
+        self.assertEqual(step.drop_model, "")
+
+    def test_one_large_model_rather_than_two(self):
+        """Of two ways to make room, the one that drops less is taken."""
+        sizes = {"m0": 10.0, "m1": 40.0, "m2": 30.0}
+        models = [
+            each._replace(weights_mb=sizes.get(each.name, 30.0)) for each in MODELS
         ]
-        demand = {"m0": ModelDemand(in_flight=20.0)}
-        step = missing_step(records[:1], MODELS[5], demand, NOW_MS)
+        spec = SPEC._replace(models=tuple(models))
+        held = record("s0", {"m0": set(), "m1": set(), "m2": set()}, spec=spec)
+        demand = {"m0": NO_DEMAND, "m1": ModelDemand(recent=0.3)}
+        demand["m2"] = ModelDemand(in_flight=9.0)
+        held.n_running = 9
+        step = missing_step([held], spec.models[5], demand, NOW_MS)
         self.assertEqual(step.drop_model, "m1")
+
+    def test_does_not_wait_for_long(self):
+        """An idle model makes way at once where the other load takes seconds."""
+        idle = record("s0", {"m0": set(), "m1": set()})
+        loading = record("s1", {"m2": set()})
+        loading.is_busy, loading.loading = True, "m2"
+        loading.busy_until_ms = NOW_MS + 5_000.0
+        step = missing_step([idle, loading], MODELS[5], {}, NOW_MS)
+        self.assertIs(step.record, idle)
