Keep a busy engine for one model at a time; heed an engine's own notice

A new leader let traffic count over a second only and dropped the first reports. An engine's report says that it stops before the list does.

Change: an engine that carries out an order is kept for one waiting model; an overdue load counts as 300 ms more; requests in flight are known to a new leader with the first reports; an engine that reports that it stops is left at once.

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -173,7 +173,7 @@
     ) -> EngineRecord | None:
         """Take one step towards a holder; return it when there is one."""
         records = self._fleet.of(request.service)
-        staying = [e for e in records if not e.server.is_leaving and not e.is_lost]
+        staying = [e for e in records if not e.is_leaving and not e.is_lost]
         for each in staying:
             if each.holds(spec.name, request.adapter):
                 return each
@@ -181,8 +181,10 @@
         now_ms = monotonic_ms()
         if not holders:
             step = self._missing_step(records, spec, now_ms)
-            if step is not None:
+            if step is not None and step.record.is_usable:
                 await self._take_model_step(spec, step)
+            elif step is not None:
+                step.record.await_for(spec.name, now_ms)
             return None
         if any((spec.name, request.adapter) in each.in_transit for each in holders):
             return None
@@ -330,13 +332,14 @@
             self._led_term = self._term()
             self._led_since_ms = now_ms
             self._fleet.clear()
-            self._demand.clear_reports()
+            self._demand.begin()
             self._store_loads.clear()
         await self._fleet.read_list(self._document(), now_ms)
         expected = {}
-        if now_ms - self._led_since_ms < PRIOR_MS:
+        is_new = now_ms - self._led_since_ms < PRIOR_MS
+        if is_new:
             expected = prior_demand(copies_of(self._fleet.records.values()))
-        self._demand.update(expected, STEP_MS, now_ms)
+        self._demand.update(expected, STEP_MS, now_ms, is_new)
         for record in self._fleet.due_reports(now_ms):
             # In tasks of their own: an engine that is down must not hold up the rest.
             self._tasks.start_soon(self._fleet.read_report, record)
@@ -358,7 +361,7 @@
     def _spread_adapters(
         self, records: list[EngineRecord], models: Sequence[ModelSpec], now_ms: float
     ) -> None:
-        staying = [e for e in records if not e.server.is_leaving and not e.is_lost]
+        staying = [e for e in records if not e.is_leaving and not e.is_lost]
         spread = spread_step(
             staying,
             models,
--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -208,7 +208,8 @@
     """Return where a model that nobody holds goes; None while none can take it.
 
     An engine that carries out another order counts with the time that this takes:
-    to wait for it can be better than to displace what is in use elsewhere.
+    to wait for it can be better than to displace what is in use elsewhere. Where
+    the step names one that is not usable yet, it is to be kept for the model.
     """
     options = [
         (option[0] + LOAD_COST_PER_S * each.busy_ms(now_ms) / 1000, option[1])
@@ -219,8 +220,7 @@
     ]
     if not options:
         return None
-    step = min(options, key=lambda option: option[0])[1]
-    return step if step.record.is_usable else None
+    return min(options, key=lambda option: option[0])[1]
 
 
 def copy_step(
@@ -367,7 +367,7 @@
     """Return how many engines that stay hold each model."""
     copies: dict[str, int] = {}
     for each in records:
-        if not each.server.is_leaving and not each.is_lost:
+        if not each.is_leaving and not each.is_lost:
             for name in each.held:
                 copies[name] = copies.get(name, 0) + 1
     return copies
--- a/src/cowslipwood/keeper/engines/_demand.py
+++ b/src/cowslipwood/keeper/engines/_demand.py
@@ -43,9 +43,9 @@
         """Return what is asked of one model."""
         return self.by_model.get(model, NO_DEMAND)
 
-    def clear_reports(self) -> None:
-        """Forget the entries' reports, at the start of a leadership."""
-        self._samples.clear()
+    def begin(self) -> None:
+        """Forget what an earlier leadership saw; the last reports still hold."""
+        self.by_model.clear()
 
     def asked(self, model: str, adapter: str, now_ms: float) -> None:
         """Note a question for a model, or for an adapter of it."""
@@ -73,7 +73,11 @@
                 self.asked(*_names(sample), now_ms)
 
     def update(
-        self, expected: Mapping[str, float], step_ms: float, now_ms: float
+        self,
+        expected: Mapping[str, float],
+        step_ms: float,
+        now_ms: float,
+        is_new: bool = False,
     ) -> None:
         """Move the smoothed values on by one step.
 
@@ -85,7 +89,11 @@
         step_ms : float
             Time since the last step.
         now_ms : float
+        is_new : bool
+            Whether a leadership has just begun: requests in flight are then known
+            at once, since whatever was smoothed before is unknown.
         """
+        rise_ms = step_ms if is_new else RISE_MS
         waiting, in_flight = self._sums(now_ms)
         for model, value in expected.items():
             self._asked_ms.setdefault(model, now_ms)
@@ -94,7 +102,7 @@
             held = self.by_model.get(model, NO_DEMAND)
             self.by_model[model] = ModelDemand(
                 _smoothed(held.waiting, waiting.get(model, 0.0), step_ms),
-                _smoothed(held.in_flight, in_flight.get(model, 0.0), step_ms),
+                _smoothed(held.in_flight, in_flight.get(model, 0.0), step_ms, rise_ms),
                 max(0.0, 1.0 - (now_ms - asked_ms) / RECENT_MS),
             )
 
@@ -120,8 +128,10 @@
         return waiting, in_flight
 
 
-def _smoothed(held: float, seen: float, step_ms: float) -> float:
-    time_ms = RISE_MS if seen > held else FALL_MS
+def _smoothed(
+    held: float, seen: float, step_ms: float, rise_ms: float = RISE_MS
+) -> float:
+    time_ms = rise_ms if seen > held else FALL_MS
     return held + min(1.0, step_ms / time_ms) * (seen - held)
 
 
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -64,7 +64,9 @@
                 keys = record.ready_keys()
             else:
                 keys = tuple(sorted(listed_keys(server)))
-            views[server.server_id] = as_view(server, keys)
+            is_leaving = server.is_leaving or (is_exact and record.is_leaving)
+            listed = server._replace(is_leaving=is_leaving)
+            views[server.server_id] = as_view(listed, keys)
         return views
 
     def load(self, now_ms: float) -> FleetLoad | None:
--- a/src/cowslipwood/keeper/engines/_orders.py
+++ b/src/cowslipwood/keeper/engines/_orders.py
@@ -72,6 +72,8 @@
         When the engine started; 0 when it does not say.
     n_running, n_queued : int
         Requests.
+    is_leaving : bool
+        Whether it says that it is about to stop; the list tells so later.
     """
 
     sequence: int
@@ -82,6 +84,7 @@
     born_ms: int = 0
     n_running: int = 0
     n_queued: int = 0
+    is_leaving: bool = False
 
 
 class EngineClient(Protocol):
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -10,6 +10,10 @@
 
 # An unload ends with its model's runs; most streams have ended after this time.
 UNLOAD_MS = 1_000.0
+# A load that takes longer than it should is over after an unknown time.
+OVERDUE_MS = 300.0
+# Longer than the pause between two looks of a question that waits for the engine.
+AWAIT_MS = 100.0
 # One report may be lost on its way; an engine that is down gives none.
 LOST_READS = 2
 
@@ -44,8 +48,11 @@
         self.leaving_adapters: set[tuple[str, str]] = set()
         self.reserved_for = ""
         self.reserved_until_ms = 0.0
+        self._awaited_for = ""
+        self._awaited_until_ms = 0.0
         self.n_running = 0
         self.n_queued = 0
+        self._says_leaving = False
         self.lock = anyio.Lock()
 
     def use_spec(self, spec: EngineSpec) -> None:
@@ -58,6 +65,11 @@
         """Whether the record may be ordered by."""
         return self.sequence is not None
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the engine is about to stop, by the list or by its own word."""
+        return self.server.is_leaving or self._says_leaving
+
     @property
     def is_lost(self) -> bool:
         """Whether the engine seems to be down though it is still listed."""
@@ -67,13 +79,22 @@
     def is_usable(self) -> bool:
         """Whether the engine may be given an order now."""
         is_free = self.is_synced and not self.is_busy
-        return is_free and not self.server.is_leaving and not self.is_lost
+        return is_free and not self.is_leaving and not self.is_lost
 
     def busy_ms(self, now_ms: float) -> float:
         """Return for how long the engine is likely to carry out its order yet."""
         if not self.is_busy:
             return 0.0
-        return max(self.busy_until_ms - now_ms, 0.0 if self.loading else UNLOAD_MS)
+        least_ms = OVERDUE_MS if self.loading else UNLOAD_MS
+        return max(self.busy_until_ms - now_ms, least_ms)
+
+    def await_for(self, model: str, now_ms: float) -> None:
+        """Keep the engine for a model that waits for the end of its order.
+
+        Others look elsewhere meanwhile; only one of them could be the next.
+        """
+        self._awaited_for = model
+        self._awaited_until_ms = now_ms + AWAIT_MS
 
     def takes(self, model: str, now_ms: float) -> bool:
         """Return whether the engine may be ordered to load a model now."""
@@ -84,10 +105,12 @@
 
         Room that was made for one model is not given to another meanwhile.
         """
-        if not self.is_synced or self.server.is_leaving or self.is_lost:
+        if not self.is_synced or self.is_leaving or self.is_lost:
             return False
         if model in self.held:
             return False
+        if now_ms < self._awaited_until_ms and self._awaited_for != model:
+            return False
         is_reserved = self.reserved_for and now_ms < self.reserved_until_ms
         return not is_reserved or self.reserved_for == model
 
@@ -154,6 +177,7 @@
         self.n_failed_reads = 0
         self.n_running = report.n_running
         self.n_queued = report.n_queued
+        self._says_leaving = self._says_leaving or report.is_leaving
         if report.sequence < self._least_sequence:
             return False
         self.sequence = self._least_sequence = report.sequence
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -121,6 +121,22 @@
         self.assertIn("a9", engine.held["m0"])
         self.assertEqual(engine.overflows, 0)
 
+    def test_leaving_by_its_own_word(self):
+        """An engine that says that it stops is left before the list tells so."""
+        leaving = FakeEngine("s0", {"m0": set()})
+        leaving.is_leaving = True
+        staying = FakeEngine("s1", {})
+        fleet = FakeFleet([leaving, staying])
+
+        async def act(controller):
+            reply = await ask(controller, "m0")
+            self.assertEqual(reply.server_id, "s1")
+            views = controller.views()
+            self.assertTrue(views["s0"].leaving)
+            self.assertFalse(views["s1"].leaving)
+
+        run(fleet, act)
+
     def test_report_from_before_an_order(self):
         """After doubt, a report that lags behind an accepted order is not adopted."""
         held = record("s0", {"m0": set()})
