Weigh running requests as measured; log what a request needs

Change: 12 ms for each running request at least. The line of a request that is sent says what it needs.

Ruled out: adapters (the model has none), unknown load (the entries' figures agree with the engines' reports).

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -256,6 +256,7 @@
             "request_sent",
             request=request.facts.request_id,
             route=request.route.name,
+            key=request.key,
             document=state.version,
             server=backend.view.server_id,
             list_age_ms=round(now_ms - state.listed_ms),
--- a/src/cowslipwood/entry/routing/least_cost.py
+++ b/src/cowslipwood/entry/routing/least_cost.py
@@ -22,6 +22,9 @@
 # In milliseconds, for a server that is as full as it may be at full speed: a
 # fuller batch gives every token later.
 FULL_BATCH_MS = 150.0
+# In milliseconds, for each request that runs already, at least: long prompts are
+# read between the tokens of the others, and all streams of the batch last longer.
+RUNNING_MS = 12.0
 # In milliseconds of wait: what a zone's distance is worth, and each kilobyte that
 # is sent there; bytes between zones are dear, and a short wait costs nothing.
 ZONE_MS = 20.0
@@ -81,7 +84,8 @@
 def expected_wait_ms(backend: Backend, context: RoutingContext, now_ms: float) -> float:
     """Return the cost of one more request at a server, as a time."""
     load = backend.load(context.typical_load, now_ms)
-    wait_ms = backend.wait_ms(load, now_ms) + FULL_BATCH_MS * (load + 1) / backend.knee
+    wait_ms = backend.wait_ms(load, now_ms)
+    wait_ms += max(RUNNING_MS, FULL_BATCH_MS / backend.knee) * (load + 1)
     own_tokens = backend.n_pending_tokens
     others_tokens = max(
         0.0, backend.queued(now_ms) * TYPICAL_PROMPT_TOKENS - own_tokens
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -80,6 +80,14 @@
         second = choose(servers, prefix_hash=99, n_shared_tokens=6_300)
         self.assertIsNot(first, second)
 
+    def test_full_batch_outweighs_kept_parts(self):
+        """Many running streams send it elsewhere though nothing waits."""
+        servers = backends()
+        first = choose(servers, prefix_hash=99, n_shared_tokens=6_300)
+        first.reported(LoadReport(40, 0, 0.0, 64), NOW_MS)
+        second = choose(servers, prefix_hash=99, n_shared_tokens=6_300)
+        self.assertIsNot(first, second)
+
     def test_parts_are_kept_in_each_zone(self):
         """Long prompts stay in the zone, also when another holds their parts."""
         servers = backends(zones=("zone-1", "zone-2"))
