Count only what a server has to read as waiting there

Cause: a request under way counted with its whole prompt (9,190 tokens) though most of it is kept by the server that is preferred for it, so the next request with the same parts went to a server that had to read all of them.

Change: what waits is the prompt less the share that is likely to be kept (0.8 of the shared parts). The request's record and the store's budget are modules of their own.

Ruled out: nothing more.

--- a/src/cowslipwood/entry/direct/_app.py
+++ b/src/cowslipwood/entry/direct/_app.py
@@ -10,8 +10,9 @@
 from ...kernel.http import error_body
 from ...kernel.logs import get_logger
 from ...routes import pick_service
-from ._exchange import Exchange, RoutedRequest
+from ._exchange import Exchange
 from ._headers import read_request_facts
+from ._request import RoutedRequest
 from ._state import DirectState
 
 __all__ = ["RouteApp"]
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 import anyio
 from returns.result import Failure as Err
@@ -11,22 +11,21 @@
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.http_connection import AnswerHead, BrokenAnswerError, ServerConnection
 from ...kernel.logs import get_logger
-from ...listing import holding_key
-from ...routes import Route, RouteKind
+from ...routes import RouteKind
 from ..choosing._backend import NOT_READY_MS, UNREACHABLE_MS, Backend, LoadReport
 from ..routing import RoutingContext
 from ._events import EventSplitter
 from ._headers import (
     AnswerFacts,
-    RequestFacts,
     read_answer,
     request_headers,
     response_headers,
 )
+from ._request import RoutedRequest, tokens_to_read, urgency
 from ._retries import Attempted, SharedBudget, final_failure, may_try_again
 from ._state import DirectState
 
-__all__ = ["AnswerSink", "Exchange", "RoutedRequest"]
+__all__ = ["AnswerSink", "Exchange"]
 
 # Statuses by which a server promises that a request did not run; without the
 # header that says so, the promise is not passed on.
@@ -44,53 +43,10 @@
 # With the pauses before it, longer than a crash goes unnoticed; after it the caller
 # does better to come back.
 MAX_PAUSE_MS = 1_000.0
-LEAST_URGENT = 9
-# More than the ranks that operators use for their routes.
-LATE_RANKS = 4
 # Nothing was sent, and asking again at once would find the same.
 FINAL_CODES = frozenset((Code.NO_REPLICA, Code.DEADLINE_PASSED))
 
 
-class RoutedRequest(NamedTuple):
-    """A caller's request with its route.
-
-    Parameters
-    ----------
-    route : Route
-    service : str
-    method, target : bytes
-    headers : list of tuple of bytes
-    body : bytes
-    facts : RequestFacts
-    arrived_ms, answer_by_ms : float
-        On the boot-time clock.
-    """
-
-    route: Route
-    service: str
-    method: bytes
-    target: bytes
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
-    facts: RequestFacts
-    arrived_ms: float
-    answer_by_ms: float
-
-    @property
-    def key(self) -> str:
-        """What a server has to hold."""
-        return holding_key(self.service, self.facts.model, self.facts.adapter)
-
-
-def urgency(route: Route, waited_ms: float) -> int:
-    """Return the rank at which a server takes a request, 0 first and 9 last.
-
-    What has missed its target already stands behind what can still meet it.
-    """
-    is_late = 0 < route.target_latency_ms < waited_ms
-    return min(LEAST_URGENT, route.priority + (LATE_RANKS if is_late else 0))
-
-
 class AnswerSink(Protocol):
     """Where an answer goes as it arrives."""
 
@@ -270,7 +226,7 @@
         )
         try:
             with (
-                backend.pending(request.facts.n_prompt_tokens),
+                backend.pending(tokens_to_read(request.facts)),
                 state.waiting.counted(request.key, state.now_ms),
                 anyio.fail_after(self._patience_ms(left_ms) / 1000),
             ):
--- a/src/cowslipwood/entry/direct/_holders.py
+++ b/src/cowslipwood/entry/direct/_holders.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -13,11 +13,9 @@
 from ...kernel.keeper_link import KeeperLink
 from ...kernel.logs import get_logger
 from ...kernel.messages import HolderReply, HolderRequest
+from ._request import RoutedRequest
 from ._servers import KnownServers
 
-if TYPE_CHECKING:
-    from ._exchange import RoutedRequest
-
 __all__ = ["Holders"]
 
 # A request keeps this much of its time for its run after a load.
--- /dev/null
+++ b/src/cowslipwood/entry/direct/_request.py
@@ -0,0 +1,63 @@
+"""A caller's request with its route, and what follows from it for servers."""
+
+from typing import NamedTuple
+
+from ...listing import holding_key
+from ...routes import Route
+from ..routing import KEPT_SHARE
+from ._headers import RequestFacts
+
+__all__ = ["RoutedRequest", "tokens_to_read", "urgency"]
+
+LEAST_URGENT = 9
+# More than the ranks that operators use for their routes.
+LATE_RANKS = 4
+
+
+class RoutedRequest(NamedTuple):
+    """A caller's request with its route.
+
+    Parameters
+    ----------
+    route : Route
+    service : str
+    method, target : bytes
+    headers : list of tuple of bytes
+    body : bytes
+    facts : RequestFacts
+    arrived_ms, answer_by_ms : float
+        On the boot-time clock.
+    """
+
+    route: Route
+    service: str
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    facts: RequestFacts
+    arrived_ms: float
+    answer_by_ms: float
+
+    @property
+    def key(self) -> str:
+        """What a server has to hold."""
+        return holding_key(self.service, self.facts.model, self.facts.adapter)
+
+
+def urgency(route: Route, waited_ms: float) -> int:
+    """Return the rank at which a server takes a request, 0 first and 9 last.
+
+    What has missed its target already stands behind what can still meet it.
+    """
+    is_late = 0 < route.target_latency_ms < waited_ms
+    return min(LEAST_URGENT, route.priority + (LATE_RANKS if is_late else 0))
+
+
+def tokens_to_read(facts: RequestFacts) -> int:
+    """Return the prompt tokens that a server is likely to have to read.
+
+    What it holds of the shared parts costs no time, so a request behind another of
+    the same parts waits for less than the whole prompt.
+    """
+    return facts.n_prompt_tokens - round(KEPT_SHARE * facts.n_shared_tokens)
--- a/src/cowslipwood/entry/routing/__init__.py
+++ b/src/cowslipwood/entry/routing/__init__.py
@@ -1,6 +1,6 @@
 """Routing policies: which of the servers that can answer gets a request."""
 
 from . import least_cost, least_reported_load, random_choice, sampled_load  # noqa: F401
-from ._policy import RoutingContext, RoutingPolicy, usable_candidates
+from ._policy import KEPT_SHARE, RoutingContext, RoutingPolicy, usable_candidates
 
-__all__ = ["RoutingContext", "RoutingPolicy", "usable_candidates"]
+__all__ = ["KEPT_SHARE", "RoutingContext", "RoutingPolicy", "usable_candidates"]
--- a/src/cowslipwood/entry/routing/_policy.py
+++ b/src/cowslipwood/entry/routing/_policy.py
@@ -6,7 +6,17 @@
 
 from ..choosing._backend import Backend
 
-__all__ = ["RoutingContext", "RoutingPolicy", "usable_candidates", "zone_distance"]
+__all__ = [
+    "KEPT_SHARE",
+    "RoutingContext",
+    "RoutingPolicy",
+    "usable_candidates",
+    "zone_distance",
+]
+
+# The share of cases in which the server that is preferred for a prompt's shared
+# parts still holds them.
+KEPT_SHARE = 0.8
 
 
 class RoutingContext(NamedTuple):
--- a/src/cowslipwood/entry/routing/least_cost.py
+++ b/src/cowslipwood/entry/routing/least_cost.py
@@ -10,7 +10,12 @@
 from ...kernel.registry import PluginKind, register
 from ..choosing._backend import Backend
 from ._affinity import preferred_backend
-from ._policy import RoutingContext, usable_candidates, zone_distance
+from ._policy import (
+    KEPT_SHARE,
+    RoutingContext,
+    usable_candidates,
+    zone_distance,
+)
 
 __all__ = ["LeastCost"]
 
@@ -29,8 +34,6 @@
 # is sent there; bytes between zones are dear, and a short wait costs nothing.
 ZONE_MS = 20.0
 ZONE_MS_PER_KB = 4.0
-# The share of cases in which the preferred server still holds the parts.
-KEPT_SHARE = 0.7
 ERROR_FACTOR = 6.0
 # In milliseconds of wait, so that errors weigh on an idle server too.
 ERROR_BASE_MS = 40.0
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -1,6 +1,5 @@
 """Keeps the engines' models and adapters where requests need them."""
 
-from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
@@ -35,6 +34,7 @@
 from ._fleet import Fleet
 from ._orders import EngineClient, EngineOrder, OrderOp, OrderOutcome
 from ._record import EngineRecord
+from ._store import StoreBudget
 
 __all__ = ["EngineController", "EngineTerms"]
 
@@ -113,7 +113,7 @@
         self._demand = DemandView()
         self._led_term = 0
         self._led_since_ms = 0.0
-        self._store_loads: deque[float] = deque()
+        self._store = StoreBudget(terms.store_window_ms)
         self._tasks: anyio.abc.TaskGroup | None = None
 
     async def run(self) -> None:
@@ -254,11 +254,11 @@
             if record.free_mb < spec.weights_mb:
                 return
             from_store = spec.name not in record.cached
-            if from_store and not self._store_allows(record, spec, monotonic_ms()):
+            if from_store and not self._store_allows(record, spec):
                 return
             if from_store:
                 # Counted before the order: one without an answer may load too.
-                self._store_loads.append(monotonic_ms())
+                self._store.take(monotonic_ms())
             load_s = spec.load_time_s if from_store else spec.disk_load_s
             await self._order(record, OrderOp.LOAD, spec.name, "", load_s * 1000)
 
@@ -267,24 +267,13 @@
         is_quiet_over = now_ms - self._led_since_ms >= self._terms.quiet_ms
         return self._leads(now_ms) and self._led_term == self._term() and is_quiet_over
 
-    def _store_allows(
-        self, record: EngineRecord, model: ModelSpec, now_ms: float
-    ) -> bool:
-        """Return whether the weight store's rate allows one more load now.
-
-        Models that few ask for leave one of the loads at once to those that many do.
-        """
-        window_ms = self._terms.store_window_ms
-        while self._store_loads and self._store_loads[0] < now_ms - window_ms:
-            self._store_loads.popleft()
-        allowed = max(1, int(record.spec.loads_per_s * window_ms / 1000))
-        # More at once than the rate allows would only slow each other down.
-        longest_s = max(each.load_time_s for each in record.spec.models)
+    def _store_allows(self, record: EngineRecord, model: ModelSpec) -> bool:
+        """Return whether the weight store may be asked for one more load now."""
         n_under_way = sum(1 for each in self._fleet.records.values() if each.loading)
-        at_once = round(record.spec.loads_per_s * longest_s)
-        if self._demand.of(model.name).in_flight < BUSY_IN_FLIGHT:
-            at_once -= 1
-        return len(self._store_loads) < allowed and n_under_way < max(1, at_once)
+        is_busy_model = self._demand.of(model.name).in_flight >= BUSY_IN_FLIGHT
+        return self._store.allows(
+            record.spec, n_under_way, is_busy_model, monotonic_ms()
+        )
 
     async def _order(
         self,
@@ -333,7 +322,7 @@
             self._led_since_ms = now_ms
             self._fleet.clear()
             self._demand.begin()
-            self._store_loads.clear()
+            self._store.clear()
         await self._fleet.read_list(self._document(), now_ms)
         expected = {}
         is_new = now_ms - self._led_since_ms < PRIOR_MS
--- /dev/null
+++ b/src/cowslipwood/keeper/engines/_store.py
@@ -0,0 +1,55 @@
+"""Keeps loads from the weight store within its rate."""
+
+from collections import deque
+
+from ...routes import EngineSpec
+
+__all__ = ["StoreBudget"]
+
+
+class StoreBudget:
+    """Loads from the weight store in the last window, over all engines.
+
+    Parameters
+    ----------
+    window_ms : float
+        Window in which they are counted.
+    """
+
+    def __init__(self, window_ms: float):
+        self._window_ms = window_ms
+        self._taken_ms: deque[float] = deque()
+
+    def clear(self) -> None:
+        """Forget all loads, at the start of a leadership."""
+        self._taken_ms.clear()
+
+    def take(self, now_ms: float) -> None:
+        """Count a load."""
+        self._taken_ms.append(now_ms)
+
+    def allows(
+        self, spec: EngineSpec, n_under_way: int, is_busy_model: bool, now_ms: float
+    ) -> bool:
+        """Return whether one more load may begin now.
+
+        Models that few ask for leave one of the loads at once to those that many do.
+
+        Parameters
+        ----------
+        spec : EngineSpec
+        n_under_way : int
+            Loads that have begun and not ended.
+        is_busy_model : bool
+            Whether many ask for the model.
+        now_ms : float
+        """
+        while self._taken_ms and self._taken_ms[0] < now_ms - self._window_ms:
+            self._taken_ms.popleft()
+        allowed = max(1, int(spec.loads_per_s * self._window_ms / 1000))
+        # More at once than the rate allows would only slow each other down.
+        longest_s = max(each.load_time_s for each in spec.models)
+        at_once = round(spec.loads_per_s * longest_s)
+        if not is_busy_model:
+            at_once -= 1
+        return len(self._taken_ms) < allowed and n_under_way < max(1, at_once)
--- a/tests/direct_builders.py
+++ b/tests/direct_builders.py
@@ -12,8 +12,8 @@
 from returns.result import Result, Success
 
 from cowslipwood.entry.choosing._view import View
-from cowslipwood.entry.direct._exchange import RoutedRequest
 from cowslipwood.entry.direct._headers import HeaderNames, read_request_facts
+from cowslipwood.entry.direct._request import RoutedRequest
 from cowslipwood.entry.direct._retries import BudgetTerms
 from cowslipwood.entry.direct._servers import KnownServers
 from cowslipwood.entry.direct._state import DirectState
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -8,8 +8,9 @@
 from returns.result import Success
 
 from cowslipwood.entry.choosing._view import View
-from cowslipwood.entry.direct._exchange import Exchange, urgency
+from cowslipwood.entry.direct._exchange import Exchange
 from cowslipwood.entry.direct._holders import Holders
+from cowslipwood.entry.direct._request import urgency
 from cowslipwood.entry.direct._servers import KnownServers
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.codes import CODE_INFO, Code, Outcome, failure
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -9,6 +9,8 @@
 
 from cowslipwood.entry.choosing._backend import Backend, LoadReport
 from cowslipwood.entry.direct._entry import serving_ms
+from cowslipwood.entry.direct._headers import RequestFacts
+from cowslipwood.entry.direct._request import tokens_to_read
 from cowslipwood.entry.direct._retries import BudgetTerms, EntryCount, SharedBudget
 from cowslipwood.entry.routing import RoutingContext
 from cowslipwood.entry.routing.least_cost import LeastCost
@@ -21,6 +23,7 @@
     spread_step,
 )
 from cowslipwood.keeper.engines._demand import DemandView
+from cowslipwood.keeper.engines._store import StoreBudget
 from cowslipwood.kernel.messages import DemandSample, EntryReport
 from cowslipwood.listing import as_view
 
@@ -80,6 +83,15 @@
         second = choose(servers, prefix_hash=99, n_shared_tokens=6_300)
         self.assertIsNot(first, second)
 
+    def test_second_request_stays_with_the_parts(self):
+        """One request under way does not send the next of its parts elsewhere."""
+        servers = backends()
+        first = choose(servers, prefix_hash=99, n_shared_tokens=6_300)
+        facts = RequestFacts("q1", None, n_prompt_tokens=9_190, n_shared_tokens=6_300)
+        with first.pending(tokens_to_read(facts)), first.in_flight():
+            second = choose(servers, prefix_hash=99, n_shared_tokens=6_300)
+        self.assertIs(first, second)
+
     def test_full_batch_outweighs_kept_parts(self):
         """Many running streams send it elsewhere though nothing waits."""
         servers = backends()
@@ -408,3 +420,27 @@
         loading.busy_until_ms = NOW_MS + 5_000.0
         step = missing_step([idle, loading], MODELS[5], {}, NOW_MS)
         self.assertIs(step.record, idle)
+
+
+class StoreRushTest(unittest.TestCase):
+    """Many rare models are asked for at once while a busy one has to be loaded."""
+
+    def setUp(self):
+        self.spec = SPEC._replace(
+            loads_per_s=1.0, models=(MODELS[0]._replace(load_time_s=2.0),)
+        )
+        self.budget = StoreBudget(5_000.0)
+
+    def test_place_for_the_busy_model(self):
+        """Rare models leave one of the loads at once to it."""
+        self.assertFalse(self.budget.allows(self.spec, 1, False, NOW_MS))
+        self.assertTrue(self.budget.allows(self.spec, 1, True, NOW_MS))
+
+    def test_rate(self):
+        """No window holds more loads than the store allows."""
+        for number in range(5):
+            now_ms = NOW_MS + number * 100
+            self.assertTrue(self.budget.allows(self.spec, 0, True, now_ms))
+            self.budget.take(now_ms)
+        self.assertFalse(self.budget.allows(self.spec, 0, True, NOW_MS + 5_000.0))
+        self.assertTrue(self.budget.allows(self.spec, 0, True, NOW_MS + 5_001.0))
