Hold the first election after a start early

Change: the first timeout of a process is the shortest one and up to 80 ms; a refused round is repeated after 40 ms, then after twice that, up to 320 ms. Who may vote when is as before.

Ruled out: the log's reading (a keeper listens after it).

--- a/src/cowslipwood/replication/_election.py
+++ b/src/cowslipwood/replication/_election.py
@@ -14,15 +14,21 @@
 from ._peers import PeerLinks
 from ._state import ReplicaState, Role
 
-__all__ = ["stand_for_election", "wait_until_due"]
+__all__ = ["election_timeout_ms", "stand_for_election", "wait_until_due"]
 
 VOTE_TIMEOUT_MS = 500
+# After a loss of power all replicas start at once and nobody may vote before the
+# shortest timeout is over; this much at random keeps them from standing together.
+FIRST_SPREAD_MS = 80.0
+# Between two rounds of questions, doubled up to the last of them: the others start
+# within moments of each other, but may also be out of reach for long.
+ASK_AGAIN_MS = 40.0
+MAX_DOUBLINGS = 3
 
 
 async def wait_until_due(state: ReplicaState) -> None:
     """Return when this replica should stand for election."""
-    timing = state.timing
-    timeout_ms = state.rng.uniform(timing.election_min_ms, timing.election_max_ms)
+    timeout_ms = election_timeout_ms(state)
     while True:
         left_ms = state.timer_ms + timeout_ms - monotonic_ms()
         if state.is_voter and _may_stand(state, left_ms):
@@ -32,6 +38,18 @@
         await state.changed.wait_for(left_ms)
 
 
+def election_timeout_ms(state: ReplicaState) -> float:
+    """Return how long to wait for a leader, drawn anew for each election.
+
+    A leader that is there is heard of soon after a start, and otherwise refuses the
+    questions, so the first time is short.
+    """
+    timing = state.timing
+    if state.has_heard_leader:
+        return state.rng.uniform(timing.election_min_ms, timing.election_max_ms)
+    return timing.election_min_ms + state.rng.uniform(0.0, FIRST_SPREAD_MS)
+
+
 def _may_stand(state: ReplicaState, left_ms: float) -> bool:
     stands_alone = len(voters(state.log.members)) == 1
     return left_ms <= 0 or state.handover_asked or stands_alone
@@ -50,9 +68,12 @@
     state.timer_ms = monotonic_ms()
     term = state.term
     if not handover and not await _ask_voters(state, links, _pre_vote(state)):
-        # Asking has no effect, so it is repeated sooner than a whole timeout:
-        # after a loss of power the others start within moments of each other.
-        state.timer_ms = monotonic_ms() - state.timing.election_min_ms
+        # Asking has no effect, so it is repeated sooner than a whole timeout. A
+        # leader that is heard meanwhile moves the timer on.
+        state.timer_ms = monotonic_ms() - state.timing.election_max_ms
+        pause_ms = ASK_AGAIN_MS * 2 ** min(state.n_rounds_refused, MAX_DOUBLINGS)
+        state.n_rounds_refused += 1
+        await state.changed.wait_for(pause_ms * state.rng.uniform(0.5, 1.5))
         return False
     if state.term != term or (not handover and state.has_live_leader(monotonic_ms())):
         return False
--- a/src/cowslipwood/replication/_state.py
+++ b/src/cowslipwood/replication/_state.py
@@ -101,6 +101,8 @@
         self.leading: Leading | None = None
         self.on_lost: Callable[[], None] = _ignore
         self.handover_asked = False
+        self.has_heard_leader = False  # since the process began
+        self.n_rounds_refused = 0  # since a leader was heard
         # A restarted replica may have heard the leader just before it stopped.
         self.leader_seen_ms = now_ms
         self.timer_ms = now_ms
@@ -161,6 +163,8 @@
         """Note that the leader of the present term was heard."""
         self.leader_seen_ms = now_ms
         self.timer_ms = now_ms
+        self.has_heard_leader = True
+        self.n_rounds_refused = 0
 
     def vote_for(self, candidate_id: str) -> None:
         """Vote in the present term; `save_ballot` makes it last."""
@@ -168,6 +172,7 @@
 
     def stand(self) -> None:
         """Become a candidate in the next term."""
+        self.has_heard_leader = True  # the first election of this process is over
         self.ballot = self.ballot._replace(
             term=self.term + 1, voted_for=self.replica_id
         )
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -16,6 +16,7 @@
 from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.replication import DataDamagedError
 from cowslipwood.replication._applier import SNAPSHOT_LOG_BYTES, Applier
+from cowslipwood.replication._election import election_timeout_ms
 from cowslipwood.replication._follower import Follower
 from cowslipwood.replication._leader import Leadership
 from cowslipwood.replication._log import DurableLog, members_entry
@@ -326,6 +327,20 @@
 
         self._run(check)
 
+    def test_first_election_is_early(self):
+        """After a start the timeout is short, and full once a leader was heard."""
+
+        async def check(follower: Follower, state: ReplicaState, folder: Path) -> None:
+            first = [election_timeout_ms(state) for _ in range(50)]
+            heartbeat = HeartbeatRequest("", "l", "", 1, 0)
+            await follower.on_heartbeat(heartbeat, AFTER_LEASE_MS)
+            later = [election_timeout_ms(state) for _ in range(50)]
+            self.assertGreaterEqual(min(first), TIMING.election_min_ms)
+            self.assertLess(max(first), TIMING.election_max_ms - 200)
+            self.assertGreater(max(later), TIMING.election_max_ms - 100)
+
+        self._run(check)
+
     def test_no_vote_within_lease(self):
         """A replica that may have heard a leader refuses votes in newer terms."""
 
