--- a/src/cowslipwood/replication/_election.py
+++ b/src/cowslipwood/replication/_election.py
@@ -10,7 +10,7 @@
 from ..kernel.logs import get_logger
 from ..kernel.metrics import Metrics
 from ._membership import has_quorum, voters
-from ._messages import VoteReply, VoteRequest
+from ._messages import Member, VoteReply, VoteRequest
 from ._peers import PeerLinks
 from ._state import ReplicaState, Role
 
@@ -103,6 +103,26 @@
     return _pre_vote(state)._replace(term=state.term, pre=False, handover=handover)
 
 
+def _note_silence(
+    state: ReplicaState, member: Member, request: VoteRequest, answered: Any
+) -> None:
+    """Log that a voter does not answer, once until it has answered again."""
+    if not isinstance(answered, Err):
+        state.silent_voters.discard(member.replica_id)
+        return
+    if member.replica_id in state.silent_voters:
+        return
+    state.silent_voters.add(member.replica_id)
+    get_logger().info(
+        "vote_not_answered",
+        member=member.replica_id,
+        term=request.term,
+        pre=request.pre,
+        code=answered.failure().code.value,
+        reason=answered.failure().message,
+    )
+
+
 async def _ask_voters(
     state: ReplicaState, links: PeerLinks, request: VoteRequest
 ) -> bool:
@@ -117,21 +137,14 @@
     async def ask(member: Any) -> None:
         link = links.link(member.addr)
         asked = request._replace(to_id=member.replica_id)
-        match await link.request(asked, VOTE_TIMEOUT_MS):
+        answered = await link.request(asked, VOTE_TIMEOUT_MS)
+        _note_silence(state, member, request, answered)
+        match answered:
             case Success(VoteReply(_, True)):
                 granted.add(member.replica_id)
             case Success(VoteReply(term, _)) if term > state.term:
                 state.follow(term)
                 done.set()
-            case Err(fault):
-                get_logger().info(
-                    "vote_not_answered",
-                    member=member.replica_id,
-                    term=request.term,
-                    pre=request.pre,
-                    code=fault.code.value,
-                    reason=fault.message,
-                )
         if has_quorum(members, granted):
             done.set()
 
--- a/src/cowslipwood/replication/_state.py
+++ b/src/cowslipwood/replication/_state.py
@@ -102,6 +102,7 @@
         self.on_lost: Callable[[], None] = _ignore
         self.handover_asked = False
         self.has_heard_leader = False  # since the process began
+        self.silent_voters: set[str] = set()  # that left the last question unanswered
         self.n_rounds_refused = 0  # since a leader was heard
         # A restarted replica may have heard the leader just before it stopped.
         self.leader_seen_ms = now_ms
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -8,15 +8,18 @@
 from typing import Any
 
 import anyio
+import structlog
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from returns.result import Failure as Err
 from returns.result import Success
 
 from cowslipwood.kernel.clock import monotonic_ms
+from cowslipwood.kernel.codes import Code, failure
 from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.replication import DataDamagedError
 from cowslipwood.replication._applier import SNAPSHOT_LOG_BYTES, Applier
-from cowslipwood.replication._election import election_timeout_ms
+from cowslipwood.replication._election import _note_silence, election_timeout_ms
 from cowslipwood.replication._follower import Follower
 from cowslipwood.replication._leader import Leadership
 from cowslipwood.replication._log import DurableLog, members_entry
@@ -341,6 +344,19 @@
 
         self._run(check)
 
+    def test_silence_is_logged_once(self):
+        """A voter out of reach is logged once, and again after it has answered."""
+
+        async def check(follower: Follower, state: ReplicaState, folder: Path) -> None:
+            member = Member("a", "127.0.0.1:1", True)
+            silent = Err(failure(Code.PEER_GONE))
+            with structlog.testing.capture_logs() as lines:
+                for answered in (silent, silent, Success(None), silent):
+                    _note_silence(state, member, _vote("k1", 2), answered)
+            self.assertEqual(len(lines), 2)
+
+        self._run(check)
+
     def test_no_vote_within_lease(self):
         """A replica that may have heard a leader refuses votes in newer terms."""
 
