Refuse in a stop what may last beyond the kill

A stream was taken 1.2 s after SIGTERM, ran for 6.7 s and was cut by the kill at 8 s, while a configuration had just changed.

Change: while an entry stops, a request whose answer may be due after the kill gets 503, not run, with the time to come back; everything else is taken as before.

Ruled out: the configuration (it touches no route of the request), the server (it was still at work).

--- a/src/cowslipwood/entry/direct/_app.py
+++ b/src/cowslipwood/entry/direct/_app.py
@@ -1,5 +1,6 @@
 """The callers' HTTP interface of an entry with direct routes."""
 
+import math
 import random
 from typing import Any
 
@@ -20,6 +21,8 @@
 # Until a document says what bodies are allowed.
 DEFAULT_BODY_BYTES = 8_388_608
 NO_CATALOGUE_RETRY_MS = 500
+# Another entry takes it at once; 0 would not be told to the caller.
+LEAVING_RETRY_MS = 10
 # Of the caller's time: enough of it is left to come back to another entry.
 DOCUMENT_WAIT_SHARE = 0.25
 NO_REPLY_STATUS = 499  # what the log gives for a caller that left
@@ -43,6 +46,15 @@
         self._rng = rng
         self.n_in_flight = 0
         self.is_leaving = False
+        self._ends_ms = math.inf
+
+    def leave(self, ends_ms: float) -> None:
+        """Begin to stop: the process is killed at this time.
+
+        Requests are still taken, but only those that are over by then.
+        """
+        self.is_leaving = True
+        self._ends_ms = ends_ms
 
     async def __call__(self, scope: dict, receive: Any, send: Any) -> None:
         """Serve one request."""
@@ -64,6 +76,9 @@
             return
         await self._await_document(scope)
         routed = self._route(scope, body, arrived_ms)
+        if not isinstance(routed, Failure) and routed.answer_by_ms > self._ends_ms:
+            # It could be cut by the kill, and its caller can still go elsewhere.
+            routed = failure(Code.ENTRY_LEAVING, "", LEAVING_RETRY_MS)
         if isinstance(routed, Failure):
             await self._refuse(answer, _request_id(scope, self._state), routed)
             return
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -225,7 +225,7 @@
 
     async def _drain(self, server: HttpServer) -> None:
         """Go on serving until the balancer has noticed, then end what is open."""
-        self._app.is_leaving = True
+        self._app.leave(monotonic_ms() + self._settings.grace_ms)
         with anyio.move_on_after(self._settings.grace_ms / 1000):
             settings = self._settings
             await anyio.sleep(serving_ms(settings.drain_ms, settings.grace_ms) / 1000)
