--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -5,6 +5,8 @@
 import unittest
 from pathlib import Path
 
+from .known_red import listed
+
 ROOT = Path(__file__).resolve().parent.parent
 # Clients and tools that the programs on the front hosts never call.
 NEEDLESS = ("httpcore", "trio", "docutils", "defopt", "pygal", "tabulate")
@@ -53,3 +55,12 @@
         self.assertEqual(len(runs), 2)
         for run in runs:
             self.assertIn(f"-X pycache_prefix={prefix} ", run)
+
+
+class KnownRedTest(unittest.TestCase):
+    """The list of tests that CI passes over."""
+
+    def test_names(self):
+        """An entry's first field names one test; the others name none."""
+        text = "test: tests.test_a.A.test_x\ncommand: test: no\nseen: once\n"
+        self.assertEqual(listed(text), {"tests.test_a.A.test_x"})
