Weigh loads by their time; load twice where the only engine of many was lost

Later the store stood idle between loads: a load held its place until a report showed its end, and loads from an engine's own disk held places of the store.

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -22,6 +22,7 @@
 from ...listing import ListSource
 from ...routes import ModelSpec, RouteDocument, ServiceSpec
 from ._decide import (
+    BUSY_IN_FLIGHT,
     Step,
     adapter_step,
     copies_of,
@@ -50,9 +51,6 @@
 FIND_TIMEOUT_MS = 4_000.0
 # An unload waits for its runs; after this long another engine is looked for.
 MAKE_ROOM_MS = 3_000.0
-# Requests at once from which a model counts as asked for by many: fewer wait for
-# no longer than a load takes.
-BUSY_IN_FLIGHT = 3.0
 # Until the entries' reports have shown the demand to a new leader.
 PRIOR_MS = 4_000.0
 
@@ -163,8 +161,7 @@
             held = await self._provide(request, spec)
             if held is not None:
                 return held
-            has_model = any(e.holds(spec.name) for e in self._fleet.of(request.service))
-            with self._demand.held_up(spec.name if has_model else ""):
+            with self._demand.held_up(spec.name):
                 await anyio.sleep(RETRY_MS / 1000)
         return None
 
@@ -201,7 +198,9 @@
             return None
         for each in records:
             if each.reserved_for == spec.name and now_ms < each.reserved_until_ms:
-                return missing_step([each], spec, self._demand.by_model, now_ms)
+                return missing_step(
+                    records, spec, self._demand.by_model, now_ms, only=each
+                )
         return missing_step(records, spec, self._demand.by_model, now_ms)
 
     async def _take_adapter_step(
@@ -249,6 +248,7 @@
             if step.drop_model:
                 record.reserved_for = spec.name
                 record.reserved_until_ms = now_ms + MAKE_ROOM_MS
+                self._log_placement(spec, step, now_ms)
                 await self._order(record, OrderOp.UNLOAD, step.drop_model, "")
                 return
             if record.free_mb < spec.weights_mb:
@@ -256,11 +256,26 @@
             from_store = spec.name not in record.cached
             if from_store and not self._store_allows(record, spec):
                 return
+            load_ms = 1000 * (spec.load_time_s if from_store else spec.disk_load_s)
             if from_store:
                 # Counted before the order: one without an answer may load too.
-                self._store.take(monotonic_ms())
-            load_s = spec.load_time_s if from_store else spec.disk_load_s
-            await self._order(record, OrderOp.LOAD, spec.name, "", load_s * 1000)
+                self._store.take(load_ms, now_ms)
+            self._log_placement(spec, step, now_ms)
+            await self._order(record, OrderOp.LOAD, spec.name, "", load_ms)
+
+    def _log_placement(self, spec: ModelSpec, step: Step, now_ms: float) -> None:
+        wanted = self._demand.of(spec.name)
+        get_logger().info(
+            "placement_decided",
+            model=spec.name,
+            server=step.record.server.server_id,
+            drops=step.drop_model,
+            cost=round(step.cost, 2),
+            waiting=round(wanted.waiting, 2),
+            in_flight=round(wanted.in_flight, 1),
+            held_up=wanted.n_held_up,
+            report_age_ms=round(now_ms - step.record.read_at_ms),
+        )
 
     def _may_order(self, now_ms: float) -> bool:
         """Return whether this keeper leads and the leader before has gone quiet."""
@@ -269,11 +284,8 @@
 
     def _store_allows(self, record: EngineRecord, model: ModelSpec) -> bool:
         """Return whether the weight store may be asked for one more load now."""
-        n_under_way = sum(1 for each in self._fleet.records.values() if each.loading)
         is_busy_model = self._demand.of(model.name).in_flight >= BUSY_IN_FLIGHT
-        return self._store.allows(
-            record.spec, n_under_way, is_busy_model, monotonic_ms()
-        )
+        return self._store.allows(record.spec, is_busy_model, monotonic_ms())
 
     async def _order(
         self,
@@ -328,7 +340,8 @@
         is_new = now_ms - self._led_since_ms < PRIOR_MS
         if is_new:
             expected = prior_demand(copies_of(self._fleet.records.values()))
-        self._demand.update(expected, STEP_MS, now_ms, is_new)
+        unserved = self._fleet.unserved(self._demand.by_model)
+        self._demand.update(expected, STEP_MS, now_ms, is_new, unserved)
         for record in self._fleet.due_reports(now_ms):
             # In tasks of their own: an engine that is down must not hold up the rest.
             self._tasks.start_soon(self._fleet.read_report, record)
--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -9,6 +9,7 @@
 from ._record import EngineRecord
 
 __all__ = [
+    "BUSY_IN_FLIGHT",
     "NO_DEMAND",
     "ModelDemand",
     "Step",
@@ -20,6 +21,9 @@
     "spread_step",
 ]
 
+# Requests at once from which a model counts as asked for by many: fewer wait for
+# no longer than a load takes.
+BUSY_IN_FLIGHT = 3.0
 # Requests that wait for their first event, for each copy, below which another
 # copy gains little: an engine that reads prompts for half of the time.
 HOT_WAITING = 0.8
@@ -44,7 +48,7 @@
 # In waiting requests: what the last copy of a model without demand is worth,
 # so that spare copies go before it and it goes before what is asked for. Its
 # next request would wait for a load.
-LAST_COPY = 0.25
+LAST_COPY = 0.6
 # Of a request that runs: an unload waits for its end.
 RUNNING_WORTH = 0.1
 # In waiting requests, for an unload that has to wait for a run: meanwhile the
@@ -59,7 +63,7 @@
 # others would go on sending their prompts across.
 SAME_ZONE_COST = 0.05
 # In waiting requests, for each second of loading.
-LOAD_COST_PER_S = 0.5
+LOAD_COST_PER_S = 3.0
 
 
 class ModelDemand(NamedTuple):
@@ -73,11 +77,14 @@
         Requests that were let in and have not ended.
     recent : float
         1 for a model asked for just now, falling to 0 with time.
+    n_held_up : int
+        Entries' questions for it that wait for an order to be possible.
     """
 
     waiting: float = 0.0
     in_flight: float = 0.0
     recent: float = 0.0
+    n_held_up: int = 0
 
 
 NO_DEMAND = ModelDemand()
@@ -101,11 +108,14 @@
         Model to unload first; empty for none.
     drop_adapter : tuple of str or None
         Model and adapter to unload first.
+    cost : float
+        What a model's load costs here, in waiting requests.
     """
 
     record: EngineRecord
     drop_model: str = ""
     drop_adapter: tuple[str, str] | None = None
+    cost: float = 0.0
 
 
 def adapter_step(
@@ -204,23 +214,38 @@
     model: ModelSpec,
     demand: Mapping[str, ModelDemand],
     now_ms: float,
+    only: EngineRecord | None = None,
 ) -> Step | None:
     """Return where a model that nobody holds goes; None while none can take it.
 
     An engine that carries out another order counts with the time that this takes:
     to wait for it can be better than to displace what is in use elsewhere. Where
     the step names one that is not usable yet, it is to be kept for the model.
+
+    Parameters
+    ----------
+    records : sequence of EngineRecord
+        All engines.
+    model : ModelSpec
+    demand : mapping of str to ModelDemand
+    now_ms : float
+    only : EngineRecord, optional
+        The engine on which room is being made for the model already.
     """
-    options = [
-        (option[0] + LOAD_COST_PER_S * each.busy_ms(now_ms) / 1000, option[1])
-        for each in records
-        if each.will_take(model.name, now_ms)
-        for option in [_option(each, model, records, demand, now_ms)]
-        if option is not None
-    ]
-    if not options:
-        return None
-    return min(options, key=lambda option: option[0])[1]
+    layout = _Layout.of(records)
+    options = []
+    for each in [only] if only else records:
+        if not each.will_take(model.name, now_ms):
+            continue
+        option = _option(each, model, layout, demand, now_ms)
+        if option is not None:
+            wait_cost = LOAD_COST_PER_S * each.busy_ms(now_ms) / 1000
+            options.append(option._replace(cost=option.cost + wait_cost))
+    return min(options, key=_cost, default=None)
+
+
+def _cost(step: Step) -> float:
+    return step.cost
 
 
 def copy_step(
@@ -231,6 +256,9 @@
 ) -> tuple[ModelSpec, Step] | None:
     """Return the copy that gains most, if it gains enough; None otherwise.
 
+    None too while callers wait for a model that many ask for and no engine has:
+    loads slow each other down, and the store allows few.
+
     Parameters
     ----------
     records : sequence of EngineRecord
@@ -238,7 +266,13 @@
     demand : mapping of str to ModelDemand
     now_ms : float
     """
-    copies = copies_of(records)
+    layout = _Layout.of(records)
+    copies = layout.copies
+    if any(
+        wanted.n_held_up and wanted.in_flight >= BUSY_IN_FLIGHT and not copies.get(name)
+        for name, wanted in demand.items()
+    ):
+        return None
     ranked = sorted(
         models,
         key=lambda m: (
@@ -257,12 +291,33 @@
             gain += wanted.waiting / (n_copies * (n_copies + 1))
         if not gain:
             continue
-        step = _best_copy(records, model, demand, gain, now_ms)
+        step = _best_copy(records, model, layout, demand, gain, now_ms)
         if step is not None:
             return model, step
     return None
 
 
+class _Layout(NamedTuple):
+    """Who holds what.
+
+    Parameters
+    ----------
+    copies : dict of str to int
+        Engines that stay, by model.
+    zones : set of tuple of str
+        Each held model with the zones that it is held in.
+    """
+
+    copies: dict[str, int]
+    zones: set[tuple[str, str]]
+
+    @classmethod
+    def of(cls, records: Sequence[EngineRecord]) -> "_Layout":
+        """Return the layout of these engines."""
+        zones = {(name, each.server.zone) for each in records for name in each.held}
+        return cls(copies_of(records), zones)
+
+
 def _asked(demand: ModelDemand) -> float:
     return demand.waiting + _risk(demand)
 
@@ -270,49 +325,44 @@
 def _best_copy(
     records: Sequence[EngineRecord],
     model: ModelSpec,
+    layout: "_Layout",
     demand: Mapping[str, ModelDemand],
     gain: float,
     now_ms: float,
 ) -> Step | None:
-    best = None
-    for each in records:
-        if not each.takes(model.name, now_ms):
-            continue
-        option = _option(each, model, records, demand, now_ms)
-        if option is None or option[0] * GAIN_FACTOR > gain:
-            continue
-        if best is None or option[0] < best[0]:
-            best = option
-    return best[1] if best else None
+    options = [
+        option
+        for each in records
+        if each.takes(model.name, now_ms)
+        for option in [_option(each, model, layout, demand, now_ms)]
+        if option is not None and option.cost * GAIN_FACTOR <= gain
+    ]
+    return min(options, key=_cost, default=None)
 
 
 def _option(
     record: EngineRecord,
     model: ModelSpec,
-    records: Sequence[EngineRecord],
+    layout: "_Layout",
     demand: Mapping[str, ModelDemand],
     now_ms: float,
-) -> tuple[float, Step] | None:
-    """Return the cost of a load on one engine, and its first step."""
+) -> Step | None:
+    """Return the first step of a load on one engine, with the load's cost."""
     load_s = model.warm_load_s if model.name in record.cached else model.load_time_s
     cost = LOAD_COST_PER_S * load_s + BUSY_COST * record.n_queued
-    if any(
-        model.name in each.held and each.server.zone == record.server.zone
-        for each in records
-    ):
+    if (model.name, record.server.zone) in layout.zones:
         cost += SAME_ZONE_COST
     if record.free_mb >= model.weights_mb:
-        return cost, Step(record)
-    copies = copies_of(records)
+        return Step(record, cost=cost)
     worth = {}
     for name in record.held:
-        worth[name] = _worth(name, copies, demand, record.n_running)
+        worth[name] = _worth(name, layout.copies, demand, record.n_running)
         if now_ms - record.since_ms.get(name, -math.inf) < FRESH_MS:
             worth[name] += FRESH_WORTH
     room = _cheapest_room(record, model.weights_mb - record.free_mb, worth)
     if room is None:
         return None
-    return cost + room[0], Step(record, room[1])
+    return Step(record, room[1], cost=cost + room[0])
 
 
 def _cheapest_room(
--- a/src/cowslipwood/keeper/engines/_demand.py
+++ b/src/cowslipwood/keeper/engines/_demand.py
@@ -1,7 +1,7 @@
 """What the entries ask of each model, smoothed over their reports."""
 
 from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 from contextlib import contextmanager
 
 from ...kernel.messages import DemandSample, EntryReport
@@ -15,6 +15,10 @@
 FALL_MS = 5_000.0
 # A model asked for within this time is likelier to be asked for again.
 RECENT_MS = 20_000.0
+# Of the requests in flight at a model that no engine can serve yet: when its load
+# ends they queue at once, each for the time that the prompts before it take, which
+# is about this share of what a request waits where a copy pays.
+BACKLOG_SHARE = 0.3
 # Several of an entry's reports; an older one is of an entry that has stopped.
 SAMPLE_VALID_MS = 2_500.0
 
@@ -55,9 +59,10 @@
 
     @contextmanager
     def held_up(self, model: str) -> Iterator[None]:
-        """Count a question for which the model's engines have no place, for a while.
+        """Count a question that nothing could be done for, for a while.
 
-        It waits as a request at an engine does, and another copy helps it too.
+        Where an engine has the model, it waits as a request there does, and
+        another copy helps it too.
         """
         self._held_up[model] += 1
         try:
@@ -78,6 +83,7 @@
         step_ms: float,
         now_ms: float,
         is_new: bool = False,
+        unserved: Collection[str] = (),
     ) -> None:
         """Move the smoothed values on by one step.
 
@@ -92,9 +98,17 @@
         is_new : bool
             Whether a leadership has just begun: requests in flight are then known
             at once, since whatever was smoothed before is unknown.
+        unserved : collection of str
+            Models that no engine can serve yet.
         """
         rise_ms = step_ms if is_new else RISE_MS
         waiting, in_flight = self._sums(now_ms)
+        for model, n_held_up in self._held_up.items():
+            if model not in unserved:
+                waiting[model] = waiting.get(model, 0.0) + n_held_up
+        for model in unserved:
+            backlog = BACKLOG_SHARE * in_flight.get(model, 0.0)
+            waiting[model] = waiting.get(model, 0.0) + backlog
         for model, value in expected.items():
             self._asked_ms.setdefault(model, now_ms)
             waiting[model] = max(value, waiting.get(model, 0.0))
@@ -104,6 +118,7 @@
                 _smoothed(held.waiting, waiting.get(model, 0.0), step_ms),
                 _smoothed(held.in_flight, in_flight.get(model, 0.0), step_ms, rise_ms),
                 max(0.0, 1.0 - (now_ms - asked_ms) / RECENT_MS),
+                self._held_up[model],
             )
 
     def _sums(self, now_ms: float) -> tuple[dict[str, float], dict[str, float]]:
@@ -123,8 +138,6 @@
                 waiting[model] = waiting.get(model, 0.0) + sample.waiting
                 in_flight[model] = in_flight.get(model, 0.0) + sample.in_flight
         self.adapters_in_flight = adapters
-        for model, n_held_up in self._held_up.items():
-            waiting[model] = waiting.get(model, 0.0) + n_held_up
         return waiting, in_flight
 
 
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -1,5 +1,7 @@
 """The listed servers, and a record of each engine that follows its reports."""
 
+from collections.abc import Iterable
+
 from returns.result import Failure as Err
 
 from ...kernel.clock import monotonic_ms
@@ -54,6 +56,17 @@
             each for each in self.records.values() if each.server.service == service
         ]
 
+    def unserved(self, models: Iterable[str]) -> list[str]:
+        """Return the models that no engine can serve; none before all are known."""
+        staying = [
+            each
+            for each in self.records.values()
+            if not each.is_leaving and not each.is_lost
+        ]
+        if not all(each.is_synced or each.held for each in staying):
+            return []
+        return [name for name in models if not any(e.holds(name) for e in staying)]
+
     def views(self) -> dict[str, ServerView]:
         """Return the listed servers with what they hold by the latest orders."""
         views = {}
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -146,8 +146,10 @@
         return adapter in self.held.get(model, ())
 
     def adapter_keys(self) -> list[tuple[str, str]]:
-        """Return model and adapter of each place that is taken."""
-        return [(name, each) for name, held in self.held.items() for each in held]
+        """Return model and adapter of each place that is taken, in a fixed order."""
+        return [
+            (name, each) for name, held in self.held.items() for each in sorted(held)
+        ]
 
     def holds(self, model: str, adapter: str = "") -> bool:
         """Return whether a request for it can be served."""
--- a/src/cowslipwood/keeper/engines/_store.py
+++ b/src/cowslipwood/keeper/engines/_store.py
@@ -19,27 +19,28 @@
     def __init__(self, window_ms: float):
         self._window_ms = window_ms
         self._taken_ms: deque[float] = deque()
+        self._until_ms: list[float] = []
 
     def clear(self) -> None:
         """Forget all loads, at the start of a leadership."""
         self._taken_ms.clear()
+        self._until_ms.clear()
 
-    def take(self, now_ms: float) -> None:
-        """Count a load."""
+    def take(self, load_ms: float, now_ms: float) -> None:
+        """Count a load that takes the store this long."""
         self._taken_ms.append(now_ms)
+        self._until_ms.append(now_ms + load_ms)
 
-    def allows(
-        self, spec: EngineSpec, n_under_way: int, is_busy_model: bool, now_ms: float
-    ) -> bool:
+    def allows(self, spec: EngineSpec, is_busy_model: bool, now_ms: float) -> bool:
         """Return whether one more load may begin now.
 
         Models that few ask for leave one of the loads at once to those that many do.
+        A load is over for the store when its time is; that the engine has the model
+        is known only some reports later.
 
         Parameters
         ----------
         spec : EngineSpec
-        n_under_way : int
-            Loads that have begun and not ended.
         is_busy_model : bool
             Whether many ask for the model.
         now_ms : float
@@ -52,4 +53,6 @@
         at_once = round(spec.loads_per_s * longest_s)
         if not is_busy_model:
             at_once -= 1
+        self._until_ms = [each for each in self._until_ms if each > now_ms]
+        n_under_way = len(self._until_ms)
         return len(self._taken_ms) < allowed and n_under_way < max(1, at_once)
