Do not wait for the load of an engine that was lost

Cause, found by reading: a question for a model went no further while any listed engine's record said that it was loading it, also one that had crashed meanwhile or was leaving; the platform's list names a crashed engine for seconds. Room that was being made on a lost engine held questions up in the same way, for 3 s.

Change: only engines that stay count. test_lost_in_its_load (3 s without an answer before; passes now).

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -177,7 +177,7 @@
         holders = [each for each in staying if each.holds(spec.name)]
         now_ms = monotonic_ms()
         if not holders:
-            step = self._missing_step(records, spec, now_ms)
+            step = self._missing_step(staying, spec, now_ms)
             if step is not None and step.record.is_usable:
                 await self._take_model_step(spec, step)
             elif step is not None:
@@ -193,7 +193,7 @@
     def _missing_step(
         self, records: list[EngineRecord], spec: ModelSpec, now_ms: float
     ) -> Step | None:
-        """Return the next step for a model that nobody holds yet."""
+        """Return the next step for a model that no engine that stays holds yet."""
         if any(each.loading == spec.name for each in records):
             return None
         for each in records:
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -275,6 +275,25 @@
 
         run(fleet, act)
 
+    def test_lost_in_its_load(self):
+        """An engine lost while it loads a model is not waited for."""
+        fleet = FakeFleet([FakeEngine("s0", {}), FakeEngine("s1", {})])
+
+        async def lose_the_first_ordered():
+            while not fleet.orders:
+                await anyio.sleep(0)
+            for engine in fleet.engines.values():
+                engine.is_dark = bool(engine.sequence)
+
+        async def act(controller):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lose_the_first_ordered)
+                reply = await ask(controller, "m5")
+            self.assertIsInstance(reply, HolderReply)
+            self.assertFalse(fleet.engines[reply.server_id].is_dark)
+
+        run(fleet, act)
+
 
 class DecideTest(unittest.TestCase):
     """Where models and adapters go."""
