--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -170,7 +170,7 @@
     ) -> EngineRecord | None:
         """Take one step towards a holder; return it when there is one."""
         records = self._fleet.of(request.service)
-        staying = [e for e in records if not e.is_leaving and not e.is_lost]
+        staying = [each for each in records if each.stays]
         for each in staying:
             if each.holds(spec.name, request.adapter):
                 return each
@@ -193,7 +193,7 @@
     def _missing_step(
         self, records: list[EngineRecord], spec: ModelSpec, now_ms: float
     ) -> Step | None:
-        """Return the next step for a model that no engine that stays holds yet."""
+        """Return the next step for a model that none of the engines holds yet."""
         if any(each.loading == spec.name for each in records):
             return None
         for each in records:
@@ -363,7 +363,7 @@
     def _spread_adapters(
         self, records: list[EngineRecord], models: Sequence[ModelSpec], now_ms: float
     ) -> None:
-        staying = [e for e in records if not e.is_leaving and not e.is_lost]
+        staying = [each for each in records if each.stays]
         spread = spread_step(
             staying,
             models,
--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -62,7 +62,9 @@
 # In waiting requests, for a second copy in one availability zone: callers of the
 # others would go on sending their prompts across.
 SAME_ZONE_COST = 0.05
-# In waiting requests, for each second of loading.
+# In waiting requests, for each second of loading. Lower, and rare models displace
+# each other from engines that have no copy on disk; higher, and a busy model's
+# second copy comes when its callers have left.
 LOAD_COST_PER_S = 3.0
 
 
@@ -417,7 +419,7 @@
     """Return how many engines that stay hold each model."""
     copies: dict[str, int] = {}
     for each in records:
-        if not each.is_leaving and not each.is_lost:
+        if each.stays:
             for name in each.held:
                 copies[name] = copies.get(name, 0) + 1
     return copies
--- a/src/cowslipwood/keeper/engines/_demand.py
+++ b/src/cowslipwood/keeper/engines/_demand.py
@@ -15,9 +15,9 @@
 FALL_MS = 5_000.0
 # A model asked for within this time is likelier to be asked for again.
 RECENT_MS = 20_000.0
-# Of the requests in flight at a model that no engine can serve yet: when its load
-# ends they queue at once, each for the time that the prompts before it take, which
-# is about this share of what a request waits where a copy pays.
+# Of the requests in flight at a model that no engine can serve yet: they queue at
+# once when its load ends. Counted whole, a rare model would be loaded twice for a
+# few callers.
 BACKLOG_SHARE = 0.3
 # Several of an entry's reports; an older one is of an entry that has stopped.
 SAMPLE_VALID_MS = 2_500.0
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -58,11 +58,7 @@
 
     def unserved(self, models: Iterable[str]) -> list[str]:
         """Return the models that no engine can serve; none before all are known."""
-        staying = [
-            each
-            for each in self.records.values()
-            if not each.is_leaving and not each.is_lost
-        ]
+        staying = [each for each in self.records.values() if each.stays]
         if not all(each.is_synced or each.held for each in staying):
             return []
         return [name for name in models if not any(e.holds(name) for e in staying)]
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -75,11 +75,15 @@
         """Whether the engine seems to be down though it is still listed."""
         return self.n_failed_reads >= LOST_READS
 
+    @property
+    def stays(self) -> bool:
+        """Whether requests may go on to count on the engine."""
+        return not self.is_leaving and not self.is_lost
+
     @property
     def is_usable(self) -> bool:
         """Whether the engine may be given an order now."""
-        is_free = self.is_synced and not self.is_busy
-        return is_free and not self.is_leaving and not self.is_lost
+        return self.is_synced and not self.is_busy and self.stays
 
     def busy_ms(self, now_ms: float) -> float:
         """Return for how long the engine is likely to carry out its order yet."""
@@ -105,7 +109,7 @@
 
         Room that was made for one model is not given to another meanwhile.
         """
-        if not self.is_synced or self.is_leaving or self.is_lost:
+        if not self.is_synced or not self.stays:
             return False
         if model in self.held:
             return False
