--- a/benchmarks/bench_engines.py
+++ b/benchmarks/bench_engines.py
@@ -50,8 +50,10 @@
 PATIENCE_S = 3.2
 N_TRIES = 2
 RETRY_AFTER_S = 0.5
+# What the callers' choice of an engine weighs: each run there, and tokens to read.
 MS_PER_RUN = 12.0
 TOKENS_PER_MS = 30.0
+# Until a request that an engine refused is sent again.
 REFUSED_S = 0.03
 
 
--- a/benchmarks/engine_model.py
+++ b/benchmarks/engine_model.py
@@ -29,14 +29,16 @@
 
 __all__ = ["Engine", "EngineFleet", "Run", "VirtualLoop", "VirtualTime"]
 
+# Prompt tokens that one step reads at most, beside the batch's next tokens.
 CHUNK_TOKENS = 2_048
 PREFILL_TOKENS_PER_MS = 38.0
 STEP_MS = 5.5
 STEP_MS_PER_RUN = 0.012
-TOKENS_PER_EVENT = 4
 ADAPTER_LOAD_S = 0.008
 REPORT_LAG_S = 0.1
+# After this the controller's client gives an order up.
 ORDER_TIMEOUT_S = 0.2
+# When an order without an answer is carried out.
 LATE_S = (2.0, 12.0)
 LOADS_AT_FULL_SPEED = 3
 
