Let every keeper with a disk vote, and acknowledge nothing before enough do

The log formed from the three seeds, and the recruiter only replaced members. Three voters also acknowledge on two copies where two disks may be lost at once.

Ruled out: count = 1 with more seeds: the settings name three seeds at most.

--- a/spec/membership.py
+++ b/spec/membership.py
@@ -8,7 +8,7 @@
 
 from minicheck import Protocol
 
-__all__ = ["Rules", "Scenario", "membership", "replacement", "two_changes"]
+__all__ = ["Rules", "Scenario", "growth", "membership", "replacement", "two_changes"]
 
 NOBODY = -1
 FOLLOWER, CANDIDATE, LEADER = range(3)
@@ -74,6 +74,14 @@
     return Scenario(5, first, links, changes, max_term, max_log)
 
 
+def growth(max_term: int = 2, max_log: int = 3) -> Scenario:
+    """Return three voters that grow to five, by two leaders in turn."""
+    changes = ((0, 3, NOBODY), (0, 4, NOBODY), (1, 3, NOBODY), (1, 4, NOBODY))
+    first = frozenset((0, 1, 2))
+    links = ((1, 3), (2, 4))
+    return Scenario(5, first, links, changes, max_term, max_log)
+
+
 class _Entry(NamedTuple):
     term: int
     voters: Voters
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -306,13 +306,13 @@
             await anyio.sleep(RECRUIT_MS / 1000)
 
     async def _join(self) -> None:
-        """Announce this keeper to the others while it holds no log."""
+        """Announce this keeper to the others until it votes in their log."""
         hello = Hello("operator", self._settings.keeper_id, "", "", self._cluster_token)
         link = KeeperLink(self._settings.join, hello, _ignore)
         announce = Announce(self._replica.replica_id, self._settings.listen)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(link.run)
-            while not self._replica.has_log:
+            while not self._replica.votes:
                 await link.send(announce)
                 await anyio.sleep(RECRUIT_MS / 1000)
             tasks.cancel_scope.cancel()
@@ -334,12 +334,13 @@
         if subscriber.role == "keeper" or not self._replica.leads(monotonic_ms()):
             return
         await subscriber.tell_heartbeat(self._machine.catalogue.revision, now_ms)
+        if subscriber.role in ("entry", "gateway"):
+            members = tuple(member.addr for member in self._replica.members)
+            await subscriber.tell_keepers(members)
         if subscriber.role not in ("agent", "entry"):
             return
         await subscriber.tell_catalogue(self._machine.catalogue)
         if subscriber.role == "entry":
-            members = tuple(member.addr for member in self._replica.members)
-            await subscriber.tell_keepers(members)
             applied = self._machine.applied
             await subscriber.tell_document(applied.version, applied.document)
             await subscriber.tell_servers(views, fleet, entry_ids, now_ms)
@@ -387,6 +388,7 @@
         zone=settings.zone,
         cluster_token=cluster_token,
         snapshot_entries=settings.snapshot_entries,
+        n_losses=settings.n_losses,
     )
     rng = random.Random()
     began_ms = monotonic_ms() if started_ms is None else started_ms
--- a/src/cowslipwood/keeper/_recruiting.py
+++ b/src/cowslipwood/keeper/_recruiting.py
@@ -1,33 +1,45 @@
-"""Replaces a keeper that is lost by one that announced itself with an empty disk."""
+"""Makes keepers that announce themselves members, in place of lost ones if any."""
 
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from returns.result import Failure as Err
+from returns.result import Result
 
+from ..kernel.codes import Failure
 from ..kernel.logs import get_logger
 from ..kernel.messages import Announce
 from ..replication import LogReplica, Member
 
-__all__ = ["Recruiter", "choose_replaced"]
+__all__ = ["MAX_VOTERS", "MemberChange", "Recruiter", "choose_change"]
 
 # Longer than a follower takes to restart, so that its log is not thrown away;
 # short beside the time in which a successor has to have caught up.
 SILENT_MS = 2_000.0
 # An announcement this old may come from a keeper that is gone again.
 ANNOUNCED_MS = 1_500.0
+# Each command waits for more than half of the voters; further ones would add to
+# that and to the leader's work, and no losses that are foreseen need them.
+MAX_VOTERS = 9
 
 
-class Replaced(NamedTuple):
-    """A member that leaves, and the keeper that takes its place."""
+class MemberChange(NamedTuple):
+    """A keeper that becomes a member, and the member whose place it takes.
 
-    old_id: str
+    Parameters
+    ----------
+    old_id : str or None
+        Identity of the member that leaves; None when none does.
+    new_id, new_addr : str
+    """
+
+    old_id: str | None
     new_id: str
     new_addr: str
 
 
 class Recruiter:
-    """Notes announcements on the leader and carries out replacements.
+    """Notes announcements on the leader and changes the members accordingly.
 
     Parameters
     ----------
@@ -44,7 +56,7 @@
         self._announced[announce.addr] = (announce, now_ms)
 
     async def step(self, now_ms: float) -> None:
-        """Replace one member, if one is lost and a successor is there."""
+        """Add or replace one member, if a keeper has announced itself."""
         if self._is_busy:
             return
         recent = [
@@ -52,40 +64,46 @@
             for announce, at_ms in self._announced.values()
             if now_ms - at_ms < ANNOUNCED_MS
         ]
-        chosen = choose_replaced(
+        chosen = choose_change(
             self._replica.members, recent, self._replica.silent_ms(now_ms)
         )
         if chosen is None:
             return
         self._is_busy = True
         log = get_logger()
-        log.info("member_replacing", old=chosen.old_id, new=chosen.new_id)
+        log.info("member_changing", old=chosen.old_id or "", new=chosen.new_id)
         try:
-            name = chosen.new_id.rpartition(".")[0]
-            ended = await self._replica.replace_member(
-                chosen.old_id, name, chosen.new_addr
-            )
+            ended = await self._change(chosen)
         finally:
             self._is_busy = False
         if isinstance(ended, Err):
             fault = ended.failure()
-            log.warning("member_not_replaced", old=chosen.old_id, reason=fault.message)
+            log.warning("member_not_changed", new=chosen.new_id, reason=fault.message)
             return
         self._announced.pop(chosen.new_addr, None)
         members = ",".join(member.replica_id for member in ended.unwrap())
-        log.info("member_replaced", old=chosen.old_id, members=members)
+        log.info("member_changed", new=chosen.new_id, members=members)
 
+    async def _change(
+        self, chosen: MemberChange
+    ) -> Result[tuple[Member, ...], Failure]:
+        name = chosen.new_id.rpartition(".")[0]
+        if chosen.old_id is None:
+            return await self._replica.add_member(name, chosen.new_addr)
+        return await self._replica.replace_member(chosen.old_id, name, chosen.new_addr)
 
-def choose_replaced(
+
+def choose_change(
     members: Sequence[Member],
     announced: Sequence[Announce],
     silent_ms: Mapping[str, float],
-) -> Replaced | None:
-    """Return the next replacement, or None.
+) -> MemberChange | None:
+    """Return the next change of the membership, or None.
 
     A keeper that came back at a member's address under another identity has
     lost that member's disk, so it takes the place at once. One at a new address
-    takes the place of the member that has been silent longest.
+    takes the place of the member that has been silent longest; where all answer,
+    it is added.
 
     Parameters
     ----------
@@ -100,17 +118,29 @@
         for member in members:
             same_place = member.addr == announce.addr
             if same_place and member.replica_id != announce.replica_id:
-                return Replaced(member.replica_id, announce.replica_id, announce.addr)
+                return MemberChange(
+                    member.replica_id, announce.replica_id, announce.addr
+                )
+    newcomers = [
+        announce
+        for announce in announced
+        if announce.replica_id not in ids or _is_learner(members, announce.replica_id)
+    ]
+    if not newcomers:
+        return None
+    first = newcomers[0]
     lost = [
-        member for member in members if silent_ms.get(member.replica_id, 0) > SILENT_MS
+        member
+        for member in members
+        if member.replica_id != first.replica_id
+        and silent_ms.get(member.replica_id, 0) > SILENT_MS
     ]
-    if not lost:
+    if lost:
+        longest = max(lost, key=lambda member: silent_ms[member.replica_id])
+        return MemberChange(longest.replica_id, first.replica_id, first.addr)
+    if sum(member.voter for member in members) >= MAX_VOTERS:
         return None
-    longest = max(lost, key=lambda member: silent_ms[member.replica_id])
-    for announce in announced:
-        if announce.replica_id not in ids or _is_learner(members, announce.replica_id):
-            return Replaced(longest.replica_id, announce.replica_id, announce.addr)
-    return None
+    return MemberChange(None, first.replica_id, first.addr)
 
 
 def _is_learner(members: Sequence[Member], replica_id: str) -> bool:
--- a/src/cowslipwood/keeper/_settings.py
+++ b/src/cowslipwood/keeper/_settings.py
@@ -33,6 +33,9 @@
     join : str
         ip:port of keepers, with commas between, whose log this keeper asks to
         join while it holds none; it then begins no log without `peers`.
+    n_losses : int
+        Keepers that may be lost with their disks at once. A log that has just begun
+        takes no edit before twice as many and one more keepers have joined it.
     zone : str
         Availability zone of this host.
     snapshot_entries : int
@@ -84,6 +87,7 @@
     http_listen: str = "127.0.0.1:8101"
     peers: str = ""
     join: str = ""
+    n_losses: int = 0
     zone: str = "zone-1"
     snapshot_entries: int = 10_000
     tick_ms: int = 50
@@ -125,6 +129,7 @@
         "ip:port, with commas between several, or empty",
         lambda text: not text or peer_list().holds(text),
     ),
+    "n_losses": within(0, 4),
     "snapshot_entries": within(10, 1_000_000),
     "tick_ms": within(5, 5_000),
     "plan_ms": within(10, 60_000),
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -91,6 +91,7 @@
     WAIT_TIMEOUT = 3016
     UNKNOWN_OPERATION = 3017
     CATALOGUE_FULL = 3018
+    TOO_FEW_MEMBERS = 3019
 
     BAD_TOKEN = 4001
     BAD_FRAME = 4002
@@ -241,6 +242,9 @@
     ),
     Code.UNKNOWN_OPERATION: CodeInfo(400, _N, 23, "No such operation."),
     Code.CATALOGUE_FULL: CodeInfo(409, _N, 24, "The catalogue is at its bound."),
+    Code.TOO_FEW_MEMBERS: CodeInfo(
+        503, _N, 21, "Too few keepers have joined the log for the losses to bear."
+    ),
     Code.BAD_TOKEN: CodeInfo(401, _N, 30, "The token is wrong."),
     Code.BAD_FRAME: CodeInfo(400, _N, 31, "A damaged frame arrived."),
     Code.FRAME_TOO_LARGE: CodeInfo(400, _N, 31, "A frame is over the bound."),
--- a/src/cowslipwood/kernel/keeper_link.py
+++ b/src/cowslipwood/kernel/keeper_link.py
@@ -38,6 +38,8 @@
 
     Attributes
     ----------
+    leader_addr : str
+        Where the leader is that is connected; empty while none is.
     term : int
         Term of the leader that was connected last.
     refusal : Failure or None
@@ -57,6 +59,7 @@
         self._handle = handle
         self._on_connect = on_connect
         self._channel: Channel | None = None
+        self.leader_addr = ""
         self.term = 0
         self.refusal: Failure | None = None
 
@@ -133,6 +136,7 @@
 
     async def _stay(self, channel: Channel, welcome: Welcome) -> None:
         self.term = welcome.term
+        self.leader_addr = welcome.leader_addr
         self._channel = channel
         log = get_logger()
         log.info("keeper_connected", keeper=welcome.keeper_id, term=welcome.term)
@@ -144,6 +148,7 @@
                 tasks.cancel_scope.cancel()
         finally:
             self._channel = None
+            self.leader_addr = ""
         log.info("keeper_lost", code=why.code.value, reason=why.code.name)
 
 
--- a/src/cowslipwood/replication/__init__.py
+++ b/src/cowslipwood/replication/__init__.py
@@ -1,7 +1,7 @@
 """The keepers' replicated log."""
 
 from ._errors import DataDamagedError, DataLockedError
-from ._messages import Member
+from ._messages import Identity, IdentityQuery, Member
 from ._protocols import Replica, StateMachine
 from ._replica import LogReplica, ReplicaSettings
 from ._state import Timing
@@ -9,6 +9,8 @@
 __all__ = [
     "DataDamagedError",
     "DataLockedError",
+    "Identity",
+    "IdentityQuery",
     "LogReplica",
     "Member",
     "Replica",
--- a/src/cowslipwood/replication/_formation.py
+++ b/src/cowslipwood/replication/_formation.py
@@ -1,4 +1,4 @@
-"""Begins a new log, once, when every initial member has an empty disk.
+"""Begins a new log, once, when every initial member has an empty disk or none.
 
 A replica whose disk was lost is a new replica. It begins no log, because
 another initial member answers that it holds a log or voted in one; and nobody
@@ -49,7 +49,7 @@
             if not is_logged:
                 get_logger().info("waiting_to_join", replica=state.replica_id)
             is_logged = True
-        elif peers and name == min(peers) and _all_agree(identities, peers):
+        elif peers and _all_agree(identities, peers) and _is_first(name, identities):
             await _begin(state, identities)
         await anyio.sleep(PAUSE_MS / 1000)
 
@@ -59,6 +59,15 @@
     return len(agreeing) == len(peers)
 
 
+def _is_first(name: str, identities: list[Identity]) -> bool:
+    """Return whether a replica is the first by name of those that have a disk."""
+    return name == min(member.name for member in _founders(identities))
+
+
+def _founders(identities: list[Identity]) -> list[Member]:
+    return [Member(i.replica_id, i.addr, True) for i in identities if i.replica_id]
+
+
 async def _ask_all(
     state: ReplicaState, links: PeerLinks, name: str, peers: Mapping[str, str]
 ) -> list[Identity]:
@@ -85,7 +94,7 @@
     # The leader of another log may have reached this replica in the meantime.
     if state.formed:
         return
-    members = sorted(Member(i.replica_id, i.addr, True) for i in identities)
+    members = sorted(_founders(identities))
     state.log.append([members_entry(_FIRST_INDEX, _FIRST_TERM, members)])
     await state.log.sync(_FIRST_INDEX)
     await state.note_log()
--- a/src/cowslipwood/replication/_membership.py
+++ b/src/cowslipwood/replication/_membership.py
@@ -31,9 +31,9 @@
 
 
 def next_members(
-    members: Sequence[Member], old_id: str, new: Member, is_caught_up: bool
+    members: Sequence[Member], old_id: str | None, new: Member, is_caught_up: bool
 ) -> Result[tuple[Member, ...] | None, Failure]:
-    """Return the next membership on the way to replacing one replica by another.
+    """Return the next membership on the way to adding a replica or replacing one.
 
     Each step changes one voter at most, so that every quorum of one membership
     shares a replica with every quorum of the next.
@@ -42,10 +42,10 @@
     ----------
     members : sequence of Member
         The present membership.
-    old_id : str
-        Replica that leaves.
+    old_id : str or None
+        Replica that leaves; None when the new one is added.
     new : Member
-        Replica that takes its place.
+        Replica that comes.
     is_caught_up : bool
         Whether the new replica holds every committed entry.
 
@@ -57,7 +57,7 @@
     """
     by_id = {member.replica_id: member for member in members}
     held = by_id.get(new.replica_id)
-    if old_id not in by_id and held is None:
+    if old_id is not None and old_id not in by_id and held is None:
         return Err(failure(Code.NO_SUCH_MEMBER, f"no keeper {old_id}"))
     if held is None:
         return Success((*members, new._replace(voter=False)))
--- a/src/cowslipwood/replication/_messages.py
+++ b/src/cowslipwood/replication/_messages.py
@@ -171,7 +171,10 @@
 
 @message("replication")
 class Identity(NamedTuple):
-    """Who a replica is and whether its log has begun."""
+    """Who a replica is and whether its log has begun.
+
+    `replica_id` is empty on a host without a disk, which never becomes a member.
+    """
 
     replica_id: str
     addr: str
--- a/src/cowslipwood/replication/_replacement.py
+++ b/src/cowslipwood/replication/_replacement.py
@@ -1,4 +1,4 @@
-"""Replaces one member by another, one committed step at a time."""
+"""Adds or replaces a member, one committed step at a time."""
 
 from typing import Any
 
@@ -17,7 +17,7 @@
 from ._peers import PeerLinks
 from ._state import ReplicaState
 
-__all__ = ["replace_member"]
+__all__ = ["change_members"]
 
 QUERY_TIMEOUT_MS = 1_000
 FIND_TIMEOUT_MS = 3_000
@@ -25,10 +25,14 @@
 PAUSE_MS = 50
 
 
-async def replace_member(
-    state: ReplicaState, links: PeerLinks, applier: Applier, old: str, new: Member
+async def change_members(
+    state: ReplicaState,
+    links: PeerLinks,
+    applier: Applier,
+    old: str | None,
+    new: Member,
 ) -> Result[tuple[Member, ...], Failure]:
-    """Replace a member and return the new membership.
+    """Add a member, or replace one by it, and return the new membership.
 
     A call that was cut short is taken up again by the next one.
 
@@ -37,16 +41,16 @@
     state : ReplicaState
     links : PeerLinks
     applier : Applier
-    old : str
-        Name or identity of the replica that leaves.
+    old : str or None
+        Name or identity of the replica that leaves; None when none does.
     new : Member
-        Name and address of its successor; the identity is asked for.
+        Name and address of the one that comes; the identity is asked for.
 
     Returns
     -------
     Result
         Fails with NO_SUCH_MEMBER, MEMBER_CHANGE_BUSY, WAIT_TIMEOUT (the
-        successor is still catching up), NOT_LEADER or NO_QUORUM.
+        new replica is still catching up), NOT_LEADER or NO_QUORUM.
     """
     found = await _find(state, links, new)
     if isinstance(found, Err):
@@ -125,7 +129,7 @@
     return Success(found)
 
 
-def _identity_of(state: ReplicaState, old: str, successor_id: str) -> str:
+def _identity_of(state: ReplicaState, old: str | None, successor_id: str) -> str | None:
     """Return the identity of the member that leaves, given its name or identity."""
     for member in state.log.members:
         if member.replica_id != successor_id and old in (
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -21,6 +21,7 @@
 from ._follower import Follower
 from ._formation import canonical_peers, form_log
 from ._leader import Leadership
+from ._membership import voters
 from ._messages import (
     AppendRequest,
     EntryKind,
@@ -34,7 +35,7 @@
 )
 from ._peers import PeerLinks
 from ._protocols import StateMachine
-from ._replacement import replace_member
+from ._replacement import change_members
 from ._state import ReplicaState, Timing
 
 __all__ = ["LogReplica", "ReplicaSettings"]
@@ -44,6 +45,9 @@
 # A member that was just added is dialled this soon, before it can be asked to vote.
 DIAL_CHECK_MS = 500
 MAX_COMMAND_BYTES = 8 * 1024 * 1024
+# Longer than hosts that start together differ in their start; after it the log
+# serves with the members that it has.
+GROWTH_MS = 10_000
 
 
 class ReplicaSettings(NamedTuple):
@@ -64,6 +68,9 @@
         Entries between two snapshots.
     max_segment_bytes : int
     timing : Timing
+    n_losses : int
+        Members whose disks may be lost at once. While a log that has just begun
+        has too few voters for that, it takes no command.
     """
 
     name: str
@@ -75,6 +82,7 @@
     snapshot_entries: int = 10_000
     max_segment_bytes: int = 4 * 1024 * 1024
     timing: Timing = Timing()
+    n_losses: int = 0
 
 
 class LogReplica:
@@ -173,9 +181,9 @@
         return leading.silent_ms(now_ms)
 
     @property
-    def has_log(self) -> bool:
-        """Whether this replica holds a log, its own or one that it joined."""
-        return self._state.formed
+    def votes(self) -> bool:
+        """Whether this replica votes, by the newest membership that it holds."""
+        return self._state.is_voter
 
     def leads(self, now_ms: float) -> bool:
         """Return whether this replica may act as leader now.
@@ -228,6 +236,8 @@
         leading = self._state.leading
         if not self.leads(monotonic_ms()) or not isinstance(leading, Leadership):
             return Err(failure(Code.NOT_LEADER, retry_after_ms=RETRY_AFTER_MS))
+        if self._awaits_members(leading):
+            return Err(failure(Code.TOO_FEW_MEMBERS, retry_after_ms=RETRY_AFTER_MS))
         if len(command) > MAX_COMMAND_BYTES:
             return Err(failure(Code.FRAME_TOO_LARGE, f"{len(command)} bytes"))
         index = leading.append(EntryKind.COMMAND, command)
@@ -236,15 +246,35 @@
     async def replace_member(
         self, old: str, new_name: str, new_addr: str
     ) -> Result[tuple[Member, ...], Failure]:
-        """Replace a member; see `replace_member` for how it fails."""
+        """Replace a member; see `change_members` for how it fails."""
+        return await self._change_members(old, Member(new_name, new_addr, False))
+
+    async def add_member(
+        self, name: str, addr: str
+    ) -> Result[tuple[Member, ...], Failure]:
+        """Add a member that votes; see `change_members` for how it fails."""
+        return await self._change_members(None, Member(name, addr, False))
+
+    async def _change_members(
+        self, old: str | None, new: Member
+    ) -> Result[tuple[Member, ...], Failure]:
         if not self.leads(monotonic_ms()):
             return Err(failure(Code.NOT_LEADER, retry_after_ms=RETRY_AFTER_MS))
-        new = Member(new_name, new_addr, False)
         async with self._replacing:
-            return await replace_member(
+            return await change_members(
                 self._state, self._links, self._applier, old, new
             )
 
+    def _awaits_members(self, leading: Leadership) -> bool:
+        """Return whether a log that has just begun has too few voters yet.
+
+        What a quorum of 2 n + 1 voters holds outlives the loss of n disks.
+        """
+        n_needed = 2 * self._settings.n_losses + 1
+        if len(voters(self.members)) >= n_needed:
+            return False
+        return monotonic_ms() - leading.started_ms < GROWTH_MS
+
     async def hand_over(self) -> None:
         """Before a planned stop: refuse proposals and let another replica lead."""
         leading = self._state.leading
--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -107,6 +107,24 @@
         self.start_one(name)
         return f"{name}={self.listens[name]}"
 
+    def start_joining(self, name: str) -> None:
+        """Start a keeper that announces itself to the initial ones."""
+        if name not in self.listens:
+            self.listens[name] = f"127.0.0.1:{free_port()}"
+            self.http_ports[name] = free_port()
+            self.addresses[name] = self.listens[name]
+        joined = ",".join(self.keepers.split(",")[:N_KEEPERS])
+        self.start_member(
+            name,
+            name,
+            self.listens[name],
+            self.http_ports[name],
+            f"--join={joined}",
+            *self._flags,
+        )
+        if self.listens[name] not in self.keepers:
+            self.keepers += f",{self.listens[name]}"
+
     def signal(self, name: str, signum: signal.Signals) -> None:
         """Send a signal to one keeper."""
         self.processes[name].send_signal(signum)
--- a/tests/test_keeper_failures.py
+++ b/tests/test_keeper_failures.py
@@ -285,3 +285,72 @@
 
 def _exit_status(code: Code) -> int:
     return CODE_INFO[code].exit_status
+
+
+class TestGrowth(unittest.TestCase):
+    """More keepers than the three that form the log."""
+
+    def test_two_disks_lost(self):
+        """What was acknowledged outlives two of five disks lost at once."""
+        with KeeperCluster("--n-losses=2") as cluster:
+            cluster.start_all()
+            for name in ("k4", "k5"):
+                cluster.start_joining(name)
+            cluster.put_many(["m1"])
+            self.assertEqual(len(cluster.voters()), 5)
+            first = cluster.leader()
+            lost = [first, next(n for n in ("k1", "k2", "k3") if n != first)]
+            for name in lost:
+                cluster.kill(name)
+                cluster.wipe(name)
+            cluster.put_many(["m2"])
+            self.assertEqual(cluster.names(), {"m1", "m2"})
+            for name in lost:
+                cluster.start_joining(name)
+            before = cluster.voters()
+            wait_for(lambda: self._all_new(cluster, before, lost), "both disks")
+
+    def test_too_few(self):
+        """Nothing is acknowledged by three when two disks may be lost."""
+        with KeeperCluster("--n-losses=2") as cluster:
+            leader = cluster.start_all()
+            path = cluster.folder / "m1.json"
+            path.write_text(json.dumps(model_value("m1")))
+
+            async def refused() -> Code:
+                channel = await open_operator(cluster.addresses[leader])
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(channel.run, _ignore)
+                    request = operator_request("put", "m1", path.read_bytes())
+                    reply = await channel.request(request, 5_000)
+                    tasks.cancel_scope.cancel()
+                return reply.failure().code
+
+            self.assertEqual(anyio.run(refused), Code.TOO_FEW_MEMBERS)
+
+    def test_smaller_half(self):
+        """Of five, the two that are cut off acknowledge nothing, the three go on."""
+        with KeeperCluster() as cluster:
+            cluster.start_all()
+            for name in ("k4", "k5"):
+                cluster.start_joining(name)
+            wait_for(lambda: len(cluster.voters()) == 5, "five voters")
+            first = cluster.leader()
+            kept = next(n for n in cluster.addresses if n != first)
+            frozen = [n for n in cluster.addresses if n not in (first, kept)]
+            for name in frozen:
+                cluster.signal(name, signal.SIGSTOP)
+            wait_for(lambda: not cluster.leaders(*frozen), "the loss of the lead")
+            for name in (first, kept):
+                cluster.signal(name, signal.SIGSTOP)
+            for name in frozen:
+                cluster.signal(name, signal.SIGCONT)
+            self.assertIn(cluster.leader(first, kept), frozen)
+
+    def _all_new(self, cluster: KeeperCluster, before: dict, lost: list) -> bool:
+        voters = cluster.voters()
+        return len(voters) == 5 and all(voters[n] != before.get(n) for n in lost)
+
+
+async def _ignore(value: object) -> None:
+    """Drop what the keeper sends unasked."""
--- a/tests/test_spec_membership.py
+++ b/tests/test_spec_membership.py
@@ -3,7 +3,14 @@
 import unittest
 
 from minicheck import check_safety
-from spec.membership import Rules, Scenario, membership, replacement, two_changes
+from spec.membership import (
+    Rules,
+    Scenario,
+    growth,
+    membership,
+    replacement,
+    two_changes,
+)
 
 ONE_LEADER = "one_leader_a_term"
 SURVIVES = "committed_survives"
@@ -21,6 +28,10 @@
         """Changes by two leaders in turn keep both properties in every state."""
         self._check_holds(two_changes())
 
+    def test_growth_holds(self):
+        """Growing from three voters to five keeps both properties in every state."""
+        self._check_holds(growth())
+
     def test_swap_at_once(self):
         """A committed entry is lost where one step adds and removes a voter."""
         self._check_broken(Rules(one_voter=False), replacement(), n_steps=10)
