Tell all entries the same bytes, each from a task of its own

Change: keeper/_feed.py holds a revision for each change and encodes an update once for all who were told the same; one task for each subscriber sends what is new, woken by news or its heartbeat; the place among the entries is a message of its own; a document goes out compressed, encoded once; a sign of life only where nothing else was sent. A load of an earlier leadership is told to nobody.

Tests: TestFeed; the tests of Subscriber stand.

--- a/src/cowslipwood/entry/choosing/_view.py
+++ b/src/cowslipwood/entry/choosing/_view.py
@@ -44,8 +44,6 @@
         self.knows_catalogue = False
         self.entries: dict[str, Entry] = {}
         self.backends: dict[str, Backend] = {}
-        self.n_entries = 1
-        self.entry_rank = 0
         self.reported_at_ms = 0.0
         self.typical_load = Ewma(TYPICAL_WEIGHT)
         self._by_key: dict[str, list[Backend]] = {}
@@ -70,8 +68,6 @@
         A server that a full list leaves out is kept for a short time: a keeper
         that has just taken the lead may not have heard from it yet.
         """
-        self.n_entries = max(1, update.n_entries)
-        self.entry_rank = update.entry_rank
         if update.full:
             listed = {server.server_id for server in update.servers}
             self._mark_unlisted(listed, now_ms)
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -2,19 +2,22 @@
 
 import random
 import uuid
+import zlib
 from typing import Any, NamedTuple
 
 import anyio
 from returns.result import Failure as Err
+from returns.result import Result, Success
 
 from ...kernel.channel import Channel
 from ...kernel.clock import monotonic_ms
-from ...kernel.codes import Code, failure
+from ...kernel.codes import Code, Failure, failure
 from ...kernel.http import HttpServer, bind_socket, send_failure, with_health
 from ...kernel.keeper_link import KeeperLink
 from ...kernel.logs import get_logger
 from ...kernel.messages import (
     DocumentUpdate,
+    EntryPlace,
     EntryReport,
     FleetLoad,
     Hello,
@@ -238,14 +241,14 @@
             case DocumentUpdate():
                 self._use(value)
             case RoutingUpdate():
-                now_ms = monotonic_ms()
-                self._state.entries.told(value.n_entries, now_ms)
-                self._servers.take_update(value, now_ms)
+                self._servers.take_update(value, monotonic_ms())
+            case EntryPlace():
+                self._state.entries.told(value.n_entries, monotonic_ms())
             case FleetLoad():
                 self._servers.take_load(value, monotonic_ms())
 
     def _use(self, update: DocumentUpdate) -> None:
-        parsed = parse_document(update.document)
+        parsed = _unpacked(update.document).bind(parse_document)
         log = get_logger()
         if isinstance(parsed, Err):
             reason = parsed.failure().message
@@ -318,6 +321,13 @@
     return min(drain_ms, SERVING_SHARE * grace_ms)
 
 
+def _unpacked(document: bytes) -> Result[bytes, Failure]:
+    try:
+        return Success(zlib.decompress(document))
+    except zlib.error as exc:
+        return Err(failure(Code.BAD_MESSAGE, f"document: {exc}"))
+
+
 async def _nothing(scope: dict, receive: Any, send: Any) -> None:
     """Answer what is no health question."""
     await send_failure(send, failure(Code.NO_SUCH_ROUTE))
--- a/src/cowslipwood/entry/direct/_servers.py
+++ b/src/cowslipwood/entry/direct/_servers.py
@@ -136,7 +136,4 @@
         for server_id in removed:
             log.info("server_unlisted", server=server_id, told=self._is_told)
         update = RoutingUpdate(False, tuple(changed), tuple(removed))
-        n_entries, rank = self._view.n_entries, self._view.entry_rank
-        self._view.update_routing(
-            update._replace(n_entries=n_entries, entry_rank=rank), now_ms
-        )
+        self._view.update_routing(update, now_ms)
--- a/src/cowslipwood/entry/through_agents/_entry.py
+++ b/src/cowslipwood/entry/through_agents/_entry.py
@@ -14,7 +14,13 @@
 from ...kernel.keeper_link import KeeperLink
 from ...kernel.lifecycle import check_tokens
 from ...kernel.logs import get_logger
-from ...kernel.messages import CatalogueUpdate, EntryReport, Hello, RoutingUpdate
+from ...kernel.messages import (
+    CatalogueUpdate,
+    EntryPlace,
+    EntryReport,
+    Hello,
+    RoutingUpdate,
+)
 from ...kernel.metrics import Metrics
 from ...kernel.registry import PluginKind, lookup, plugin_names
 from ...kernel.settings import address, one_of, peer_list, within
@@ -175,9 +181,10 @@
                 self._metrics.gauge("revision", self._view.revision)
             case RoutingUpdate():
                 self._view.update_routing(value, now_ms)
+            case EntryPlace():
                 shares = self._serving.shares
-                shares.n_entries = self._view.n_entries
-                shares.rank = self._view.entry_rank
+                shares.n_entries = max(1, value.n_entries)
+                shares.rank = value.rank
 
     async def _report_loop(self, channel: Channel) -> None:
         while True:
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -1,5 +1,6 @@
 """Runs one keeper: its replica, its connections and its planning."""
 
+import math
 import random
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -24,7 +25,6 @@
     ClaimBegin,
     ClaimFinish,
     EntryReport,
-    FleetLoad,
     Hello,
     HolderRequest,
     OperatorRequest,
@@ -36,6 +36,7 @@
 )
 from ..kernel.metrics import Metrics
 from ..kernel.settings import exit_with, parse_address
+from ..kernel.signal import Signal
 from ..kernel.tokens import read_token, token_matches
 from ..listing import ListSource
 from ..replication import (
@@ -49,6 +50,7 @@
 from ._closing import Closing
 from ._directory import Directory, server_view
 from ._documents import Documents
+from ._feed import Feed
 from ._machine import AssignedModels, KeeperMachine
 from ._members import parse_peers
 from ._operators import Operators
@@ -56,7 +58,7 @@
 from ._platform import poll_platform
 from ._recruiting import Recruiter
 from ._settings import KeeperSettings
-from ._subscribers import Subscriber
+from ._subscribers import DocumentFrame, News, Subscriber
 from .engines import EngineClient, EngineController, EngineTerms
 
 __all__ = ["DirectEngines", "run_keeper"]
@@ -65,6 +67,8 @@
 HELLO_TIMEOUT_MS = 2_000
 # Several rounds fit into the time after which an announcement counts as old.
 RECRUIT_MS = 300
+# An entry that needs news sooner asks for it; each round goes to all entries.
+VIEWS_MS = 100.0
 
 
 class DirectEngines(NamedTuple):
@@ -144,6 +148,13 @@
         )
         self._claims = Claims(self._machine, self._replica, limits, self._metrics)
         self._subscribers: set[Subscriber] = set()
+        self._feed = Feed()
+        self._document_frame = DocumentFrame()
+        self._news = Signal()  # for entries and gateways
+        self._ticked = Signal()  # for agents
+        self._told_key: tuple = ()
+        self._fed_term = -1
+        self._viewed_ms = -math.inf
         self._engines = self._make_controller(engines)
 
     def _make_controller(
@@ -221,7 +232,11 @@
 
         self._subscribers.add(subscriber)
         try:
-            why = await channel.run(handle)
+            async with anyio.create_task_group() as tasks:
+                if subscriber.role != "keeper":
+                    tasks.start_soon(self._keep_told, subscriber)
+                why = await channel.run(handle)
+                tasks.cancel_scope.cancel()
         finally:
             self._subscribers.discard(subscriber)
         self._metrics.count("connections_ended_total", reason=why.code.name)
@@ -281,22 +296,64 @@
                 was_leader = was_leader and not is_lost
                 continue
             was_leader = True
-            self._closed = self._closing.closed(self._machine.drained, now_ms)
+            self._refresh(now_ms)
+            await anyio.sleep(self._settings.tick_ms / 1000)
+
+    def _refresh(self, now_ms: float) -> None:
+        """Take in what has changed, and wake the tasks that tell it."""
+        self._closed = self._closing.closed(self._machine.drained, now_ms)
+        feed = self._feed
+        if self._fed_term != self._replica.term:
+            self._fed_term = self._replica.term
+            self._viewed_ms = -math.inf
+            feed.begin()
+        key = (
+            self._machine.catalogue.revision,
+            self._machine.applied.version,
+            self._replica.members,
+            self._fed_term,
+        )
+        has_news = key != self._told_key
+        self._told_key = key
+        has_news |= feed.take_entries(self._directory.live_entry_ids(now_ms))
+        if now_ms >= self._viewed_ms + VIEWS_MS:
+            self._viewed_ms = now_ms
             views = {
                 report.server_id: server_view(report, report.server_id in self._closed)
                 for report in self._directory.live_agents(now_ms)
             }
-            fleet = None
             if self._engines is not None:
                 views.update(self._engines.views())
-                fleet = self._engines.load(now_ms)
-            entry_ids = self._directory.live_entry_ids(now_ms)
-            async with anyio.create_task_group() as tasks:
-                for subscriber in list(self._subscribers):
-                    tasks.start_soon(
-                        self._tell, subscriber, views, fleet, entry_ids, now_ms
-                    )
-            await anyio.sleep(self._settings.tick_ms / 1000)
+            has_news |= feed.take_views(views)
+        if self._engines is not None and feed.is_fleet_due(now_ms):
+            feed.take_fleet(self._engines.load(now_ms), now_ms)
+            has_news = True
+        if has_news:
+            self._news.notify()
+        self._ticked.notify()
+
+    async def _keep_told(self, subscriber: Subscriber) -> None:
+        """Tell one subscriber what is new for as long as it is connected."""
+        woken = self._ticked if subscriber.role == "agent" else self._news
+        while True:
+            now_ms = monotonic_ms()
+            is_fed = self._fed_term == self._replica.term
+            if is_fed and self._replica.leads(now_ms):
+                await subscriber.tell(self._news_now(), now_ms)
+                await self._tell_assignment(subscriber, now_ms)
+            # Without the lead, a connection is dropped or tells of the next leader.
+            quiet_ms = subscriber.quiet_ms(now_ms) or self._settings.tick_ms
+            await woken.wait_for(quiet_ms)
+
+    def _news_now(self) -> News:
+        applied = self._machine.applied
+        frame = b""
+        if applied.version:
+            frame = self._document_frame.of(applied.version, applied.document)
+        keepers = tuple(member.addr for member in self._replica.members)
+        return News(
+            self._machine.catalogue, applied.version, frame, keepers, self._feed
+        )
 
     async def _recruit_loop(self) -> None:
         while True:
@@ -323,27 +380,8 @@
             if subscriber.role != "keeper":
                 await subscriber.close(failure(Code.NOT_LEADER))
 
-    async def _tell(
-        self,
-        subscriber: Subscriber,
-        views: dict,
-        fleet: FleetLoad | None,
-        entry_ids: list,
-        now_ms: float,
-    ) -> None:
-        if subscriber.role == "keeper" or not self._replica.leads(monotonic_ms()):
-            return
-        await subscriber.tell_heartbeat(self._machine.catalogue.revision, now_ms)
-        if subscriber.role in ("entry", "gateway"):
-            members = tuple(member.addr for member in self._replica.members)
-            await subscriber.tell_keepers(members)
-        if subscriber.role not in ("agent", "entry"):
-            return
-        await subscriber.tell_catalogue(self._machine.catalogue)
-        if subscriber.role == "entry":
-            applied = self._machine.applied
-            await subscriber.tell_document(applied.version, applied.document)
-            await subscriber.tell_servers(views, fleet, entry_ids, now_ms)
+    async def _tell_assignment(self, subscriber: Subscriber, now_ms: float) -> None:
+        if subscriber.role != "agent":
             return
         server_id = subscriber.peer_id
         assigned = self._machine.assignments.get(server_id)
@@ -357,7 +395,8 @@
                     assigned.revision,
                     assigned.desired,
                     server_id in self._closed,
-                )
+                ),
+                now_ms,
             )
 
     async def _poll_platform(self) -> None:
--- a/src/cowslipwood/kernel/channel.py
+++ b/src/cowslipwood/kernel/channel.py
@@ -85,7 +85,10 @@
         self, value: Any, *, request_id: int = 0, reply_to: int = 0
     ) -> Result[None, Failure]:
         """Send one message; fails with SEND_TIMEOUT or PEER_GONE."""
-        frame = encode_frame(value, request_id, reply_to)
+        return await self.send_frame(encode_frame(value, request_id, reply_to))
+
+    async def send_frame(self, frame: bytes) -> Result[None, Failure]:
+        """Send a message that is encoded already; fails as `send` does."""
         try:
             with anyio.fail_after(SEND_TIMEOUT_MS / 1000):
                 async with self._send_lock:
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -25,6 +25,7 @@
     "DemandSample",
     "DesiredModel",
     "DocumentUpdate",
+    "EntryPlace",
     "EntryReport",
     "FleetLoad",
     "HolderReply",
@@ -197,16 +198,19 @@
 
 @message("control")
 class RoutingUpdate(NamedTuple):
-    """Backend servers that changed, or all of them.
-
-    `entry_rank` is the receiver's place among the `n_entries` live entry hosts.
-    """
+    """Backend servers that changed, or all of them."""
 
     full: bool
     servers: tuple[ServerView, ...]
     removed: tuple[str, ...]
-    n_entries: int = 1
-    entry_rank: int = 0
+
+
+@message("control")
+class EntryPlace(NamedTuple):
+    """The receiver's place among the live entry hosts, from 0."""
+
+    n_entries: int
+    rank: int
 
 
 @message("control")
@@ -292,7 +296,7 @@
 
 @message("control")
 class DocumentUpdate(NamedTuple):
-    """The leader tells an entry the document in force."""
+    """The leader tells an entry the document in force, compressed with zlib."""
 
     version: int
     document: bytes
--- a/src/cowslipwood/replication/_leader.py
+++ b/src/cowslipwood/replication/_leader.py
@@ -5,6 +5,7 @@
 from returns.result import Failure as Err
 
 from ..kernel.clock import monotonic_ms
+from ..kernel.signal import Signal
 from ._membership import quorum_value
 from ._messages import (
     AppendReply,
@@ -19,7 +20,6 @@
     TimeoutNow,
 )
 from ._peers import PeerLink, PeerLinks
-from ._signal import Signal
 from ._snapshots import encode_snapshot
 from ._state import ReplicaState, Role
 
--- a/src/cowslipwood/replication/_state.py
+++ b/src/cowslipwood/replication/_state.py
@@ -8,10 +8,10 @@
 
 import anyio
 
+from ..kernel.signal import Signal
 from ._identity import load_ballot, save_ballot
 from ._log import DurableLog, on_disk
 from ._membership import voters
-from ._signal import Signal
 
 __all__ = ["Leading", "ReplicaState", "Role", "Timing"]
 
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -116,8 +116,11 @@
   full @0 :Bool;
   servers @1 :List(ServerView);
   removed @2 :List(Text);
-  nEntries @3 :UInt32;       # live entry hosts
-  entryRank @4 :UInt32;      # the receiver's place among them, from 0
+}
+
+struct EntryPlace {
+  nEntries @0 :UInt32;       # live entry hosts
+  rank @1 :UInt32;           # the receiver's place among them, from 0
 }
 
 struct DemandSample {
--- a/tests/test_keeper_subscribers.py
+++ b/tests/test_keeper_subscribers.py
@@ -4,10 +4,24 @@
 
 import anyio
 
+from cowslipwood.catalogue import empty_catalogue
 from cowslipwood.entry.choosing._view import View
 from cowslipwood.entry.direct._servers import KnownServers
-from cowslipwood.keeper._subscribers import LOAD_INTERVAL_MS, Subscriber
-from cowslipwood.kernel.messages import FleetLoad, RoutingUpdate
+from cowslipwood.keeper._feed import MAX_REMOVALS, Feed, Told
+from cowslipwood.keeper._subscribers import (
+    HEARTBEAT_MS,
+    LOAD_INTERVAL_MS,
+    DocumentFrame,
+    News,
+    Subscriber,
+)
+from cowslipwood.kernel.messages import Ack, FleetLoad, RoutingUpdate
+from cowslipwood.kernel.wire import (
+    FRAME_HEADER,
+    Envelope,
+    decode_message,
+    decode_record,
+)
 
 from .direct_builders import listed
 from .entry_builders import engine_view
@@ -19,8 +33,9 @@
     def __init__(self):
         self.sent = []
 
-    async def send(self, value):
-        self.sent.append(value)
+    async def send_frame(self, frame):
+        envelope = decode_record(Envelope, frame[FRAME_HEADER.size :]).unwrap()
+        self.sent.append(decode_message(envelope).unwrap())
 
 
 class TestRouting(unittest.TestCase):
@@ -30,14 +45,16 @@
         """Return which servers each step tells; steps are views and a time."""
         channel = _Channel()
         subscriber = Subscriber(channel, "entry", "e1")
+        feed = Feed()
 
         async def run():
             told = []
             for views, now_ms in steps:
                 channel.sent.clear()
-                by_id = {view.server_id: view for view in views}
-                await subscriber.tell_routing(by_id, ["e1"], now_ms)
-                told.append([v.server_id for u in channel.sent for v in u.servers])
+                feed.take_views({view.server_id: view for view in views})
+                await subscriber.tell_servers(feed, now_ms)
+                updates = [u for u in channel.sent if isinstance(u, RoutingUpdate)]
+                told.append([v.server_id for u in updates for v in u.servers])
             return told
 
         return anyio.run(run)
@@ -73,16 +90,62 @@
         seen = []
 
         async def run():
-            await subscriber.tell_servers({}, None, ["e1"], 10.0)
-            load = FleetLoad(5.0, ("s1",), (0,), (0,))
-            await subscriber.tell_servers({"s1": view}, load, ["e1"], 60.0)
+            feed = Feed()
+            feed.take_views({})
+            await subscriber.tell_servers(feed, 10.0)
+            feed.take_views({"s1": view})
+            feed.take_fleet(FleetLoad(5.0, ("s1",), (0,), (0,)), 60.0)
+            await subscriber.tell_servers(feed, 60.0)
 
         anyio.run(run)
         for number, message in enumerate(channel.sent):
             now_ms = 20.0 + number
             if isinstance(message, RoutingUpdate):
                 known.take_update(message, now_ms)
-            else:
+            elif isinstance(message, FleetLoad):
                 known.take_load(message, now_ms)
             seen.append(set(known._view.backends))
         self.assertEqual(seen, [{"s1"}] * len(channel.sent))
+
+
+class TestFeed(unittest.TestCase):
+    """Seventy entries that are told the same, at the cost of one."""
+
+    def test_encoded_once(self):
+        """Subscribers that were told the same share the bytes of an update."""
+        feed = Feed()
+        feed.take_views({"s1": engine_view("s1", "m1")})
+        frames = [feed.routing_frame(Told(), True) for _ in range(70)]
+        self.assertEqual(len({id(frame) for frame, _ in frames}), 1)
+
+    def test_missed_removals(self):
+        """One that missed more removals than are kept is told everything."""
+        feed = Feed()
+        feed.take_views({"s0": engine_view("s0", "m1")})
+        _, told = feed.routing_frame(Told(), True)
+        for n in range(MAX_REMOVALS + 2):
+            feed.take_views({f"s{n}": engine_view(f"s{n}", "m1")})
+        update = feed.routing(told, True)
+        self.assertTrue(update.full)
+        self.assertEqual([v.server_id for v in update.servers], [f"s{n}"])
+
+    def test_new_leadership(self):
+        """A load of an earlier leadership is told to nobody."""
+        feed = Feed()
+        feed.take_fleet(FleetLoad(5.0, ("s1",), (0,), (0,)), 0.0)
+        feed.begin()
+        self.assertIsNone(feed.fleet)
+        self.assertTrue(feed.is_fleet_due(0.0))
+
+    def test_sign_of_life(self):
+        """A gateway hears something each heartbeat, and no more than that."""
+        channel = _Channel()
+        subscriber = Subscriber(channel, "gateway", "g1")
+        news = News(empty_catalogue(), 0, DocumentFrame().of(0, b""), (), Feed())
+
+        async def run():
+            for now_ms in range(0, 10 * HEARTBEAT_MS, 10):
+                await subscriber.tell(news, float(now_ms))
+
+        anyio.run(run)
+        self.assertEqual([type(each) for each in channel.sent], [Ack] * 10)
