Choose among few servers and a prompt's home; count repeats by one window

The fresh requests were counted over eleven tenths of the window.

Change: routing policy sampled_cost, two random servers and the home of the prompt's shared parts in all zones, by the same expected wait; a kept prompt counts twice, since one that is read again holds up those behind it too. Default of the entries that reach servers directly. Fresh requests count within one window only.

Tests: OldReportTest; test_busy_window_bound failed before.

--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -113,7 +113,7 @@
     ready_listen: str = ""
     ready_path: str = ""
     list_url: str = ""
-    routing: str = "least_cost"
+    routing: str = "sampled_cost"
     list_ms: int = 900
     report_ms: int = 500
     retry_share: float = 0.2
--- a/src/cowslipwood/entry/direct/_retries.py
+++ b/src/cowslipwood/entry/direct/_retries.py
@@ -114,7 +114,9 @@
         """
         part = self._part(now_ms)
         self._drop_old(part)
-        allowed = self._terms.per_request * sum(self._fresh.values())
+        # The oldest part lies outside the window in part; repeats count it whole.
+        n_fresh = sum(n for each, n in self._fresh.items() if each > part - N_PARTS)
+        allowed = self._terms.per_request * n_fresh
         allowed += self._terms.extra / max(1, n_entries) * MARGIN
         if sum(self._repeats.values()) + 1 > allowed:
             return False
--- a/src/cowslipwood/entry/routing/__init__.py
+++ b/src/cowslipwood/entry/routing/__init__.py
@@ -1,6 +1,12 @@
 """Routing policies: which of the servers that can answer gets a request."""
 
-from . import least_cost, least_reported_load, random_choice, sampled_load  # noqa: F401
+from . import (  # noqa: F401
+    least_cost,
+    least_reported_load,
+    random_choice,
+    sampled_cost,
+    sampled_load,
+)
 from ._policy import KEPT_SHARE, RoutingContext, RoutingPolicy, usable_candidates
 
 __all__ = ["KEPT_SHARE", "RoutingContext", "RoutingPolicy", "usable_candidates"]
--- a/src/cowslipwood/entry/routing/_policy.py
+++ b/src/cowslipwood/entry/routing/_policy.py
@@ -10,6 +10,7 @@
     "KEPT_SHARE",
     "RoutingContext",
     "RoutingPolicy",
+    "reachable_candidates",
     "usable_candidates",
     "zone_distance",
 ]
@@ -77,6 +78,26 @@
     ]
 
 
+def reachable_candidates(
+    candidates: Sequence[Backend], context: RoutingContext, now_ms: float
+) -> list[Backend]:
+    """Return the usable candidates, or without any those that are reachable.
+
+    When every server has been ejected for its errors, they all count again: what
+    they have in common is the service's own fault, and one of them could not take
+    the load of all.
+    """
+    usable = usable_candidates(candidates, context, now_ms)
+    if usable:
+        return usable
+    return [
+        backend
+        for backend in candidates
+        if backend.view.server_id not in context.tried
+        and backend.reachable(context.key, now_ms)
+    ]
+
+
 def zone_distance(zone: str, other: str) -> int:
     """Return 0 in one zone, 1 within a region (``region/zone``), otherwise 2."""
     if zone == other:
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -14,6 +14,7 @@
 from cowslipwood.entry.direct._retries import BudgetTerms, EntryCount, SharedBudget
 from cowslipwood.entry.routing import RoutingContext
 from cowslipwood.entry.routing.least_cost import LeastCost
+from cowslipwood.entry.routing.sampled_cost import SampledCost
 from cowslipwood.keeper.engines._decide import (
     NO_DEMAND,
     ModelDemand,
@@ -34,7 +35,11 @@
 N_SERVERS = 4
 
 
-def backends(n_slots: int = 64, zones: tuple[str, ...] = ("zone-1",)) -> list[Backend]:
+def backends(
+    n_slots: int = 64,
+    zones: tuple[str, ...] = ("zone-1",),
+    n_servers: int = N_SERVERS,
+) -> list[Backend]:
     """Return idle servers, in turn in the zones."""
     views = [
         as_view(
@@ -43,7 +48,7 @@
             ),
             ("k",),
         )
-        for i in range(N_SERVERS)
+        for i in range(n_servers)
     ]
     return [Backend(view, NOW_MS) for view in views]
 
@@ -245,6 +250,49 @@
         self.assertEqual(step.drop_model, "m2")
 
 
+class OldReportTest(unittest.TestCase):
+    """Seventy entries choose by one report that is some hundred milliseconds old."""
+
+    N_ENTRIES = 70
+    N_ENGINES = 12
+
+    def _most_chosen(self, policy, prefixes: list[int]) -> int:
+        """Return how many of the entries choose the engine that most of them do."""
+        rng = seeded()
+        chosen: Counter[str] = Counter()
+        for entry in range(self.N_ENTRIES):
+            engines = backends(n_slots=48, n_servers=self.N_ENGINES)
+            for place, engine in enumerate(engines):
+                engine.reported(LoadReport(20 + place % 5, 0, 0.0, 48), NOW_MS)
+            engines[0].reported(LoadReport(18, 0, 0.0, 48), NOW_MS)
+            prefix = prefixes[entry % len(prefixes)]
+            context = RoutingContext("k", prefix, "zone-1", n_shared_tokens=6_300)
+            found = policy.choose(engines, context, rng, NOW_MS)
+            chosen[found.view.server_id] += 1
+        return max(chosen.values())
+
+    def test_no_prompt_parts(self):
+        """The engine that looks best gets its share twice, not all requests."""
+        self.assertEqual(self._most_chosen(LeastCost(), [0]), self.N_ENTRIES)
+        most = 3 * self.N_ENTRIES / self.N_ENGINES
+        self.assertLess(self._most_chosen(SampledCost(), [0]), most)
+
+    def test_prompt_parts_keep_a_home(self):
+        """Requests of one prompt go to one engine from every zone."""
+        self.assertEqual(
+            self._most_chosen(SampledCost(), [0x9E3779B97F4A7C15]), self.N_ENTRIES
+        )
+
+    def test_busy_home(self):
+        """A home where many wait leaves its prompt to others."""
+        engines = backends(n_slots=48)
+        context = RoutingContext("k", 0x1234567, "zone-1", n_shared_tokens=6_300)
+        home = SampledCost().choose(engines, context, seeded(), NOW_MS)
+        home.reported(LoadReport(40, 8, 0.0, 48), NOW_MS)
+        other = SampledCost().choose(engines, context, seeded(), NOW_MS)
+        self.assertIsNot(other, home)
+
+
 class RepeatingCallersTest(unittest.TestCase):
     """Callers repeat at once and often while servers fail."""
 
@@ -264,6 +312,23 @@
             n_repeats = sum(start_ms <= at < start_ms + 10_000 for at in taken)
             self.assertLessEqual(n_repeats, 0.2 * 250 + 64)
 
+    def test_busy_window_bound(self):
+        """Repeats that come all at once keep to the requests of one window."""
+        terms = BudgetTerms(0.2, 64.0, 10_000.0)
+        budgets = [SharedBudget(terms) for _ in range(8)]
+        taken: list[float] = []
+        n_per_window = 2_000
+        for step in range(3 * n_per_window):
+            now_ms = step * 10_000.0 / n_per_window
+            budgets[step % 8].fresh(now_ms)
+            if now_ms < 15_000.0:
+                continue
+            while budgets[step % 8].take(8, now_ms):
+                taken.append(now_ms)
+        for start_ms in range(0, 20_000, 250):
+            n_repeats = sum(start_ms <= at < start_ms + 10_000 for at in taken)
+            self.assertLessEqual(n_repeats, 0.2 * n_per_window + 64)
+
     def test_new_leader_counts_few(self):
         """A leader that has heard from few entries does not raise their parts."""
         count = EntryCount(10_000.0)
