Load what many callers wait for first, on engines that rare models await too

Change: the store keeps half of its loads from rare models and one from copies (LoadNeed); a model takes an engine that is kept for another with less than half of its callers; a copy awaits the soonest engine like a missing model; time costs of a missing model count by its callers; a second of loading costs 0.75 in place of 3; copies go on while another model is missing.

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -35,7 +35,7 @@
 from ._fleet import Fleet
 from ._orders import EngineClient, EngineOrder, OrderOp, OrderOutcome
 from ._record import EngineRecord
-from ._store import StoreBudget
+from ._store import LoadNeed, StoreBudget
 
 __all__ = ["EngineController", "EngineTerms"]
 
@@ -181,7 +181,7 @@
             if step is not None and step.record.is_usable:
                 await self._take_model_step(spec, step)
             elif step is not None:
-                step.record.await_for(spec.name, now_ms)
+                step.record.await_for(spec.name, step.n_callers, now_ms)
             return None
         if any((spec.name, request.adapter) in each.in_transit for each in holders):
             return None
@@ -197,7 +197,7 @@
         if any(each.loading == spec.name for each in records):
             return None
         for each in records:
-            if each.reserved_for == spec.name and now_ms < each.reserved_until_ms:
+            if each.is_reserved_for(spec.name, now_ms):
                 return missing_step(
                     records, spec, self._demand.by_model, now_ms, only=each
                 )
@@ -243,11 +243,11 @@
         record = step.record
         async with record.lock:
             now_ms = monotonic_ms()
-            if not record.takes(spec.name, now_ms):
+            if not record.takes(spec.name, step.n_callers, now_ms):
                 return
             if step.drop_model:
-                record.reserved_for = spec.name
-                record.reserved_until_ms = now_ms + MAKE_ROOM_MS
+                until_ms = now_ms + MAKE_ROOM_MS
+                record.reserve_for(spec.name, step.n_callers, until_ms)
                 self._log_placement(spec, step, now_ms)
                 await self._order(record, OrderOp.UNLOAD, step.drop_model, "")
                 return
@@ -284,8 +284,17 @@
 
     def _store_allows(self, record: EngineRecord, model: ModelSpec) -> bool:
         """Return whether the weight store may be asked for one more load now."""
-        is_busy_model = self._demand.of(model.name).in_flight >= BUSY_IN_FLIGHT
-        return self._store.allows(record.spec, is_busy_model, monotonic_ms())
+        is_held = any(
+            each.stays and model.name in each.held
+            for each in self._fleet.of(record.server.service)
+        )
+        if is_held:
+            need = LoadNeed.COPY
+        elif self._demand.of(model.name).in_flight >= BUSY_IN_FLIGHT:
+            need = LoadNeed.MISSING
+        else:
+            need = LoadNeed.RARE
+        return self._store.allows(record.spec, need, monotonic_ms())
 
     async def _order(
         self,
@@ -357,7 +366,11 @@
                 records, service.engine.models, self._demand.by_model, now_ms
             )
             if found is not None:
-                self._tasks.start_soon(self._take_model_step, *found)
+                spec, step = found
+                if step.record.is_usable:
+                    self._tasks.start_soon(self._take_model_step, spec, step)
+                else:
+                    step.record.await_for(spec.name, step.n_callers, now_ms)
             self._spread_adapters(records, service.engine.models, now_ms)
 
     def _spread_adapters(
--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -65,7 +65,9 @@
 # In waiting requests, for each second of loading. Lower, and rare models displace
 # each other from engines that have no copy on disk; higher, and a busy model's
 # second copy comes when its callers have left.
-LOAD_COST_PER_S = 3.0
+LOAD_COST_PER_S = 0.75
+# Callers that wait for a missing model at once, for whom its time costs count once.
+HASTE_CALLERS = 2.0
 
 
 class ModelDemand(NamedTuple):
@@ -88,6 +90,11 @@
     recent: float = 0.0
     n_held_up: int = 0
 
+    @property
+    def n_callers(self) -> float:
+        """Requests and questions that would wait if no engine had the model."""
+        return self.in_flight + self.n_held_up
+
 
 NO_DEMAND = ModelDemand()
 
@@ -112,12 +119,15 @@
         Model and adapter to unload first.
     cost : float
         What a model's load costs here, in waiting requests.
+    n_callers : float
+        Callers that wait for the load, for each engine that is to serve them.
     """
 
     record: EngineRecord
     drop_model: str = ""
     drop_adapter: tuple[str, str] | None = None
     cost: float = 0.0
+    n_callers: float = 0.0
 
 
 def adapter_step(
@@ -235,17 +245,25 @@
         The engine on which room is being made for the model already.
     """
     layout = _Layout.of(records)
+    n_callers = demand.get(model.name, NO_DEMAND).n_callers
+    # Time that passes until the load is done is lost by all who wait for it.
+    haste = max(1.0, n_callers / HASTE_CALLERS)
     options = []
     for each in [only] if only else records:
-        if not each.will_take(model.name, now_ms):
+        if not each.will_take(model.name, n_callers, now_ms):
             continue
-        option = _option(each, model, layout, demand, now_ms)
+        option = _option(each, model, layout, demand, now_ms, haste)
         if option is not None:
-            wait_cost = LOAD_COST_PER_S * each.busy_ms(now_ms) / 1000
-            options.append(option._replace(cost=option.cost + wait_cost))
+            options.append(_after_order(option, haste, n_callers, now_ms))
     return min(options, key=_cost, default=None)
 
 
+def _after_order(step: Step, haste: float, n_callers: float, now_ms: float) -> Step:
+    """Add the cost of waiting for the end of the engine's present order."""
+    wait_cost = haste * LOAD_COST_PER_S * step.record.busy_ms(now_ms) / 1000
+    return step._replace(cost=step.cost + wait_cost, n_callers=n_callers)
+
+
 def _cost(step: Step) -> float:
     return step.cost
 
@@ -258,9 +276,6 @@
 ) -> tuple[ModelSpec, Step] | None:
     """Return the copy that gains most, if it gains enough; None otherwise.
 
-    None too while callers wait for a model that many ask for and no engine has:
-    loads slow each other down, and the store allows few.
-
     Parameters
     ----------
     records : sequence of EngineRecord
@@ -270,11 +285,6 @@
     """
     layout = _Layout.of(records)
     copies = layout.copies
-    if any(
-        wanted.n_held_up and wanted.in_flight >= BUSY_IN_FLIGHT and not copies.get(name)
-        for name, wanted in demand.items()
-    ):
-        return None
     ranked = sorted(
         models,
         key=lambda m: (
@@ -332,13 +342,17 @@
     gain: float,
     now_ms: float,
 ) -> Step | None:
-    options = [
-        option
-        for each in records
-        if each.takes(model.name, now_ms)
-        for option in [_option(each, model, layout, demand, now_ms)]
-        if option is not None and option.cost * GAIN_FACTOR <= gain
-    ]
+    wanted = demand.get(model.name, NO_DEMAND)
+    n_callers = wanted.waiting / (layout.copies.get(model.name, 0) + 1)
+    options = []
+    for each in records:
+        if not each.will_take(model.name, n_callers, now_ms):
+            continue
+        option = _option(each, model, layout, demand, now_ms)
+        if option is not None:
+            option = _after_order(option, 1.0, n_callers, now_ms)
+            if option.cost * GAIN_FACTOR <= gain:
+                options.append(option)
     return min(options, key=_cost, default=None)
 
 
@@ -348,17 +362,21 @@
     layout: "_Layout",
     demand: Mapping[str, ModelDemand],
     now_ms: float,
+    haste: float = 1.0,
 ) -> Step | None:
-    """Return the first step of a load on one engine, with the load's cost."""
+    """Return the first step of a load on one engine, with the load's cost.
+
+    `haste` is the factor on what takes time.
+    """
     load_s = model.warm_load_s if model.name in record.cached else model.load_time_s
-    cost = LOAD_COST_PER_S * load_s + BUSY_COST * record.n_queued
+    cost = haste * LOAD_COST_PER_S * load_s + BUSY_COST * record.n_queued
     if (model.name, record.server.zone) in layout.zones:
         cost += SAME_ZONE_COST
     if record.free_mb >= model.weights_mb:
         return Step(record, cost=cost)
     worth = {}
     for name in record.held:
-        worth[name] = _worth(name, layout.copies, demand, record.n_running)
+        worth[name] = _worth(name, layout.copies, demand, record.n_running, haste)
         if now_ms - record.since_ms.get(name, -math.inf) < FRESH_MS:
             worth[name] += FRESH_WORTH
     room = _cheapest_room(record, model.weights_mb - record.free_mb, worth)
@@ -395,15 +413,17 @@
     copies: Mapping[str, int],
     demand: Mapping[str, ModelDemand],
     n_on_engine: int,
+    haste: float,
 ) -> float:
     """Return what one copy of a model is worth, in waiting requests.
 
-    `n_on_engine` are the requests that run on the copy's engine, for any model.
+    `n_on_engine` are the requests that run on the copy's engine, for any model;
+    `haste` is the factor on the wait for their end.
     """
     n_copies = copies.get(name, 1)
     wanted = demand.get(name, NO_DEMAND)
     n_running = min(wanted.in_flight / n_copies, n_on_engine)
-    running = RUNNING_WORTH * n_running + BLOCKED_COST * min(1.0, n_running)
+    running = RUNNING_WORTH * n_running + haste * BLOCKED_COST * min(1.0, n_running)
     if n_copies <= 1:
         return LAST_COPY * (1.0 + wanted.recent) + 2.0 * wanted.waiting + running
     worth = wanted.waiting / (n_copies * (n_copies - 1)) + running
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -1,5 +1,7 @@
 """What the leader knows of one engine, exact up to its last accepted order."""
 
+from typing import NamedTuple
+
 import anyio
 
 from ...listing import ListedServer, holding_key
@@ -14,10 +16,29 @@
 OVERDUE_MS = 300.0
 # Longer than the pause between two looks of a question that waits for the engine.
 AWAIT_MS = 100.0
+# How many times the callers of one model those of another must be to take an engine
+# that the first awaits: models of about as many would take it from each other.
+OVERRIDING = 2.0
 # One report may be lost on its way; an engine that is down gives none.
 LOST_READS = 2
 
 
+class _Kept(NamedTuple):
+    """A model for which an engine is kept until some time."""
+
+    model: str
+    n_callers: float
+    until_ms: float
+
+    def allows(self, model: str, n_callers: float, now_ms: float) -> bool:
+        """Return whether another model with so many callers may have the engine."""
+        is_over = model == self.model or now_ms >= self.until_ms
+        return is_over or n_callers > OVERRIDING * self.n_callers + 1
+
+
+_NOBODY = _Kept("", 0.0, 0.0)
+
+
 class EngineRecord:
     """One life of one engine.
 
@@ -46,10 +67,8 @@
         self.n_failed_reads = 0
         self.in_transit: set[tuple[str, str]] = set()
         self.leaving_adapters: set[tuple[str, str]] = set()
-        self.reserved_for = ""
-        self.reserved_until_ms = 0.0
-        self._awaited_for = ""
-        self._awaited_until_ms = 0.0
+        self._awaited = _NOBODY
+        self._reserved = _NOBODY
         self.n_running = 0
         self.n_queued = 0
         self._says_leaving = False
@@ -92,31 +111,47 @@
         least_ms = OVERDUE_MS if self.loading else UNLOAD_MS
         return max(self.busy_until_ms - now_ms, least_ms)
 
-    def await_for(self, model: str, now_ms: float) -> None:
+    def await_for(self, model: str, n_callers: float, now_ms: float) -> None:
         """Keep the engine for a model that waits for the end of its order.
 
-        Others look elsewhere meanwhile; only one of them could be the next.
+        Others look elsewhere meanwhile, unless many more callers wait for them;
+        only one of them could be the next.
         """
-        self._awaited_for = model
-        self._awaited_until_ms = now_ms + AWAIT_MS
+        self._awaited = _Kept(model, n_callers, now_ms + AWAIT_MS)
+
+    def reserve_for(self, model: str, n_callers: float, until_ms: float) -> None:
+        """Keep the room that is being made for a model."""
+        self._reserved = _Kept(model, n_callers, until_ms)
+
+    def is_reserved_for(self, model: str, now_ms: float) -> bool:
+        """Return whether room is being made here for a model."""
+        return self._reserved.model == model and now_ms < self._reserved.until_ms
 
-    def takes(self, model: str, now_ms: float) -> bool:
+    def takes(self, model: str, n_callers: float, now_ms: float) -> bool:
         """Return whether the engine may be ordered to load a model now."""
-        return self.is_usable and self.will_take(model, now_ms)
+        return self.is_usable and self.will_take(model, n_callers, now_ms)
 
-    def will_take(self, model: str, now_ms: float) -> bool:
+    def will_take(self, model: str, n_callers: float, now_ms: float) -> bool:
         """Return whether it may be, once it has carried out its present order.
 
-        Room that was made for one model is not given to another meanwhile.
+        Room that was made for one model is not given to another meanwhile, unless
+        many more callers wait for that.
+
+        Parameters
+        ----------
+        model : str
+        n_callers : float
+            That wait for the model.
+        now_ms : float
         """
         if not self.is_synced or not self.stays:
             return False
         if model in self.held:
             return False
-        if now_ms < self._awaited_until_ms and self._awaited_for != model:
-            return False
-        is_reserved = self.reserved_for and now_ms < self.reserved_until_ms
-        return not is_reserved or self.reserved_for == model
+        return all(
+            kept.allows(model, n_callers, now_ms)
+            for kept in (self._awaited, self._reserved)
+        )
 
     @property
     def n_adapters(self) -> int:
@@ -233,7 +268,7 @@
         if op is OrderOp.LOAD:
             self.held.setdefault(model, set())
             self.loading = model
-            self.reserved_for = ""
+            self._reserved = _NOBODY
             self.since_ms[model] = now_ms
         else:
             self.dropping = model
--- a/src/cowslipwood/keeper/engines/_store.py
+++ b/src/cowslipwood/keeper/engines/_store.py
@@ -1,10 +1,20 @@
 """Keeps loads from the weight store within its rate."""
 
+import enum
+import math
 from collections import deque
 
 from ...routes import EngineSpec
 
-__all__ = ["StoreBudget"]
+__all__ = ["LoadNeed", "StoreBudget"]
+
+
+class LoadNeed(enum.Enum):
+    """What a load from the store is for; each leaves room for those before it."""
+
+    MISSING = enum.auto()  # a model that many ask for and no engine has
+    COPY = enum.auto()  # a further copy
+    RARE = enum.auto()  # a model that few ask for and no engine has
 
 
 class StoreBudget:
@@ -31,18 +41,16 @@
         self._taken_ms.append(now_ms)
         self._until_ms.append(now_ms + load_ms)
 
-    def allows(self, spec: EngineSpec, is_busy_model: bool, now_ms: float) -> bool:
+    def allows(self, spec: EngineSpec, need: LoadNeed, now_ms: float) -> bool:
         """Return whether one more load may begin now.
 
-        Models that few ask for leave one of the loads at once to those that many do.
         A load is over for the store when its time is; that the engine has the model
         is known only some reports later.
 
         Parameters
         ----------
         spec : EngineSpec
-        is_busy_model : bool
-            Whether many ask for the model.
+        need : LoadNeed
         now_ms : float
         """
         while self._taken_ms and self._taken_ms[0] < now_ms - self._window_ms:
@@ -51,8 +59,11 @@
         # More at once than the rate allows would only slow each other down.
         longest_s = max(each.load_time_s for each in spec.models)
         at_once = round(spec.loads_per_s * longest_s)
-        if not is_busy_model:
-            at_once -= 1
+        match need:
+            case LoadNeed.COPY:
+                at_once -= 1
+            case LoadNeed.RARE:
+                at_once = math.ceil(at_once / 2)
         self._until_ms = [each for each in self._until_ms if each > now_ms]
         n_under_way = len(self._until_ms)
         return len(self._taken_ms) < allowed and n_under_way < max(1, at_once)
