Tell callers at once when the load they need ends after they have left

Change: the question for a holder says how long its caller waits (target and pauses of the route); the leader answers at once with the time until the engine is likely to have the model, and goes on with the load; the entry spreads the returns by 1.25.

Tests: test_long_load_is_told_at_once, test_caller_of_a_stream_leaves.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -35,6 +35,9 @@
 # another server, if there is one; shorter would repeat what is merely queued.
 PATIENCE_TARGETS = 2.0
 RETRY_AFTER_MS = 250.0
+# Callers that are told of the same load come back within this factor of its time, so
+# that the engine that then has it is not met by all of them at once.
+RETURN_SPREAD = 1.25
 MAX_HELD_BYTES = 65_536
 # Before a request goes again to a server that refused it: an adapter's load. Each
 # further pause is longer by the factor, as a place or a run there may have to end.
@@ -139,6 +142,9 @@
             await self._sink.write(body)
             await self._sink.end()
             return None
+        if fault.retry_after_ms:
+            told_ms = fault.retry_after_ms * self._rng.uniform(1.0, RETURN_SPREAD)
+            fault = fault._replace(retry_after_ms=round(told_ms))
         retry_after_ms = round(RETRY_AFTER_MS * self._rng.uniform(0.5, 1.5))
         return final_failure(self._attempted, fault, retry_after_ms)
 
--- a/src/cowslipwood/entry/direct/_holders.py
+++ b/src/cowslipwood/entry/direct/_holders.py
@@ -54,14 +54,14 @@
 
         Fails with NO_REPLICA when the leader knows no way in time, or none leads.
         """
-        left_ms = request.answer_by_ms - now_ms - RUN_RESERVE_MS
+        left_ms = request.first_by_ms - now_ms - RUN_RESERVE_MS
         if left_ms <= 0:
             return Err(failure(Code.NO_REPLICA, "no time left for a load"))
         asked = self._asking.get(request.key)
         if asked is None:
             asked = self._asking[request.key] = _Asked()
             # In a task of its own: others may wait for it when its caller leaves.
-            self._tasks.start_soon(self._ask, request, asked)
+            self._tasks.start_soon(self._ask, request, left_ms, asked)
         with anyio.move_on_after(left_ms / 1000):
             await asked.done.wait()
             return asked.result
@@ -73,9 +73,13 @@
             self._tasks = tasks
             await anyio.sleep_forever()
 
-    async def _ask(self, request: RoutedRequest, asked: _Asked) -> None:
+    async def _ask(
+        self, request: RoutedRequest, patience_ms: float, asked: _Asked
+    ) -> None:
         facts = request.facts
-        wanted = HolderRequest(request.service, facts.model, facts.adapter, "")
+        wanted = HolderRequest(
+            request.service, facts.model, facts.adapter, "", patience_ms
+        )
         try:
             asked.result = self._take(request, await self._ask_a_leader(wanted))
         finally:
--- a/src/cowslipwood/entry/direct/_request.py
+++ b/src/cowslipwood/entry/direct/_request.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from ...listing import holding_key
-from ...routes import Route
+from ...routes import Route, RouteKind
 from ..routing import KEPT_SHARE
 from ._headers import RequestFacts
 
@@ -12,6 +12,11 @@
 LEAST_URGENT = 9
 # More than the ranks that operators use for their routes.
 LATE_RANKS = 4
+# Callers of a stream leave when they have waited for its next event for the longest
+# of these: a time, multiples of the target and of the longest pause in time.
+LEAST_PATIENCE_MS = 2_000.0
+PATIENCE_TARGETS = 4.0
+PATIENCE_PAUSES = 8.0
 
 
 class RoutedRequest(NamedTuple):
@@ -39,6 +44,18 @@
     arrived_ms: float
     answer_by_ms: float
 
+    @property
+    def first_by_ms(self) -> float:
+        """When the caller has left unless the answer has begun."""
+        if self.route.kind is not RouteKind.STREAMING:
+            return self.answer_by_ms
+        patience_ms = max(
+            LEAST_PATIENCE_MS,
+            PATIENCE_TARGETS * self.route.target_latency_ms,
+            PATIENCE_PAUSES * self.route.gap_target_ms,
+        )
+        return min(self.answer_by_ms, self.arrived_ms + patience_ms)
+
     @property
     def key(self) -> str:
         """What a server has to hold."""
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -34,7 +34,7 @@
 from ._demand import DemandView
 from ._fleet import Fleet
 from ._orders import EngineClient, EngineOrder, OrderOp, OrderOutcome
-from ._record import EngineRecord
+from ._record import UNLOAD_MS, EngineRecord
 from ._store import LoadNeed, StoreBudget
 
 __all__ = ["EngineController", "EngineTerms"]
@@ -49,6 +49,8 @@
 RETRY_MS = 20.0
 # A question is answered within this time, or the entry refuses its request.
 FIND_TIMEOUT_MS = 4_000.0
+# Callers that come back sooner find the same.
+LEAST_RETRY_MS = 500
 # An unload waits for its runs; after this long another engine is looked for.
 MAKE_ROOM_MS = 3_000.0
 # Until the entries' reports have shown the demand to a new leader.
@@ -109,6 +111,7 @@
         self._metrics = metrics
         self._fleet = Fleet(source, client)
         self._demand = DemandView()
+        self._unasked: set[tuple[str, str]] = set()  # services and models
         self._led_term = 0
         self._led_since_ms = 0.0
         self._store = StoreBudget(terms.store_window_ms)
@@ -143,15 +146,52 @@
         if spec is None:
             message = f"no model {request.model!r:.60} in {request.service}"
             return as_refused(failure(Code.NO_SUCH_MODEL, message))
-        self._demand.asked(request.model, request.adapter, monotonic_ms())
-        with anyio.move_on_after(FIND_TIMEOUT_MS / 1000):
-            held = await self._find(request, spec)
-            if held is not None:
-                return HolderReply(held.server.server_id, held.ready_keys())
-        if not self._leads(monotonic_ms()):
+        now_ms = monotonic_ms()
+        self._demand.asked(request.model, request.adapter, now_ms)
+        patience_ms = min(request.patience_ms or FIND_TIMEOUT_MS, FIND_TIMEOUT_MS)
+        if self._ready_in_ms(request.service, spec, now_ms) <= patience_ms:
+            with anyio.move_on_after(patience_ms / 1000):
+                held = await self._find(request, spec)
+                if held is not None:
+                    return HolderReply(held.server.server_id, held.ready_keys())
+        now_ms = monotonic_ms()
+        if not self._leads(now_ms):
             return as_refused(failure(Code.NOT_LEADER))
-        message = f"{request.model}/{request.adapter}: no engine can take it"
-        return as_refused(failure(Code.NO_REPLICA, message, retry_after_ms=500))
+        self._load_unasked(request.service, spec)
+        ready_ms = self._ready_in_ms(request.service, spec, now_ms)
+        message = f"{request.model}/{request.adapter}: ready in {ready_ms:.0f} ms"
+        retry_after_ms = max(LEAST_RETRY_MS, round(ready_ms))
+        return as_refused(failure(Code.NO_REPLICA, message, retry_after_ms))
+
+    def _ready_in_ms(self, service: str, spec: ModelSpec, now_ms: float) -> float:
+        """Return after which time an engine is likely to hold a model."""
+        staying = [each for each in self._fleet.of(service) if each.stays]
+        if any(each.holds(spec.name) for each in staying):
+            return 0.0
+        for each in staying:
+            if each.loading == spec.name:
+                return each.busy_ms(now_ms)
+        step = self._missing_step(staying, spec, now_ms)
+        if step is None:
+            return 1000 * spec.load_time_s + UNLOAD_MS
+        unload_ms = UNLOAD_MS if step.drop_model else 0.0
+        return step.record.busy_ms(now_ms) + unload_ms + step.record.load_ms(spec)
+
+    def _load_unasked(self, service: str, spec: ModelSpec) -> None:
+        """Go on with a load whose callers were told to come back for it."""
+        key = (service, spec.name)
+        if key not in self._unasked:
+            self._unasked.add(key)
+            self._tasks.start_soon(self._find_unasked, key, spec)
+
+    async def _find_unasked(self, key: tuple[str, str], spec: ModelSpec) -> None:
+        request = HolderRequest(key[0], spec.name, "", "")
+        limit_ms = 1000 * spec.load_time_s + FIND_TIMEOUT_MS
+        try:
+            with anyio.move_on_after(limit_ms / 1000):
+                await self._find(request, spec)
+        finally:
+            self._unasked.discard(key)
 
     async def _find(
         self, request: HolderRequest, spec: ModelSpec
@@ -256,7 +296,7 @@
             from_store = spec.name not in record.cached
             if from_store and not self._store_allows(record, spec):
                 return
-            load_ms = 1000 * (spec.load_time_s if from_store else spec.disk_load_s)
+            load_ms = record.load_ms(spec)
             if from_store:
                 # Counted before the order: one without an answer may load too.
                 self._store.take(load_ms, now_ms)
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -5,10 +5,10 @@
 import anyio
 
 from ...listing import ListedServer, holding_key
-from ...routes import EngineSpec
+from ...routes import EngineSpec, ModelSpec
 from ._orders import EngineReport, OrderOp
 
-__all__ = ["LOST_READS", "EngineRecord"]
+__all__ = ["LOST_READS", "UNLOAD_MS", "EngineRecord"]
 
 # An unload ends with its model's runs; most streams have ended after this time.
 UNLOAD_MS = 1_000.0
@@ -111,6 +111,11 @@
         least_ms = OVERDUE_MS if self.loading else UNLOAD_MS
         return max(self.busy_until_ms - now_ms, least_ms)
 
+    def load_ms(self, model: ModelSpec) -> float:
+        """Return how long a load of a model takes here."""
+        is_near = model.name in self.cached
+        return 1000 * (model.disk_load_s if is_near else model.load_time_s)
+
     def await_for(self, model: str, n_callers: float, now_ms: float) -> None:
         """Keep the engine for a model that waits for the end of its order.
 
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -332,12 +332,17 @@
 
 @message("control")
 class HolderRequest(NamedTuple):
-    """An entry needs a server that holds a model, and an adapter if named."""
+    """An entry needs a server that holds a model, and an adapter if named.
+
+    `patience_ms` is how long its caller waits for the first event; 0 when that is
+    not known.
+    """
 
     service: str
     model: str
     adapter: str
     zone: str
+    patience_ms: float = 0.0
 
 
 @message("control")
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -193,6 +193,7 @@
   model @1 :Text;
   adapter @2 :Text;      # empty for the model itself
   zone @3 :Text;
+  patienceMs @4 :Float64;
 }
 
 struct HolderReply {
--- a/tests/engine_builders.py
+++ b/tests/engine_builders.py
@@ -142,6 +142,7 @@
         self.engines = {engine.server_id: engine for engine in engines}
         self.leads = True
         self.term = 1
+        self.spec = SPEC
         self.orders: list[EngineOrder] = []
 
     async def read(self) -> Result[list[ListedServer], Failure]:
@@ -171,7 +172,7 @@
 
     def controller(self, quiet_ms: float = 0.0) -> EngineController:
         """Return a controller that gives orders to these engines."""
-        document = RouteDocument(1, (), (ServiceSpec("llm", engine=SPEC),))
+        document = RouteDocument(1, (), (ServiceSpec("llm", engine=self.spec),))
         return EngineController(
             EngineTerms("k1", quiet_ms=quiet_ms),
             self,
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -271,6 +271,17 @@
         self.assertEqual(urgency(used, 100.0), 2)
         self.assertGreater(urgency(used, 501.0), 2)
 
+    def test_caller_of_a_stream_leaves(self):
+        """A stream's caller waits for its first event by target and pause."""
+        stream = {"kind": RouteKind.STREAMING, "timeout_ms": 12_000.0}
+        cases = ((250.0, 150.0, 2_000.0), (835.0, 400.0, 3_340.0), (0.0, 500.0, 4e3))
+        for target_ms, gap_ms, patience_ms in cases:
+            used = route(target_latency_ms=target_ms, gap_target_ms=gap_ms, **stream)
+            asked = request(used)
+            self.assertEqual(asked.first_by_ms - asked.arrived_ms, patience_ms)
+        asked = request(route(timeout_ms=900.0, target_latency_ms=100.0))
+        self.assertEqual(asked.first_by_ms, asked.answer_by_ms)
+
     def test_bounds(self):
         """The rank is one that servers know, and a route without target is not late."""
         self.assertEqual(urgency(route(priority=8, target_latency_ms=1.0), 9.0), 9)
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -75,6 +75,24 @@
 
         run(fleet, act)
 
+    def test_long_load_is_told_at_once(self):
+        """A caller that leaves before a load ends is told when, and it goes on."""
+        fleet = FakeFleet([FakeEngine("s0", {"m0": set()}), FakeEngine("s1", {})])
+        models = tuple(each._replace(load_time_s=1.0) for each in MODELS)
+        fleet.spec = SPEC._replace(models=models)
+
+        async def act(controller):
+            request = HolderRequest("llm", "m5", "", "", 500.0)
+            with anyio.fail_after(0.4):
+                refused = await controller.find(request)
+            self.assertGreaterEqual(refused.retry_after_ms, 1_000)
+            await anyio.sleep(0.3)
+            self.assertIn("m5", [order.model for order in fleet.orders])
+            again = await controller.find(request._replace(patience_ms=2_000.0))
+            self.assertIsInstance(again, HolderReply)
+
+        run(fleet, act)
+
     def test_unknown_model(self):
         """A model that the document does not name is refused at once."""
         fleet = FakeFleet([FakeEngine("s0", {})])
