Refuse a stream at once where every engine's queue outlasts its target

Change: before a stream is sent its wait is predicted from the reported queue, the mean tokens read for a request, and how long requests of this entry that are as urgent wait there already. Beyond twice the target (what has missed it: four fifths of its caller's patience) the engine with the shortest queue is taken, and where that is too long as well the caller is told at once to come back after that wait. An engine that seems to be down is still asked.

Test: FullQueueTest.

--- a/src/cowslipwood/entry/choosing/_backend.py
+++ b/src/cowslipwood/entry/choosing/_backend.py
@@ -68,6 +68,7 @@
         "first_ms",
         "health",
         "knee",
+        "_pending",
         "n_pending_tokens",
         "n_in_flight",
         "report",
@@ -81,6 +82,7 @@
         self.seed = xxhash.xxh3_64_intdigest(view.server_id.encode())
         self.n_in_flight = 0
         self.n_pending_tokens = 0
+        self._pending: list[tuple[float, int]] = []
         self.health = Health()
         self.first_ms = Ewma(FIRST_WEIGHT)
         self.answer_ms = Ewma(FIRST_WEIGHT)
@@ -157,13 +159,30 @@
             self.n_in_flight -= 1
 
     @contextmanager
-    def pending(self, n_tokens: int) -> Iterator[None]:
-        """Count prompt tokens that wait for their answer's first event."""
+    def pending(self, n_tokens: int, rank: int, now_ms: float) -> Iterator[None]:
+        """Count a request and its tokens that wait for the answer's first event.
+
+        Parameters
+        ----------
+        n_tokens : int
+        rank : int
+            How urgent the request is, 0 first.
+        now_ms : float
+            When it was sent.
+        """
+        waiting = (now_ms, rank)
         self.n_pending_tokens += n_tokens
+        self._pending.append(waiting)
         try:
             yield
         finally:
             self.n_pending_tokens -= n_tokens
+            self._pending.remove(waiting)
+
+    def oldest_pending_ms(self, rank: int, now_ms: float) -> float:
+        """Return for how long a request has waited that is as urgent; 0 for none."""
+        sent_ms = (sent for sent, other in self._pending if other <= rank)
+        return now_ms - min(sent_ms, default=now_ms)
 
     def queued(self, now_ms: float) -> float:
         """Return the requests reported as waiting, less as the report gets old."""
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -13,7 +13,8 @@
 from ...kernel.logs import get_logger
 from ...routes import RouteKind
 from ..choosing._backend import NOT_READY_MS, UNREACHABLE_MS, Backend, LoadReport
-from ..routing import RoutingContext
+from ..routing import TYPICAL_PROMPT_TOKENS, RoutingContext, usable_candidates
+from ._admission import admission
 from ._events import EventSplitter, EventTooLongError
 from ._headers import (
     AnswerFacts,
@@ -52,7 +53,7 @@
 STALL_PAUSES = 10.0
 MIN_STALL_MS = 4_000.0
 # Nothing was sent, and asking again at once would find the same.
-FINAL_CODES = frozenset((Code.NO_REPLICA, Code.DEADLINE_PASSED))
+FINAL_CODES = frozenset((Code.NO_REPLICA, Code.DEADLINE_PASSED, Code.OVERLOADED))
 
 
 class AnswerSink(Protocol):
@@ -173,6 +174,7 @@
     async def _choose(self) -> Backend | Failure:
         state, request = self._state, self._request
         now_ms = state.now_ms()
+        typical = state.typical_tokens(request.service)
         context = RoutingContext(
             request.key,
             request.facts.prefix_hash,
@@ -182,6 +184,7 @@
             self._tried,
             request.facts.n_shared_tokens,
             len(request.body),
+            typical.value or TYPICAL_PROMPT_TOKENS,
         )
         chosen = state.choose(context, self._rng, now_ms)
         while chosen is None and request.facts.model:
@@ -202,7 +205,30 @@
             chosen = state.choose(context, self._rng, state.now_ms())
         if chosen is None:
             return failure(Code.NO_REPLICA, f"no server for {request.key}")
-        return chosen
+        return self._admit(chosen, context)
+
+    def _admit(self, chosen: Backend, context: RoutingContext) -> Backend | Failure:
+        """Return the server to send a stream to, or refuse it where all queue."""
+        state, request = self._state, self._request
+        if request.route.kind is not RouteKind.STREAMING or self._started:
+            return chosen
+        now_ms = state.now_ms()
+        found = admission(
+            request,
+            chosen,
+            usable_candidates(state.view.candidates(request.key), context, now_ms),
+            self._rank(now_ms),
+            context.typical_tokens,
+            now_ms,
+        )
+        if found.backend is None:
+            message = f"{request.key}: {found.wait_ms:.0f} ms queue at every server"
+            return failure(Code.OVERLOADED, message, round(found.retry_after_ms))
+        return found.backend
+
+    def _rank(self, now_ms: float) -> int:
+        request = self._request
+        return urgency(request.route, now_ms - request.arrived_ms)
 
     async def _send(self, backend: Backend, conn: ServerConnection) -> Failure | None:
         state, request = self._state, self._request
@@ -213,9 +239,9 @@
             (names.deadline, str(left_ms).encode()),
             (names.server_id, backend.view.server_id.encode()),
         ]
+        rank = self._rank(now_ms)
         if request.facts.model:
-            level = urgency(request.route, now_ms - request.arrived_ms)
-            own.append((names.urgency, str(level).encode()))
+            own.append((names.urgency, str(rank).encode()))
         if self._last_event_id:
             own.append((names.last_event_id, self._last_event_id))
         headers = request_headers(request.headers, names, own, len(request.body))
@@ -235,9 +261,11 @@
             n_sent=self._attempted.n_sent + 1,
             n_maybe_run=self._attempted.n_maybe_run + 1,
         )
+        n_tokens = tokens_to_read(request.facts)
+        state.typical_tokens(request.service).add(n_tokens)
         try:
             with (
-                backend.pending(tokens_to_read(request.facts)),
+                backend.pending(n_tokens, rank, now_ms),
                 state.waiting.counted(request.key, state.now_ms),
                 anyio.fail_after(self._patience_ms(left_ms) / 1000),
             ):
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -11,6 +11,7 @@
 from ...kernel.metrics import Metrics
 from ...routes import RouteDocument, RouteTable
 from ..choosing._backend import Backend, LoadReport
+from ..choosing._ewma import Ewma
 from ..choosing._view import View
 from ..metering._demand import DemandMeter
 from ..routing import RoutingContext, RoutingPolicy
@@ -21,6 +22,9 @@
 
 __all__ = ["DirectState"]
 
+# The mix of requests changes within some tens of them.
+TYPICAL_WEIGHT = 0.03
+
 
 class DirectState:
     """The routes in force, the servers, and how requests reach them.
@@ -68,6 +72,7 @@
         self._policy = policy
         self._terms = terms
         self._budgets: dict[str, SharedBudget] = {}
+        self._typical_tokens: dict[str, Ewma] = {}
 
     @property
     def listed_ms(self) -> float:
@@ -95,6 +100,13 @@
             budget = self._budgets[service] = SharedBudget(self._terms)
         return budget
 
+    def typical_tokens(self, service: str) -> Ewma:
+        """Return the tokens that servers of a service read for one request."""
+        held = self._typical_tokens.get(service)
+        if held is None:
+            held = self._typical_tokens[service] = Ewma(TYPICAL_WEIGHT)
+        return held
+
     def choose(
         self, context: RoutingContext, rng: random.Random, now_ms: float
     ) -> Backend | None:
--- a/src/cowslipwood/entry/routing/__init__.py
+++ b/src/cowslipwood/entry/routing/__init__.py
@@ -7,6 +7,20 @@
     sampled_cost,
     sampled_load,
 )
-from ._policy import KEPT_SHARE, RoutingContext, RoutingPolicy, usable_candidates
+from ._cost import queued_ms
+from ._policy import (
+    KEPT_SHARE,
+    TYPICAL_PROMPT_TOKENS,
+    RoutingContext,
+    RoutingPolicy,
+    usable_candidates,
+)
 
-__all__ = ["KEPT_SHARE", "RoutingContext", "RoutingPolicy", "usable_candidates"]
+__all__ = [
+    "KEPT_SHARE",
+    "TYPICAL_PROMPT_TOKENS",
+    "RoutingContext",
+    "RoutingPolicy",
+    "queued_ms",
+    "usable_candidates",
+]
--- a/src/cowslipwood/entry/routing/_cost.py
+++ b/src/cowslipwood/entry/routing/_cost.py
@@ -1,15 +1,14 @@
 """What one more request at a server costs, as a time to wait."""
 
+from ...kernel.messages import LOST_QUEUE
 from ..choosing._backend import Backend
 from ._policy import KEPT_SHARE, RoutingContext, zone_distance
 
-__all__ = ["expected_wait_ms", "kept_ms"]
+__all__ = ["expected_wait_ms", "kept_ms", "queued_ms"]
 
 # Prompt tokens that an engine reads in a millisecond. Engines do not tell it; a
 # wrong figure only shifts how queue, distance and kept prompts are weighed.
 PREFILL_TOKENS_PER_MS = 30.0
-# Tokens of a prompt that another entry sent, of which only the count is known.
-TYPICAL_PROMPT_TOKENS = 2_500.0
 # In milliseconds, for a server that is as full as it may be at full speed: a
 # fuller batch gives every token later.
 FULL_BATCH_MS = 150.0
@@ -30,12 +29,10 @@
     load = backend.load(context.typical_load, now_ms)
     wait_ms = backend.wait_ms(load, now_ms)
     wait_ms += max(RUNNING_MS, FULL_BATCH_MS / backend.knee) * (load + 1)
-    own_tokens = backend.n_pending_tokens
-    others_tokens = max(
-        0.0, backend.queued(now_ms) * TYPICAL_PROMPT_TOKENS - own_tokens
-    )
-    if context.n_shared_tokens or own_tokens:
-        wait_ms += (own_tokens + others_tokens) / PREFILL_TOKENS_PER_MS
+    if context.n_shared_tokens or backend.n_pending_tokens:
+        wait_ms += tokens_ahead(backend, context.typical_tokens, now_ms) / (
+            PREFILL_TOKENS_PER_MS
+        )
     zone_ms = ZONE_MS + ZONE_MS_PER_KB * context.n_bytes / 1000
     wait_ms += zone_ms * zone_distance(context.zone, backend.view.zone)
     error_share = backend.health.error_share(now_ms)
@@ -45,3 +42,33 @@
 def kept_ms(context: RoutingContext) -> float:
     """Return the time that a server saves which keeps the prompt's shared parts."""
     return KEPT_SHARE * context.n_shared_tokens / PREFILL_TOKENS_PER_MS
+
+
+def tokens_ahead(backend: Backend, typical_tokens: float, now_ms: float) -> float:
+    """Return the prompt tokens that a server is likely to read before others."""
+    own_tokens = backend.n_pending_tokens
+    reported = backend.queued(now_ms) * typical_tokens
+    return own_tokens + max(0.0, reported - own_tokens)
+
+
+def queued_ms(
+    backend: Backend, rank: int, typical_tokens: float, now_ms: float
+) -> float:
+    """Return the time that a request is likely to queue at a server.
+
+    Requests of this entry that are as urgent and still wait there show the least
+    that one more will; the queue that was reported shows the rest.
+
+    Parameters
+    ----------
+    backend : Backend
+    rank : int
+        How urgent the request is, 0 first.
+    typical_tokens : float
+        That servers read for one request.
+    now_ms : float
+    """
+    ahead_ms = tokens_ahead(backend, typical_tokens, now_ms) / PREFILL_TOKENS_PER_MS
+    if backend.report.n_queued >= LOST_QUEUE:
+        ahead_ms = 0.0  # it may be down; sending to it shows whether it is
+    return max(ahead_ms, backend.oldest_pending_ms(rank, now_ms))
--- a/src/cowslipwood/entry/routing/_policy.py
+++ b/src/cowslipwood/entry/routing/_policy.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "KEPT_SHARE",
+    "TYPICAL_PROMPT_TOKENS",
     "RoutingContext",
     "RoutingPolicy",
     "reachable_candidates",
@@ -18,6 +19,8 @@
 # The share of cases in which the server that is preferred for a prompt's shared
 # parts still holds them.
 KEPT_SHARE = 0.8
+# Until requests have shown how many tokens of a prompt are read.
+TYPICAL_PROMPT_TOKENS = 2_500.0
 
 
 class RoutingContext(NamedTuple):
@@ -41,6 +44,9 @@
         Prompt tokens in parts that other requests share.
     n_bytes : int
         Length of the request's body, which goes to the server.
+    typical_tokens : float
+        Prompt tokens that a server reads for a request of which only the count is
+        known.
     """
 
     key: str
@@ -51,6 +57,7 @@
     tried: Collection[str] = ()
     n_shared_tokens: int = 0
     n_bytes: int = 0
+    typical_tokens: float = TYPICAL_PROMPT_TOKENS
 
 
 class RoutingPolicy(Protocol):
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -6,7 +6,7 @@
 
 from ...kernel.clock import monotonic_ms
 from ...kernel.logs import get_logger
-from ...kernel.messages import FleetLoad, ServerView
+from ...kernel.messages import LOST_QUEUE, FleetLoad, ServerView
 from ...listing import ListedServer, ListSource, as_view, listed_keys
 from ...routes import RouteDocument
 from ._orders import EngineClient
@@ -22,9 +22,6 @@
 RESYNC_MS = 60.0
 # An unload ends with its runs, at no known time; each report is a call.
 BUSY_MS = 120.0
-# Requests that an engine without reports is told to have waiting: entries use it
-# only where there is no other.
-LOST_QUEUE = 10_000
 
 
 class Fleet:
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -8,6 +8,7 @@
 from .wire import message
 
 __all__ = [
+    "LOST_QUEUE",
     "Ack",
     "Announce",
     "AppliedDocument",
@@ -46,6 +47,10 @@
 ]
 
 
+# More than any engine queues: entries use one that has it only where no other is.
+LOST_QUEUE = 10_000
+
+
 @message("control")
 class Hello(NamedTuple):
     """The first message on a connection, from the side that opened it."""
@@ -313,7 +318,8 @@
 class FleetLoad(NamedTuple):
     """The load of engines by their reports, and the age of the list they stand in.
 
-    The three tuples go together, one item for each server.
+    The three tuples go together, one item for each server; one that seems to be down
+    has `LOST_QUEUE` waiting.
     """
 
     list_age_ms: float
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -8,6 +8,7 @@
 from collections import Counter
 
 from cowslipwood.entry.choosing._backend import Backend, LoadReport
+from cowslipwood.entry.direct._admission import admission
 from cowslipwood.entry.direct._entry import serving_ms
 from cowslipwood.entry.direct._headers import RequestFacts
 from cowslipwood.entry.direct._request import tokens_to_read
@@ -25,10 +26,12 @@
 )
 from cowslipwood.keeper.engines._demand import DemandView
 from cowslipwood.keeper.engines._store import LoadNeed, StoreBudget
-from cowslipwood.kernel.messages import DemandSample, EntryReport
+from cowslipwood.kernel.messages import LOST_QUEUE, DemandSample, EntryReport
 from cowslipwood.listing import as_view
+from cowslipwood.routes import RouteKind
 
-from .direct_builders import listed, seeded
+from .direct_builders import listed, route, seeded
+from .direct_builders import request as routed
 from .engine_builders import MODELS, SPEC, record
 
 NOW_MS = 60_000.0
@@ -93,7 +96,7 @@
         servers = backends()
         first = choose(servers, prefix_hash=99, n_shared_tokens=6_300)
         facts = RequestFacts("q1", None, n_prompt_tokens=9_190, n_shared_tokens=6_300)
-        with first.pending(tokens_to_read(facts)), first.in_flight():
+        with first.pending(tokens_to_read(facts), 5, NOW_MS), first.in_flight():
             second = choose(servers, prefix_hash=99, n_shared_tokens=6_300)
         self.assertIs(first, second)
 
@@ -660,3 +663,77 @@
         demand = {"m0": ModelDemand(15.0, 40.0, 1.0)}
         _, step = copy_step(records, self.spec.models, demand, NOW_MS)
         self.assertIs(step.record, records[2])
+
+
+class FullQueueTest(unittest.TestCase):
+    """More streams come for a model than its engines can begin in time."""
+
+    TOKENS = 3_000.0
+    RANK = 2
+
+    def setUp(self):
+        self.engines = backends(n_slots=48)
+        used = route(
+            kind=RouteKind.STREAMING,
+            target_latency_ms=800.0,
+            gap_target_ms=400.0,
+            timeout_ms=6_000.0,
+        )
+        self.request = routed(used)._replace(
+            arrived_ms=NOW_MS, answer_by_ms=NOW_MS + 6_000.0
+        )
+
+    def _queue(self, *queued: int) -> None:
+        for engine, n_queued in zip(self.engines, queued, strict=True):
+            engine.reported(LoadReport(48, n_queued, 0.0, 48), NOW_MS)
+
+    def _admit(self, now_ms: float = NOW_MS):
+        return admission(
+            self.request,
+            self.engines[0],
+            self.engines,
+            self.RANK,
+            self.TOKENS,
+            now_ms,
+        )
+
+    def test_short_queue(self):
+        """A queue that leaves time for the target is joined."""
+        self._queue(5, 0, 0, 0)
+        self.assertIs(self._admit().backend, self.engines[0])
+
+    def test_shorter_queue_elsewhere(self):
+        """Where the chosen engine's queue is too long, the shortest is joined."""
+        self._queue(60, 30, 2, 40)
+        self.assertIs(self._admit().backend, self.engines[2])
+
+    def test_all_are_full(self):
+        """Where every queue is too long, the caller is told when to come back."""
+        self._queue(60, 30, 45, 40)
+        refused = self._admit()
+        self.assertIsNone(refused.backend)
+        self.assertEqual(refused.retry_after_ms, 3_000.0)
+        self._queue(60, 20, 45, 40)
+        self.assertEqual(self._admit().retry_after_ms, 2_000.0)
+
+    def test_late_already(self):
+        """One that has missed its target waits as long as its caller does."""
+        self._queue(60, 20, 45, 40)
+        self.request = self.request._replace(arrived_ms=NOW_MS - 900.0)
+        self.assertIsNone(self._admit().backend)
+        self._queue(60, 17, 45, 40)
+        self.assertIs(self._admit().backend, self.engines[1])
+
+    def test_own_requests_show_the_queue(self):
+        """A request that has waited there for long shows what a report does not."""
+        self._queue(0, 0, 0, 0)
+        first = self.engines[0]
+        with first.pending(0, self.RANK, NOW_MS - 2_000.0):
+            self.assertIsNot(self._admit().backend, first)
+        with first.pending(0, self.RANK + 1, NOW_MS - 2_000.0):
+            self.assertIs(self._admit().backend, first)
+
+    def test_silent_engine(self):
+        """An engine that seems to be down is asked, which shows whether it is."""
+        self._queue(LOST_QUEUE, LOST_QUEUE, LOST_QUEUE, LOST_QUEUE)
+        self.assertIs(self._admit().backend, self.engines[0])
