Copy a model whose adapters have no place; take a queue for silence later

And 253 resumable requests were taken from a server after 500 ms, twice the target, where they were merely queued; each lost its place and was an arrival more.

Change: an adapter that is asked for and has no place counts as half a waiting request for a copy, up to the places of the engine that nobody uses; a server is silent after 1.2 s at least, since the leader tells of dark ones sooner.

Tests: ManyAdaptersTest.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -35,6 +35,8 @@
 # A repeatable request that is silent this many times its target is taken to
 # another server, if there is one; shorter would repeat what is merely queued.
 PATIENCE_TARGETS = 2.0
+# Under this a queue looks the same as a host that went dark, which the leader tells.
+LEAST_SILENCE_MS = 1_200.0
 RETRY_AFTER_MS = 250.0
 # Callers that are told of the same load come back within this factor of its time, so
 # that the engine that then has it is not met by all of them at once.
@@ -289,7 +291,8 @@
         )
         if not may_go_on or not route.target_latency_ms:
             return left_ms
-        return min(left_ms, PATIENCE_TARGETS * route.target_latency_ms)
+        silence_ms = max(LEAST_SILENCE_MS, PATIENCE_TARGETS * route.target_latency_ms)
+        return min(left_ms, silence_ms)
 
     async def _answer(
         self,
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -403,7 +403,11 @@
                 continue
             records = self._fleet.of(service.name)
             found = copy_step(
-                records, service.engine.models, self._demand.by_model, now_ms
+                records,
+                service.engine.models,
+                self._demand.by_model,
+                now_ms,
+                self._demand.adapter_used_ms,
             )
             if found is not None:
                 spec, step = found
--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -2,7 +2,8 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from types import MappingProxyType
 from typing import NamedTuple
 
 from ...routes import ModelSpec
@@ -62,6 +63,11 @@
 # In waiting requests, for a second copy in one availability zone: callers of the
 # others would go on sending their prompts across.
 SAME_ZONE_COST = 0.05
+# In waiting requests, for an adapter that is asked for and has no place: its callers
+# wait for one, and are told to come back.
+UNPLACED_WORTH = 0.5
+# Callers that were told to come back for an adapter have done so by then.
+ASKED_LATELY_MS = 2_000.0
 # In waiting requests, for each second of loading. Lower, and rare models displace
 # each other from engines that have no copy on disk; higher, and a busy model's
 # second copy comes when its callers have left.
@@ -97,6 +103,7 @@
 
 
 NO_DEMAND = ModelDemand()
+NO_USE: Mapping[tuple[str, str], float] = MappingProxyType({})
 
 
 def prior_demand(copies: Mapping[str, int]) -> dict[str, float]:
@@ -273,25 +280,38 @@
     models: Sequence[ModelSpec],
     demand: Mapping[str, ModelDemand],
     now_ms: float,
+    used_ms: Mapping[tuple[str, str], float] = NO_USE,
 ) -> tuple[ModelSpec, Step] | None:
     """Return the copy that gains most, if it gains enough; None otherwise.
 
+    A copy also gives adapters places that engines with the model have not.
+
     Parameters
     ----------
     records : sequence of EngineRecord
     models : sequence of ModelSpec
     demand : mapping of str to ModelDemand
     now_ms : float
+    used_ms : mapping of tuple of str to float
+        When each model's adapter was last asked for.
     """
     layout = _Layout.of(records)
     copies = layout.copies
-    ranked = sorted(
-        models,
-        key=lambda m: (
-            _asked(demand.get(m.name, NO_DEMAND)) / (copies.get(m.name, 0) + 1)
-        ),
-        reverse=True,
-    )
+    unplaced = _unplaced(records, used_ms, now_ms)
+
+    def need(model: ModelSpec) -> float:
+        asked = _asked(demand.get(model.name, NO_DEMAND))
+        asked += UNPLACED_WORTH * unplaced[model.name]
+        return asked / (copies.get(model.name, 0) + 1)
+
+    def idle_places(record: EngineRecord) -> int:
+        n_used = sum(
+            used_ms.get(key, 0.0) >= now_ms - SPREAD_IDLE_MS
+            for key in record.adapter_keys()
+        )
+        return record.spec.max_adapters - n_used
+
+    ranked = sorted(models, key=need, reverse=True)
     for model in ranked:
         n_copies = copies.get(model.name, 0)
         wanted = demand.get(model.name, NO_DEMAND)
@@ -301,14 +321,31 @@
         gain = _risk(wanted) if n_copies == 1 else 0.0
         if wanted.waiting / n_copies >= HOT_WAITING:
             gain += wanted.waiting / (n_copies * (n_copies + 1))
-        if not gain:
+        n_unplaced = unplaced[model.name]
+        if not gain and not n_unplaced:
             continue
-        step = _best_copy(records, model, layout, demand, gain, now_ms)
+        step = _best_copy(
+            records, model, layout, demand, gain, n_unplaced, idle_places, now_ms
+        )
         if step is not None:
             return model, step
     return None
 
 
+def _unplaced(
+    records: Sequence[EngineRecord],
+    used_ms: Mapping[tuple[str, str], float],
+    now_ms: float,
+) -> Counter[str]:
+    """Return the adapters asked for lately that no engine has, by model."""
+    placed = {key for each in records if each.stays for key in each.adapter_keys()}
+    return Counter(
+        name
+        for (name, adapter), at_ms in used_ms.items()
+        if at_ms >= now_ms - ASKED_LATELY_MS and (name, adapter) not in placed
+    )
+
+
 class _Layout(NamedTuple):
     """Who holds what.
 
@@ -340,6 +377,8 @@
     layout: "_Layout",
     demand: Mapping[str, ModelDemand],
     gain: float,
+    n_unplaced: int,
+    idle_places: Callable[[EngineRecord], int],
     now_ms: float,
 ) -> Step | None:
     wanted = demand.get(model.name, NO_DEMAND)
@@ -349,11 +388,13 @@
         if not each.will_take(model.name, n_callers, now_ms):
             continue
         option = _option(each, model, layout, demand, now_ms)
-        if option is not None:
-            option = _after_order(option, 1.0, n_callers, now_ms)
-            if option.cost * GAIN_FACTOR <= gain:
-                options.append(option)
-    return min(options, key=_cost, default=None)
+        if option is None:
+            continue
+        option = _after_order(option, 1.0, n_callers, now_ms)
+        here = gain + UNPLACED_WORTH * min(n_unplaced, idle_places(each))
+        if option.cost * GAIN_FACTOR <= here:
+            options.append((here - option.cost, option))
+    return max(options, key=lambda each: each[0], default=(0.0, None))[1]
 
 
 def _option(
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -737,3 +737,36 @@
         """An engine that seems to be down is asked, which shows whether it is."""
         self._queue(LOST_QUEUE, LOST_QUEUE, LOST_QUEUE, LOST_QUEUE)
         self.assertIs(self._admit().backend, self.engines[0])
+
+
+class ManyAdaptersTest(unittest.TestCase):
+    """More adapters of a model are in use than its engine has places for."""
+
+    def setUp(self):
+        self.records = [record("s0", {"m0": {"a1", "a2", "a3"}}), record("s1", {})]
+        self.used_ms = {("m0", f"a{n}"): NOW_MS - 100.0 for n in range(1, 9)}
+
+    def _copy(self):
+        demand = {"m0": ModelDemand(0.1, 0.5, 1.0)}
+        return copy_step(self.records, MODELS, demand, NOW_MS, self.used_ms)
+
+    def test_copy_gives_places(self):
+        """Where adapters have no place, another engine gets the model."""
+        spec, step = self._copy()
+        self.assertEqual((spec.name, step.record.server.server_id), ("m0", "s1"))
+
+    def test_all_have_places(self):
+        """Adapters that are placed bring no copy."""
+        self.used_ms = {("m0", f"a{n}"): NOW_MS - 100.0 for n in range(1, 4)}
+        self.assertIsNone(self._copy())
+
+    def test_no_places_there(self):
+        """An engine whose places are all in use by others gains nothing."""
+        self.records[1] = record("s1", {"m1": {"a1", "a2", "a3"}})
+        self.used_ms |= {("m1", f"a{n}"): NOW_MS - 100.0 for n in range(1, 4)}
+        self.assertIsNone(self._copy())
+
+    def test_asked_for_long_ago(self):
+        """Adapters that nobody asks for any more bring no copy."""
+        self.used_ms = dict.fromkeys(self.used_ms, NOW_MS - 3000.0)
+        self.assertIsNone(self._copy())
