Weigh an engine's memory for tokens when a server is chosen

Change: the leader reads how much of it running requests hold and tells it with the load; from 0.6 on it counts as a wait of up to 1.5 s, for the choice and the admission.

Test: FullMemoryTest. Not measured yet.

--- a/src/cowslipwood/entry/choosing/_backend.py
+++ b/src/cowslipwood/entry/choosing/_backend.py
@@ -37,12 +37,15 @@
         Time that a request waits in the agent's queue.
     knee_in_flight : int
         Requests that the backend server serves at full speed at once.
+    kv_share : float or None
+        Of its memory for tokens, what running requests hold; None when not told.
     """
 
     n_in_flight: int = 0
     n_queued: int = 0
     wait_ms: float = 0.0
     knee_in_flight: int = 0
+    kv_share: float | None = None
 
 
 class Backend:
@@ -68,6 +71,7 @@
         "first_ms",
         "health",
         "knee",
+        "kv_share",
         "_pending",
         "n_pending_tokens",
         "n_in_flight",
@@ -87,6 +91,7 @@
         self.first_ms = Ewma(FIRST_WEIGHT)
         self.answer_ms = Ewma(FIRST_WEIGHT)
         self.answered_at_ms = 0.0
+        self.kv_share = 0.0
         self.unlisted_at_ms = 0.0
         self._avoided_until: dict[str, float] = {}
         self._take_report(_view_report(view), now_ms)
@@ -211,6 +216,8 @@
     def _take_report(self, report: LoadReport, now_ms: float) -> None:
         self.report = report
         self._report_at_ms = now_ms
+        if report.kv_share is not None:
+            self.kv_share = report.kv_share
         self.knee = report.knee_in_flight or self.view.knee_in_flight or DEFAULT_KNEE
         n_held = report.n_in_flight + report.n_queued
         self._n_others = max(0, n_held - self.n_in_flight)
--- a/src/cowslipwood/entry/direct/_servers.py
+++ b/src/cowslipwood/entry/direct/_servers.py
@@ -57,12 +57,19 @@
     def take_load(self, load: FleetLoad, now_ms: float) -> None:
         """Take in the engines' load and how old the leader's list is."""
         self._take_list_age(load.list_age_ms, now_ms)
-        loads = zip(load.server_ids, load.n_running, load.n_queued, strict=True)
-        for server_id, n_running, n_queued in loads:
+        loads = zip(
+            load.server_ids,
+            load.n_running,
+            load.n_queued,
+            load.kv_percents,
+            strict=True,
+        )
+        for server_id, n_running, n_queued, kv_percent in loads:
             backend = self._view.backends.get(server_id)
             if backend is not None:
                 slots = backend.view.knee_in_flight
-                backend.reported(LoadReport(n_running, n_queued, 0.0, slots), now_ms)
+                report = LoadReport(n_running, n_queued, 0.0, slots, kv_percent / 100)
+                backend.reported(report, now_ms)
 
     def _take_list_age(self, age_ms: float, now_ms: float) -> None:
         self._told_list_ms = max(self._told_list_ms, now_ms - age_ms)
--- a/src/cowslipwood/entry/routing/_cost.py
+++ b/src/cowslipwood/entry/routing/_cost.py
@@ -19,6 +19,12 @@
 # is sent there; bytes between zones are dear, and a short wait costs nothing.
 ZONE_MS = 20.0
 ZONE_MS_PER_KB = 4.0
+# Of the memory for tokens: up to this share a few long prompts still fit, and kept
+# parts of prompts yield; beyond it engines put requests back and read them again.
+SPARE_SHARE = 0.6
+# In milliseconds, for a server whose memory for tokens is full: a request that is put
+# back waits for others to end.
+MEMORY_MS = 1_500.0
 ERROR_FACTOR = 6.0
 # In milliseconds of wait, so that errors weigh on an idle server too.
 ERROR_BASE_MS = 40.0
@@ -33,6 +39,7 @@
         wait_ms += tokens_ahead(backend, context.typical_tokens, now_ms) / (
             PREFILL_TOKENS_PER_MS
         )
+    wait_ms += memory_ms(backend)
     zone_ms = ZONE_MS + ZONE_MS_PER_KB * context.n_bytes / 1000
     wait_ms += zone_ms * zone_distance(context.zone, backend.view.zone)
     error_share = backend.health.error_share(now_ms)
@@ -44,6 +51,11 @@
     return KEPT_SHARE * context.n_shared_tokens / PREFILL_TOKENS_PER_MS
 
 
+def memory_ms(backend: Backend) -> float:
+    """Return what requests wait for at a server whose memory for tokens runs full."""
+    return MEMORY_MS * max(0.0, backend.kv_share - SPARE_SHARE) / (1.0 - SPARE_SHARE)
+
+
 def tokens_ahead(backend: Backend, typical_tokens: float, now_ms: float) -> float:
     """Return the prompt tokens that a server is likely to read before others."""
     own_tokens = backend.n_pending_tokens
@@ -71,4 +83,4 @@
     ahead_ms = tokens_ahead(backend, typical_tokens, now_ms) / PREFILL_TOKENS_PER_MS
     if backend.report.n_queued >= LOST_QUEUE:
         ahead_ms = 0.0  # it may be down; sending to it shows whether it is
-    return max(ahead_ms, backend.oldest_pending_ms(rank, now_ms))
+    return max(ahead_ms + memory_ms(backend), backend.oldest_pending_ms(rank, now_ms))
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -20,6 +20,7 @@
 LOAD_MS = 450.0
 # Reports lag, so a question repeated sooner than this gets the same values.
 RESYNC_MS = 60.0
+PERCENT = 100
 # An unload ends with its runs, at no known time; each report is a call.
 BUSY_MS = 120.0
 
@@ -85,6 +86,7 @@
             tuple(each.server.server_id for each in synced),
             tuple(each.n_running for each in synced),
             tuple(LOST_QUEUE if e.is_lost else e.n_queued for e in synced),
+            tuple(round(PERCENT * each.kv_share) for each in synced),
         )
 
     async def read_list(self, document: RouteDocument | None, now_ms: float) -> None:
--- a/src/cowslipwood/keeper/engines/_orders.py
+++ b/src/cowslipwood/keeper/engines/_orders.py
@@ -74,6 +74,8 @@
         Requests.
     is_leaving : bool
         Whether it says that it is about to stop; the list tells so later.
+    kv_share : float
+        Of the memory for tokens, what running requests hold; 0 when not told.
     """
 
     sequence: int
@@ -85,6 +87,7 @@
     n_running: int = 0
     n_queued: int = 0
     is_leaving: bool = False
+    kv_share: float = 0.0
 
 
 class EngineClient(Protocol):
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -71,6 +71,7 @@
         self._reserved = _NOBODY
         self.n_running = 0
         self.n_queued = 0
+        self.kv_share = 0.0
         self._says_leaving = False
         self.lock = anyio.Lock()
 
@@ -223,6 +224,7 @@
         self.n_failed_reads = 0
         self.n_running = report.n_running
         self.n_queued = report.n_queued
+        self.kv_share = report.kv_share
         self._says_leaving = self._says_leaving or report.is_leaving
         if report.sequence < self._least_sequence:
             return False
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -318,14 +318,15 @@
 class FleetLoad(NamedTuple):
     """The load of engines by their reports, and the age of the list they stand in.
 
-    The three tuples go together, one item for each server; one that seems to be down
-    has `LOST_QUEUE` waiting.
+    The tuples go together, one item for each server; one that seems to be down has
+    `LOST_QUEUE` waiting. `kv_percents` say how much of the memory for tokens is held.
     """
 
     list_age_ms: float
     server_ids: tuple[str, ...]
     n_running: tuple[int, ...]
     n_queued: tuple[int, ...]
+    kv_percents: tuple[int, ...]
 
 
 @message("control")
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -206,4 +206,5 @@
   serverIds @1 :List(Text);
   nRunning @2 :List(UInt32);
   nQueued @3 :List(UInt32);
+  kvPercents @4 :List(UInt8);  # of the memory for tokens
 }
--- a/tests/test_keeper_subscribers.py
+++ b/tests/test_keeper_subscribers.py
@@ -94,7 +94,7 @@
             feed.take_views({})
             await subscriber.tell_servers(feed, 10.0)
             feed.take_views({"s1": view})
-            feed.take_fleet(FleetLoad(5.0, ("s1",), (0,), (0,)), 60.0)
+            feed.take_fleet(FleetLoad(5.0, ("s1",), (0,), (0,), (0,)), 60.0)
             await subscriber.tell_servers(feed, 60.0)
 
         anyio.run(run)
@@ -132,7 +132,7 @@
     def test_new_leadership(self):
         """A load of an earlier leadership is told to nobody."""
         feed = Feed()
-        feed.take_fleet(FleetLoad(5.0, ("s1",), (0,), (0,)), 0.0)
+        feed.take_fleet(FleetLoad(5.0, ("s1",), (0,), (0,), (0,)), 0.0)
         feed.begin()
         self.assertIsNone(feed.fleet)
         self.assertTrue(feed.is_fleet_due(0.0))
--- a/tests/test_known_servers.py
+++ b/tests/test_known_servers.py
@@ -22,7 +22,7 @@
     """Let the leader tell of the server, by a list that it has just read."""
     view = as_view(server(), keys)
     known.take_update(RoutingUpdate(True, (view,), ()), now_ms)
-    known.take_load(FleetLoad(0.0, ("s1",), (0,), (0,)), now_ms)
+    known.take_load(FleetLoad(0.0, ("s1",), (0,), (0,), (0,)), now_ms)
 
 
 class KnownServersTest(unittest.TestCase):
@@ -75,7 +75,7 @@
     def test_old_list_at_the_leader(self):
         """A leader whose own list is old is not gone by."""
         told(self.known, NOW_MS, "desk|m1")
-        load = FleetLoad(5_000.0, ("s1",), (0,), (0,))
+        load = FleetLoad(5_000.0, ("s1",), (0,), (0,), (0,))
         self.known.take_load(load, NOW_MS + 2_000)
         self.known.take_list([server(is_leaving=True)], NOW_MS + 2_100)
         self.assertTrue(self.is_leaving())
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -770,3 +770,26 @@
         """Adapters that nobody asks for any more bring no copy."""
         self.used_ms = dict.fromkeys(self.used_ms, NOW_MS - 3000.0)
         self.assertIsNone(self._copy())
+
+
+class FullMemoryTest(unittest.TestCase):
+    """Long prompts fill an engine's memory for tokens before its batch."""
+
+    def test_full_memory(self):
+        """An engine with few requests and no room for their tokens is left alone."""
+        engines = backends(n_slots=48)
+        context = RoutingContext("k", 0x1234567, "zone-1", n_shared_tokens=6_300)
+        for engine in engines:
+            engine.reported(LoadReport(20, 0, 0.0, 48, 0.5), NOW_MS)
+        home = SampledCost().choose(engines, context, seeded(), NOW_MS)
+        home.reported(LoadReport(12, 0, 0.0, 48, 0.98), NOW_MS)
+        for _ in range(10):
+            other = SampledCost().choose(engines, context, seeded(), NOW_MS)
+            self.assertIsNot(other, home)
+
+    def test_answers_do_not_tell(self):
+        """The load that comes with an answer leaves what is known of the memory."""
+        engine = backends()[0]
+        engine.reported(LoadReport(12, 0, 0.0, 48, 0.98), NOW_MS)
+        engine.answered(LoadReport(10, 0, 0.0, 48), NOW_MS + 5.0)
+        self.assertEqual(engine.kv_share, 0.98)
