--- a/benchmarks/bench_herd.py
+++ b/benchmarks/bench_herd.py
@@ -150,6 +150,8 @@
         Requests sent to the busiest engine, over the mean.
     read_again : float
         Shared tokens read, as a share of those asked for.
+    crossed : float
+        Of the prompts' tokens, those sent to another zone.
     """
 
     late: float
@@ -158,6 +160,7 @@
     refused: float
     busiest: float
     read_again: float
+    crossed: float
 
 
 class World:
@@ -193,6 +196,7 @@
         self._late: Counter[str] = Counter()
         self._n_refused = 0
         self._n_shared = 0
+        self._n_tokens = self._n_crossed = 0
 
     def _place(self) -> None:
         engines = list(self._engines.values())
@@ -240,6 +244,7 @@
             self._n_refused / n_asked,
             max(sent) / statistics.fmean(sent),
             read / self._n_shared,
+            self._n_crossed / self._n_tokens,
         )
 
     def _arrive(self, now_ms: float, kind: Kind) -> None:
@@ -272,7 +277,7 @@
             zone=ZONES[run.entry % len(ZONES)],
             tried=tried,
             n_shared_tokens=run.kind.n_shared,
-            n_bytes=800,
+            n_bytes=run.kind.n_shared + run.n_own,
         )
         chosen = self._policies[run.entry].choose(
             candidates, context, self._rng, now_ms
@@ -281,6 +286,10 @@
             return
         engine = self._engines[chosen.view.server_id]
         run.server = engine.name
+        n_tokens = run.kind.n_shared + run.n_own
+        self._n_tokens += n_tokens
+        if engine.zone != context.zone:
+            self._n_crossed += n_tokens
         if not engine.accept(run):
             self._n_refused += 1
             chosen.answered(
