Tell no time for a load before a new leader knows what engines hold

Found by reading: right after an election no engine is known to hold anything, so the time of a load from the store was told and callers sent away for it. Also bounded: what is kept by adapter, which callers name as they like.

Test: test_new_leader_sends_nobody_away failed before.

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -56,6 +56,8 @@
 LOOK_MS = 60.0
 # A question is answered within this time, or the entry refuses its request.
 FIND_TIMEOUT_MS = 4_000.0
+# Many times the models and adapters of the largest document.
+MAX_LOOKS_KEPT = 10_000
 # Callers that come back sooner find the same.
 LEAST_RETRY_MS = 500
 # An unload waits for its runs; after this long another engine is looked for.
@@ -173,7 +175,12 @@
         return as_refused(failure(Code.NO_REPLICA, message, retry_after_ms))
 
     def _ready_in_ms(self, service: str, spec: ModelSpec, now_ms: float) -> float:
-        """Return after which time an engine is likely to hold a model."""
+        """Return after which time an engine is likely to hold a model.
+
+        0 also while a new leader does not know yet what the engines hold.
+        """
+        if not self._fleet.is_known:
+            return 0.0
         staying = [each for each in self._fleet.of(service) if each.stays]
         if any(each.holds(spec.name) for each in staying):
             return 0.0
@@ -252,6 +259,14 @@
         if now_ms < self._looked_ms.get(key, -math.inf) + pause_ms:
             return False
         self._looked_ms[key] = now_ms
+        if len(self._looked_ms) > MAX_LOOKS_KEPT:
+            # Callers name adapters as they like.
+            oldest_ms = now_ms - LOOK_MS
+            self._looked_ms = {
+                each: at_ms
+                for each, at_ms in self._looked_ms.items()
+                if at_ms >= oldest_ms
+            }
         return True
 
     def _missing_step(
--- a/src/cowslipwood/keeper/engines/_demand.py
+++ b/src/cowslipwood/keeper/engines/_demand.py
@@ -15,6 +15,8 @@
 FALL_MS = 5_000.0
 # A model asked for within this time is likelier to be asked for again.
 RECENT_MS = 20_000.0
+# Many times the adapters of the largest document.
+MAX_ADAPTERS_KEPT = 10_000
 # Of the requests in flight at a model that no engine can serve yet: they queue at
 # once when its load ends. Counted whole, a rare model would be loaded twice for a
 # few callers.
@@ -56,6 +58,11 @@
         self._asked_ms[model] = now_ms
         if adapter:
             self.adapter_used_ms[model, adapter] = now_ms
+        if len(self.adapter_used_ms) > MAX_ADAPTERS_KEPT:
+            # Callers name adapters as they like.
+            for key, used_ms in list(self.adapter_used_ms.items()):
+                if used_ms < now_ms - RECENT_MS:
+                    del self.adapter_used_ms[key]
 
     @contextmanager
     def held_up(self, model: str) -> Iterator[None]:
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -54,11 +54,19 @@
             each for each in self.records.values() if each.server.service == service
         ]
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the list was read, and what each engine that stays holds."""
+        staying = (each for each in self.records.values() if each.stays)
+        return bool(self.records) and all(
+            each.is_synced or each.held for each in staying
+        )
+
     def unserved(self, models: Iterable[str]) -> list[str]:
         """Return the models that no engine can serve; none before all are known."""
-        staying = [each for each in self.records.values() if each.stays]
-        if not all(each.is_synced or each.held for each in staying):
+        if not self.is_known:
             return []
+        staying = [each for each in self.records.values() if each.stays]
         return [name for name in models if not any(e.holds(name) for e in staying)]
 
     def views(self) -> dict[str, ServerView]:
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -96,6 +96,30 @@
 
         run(fleet, act)
 
+    def test_new_leader_sends_nobody_away(self):
+        """A leader that does not know yet what engines hold tells no time."""
+        fleet = FakeFleet([FakeEngine("s0", {"m0": set()}), FakeEngine("s1", {})])
+        models = tuple(each._replace(load_time_s=9.0) for each in MODELS)
+        fleet.spec = SPEC._replace(models=models)
+
+        async def main():
+            controller = fleet.controller()
+            async with anyio.create_task_group() as tasks:
+                request = HolderRequest("llm", "m0", "", "", 1_000.0)
+                replies = []
+
+                async def find():
+                    replies.append(await controller.find(request))
+
+                tasks.start_soon(find)
+                await anyio.sleep(0.05)
+                tasks.start_soon(controller.run)
+                await anyio.sleep(0.4)
+                tasks.cancel_scope.cancel()
+            return replies
+
+        self.assertEqual(anyio.run(main)[0].server_id, "s0")
+
     def test_unknown_model(self):
         """A model that the document does not name is refused at once."""
         fleet = FakeFleet([FakeEngine("s0", {})])
