Keep the copies of a first layout until requests have shown the demand

Nothing was known of demand then, so the copies of the busiest model went first: four of its eight within the first second, for rare models, and all of its requests met at one engine (waits up to 2.9 s where the load was told as under 10).

Change: the prior holds until four seconds after the first reported request.

Test: test_copies_outlive_a_quiet_start failed before.

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -62,7 +62,8 @@
 LEAST_RETRY_MS = 500
 # An unload waits for its runs; after this long another engine is looked for.
 MAKE_ROOM_MS = 3_000.0
-# Until the entries' reports have shown the demand to a new leader.
+# Until the entries' reports have shown the demand, to a new leader or after the
+# first requests: till then the layout is all that is known of it.
 PRIOR_MS = 4_000.0
 
 
@@ -125,6 +126,7 @@
         self._copied_ms = -math.inf
         self._led_term = 0
         self._led_since_ms = 0.0
+        self._unasked_ms = 0.0  # until when no entry has asked for anything
         self._store = StoreBudget(terms.store_window_ms)
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -425,7 +427,9 @@
             self._store.clear()
         await self._fleet.read_list(self._document(), now_ms)
         expected = {}
-        is_new = now_ms - self._led_since_ms < PRIOR_MS
+        if not self._demand.has_requests:
+            self._unasked_ms = now_ms
+        is_new = now_ms - max(self._led_since_ms, self._unasked_ms) < PRIOR_MS
         if is_new:
             expected = prior_demand(copies_of(self._fleet.records.values()))
         unserved = self._fleet.unserved(self._demand.by_model)
--- a/src/cowslipwood/keeper/engines/_demand.py
+++ b/src/cowslipwood/keeper/engines/_demand.py
@@ -35,12 +35,15 @@
         By model and adapter.
     adapters_in_flight : dict of tuple of str to float
         Requests by model and adapter in the last reports.
+    has_requests : bool
+        Whether any entry has reported a request.
     """
 
     def __init__(self):
         self.by_model: dict[str, ModelDemand] = {}
         self.adapter_used_ms: dict[tuple[str, str], float] = {}
         self.adapters_in_flight: dict[tuple[str, str], float] = {}
+        self.has_requests = False
         self._held_up: Counter[str] = Counter()
         self._asked_ms: dict[str, float] = {}
         self._samples: dict[str, tuple[float, tuple[DemandSample, ...]]] = {}
@@ -82,6 +85,7 @@
         self._samples[report.entry_id] = (now_ms, report.demand)
         for sample in report.demand:
             if sample.in_flight or sample.arrivals_per_s:
+                self.has_requests = True
                 self.asked(*_names(sample), now_ms)
 
     def update(
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -120,6 +120,22 @@
 
         self.assertEqual(anyio.run(main)[0].server_id, "s0")
 
+    def test_copies_outlive_a_quiet_start(self):
+        """Copies stay for the requests that the layout lets expect, however late."""
+        engines = [
+            FakeEngine("s0", {"m0": set(), "m1": set()}),
+            FakeEngine("s1", {"m0": set(), "m2": set()}),
+        ]
+        fleet = FakeFleet(engines)
+
+        async def act(controller):
+            await anyio.sleep(2.5)
+            await ask(controller, "m5")
+            self.assertIn(fleet.orders[0].model, ("m1", "m2"))
+
+        with mock.patch.object(_controller, "PRIOR_MS", 50.0):
+            run(fleet, act)
+
     def test_unknown_model(self):
         """A model that the document does not name is refused at once."""
         fleet = FakeFleet([FakeEngine("s0", {})])
