Add only keepers that started with the system; a successor waits for the silent one

A machine of the core is replaced by an empty one at another address; it announced itself before the lost one had been silent for two seconds and was added, which left four voters of whom one was gone for good, and the final fault took the next.

Change: an announcement says whether its keeper started with the system (setting grows); only such a one is added, also while a member is silent. Any other takes the place of a silent member, unless there are fewer voters than the losses to bear need.

--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -132,7 +132,7 @@
         )
         planning = {name: getattr(settings, name) for name in PlannerSettings._fields}
         self._documents = Documents(self._machine, self._replica, op_token)
-        self._recruiter = Recruiter(self._replica)
+        self._recruiter = Recruiter(self._replica, 2 * settings.n_losses + 1)
         self._planner = Planner(
             PlannerSettings(**planning),
             self._machine,
@@ -366,7 +366,8 @@
         """Announce this keeper to the others until it votes in their log."""
         hello = Hello("operator", self._settings.keeper_id, "", "", self._cluster_token)
         link = KeeperLink(self._settings.join, hello, _ignore)
-        announce = Announce(self._replica.replica_id, self._settings.listen)
+        settings = self._settings
+        announce = Announce(self._replica.replica_id, settings.listen, settings.grows)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(link.run)
             while not self._replica.votes:
--- a/src/cowslipwood/keeper/_recruiting.py
+++ b/src/cowslipwood/keeper/_recruiting.py
@@ -44,10 +44,13 @@
     Parameters
     ----------
     replica : LogReplica
+    n_needed : int
+        Voters for the losses to bear; with fewer, a keeper is added whoever it is.
     """
 
-    def __init__(self, replica: LogReplica):
+    def __init__(self, replica: LogReplica, n_needed: int):
         self._replica = replica
+        self._n_needed = n_needed
         self._announced: dict[str, tuple[Announce, float]] = {}
         self._is_busy = False
 
@@ -65,7 +68,10 @@
             if now_ms - at_ms < ANNOUNCED_MS
         ]
         chosen = choose_change(
-            self._replica.members, recent, self._replica.silent_ms(now_ms)
+            self._replica.members,
+            recent,
+            self._replica.silent_ms(now_ms),
+            self._n_needed,
         )
         if chosen is None:
             return
@@ -97,13 +103,15 @@
     members: Sequence[Member],
     announced: Sequence[Announce],
     silent_ms: Mapping[str, float],
+    n_needed: int,
 ) -> MemberChange | None:
     """Return the next change of the membership, or None.
 
     A keeper that came back at a member's address under another identity has
-    lost that member's disk, so it takes the place at once. One at a new address
-    takes the place of the member that has been silent longest; where all answer,
-    it is added.
+    lost that member's disk, so it takes the place at once. One that started with
+    the system is added. Any other takes the place of the member that has been
+    silent longest, once one is: added before, it would leave a lost member among
+    the voters.
 
     Parameters
     ----------
@@ -112,6 +120,8 @@
         Keepers without a log that announced themselves lately.
     silent_ms : mapping of str to float
         Time since a follower's last answer to this leader, by identity.
+    n_needed : int
+        Voters under which a keeper is added whoever it is.
     """
     ids = {member.replica_id for member in members}
     for announce in announced:
@@ -128,6 +138,10 @@
     ]
     if not newcomers:
         return None
+    n_voters = sum(member.voter for member in members)
+    for announce in newcomers:
+        if (announce.is_initial or n_voters < n_needed) and n_voters < MAX_VOTERS:
+            return MemberChange(None, announce.replica_id, announce.addr)
     first = newcomers[0]
     lost = [
         member
@@ -135,12 +149,10 @@
         if member.replica_id != first.replica_id
         and silent_ms.get(member.replica_id, 0) > SILENT_MS
     ]
-    if lost:
-        longest = max(lost, key=lambda member: silent_ms[member.replica_id])
-        return MemberChange(longest.replica_id, first.replica_id, first.addr)
-    if sum(member.voter for member in members) >= MAX_VOTERS:
+    if not lost:
         return None
-    return MemberChange(None, first.replica_id, first.addr)
+    longest = max(lost, key=lambda member: silent_ms[member.replica_id])
+    return MemberChange(longest.replica_id, first.replica_id, first.addr)
 
 
 def _is_learner(members: Sequence[Member], replica_id: str) -> bool:
--- a/src/cowslipwood/keeper/_settings.py
+++ b/src/cowslipwood/keeper/_settings.py
@@ -33,6 +33,9 @@
     join : str
         ip:port of keepers, with commas between, whose log this keeper asks to
         join while it holds none; it then begins no log without `peers`.
+    grows : bool
+        Whether a keeper that joins adds to the members; otherwise it takes the place
+        of one that is lost.
     n_losses : int
         Keepers that may be lost with their disks at once. A log that has just begun
         takes no edit before twice as many and one more keepers have joined it.
@@ -87,6 +90,7 @@
     http_listen: str = "127.0.0.1:8101"
     peers: str = ""
     join: str = ""
+    grows: bool = False
     n_losses: int = 0
     zone: str = "zone-1"
     snapshot_entries: int = 10_000
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -331,10 +331,14 @@
 
 @message("control")
 class Announce(NamedTuple):
-    """A keeper without a log asks to become a member."""
+    """A keeper without a log asks to become a member.
+
+    `is_initial` says that it started with the system, so it takes nobody's place.
+    """
 
     replica_id: str
     addr: str
+    is_initial: bool = False
 
 
 @message("control")
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -186,6 +186,7 @@
 struct Announce {
   replicaId @0 :Text;
   addr @1 :Text;
+  isInitial @2 :Bool;    # it started with the system, in nobody's place
 }
 
 struct HolderRequest {
--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -120,6 +120,7 @@
             self.listens[name],
             self.http_ports[name],
             f"--join={joined}",
+            "--grows",
             *self._flags,
         )
         if self.listens[name] not in self.keepers:
