Tell relays who the keepers are, so that seeds without a disk lead to them

After the final loss of power relays knew nobody but each other, so no entry found the leader.

Change: each keeper tells the configured addresses that are no members who the members are, twice a second; a relay keeps that for its own link.

Test: test_told_by_keepers (waits for ever without it).

--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -27,6 +27,7 @@
     EntryReport,
     Hello,
     HolderRequest,
+    KeepersUpdate,
     OperatorRequest,
     PermitRelease,
     PermitRequest,
@@ -69,6 +70,8 @@
 RECRUIT_MS = 300
 # An entry that needs news sooner asks for it; each round goes to all entries.
 VIEWS_MS = 100.0
+# After a loss of power relays know nobody; entries wait for them meanwhile.
+TELL_RELAYS_MS = 500.0
 
 
 class DirectEngines(NamedTuple):
@@ -196,6 +199,7 @@
                 tasks.start_soon(self._engines.run)
             if self._settings.join:
                 tasks.start_soon(self._join)
+                tasks.start_soon(self._tell_relays)
             await stop.wait()
             await self._replica.hand_over()
             http.stop()
@@ -375,6 +379,18 @@
                 await anyio.sleep(RECRUIT_MS / 1000)
             tasks.cancel_scope.cancel()
 
+    async def _tell_relays(self) -> None:
+        """Tell the configured addresses that are no members who the members are."""
+        while True:
+            await anyio.sleep(TELL_RELAYS_MS / 1000)
+            if not self._replica.votes:
+                continue
+            members = tuple(member.addr for member in self._replica.members)
+            for addr in self._settings.join.split(","):
+                if addr not in (*members, self._settings.listen):
+                    news = KeepersUpdate(members)
+                    await self._replica.tell(addr, news, TELL_RELAYS_MS)
+
     async def _drop(self, stale: list[Subscriber]) -> None:
         """Close the connections that were made to the leader that this one was."""
         for subscriber in stale:
--- a/src/cowslipwood/kernel/keeper_link.py
+++ b/src/cowslipwood/kernel/keeper_link.py
@@ -84,6 +84,10 @@
         """Replace the configured addresses, after a reload of the settings."""
         self._configured = keepers.split(",")
 
+    def learn_keepers(self, addrs: tuple[str, ...]) -> None:
+        """Take in where the keepers are, beside the configured addresses."""
+        self._learned = addrs
+
     async def request(self, value: Any, timeout_ms: float) -> Result[Any, Failure]:
         """Ask the leader; fails with NO_QUORUM when none is connected.
 
@@ -130,7 +134,7 @@
 
     async def _on_message(self, value: Any) -> Any:
         if isinstance(value, KeepersUpdate):
-            self._learned = value.addrs
+            self.learn_keepers(value.addrs)
             return None
         return await self._handle(value)
 
--- a/src/cowslipwood/relay/_relay.py
+++ b/src/cowslipwood/relay/_relay.py
@@ -1,7 +1,8 @@
 """Answers what a keeper without a disk can answer.
 
 It holds no log and never votes. Processes that dial it are told where the leader
-is, and initial members that form a log are told not to count on it.
+is, and initial members that form a log are told not to count on it. Keepers tell it
+who they are: where all that the settings name are relays, nobody else would.
 """
 
 from typing import Any
@@ -12,7 +13,7 @@
 from ..kernel.codes import Code, failure
 from ..kernel.keeper_link import KeeperLink
 from ..kernel.logs import get_logger
-from ..kernel.messages import Hello, Welcome
+from ..kernel.messages import Ack, Hello, KeepersUpdate, Welcome
 from ..kernel.settings import parse_address
 from ..kernel.tokens import token_matches
 from ..replication import Identity, IdentityQuery
@@ -59,6 +60,9 @@
         if isinstance(value, IdentityQuery):
             # Both sides were given the same initial members, or it could not ask.
             return Identity("", listen, False, True)
+        if isinstance(value, KeepersUpdate):
+            link.learn_keepers(value.addrs)
+            return Ack(0)
         return as_refused(failure(Code.NOT_LEADER), link.leader_addr)
 
     await serve_channels(listener, IDLE_TIMEOUT_MS, serve)
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -309,6 +309,10 @@
             case _:
                 return as_refused(failure(Code.BAD_MESSAGE))
 
+    async def tell(self, addr: str, value: Any, timeout_ms: float) -> None:
+        """Send a message to a process that need not be a member; it may be lost."""
+        await self._links.link(addr).request(value, timeout_ms)
+
     def measure(self, now_ms: float) -> None:
         """Set the gauges."""
         state = self._state
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -81,6 +81,18 @@
             tasks.cancel_scope.cancel()
         return found
 
+    def test_told_by_keepers(self):
+        """One that was told of no keeper learns of them from their own calls."""
+        addr = f"127.0.0.1:{free_port()}"
+        nobody = f"127.0.0.1:{free_port()}"
+        with (
+            KeeperCluster(f"--join={addr}") as cluster,
+            relaying(addr, nobody),
+        ):
+            leader = cluster.start_all()
+            found = anyio.run(self._leader_by, addr)
+            self.assertEqual(found, cluster.addresses[leader])
+
     def test_answers(self):
         """It says that it has no disk, and refuses everything else."""
         addr = f"127.0.0.1:{free_port()}"
