Heed servers that say they leave or ask for a pause

Cause: an answer's word that its server is about to stop, and the pause that a 503 asks for, were not read; requests, reports and orders went on going there until the list said so.

Entries tell the leading keeper of pauses, so that a keeper on the same host reads no report and gives no order there meanwhile. Values that are not legal count as absent, counted and logged.

--- a/src/cowslipwood/entry/choosing/_backend.py
+++ b/src/cowslipwood/entry/choosing/_backend.py
@@ -70,6 +70,7 @@
         "answered_at_ms",
         "first_ms",
         "health",
+        "held_off_until_ms",
         "knee",
         "kv_share",
         "_pending",
@@ -93,6 +94,7 @@
         self.answered_at_ms = 0.0
         self.kv_share = 0.0
         self.unlisted_at_ms = 0.0
+        self.held_off_until_ms = 0.0
         self._avoided_until: dict[str, float] = {}
         self._take_report(_view_report(view), now_ms)
 
@@ -101,6 +103,7 @@
         if view.incarnation != self.view.incarnation:
             self.health = Health()
             self._avoided_until.clear()
+            self.held_off_until_ms = 0.0
         self.view = view
         self.unlisted_at_ms = 0.0
         if now_ms - self._report_at_ms > FRESH_REPORT_MS:
@@ -198,6 +201,10 @@
         """Give it no request for a model key, or for any (""), until then."""
         self._avoided_until[what] = until_ms
 
+    def hold_off(self, until_ms: float) -> None:
+        """Give it nothing until then, as it has asked; an earlier word still holds."""
+        self.held_off_until_ms = max(self.held_off_until_ms, until_ms)
+
     def usable(self, key: str, now_ms: float) -> bool:
         """Return whether it may get one more request for a model key."""
         return self.reachable(key, now_ms) and self.health.usable(
@@ -206,7 +213,7 @@
 
     def reachable(self, key: str, now_ms: float) -> bool:
         """Return whether it stays and is not passed over, however it answers."""
-        if self.view.leaving:
+        if self.view.leaving or now_ms < self.held_off_until_ms:
             return False
         avoided = self._avoided_until
         if not avoided:
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -58,6 +58,8 @@
 SERVING_SHARE = 0.3
 # Adds at most this to the length of a stop.
 DRAIN_POLL_MS = 20.0
+# Between two reports, however much there is to tell.
+LEAST_REPORT_MS = 100.0
 # A caller that takes longer over a request's head holds a connection for nothing.
 HEAD_TIMEOUT_MS = 10_000.0
 
@@ -295,17 +297,23 @@
     async def _report_loop(self, channel: Channel) -> None:
         self._servers.leader_lost()
         while True:
+            state = self._state
+            state.has_held_off = anyio.Event()
             report = EntryReport(
                 entry_id=self._settings.entry_id,
                 incarnation=self._incarnation,
                 zone=self._settings.zone,
                 http_addr=self._settings.listen,
                 leaving=self._app.is_leaving,
-                catalogue_revision=self._state.version,
-                demand=self._state.demand_samples(monotonic_ms()),
+                catalogue_revision=state.version,
+                demand=state.demand_samples(monotonic_ms()),
+                held_off=state.held_off(monotonic_ms()),
             )
             await channel.send(report)
-            await anyio.sleep(self._settings.report_ms / 1000)
+            await anyio.sleep(LEAST_REPORT_MS / 1000)
+            with anyio.move_on_after(self._settings.report_ms / 1000):
+                # A keeper on this host must not ask such a server either.
+                await state.has_held_off.wait()
 
 
 def serving_ms(drain_ms: float, grace_ms: float) -> float:
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Protocol
 
@@ -189,6 +190,10 @@
             typical.value or TYPICAL_PROMPT_TOKENS,
         )
         chosen = state.choose(context, self._rng, now_ms)
+        free_in_ms = state.free_in_ms(request.key, now_ms) if chosen is None else 0.0
+        if free_in_ms:
+            message = f"{request.key}: all servers want a pause"
+            return failure(Code.OVERLOADED, message, math.ceil(free_in_ms))
         while chosen is None and request.facts.model:
             held = await state.holders.find(request, state.now_ms())
             if isinstance(held, Err):
@@ -302,13 +307,14 @@
         sent_ms: float,
     ) -> Failure | None:
         state, request = self._state, self._request
-        facts = read_answer(head.headers, state.names)
+        facts = read_answer(head.status, head.headers, state.names)
         now_ms = state.now_ms()
         if facts.request_id and facts.request_id != request.facts.request_id:
             await conn.close()
             fault = failure(Code.OUTCOME_UNKNOWN, "an answer to another request came")
             return self._failed(backend, fault)
         self._note_load(backend, facts, now_ms)
+        state.take_notice(backend, facts.notice, now_ms)
         if facts.not_run or head.status == MISDIRECTED:
             return await self._not_run(backend, conn, head)
         if head.status in PROMISES:
--- a/src/cowslipwood/entry/direct/_headers.py
+++ b/src/cowslipwood/entry/direct/_headers.py
@@ -5,6 +5,8 @@
 
 import xxhash
 
+from ...listing import ServerNotice, read_notice
+
 __all__ = [
     "AnswerFacts",
     "HeaderNames",
@@ -45,6 +47,8 @@
         Set by the entry: the server that the request is meant for.
     not_run : bytes
         In a server's refusal: the request did not run there.
+    leaving : bytes
+        In any answer, with the value 1: the server is about to stop.
     load : bytes
         In answers: running, waiting and slots, with commas between.
     urgency : bytes
@@ -65,6 +69,7 @@
     deadline: bytes = b"x-deadline-ms"
     server_id: bytes = b"x-cowslip-server"
     not_run: bytes = b"x-cowslip-not-run"
+    leaving: bytes = b"x-cowslip-leaving"
     load: bytes = b"x-cowslip-load"
     urgency: bytes = b"x-cowslip-urgency"
     model: bytes = b"x-cowslip-model"
@@ -110,11 +115,13 @@
     not_run : bool
     load : tuple of int or None
         Running, waiting and slots.
+    notice : ServerNotice
     """
 
     request_id: str
     not_run: bool
     load: tuple[int, int, int] | None
+    notice: ServerNotice
 
 
 def read_request_facts(headers: Headers, names: HeaderNames) -> RequestFacts:
@@ -135,15 +142,17 @@
 
 
 def read_answer(
-    headers: Iterable[tuple[bytes, bytes]], names: HeaderNames
+    status: int, headers: Iterable[tuple[bytes, bytes]], names: HeaderNames
 ) -> AnswerFacts:
     """Read a server's headers."""
+    headers = list(headers)
     held = dict(headers)
     load = _numbers(_text(held, names.load))
     return AnswerFacts(
         _text(held, names.request_id),
         names.not_run in held,
         (load[0], load[1], load[2]) if len(load) == 3 else None,
+        read_notice(status, headers, names.leaving),
     )
 
 
--- a/src/cowslipwood/entry/direct/_servers.py
+++ b/src/cowslipwood/entry/direct/_servers.py
@@ -15,6 +15,8 @@
 # leaves must be left alone within the platform's bound, also by an entry that
 # the leader cannot reach, and one reading may fail in between.
 OWN_READING_MS = 1_200.0
+# Many times the servers that leave within the time for which a list shows them.
+MAX_LEFT_KEPT = 10_000
 
 
 class KnownServers:
@@ -33,6 +35,7 @@
         self._told: dict[str, ServerView] = {}
         self._told_list_ms = -math.inf
         self._is_told = False
+        self._left: dict[str, str] = {}  # incarnations by server id
         self.listed_ms = 0.0
 
     def needs_reading(self, now_ms: float) -> bool:
@@ -112,8 +115,29 @@
             self._told[server_id] = server
         self._apply([server], (), now_ms)
 
+    def said_leaving(self, server_id: str, now_ms: float) -> bool:
+        """Take in a server's own word that it is about to stop.
+
+        It holds for this life of the server, whatever the list or the leader say
+        later; returns whether it is news.
+        """
+        backend = self._view.backends.get(server_id)
+        if backend is None or backend.view.leaving:
+            return False
+        if len(self._left) >= MAX_LEFT_KEPT:
+            self._left.pop(next(iter(self._left)))
+        self._left[server_id] = backend.view.incarnation
+        self._apply([backend.view], (), now_ms)
+        return True
+
+    def _marked(self, server: ServerView) -> ServerView:
+        """Return what is told of a server, with its own word that it leaves."""
+        if self._left.get(server.server_id) != server.incarnation:
+            return server
+        return server._replace(leaving=True)
+
     def _replace(self, servers: Iterable[ServerView], now_ms: float) -> None:
-        known = {server.server_id: server for server in servers}
+        known = {server.server_id: self._marked(server) for server in servers}
         held = self._view.backends
         changed = [
             server
@@ -126,6 +150,7 @@
         self, changed: Iterable[ServerView], removed: Iterable[str], now_ms: float
     ) -> None:
         log = get_logger()
+        changed = [self._marked(server) for server in changed]
         for server in changed:
             held = self._view.backends.get(server.server_id)
             if held is None or held.view.leaving != server.leaving:
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -7,8 +7,10 @@
 
 from ...kernel.clock import monotonic_ms
 from ...kernel.http_pool import ConnectionPool
-from ...kernel.messages import DemandSample
+from ...kernel.logs import get_logger
+from ...kernel.messages import DemandSample, HeldOff
 from ...kernel.metrics import Metrics
+from ...listing import ServerNotice
 from ...routes import RouteDocument, RouteTable
 from ..choosing._backend import Backend, LoadReport
 from ..choosing._ewma import Ewma
@@ -68,6 +70,7 @@
         self.document: RouteDocument | None = None
         self.has_document = anyio.Event()
         self.table = RouteTable()
+        self.has_held_off = anyio.Event()  # set for each news, then replaced
         self.entries = EntryCount(terms.window_ms)
         self._policy = policy
         self._terms = terms
@@ -124,6 +127,43 @@
             for sample in self.demand.samples(now_ms)
         )
 
+    def take_notice(
+        self, backend: Backend, notice: ServerNotice, now_ms: float
+    ) -> None:
+        """Take in what an answer says of its server."""
+        server_id = backend.view.server_id
+        for name in notice.unreadable:
+            self.metrics.count("notices_ignored_total", header=name)
+            get_logger().info("notice_ignored", server=server_id, header=name)
+        if notice.is_leaving and self._servers.said_leaving(server_id, now_ms):
+            self.metrics.count("servers_left_total")
+            get_logger().info("server_said_leaving", server=server_id)
+        if notice.hold_off_ms:
+            backend.hold_off(now_ms + notice.hold_off_ms)
+            self.metrics.count("servers_held_off_total")
+            get_logger().info(
+                "server_held_off", server=server_id, for_ms=notice.hold_off_ms
+            )
+            self.has_held_off.set()
+
+    def held_off(self, now_ms: float) -> tuple[HeldOff, ...]:
+        """Return the servers that want nothing from this host, and for how long."""
+        return tuple(
+            HeldOff(server_id, each.held_off_until_ms - now_ms)
+            for server_id, each in self.view.backends.items()
+            if each.held_off_until_ms > now_ms
+        )
+
+    def free_in_ms(self, key: str, now_ms: float) -> float:
+        """Return when the first server of a key takes requests again.
+
+        0 where one that stays has not asked for a pause, or none has the key.
+        """
+        staying = [each for each in self.view.candidates(key) if not each.view.leaving]
+        return max(
+            0.0, min((e.held_off_until_ms for e in staying), default=now_ms) - now_ms
+        )
+
     def take_load_report(
         self, backend: Backend, report: LoadReport | None, now_ms: float
     ) -> None:
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -149,8 +149,12 @@
         return self._fleet.views()
 
     def take_demand(self, report: EntryReport, now_ms: float) -> None:
-        """Take in what an entry says of demand."""
+        """Take in what an entry says of demand and of servers that want a pause."""
         self._demand.take_report(report, now_ms)
+        for server_id, for_ms in report.held_off:
+            record = self._fleet.records.get(server_id)
+            if record is not None:
+                record.hold_off(now_ms + for_ms)
 
     async def find(self, request: HolderRequest) -> Any:
         """Return a server that holds what an entry needs, loading it if need be."""
@@ -389,6 +393,8 @@
         now_ms = monotonic_ms()
         if not self._may_order(now_ms) or record.sequence is None:
             return False
+        if now_ms < record.held_off_until_ms:
+            return False
         order = EngineOrder(
             op, model, adapter, record.sequence, self._terms.holder, self._term()
         )
@@ -414,6 +420,8 @@
             if is_over and not adapter:
                 record.sequence = None  # whether it counted is for the report to say
             return True
+        if isinstance(ended, Err) and ended.failure().retry_after_ms:
+            record.hold_off(monotonic_ms() + ended.failure().retry_after_ms)
         # What the engine holds now is unknown until its next report.
         record.sequence = None
         return False
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -119,7 +119,11 @@
             read = await self._client.report(record.server)
             record.read_at_ms = monotonic_ms()
             if isinstance(read, Err):
-                _note_failed_read(record, read.failure().message)
+                fault = read.failure()
+                if fault.retry_after_ms:
+                    record.hold_off(record.read_at_ms + fault.retry_after_ms)
+                else:
+                    _note_failed_read(record, fault.message)
                 return
             report = read.unwrap()
             born_ms = record.server.born_ms
@@ -148,7 +152,7 @@
 
 def _needs_report(record: EngineRecord, now_ms: float) -> bool:
     age_ms = now_ms - record.read_at_ms
-    if record.lock.locked():
+    if record.lock.locked() or now_ms < record.held_off_until_ms:
         return False
     if record.is_lost:
         return age_ms > LOAD_MS
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -73,6 +73,7 @@
         self.n_queued = 0
         self.kv_share = 0.0
         self._says_leaving = False
+        self.held_off_until_ms = 0.0
         self.lock = anyio.Lock()
 
     def use_spec(self, spec: EngineSpec) -> None:
@@ -117,6 +118,10 @@
         is_near = model.name in self.cached
         return 1000 * (model.disk_load_s if is_near else model.load_time_s)
 
+    def hold_off(self, until_ms: float) -> None:
+        """Ask it nothing until then, as it has told this host or another."""
+        self.held_off_until_ms = max(self.held_off_until_ms, until_ms)
+
     def await_for(self, model: str, n_callers: float, now_ms: float) -> None:
         """Keep the engine for a model that waits for the end of its order.
 
@@ -150,7 +155,7 @@
             That wait for the model.
         now_ms : float
         """
-        if not self.is_synced or not self.stays:
+        if not self.is_synced or not self.stays or now_ms < self.held_off_until_ms:
             return False
         if model in self.held:
             return False
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -29,6 +29,7 @@
     "EntryPlace",
     "EntryReport",
     "FleetLoad",
+    "HeldOff",
     "HolderReply",
     "HolderRequest",
     "Hello",
@@ -232,6 +233,14 @@
     waiting: float = 0.0
 
 
+@message("control")
+class HeldOff(NamedTuple):
+    """A server that has asked the sender's host for nothing more for a time."""
+
+    server_id: str
+    for_ms: float
+
+
 @message("control")
 class EntryReport(NamedTuple):
     """An entry's heartbeat."""
@@ -243,6 +252,7 @@
     leaving: bool
     catalogue_revision: int
     demand: tuple[DemandSample, ...]
+    held_off: tuple[HeldOff, ...] = ()
 
 
 @message("control")
--- a/src/cowslipwood/listing/__init__.py
+++ b/src/cowslipwood/listing/__init__.py
@@ -1,6 +1,7 @@
 """The platform's list of backend servers, and what servers hold."""
 
 from ._http_list import HttpList
+from ._notice import ServerNotice, read_notice
 from ._servers import (
     ListedModel,
     ListedServer,
@@ -16,8 +17,10 @@
     "ListSource",
     "ListedModel",
     "ListedServer",
+    "ServerNotice",
     "as_view",
     "holding_key",
     "listed_keys",
+    "read_notice",
     "service_key",
 ]
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -131,6 +131,11 @@
   waiting @4 :Float64;     # at a server, before the first event
 }
 
+struct HeldOff {
+  serverId @0 :Text;
+  forMs @1 :Float64;       # from the sending of the report on
+}
+
 struct EntryReport {
   entryId @0 :Text;
   incarnation @1 :Text;
@@ -139,6 +144,7 @@
   leaving @4 :Bool;
   catalogueRevision @5 :UInt64;
   demand @6 :List(DemandSample);
+  heldOff @7 :List(HeldOff);
 }
 
 struct Ack {
