--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -57,6 +57,8 @@
 MIN_STALL_MS = 4_000.0
 # Nothing was sent, and asking again at once would find the same.
 FINAL_CODES = frozenset((Code.NO_REPLICA, Code.DEADLINE_PASSED, Code.OVERLOADED))
+# Refused for want of engines: another copy would have served it.
+CROWDED_CODES = frozenset((Code.NO_REPLICA, Code.OVERLOADED))
 
 
 class AnswerSink(Protocol):
@@ -110,9 +112,14 @@
         self._state.demand.arrived(key)
         self._state.demand.began(key, self._state.now_ms())
         try:
-            return await self._run(budget)
+            fault = await self._run(budget)
         finally:
             self._state.demand.ended(key, self._state.now_ms())
+        if fault is not None and fault.code in CROWDED_CODES:
+            self._state.demand.missed(key)
+        else:
+            self._state.demand.met(key)
+        return fault
 
     async def _run(self, budget: SharedBudget) -> Failure | None:
         while True:
@@ -402,14 +409,18 @@
     ) -> Failure | None:
         """Pass events on as they arrive; only whole ones where it may resume."""
         splitter = EventSplitter(whole_only=self._request.route.is_resumable)
-        first_ms = 0.0
+        first_ms = event_ms = longest_pause_ms = 0.0
         with anyio.fail_after(self._left_s()), anyio.CancelScope() as stall:
             async for chunk in conn.chunks():
-                first_ms = first_ms or self._state.now_ms()
+                now_ms = self._state.now_ms()
+                first_ms = first_ms or now_ms
                 n_ends = splitter.n_ends
                 data = splitter.feed(chunk)
                 self._last_event_id = splitter.last_id or self._last_event_id
                 if splitter.n_ends > n_ends:
+                    pause_ms = now_ms - event_ms if event_ms else 0.0
+                    longest_pause_ms = max(longest_pause_ms, pause_ms)
+                    event_ms = now_ms
                     stall.deadline = anyio.current_time() + self._stall_s()
                 if data:
                     await self._start(head)
@@ -427,7 +438,14 @@
             request=self._request.facts.request_id,
             server=backend.view.server_id,
             status=head.status,
+            key=self._request.key,
             first_ms=round(first_ms - self._request.arrived_ms),
+            sent_ms=round(sent_ms - self._request.arrived_ms),
+            pause_ms=round(longest_pause_ms),
+            events=splitter.n_ends,
+            attempts=self._attempted.n_sent,
+            target_ms=self._request.route.target_latency_ms,
+            pause_target_ms=self._request.route.gap_target_ms,
         )
         return None
 
