Decide loads by what is offered, in rounds, over how crowded engines get

Change: entries report refused, late and target; _demand.py makes of arrivals and the time that an engine with room holds a request what is offered, carried on by a rise beyond chance; _crowding.py spreads it over engines by filling levels and prices a copy more or less; _plan.py decides rounds of missing hot models, copies, rare models, each keeping its engine; rare loads from the store take 0.3 of the engines; last copies of models whose callers can wait for a load from disk go first; an unload avoids full batches; late streams raise the weight of crowding.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -23,7 +23,7 @@
     request_headers,
     response_headers,
 )
-from ._request import RoutedRequest, tokens_to_read, urgency
+from ._request import RoutedRequest, is_late, tokens_to_read, urgency
 from ._retries import Attempted, SharedBudget, final_failure, may_try_again
 from ._state import DirectState
 
@@ -109,7 +109,7 @@
         budget = self._state.budget(self._request.service)
         budget.fresh(self._state.now_ms())
         key = self._request.key
-        self._state.demand.arrived(key)
+        self._state.demand.arrived(key, self._request.route.target_latency_ms)
         self._state.demand.began(key, self._state.now_ms())
         try:
             fault = await self._run(budget)
@@ -433,13 +433,16 @@
             await self._sink.write(rest)
         await self._sink.end()
         self._succeeded(backend, sent_ms, first_ms or self._state.now_ms())
+        first_after_ms = first_ms - self._request.arrived_ms
+        if is_late(self._request.route, first_after_ms, longest_pause_ms):
+            self._state.demand.late(self._request.key)
         self._log.info(
             "request_answered",
             request=self._request.facts.request_id,
             server=backend.view.server_id,
             status=head.status,
             key=self._request.key,
-            first_ms=round(first_ms - self._request.arrived_ms),
+            first_ms=round(first_after_ms),
             sent_ms=round(sent_ms - self._request.arrived_ms),
             pause_ms=round(longest_pause_ms),
             events=splitter.n_ends,
--- a/src/cowslipwood/entry/direct/_request.py
+++ b/src/cowslipwood/entry/direct/_request.py
@@ -7,7 +7,7 @@
 from ..routing import KEPT_SHARE
 from ._headers import RequestFacts
 
-__all__ = ["RoutedRequest", "tokens_to_read", "urgency"]
+__all__ = ["RoutedRequest", "is_late", "tokens_to_read", "urgency"]
 
 LEAST_URGENT = 9
 # More than the ranks that operators use for their routes.
@@ -71,6 +71,11 @@
     return min(LEAST_URGENT, route.priority + (LATE_RANKS if is_late else 0))
 
 
+def is_late(route: Route, first_ms: float, pause_ms: float) -> bool:
+    """Return whether a stream's first event or longest pause missed its target."""
+    return 0 < route.target_latency_ms < first_ms or 0 < route.gap_target_ms < pause_ms
+
+
 def tokens_to_read(facts: RequestFacts) -> int:
     """Return the prompt tokens that a server is likely to have to read.
 
--- a/src/cowslipwood/entry/metering/_demand.py
+++ b/src/cowslipwood/entry/metering/_demand.py
@@ -11,7 +11,16 @@
 class _Demand:
     """Demand for one entry since the last report."""
 
-    __slots__ = ("at_ms", "held_ms", "n_arrived", "n_in_flight", "n_met", "n_missed")
+    __slots__ = (
+        "at_ms",
+        "held_ms",
+        "n_arrived",
+        "n_in_flight",
+        "n_late",
+        "n_met",
+        "n_missed",
+        "target_ms",
+    )
 
     def __init__(self, now_ms: float):
         self.n_in_flight = 0
@@ -21,6 +30,8 @@
         self.n_arrived = 0
         self.n_met = 0
         self.n_missed = 0
+        self.n_late = 0
+        self.target_ms = 0.0
         self.held_ms = 0.0
         self.at_ms = now_ms
 
@@ -42,9 +53,12 @@
         self._demand: dict[str, _Demand] = {}
         self._reported_ms = now_ms
 
-    def arrived(self, name: str) -> None:
-        """Count a fresh request."""
-        self._of(name).n_arrived += 1
+    def arrived(self, name: str, target_ms: float = 0.0) -> None:
+        """Count a fresh request, with its route's target where that has one."""
+        demand = self._of(name)
+        demand.n_arrived += 1
+        if target_ms:
+            demand.target_ms = min(target_ms, demand.target_ms or target_ms)
 
     def began(self, name: str, now_ms: float) -> None:
         """Count a request that was let in."""
@@ -67,6 +81,10 @@
         """Count a request answered within its limits."""
         self._of(name).n_met += 1
 
+    def late(self, name: str) -> None:
+        """Count one of the requests that were met as late."""
+        self._of(name).n_late += 1
+
     def missed(self, name: str) -> None:
         """Count a request outside its limits, or refused."""
         self._of(name).n_missed += 1
@@ -89,6 +107,8 @@
                     demand.n_arrived / span_ms * 1000,
                     demand.held_ms / span_ms,
                     demand.n_missed / n_ended if n_ended else 0.0,
+                    target_ms=demand.target_ms,
+                    late_share=demand.n_late / demand.n_met if demand.n_met else 0.0,
                 )
             )
             demand.clear(now_ms)
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -22,38 +22,42 @@
 from ...kernel.metrics import Metrics
 from ...listing import ListSource
 from ...routes import ModelSpec, RouteDocument, ServiceSpec
+from ._adapters import adapter_step, spread_step
+from ._crowding import Crowding
 from ._decide import (
     BUSY_IN_FLIGHT,
-    Step,
-    adapter_step,
     copies_of,
-    copy_step,
-    missing_step,
+    crowding_of,
     prior_demand,
-    spread_step,
 )
 from ._demand import DemandView
 from ._fleet import Fleet
 from ._orders import EngineClient, EngineOrder, OrderOp, OrderOutcome
+from ._plan import missing_model_step, plan_round
 from ._record import UNLOAD_MS, EngineRecord
+from ._step import Step
 from ._store import LoadNeed, StoreBudget
 
 __all__ = ["EngineController", "EngineTerms"]
 
 # Often enough that a step waits little for the one before it.
 STEP_MS = 50.0
-# A copy takes at least hundreds of milliseconds to load; each look weighs all models
-# on all engines.
-COPY_MS = 100.0
+# Often enough to follow a load, which takes seconds, and few lines for each engine.
+LAYOUT_LOG_MS = 2_000.0
+N_MODELS_LOGGED = 5
 # An adapter is on the engine this long after the order was accepted.
 ADAPTER_LOAD_MS = 9.0
 # Adapters on their way from the store at once; with more, each takes longer.
 MAX_FAST_ADAPTERS = 16
 # A question looks again after this pause when no step could be taken.
 RETRY_MS = 20.0
-# Between two looks for an engine for one model: each weighs all of them, and what is
+# Between two rounds of loads: each weighs all models on all engines, and what is
 # waited for, the end of an order or of a run, comes in hundreds of milliseconds.
 LOOK_MS = 60.0
+# Times the length of a round, so that they take a tenth of a core at most.
+PLAN_PAUSE = 10.0
+# Questions for a missing model are repeated much sooner than this.
+MISSING_VALID_MS = 200.0
 # A question is answered within this time, or the entry refuses its request.
 FIND_TIMEOUT_MS = 4_000.0
 # Many times the models and adapters of the largest document.
@@ -65,6 +69,9 @@
 # Until the entries' reports have shown the demand, to a new leader or after the
 # first requests: till then the layout is all that is known of it.
 PRIOR_MS = 4_000.0
+# Two of the entries' reports: a new leader that makes room before them drops what most
+# ask for.
+UNKNOWN_MS = 1_100.0
 
 
 class EngineTerms(NamedTuple):
@@ -123,7 +130,10 @@
         self._demand = DemandView()
         self._looked_ms: dict[tuple[str, str], float] = {}  # by model and adapter
         self._unasked: set[tuple[str, str]] = set()  # services and models
-        self._copied_ms = -math.inf
+        self._crowding: dict[str, Crowding] = {}  # by service, at the last look
+        self._missing: dict[tuple[str, str], float] = {}  # by service and model
+        self._plan_due_ms = -math.inf
+        self._logged_ms = -math.inf
         self._led_term = 0
         self._led_since_ms = 0.0
         self._unasked_ms = 0.0  # until when no entry has asked for anything
@@ -193,7 +203,8 @@
         for each in staying:
             if each.loading == spec.name:
                 return each.busy_ms(now_ms)
-        step = self._missing_step(staying, spec, now_ms)
+        demand, crowding = self._demand.by_model, self._crowding.get(service)
+        step = missing_model_step(staying, spec, demand, crowding, now_ms)
         if step is None:
             return 1000 * spec.load_time_s + UNLOAD_MS
         unload_ms = UNLOAD_MS if step.drop_model else 0.0
@@ -238,14 +249,10 @@
                 return each
         holders = [each for each in staying if each.holds(spec.name)]
         now_ms = monotonic_ms()
-        if not self._is_look_due((request.model, request.adapter), holders, now_ms):
-            return None
         if not holders:
-            step = self._missing_step(staying, spec, now_ms)
-            if step is not None and step.record.is_usable:
-                await self._take_model_step(spec, step)
-            elif step is not None:
-                step.record.await_for(spec.name, step.n_callers, now_ms)
+            self._missing[request.service, spec.name] = now_ms
+            return None
+        if not self._is_look_due((request.model, request.adapter), now_ms):
             return None
         if any((spec.name, request.adapter) in each.in_transit for each in holders):
             return None
@@ -254,15 +261,12 @@
             return None
         return await self._take_adapter_step(request.model, request.adapter, step)
 
-    def _is_look_due(
-        self, key: tuple[str, str], holders: list[EngineRecord], now_ms: float
-    ) -> bool:
-        """Return whether a step is to be looked for again.
+    def _is_look_due(self, key: tuple[str, str], now_ms: float) -> bool:
+        """Return whether a step for an adapter is to be looked for again.
 
-        Many entries may ask for one model; a look weighs every engine.
+        Many entries may ask for one adapter; a look weighs every engine.
         """
-        key, pause_ms = (key, RETRY_MS) if holders else ((key[0], ""), LOOK_MS)
-        if now_ms < self._looked_ms.get(key, -math.inf) + pause_ms:
+        if now_ms < self._looked_ms.get(key, -math.inf) + RETRY_MS:
             return False
         self._looked_ms[key] = now_ms
         if len(self._looked_ms) > MAX_LOOKS_KEPT:
@@ -275,19 +279,6 @@
             }
         return True
 
-    def _missing_step(
-        self, records: list[EngineRecord], spec: ModelSpec, now_ms: float
-    ) -> Step | None:
-        """Return the next step for a model that none of the engines holds yet."""
-        if any(each.loading == spec.name for each in records):
-            return None
-        for each in records:
-            if each.is_reserved_for(spec.name, now_ms):
-                return missing_step(
-                    records, spec, self._demand.by_model, now_ms, only=each
-                )
-        return missing_step(records, spec, self._demand.by_model, now_ms)
-
     async def _take_adapter_step(
         self, model: str, adapter: str, step: Step
     ) -> EngineRecord | None:
@@ -375,11 +366,12 @@
         )
         if is_held:
             need = LoadNeed.COPY
-        elif self._demand.of(model.name).in_flight >= BUSY_IN_FLIGHT:
+        elif self._demand.of(model.name).n_callers >= BUSY_IN_FLIGHT:
             need = LoadNeed.MISSING
         else:
             need = LoadNeed.RARE
-        return self._store.allows(record.spec, need, monotonic_ms())
+        staying = [e for e in self._fleet.of(record.server.service) if e.stays]
+        return self._store.allows(record.spec, need, monotonic_ms(), len(staying))
 
     async def _order(
         self,
@@ -431,6 +423,7 @@
             self._led_term = self._term()
             self._led_since_ms = now_ms
             self._fleet.clear()
+            self._crowding.clear()
             self._demand.begin()
             self._store.clear()
         await self._fleet.read_list(self._document(), now_ms)
@@ -446,31 +439,80 @@
             # In tasks of their own: an engine that is down must not hold up the rest.
             self._tasks.start_soon(self._fleet.read_report, record)
         now_ms = monotonic_ms()
-        if now_ms >= self._copied_ms + COPY_MS:
-            self._copied_ms = now_ms
-            self._add_copies(now_ms)
-
-    def _add_copies(self, now_ms: float) -> None:
+        if now_ms >= self._plan_due_ms:
+            self._plan(now_ms)
+            took_ms = monotonic_ms() - now_ms
+            self._plan_due_ms = now_ms + max(LOOK_MS, PLAN_PAUSE * took_ms)
+
+    def _plan(self, now_ms: float) -> None:
+        """Decide on loads and copies of adapters, and start what can be ordered."""
+        oldest_ms = now_ms - MISSING_VALID_MS
+        self._missing = {k: ms for k, ms in self._missing.items() if ms >= oldest_ms}
         document = self._document()
         for service in document.services if document else ():
             if service.engine is None:
                 continue
             records = self._fleet.of(service.name)
-            found = copy_step(
+            crowding = crowding_of(
+                records, self._demand.by_model, self._demand.late_share
+            )
+            self._crowding[service.name] = crowding
+            if now_ms >= self._logged_ms + LAYOUT_LOG_MS:
+                self._logged_ms = now_ms
+                self._log_layout(records, crowding, now_ms)
+            steps = plan_round(
                 records,
                 service.engine.models,
+                {model for name, model in self._missing if name == service.name},
                 self._demand.by_model,
-                now_ms,
+                crowding,
                 self._demand.adapter_used_ms,
+                now_ms,
+                may_drop=self._knows_demand(now_ms),
             )
-            if found is not None:
-                spec, step = found
+            for spec, step in steps:
                 if step.record.is_usable:
                     self._tasks.start_soon(self._take_model_step, spec, step)
-                else:
-                    step.record.await_for(spec.name, step.n_callers, now_ms)
             self._spread_adapters(records, service.engine.models, now_ms)
 
+    def _knows_demand(self, now_ms: float) -> bool:
+        """Return whether entries have told this leader what is asked for."""
+        since_ms = max(self._led_since_ms, self._demand.first_asked_ms)
+        return now_ms - since_ms >= UNKNOWN_MS
+
+    def _log_layout(
+        self, records: list[EngineRecord], crowding: Crowding, now_ms: float
+    ) -> None:
+        """Log what each engine holds and carries, and what most is asked for."""
+        for each in records:
+            get_logger().info(
+                "engine_seen",
+                server=each.server.server_id,
+                models=",".join(sorted(each.held)),
+                loading=each.loading,
+                dropping=each.dropping,
+                busy_ms=round(each.busy_ms(now_ms)),
+                running=each.n_running,
+                queued=each.n_queued,
+                expected=round(crowding.level(each.server.server_id), 1),
+                stays=each.stays,
+                report_age_ms=round(now_ms - each.read_at_ms),
+            )
+        late_share = round(self._demand.late_share, 3)
+        get_logger().info("lateness_seen", late_share=late_share)
+        by_model = self._demand.by_model
+        ranked = sorted(by_model, key=lambda name: by_model[name].offered)
+        for name in ranked[-N_MODELS_LOGGED:]:
+            wanted = by_model[name]
+            get_logger().info(
+                "demand_seen",
+                model=name,
+                offered=round(wanted.offered, 1),
+                in_flight=round(wanted.in_flight, 1),
+                waiting=round(wanted.waiting, 1),
+                held_up=wanted.n_held_up,
+            )
+
     def _spread_adapters(
         self, records: list[EngineRecord], models: Sequence[ModelSpec], now_ms: float
     ) -> None:
--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -1,25 +1,27 @@
-"""Decides where a model or an adapter goes, and what makes way for it."""
+"""Decides where a model goes, and what makes way for it."""
 
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from types import MappingProxyType
 from typing import NamedTuple
 
 from ...routes import ModelSpec
-from ._record import EngineRecord
+from ._adapters import SPREAD_IDLE_MS
+from ._crowding import Crowding
+from ._record import UNLOAD_MS, EngineRecord
+from ._step import Step
 
 __all__ = [
     "BUSY_IN_FLIGHT",
     "NO_DEMAND",
     "ModelDemand",
-    "Step",
-    "adapter_step",
     "copies_of",
     "copy_step",
+    "copy_steps",
+    "crowding_of",
     "missing_step",
     "prior_demand",
-    "spread_step",
 ]
 
 # Requests at once from which a model counts as asked for by many: fewer wait for
@@ -35,26 +37,21 @@
 # lately that its load would have been in vain.
 FRESH_WORTH = 1.0
 FRESH_MS = 6_000.0
-# Longer than the entries' report interval: an adapter that was reported within it
-# may be in use, and its unload would wait for its runs and block the engine.
-ADAPTER_IDLE_MS = 700.0
-# A copy displaces only what has not been used for this long, or copies would
-# drive out adapters that are asked for now and then.
-SPREAD_IDLE_MS = 5_000.0
-# Requests that an engine must have fewer before an adapter is copied to it:
-# below this the reports' age hides which of the two is busier.
-SPREAD_GAP = 6
-# Requests at once below which an adapter's copy would take nearly no load away.
-MIN_SPREAD_IN_FLIGHT = 0.5
 # In waiting requests: what the last copy of a model without demand is worth,
 # so that spare copies go before it and it goes before what is asked for. Its
 # next request would wait for a load.
 LAST_COPY = 0.6
+# Of that worth, where callers can wait until the model has been loaded from disk: the
+# others' callers would be late or gone.
+PATIENT_SHARE = 0.3
 # Of a request that runs: an unload waits for its end.
 RUNNING_WORTH = 0.1
 # In waiting requests, for an unload that has to wait for a run: meanwhile the
 # engine takes no other order.
 BLOCKED_COST = 2.0
+# Times that, where all places are taken: runs that are less urgent than others wait
+# there for seconds, and the unload with them.
+FULL_BATCH_FACTOR = 4.0
 # In waiting requests, for each in flight at a model's only engine: when that engine
 # is lost, its callers wait for a load from the store.
 SOLE_COPY_RISK = 0.15
@@ -72,6 +69,9 @@
 # each other from engines that have no copy on disk; higher, and a busy model's
 # second copy comes when its callers have left.
 LOAD_COST_PER_S = 0.75
+# Times the weight of crowded engines when all streams are late: the prompts that a
+# batch reads between its tokens make streams pause long before its places are taken.
+LATE_WEIGHT = 12.0
 # Callers that wait for a missing model at once, for whom its time costs count once.
 HASTE_CALLERS = 2.0
 
@@ -89,17 +89,27 @@
         1 for a model asked for just now, falling to 0 with time.
     n_held_up : int
         Entries' questions for it that wait for an order to be possible.
+    offered : float
+        Requests at once that its engines would have to carry by the time that a load
+        ordered now is over, refused callers included.
+    target_ms : float
+        Least target of the routes that ask for it; 0 while none is known.
     """
 
     waiting: float = 0.0
     in_flight: float = 0.0
     recent: float = 0.0
     n_held_up: int = 0
+    offered: float = 0.0
+    target_ms: float = 0.0
 
     @property
     def n_callers(self) -> float:
-        """Requests and questions that would wait if no engine had the model."""
-        return self.in_flight + self.n_held_up
+        """Requests and questions that would wait if no engine had the model.
+
+        Callers who are told to come back for it are neither, but are offered.
+        """
+        return max(self.in_flight + self.n_held_up, self.offered)
 
 
 NO_DEMAND = ModelDemand()
@@ -114,133 +124,13 @@
     return {name: HOT_WAITING * n * n / 2 for name, n in copies.items() if n > 1}
 
 
-class Step(NamedTuple):
-    """The next order, or the one that makes room for it.
-
-    Parameters
-    ----------
-    record : EngineRecord
-    drop_model : str
-        Model to unload first; empty for none.
-    drop_adapter : tuple of str or None
-        Model and adapter to unload first.
-    cost : float
-        What a model's load costs here, in waiting requests.
-    n_callers : float
-        Callers that wait for the load, for each engine that is to serve them.
-    """
-
-    record: EngineRecord
-    drop_model: str = ""
-    drop_adapter: tuple[str, str] | None = None
-    cost: float = 0.0
-    n_callers: float = 0.0
-
-
-def adapter_step(
-    records: Sequence[EngineRecord],
-    model: ModelSpec,
-    used_ms: Mapping[tuple[str, str], float],
-    now_ms: float,
-    idle_ms: float = ADAPTER_IDLE_MS,
-) -> Step | None:
-    """Return where an adapter goes; None while no engine can take it.
-
-    Free places go first, where the load is least; then an adapter that other
-    engines hold too makes way, then the one not used for longest.
-
-    Parameters
-    ----------
-    records : sequence of EngineRecord
-        All engines; those that hold the model may take the adapter.
-    model : ModelSpec
-        The adapter's model.
-    used_ms : mapping of tuple of str to float
-        When each model's adapter was last asked for.
-    now_ms : float
-    idle_ms : float
-        Time since its last use after which an adapter may make way.
-    """
-    able = [each for each in records if each.is_usable and each.holds(model.name)]
-    free = [each for each in able if each.has_place(model.name)]
-    if free:
-        return Step(min(free, key=_adapter_load))
-    copies = Counter(key for each in records for key in each.adapter_keys())
-    oldest_ms = now_ms - idle_ms
-    idle = [
-        (copies[key] <= 1, used_ms.get(key, 0.0), each, key)
-        for each in able
-        for key in each.adapter_keys()
-        if used_ms.get(key, 0.0) < oldest_ms and key not in each.in_transit
-    ]
-    if not idle:
-        return None
-    _, _, record, key = min(idle, key=lambda option: option[:2])
-    return Step(record, "", key)
-
-
-def spread_step(
-    records: Sequence[EngineRecord],
-    models: Sequence[ModelSpec],
-    in_flight: Mapping[tuple[str, str], float],
-    used_ms: Mapping[tuple[str, str], float],
-    now_ms: float,
-) -> tuple[ModelSpec, str, Step] | None:
-    """Return a copy of an adapter for an engine with less to do; None for none.
-
-    Requests for an adapter go only where it is; a copy lets them go where its
-    model is and little runs. The adapter that is asked for most goes first.
-
-    Parameters
-    ----------
-    records : sequence of EngineRecord
-    models : sequence of ModelSpec
-    in_flight : mapping of tuple of str to float
-        Requests by model and adapter.
-    used_ms : mapping of tuple of str to float
-    now_ms : float
-    """
-    specs = {each.name: each for each in models}
-    held: dict[tuple[str, str], list[EngineRecord]] = {}
-    for each in records:
-        for key in each.adapter_keys():
-            held.setdefault(key, []).append(each)
-    for name, adapter in sorted(in_flight, key=in_flight.__getitem__, reverse=True):
-        spec = specs.get(name)
-        if spec is None or not adapter:
-            continue
-        if in_flight[name, adapter] < MIN_SPREAD_IN_FLIGHT:
-            return None
-        holders = held.get((name, adapter), ())
-        if not holders or any((name, adapter) in each.in_transit for each in holders):
-            continue
-        least = min(each.n_running + each.n_queued for each in holders)
-        others = [
-            each
-            for each in records
-            if least - each.n_running - each.n_queued >= SPREAD_GAP
-            and each.holds(name)
-            and each not in holders
-        ]
-        if not others:
-            continue
-        step = adapter_step(others, spec, used_ms, now_ms, SPREAD_IDLE_MS)
-        if step is not None:
-            return spec, adapter, step
-    return None
-
-
-def _adapter_load(record: EngineRecord) -> float:
-    """Return what runs on an engine, and what its adapters will bring there."""
-    return record.n_running + record.n_queued + record.n_adapters
-
-
 def missing_step(
     records: Sequence[EngineRecord],
     model: ModelSpec,
     demand: Mapping[str, ModelDemand],
     now_ms: float,
     only: EngineRecord | None = None,
+    crowding: Crowding | None = None,
 ) -> Step | None:
     """Return where a model that nobody holds goes; None while none can take it.
 
@@ -257,8 +147,10 @@
     now_ms : float
     only : EngineRecord, optional
         The engine on which room is being made for the model already.
+    crowding : Crowding, optional
+        Of these engines under this demand; worked out where it is not given.
     """
-    layout = _Layout.of(records)
+    layout = _Layout.of(records, crowding or crowding_of(records, demand))
     n_callers = demand.get(model.name, NO_DEMAND).n_callers
     # Time that passes until the load is done is lost by all who wait for it.
     haste = max(1.0, n_callers / HASTE_CALLERS)
@@ -282,6 +174,27 @@
     return step.cost
 
 
+def crowding_of(
+    records: Sequence[EngineRecord],
+    demand: Mapping[str, ModelDemand],
+    late_share: float = 0.0,
+) -> Crowding:
+    """Return how full the engines get by the demand that is expected.
+
+    Where streams are late, engines are fuller than their pace allows, whatever the
+    places of their batch: spreading them is worth more.
+
+    Parameters
+    ----------
+    records : sequence of EngineRecord
+    demand : mapping of str to ModelDemand
+    late_share : float
+        Of the streams answered lately, those that were late.
+    """
+    offered = {name: each.offered for name, each in demand.items()}
+    return Crowding(records, offered, 1.0 + LATE_WEIGHT * late_share)
+
+
 def copy_step(
     records: Sequence[EngineRecord],
     models: Sequence[ModelSpec],
@@ -289,9 +202,22 @@
     now_ms: float,
     used_ms: Mapping[tuple[str, str], float] = NO_USE,
 ) -> tuple[ModelSpec, Step] | None:
-    """Return the copy that gains most, if it gains enough; None otherwise.
+    """Return the copy that gains most, if it gains enough; None otherwise."""
+    return next(copy_steps(records, models, demand, now_ms, used_ms), None)
 
-    A copy also gives adapters places that engines with the model have not.
+
+def copy_steps(
+    records: Sequence[EngineRecord],
+    models: Sequence[ModelSpec],
+    demand: Mapping[str, ModelDemand],
+    now_ms: float,
+    used_ms: Mapping[tuple[str, str], float] = NO_USE,
+    crowding: Crowding | None = None,
+) -> Iterator[tuple[ModelSpec, Step]]:
+    """Yield the copies that gain enough, the best first, one for each engine.
+
+    Each counts those before it. A copy also gives adapters places that engines with
+    the model have not. Room that was made is used first.
 
     Parameters
     ----------
@@ -301,42 +227,108 @@
     now_ms : float
     used_ms : mapping of tuple of str to float
         When each model's adapter was last asked for.
+    crowding : Crowding, optional
+        Of these engines under this demand, worked out where it is not given; it counts
+        the copies that are yielded.
     """
-    layout = _Layout.of(records)
-    copies = layout.copies
-    unplaced = _unplaced(records, used_ms, now_ms)
-
-    def need(model: ModelSpec) -> float:
-        asked = _asked(demand.get(model.name, NO_DEMAND))
-        asked += UNPLACED_WORTH * unplaced[model.name]
-        return asked / (copies.get(model.name, 0) + 1)
-
-    def idle_places(record: EngineRecord) -> int:
-        n_used = sum(
-            used_ms.get(key, 0.0) >= now_ms - SPREAD_IDLE_MS
-            for key in record.adapter_keys()
-        )
-        return record.spec.max_adapters - n_used
-
-    ranked = sorted(models, key=need, reverse=True)
-    for model in ranked:
-        n_copies = copies.get(model.name, 0)
-        wanted = demand.get(model.name, NO_DEMAND)
-        # What nobody holds is loaded when it is asked for.
-        if not n_copies:
+    crowding = crowding or crowding_of(records, demand)
+    plan = _CopyPlan(records, demand, crowding, used_ms, now_ms)
+    by_name = {each.name: each for each in models}
+    taken = set()
+    for each in records:
+        spec = by_name.get(each.reserved_model(now_ms))
+        if spec is None or spec.name not in plan.layout.copies:
             continue
-        gain = _risk(wanted) if n_copies == 1 else 0.0
+        taken.add(each.server.server_id)
+        plan.add(spec.name, each)
+        if each.is_usable and each.free_mb >= spec.weights_mb:
+            yield spec, Step(each, n_callers=demand.get(spec.name, NO_DEMAND).n_callers)
+    while True:
+        free = [each for each in records if each.server.server_id not in taken]
+        best = plan.best(free, models)
+        if best is None:
+            return
+        spec, step = best
+        taken.add(step.record.server.server_id)
+        plan.add(spec.name, step.record)
+        yield best
+
+
+class _CopyPlan:
+    """The copies that have been decided on, and what one more would gain."""
+
+    def __init__(
+        self,
+        records: Sequence[EngineRecord],
+        demand: Mapping[str, ModelDemand],
+        crowding: Crowding,
+        used_ms: Mapping[tuple[str, str], float],
+        now_ms: float,
+    ):
+        self.layout = _Layout.of(records, crowding)
+        self._demand = demand
+        self._used_ms = used_ms
+        self._unplaced = _unplaced(records, used_ms, now_ms)
+        self._now_ms = now_ms
+
+    def add(self, model: str, record: EngineRecord) -> None:
+        """Count a copy that has been decided on."""
+        self.layout.copies[model] = self.layout.copies.get(model, 0) + 1
+        self.layout.crowding.add(model, record.server.server_id)
+
+    def n_copies(self, model: str) -> int:
+        """Return the engines that hold a model or are about to."""
+        is_planned = self.layout.crowding.is_held(model)
+        return max(self.layout.copies.get(model, 0), int(is_planned))
+
+    def best(
+        self, records: Sequence[EngineRecord], models: Sequence[ModelSpec]
+    ) -> tuple[ModelSpec, Step] | None:
+        """Return the copy that gains most above its cost; None for none."""
+        found: tuple[float, ModelSpec, Step] | None = None
+        for model in models:
+            # What nobody holds is loaded when it is asked for.
+            if not self.n_copies(model.name) or not self._may_gain(model):
+                continue
+            for each in records:
+                surplus, step = self._copy(model, each)
+                if step is not None and (found is None or surplus > found[0]):
+                    found = surplus, model, step
+        return found[1:] if found is not None else None
+
+    def _may_gain(self, model: ModelSpec) -> bool:
+        wanted = self._demand.get(model.name, NO_DEMAND)
+        is_asked = wanted.waiting or wanted.in_flight or wanted.offered
+        return bool(is_asked or self._unplaced[model.name])
+
+    def _copy(
+        self, model: ModelSpec, record: EngineRecord
+    ) -> tuple[float, Step | None]:
+        """Return what a copy on one engine gains above its cost, and its step."""
+        wanted = self._demand.get(model.name, NO_DEMAND)
+        n_copies = self.n_copies(model.name)
+        gain = self.layout.crowding.gain(model.name, record.server.server_id)
         if wanted.waiting / n_copies >= HOT_WAITING:
-            gain += wanted.waiting / (n_copies * (n_copies + 1))
-        n_unplaced = unplaced[model.name]
-        if not gain and not n_unplaced:
-            continue
-        step = _best_copy(
-            records, model, layout, demand, gain, n_unplaced, idle_places, now_ms
+            gain = max(gain, wanted.waiting / (n_copies * (n_copies + 1)))
+        gain += _risk(wanted) if n_copies == 1 else 0.0
+        gain += UNPLACED_WORTH * min(
+            self._unplaced[model.name], self._idle_places(record)
         )
-        if step is not None:
-            return model, step
-    return None
+        if not gain or not record.will_take(model.name, gain, self._now_ms):
+            return 0.0, None
+        step = _option(record, model, self.layout, self._demand, self._now_ms)
+        if step is None:
+            return 0.0, None
+        step = _after_order(step, 1.0, gain, self._now_ms)
+        is_enough = step.cost * GAIN_FACTOR <= gain
+        return gain - step.cost, step if is_enough else None
+
+    def _idle_places(self, record: EngineRecord) -> int:
+        oldest_ms = self._now_ms - SPREAD_IDLE_MS
+        n_used = sum(
+            self._used_ms.get(key, 0.0) >= oldest_ms for key in record.adapter_keys()
+        )
+        return record.spec.max_adapters - n_used
 
 
 def _unplaced(
@@ -362,46 +354,18 @@
         Engines that stay, by model.
     zones : set of tuple of str
         Each held model with the zones that it is held in.
+    crowding : Crowding
     """
 
     copies: dict[str, int]
     zones: set[tuple[str, str]]
+    crowding: Crowding
 
     @classmethod
-    def of(cls, records: Sequence[EngineRecord]) -> "_Layout":
+    def of(cls, records: Sequence[EngineRecord], crowding: Crowding) -> "_Layout":
         """Return the layout of these engines."""
         zones = {(name, each.server.zone) for each in records for name in each.held}
-        return cls(copies_of(records), zones)
-
-
-def _asked(demand: ModelDemand) -> float:
-    return demand.waiting + _risk(demand)
-
-
-def _best_copy(
-    records: Sequence[EngineRecord],
-    model: ModelSpec,
-    layout: "_Layout",
-    demand: Mapping[str, ModelDemand],
-    gain: float,
-    n_unplaced: int,
-    idle_places: Callable[[EngineRecord], int],
-    now_ms: float,
-) -> Step | None:
-    wanted = demand.get(model.name, NO_DEMAND)
-    n_callers = wanted.waiting / (layout.copies.get(model.name, 0) + 1)
-    options = []
-    for each in records:
-        if not each.will_take(model.name, n_callers, now_ms):
-            continue
-        option = _option(each, model, layout, demand, now_ms)
-        if option is None:
-            continue
-        option = _after_order(option, 1.0, n_callers, now_ms)
-        here = gain + UNPLACED_WORTH * min(n_unplaced, idle_places(each))
-        if option.cost * GAIN_FACTOR <= here:
-            options.append((here - option.cost, option))
-    return max(options, key=lambda each: each[0], default=(0.0, None))[1]
+        return cls(copies_of(records), zones, crowding)
 
 
 def _option(
@@ -424,7 +388,7 @@
         return Step(record, cost=cost)
     worth = {}
     for name in record.held:
-        worth[name] = _worth(name, layout.copies, demand, record.n_running, haste)
+        worth[name] = _worth(name, record, layout, demand, haste)
         if now_ms - record.since_ms.get(name, -math.inf) < FRESH_MS:
             worth[name] += FRESH_WORTH
     room = _cheapest_room(record, model.weights_mb - record.free_mb, worth)
@@ -458,26 +422,42 @@
 
 def _worth(
     name: str,
-    copies: Mapping[str, int],
+    record: EngineRecord,
+    layout: "_Layout",
     demand: Mapping[str, ModelDemand],
-    n_on_engine: int,
     haste: float,
 ) -> float:
-    """Return what one copy of a model is worth, in waiting requests.
+    """Return what an engine's copy of a model is worth, in waiting requests.
 
-    `n_on_engine` are the requests that run on the copy's engine, for any model;
-    `haste` is the factor on the wait for their end.
+    Its runs count, as an unload waits for them, and what its requests would add to
+    other engines; `haste` is the factor on the wait for the runs' end.
     """
-    n_copies = copies.get(name, 1)
+    n_copies = layout.copies.get(name, 1)
     wanted = demand.get(name, NO_DEMAND)
-    n_running = min(wanted.in_flight / n_copies, n_on_engine)
-    running = RUNNING_WORTH * n_running + haste * BLOCKED_COST * min(1.0, n_running)
+    # The engine tells its runs, but not of which models.
+    n_running = min(wanted.in_flight / n_copies, record.n_running)
+    blocked = BLOCKED_COST * (FULL_BATCH_FACTOR if record.is_full else 1.0)
+    running = RUNNING_WORTH * n_running + haste * blocked * min(1.0, n_running)
+    crowded = layout.crowding.loss(name, record.server.server_id)
     if n_copies <= 1:
-        return LAST_COPY * (1.0 + wanted.recent) + 2.0 * wanted.waiting + running
-    worth = wanted.waiting / (n_copies * (n_copies - 1)) + running
+        waits = max(2.0 * wanted.waiting, crowded)
+        last = LAST_COPY * (1.0 + wanted.recent)
+        if _can_wait(name, record, wanted):
+            last *= PATIENT_SHARE
+        return last + waits + running
+    worth = max(wanted.waiting / (n_copies * (n_copies - 1)), crowded) + running
     return worth + _risk(wanted) if n_copies == 2 else worth
 
 
+def _can_wait(name: str, record: EngineRecord, demand: ModelDemand) -> bool:
+    """Return whether callers are still in time when a dropped model is loaded again.
+
+    The host keeps a copy on its disk. Of a model that nobody has asked for, nothing
+    is known of its callers.
+    """
+    return demand.target_ms > record.reload_ms(name) + UNLOAD_MS
+
+
 def _risk(demand: ModelDemand) -> float:
     """Return what a second copy of a model is worth against the loss of the first."""
     return SOLE_COPY_RISK * demand.in_flight
--- a/src/cowslipwood/keeper/engines/_record.py
+++ b/src/cowslipwood/keeper/engines/_record.py
@@ -15,7 +15,7 @@
 # A load that takes longer than it should is over after an unknown time.
 OVERDUE_MS = 300.0
 # Longer than the pause between two looks of a question that waits for the engine.
-AWAIT_MS = 100.0
+AWAIT_MS = 150.0
 # How many times the callers of one model those of another must be to take an engine
 # that the first awaits: models of about as many would take it from each other.
 OVERRIDING = 2.0
@@ -122,6 +122,11 @@
         """Ask it nothing until then, as it has told this host or another."""
         self.held_off_until_ms = max(self.held_off_until_ms, until_ms)
 
+    def reload_ms(self, name: str) -> float:
+        """Return how long a held model's load takes here once it has been dropped."""
+        spec = self._specs.get(name)
+        return 1000 * spec.disk_load_s if spec is not None else 0.0
+
     def await_for(self, model: str, n_callers: float, now_ms: float) -> None:
         """Keep the engine for a model that waits for the end of its order.
 
@@ -138,6 +143,10 @@
         """Return whether room is being made here for a model."""
         return self._reserved.model == model and now_ms < self._reserved.until_ms
 
+    def reserved_model(self, now_ms: float) -> str:
+        """Return the model that room is being made for here; empty for none."""
+        return self._reserved.model if now_ms < self._reserved.until_ms else ""
+
     def takes(self, model: str, n_callers: float, now_ms: float) -> bool:
         """Return whether the engine may be ordered to load a model now."""
         return self.is_usable and self.will_take(model, n_callers, now_ms)
@@ -164,6 +173,11 @@
             for kept in (self._awaited, self._reserved)
         )
 
+    @property
+    def is_full(self) -> bool:
+        """Whether all places of its batch were taken at the last report."""
+        return self.n_queued > 0 or self.n_running >= self.spec.n_slots
+
     @property
     def n_adapters(self) -> int:
         """Adapters held or on their way."""
--- /dev/null
+++ b/src/cowslipwood/keeper/engines/_step.py
@@ -0,0 +1,30 @@
+"""The next step towards a model or an adapter on an engine."""
+
+from typing import NamedTuple
+
+from ._record import EngineRecord
+
+__all__ = ["Step"]
+
+
+class Step(NamedTuple):
+    """The next order, or the one that makes room for it.
+
+    Parameters
+    ----------
+    record : EngineRecord
+    drop_model : str
+        Model to unload first; empty for none.
+    drop_adapter : tuple of str or None
+        Model and adapter to unload first.
+    cost : float
+        What a model's load costs here, in waiting requests.
+    n_callers : float
+        Callers that wait for the load, for each engine that is to serve them.
+    """
+
+    record: EngineRecord
+    drop_model: str = ""
+    drop_adapter: tuple[str, str] | None = None
+    cost: float = 0.0
+    n_callers: float = 0.0
--- a/src/cowslipwood/keeper/engines/_store.py
+++ b/src/cowslipwood/keeper/engines/_store.py
@@ -8,6 +8,10 @@
 
 __all__ = ["LoadNeed", "StoreBudget"]
 
+# Of the engines: an engine carries out one order at a time, and a load from the store
+# takes seconds for which a model that many ask for would wait.
+RARE_ENGINE_SHARE = 0.3
+
 
 class LoadNeed(enum.Enum):
     """What a load from the store is for; each leaves room for those before it."""
@@ -41,7 +45,13 @@
         self._taken_ms.append(now_ms)
         self._until_ms.append(now_ms + load_ms)
 
-    def allows(self, spec: EngineSpec, need: LoadNeed, now_ms: float) -> bool:
+    def allows(
+        self,
+        spec: EngineSpec,
+        need: LoadNeed,
+        now_ms: float,
+        n_engines: int | None = None,
+    ) -> bool:
         """Return whether one more load may begin now.
 
         A load is over for the store when its time is; that the engine has the model
@@ -52,6 +62,8 @@
         spec : EngineSpec
         need : LoadNeed
         now_ms : float
+        n_engines : int, optional
+            Engines that could load; no bound by them where it is not given.
         """
         while self._taken_ms and self._taken_ms[0] < now_ms - self._window_ms:
             self._taken_ms.popleft()
@@ -64,6 +76,8 @@
                 at_once -= 1
             case LoadNeed.RARE:
                 at_once = math.ceil(at_once / 2)
+                if n_engines is not None:
+                    at_once = min(at_once, math.ceil(RARE_ENGINE_SHARE * n_engines))
         self._until_ms = [each for each in self._until_ms if each > now_ms]
         n_under_way = len(self._until_ms)
         return len(self._taken_ms) < allowed and n_under_way < max(1, at_once)
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -223,7 +223,10 @@
 class DemandSample(NamedTuple):
     """Demand for one model since the entry's last report.
 
-    `waiting` counts the requests in flight at a server before their first event.
+    `waiting` counts the requests in flight at a server before their first event,
+    `target_ms` is the least of their routes' targets, 0 where none has one, and
+    `late_share` the share of the answered ones whose first event or longest pause came
+    later than the route's targets.
     """
 
     model: str
@@ -231,6 +234,8 @@
     in_flight: float
     missed_share: float
     waiting: float = 0.0
+    target_ms: float = 0.0
+    late_share: float = 0.0
 
 
 @message("control")
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -129,6 +129,8 @@
   inFlight @2 :Float64;
   missedShare @3 :Float64;   # share of requests outside their limits, 0 to 1
   waiting @4 :Float64;     # at a server, before the first event
+  targetMs @5 :Float64;    # least of the requests' routes; 0 where none has one
+  lateShare @6 :Float64;   # of the answered ones, those outside their targets
 }
 
 struct HeldOff {
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -8,11 +8,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cowslipwood.keeper.engines import _controller
+from cowslipwood.keeper.engines import _controller, _plan
+from cowslipwood.keeper.engines._adapters import adapter_step
 from cowslipwood.keeper.engines._controller import LOOK_MS
 from cowslipwood.keeper.engines._decide import (
     ModelDemand,
-    adapter_step,
     copies_of,
     copy_step,
     missing_step,
@@ -239,7 +239,7 @@
                 await anyio.sleep(0.3)
                 tasks.cancel_scope.cancel()
 
-        with mock.patch.object(_controller, "missing_step", look):
+        with mock.patch.object(_plan, "missing_step", look):
             run(fleet, act)
         self.assertLessEqual(len(looks), 0.3 / (LOOK_MS / 1000) + 1)
 
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -16,13 +16,12 @@
 from cowslipwood.entry.routing import RoutingContext
 from cowslipwood.entry.routing.least_cost import LeastCost
 from cowslipwood.entry.routing.sampled_cost import SampledCost
+from cowslipwood.keeper.engines._adapters import adapter_step, spread_step
 from cowslipwood.keeper.engines._decide import (
     NO_DEMAND,
     ModelDemand,
-    adapter_step,
     copy_step,
     missing_step,
-    spread_step,
 )
 from cowslipwood.keeper.engines._demand import DemandView
 from cowslipwood.keeper.engines._store import LoadNeed, StoreBudget
