--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -2,16 +2,14 @@
 
 import math
 from collections.abc import Callable, Sequence
-from typing import Any, NamedTuple
+from typing import Any
 
 import anyio
 import anyio.abc
-from returns.result import Failure as Err
 
 from ...kernel.channel import as_refused
 from ...kernel.clock import monotonic_ms
 from ...kernel.codes import Code, failure
-from ...kernel.logs import get_logger
 from ...kernel.messages import (
     EntryReport,
     FleetLoad,
@@ -25,30 +23,24 @@
 from ._adapters import adapter_step, spread_step
 from ._crowding import Crowding
 from ._decide import (
-    BUSY_IN_FLIGHT,
     copies_of,
     crowding_of,
     prior_demand,
 )
 from ._demand import DemandView
 from ._fleet import Fleet
-from ._orders import EngineClient, EngineOrder, OrderOp, OrderOutcome
+from ._giving import EngineTerms, OrderGiver
+from ._layout_log import log_layout
+from ._orders import EngineClient
 from ._plan import missing_model_step, plan_round
 from ._record import UNLOAD_MS, EngineRecord
-from ._step import Step
-from ._store import LoadNeed, StoreBudget
 
 __all__ = ["EngineController", "EngineTerms"]
 
-# Often enough that a step waits little for the one before it.
-STEP_MS = 50.0
 # Often enough to follow a load, which takes seconds, and few lines for each engine.
 LAYOUT_LOG_MS = 2_000.0
-N_MODELS_LOGGED = 5
-# An adapter is on the engine this long after the order was accepted.
-ADAPTER_LOAD_MS = 9.0
-# Adapters on their way from the store at once; with more, each takes longer.
-MAX_FAST_ADAPTERS = 16
+# Often enough that a step waits little for the one before it.
+STEP_MS = 50.0
 # A question looks again after this pause when no step could be taken.
 RETRY_MS = 20.0
 # Between two rounds of loads: each weighs all models on all engines, and what is
@@ -64,8 +56,6 @@
 MAX_LOOKS_KEPT = 10_000
 # Callers that come back sooner find the same.
 LEAST_RETRY_MS = 500
-# An unload waits for its runs; after this long another engine is looked for.
-MAKE_ROOM_MS = 3_000.0
 # Until the entries' reports have shown the demand, to a new leader or after the
 # first requests: till then the layout is all that is known of it.
 PRIOR_MS = 4_000.0
@@ -74,25 +64,6 @@
 UNKNOWN_MS = 1_100.0
 
 
-class EngineTerms(NamedTuple):
-    """What orders have to keep to.
-
-    Parameters
-    ----------
-    holder : str
-        Name under which this keeper gives orders.
-    store_window_ms : float
-        Window in which loads from the weight store are counted.
-    quiet_ms : float
-        How long a new leader gives no order, where engines do not check fencing
-        tokens: an order of the leader before may still be on its way.
-    """
-
-    holder: str
-    store_window_ms: float = 5_000.0
-    quiet_ms: float = 0.0
-
-
 class EngineController:
     """Gives orders while its keeper leads.
 
@@ -120,12 +91,9 @@
         document: Callable[[], RouteDocument | None],
         metrics: Metrics,
     ):
-        self._terms = terms
-        self._client = client
         self._leads = leads
         self._term = term
         self._document = document
-        self._metrics = metrics
         self._fleet = Fleet(source, client)
         self._demand = DemandView()
         self._looked_ms: dict[tuple[str, str], float] = {}  # by model and adapter
@@ -137,7 +105,9 @@
         self._led_term = 0
         self._led_since_ms = 0.0
         self._unasked_ms = 0.0  # until when no entry has asked for anything
-        self._store = StoreBudget(terms.store_window_ms)
+        self._giver = OrderGiver(
+            terms, client, leads, term, self._fleet, self._demand, metrics
+        )
         self._tasks: anyio.abc.TaskGroup | None = None
 
     async def run(self) -> None:
@@ -259,7 +229,7 @@
         step = adapter_step(staying, spec, self._demand.adapter_used_ms, now_ms)
         if step is None:
             return None
-        return await self._take_adapter_step(request.model, request.adapter, step)
+        return await self._giver.take_adapter_step(request.model, request.adapter, step)
 
     def _is_look_due(self, key: tuple[str, str], now_ms: float) -> bool:
         """Return whether a step for an adapter is to be looked for again.
@@ -279,145 +249,6 @@
             }
         return True
 
-    async def _take_adapter_step(
-        self, model: str, adapter: str, step: Step
-    ) -> EngineRecord | None:
-        """Order an adapter and wait until it is there; None when it is not."""
-        record = step.record
-        key = (model, adapter)
-        async with record.lock:
-            if not record.is_usable or record.has(*key):
-                return None
-            if step.drop_adapter is not None and not await self._drop_adapter(
-                record, *step.drop_adapter
-            ):
-                return None
-            if not record.has_place(model):
-                return None
-            record.in_transit.add(key)
-            if not await self._order(record, OrderOp.LOAD, *key):
-                record.in_transit.discard(key)
-                return None
-        try:
-            n_in_transit = sum(len(e.in_transit) for e in self._fleet.records.values())
-            slowed = max(1.0, n_in_transit / MAX_FAST_ADAPTERS)
-            await anyio.sleep(ADAPTER_LOAD_MS * slowed / 1000)
-        finally:
-            record.in_transit.discard(key)
-        return record
-
-    async def _drop_adapter(
-        self, record: EngineRecord, model: str, adapter: str
-    ) -> bool:
-        """Order an adapter away; return whether its place is free."""
-        if not record.has(model, adapter):
-            return False
-        await self._order(record, OrderOp.UNLOAD, model, adapter)
-        return not record.has(model, adapter)
-
-    async def _take_model_step(self, spec: ModelSpec, step: Step) -> None:
-        record = step.record
-        async with record.lock:
-            now_ms = monotonic_ms()
-            if not record.takes(spec.name, step.n_callers, now_ms):
-                return
-            if step.drop_model:
-                until_ms = now_ms + MAKE_ROOM_MS
-                record.reserve_for(spec.name, step.n_callers, until_ms)
-                self._log_placement(spec, step, now_ms)
-                await self._order(record, OrderOp.UNLOAD, step.drop_model, "")
-                return
-            if record.free_mb < spec.weights_mb:
-                return
-            from_store = spec.name not in record.cached
-            if from_store and not self._store_allows(record, spec):
-                return
-            load_ms = record.load_ms(spec)
-            if from_store:
-                # Counted before the order: one without an answer may load too.
-                self._store.take(load_ms, now_ms)
-            self._log_placement(spec, step, now_ms)
-            await self._order(record, OrderOp.LOAD, spec.name, "", load_ms)
-
-    def _log_placement(self, spec: ModelSpec, step: Step, now_ms: float) -> None:
-        wanted = self._demand.of(spec.name)
-        get_logger().info(
-            "placement_decided",
-            model=spec.name,
-            server=step.record.server.server_id,
-            drops=step.drop_model,
-            cost=round(step.cost, 2),
-            waiting=round(wanted.waiting, 2),
-            in_flight=round(wanted.in_flight, 1),
-            held_up=wanted.n_held_up,
-            report_age_ms=round(now_ms - step.record.read_at_ms),
-        )
-
-    def _may_order(self, now_ms: float) -> bool:
-        """Return whether this keeper leads and the leader before has gone quiet."""
-        is_quiet_over = now_ms - self._led_since_ms >= self._terms.quiet_ms
-        return self._leads(now_ms) and self._led_term == self._term() and is_quiet_over
-
-    def _store_allows(self, record: EngineRecord, model: ModelSpec) -> bool:
-        """Return whether the weight store may be asked for one more load now."""
-        is_held = any(
-            each.stays and model.name in each.held
-            for each in self._fleet.of(record.server.service)
-        )
-        if is_held:
-            need = LoadNeed.COPY
-        elif self._demand.of(model.name).n_callers >= BUSY_IN_FLIGHT:
-            need = LoadNeed.MISSING
-        else:
-            need = LoadNeed.RARE
-        staying = [e for e in self._fleet.of(record.server.service) if e.stays]
-        return self._store.allows(record.spec, need, monotonic_ms(), len(staying))
-
-    async def _order(
-        self,
-        record: EngineRecord,
-        op: OrderOp,
-        model: str,
-        adapter: str,
-        takes_ms: float = 0.0,
-    ) -> bool:
-        """Give one order under the record's lock; return whether it was accepted."""
-        now_ms = monotonic_ms()
-        if not self._may_order(now_ms) or record.sequence is None:
-            return False
-        if now_ms < record.held_off_until_ms:
-            return False
-        order = EngineOrder(
-            op, model, adapter, record.sequence, self._terms.holder, self._term()
-        )
-        ended = await self._client.order(record.server, order)
-        log = get_logger()
-        outcome = "no-answer" if isinstance(ended, Err) else ended.unwrap().value
-        self._metrics.count("orders_total", op=op.value, outcome=outcome)
-        log.info(
-            "order_given",
-            server=record.server.server_id,
-            op=op.value,
-            model=model,
-            adapter=adapter,
-            sequence=order.expected_sequence,
-            term=order.fencing_token,
-            outcome=outcome,
-            cached=not adapter and model in record.cached,
-            reason=ended.failure().message if isinstance(ended, Err) else "",
-        )
-        if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.DONE):
-            is_over = outcome == OrderOutcome.DONE
-            record.accepted(op, model, adapter, takes_ms, monotonic_ms(), is_over)
-            if is_over and not adapter:
-                record.sequence = None  # whether it counted is for the report to say
-            return True
-        if isinstance(ended, Err) and ended.failure().retry_after_ms:
-            record.hold_off(monotonic_ms() + ended.failure().retry_after_ms)
-        # What the engine holds now is unknown until its next report.
-        record.sequence = None
-        return False
-
     async def _round(self, now_ms: float) -> None:
         if self._term() != self._led_term:
             self._led_term = self._term()
@@ -425,7 +256,7 @@
             self._fleet.clear()
             self._crowding.clear()
             self._demand.begin()
-            self._store.clear()
+            self._giver.begin(self._led_term, now_ms)
         await self._fleet.read_list(self._document(), now_ms)
         expected = {}
         if not self._demand.has_requests:
@@ -459,7 +290,7 @@
             self._crowding[service.name] = crowding
             if now_ms >= self._logged_ms + LAYOUT_LOG_MS:
                 self._logged_ms = now_ms
-                self._log_layout(records, crowding, now_ms)
+                log_layout(records, crowding, self._demand, now_ms)
             steps = plan_round(
                 records,
                 service.engine.models,
@@ -472,7 +303,7 @@
             )
             for spec, step in steps:
                 if step.record.is_usable:
-                    self._tasks.start_soon(self._take_model_step, spec, step)
+                    self._tasks.start_soon(self._giver.take_model_step, spec, step)
             self._spread_adapters(records, service.engine.models, now_ms)
 
     def _knows_demand(self, now_ms: float) -> bool:
@@ -480,39 +311,6 @@
         since_ms = max(self._led_since_ms, self._demand.first_asked_ms)
         return now_ms - since_ms >= UNKNOWN_MS
 
-    def _log_layout(
-        self, records: list[EngineRecord], crowding: Crowding, now_ms: float
-    ) -> None:
-        """Log what each engine holds and carries, and what most is asked for."""
-        for each in records:
-            get_logger().info(
-                "engine_seen",
-                server=each.server.server_id,
-                models=",".join(sorted(each.held)),
-                loading=each.loading,
-                dropping=each.dropping,
-                busy_ms=round(each.busy_ms(now_ms)),
-                running=each.n_running,
-                queued=each.n_queued,
-                expected=round(crowding.level(each.server.server_id), 1),
-                stays=each.stays,
-                report_age_ms=round(now_ms - each.read_at_ms),
-            )
-        late_share = round(self._demand.late_share, 3)
-        get_logger().info("lateness_seen", late_share=late_share)
-        by_model = self._demand.by_model
-        ranked = sorted(by_model, key=lambda name: by_model[name].offered)
-        for name in ranked[-N_MODELS_LOGGED:]:
-            wanted = by_model[name]
-            get_logger().info(
-                "demand_seen",
-                model=name,
-                offered=round(wanted.offered, 1),
-                in_flight=round(wanted.in_flight, 1),
-                waiting=round(wanted.waiting, 1),
-                held_up=wanted.n_held_up,
-            )
-
     def _spread_adapters(
         self, records: list[EngineRecord], models: Sequence[ModelSpec], now_ms: float
     ) -> None:
@@ -526,7 +324,9 @@
         )
         if spread is not None:
             spec, adapter, step = spread
-            self._tasks.start_soon(self._take_adapter_step, spec.name, adapter, step)
+            self._tasks.start_soon(
+                self._giver.take_adapter_step, spec.name, adapter, step
+            )
 
     def _service(self, name: str) -> ServiceSpec | None:
         document = self._document()
--- /dev/null
+++ b/src/cowslipwood/keeper/engines/_layout_log.py
@@ -0,0 +1,50 @@
+"""Logs what the leader believes of the engines and of what is asked for."""
+
+from collections.abc import Sequence
+
+from ...kernel.logs import get_logger
+from ._crowding import Crowding
+from ._demand import DemandView
+from ._record import EngineRecord
+
+__all__ = ["log_layout"]
+
+# Of the models, which may be hundreds: the ones that decisions hang on.
+N_MODELS_LOGGED = 5
+
+
+def log_layout(
+    records: Sequence[EngineRecord],
+    crowding: Crowding,
+    demand: DemandView,
+    now_ms: float,
+) -> None:
+    """Log what each engine holds and carries, and what most is asked for."""
+    for each in records:
+        get_logger().info(
+            "engine_seen",
+            server=each.server.server_id,
+            models=",".join(sorted(each.held)),
+            loading=each.loading,
+            dropping=each.dropping,
+            busy_ms=round(each.busy_ms(now_ms)),
+            running=each.n_running,
+            queued=each.n_queued,
+            expected=round(crowding.level(each.server.server_id), 1),
+            stays=each.stays,
+            report_age_ms=round(now_ms - each.read_at_ms),
+        )
+    late_share = round(demand.late_share, 3)
+    get_logger().info("lateness_seen", late_share=late_share)
+    by_model = demand.by_model
+    ranked = sorted(by_model, key=lambda name: by_model[name].offered)
+    for name in ranked[-N_MODELS_LOGGED:]:
+        wanted = by_model[name]
+        get_logger().info(
+            "demand_seen",
+            model=name,
+            offered=round(wanted.offered, 1),
+            in_flight=round(wanted.in_flight, 1),
+            waiting=round(wanted.waiting, 1),
+            held_up=wanted.n_held_up,
+        )
