Count places and lateness of each engine when one is chosen

Change: Backend.answer_ms holds the time for which a stream takes a place, so wait_ms() counts requests beyond the places; admission uses it; a server's share of late streams, fading with age, costs up to 250 ms of wait.

--- a/src/cowslipwood/entry/choosing/_backend.py
+++ b/src/cowslipwood/entry/choosing/_backend.py
@@ -20,6 +20,8 @@
 LEAVING_MS = 2_000.0
 NOT_READY_MS = 250.0
 FIRST_WEIGHT = 0.2
+# Streams that share a pause end at about the same time; some tens tell a slow server.
+LATE_WEIGHT = 0.1
 
 
 def model_key(name: str, version: str) -> str:
@@ -51,7 +53,8 @@
 class Backend:
     """One backend server as this entry sees it.
 
-    `knee` is the number of requests that it serves at full speed at once,
+    `knee` is the number of requests that it serves at full speed at once, `answer_ms`
+    the time for which an answer takes one of these places,
     `n_pending_tokens` are prompt tokens that this entry sent and that have not
     led to a first event yet.
 
@@ -73,6 +76,8 @@
         "held_off_until_ms",
         "knee",
         "kv_share",
+        "_late",
+        "_late_at_ms",
         "_pending",
         "n_pending_tokens",
         "n_in_flight",
@@ -92,6 +97,8 @@
         self.first_ms = Ewma(FIRST_WEIGHT)
         self.answer_ms = Ewma(FIRST_WEIGHT)
         self.answered_at_ms = 0.0
+        self._late = Ewma(LATE_WEIGHT, from_zero=True)
+        self._late_at_ms = 0.0
         self.kv_share = 0.0
         self.unlisted_at_ms = 0.0
         self.held_off_until_ms = 0.0
@@ -157,6 +164,19 @@
         age_ms = now_ms - self.answered_at_ms
         return self.first_ms.value * 0.5 ** (age_ms / FIRST_HALF_LIFE_MS)
 
+    def streamed(self, was_late: bool, now_ms: float) -> None:
+        """Take in whether a stream's first event or longest pause missed its target."""
+        self._late.add(float(was_late))
+        self._late_at_ms = now_ms
+
+    def late_share(self, now_ms: float) -> float:
+        """Return the share of late streams lately.
+
+        It fades with age, so that a server once slow is tried again.
+        """
+        age_ms = now_ms - self._late_at_ms
+        return self._late.value * 0.5 ** (age_ms / FIRST_HALF_LIFE_MS)
+
     @contextmanager
     def in_flight(self) -> Iterator[None]:
         """Count one request of this entry for the length of the block."""
--- a/src/cowslipwood/entry/direct/_admission.py
+++ b/src/cowslipwood/entry/direct/_admission.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from ..choosing._backend import Backend
-from ..routing import queued_ms
+from ..routing import RoutingContext, queued_ms
 from ._request import RoutedRequest
 
 __all__ = ["Admission", "admission", "wait_limit_ms"]
@@ -52,7 +52,7 @@
     chosen: Backend,
     others: Iterable[Backend],
     rank: int,
-    typical_tokens: float,
+    context: RoutingContext,
     now_ms: float,
 ) -> Admission:
     """Return whether the chosen server, or another, can begin in time.
@@ -66,15 +66,14 @@
         All that could take the request.
     rank : int
         How urgent the request is, 0 first.
-    typical_tokens : float
-        That servers read for one request of this service.
+    context : RoutingContext
     now_ms : float
     """
     limit_ms = wait_limit_ms(request, now_ms)
-    wait_ms = queued_ms(chosen, rank, typical_tokens, now_ms)
+    wait_ms = queued_ms(chosen, rank, context, now_ms)
     if wait_ms <= limit_ms:
         return Admission(chosen, wait_ms)
-    waits = [(queued_ms(each, rank, typical_tokens, now_ms), each) for each in others]
+    waits = [(queued_ms(each, rank, context, now_ms), each) for each in others]
     wait_ms, least = min(waits, key=lambda pair: pair[0], default=(wait_ms, chosen))
     if wait_ms <= limit_ms:
         return Admission(least, wait_ms)
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -232,7 +232,7 @@
             chosen,
             usable_candidates(state.view.candidates(request.key), context, now_ms),
             self._rank(now_ms),
-            context.typical_tokens,
+            context,
             now_ms,
         )
         if found.backend is None:
@@ -432,9 +432,14 @@
         if rest:
             await self._sink.write(rest)
         await self._sink.end()
-        self._succeeded(backend, sent_ms, first_ms or self._state.now_ms())
+        now_ms = self._state.now_ms()
+        self._succeeded(backend, sent_ms, first_ms or now_ms)
+        if first_ms:
+            backend.answer_ms.add(now_ms - first_ms)
         first_after_ms = first_ms - self._request.arrived_ms
-        if is_late(self._request.route, first_after_ms, longest_pause_ms):
+        was_late = is_late(self._request.route, first_after_ms, longest_pause_ms)
+        backend.streamed(was_late, now_ms)
+        if was_late:
             self._state.demand.late(self._request.key)
         self._log.info(
             "request_answered",
--- a/src/cowslipwood/entry/routing/_cost.py
+++ b/src/cowslipwood/entry/routing/_cost.py
@@ -25,6 +25,9 @@
 # In milliseconds, for a server whose memory for tokens is full: a request that is put
 # back waits for others to end.
 MEMORY_MS = 1_500.0
+# In milliseconds, for a server all of whose streams are late: engines differ in speed,
+# and the slower ones pause at loads that the others carry.
+LATE_MS = 250.0
 ERROR_FACTOR = 6.0
 # In milliseconds of wait, so that errors weigh on an idle server too.
 ERROR_BASE_MS = 40.0
@@ -40,6 +43,7 @@
             PREFILL_TOKENS_PER_MS
         )
     wait_ms += memory_ms(backend)
+    wait_ms += LATE_MS * backend.late_share(now_ms)
     zone_ms = ZONE_MS + ZONE_MS_PER_KB * context.n_bytes / 1000
     wait_ms += zone_ms * zone_distance(context.zone, backend.view.zone)
     error_share = backend.health.error_share(now_ms)
@@ -64,23 +68,25 @@
 
 
 def queued_ms(
-    backend: Backend, rank: int, typical_tokens: float, now_ms: float
+    backend: Backend, rank: int, context: RoutingContext, now_ms: float
 ) -> float:
     """Return the time that a request is likely to queue at a server.
 
-    Requests of this entry that are as urgent and still wait there show the least
-    that one more will; the queue that was reported shows the rest.
+    It waits for prompts to be read before its own, and for a place where all are
+    taken. Requests of this entry that are as urgent and still wait there show the
+    least that one more will; the queue that was reported shows the rest.
 
     Parameters
     ----------
     backend : Backend
     rank : int
         How urgent the request is, 0 first.
-    typical_tokens : float
-        That servers read for one request.
+    context : RoutingContext
     now_ms : float
     """
-    ahead_ms = tokens_ahead(backend, typical_tokens, now_ms) / PREFILL_TOKENS_PER_MS
+    n_tokens = tokens_ahead(backend, context.typical_tokens, now_ms)
+    load = backend.load(context.typical_load, now_ms)
+    ahead_ms = max(n_tokens / PREFILL_TOKENS_PER_MS, backend.wait_ms(load, now_ms))
     if backend.report.n_queued >= LOST_QUEUE:
         ahead_ms = 0.0  # it may be down; sending to it shows whether it is
     return max(ahead_ms + memory_ms(backend), backend.oldest_pending_ms(rank, now_ms))
--- a/src/cowslipwood/keeper/engines/_crowding.py
+++ b/src/cowslipwood/keeper/engines/_crowding.py
@@ -8,7 +8,7 @@
 __all__ = ["Crowding"]
 
 # Of a model's requests at once, below which its spread over engines changes nothing.
-LEAST_OFFERED = 2.0
+LEAST_OFFERED = 4.0
 # Times that each model's requests are spread anew around those of the others; the
 # levels of engines that share several models settle within them.
 N_ROUNDS = 3
--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -48,10 +48,10 @@
 RUNNING_WORTH = 0.1
 # In waiting requests, for an unload that has to wait for a run: meanwhile the
 # engine takes no other order.
-BLOCKED_COST = 2.0
+BLOCKED_COST = 4.0
 # Times that, where all places are taken: runs that are less urgent than others wait
 # there for seconds, and the unload with them.
-FULL_BATCH_FACTOR = 4.0
+FULL_BATCH_FACTOR = 2.0
 # In waiting requests, for each in flight at a model's only engine: when that engine
 # is lost, its callers wait for a load from the store.
 SOLE_COPY_RISK = 0.15
--- a/src/cowslipwood/keeper/engines/_demand.py
+++ b/src/cowslipwood/keeper/engines/_demand.py
@@ -19,6 +19,9 @@
 # once when its load ends. Counted whole, a rare model would be loaded twice for a
 # few callers.
 BACKLOG_SHARE = 0.3
+# Engines that a model leaves are room for the one that demand moves to, whose load
+# takes as long as the move.
+OFFERED_FALL_MS = 1_500.0
 # Several of an entry's reports; an older one is of an entry that has stopped.
 SAMPLE_VALID_MS = 2_500.0
 
@@ -150,7 +153,13 @@
                 n_in_flight,
                 max(0.0, 1.0 - (now_ms - asked_ms) / RECENT_MS),
                 self._held_up[model],
-                smoothed(held.offered, self._offered.ahead(model), step_ms, step_ms),
+                smoothed(
+                    held.offered,
+                    self._offered.ahead(model),
+                    step_ms,
+                    step_ms,
+                    OFFERED_FALL_MS,
+                ),
                 self._target_ms.get(model, 0.0),
             )
 
--- a/src/cowslipwood/keeper/engines/_offered.py
+++ b/src/cowslipwood/keeper/engines/_offered.py
@@ -23,9 +23,10 @@
 LEAST_RISING = 2.0
 # Fewer requests do not show how long they take.
 LEAST_SERVED_PER_S = 2.0
-# A queue, which lasts seconds, must not count as the time that requests take.
-HOLD_RISE_MS = 60_000.0
-HOLD_FALL_MS = 1_500.0
+# A queue, which lasts seconds, must not count as the time that requests take; a fall as
+# quick as the noise of the reports would take the least that was seen for it.
+HOLD_RISE_MS = 30_000.0
+HOLD_FALL_MS = 6_000.0
 # Of the two averages whose distance tells how demand moves: the first covers one of
 # each entry's reports, the second tells a trend from their noise.
 QUICK_MS = 500.0
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -295,6 +295,35 @@
         self.assertIsNot(other, home)
 
 
+class SlowEngineTest(unittest.TestCase):
+    """One engine pauses its streams at a load that the others carry."""
+
+    CONTEXT = RoutingContext("k", zone="zone-1")
+
+    def test_gets_less(self):
+        """With as many requests as the others, it is passed over."""
+        slow, *others = engines = backends(n_slots=48)
+        for engine in engines:
+            engine.answered(LoadReport(12, 0, 0.0, 48), NOW_MS)
+            for _ in range(20):
+                engine.streamed(engine is slow, NOW_MS)
+        rng = seeded()
+        for _ in range(50):
+            chosen = SampledCost().choose(engines, self.CONTEXT, rng, NOW_MS)
+            self.assertIn(chosen, others)
+
+    def test_not_starved(self):
+        """It still gets requests where it has far fewer, and once that was long ago."""
+        slow, *others = engines = backends(n_slots=48, n_servers=2)
+        for _ in range(20):
+            slow.streamed(True, NOW_MS)
+        for engine in others:
+            engine.answered(LoadReport(30, 0, 0.0, 48), NOW_MS)
+        chosen = SampledCost().choose(engines, self.CONTEXT, seeded(), NOW_MS)
+        self.assertIs(chosen, slow)
+        self.assertLess(slow.late_share(NOW_MS + 10_000.0), 0.05)
+
+
 class RepeatingCallersTest(unittest.TestCase):
     """Callers repeat at once and often while servers fail."""
 
@@ -692,7 +721,7 @@
             self.engines[0],
             self.engines,
             self.RANK,
-            self.TOKENS,
+            RoutingContext("k", typical_tokens=self.TOKENS),
             now_ms,
         )
 
@@ -732,6 +761,17 @@
         with first.pending(0, self.RANK + 1, NOW_MS - 2_000.0):
             self.assertIs(self._admit().backend, first)
 
+    def test_no_place_in_time(self):
+        """Short prompts queue for places, which come free as streams end."""
+        self._queue(8, 8, 8, 8)
+        self.TOKENS = 100.0
+        self.assertIs(self._admit().backend, self.engines[0])
+        for engine in self.engines:
+            engine.answer_ms.add(16_000.0)
+        refused = self._admit()
+        self.assertIsNone(refused.backend)
+        self.assertGreater(refused.wait_ms, 2_500.0)
+
     def test_silent_engine(self):
         """An engine that seems to be down is asked, which shows whether it is."""
         self._queue(LOST_QUEUE, LOST_QUEUE, LOST_QUEUE, LOST_QUEUE)
