--- a/src/cowslipwood/keeper/engines/_decide.py
+++ b/src/cowslipwood/keeper/engines/_decide.py
@@ -1,27 +1,29 @@
 """Decides where a model goes, and what makes way for it."""
 
 import math
-from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from types import MappingProxyType
 from typing import NamedTuple
 
 from ...routes import ModelSpec
-from ._adapters import SPREAD_IDLE_MS
 from ._crowding import Crowding
 from ._record import UNLOAD_MS, EngineRecord
 from ._step import Step
 
 __all__ = [
     "BUSY_IN_FLIGHT",
+    "HOT_WAITING",
     "NO_DEMAND",
+    "NO_USE",
+    "Layout",
     "ModelDemand",
+    "after_order",
     "copies_of",
-    "copy_step",
-    "copy_steps",
     "crowding_of",
     "missing_step",
+    "option_on",
     "prior_demand",
+    "sole_copy_risk",
 ]
 
 # Requests at once from which a model counts as asked for by many: fewer wait for
@@ -30,9 +32,6 @@
 # Requests that wait for their first event, for each copy, below which another
 # copy gains little: an engine that reads prompts for half of the time.
 HOT_WAITING = 0.8
-# A copy is added only where it gains this many times what it displaces, since
-# a load costs the store's time and the displaced prompts.
-GAIN_FACTOR = 1.5
 # In waiting requests: what a model is worth beyond its demand that was loaded so
 # lately that its load would have been in vain.
 FRESH_WORTH = 1.0
@@ -60,11 +59,6 @@
 # In waiting requests, for a second copy in one availability zone: callers of the
 # others would go on sending their prompts across.
 SAME_ZONE_COST = 0.05
-# In waiting requests, for an adapter that is asked for and has no place: its callers
-# wait for one, and are told to come back.
-UNPLACED_WORTH = 0.5
-# Callers that were told to come back for an adapter have done so by then.
-ASKED_LATELY_MS = 2_000.0
 # In waiting requests, for each second of loading. Lower, and rare models displace
 # each other from engines that have no copy on disk; higher, and a busy model's
 # second copy comes when its callers have left.
@@ -150,7 +144,7 @@
     crowding : Crowding, optional
         Of these engines under this demand; worked out where it is not given.
     """
-    layout = _Layout.of(records, crowding or crowding_of(records, demand))
+    layout = Layout.of(records, crowding or crowding_of(records, demand))
     n_callers = demand.get(model.name, NO_DEMAND).n_callers
     # Time that passes until the load is done is lost by all who wait for it.
     haste = max(1.0, n_callers / HASTE_CALLERS)
@@ -158,13 +152,13 @@
     for each in [only] if only else records:
         if not each.will_take(model.name, n_callers, now_ms):
             continue
-        option = _option(each, model, layout, demand, now_ms, haste)
+        option = option_on(each, model, layout, demand, now_ms, haste)
         if option is not None:
-            options.append(_after_order(option, haste, n_callers, now_ms))
+            options.append(after_order(option, haste, n_callers, now_ms))
     return min(options, key=_cost, default=None)
 
 
-def _after_order(step: Step, haste: float, n_callers: float, now_ms: float) -> Step:
+def after_order(step: Step, haste: float, n_callers: float, now_ms: float) -> Step:
     """Add the cost of waiting for the end of the engine's present order."""
     wait_cost = haste * LOAD_COST_PER_S * step.record.busy_ms(now_ms) / 1000
     return step._replace(cost=step.cost + wait_cost, n_callers=n_callers)
@@ -195,157 +189,7 @@
     return Crowding(records, offered, 1.0 + LATE_WEIGHT * late_share)
 
 
-def copy_step(
-    records: Sequence[EngineRecord],
-    models: Sequence[ModelSpec],
-    demand: Mapping[str, ModelDemand],
-    now_ms: float,
-    used_ms: Mapping[tuple[str, str], float] = NO_USE,
-) -> tuple[ModelSpec, Step] | None:
-    """Return the copy that gains most, if it gains enough; None otherwise."""
-    return next(copy_steps(records, models, demand, now_ms, used_ms), None)
-
-
-def copy_steps(
-    records: Sequence[EngineRecord],
-    models: Sequence[ModelSpec],
-    demand: Mapping[str, ModelDemand],
-    now_ms: float,
-    used_ms: Mapping[tuple[str, str], float] = NO_USE,
-    crowding: Crowding | None = None,
-) -> Iterator[tuple[ModelSpec, Step]]:
-    """Yield the copies that gain enough, the best first, one for each engine.
-
-    Each counts those before it. A copy also gives adapters places that engines with
-    the model have not. Room that was made is used first.
-
-    Parameters
-    ----------
-    records : sequence of EngineRecord
-    models : sequence of ModelSpec
-    demand : mapping of str to ModelDemand
-    now_ms : float
-    used_ms : mapping of tuple of str to float
-        When each model's adapter was last asked for.
-    crowding : Crowding, optional
-        Of these engines under this demand, worked out where it is not given; it counts
-        the copies that are yielded.
-    """
-    crowding = crowding or crowding_of(records, demand)
-    plan = _CopyPlan(records, demand, crowding, used_ms, now_ms)
-    by_name = {each.name: each for each in models}
-    taken = set()
-    for each in records:
-        spec = by_name.get(each.reserved_model(now_ms))
-        if spec is None or spec.name not in plan.layout.copies:
-            continue
-        taken.add(each.server.server_id)
-        plan.add(spec.name, each)
-        if each.is_usable and each.free_mb >= spec.weights_mb:
-            yield spec, Step(each, n_callers=demand.get(spec.name, NO_DEMAND).n_callers)
-    while True:
-        free = [each for each in records if each.server.server_id not in taken]
-        best = plan.best(free, models)
-        if best is None:
-            return
-        spec, step = best
-        taken.add(step.record.server.server_id)
-        plan.add(spec.name, step.record)
-        yield best
-
-
-class _CopyPlan:
-    """The copies that have been decided on, and what one more would gain."""
-
-    def __init__(
-        self,
-        records: Sequence[EngineRecord],
-        demand: Mapping[str, ModelDemand],
-        crowding: Crowding,
-        used_ms: Mapping[tuple[str, str], float],
-        now_ms: float,
-    ):
-        self.layout = _Layout.of(records, crowding)
-        self._demand = demand
-        self._used_ms = used_ms
-        self._unplaced = _unplaced(records, used_ms, now_ms)
-        self._now_ms = now_ms
-
-    def add(self, model: str, record: EngineRecord) -> None:
-        """Count a copy that has been decided on."""
-        self.layout.copies[model] = self.layout.copies.get(model, 0) + 1
-        self.layout.crowding.add(model, record.server.server_id)
-
-    def n_copies(self, model: str) -> int:
-        """Return the engines that hold a model or are about to."""
-        is_planned = self.layout.crowding.is_held(model)
-        return max(self.layout.copies.get(model, 0), int(is_planned))
-
-    def best(
-        self, records: Sequence[EngineRecord], models: Sequence[ModelSpec]
-    ) -> tuple[ModelSpec, Step] | None:
-        """Return the copy that gains most above its cost; None for none."""
-        found: tuple[float, ModelSpec, Step] | None = None
-        for model in models:
-            # What nobody holds is loaded when it is asked for.
-            if not self.n_copies(model.name) or not self._may_gain(model):
-                continue
-            for each in records:
-                surplus, step = self._copy(model, each)
-                if step is not None and (found is None or surplus > found[0]):
-                    found = surplus, model, step
-        return found[1:] if found is not None else None
-
-    def _may_gain(self, model: ModelSpec) -> bool:
-        wanted = self._demand.get(model.name, NO_DEMAND)
-        is_asked = wanted.waiting or wanted.in_flight or wanted.offered
-        return bool(is_asked or self._unplaced[model.name])
-
-    def _copy(
-        self, model: ModelSpec, record: EngineRecord
-    ) -> tuple[float, Step | None]:
-        """Return what a copy on one engine gains above its cost, and its step."""
-        wanted = self._demand.get(model.name, NO_DEMAND)
-        n_copies = self.n_copies(model.name)
-        gain = self.layout.crowding.gain(model.name, record.server.server_id)
-        if wanted.waiting / n_copies >= HOT_WAITING:
-            gain = max(gain, wanted.waiting / (n_copies * (n_copies + 1)))
-        gain += _risk(wanted) if n_copies == 1 else 0.0
-        gain += UNPLACED_WORTH * min(
-            self._unplaced[model.name], self._idle_places(record)
-        )
-        if not gain or not record.will_take(model.name, gain, self._now_ms):
-            return 0.0, None
-        step = _option(record, model, self.layout, self._demand, self._now_ms)
-        if step is None:
-            return 0.0, None
-        step = _after_order(step, 1.0, gain, self._now_ms)
-        is_enough = step.cost * GAIN_FACTOR <= gain
-        return gain - step.cost, step if is_enough else None
-
-    def _idle_places(self, record: EngineRecord) -> int:
-        oldest_ms = self._now_ms - SPREAD_IDLE_MS
-        n_used = sum(
-            self._used_ms.get(key, 0.0) >= oldest_ms for key in record.adapter_keys()
-        )
-        return record.spec.max_adapters - n_used
-
-
-def _unplaced(
-    records: Sequence[EngineRecord],
-    used_ms: Mapping[tuple[str, str], float],
-    now_ms: float,
-) -> Counter[str]:
-    """Return the adapters asked for lately that no engine has, by model."""
-    placed = {key for each in records if each.stays for key in each.adapter_keys()}
-    return Counter(
-        name
-        for (name, adapter), at_ms in used_ms.items()
-        if at_ms >= now_ms - ASKED_LATELY_MS and (name, adapter) not in placed
-    )
-
-
-class _Layout(NamedTuple):
+class Layout(NamedTuple):
     """Who holds what.
 
     Parameters
@@ -362,16 +206,16 @@
     crowding: Crowding
 
     @classmethod
-    def of(cls, records: Sequence[EngineRecord], crowding: Crowding) -> "_Layout":
+    def of(cls, records: Sequence[EngineRecord], crowding: Crowding) -> "Layout":
         """Return the layout of these engines."""
         zones = {(name, each.server.zone) for each in records for name in each.held}
         return cls(copies_of(records), zones, crowding)
 
 
-def _option(
+def option_on(
     record: EngineRecord,
     model: ModelSpec,
-    layout: "_Layout",
+    layout: "Layout",
     demand: Mapping[str, ModelDemand],
     now_ms: float,
     haste: float = 1.0,
@@ -423,7 +267,7 @@
 def _worth(
     name: str,
     record: EngineRecord,
-    layout: "_Layout",
+    layout: "Layout",
     demand: Mapping[str, ModelDemand],
     haste: float,
 ) -> float:
@@ -446,7 +290,7 @@
             last *= PATIENT_SHARE
         return last + waits + running
     worth = max(wanted.waiting / (n_copies * (n_copies - 1)), crowded) + running
-    return worth + _risk(wanted) if n_copies == 2 else worth
+    return worth + sole_copy_risk(wanted) if n_copies == 2 else worth
 
 
 def _can_wait(name: str, record: EngineRecord, demand: ModelDemand) -> bool:
@@ -458,7 +302,7 @@
     return demand.target_ms > record.reload_ms(name) + UNLOAD_MS
 
 
-def _risk(demand: ModelDemand) -> float:
+def sole_copy_risk(demand: ModelDemand) -> float:
     """Return what a second copy of a model is worth against the loss of the first."""
     return SOLE_COPY_RISK * demand.in_flight
 
--- a/src/cowslipwood/keeper/engines/_plan.py
+++ b/src/cowslipwood/keeper/engines/_plan.py
@@ -3,8 +3,9 @@
 from collections.abc import Collection, Mapping, Sequence
 
 from ...routes import ModelSpec
+from ._copies import copy_steps
 from ._crowding import Crowding
-from ._decide import BUSY_IN_FLIGHT, NO_DEMAND, ModelDemand, copy_steps, missing_step
+from ._decide import BUSY_IN_FLIGHT, NO_DEMAND, ModelDemand, missing_step
 from ._record import EngineRecord
 from ._step import Step
 
--- a/tests/test_crowded_engines.py
+++ b/tests/test_crowded_engines.py
@@ -8,11 +8,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cowslipwood.keeper.engines._copies import copy_step, copy_steps
 from cowslipwood.keeper.engines._crowding import LEAST_OFFERED, Crowding
 from cowslipwood.keeper.engines._decide import (
     ModelDemand,
-    copy_step,
-    copy_steps,
     crowding_of,
     missing_step,
 )
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -11,10 +11,10 @@
 from cowslipwood.keeper.engines import _controller, _plan
 from cowslipwood.keeper.engines._adapters import adapter_step
 from cowslipwood.keeper.engines._controller import LOOK_MS
+from cowslipwood.keeper.engines._copies import copy_step
 from cowslipwood.keeper.engines._decide import (
     ModelDemand,
     copies_of,
-    copy_step,
     missing_step,
     prior_demand,
 )
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -17,10 +17,10 @@
 from cowslipwood.entry.routing.least_cost import LeastCost
 from cowslipwood.entry.routing.sampled_cost import SampledCost
 from cowslipwood.keeper.engines._adapters import adapter_step, spread_step
+from cowslipwood.keeper.engines._copies import copy_step
 from cowslipwood.keeper.engines._decide import (
     NO_DEMAND,
     ModelDemand,
-    copy_step,
     missing_step,
 )
 from cowslipwood.keeper.engines._demand import DemandView
