Report as often as before; forget models that nobody asks for

Entries reported each 600 ms since the pause of servers is told at once, 100 more than adapters in use allow for; what is offered to invented models was kept for good.

--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -311,7 +311,8 @@
             )
             await channel.send(report)
             await anyio.sleep(LEAST_REPORT_MS / 1000)
-            with anyio.move_on_after(self._settings.report_ms / 1000):
+            rest_ms = max(0.0, self._settings.report_ms - LEAST_REPORT_MS)
+            with anyio.move_on_after(rest_ms / 1000):
                 # A keeper on this host must not ask such a server either.
                 await state.has_held_off.wait()
 
--- a/src/cowslipwood/entry/metering/_demand.py
+++ b/src/cowslipwood/entry/metering/_demand.py
@@ -35,6 +35,11 @@
         self.held_ms = 0.0
         self.at_ms = now_ms
 
+    @property
+    def late_share(self) -> float:
+        """Late ones among those that ended; one may be told just before its end."""
+        return min(1.0, self.n_late / self.n_met) if self.n_met else 0.0
+
     def change(self, n_more: int, now_ms: float) -> None:
         self.held_ms += self.n_in_flight * (now_ms - self.at_ms)
         self.at_ms = now_ms
@@ -108,7 +113,7 @@
                     demand.held_ms / span_ms,
                     demand.n_missed / n_ended if n_ended else 0.0,
                     target_ms=demand.target_ms,
-                    late_share=demand.n_late / demand.n_met if demand.n_met else 0.0,
+                    late_share=demand.late_share,
                 )
             )
             demand.clear(now_ms)
--- a/tests/test_crowded_engines.py
+++ b/tests/test_crowded_engines.py
@@ -16,6 +16,7 @@
     missing_step,
 )
 from cowslipwood.keeper.engines._demand import DemandView
+from cowslipwood.keeper.engines._offered import OfferedView
 from cowslipwood.keeper.engines._plan import plan_round
 from cowslipwood.keeper.engines._record import EngineRecord
 from cowslipwood.keeper.engines._store import LoadNeed, StoreBudget
@@ -152,6 +153,20 @@
         self.assertGreater(view.late_share, 0.25)
 
 
+class InventedModelsTest(unittest.TestCase):
+    """Callers name models that there are none of."""
+
+    def test_forgotten(self):
+        """What is no longer asked for takes no room."""
+        view = OfferedView()
+        samples = [DemandSample(f"llm|x{i}", 2.0, 0.0, 1.0) for i in range(50)]
+        view.update(samples, 50.0, False)
+        self.assertGreater(view.ahead("x7"), 0.0)
+        for _ in range(1_000):
+            view.update((), 50.0, False)
+        self.assertEqual(len(view._trends), 0)
+
+
 class QueuedRequestsTest(unittest.TestCase):
     """Requests queue at full engines, so that each takes longer than it needs."""
 
