--- a/src/cowslipwood/keeper/engines/_demand.py
+++ b/src/cowslipwood/keeper/engines/_demand.py
@@ -15,6 +15,8 @@
 RECENT_MS = 20_000.0
 # Many times the adapters of the largest document.
 MAX_ADAPTERS_KEPT = 10_000
+# Many times the models of the largest document; callers name models as they like.
+MAX_MODELS_KEPT = 10_000
 # Of the requests in flight at a model that no engine can serve yet: they queue at
 # once when its load ends. Counted whole, a rare model would be loaded twice for a
 # few callers.
@@ -99,8 +101,8 @@
             if sample.in_flight or sample.arrivals_per_s:
                 self.has_requests = True
                 self.asked(*model_of(sample), now_ms)
-            if sample.target_ms:
-                model, _ = model_of(sample)
+            model, _ = model_of(sample)
+            if sample.target_ms and len(self._target_ms) < MAX_MODELS_KEPT:
                 least_ms = self._target_ms.get(model, sample.target_ms)
                 self._target_ms[model] = min(least_ms, sample.target_ms)
 
--- a/src/cowslipwood/keeper/engines/_offered.py
+++ b/src/cowslipwood/keeper/engines/_offered.py
@@ -27,6 +27,8 @@
 # quick as the noise of the reports would take the least that was seen for it.
 HOLD_RISE_MS = 30_000.0
 HOLD_FALL_MS = 6_000.0
+# Requests at once that are none.
+NEGLIGIBLE = 1e-3
 # Of the two averages whose distance tells how demand moves: the first covers one of
 # each entry's reports, the second tells a trend from their noise.
 QUICK_MS = 500.0
@@ -167,7 +169,12 @@
         for model in self._trends.keys() | arrivals.keys():
             trend = self._trends.get(model, _NO_TREND)
             seen = arrivals.get(model, _NO_ARRIVALS)
-            self._trends[model] = trend.moved(seen, step_ms, is_new, self._total.hold_s)
+            moved = trend.moved(seen, step_ms, is_new, self._total.hold_s)
+            if moved.slow >= NEGLIGIBLE or seen.per_s:
+                self._trends[model] = moved
+            else:
+                # Callers name models as they like.
+                self._trends.pop(model, None)
 
 
 def _by_model(samples: Iterable[DemandSample]) -> dict[str, _Arrivals]:
