--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -29,7 +29,6 @@
     seeded,
 )
 from .engine_builders import FakeEngine, FakeFleet, record
-from .test_engine_orders import ask
 from .test_engine_orders import run as run_controller
 from .test_platform_adapter import adapter_module
 
@@ -162,6 +161,11 @@
                 fault, _ = await send(state)
                 self.assertIsNone(fault)
             self.assertEqual(n_sent(logs), [1, 20])
+            left = next(i for i, seen in enumerate(logs) if len(seen) == 1)
+            state.view.backends[f"s{1 - left}"].hold_off(monotonic_ms() + 1_000.0)
+            fault, _ = await send(state)
+            self.assertIsNotNone(fault)
+            self.assertEqual(n_sent(logs), [1, 20])
 
         with_servers(first_only(refused, reply()), act)
 
@@ -224,8 +228,11 @@
                 self.assertIsNone(fault)
             self.assertEqual(n_sent(logs), [1, 11])
             paused = next(i for i, seen in enumerate(logs) if len(seen) == 1)
+            state.view.backends[f"s{1 - paused}"].hold_off(monotonic_ms() + 60_000.0)
+            fault, _ = await send(state)
+            self.assertEqual(fault.code, Code.OVERLOADED)
+            self.assertEqual(n_sent(logs), [1, 11])
             await anyio.sleep(0.35)
-            state.view.backends[f"s{1 - paused}"].hold_off(monotonic_ms() + 1_000.0)
             fault, _ = await send(state)
             self.assertIsNone(fault)
             self.assertEqual(n_sent(logs), [2, 11])
@@ -293,13 +300,12 @@
 
         async def act(controller):
             told = EntryReport(
-                "e1", "i", "z", "", False, 1, (), (HeldOff("s1", 1_000.0),)
+                "e1", "i", "z", "", False, 1, (), (HeldOff("s1", 60_000.0),)
             )
             controller.take_demand(told, monotonic_ms())
             await anyio.sleep(0.02)
             reads.clear()
-            with anyio.move_on_after(0.7):
-                await ask(controller, "m5")
+            await anyio.sleep(0.8)
             self.assertNotIn("s1", reads)
             self.assertIn("s0", reads)
 
@@ -313,12 +319,12 @@
         async def refused(server):
             nonlocal n_reads
             n_reads += 1
-            return Err(failure(Code.OVERLOADED, "busy", 600))
+            return Err(failure(Code.OVERLOADED, "busy", 60_000))
 
         async def act(controller):
             fleet.report = refused
             await anyio.sleep(1.0)
-            self.assertIn(n_reads, (1, 2))
+            self.assertEqual(n_reads, 1)
             self.assertTrue(all(e.stays for e in controller._fleet.records.values()))
 
         run_controller(fleet, act)
