Log and measure rounds of planning and the delay of the keeper's event loop

What the logs lacked: whether a leader that falls silent was planning, suspended or starved of its processor, and whether a lookup failed for want of an adapter's slot.

A refused lookup says 'no slot for the adapter' where the model itself is ready. No decision changes.

--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -14,6 +14,7 @@
 from ..kernel.keeper_link import KeeperLink
 from ..kernel.lifecycle import require_tokens
 from ..kernel.logs import get_logger
+from ..kernel.loop_delay import watch_loop_delay
 from ..kernel.messages import (
     Ack,
     AgentLoad,
@@ -217,6 +218,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(http_server.run)
             tasks.start_soon(self._replica.run)
+            tasks.start_soon(watch_loop_delay, self._metrics)
             tasks.start_soon(
                 serve_channels,
                 listener,
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -10,6 +10,7 @@
 from ...kernel.channel import to_refused
 from ...kernel.clock import monotonic_ms
 from ...kernel.codes import Code, failure
+from ...kernel.logs import get_logger
 from ...kernel.messages import (
     EntryReport,
     FleetLoad,
@@ -40,6 +41,8 @@
 # Interval between two logs of the layout: short enough to follow a load, which takes
 # seconds, and long enough to write few lines per engine.
 LAYOUT_LOG_MS = 2_000.0
+# Duration from which every round of planning is logged: a part of a leader's lease.
+MIN_LOGGED_PLANNING_MS = 50.0
 # Pause between two rounds of control: short, so that an order follows soon after the
 # order before it has ended.
 CONTROL_INTERVAL_MS = 50.0
@@ -99,6 +102,7 @@
         document: Callable[[], RouteDocument | None],
         metrics: Metrics,
     ):
+        self._metrics = metrics
         self._can_act_as_leader = can_act_as_leader
         self._term = term
         self._document = document
@@ -114,6 +118,7 @@
         self._missing_lookup_ms: dict[tuple[str, str], float] = {}
         self._plan_due_ms = -math.inf
         self._logged_ms = -math.inf
+        self._planning_logged_ms = -math.inf
         self._known_term = 0
         self._term_start_ms = 0.0
         # Time up to which no entry had reported a request.
@@ -179,10 +184,19 @@
             return to_refused(failure(Code.NOT_LEADER))
         self._start_background_load(request.service, spec)
         ready_ms = self._estimate_ready_ms(request.service, spec, now_ms)
-        message = f"{request.model}/{request.adapter}: ready in {ready_ms:.0f} ms"
+        reason = self._describe_wait(request, ready_ms)
+        message = f"{request.model}/{request.adapter}: {reason}"
         retry_after_ms = max(MIN_RETRY_AFTER_MS, round(ready_ms))
         return to_refused(failure(Code.NO_REPLICA, message, retry_after_ms))
 
+    def _describe_wait(self, request: HolderRequest, ready_ms: float) -> str:
+        """Return why a lookup ended without a holder."""
+        if not self._fleet.is_known:
+            return "the engines are not known yet"
+        if request.adapter and not ready_ms:
+            return "no slot for the adapter"
+        return f"ready in {ready_ms:.0f} ms"
+
     def _estimate_ready_ms(self, service: str, spec: ModelSpec, now_ms: float) -> float:
         """Return the estimated time until an engine holds a model.
 
@@ -323,10 +337,28 @@
         if now_ms >= self._plan_due_ms:
             self._plan(now_ms)
             took_ms = monotonic_ms() - now_ms
+            self._record_planning(took_ms, now_ms)
             self._plan_due_ms = now_ms + max(
                 MIN_PLAN_INTERVAL_MS, PLAN_PAUSE_FACTOR * took_ms
             )
 
+    def _record_planning(self, took_ms: float, now_ms: float) -> None:
+        """Measure a round of planning, and log it if it was long or at intervals."""
+        self._metrics.observe("planning_ms", took_ms)
+        is_log_due = now_ms >= self._planning_logged_ms + LAYOUT_LOG_MS
+        if not is_log_due and took_ms < MIN_LOGGED_PLANNING_MS:
+            return
+        self._planning_logged_ms = now_ms
+        get_logger().info(
+            "planning_ended",
+            took_ms=round(took_ms, 1),
+            engines=len(self._fleet.records),
+            missing=len(self._missing_lookup_ms),
+            lookups=self._demand.n_pending_lookups,
+            term=self._known_term,
+            term_age_ms=round(now_ms - self._term_start_ms),
+        )
+
     def _plan(self, now_ms: float) -> None:
         """Plan loads and copies of adapters, and start the orders possible now."""
         oldest_ms = now_ms - MISSING_VALID_MS
--- a/src/cowslipwood/keeper/engines/_demand.py
+++ b/src/cowslipwood/keeper/engines/_demand.py
@@ -63,6 +63,11 @@
         """Share of the recently answered streams that missed their targets."""
         return self._offered_load.late_share
 
+    @property
+    def n_pending_lookups(self) -> int:
+        """Lookups that wait until an engine can serve them."""
+        return self._n_pending_lookups.total()
+
     def get(self, model: str) -> ModelDemand:
         """Return the demand for one model."""
         return self.by_model.get(model, NO_DEMAND)
