--- a/tests/engine_builders.py
+++ b/tests/engine_builders.py
@@ -15,6 +15,7 @@
     OrderParameters,
 )
 from cowslipwood.keeper.engines._engine_record import EngineRecord
+from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.codes import Code, Failure, failure
 from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.listing import ListedModel, ListedServer
@@ -162,9 +163,11 @@
     def __init__(self, engines: list[FakeEngine]):
         self.engines = {engine.server_id: engine for engine in engines}
         self.can_act_as_leader = True
+        self.leader_id = "k1"
         self.term = 1
         self.spec = SPEC
         self.orders: list[EngineOrder] = []
+        self.ordered_at_ms: list[float] = []
 
     async def read(self) -> Result[list[ListedServer], Failure]:
         """Return the list."""
@@ -182,6 +185,7 @@
         """Send an order, whose answer may be lost or which may arrive late."""
         await anyio.sleep(0)
         self.orders.append(order)
+        self.ordered_at_ms.append(monotonic_ms())
         engine = self.engines[listed.server_id]
         if engine.defers_orders:
             engine.deferred_orders.append(order)
@@ -191,14 +195,21 @@
             return Err(failure(Code.BACKEND_TIMEOUT))
         return Success(outcome)
 
-    def make_controller(self, order_quiet_ms: float = 0.0) -> EngineController:
-        """Return a controller that gives orders to these engines."""
+    def start_term(self, leader_id: str) -> None:
+        """Let a keeper lead the next term."""
+        self.leader_id = leader_id
+        self.term += 1
+
+    def make_controller(
+        self, keeper_id: str = "k1", order_quiet_ms: float = 0.0
+    ) -> EngineController:
+        """Return a keeper's controller, which gives orders to these engines."""
         document = RouteDocument(1, (), (ServiceSpec("llm", engine=self.spec),))
         return EngineController(
-            OrderParameters("k1", order_quiet_ms=order_quiet_ms),
+            OrderParameters(keeper_id, order_quiet_ms=order_quiet_ms),
             self,
             self,
-            lambda now_ms: self.can_act_as_leader,
+            lambda now_ms: self.can_act_as_leader and self.leader_id == keeper_id,
             lambda: self.term,
             lambda: document,
             Metrics("keeper"),
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -41,7 +41,7 @@
     """Run a controller while a scenario runs."""
 
     async def main():
-        controller = fleet.make_controller(order_quiet_ms)
+        controller = fleet.make_controller(order_quiet_ms=order_quiet_ms)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(controller.run)
             await anyio.sleep(0.05)
--- /dev/null
+++ b/tests/test_order_turns.py
@@ -0,0 +1,90 @@
+"""Keepers that lead in turn do not take turns in giving orders to one engine.
+
+No network: two controllers give orders to engines in memory.
+"""
+
+import unittest
+
+import anyio
+
+from cowslipwood.kernel.clock import monotonic_ms
+from cowslipwood.kernel.messages import HolderRequest
+
+from .engine_builders import FakeEngine, FakeFleet
+
+# Time in which two keepers may not take turns, as platforms set it.
+LEASE_MS = 3_000.0
+
+
+class _Keepers:
+    """Two keepers, one of which leads."""
+
+    def __init__(self, fleet: FakeFleet):
+        self.fleet = fleet
+        self.controllers = {name: fleet.make_controller(name) for name in ("k1", "k2")}
+
+    async def lead(self, keeper_id: str, adapter: str, patience_ms: float) -> object:
+        """Let a keeper lead the next term, and ask it for an adapter."""
+        self.fleet.start_term(keeper_id)
+        request = HolderRequest("llm", "m0", adapter, "", patience_ms)
+        return await self.controllers[keeper_id].find_holder(request)
+
+
+def _run_keepers(fleet: FakeFleet, scenario) -> None:
+    async def main() -> None:
+        keepers = _Keepers(fleet)
+        async with anyio.create_task_group() as tasks:
+            for controller in keepers.controllers.values():
+                tasks.start_soon(controller.run)
+            await scenario(keepers)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+class LeadershipThatReturnsTest(unittest.TestCase):
+    """A keeper leads, another one does, and the first one leads again."""
+
+    def test_no_turns_within_the_lease(self):
+        """The first keeper's next order to an engine comes a lease after its last."""
+        # Three leaders ordered one server in 2.1 s: the first, another, the first.
+        fleet = FakeFleet([FakeEngine("s0", {"m0": set()})])
+
+        async def scenario(keepers):
+            await keepers.lead("k1", "a1", 1_000.0)
+            await keepers.lead("k2", "a2", 1_000.0)
+            await keepers.lead("k1", "a3", LEASE_MS + 1_000.0)
+
+        _run_keepers(fleet, scenario)
+        self.assertEqual(
+            [order.keeper_id for order in fleet.orders], ["k1", "k2", "k1"]
+        )
+        self.assertGreaterEqual(
+            fleet.ordered_at_ms[2] - fleet.ordered_at_ms[0], LEASE_MS
+        )
+
+    def test_other_engines_are_ordered_at_once(self):
+        """Engines that the keeper has not ordered before take its orders at once."""
+        fleet = FakeFleet([FakeEngine("s0", {"m0": set()}), FakeEngine("s1", {})])
+
+        async def scenario(keepers):
+            await keepers.lead("k1", "a1", 1_000.0)
+            await keepers.lead("k2", "a2", 1_000.0)
+            fleet.engines["s1"].held["m0"] = set()
+            began_ms = monotonic_ms()
+            await keepers.lead("k1", "a3", LEASE_MS + 1_000.0)
+            self.assertLess(monotonic_ms() - began_ms, LEASE_MS / 2)
+
+        _run_keepers(fleet, scenario)
+        self.assertIn("a3", fleet.engines["s1"].held["m0"])
+
+    def test_same_keeper_goes_on(self):
+        """A keeper that is elected twice in a row orders at once."""
+        fleet = FakeFleet([FakeEngine("s0", {"m0": set()})])
+
+        async def scenario(keepers):
+            await keepers.lead("k1", "a1", 1_000.0)
+            await keepers.lead("k1", "a2", 1_000.0)
+
+        _run_keepers(fleet, scenario)
+        self.assertEqual(len(fleet.orders), 2)
