Compute a copy's gain and loss from sums over the model's engines

Callers saw lookups without an answer while the leader planned, and then an election. Cause: each round evaluates every requested model on every engine again for each copy that it decides on, and each evaluation distributed the model's requests over all its engines anew, several times.

Now a model's engines are ranked once until the next copy is decided on, and the cost of one engine more or less follows from sums; the values of what an engine holds are kept as long; a copy that cannot beat the best one found is not evaluated further.

--- a/src/cowslipwood/keeper/engines/_copies.py
+++ b/src/cowslipwood/keeper/engines/_copies.py
@@ -1,7 +1,8 @@
 """Chooses the models that get further copies, and the engines for these copies."""
 
 from collections import Counter
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Generator, Iterator, Mapping, Sequence
+from typing import NamedTuple
 
 from ...routes import ModelSpec
 from ._adapters import COPY_MIN_ADAPTER_IDLE_MS
@@ -15,12 +16,13 @@
     ModelDemand,
     add_wait_cost,
     compute_expected_load,
+    compute_held_values,
     compute_second_copy_value,
     evaluate_load,
 )
-from ._step import Step
+from ._step import PlannedLoad, Step
 
-__all__ = ["choose_copy", "plan_copies"]
+__all__ = ["choose_copy", "iterate_copies", "plan_copies"]
 
 # Ratio of a copy's gain to its cost from which the copy is loaded. Below this ratio the
 # load's use of the store, and reading the displaced model's prompts again elsewhere,
@@ -40,7 +42,7 @@
     demand: Mapping[str, ModelDemand],
     now_ms: float,
     adapter_last_used_ms: Mapping[tuple[str, str], float] = NEVER_USED,
-) -> tuple[ModelSpec, Step] | None:
+) -> PlannedLoad | None:
     """Return the copy that gains most above its cost; None if none gains enough."""
     return next(
         plan_copies(records, models, demand, now_ms, adapter_last_used_ms), None
@@ -54,7 +56,7 @@
     now_ms: float,
     adapter_last_used_ms: Mapping[tuple[str, str], float] = NEVER_USED,
     expected_load: ExpectedLoad | None = None,
-) -> Iterator[tuple[ModelSpec, Step]]:
+) -> Iterator[PlannedLoad]:
     """Yield the copies that gain enough, the best first, one per engine.
 
     Each copy takes the earlier copies into account. A copy also offers slots for
@@ -73,6 +75,24 @@
         Expected load of these engines under this demand, computed if not given; the
         copies that are yielded are added to it.
     """
+    copies = iterate_copies(
+        records, models, demand, now_ms, adapter_last_used_ms, expected_load
+    )
+    return (planned for planned in copies if planned is not None)
+
+
+def iterate_copies(
+    records: Sequence[EngineRecord],
+    models: Sequence[ModelSpec],
+    demand: Mapping[str, ModelDemand],
+    now_ms: float,
+    adapter_last_used_ms: Mapping[tuple[str, str], float] = NEVER_USED,
+    expected_load: ExpectedLoad | None = None,
+) -> Iterator[PlannedLoad | None]:
+    """Yield what `plan_copies` does, and None after each short unit of work.
+
+    The caller may let other tasks run at each yield, also such as change the records.
+    """
     expected_load = expected_load or compute_expected_load(records, demand)
     plan = _CopyPlan(records, demand, expected_load, adapter_last_used_ms, now_ms)
     by_name = {model.name: model for model in models}
@@ -90,7 +110,7 @@
             )
     while True:
         free = [record for record in records if record.server.server_id not in taken]
-        best = plan.choose_best_copy(free, models)
+        best = yield from plan.search_best_copy(free, models)
         if best is None:
             return
         spec, step = best
@@ -99,6 +119,19 @@
         yield best
 
 
+class _Candidate(NamedTuple):
+    """A copy, and what it gains above its cost.
+
+    Parameters
+    ----------
+    surplus : float
+    planned : tuple of ModelSpec and Step, or None
+    """
+
+    surplus: float
+    planned: PlannedLoad | None
+
+
 class _CopyPlan:
     """The copies that have been decided on, and the gain of one more."""
 
@@ -116,32 +149,36 @@
         self._n_unplaced = _count_unplaced_adapters(
             records, adapter_last_used_ms, now_ms
         )
+        # Values of the models that each engine holds, by server, until the next copy
+        # has been decided on.
+        self._held_values: dict[str, dict[str, float]] = {}
         self._now_ms = now_ms
 
     def add_copy(self, model: str, record: EngineRecord) -> None:
         """Include a copy that has been decided on."""
         self.layout.n_copies[model] = self.layout.n_copies.get(model, 0) + 1
         self.layout.expected_load.add_copy(model, record.server.server_id)
+        self._held_values.clear()
 
     def get_n_copies(self, model: str) -> int:
         """Return the number of engines that hold a model or are about to."""
         is_planned = self.layout.expected_load.has_holder(model)
         return max(self.layout.n_copies.get(model, 0), int(is_planned))
 
-    def choose_best_copy(
+    def search_best_copy(
         self, records: Sequence[EngineRecord], models: Sequence[ModelSpec]
-    ) -> tuple[ModelSpec, Step] | None:
-        """Return the copy with the highest gain above its cost, or None."""
-        found: tuple[float, ModelSpec, Step] | None = None
+    ) -> Generator[None, None, PlannedLoad | None]:
+        """Return the copy with the highest gain above its cost, or None.
+
+        Yields after each model.
+        """
+        best = _Candidate(0.0, None)
         for model in models:
             # A model that no engine holds is loaded when the model is requested.
-            if not self.get_n_copies(model.name) or not self._is_model_requested(model):
-                continue
-            for record in records:
-                surplus, step = self._evaluate_copy(model, record)
-                if step is not None and (found is None or surplus > found[0]):
-                    found = surplus, model, step
-        return found[1:] if found is not None else None
+            if self.get_n_copies(model.name) and self._is_model_requested(model):
+                best = self._choose_engine(model, records, best)
+                yield
+        return best.planned
 
     def _is_model_requested(self, model: ModelSpec) -> bool:
         model_demand = self._demand.get(model.name, NO_DEMAND)
@@ -152,33 +189,64 @@
         )
         return bool(has_demand or self._n_unplaced[model.name])
 
-    def _evaluate_copy(
-        self, model: ModelSpec, record: EngineRecord
-    ) -> tuple[float, Step | None]:
-        """Return what a copy on one engine gains beyond its cost, and its step."""
-        model_demand = self._demand.get(model.name, NO_DEMAND)
-        n_copies = self.get_n_copies(model.name)
-        gain = self.layout.expected_load.compute_gain(
-            model.name, record.server.server_id
-        )
+    def _choose_engine(
+        self, model: ModelSpec, records: Sequence[EngineRecord], best: "_Candidate"
+    ) -> "_Candidate":
+        """Return the best copy of a model, or the given copy if that is better."""
+        server_gain = self.layout.expected_load.compute_gain
+        min_gain, added_gain = self._compute_model_gains(model.name)
+        n_unplaced = self._n_unplaced[model.name]
+        for record in records:
+            gain = max(server_gain(model.name, record.server.server_id), min_gain)
+            gain += added_gain
+            if n_unplaced:
+                gain += UNPLACED_ADAPTER_VALUE_REQUESTS * min(
+                    n_unplaced, self._count_idle_slots(record)
+                )
+            # A copy gains no more above its cost than it gains in all.
+            if gain > best.surplus:
+                step = self._evaluate_copy(model, record, gain)
+                if step is not None and gain - step.cost > best.surplus:
+                    best = _Candidate(gain - step.cost, (model, step))
+        return best
+
+    def _compute_model_gains(self, model: str) -> tuple[float, float]:
+        """Return a copy's least gain on any engine, and what is added to its gain."""
+        model_demand = self._demand.get(model, NO_DEMAND)
+        n_copies = self.get_n_copies(model)
+        min_gain = 0.0
         if model_demand.n_waiting / n_copies >= MIN_WAITING_PER_COPY:
             # With one more copy, the waiting requests per copy fall from n_waiting /
             # n_copies to n_waiting / (n_copies + 1).
-            gain = max(gain, model_demand.n_waiting / (n_copies * (n_copies + 1)))
-        gain += compute_second_copy_value(model_demand) if n_copies == 1 else 0.0
-        n_unplaced = self._n_unplaced[model.name]
-        if n_unplaced:
-            gain += UNPLACED_ADAPTER_VALUE_REQUESTS * min(
-                n_unplaced, self._count_idle_slots(record)
-            )
-        if not gain or not record.may_load_next(model.name, gain, self._now_ms):
-            return 0.0, None
-        step = evaluate_load(record, model, self.layout, self._demand, self._now_ms)
+            min_gain = model_demand.n_waiting / (n_copies * (n_copies + 1))
+        return min_gain, (
+            compute_second_copy_value(model_demand) if n_copies == 1 else 0.0
+        )
+
+    def _evaluate_copy(
+        self, model: ModelSpec, record: EngineRecord, gain: float
+    ) -> Step | None:
+        """Return the step towards a copy on one engine; None if it costs too much."""
+        if not record.may_load_next(model.name, gain, self._now_ms):
+            return None
+        step = evaluate_load(
+            record, model, self.layout, self._now_ms, self._get_held_values(record)
+        )
         if step is None:
-            return 0.0, None
+            return None
         step = add_wait_cost(step, 1.0, gain, self._now_ms)
-        is_enough = step.cost * MIN_GAIN_COST_RATIO <= gain
-        return gain - step.cost, step if is_enough else None
+        return step if step.cost * MIN_GAIN_COST_RATIO <= gain else None
+
+    def _get_held_values(self, record: EngineRecord) -> dict[str, float]:
+        server_id = record.server.server_id
+        values = self._held_values.get(server_id)
+        # The engine may have reported other models since the last unit of work.
+        if values is None or values.keys() != record.held.keys():
+            values = compute_held_values(
+                record, self.layout, self._demand, self._now_ms
+            )
+            self._held_values[server_id] = values
+        return values
 
     def _count_idle_slots(self, record: EngineRecord) -> int:
         """Return the adapter slots of an engine that are free or long unused."""
--- a/src/cowslipwood/keeper/engines/_placement.py
+++ b/src/cowslipwood/keeper/engines/_placement.py
@@ -20,6 +20,7 @@
     "add_wait_cost",
     "choose_load_step",
     "compute_expected_load",
+    "compute_held_values",
     "compute_second_copy_value",
     "count_copies",
     "estimate_prior_waiting",
@@ -175,7 +176,12 @@
     for record in [reserved_record] if reserved_record else records:
         if not record.may_load_next(model.name, n_callers, now_ms):
             continue
-        step = evaluate_load(record, model, layout, demand, now_ms, time_cost_factor)
+        held_values = compute_held_values(
+            record, layout, demand, now_ms, time_cost_factor
+        )
+        step = evaluate_load(
+            record, model, layout, now_ms, held_values, time_cost_factor
+        )
         if step is not None:
             steps.append(add_wait_cost(step, time_cost_factor, n_callers, now_ms))
     return min(steps, key=_get_cost, default=None)
@@ -255,13 +261,14 @@
     record: EngineRecord,
     model: ModelSpec,
     layout: "EngineLayout",
-    demand: Mapping[str, ModelDemand],
     now_ms: float,
+    held_values: Mapping[str, float],
     time_cost_factor: float = 1.0,
 ) -> Step | None:
     """Return the first step of a load on one engine, with the load's cost.
 
-    None if no unload makes enough room. `time_cost_factor` scales the costs of time.
+    None if no unload makes enough room. `held_values` are those of
+    `compute_held_values`; `time_cost_factor` scales the costs of time.
     """
     load_s = (
         model.warm_load_s if model.name in record.cached_models else model.load_time_s
@@ -272,8 +279,23 @@
     )
     if (model.name, record.server.zone) in layout.held_zones:
         cost += SAME_ZONE_COST_REQUESTS
-    if record.free_mb >= model.weights_mb:
+    needed_mb = model.weights_mb - record.free_mb
+    if needed_mb <= 0:
         return Step(record, cost=cost)
+    cost_and_unload = _choose_unload(record, needed_mb, held_values)
+    if cost_and_unload is None:
+        return None
+    return Step(record, cost_and_unload[1], cost=cost + cost_and_unload[0])
+
+
+def compute_held_values(
+    record: EngineRecord,
+    layout: "EngineLayout",
+    demand: Mapping[str, ModelDemand],
+    now_ms: float,
+    time_cost_factor: float = 1.0,
+) -> dict[str, float]:
+    """Return the value of each model that an engine holds, in waiting requests."""
     value_by_model = {}
     for name in record.held:
         value_by_model[name] = _compute_copy_value(
@@ -281,12 +303,7 @@
         )
         if now_ms - record.load_started_ms.get(name, -math.inf) < RECENT_LOAD_MS:
             value_by_model[name] += RECENT_LOAD_VALUE_REQUESTS
-    cost_and_unload = _choose_unload(
-        record, model.weights_mb - record.free_mb, value_by_model
-    )
-    if cost_and_unload is None:
-        return None
-    return Step(record, cost_and_unload[1], cost=cost + cost_and_unload[0])
+    return value_by_model
 
 
 def _choose_unload(
--- a/src/cowslipwood/keeper/engines/_step.py
+++ b/src/cowslipwood/keeper/engines/_step.py
@@ -2,9 +2,10 @@
 
 from typing import NamedTuple
 
+from ...routes import ModelSpec
 from ._engine_record import EngineRecord
 
-__all__ = ["Step"]
+__all__ = ["PlannedLoad", "Step"]
 
 
 class Step(NamedTuple):
@@ -29,3 +30,7 @@
     unload_adapter: tuple[str, str] | None = None
     cost: float = 0.0
     load_priority: float = 0.0
+
+
+# A model, and the next step towards its load.
+PlannedLoad = tuple[ModelSpec, Step]
--- a/tests/test_crowded_engines.py
+++ b/tests/test_crowded_engines.py
@@ -11,7 +11,12 @@
 from cowslipwood.keeper.engines._copies import choose_copy, plan_copies
 from cowslipwood.keeper.engines._demand import DemandTracker
 from cowslipwood.keeper.engines._engine_record import EngineRecord
-from cowslipwood.keeper.engines._expected_load import MIN_SPREAD_REQUESTS, ExpectedLoad
+from cowslipwood.keeper.engines._expected_load import (
+    MIN_SPREAD_REQUESTS,
+    ExpectedLoad,
+    _Holder,
+    _Spread,
+)
 from cowslipwood.keeper.engines._offered_load import OfferedLoadEstimator
 from cowslipwood.keeper.engines._placement import (
     ModelDemand,
@@ -325,6 +330,47 @@
                 )
 
 
+class SpreadTest(unittest.TestCase):
+    """The cost of one engine more or less, against its definition."""
+
+    HOLDERS = st.lists(
+        st.tuples(st.floats(0.0, 60.0), st.integers(1, 48)), min_size=2, max_size=8
+    )
+
+    def _compute_cost(
+        self, holders: list[tuple[float, int]], n_requests: float
+    ) -> float:
+        """Return the cost after filling the engines, found by bisection."""
+        low, high = 0.0, 100.0 + n_requests
+        for _ in range(100):
+            middle = (low + high) / 2
+            n_filled = sum(max(0.0, middle - load) for load, _ in holders)
+            low, high = (middle, high) if n_filled < n_requests else (low, middle)
+        return sum(max(load, low) ** 2 / n_slots for load, n_slots in holders)
+
+    @given(HOLDERS, st.floats(4.0, 300.0), st.floats(0.0, 60.0))
+    def test_costs(self, holders, n_requests: float, added_load: float):
+        """Costs with and without an engine are those of filling the engines anew."""
+        spread = _Spread(
+            [_Holder("", load, n_slots) for load, n_slots in holders], n_requests
+        )
+        added = (added_load, 12)
+        left, (removed_load, removed_slots) = holders[1:], holders[0]
+        freed_cost = removed_load**2 / removed_slots
+        for cost, expected_cost in (
+            (spread.cost, self._compute_cost(holders, n_requests)),
+            (
+                spread.compute_cost_with(*added),
+                self._compute_cost([*holders, added], n_requests),
+            ),
+            (
+                spread.compute_cost_without(*holders[0]),
+                self._compute_cost(left, n_requests) + freed_cost,
+            ),
+        ):
+            self.assertAlmostEqual(cost, expected_cost, delta=1e-6 * (1 + cost))
+
+
 class PatientCallersTest(unittest.TestCase):
     """Models of callers who can wait for seconds share engines with other models."""
 
