Evaluate only the best models again when a copy has been decided on

Cause: after each copy a round evaluated all requested models on all engines again. A further copy gains less where an earlier one has taken load, so only the model that was best before is evaluated again, and it is decided on unless another one was better. A model whose gain grew meanwhile is found by the next round.

--- a/src/cowslipwood/keeper/engines/_copies.py
+++ b/src/cowslipwood/keeper/engines/_copies.py
@@ -1,7 +1,8 @@
 """Chooses the models that get further copies, and the engines for these copies."""
 
 from collections import Counter
-from collections.abc import Generator, Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
+from heapq import heappop, heappush
 from typing import NamedTuple
 
 from ...routes import ModelSpec
@@ -108,28 +109,28 @@
                 spec,
                 Step(record, load_priority=demand.get(spec.name, NO_DEMAND).n_callers),
             )
-    while True:
-        free = [record for record in records if record.server.server_id not in taken]
-        best = yield from plan.search_best_copy(free, models)
-        if best is None:
-            return
-        spec, step = best
-        taken.add(step.record.server.server_id)
-        plan.add_copy(spec.name, step.record)
-        yield best
+    free = [record for record in records if record.server.server_id not in taken]
+    yield from plan.iterate_best(free, models)
 
 
 class _Candidate(NamedTuple):
-    """A copy, and what it gains above its cost.
+    """The best copy of one model, ordered by what it gains above its cost.
 
     Parameters
     ----------
-    surplus : float
-    planned : tuple of ModelSpec and Step, or None
+    shortfall : float
+        The gain above the cost, negated.
+    rank : int
+        Position of the model in the document.
+    n_decided : int
+        Number of copies that had been decided on when this one was evaluated.
+    step : Step
     """
 
-    surplus: float
-    planned: PlannedLoad | None
+    shortfall: float
+    rank: int
+    n_decided: int
+    step: Step
 
 
 class _CopyPlan:
@@ -165,20 +166,40 @@
         is_planned = self.layout.expected_load.has_holder(model)
         return max(self.layout.n_copies.get(model, 0), int(is_planned))
 
-    def search_best_copy(
+    def iterate_best(
         self, records: Sequence[EngineRecord], models: Sequence[ModelSpec]
-    ) -> Generator[None, None, PlannedLoad | None]:
-        """Return the copy with the highest gain above its cost, or None.
+    ) -> Iterator[PlannedLoad | None]:
+        """Yield the copies with the highest gain above their cost, one per engine.
 
-        Yields after each model.
+        Yields None after each evaluation of a model on all engines. A copy that has
+        been decided on takes load from other engines and so lowers what further copies
+        gain there. Only the model that was best before is therefore evaluated again,
+        and it is decided on unless another one was better before.
         """
-        best = _Candidate(0.0, None)
-        for model in models:
+        free = list(records)
+        queue: list[_Candidate] = []
+        n_decided = 0
+
+        def add_candidate(rank: int) -> None:
+            candidate = self._choose_engine(models[rank], free, rank, n_decided)
+            if candidate is not None:
+                heappush(queue, candidate)
+
+        for rank, model in enumerate(models):
             # A model that no engine holds is loaded when the model is requested.
             if self.get_n_copies(model.name) and self._is_model_requested(model):
-                best = self._choose_engine(model, records, best)
-                yield
-        return best.planned
+                add_candidate(rank)
+                yield None
+        while queue:
+            candidate = heappop(queue)
+            model = models[candidate.rank]
+            if candidate.n_decided == n_decided:
+                n_decided += 1
+                free.remove(candidate.step.record)
+                self.add_copy(model.name, candidate.step.record)
+                yield model, candidate.step
+            add_candidate(candidate.rank)
+            yield None
 
     def _is_model_requested(self, model: ModelSpec) -> bool:
         model_demand = self._demand.get(model.name, NO_DEMAND)
@@ -190,25 +211,32 @@
         return bool(has_demand or self._n_unplaced[model.name])
 
     def _choose_engine(
-        self, model: ModelSpec, records: Sequence[EngineRecord], best: "_Candidate"
-    ) -> "_Candidate":
-        """Return the best copy of a model, or the given copy if that is better."""
-        server_gain = self.layout.expected_load.compute_gain
+        self,
+        model: ModelSpec,
+        records: Sequence[EngineRecord],
+        rank: int,
+        n_decided: int,
+    ) -> _Candidate | None:
+        """Return the best copy of one model, or None if none gains enough."""
+        compute_gain = self.layout.expected_load.compute_gain
         min_gain, added_gain = self._compute_model_gains(model.name)
         n_unplaced = self._n_unplaced[model.name]
+        best_surplus, best_step = 0.0, None
         for record in records:
-            gain = max(server_gain(model.name, record.server.server_id), min_gain)
+            gain = max(compute_gain(model.name, record.server.server_id), min_gain)
             gain += added_gain
             if n_unplaced:
                 gain += UNPLACED_ADAPTER_VALUE_REQUESTS * min(
                     n_unplaced, self._count_idle_slots(record)
                 )
             # A copy gains no more above its cost than it gains in all.
-            if gain > best.surplus:
+            if gain > best_surplus:
                 step = self._evaluate_copy(model, record, gain)
-                if step is not None and gain - step.cost > best.surplus:
-                    best = _Candidate(gain - step.cost, (model, step))
-        return best
+                if step is not None and gain - step.cost > best_surplus:
+                    best_surplus, best_step = gain - step.cost, step
+        if best_step is None:
+            return None
+        return _Candidate(-best_surplus, rank, n_decided, best_step)
 
     def _compute_model_gains(self, model: str) -> tuple[float, float]:
         """Return a copy's least gain on any engine, and what is added to its gain."""
