Plan in short slices, and give missing models a round of their own

Cause: a round of planning ran on the leader's event loop until it was done. For as long, the leader sent no heartbeat and answered no lookup; past 300 to 600 ms another keeper was elected, which planned in turn. After a round it paused for ten times the round's duration, so that after one of a second no model was loaded for ten.

Now a round gives way to other tasks after 10 ms (kernel/pacing.py), steps begin when they are decided on, and the round ends with the leadership. The pause is at most 400 ms, and brief rounds between two full ones load missing models with many callers and use room that was made. Why it works: the longest stretch without other tasks is a slice and one evaluation of a model on all engines, whatever the number of copies to decide on.

Weighed: a thread for planning. Its reads of the records would race with their updates, and the interpreter gives way to one thread at a time all the same.

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -19,6 +19,7 @@
     ServerView,
 )
 from ...kernel.metrics import Metrics
+from ...kernel.pacing import WorkPacer
 from ...listing import ServerListSource
 from ...routes import ModelSpec, RouteDocument, ServiceSpec
 from ._adapters import choose_adapter_copy, choose_adapter_step
@@ -34,7 +35,7 @@
     count_copies,
     estimate_prior_waiting,
 )
-from ._plan import plan_loads, plan_missing_model
+from ._plan import iterate_loads, plan_missing_model
 
 __all__ = ["EngineController", "OrderParameters"]
 
@@ -52,9 +53,15 @@
 # all engines, and planning more often gains nothing: what a plan waits for, the end of
 # an order or of a running request, takes hundreds of milliseconds.
 MIN_PLAN_INTERVAL_MS = 60.0
-# Factor from the duration of a round of planning to the interval until the next one, so
-# that planning takes at most a tenth of a core.
+# Factor from the processor time of a round of planning to the pause until the next one
+# of its kind, so that each kind takes at most a tenth of a core.
 PLAN_PAUSE_FACTOR = 10.0
+# Longest pause between two rounds of planning of one kind: the callers of a model that
+# few request wait for a full round, and give up after seconds.
+MAX_PLAN_PAUSE_MS = 400.0
+# Duration after which a round of planning lets other tasks run: a small part of the
+# interval between two heartbeats.
+MAX_PLANNING_SLICE_MS = 10.0
 # Age up to which a lookup for a missing model counts; pending lookups are repeated much
 # sooner.
 MISSING_VALID_MS = 200.0
@@ -116,7 +123,6 @@
         self._expected_load: dict[str, ExpectedLoad] = {}
         # Time of the last lookup of a missing model, by service and model.
         self._missing_lookup_ms: dict[tuple[str, str], float] = {}
-        self._plan_due_ms = -math.inf
         self._logged_ms = -math.inf
         self._planning_logged_ms = -math.inf
         self._known_term = 0
@@ -138,6 +144,7 @@
         """Give orders whenever the keeper leads, until the task is cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
+            tasks.start_soon(self._run_planning)
             while True:
                 now_ms = monotonic_ms()
                 if self._can_act_as_leader(now_ms):
@@ -333,17 +340,40 @@
         for record in self._fleet.list_engines_to_read(now_ms):
             # Read in separate tasks, as an engine that is down must not delay the rest.
             self._tasks.start_soon(self._fleet.read_report, record)
-        now_ms = monotonic_ms()
-        if now_ms >= self._plan_due_ms:
-            self._plan(now_ms)
-            took_ms = monotonic_ms() - now_ms
-            self._record_planning(took_ms, now_ms)
-            self._plan_due_ms = now_ms + max(
-                MIN_PLAN_INTERVAL_MS, PLAN_PAUSE_FACTOR * took_ms
-            )
 
-    def _record_planning(self, took_ms: float, now_ms: float) -> None:
+    async def _run_planning(self) -> None:
+        """Plan at intervals while the keeper leads.
+
+        Between two full rounds of planning there are brief ones, so that missing models
+        with many callers, and room that was made for a load, do not wait for long.
+        """
+        full_round_due_ms = -math.inf
+        while True:
+            pause_ms = 0.0
+            now_ms = monotonic_ms()
+            if self._is_acting(self._known_term, now_ms):
+                is_brief = now_ms < full_round_due_ms
+                pacer = WorkPacer(MAX_PLANNING_SLICE_MS)
+                await self._plan(pacer, now_ms, is_brief)
+                pacer.end_slice()
+                pause_ms = min(PLAN_PAUSE_FACTOR * pacer.worked_ms, MAX_PLAN_PAUSE_MS)
+                if not is_brief:
+                    self._record_planning(pacer, now_ms)
+                    full_round_due_ms = monotonic_ms() + pause_ms
+                    pause_ms = 0.0
+            await anyio.sleep(max(MIN_PLAN_INTERVAL_MS, pause_ms) / 1000)
+
+    def _is_acting(self, term: int, now_ms: float) -> bool:
+        """Return whether this keeper leads in a term, whose first round has begun."""
+        return (
+            self._can_act_as_leader(now_ms)
+            and term == self._known_term == self._term()
+            and term != 0
+        )
+
+    def _record_planning(self, pacer: WorkPacer, now_ms: float) -> None:
         """Measure a round of planning, and log it if it was long or at intervals."""
+        took_ms = pacer.worked_ms
         self._metrics.observe("planning_ms", took_ms)
         is_log_due = now_ms >= self._planning_logged_ms + LAYOUT_LOG_MS
         if not is_log_due and took_ms < MIN_LOGGED_PLANNING_MS:
@@ -352,6 +382,7 @@
         get_logger().info(
             "planning_ended",
             took_ms=round(took_ms, 1),
+            longest_slice_ms=round(pacer.longest_slice_ms, 1),
             engines=len(self._fleet.records),
             missing=len(self._missing_lookup_ms),
             lookups=self._demand.n_pending_lookups,
@@ -359,7 +390,7 @@
             term_age_ms=round(now_ms - self._term_start_ms),
         )
 
-    def _plan(self, now_ms: float) -> None:
+    async def _plan(self, pacer: WorkPacer, now_ms: float, is_brief: bool) -> None:
         """Plan loads and copies of adapters, and start the orders possible now."""
         oldest_ms = now_ms - MISSING_VALID_MS
         self._missing_lookup_ms = {
@@ -369,34 +400,48 @@
         }
         document = self._document()
         for service in document.services if document else ():
-            if service.engine is None:
-                continue
-            records = self._fleet.list_engines(service.name)
-            expected_load = compute_expected_load(
-                records, self._demand.by_model, self._demand.late_share
-            )
-            self._expected_load[service.name] = expected_load
-            if now_ms >= self._logged_ms + LAYOUT_LOG_MS:
-                self._logged_ms = now_ms
-                log_layout(records, expected_load, self._demand, now_ms)
-            steps = plan_loads(
-                records,
-                service.engine.models,
-                {
-                    model
-                    for name, model in self._missing_lookup_ms
-                    if name == service.name
-                },
-                self._demand.by_model,
-                expected_load,
-                self._demand.adapter_last_used_ms,
-                now_ms,
-                may_unload=self._is_demand_known(now_ms),
-            )
-            for spec, step in steps:
-                if step.record.is_usable:
-                    self._tasks.start_soon(self._sender.execute_model_step, spec, step)
-            self._start_adapter_copy(records, service.engine.models, now_ms)
+            if service.engine is not None:
+                await self._plan_service(service, pacer, now_ms, is_brief)
+
+    async def _plan_service(
+        self, service: ServiceSpec, pacer: WorkPacer, now_ms: float, is_brief: bool
+    ) -> None:
+        """Plan for the engines of one service; stop where the leadership ends."""
+        term = self._known_term
+        records = self._fleet.list_engines(service.name)
+        models = service.engine.models
+        missing = {
+            model for name, model in self._missing_lookup_ms if name == service.name
+        }
+        has_reservation = any(record.get_reserved_model(now_ms) for record in records)
+        if is_brief and not missing and not has_reservation:
+            return
+        expected_load = compute_expected_load(
+            records, self._demand.by_model, self._demand.late_share
+        )
+        self._expected_load[service.name] = expected_load
+        if now_ms >= self._logged_ms + LAYOUT_LOG_MS:
+            self._logged_ms = now_ms
+            log_layout(records, expected_load, self._demand, now_ms)
+        loads = iterate_loads(
+            records,
+            models,
+            missing,
+            self._demand.by_model,
+            expected_load,
+            self._demand.adapter_last_used_ms,
+            now_ms,
+            may_unload=self._is_demand_known(now_ms),
+            is_brief=is_brief,
+        )
+        for planned in loads:
+            if planned is not None and planned[1].record.is_usable:
+                self._tasks.start_soon(self._sender.execute_model_step, *planned)
+            await pacer.give_way()
+            if not self._is_acting(term, monotonic_ms()):
+                return
+        if not is_brief:
+            self._start_adapter_copy(records, models, now_ms)
 
     def _is_demand_known(self, now_ms: float) -> bool:
         """Return whether entries have had time to report the demand to this leader."""
--- a/src/cowslipwood/keeper/engines/_plan.py
+++ b/src/cowslipwood/keeper/engines/_plan.py
@@ -1,9 +1,9 @@
 """Plans one round of loads: missing models and copies, ranked by waiting callers."""
 
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
 
 from ...routes import ModelSpec
-from ._copies import plan_copies
+from ._copies import iterate_copies
 from ._engine_record import EngineRecord
 from ._expected_load import ExpectedLoad
 from ._placement import (
@@ -12,9 +12,9 @@
     ModelDemand,
     choose_load_step,
 )
-from ._step import Step
+from ._step import PlannedLoad, Step
 
-__all__ = ["plan_loads", "plan_missing_model"]
+__all__ = ["iterate_loads", "plan_loads", "plan_missing_model"]
 
 
 def plan_loads(
@@ -26,7 +26,7 @@
     adapter_last_used_ms: Mapping[tuple[str, str], float],
     now_ms: float,
     may_unload: bool = True,
-) -> list[tuple[ModelSpec, Step]]:
+) -> list[PlannedLoad]:
     """Return the next step of each load that is worth its engine's time.
 
     Missing models with many callers come first, then copies, then missing models with
@@ -49,38 +49,89 @@
         Whether a model may be unloaded for another one; False while the demand is
         unknown.
     """
-    steps: list[tuple[ModelSpec, Step]] = []
+    loads = iterate_loads(
+        records,
+        models,
+        missing,
+        demand,
+        expected_load,
+        adapter_last_used_ms,
+        now_ms,
+        may_unload,
+    )
+    return [planned for planned in loads if planned is not None]
 
-    def add_step(spec: ModelSpec, step: Step) -> None:
-        if step.unload_model and not may_unload:
-            return
-        step.record.reserve_next_load(spec.name, step.load_priority, now_ms)
-        steps.append((spec, step))
+
+def iterate_loads(
+    records: Sequence[EngineRecord],
+    models: Sequence[ModelSpec],
+    missing: Collection[str],
+    demand: Mapping[str, ModelDemand],
+    expected_load: ExpectedLoad,
+    adapter_last_used_ms: Mapping[tuple[str, str], float],
+    now_ms: float,
+    may_unload: bool = True,
+    is_brief: bool = False,
+) -> Iterator[PlannedLoad | None]:
+    """Yield the steps of `plan_loads`, and None after each short unit of work.
+
+    The caller may begin a step, and let other tasks run, before it goes on. A brief
+    round leaves out copies, and the missing models with few callers, which come after
+    copies: it has loads into room that was made for them, and missing models with many
+    callers.
+    """
 
     def count_callers(spec: ModelSpec) -> float:
         return demand.get(spec.name, NO_DEMAND).n_callers
 
-    def add_missing(specs: Sequence[ModelSpec]) -> None:
+    def iterate_missing(specs: Sequence[ModelSpec]) -> Iterator[PlannedLoad | None]:
         for spec in specs:
             step = plan_missing_model(records, spec, demand, expected_load, now_ms)
             if step is not None:
-                add_step(spec, step)
                 expected_load.add_copy(spec.name, step.record.server.server_id)
+            yield None if step is None else (spec, step)
+
+    def iterate_all() -> Iterator[PlannedLoad | None]:
+        missing_specs = [model for model in models if model.name in missing]
+        missing_specs.sort(key=count_callers, reverse=True)
+        popular_specs = [
+            model
+            for model in missing_specs
+            if count_callers(model) >= POPULAR_MODEL_MIN_CALLERS
+        ]
+        yield from iterate_missing(popular_specs)
+        if is_brief:
+            yield from _list_reserved_loads(records, models, demand, now_ms)
+            return
+        yield from iterate_copies(
+            records, models, demand, now_ms, adapter_last_used_ms, expected_load
+        )
+        yield from iterate_missing(missing_specs[len(popular_specs) :])
+
+    for planned in iterate_all():
+        if planned is None or (planned[1].unload_model and not may_unload):
+            yield None
+            continue
+        spec, step = planned
+        step.record.reserve_next_load(spec.name, step.load_priority, now_ms)
+        yield planned
 
-    missing_specs = [model for model in models if model.name in missing]
-    missing_specs.sort(key=count_callers, reverse=True)
-    popular_specs = [
-        model
-        for model in missing_specs
-        if count_callers(model) >= POPULAR_MODEL_MIN_CALLERS
-    ]
-    add_missing(popular_specs)
-    for spec, step in plan_copies(
-        records, models, demand, now_ms, adapter_last_used_ms, expected_load
-    ):
-        add_step(spec, step)
-    add_missing(missing_specs[len(popular_specs) :])
-    return steps
+
+def _list_reserved_loads(
+    records: Sequence[EngineRecord],
+    models: Sequence[ModelSpec],
+    demand: Mapping[str, ModelDemand],
+    now_ms: float,
+) -> list[PlannedLoad]:
+    """Return the loads into room that has been made for them."""
+    by_name = {model.name: model for model in models}
+    loads = []
+    for record in records:
+        spec = by_name.get(record.get_reserved_model(now_ms))
+        if spec is not None and record.is_usable and record.free_mb >= spec.weights_mb:
+            n_callers = demand.get(spec.name, NO_DEMAND).n_callers
+            loads.append((spec, Step(record, load_priority=n_callers)))
+    return loads
 
 
 def plan_missing_model(
--- a/src/cowslipwood/kernel/pacing.py
+++ b/src/cowslipwood/kernel/pacing.py
@@ -6,13 +6,17 @@
 
 __all__ = ["WorkPacer"]
 
+# Ratio of a pause to the slice before it: other tasks get a third of the processor at
+# least.
+PAUSE_RATIO = 0.5
+
 
 class WorkPacer:
     """Lets other tasks run after each slice of a long computation.
 
     A computation on the event loop delays all other tasks of the process, among them
     those that keep a leader's lease. The computation calls `give_way` between two
-    short units of work; after a slice it pauses for as long as the slice took.
+    short units of work; after a slice it pauses for a part of the slice's duration.
 
     Parameters
     ----------
@@ -45,5 +49,5 @@
         """Let other tasks run if the present slice is over."""
         if monotonic_ms() - self._slice_start_ms < self._max_slice_ms:
             return
-        await anyio.sleep(self.end_slice() / 1000)
+        await anyio.sleep(PAUSE_RATIO * self.end_slice() / 1000)
         self._slice_start_ms = monotonic_ms()
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -25,9 +25,6 @@
 REPORT_INTERVAL_S = 0.3
 # Time for which callers wait for a model.
 PATIENCE_MS = 500.0
-# Time after which the order for a missing model is too late: its callers were told to
-# come back after a load.
-MAX_ORDER_DELAY_MS = 1_000.0
 # Time after which every entry has reported the moved demand and a plan is due.
 SETTLING_S = 2.0
 
@@ -109,9 +106,9 @@
             )
             asked_ms = processor.now_ms()
             request = HolderRequest("llm", missing, "", "", PATIENCE_MS)
-            await controller.find_holder(request)
+            refused = await controller.find_holder(request)
             while missing not in {order.model for order in fleet.orders}:
-                if processor.now_ms() - asked_ms > MAX_ORDER_DELAY_MS:
+                if processor.now_ms() - asked_ms > refused.retry_after_ms:
                     return False
                 await anyio.sleep(0.005)
             return True
