Share the estimate of when a missing model will be ready

Callers saw late answers to lookups.

Now lookups for one model share an estimate for 200 ms, and other tasks run between two searches. The longest stretch is one search.

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Callable, Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 import anyio.abc
@@ -67,6 +67,9 @@
 MISSING_VALID_MS = 200.0
 # Time within which a lookup is answered; after it the entry refuses its request.
 LOOKUP_TIMEOUT_MS = 4_000.0
+# Time for which an estimate of when a model will be ready is used again: a small part
+# of a load's duration.
+ESTIMATE_VALID_MS = 200.0
 # Searches for adapters that are remembered before old ones are removed: many times the
 # models and adapters of the largest document.
 MAX_ADAPTER_SEARCHES_KEPT = 10_000
@@ -82,6 +85,16 @@
 DEMAND_UNKNOWN_MS = 1_100.0
 
 
+class _ReadyEstimate(NamedTuple):
+    """When an engine will hold a model, and until when that estimate is used."""
+
+    ready_at_ms: float
+    valid_until_ms: float
+
+
+_NO_ESTIMATE = _ReadyEstimate(0.0, -math.inf)
+
+
 class EngineController:
     """Gives orders to engines while its keeper leads.
 
@@ -117,6 +130,9 @@
         self._demand = DemandTracker()
         # Time of the last search for an adapter, by model and adapter.
         self._adapter_searched_ms: dict[tuple[str, str], float] = {}
+        # Estimates by service and model, one search at a time.
+        self._ready_estimates: dict[tuple[str, str], _ReadyEstimate] = {}
+        self._estimate_lock = anyio.Lock()
         # Service and model of each load whose callers were told to retry later.
         self._background_loads: set[tuple[str, str]] = set()
         # Expected load by service, at the last round of planning.
@@ -179,7 +195,7 @@
         now_ms = monotonic_ms()
         self._demand.record_use(request.model, request.adapter, now_ms)
         patience_ms = min(request.patience_ms or LOOKUP_TIMEOUT_MS, LOOKUP_TIMEOUT_MS)
-        if self._estimate_ready_ms(request.service, spec, now_ms) <= patience_ms:
+        if await self._estimate_ready_ms(request.service, spec, now_ms) <= patience_ms:
             with anyio.move_on_after(patience_ms / 1000):
                 holder = await self._wait_for_holder(request, spec)
                 if holder is not None:
@@ -190,7 +206,7 @@
         if not self._can_act_as_leader(now_ms):
             return to_refused(failure(Code.NOT_LEADER))
         self._start_background_load(request.service, spec)
-        ready_ms = self._estimate_ready_ms(request.service, spec, now_ms)
+        ready_ms = await self._estimate_ready_ms(request.service, spec, now_ms)
         reason = self._describe_wait(request, ready_ms)
         message = f"{request.model}/{request.adapter}: {reason}"
         retry_after_ms = max(MIN_RETRY_AFTER_MS, round(ready_ms))
@@ -204,10 +220,32 @@
             return "no slot for the adapter"
         return f"ready in {ready_ms:.0f} ms"
 
-    def _estimate_ready_ms(self, service: str, spec: ModelSpec, now_ms: float) -> float:
+    async def _estimate_ready_ms(
+        self, service: str, spec: ModelSpec, now_ms: float
+    ) -> float:
         """Return the estimated time until an engine holds a model.
 
-        0 also while a new leader does not know yet what the engines hold.
+        Lookups for one model share an estimate for a while, and other tasks run
+        between two searches.
+        """
+        key = (service, spec.name)
+        if now_ms >= self._ready_estimates.get(key, _NO_ESTIMATE).valid_until_ms:
+            async with self._estimate_lock:
+                if (
+                    now_ms
+                    >= self._ready_estimates.get(key, _NO_ESTIMATE).valid_until_ms
+                ):
+                    ready_ms = self._search_ready_ms(service, spec, now_ms)
+                    self._ready_estimates[key] = _ReadyEstimate(
+                        now_ms + ready_ms, now_ms + ESTIMATE_VALID_MS
+                    )
+                    await anyio.sleep(0)
+        return max(0.0, self._ready_estimates[key].ready_at_ms - now_ms)
+
+    def _search_ready_ms(self, service: str, spec: ModelSpec, now_ms: float) -> float:
+        """Search for the engine that would hold a model first.
+
+        Returns 0 also while a new leader does not know yet what the engines hold.
         """
         if not self._fleet.is_known:
             return 0.0
@@ -319,6 +357,7 @@
             self._term_start_ms = now_ms
             self._fleet.clear()
             self._expected_load.clear()
+            self._ready_estimates.clear()
             self._demand.reset_smoothed_demand()
             self._sender.start_term(self._known_term, now_ms)
         await self._fleet.read_list(self._document(), now_ms)
