Let a keeper that leads again wait before it orders the same engines

Cause: where engines check fencing tokens a new leader orders at once. The token keeps an old leader's order from taking effect, but does not show that two keepers take turns, and whatever changes the leadership twice within the lease time makes them do so.

Now a keeper notes when it ordered each engine. If another keeper has led since, by the term of the last log entry before its own, it leaves such an engine alone until lease_ms after its own last order (keeper/engines/_turns.py). Why it works: the two orders of one keeper that enclose another's are then at least that far apart on each engine, whatever the elections. Other engines take its orders at once, and a keeper elected twice in a row waits for nothing.

Weighed: a quiet time for every new leader, as where tokens are not checked; it would cost three seconds without loads after each election. Not covered: a keeper that restarts between its two terms has forgotten its orders.

--- a/benchmarks/bench_engines.py
+++ b/benchmarks/bench_engines.py
@@ -372,6 +372,7 @@
             self._fleet,
             lambda now_ms: True,
             lambda: self._term,
+            lambda: self._term - 1,
             lambda: document,
             Metrics("keeper"),
         )
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -90,7 +90,7 @@
         Reads the list of the engines.
     client : EngineClient
         Translates orders and reports to the engines' dialect.
-    store_window_ms, quiet_ms : float
+    store_window_ms, order_quiet_ms, order_turn_ms : float
         See `OrderParameters`.
     """
 
@@ -98,6 +98,7 @@
     client: EngineClient
     store_window_ms: float = 5_000.0
     order_quiet_ms: float = 0.0
+    order_turn_ms: float = 3_000.0
 
 
 async def run_keeper(
@@ -196,11 +197,13 @@
                 self._settings.keeper_id,
                 engines.store_window_ms,
                 engines.order_quiet_ms,
+                engines.order_turn_ms,
             ),
             engines.source,
             engines.client,
             self._replica.can_act_as_leader,
             lambda: self._replica.term,
+            lambda: self._replica.preceding_term,
             self._machine.get_route_document,
             self._metrics,
         )
--- a/src/cowslipwood/keeper/engines/_adapters.py
+++ b/src/cowslipwood/keeper/engines/_adapters.py
@@ -51,7 +51,9 @@
     usable = [
         record
         for record in records
-        if record.is_usable and record.can_serve(model.name)
+        if record.is_usable
+        and now_ms >= record.next_order_ms
+        and record.can_serve(model.name)
     ]
     free = [record for record in usable if record.has_adapter_slot(model.name)]
     if free:
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -36,6 +36,7 @@
     estimate_prior_waiting,
 )
 from ._plan import iterate_loads, plan_missing_model
+from ._turns import OrderTurns
 
 __all__ = ["EngineController", "OrderParameters"]
 
@@ -107,6 +108,8 @@
         Returns whether this keeper may act now, given the present time.
     term : callable
         Returns the term of the leadership.
+    preceding_term : callable
+        Returns the term of the log's last entry before this leadership.
     document : callable
         Returns the document in force, or None.
     metrics : Metrics
@@ -119,14 +122,17 @@
         client: EngineClient,
         can_act_as_leader: Callable[[float], bool],
         term: Callable[[], int],
+        preceding_term: Callable[[], int],
         document: Callable[[], RouteDocument | None],
         metrics: Metrics,
     ):
         self._metrics = metrics
         self._can_act_as_leader = can_act_as_leader
         self._term = term
+        self._preceding_term = preceding_term
+        self._turns = OrderTurns(parameters.order_turn_ms)
         self._document = document
-        self._fleet = Fleet(source, client)
+        self._fleet = Fleet(source, client, self._turns)
         self._demand = DemandTracker()
         # Time of the last search for an adapter, by model and adapter.
         self._adapter_searched_ms: dict[tuple[str, str], float] = {}
@@ -152,6 +158,7 @@
             term,
             self._fleet,
             self._demand,
+            self._turns,
             metrics,
         )
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -359,6 +366,7 @@
             self._expected_load.clear()
             self._ready_estimates.clear()
             self._demand.reset_smoothed_demand()
+            self._turns.start_term(self._known_term, self._preceding_term(), now_ms)
             self._sender.start_term(self._known_term, now_ms)
         await self._fleet.read_list(self._document(), now_ms)
         prior_waiting = {}
--- a/src/cowslipwood/keeper/engines/_engine_record.py
+++ b/src/cowslipwood/keeper/engines/_engine_record.py
@@ -1,5 +1,6 @@
 """Records what the leader knows of one engine, up to its last accepted order."""
 
+import math
 from typing import NamedTuple
 
 import anyio
@@ -66,6 +67,7 @@
     ----------
     server : ListedServer
     spec : EngineSpec
+    next_order_ms : float
 
     Attributes
     ----------
@@ -84,12 +86,20 @@
     held_off_until_ms : float
         Until when the engine gets neither orders nor report requests, as it asked to
         pause.
+    next_order_ms : float
+        Earliest time of the next order, where another keeper has led in between.
     lock : anyio.Lock
         Held while an order or a report is on its way.
     """
 
-    def __init__(self, server: ListedServer, spec: EngineSpec):
+    def __init__(
+        self,
+        server: ListedServer,
+        spec: EngineSpec,
+        next_order_ms: float = -math.inf,
+    ):
         self.server = server
+        self.next_order_ms = next_order_ms
         self.set_spec(spec)
         self.sequence: int | None = None
         self._min_sequence = 0  # delayed reports may show an older state
@@ -142,7 +152,7 @@
     def is_usable(self) -> bool:
         """Whether the record is up to date and the engine idle, staying and not lost.
 
-        Does not check whether the engine has asked to pause.
+        Does not check whether the engine has asked to pause, nor `next_order_ms`.
         """
         return self.is_synced and not self.is_busy and self.is_available
 
@@ -221,7 +231,7 @@
         if (
             not self.is_synced
             or not self.is_available
-            or now_ms < self.held_off_until_ms
+            or now_ms < max(self.held_off_until_ms, self.next_order_ms)
         ):
             return False
         if model in self.held:
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -11,6 +11,7 @@
 from ...routes import RouteDocument
 from ._engine_record import N_FAILED_READS_LOST, EngineRecord
 from ._orders import EngineClient
+from ._turns import OrderTurns
 
 __all__ = ["Fleet"]
 
@@ -37,10 +38,14 @@
     ----------
     source : ServerListSource
     client : EngineClient
+    turns : OrderTurns
     """
 
-    def __init__(self, source: ServerListSource, client: EngineClient):
+    def __init__(
+        self, source: ServerListSource, client: EngineClient, turns: OrderTurns
+    ):
         self._source = source
+        self._turns = turns
         self._client = client
         self.records: dict[str, EngineRecord] = {}
         self._listed: list[ListedServer] = []
@@ -162,7 +167,8 @@
                 continue
             record = self.records.get(server.server_id)
             if record is None or record.server.born_ms != server.born_ms:
-                record = EngineRecord(server, spec)
+                next_order_ms = self._turns.get_next_order_ms(server.server_id)
+                record = EngineRecord(server, spec, next_order_ms)
             record.server = server
             record.set_spec(spec)
             found[server.server_id] = record
--- a/src/cowslipwood/keeper/engines/_order_sender.py
+++ b/src/cowslipwood/keeper/engines/_order_sender.py
@@ -17,6 +17,7 @@
 from ._placement import POPULAR_MODEL_MIN_CALLERS
 from ._step import Step
 from ._store import LoadNeed, StoreBudget
+from ._turns import OrderTurns
 
 __all__ = ["OrderParameters", "OrderSender"]
 
@@ -42,11 +43,14 @@
     order_quiet_ms : float
         How long a new leader gives no order, where engines do not check fencing
         tokens: an order of the previous leader may still be on its way.
+    order_turn_ms : float
+        See `OrderTurns`.
     """
 
     keeper_id: str
     store_window_ms: float = 5_000.0
     order_quiet_ms: float = 0.0
+    order_turn_ms: float = 3_000.0
 
 
 class OrderSender:
@@ -62,6 +66,7 @@
         Returns the term of the leadership.
     fleet : Fleet
     demand : DemandTracker
+    turns : OrderTurns
     metrics : Metrics
     """
 
@@ -73,6 +78,7 @@
         term: Callable[[], int],
         fleet: Fleet,
         demand: DemandTracker,
+        turns: OrderTurns,
         metrics: Metrics,
     ):
         self._parameters = parameters
@@ -81,6 +87,7 @@
         self._term = term
         self._fleet = fleet
         self._demand = demand
+        self._turns = turns
         self._metrics = metrics
         self._store_budget = StoreBudget(parameters.store_window_ms)
         self._active_term = 0
@@ -217,7 +224,7 @@
         now_ms = monotonic_ms()
         if not self._may_send_orders(now_ms) or record.sequence is None:
             return False
-        if now_ms < record.held_off_until_ms:
+        if now_ms < max(record.held_off_until_ms, record.next_order_ms):
             return False
         order = EngineOrder(
             op,
@@ -227,7 +234,9 @@
             self._parameters.keeper_id,
             self._term(),
         )
+        self._turns.record_order(record.server.server_id, now_ms)
         answer = await self._client.order(record.server, order)
+        self._turns.record_order(record.server.server_id, monotonic_ms())
         log = get_logger()
         outcome = "no-answer" if isinstance(answer, Err) else answer.unwrap().value
         self._metrics.count("orders_total", op=op.value, outcome=outcome)
--- a/src/cowslipwood/replication/_leader.py
+++ b/src/cowslipwood/replication/_leader.py
@@ -58,6 +58,7 @@
         self._state = state
         self._links = links
         self.started_ms = now_ms
+        self.preceding_term = state.log.last_term
         self._match_index_by_id: dict[str, int] = {}
         self._next_index_by_id: dict[str, int] = {}
         self._last_ack_ms_by_id: dict[str, float] = {}
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -183,6 +183,17 @@
         leadership = self._state.leadership
         return leadership.started_ms if isinstance(leadership, Leadership) else None
 
+    @property
+    def preceding_term(self) -> int:
+        """Term of the last entry before this replica began to lead; 0 if it does not.
+
+        No replica has led between that term and the present one: a leader acts only
+        when a quorum has an entry of its term, and without that entry this replica
+        would not have been elected.
+        """
+        leadership = self._state.leadership
+        return leadership.preceding_term if isinstance(leadership, Leadership) else 0
+
     def silent_ms_by_follower(self, now_ms: float) -> dict[str, float]:
         """Return the time since each follower's last answer; empty if not leading."""
         leadership = self._state.leadership
--- a/tests/engine_builders.py
+++ b/tests/engine_builders.py
@@ -165,6 +165,7 @@
         self.can_act_as_leader = True
         self.leader_id = "k1"
         self.term = 1
+        self.preceding_term = 0
         self.spec = SPEC
         self.orders: list[EngineOrder] = []
         self.ordered_at_ms: list[float] = []
@@ -198,6 +199,7 @@
     def start_term(self, leader_id: str) -> None:
         """Let a keeper lead the next term."""
         self.leader_id = leader_id
+        self.preceding_term = self.term
         self.term += 1
 
     def make_controller(
@@ -211,6 +213,7 @@
             self,
             lambda now_ms: self.can_act_as_leader and self.leader_id == keeper_id,
             lambda: self.term,
+            lambda: self.preceding_term,
             lambda: document,
             Metrics("keeper"),
         )
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -30,6 +30,7 @@
 from cowslipwood.replication._messages import (
     AppendReply,
     AppendRequest,
+    EntryKind,
     HeartbeatReply,
     HeartbeatRequest,
     LogEntry,
@@ -291,6 +292,35 @@
             anyio.run(check, Path(folder_name))
 
 
+class TestPrecedingTerm(unittest.TestCase):
+    """Whether another replica has led since this one did."""
+
+    def _lead(self, state: ReplicaState) -> Leadership:
+        state.become_candidate()
+        return Leadership(state, _AnsweringLinks(), monotonic_ms())
+
+    def test_own_and_other_terms(self):
+        """It is the last own term until another leader's entry has arrived."""
+
+        async def check(folder: Path) -> None:
+            follower, state, _ = _make_follower(folder)
+            first = self._lead(state)
+            self.assertEqual(first.preceding_term, 0)
+            state.become_follower(first.term)
+            second = self._lead(state)
+            self.assertEqual(second.preceding_term, first.term)
+            last_index, other_term = state.log.last_index, second.term + 1
+            entry = LogEntry(last_index + 1, other_term, EntryKind.NOOP.value, b"")
+            await follower.handle_append(
+                _make_append_request(other_term, last_index, second.term, 0, (entry,)),
+                monotonic_ms(),
+            )
+            self.assertEqual(self._lead(state).preceding_term, other_term)
+
+        with tempfile.TemporaryDirectory() as folder_name:
+            anyio.run(check, Path(folder_name))
+
+
 class _AnsweringLinks:
     """Fake links to followers that accept every request."""
 
