Sum the entries' samples in one pass and look an adapter's size up

In each round of control, every 50 ms, it split the name of each sample of each entry twice and added up records field by field; and each question whether an engine has room for an adapter built a table of all models.

Decisions are the same.

--- a/src/cowslipwood/keeper/engines/_engine_record.py
+++ b/src/cowslipwood/keeper/engines/_engine_record.py
@@ -269,9 +269,10 @@
 
     def has_adapter_slot(self, model: str) -> bool:
         """Return whether one more adapter of a model fits, by number and by memory."""
-        sizes = {spec.name: spec.adapter_size_mb for spec in self.spec.models}
+        spec = self._specs.get(model)
+        size_mb = spec.adapter_size_mb if spec is not None else self.spec.weights_mb
         is_free = self.n_adapters < self.spec.max_adapters
-        return is_free and self.free_mb >= sizes.get(model, self.spec.weights_mb)
+        return is_free and self.free_mb >= size_mb
 
     def has_adapter(self, model: str, adapter: str) -> bool:
         """Return whether an adapter takes one of the slots, ready or not."""
--- a/src/cowslipwood/keeper/engines/_offered_load.py
+++ b/src/cowslipwood/keeper/engines/_offered_load.py
@@ -15,6 +15,10 @@
     "smooth",
 ]
 
+# Names whose model and adapter are remembered: many times those of the largest
+# document.
+# All samples are read again in each round of control.
+MAX_NAMES_CACHED = 10_000
 # Time constant with which a smoothed value follows a rise. A burst shorter than a load
 # is over before a copy could serve the burst.
 RISE_TIME_MS = 1_000.0
@@ -78,13 +82,6 @@
     n_in_flight: float = 0.0
     late_per_s: float = 0.0
 
-    @classmethod
-    def from_sample(cls, sample: DemandSample) -> "_Arrivals":
-        """Return the requests in one sample of an entry."""
-        served_per_s = sample.arrivals_per_s * (1.0 - sample.missed_share)
-        late_per_s = served_per_s * sample.late_share
-        return cls(sample.arrivals_per_s, served_per_s, sample.in_flight, late_per_s)
-
     def add(self, other: "_Arrivals") -> "_Arrivals":
         """Return the sum of both."""
         return _Arrivals(*map(sum, zip(self, other, strict=True)))
@@ -221,13 +218,20 @@
 
 def _sum_by_model(samples: Iterable[DemandSample]) -> dict[str, _Arrivals]:
     """Return the arrivals of each model; services without models are left out."""
-    arrivals: dict[str, _Arrivals] = {}
+    sums: dict[str, list[float]] = {}
     for sample in samples:
         model, _ = parse_model(sample)
-        if model:
-            total = arrivals.get(model, _NO_ARRIVALS)
-            arrivals[model] = total.add(_Arrivals.from_sample(sample))
-    return arrivals
+        if not model:
+            continue
+        total = sums.get(model)
+        if total is None:
+            total = sums[model] = [0.0] * len(_Arrivals._fields)
+        served_per_s = sample.arrivals_per_s * (1.0 - sample.missed_share)
+        total[0] += sample.arrivals_per_s
+        total[1] += served_per_s
+        total[2] += sample.in_flight
+        total[3] += served_per_s * sample.late_share
+    return {model: _Arrivals(*total) for model, total in sums.items()}
 
 
 def smooth(
@@ -244,5 +248,10 @@
 
 def parse_model(sample: DemandSample) -> tuple[str, str]:
     """Return the model and adapter of a sample; empty for a service without models."""
-    model, _, adapter = sample.model.partition("|")[2].partition("/")
+    return _parse_name(sample.model)
+
+
+@functools.lru_cache(MAX_NAMES_CACHED)
+def _parse_name(name: str) -> tuple[str, str]:
+    model, _, adapter = name.partition("|")[2].partition("/")
     return model, adapter
