Give no order by a record of an earlier term or of an engine's earlier run

A step that waits for an engine's lock is carried out later. If the keeper had lost the leadership and won it back meanwhile, the step's record still had the sequence and the turns of its own term, and the order went out at once: the third order of two keepers in turn (test_no_step_of_an_earlier_term, shown failing without the change). The same holds for an engine that has restarted since.

Now a record gives orders only while the fleet has it.

--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -58,6 +58,10 @@
         self._listed = []
         self._list_read_ms = self._list_attempt_ms = 0.0
 
+    def has_record(self, record: EngineRecord) -> bool:
+        """Return whether a record is of this term and of the engine's present run."""
+        return self.records.get(record.server.server_id) is record
+
     def list_engines(self, service: str) -> list[EngineRecord]:
         """Return the records of a service's engines."""
         return [
--- a/src/cowslipwood/keeper/engines/_order_sender.py
+++ b/src/cowslipwood/keeper/engines/_order_sender.py
@@ -224,6 +224,8 @@
         now_ms = monotonic_ms()
         if not self._may_send_orders(now_ms) or record.sequence is None:
             return False
+        if not self._fleet.has_record(record):
+            return False
         if now_ms < max(record.held_off_until_ms, record.next_order_ms):
             return False
         order = EngineOrder(
--- a/tests/test_order_turns.py
+++ b/tests/test_order_turns.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from cowslipwood.keeper.engines._step import Step
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.messages import HolderRequest
 
@@ -78,6 +79,24 @@
         _run_keepers(fleet, scenario)
         self.assertIn("a3", fleet.engines["s1"].held["m0"])
 
+    def test_no_step_of_an_earlier_term(self):
+        """A step that was decided in an earlier term of the keeper gives no order."""
+        # The step's record has the engine's state and the turns of its own term.
+        fleet = FakeFleet([FakeEngine("s0", {"m0": set()})])
+
+        async def scenario(keepers):
+            await keepers.lead("k1", "a1", 1_000.0)
+            controller = keepers.controllers["k1"]
+            record = controller._fleet.records["s0"]
+            await keepers.lead("k2", "a2", 1_000.0)
+            fleet.start_term("k1")
+            while controller._fleet.records.get("s0") in (None, record):
+                await anyio.sleep(0.01)
+            await controller._sender.execute_adapter_step("m0", "a3", Step(record))
+
+        _run_keepers(fleet, scenario)
+        self.assertEqual([order.keeper_id for order in fleet.orders], ["k1", "k2"])
+
     def test_same_keeper_goes_on(self):
         """A keeper that is elected twice in a row orders at once."""
         fleet = FakeFleet([FakeEngine("s0", {"m0": set()})])
