Keep a lookup's estimate while a new term begins

A lookup whose search gave way to other tasks read its estimate from the table again, and failed with KeyError if a term had begun meanwhile: its connection ended, and with it all lookups of that entry. Cause: the table is emptied with the term. The estimate is now a local value (test_new_term_during_a_lookup, shown failing).

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -236,18 +236,18 @@
         between two searches.
         """
         key = (service, spec.name)
-        if now_ms >= self._ready_estimates.get(key, _NO_ESTIMATE).valid_until_ms:
+        estimate = self._ready_estimates.get(key, _NO_ESTIMATE)
+        if now_ms >= estimate.valid_until_ms:
             async with self._estimate_lock:
-                if (
-                    now_ms
-                    >= self._ready_estimates.get(key, _NO_ESTIMATE).valid_until_ms
-                ):
+                estimate = self._ready_estimates.get(key, _NO_ESTIMATE)
+                if now_ms >= estimate.valid_until_ms:
                     ready_ms = self._search_ready_ms(service, spec, now_ms)
-                    self._ready_estimates[key] = _ReadyEstimate(
+                    estimate = _ReadyEstimate(
                         now_ms + ready_ms, now_ms + ESTIMATE_VALID_MS
                     )
+                    self._ready_estimates[key] = estimate
                     await anyio.sleep(0)
-        return max(0.0, self._ready_estimates[key].ready_at_ms - now_ms)
+        return max(0.0, estimate.ready_at_ms - now_ms)
 
     def _search_ready_ms(self, service: str, spec: ModelSpec, now_ms: float) -> float:
         """Search for the engine that would hold a model first.
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -137,3 +137,24 @@
             return watch.longest_ms
 
         self.assertLess(_run_large_fleet(scenario), Timing().heartbeat_ms)
+
+    def test_new_term_during_a_lookup(self):
+        """A lookup is answered though a term begins while its search pauses."""
+
+        # The estimates of the earlier term are discarded at that moment.
+        async def scenario(fleet, controller, processor):
+            await anyio.sleep(SETTLING_S / 4)
+            replies = []
+
+            async def look_up(model: str) -> None:
+                request = HolderRequest("llm", model, "", "", 50)
+                replies.append(await controller.find_holder(request))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(look_up, fleet.spec.models[-1].name)
+                while not replies:
+                    controller._ready_estimates.clear()
+                    await anyio.sleep(0)
+            return replies
+
+        self.assertEqual(len(_run_large_fleet(scenario)), 1)
