Move planning and estimates out of the engine controller into modules of their own

The controller had grown to five concerns. _planning.py has the rounds of planning and what they need, _ready_time.py the estimates for lookups; the controller keeps lookups and the rounds that read list and reports.

--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -13,7 +13,6 @@
 
 from cowslipwood.keeper.engines import _controller, _plan
 from cowslipwood.keeper.engines._adapters import choose_adapter_step
-from cowslipwood.keeper.engines._controller import MIN_PLAN_INTERVAL_MS
 from cowslipwood.keeper.engines._copies import choose_copy
 from cowslipwood.keeper.engines._orders import EngineReport, OrderOp
 from cowslipwood.keeper.engines._placement import (
@@ -22,6 +21,7 @@
     count_copies,
     estimate_prior_waiting,
 )
+from cowslipwood.keeper.engines._planning import MIN_PLAN_INTERVAL_MS
 from cowslipwood.kernel.messages import HolderReply, HolderRequest, Refused
 from cowslipwood.listing import ListedModel
 
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -153,7 +153,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(look_up, fleet.spec.models[-1].name)
                 while not replies:
-                    controller._ready_estimates.clear()
+                    controller._ready_time.clear()
                     await anyio.sleep(0)
             return replies
 
