Name no engine by the records of a keeper's earlier term

A keeper that led again answered lookups and published servers from the fleet of its earlier term until its first round of control: for 50 ms, and for up to 800 ms more where a read of the list was under way. Callers could be sent to engines that had left or held other models since. Cause: only the engines' load compared the term. Now lookups wait and no server is published until the term has begun. Found in review.

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -134,13 +134,18 @@
 
     def build_fleet_load(self, now_ms: float) -> FleetLoad | None:
         """Return the engines' load; None before a list was read in this term."""
-        return (
-            self._fleet.build_load(now_ms) if self._known_term == self._term() else None
-        )
+        return self._fleet.build_load(now_ms) if self._is_term_started() else None
 
     def build_server_views(self) -> dict[str, ServerView]:
-        """Return the listed servers with their models by the latest orders."""
-        return self._fleet.build_views()
+        """Return the listed servers with their models by the latest orders.
+
+        Empty before a list was read in this term.
+        """
+        return self._fleet.build_views() if self._is_term_started() else {}
+
+    def _is_term_started(self) -> bool:
+        """Return whether the fleet is of this term and not of an earlier one."""
+        return self._known_term == self._term()
 
     def record_entry_report(self, report: EntryReport, now_ms: float) -> None:
         """Record an entry's demand and the servers that asked it to pause."""
@@ -222,6 +227,8 @@
         If no engine does, takes one step towards a load: marks the model as missing, or
         orders the adapter.
         """
+        if not self._is_term_started():
+            return None
         records = self._fleet.list_engines(request.service)
         available = [record for record in records if record.is_available]
         for record in available:
--- a/tests/test_order_turns.py
+++ b/tests/test_order_turns.py
@@ -97,6 +97,25 @@
         _run_keepers(fleet, scenario)
         self.assertEqual([order.keeper_id for order in fleet.orders], ["k1", "k2"])
 
+    def test_no_answer_from_an_earlier_term(self):
+        """A keeper that leads again names no engine before it has read the list."""
+        # Its records of the earlier term name engines that have left meanwhile.
+        engines = [FakeEngine("s0", {}), FakeEngine("s1", {"m0": set()})]
+        fleet = FakeFleet(engines)
+
+        async def scenario(keepers):
+            controller = keepers.controllers["k1"]
+            request = HolderRequest("llm", "m0", "", "", 200.0)
+            await controller.find_holder(request)
+            fleet.start_term("k2")
+            del fleet.engines["s1"]
+            fleet.start_term("k1")
+            self.assertEqual(controller.build_server_views(), {})
+            reply = await controller.find_holder(request)
+            self.assertNotEqual(getattr(reply, "server_id", ""), "s1")
+
+        _run_keepers(fleet, scenario)
+
     def test_same_keeper_goes_on(self):
         """A keeper that is elected twice in a row orders at once."""
         fleet = FakeFleet([FakeEngine("s0", {"m0": set()})])
