Count an order by its own term, and pass over engines that asked to pause

Two faults of who may be ordered when, both found in review and read only: - An order whose answer came in a later term of its keeper was recorded as one of that term, so that the time to the keeper's next order ran from its sending. The record now takes the order's term, and the sender asks for the time right before it sends (OrderTurnsTest; on the code before, record_order knows no term). - A lookup for an adapter chose the least loaded engine though that had asked to pause; the order was withheld and the same engine chosen again until the caller gave up (test_adapter_goes_to_the_other, shown failing). Engines that may not be ordered now are passed over, as they are for models.

--- a/src/cowslipwood/keeper/engines/_adapters.py
+++ b/src/cowslipwood/keeper/engines/_adapters.py
@@ -52,7 +52,7 @@
         record
         for record in records
         if record.is_usable
-        and now_ms >= record.next_order_ms
+        and record.may_be_ordered(now_ms)
         and record.can_serve(model.name)
     ]
     free = [record for record in usable if record.has_adapter_slot(model.name)]
--- a/src/cowslipwood/keeper/engines/_engine_record.py
+++ b/src/cowslipwood/keeper/engines/_engine_record.py
@@ -152,10 +152,14 @@
     def is_usable(self) -> bool:
         """Whether the record is up to date and the engine idle, staying and not lost.
 
-        Does not check whether the engine has asked to pause, nor `next_order_ms`.
+        Does not check whether the engine has asked to pause; see `may_be_ordered`.
         """
         return self.is_synced and not self.is_busy and self.is_available
 
+    def may_be_ordered(self, now_ms: float) -> bool:
+        """Return whether the engine wants orders now and this keeper may give any."""
+        return now_ms >= max(self.held_off_until_ms, self.next_order_ms)
+
     def estimate_busy_ms(self, now_ms: float) -> float:
         """Return the estimated remaining time of the engine's present order."""
         if not self.is_busy:
@@ -231,7 +235,7 @@
         if (
             not self.is_synced
             or not self.is_available
-            or now_ms < max(self.held_off_until_ms, self.next_order_ms)
+            or not self.may_be_ordered(now_ms)
         ):
             return False
         if model in self.held:
--- a/src/cowslipwood/keeper/engines/_order_sender.py
+++ b/src/cowslipwood/keeper/engines/_order_sender.py
@@ -226,7 +226,9 @@
             return False
         if not self._fleet.has_record(record):
             return False
-        if now_ms < max(record.held_off_until_ms, record.next_order_ms):
+        server_id = record.server.server_id
+        next_order_ms = self._turns.get_next_order_ms(server_id)
+        if now_ms < max(record.held_off_until_ms, next_order_ms):
             return False
         order = EngineOrder(
             op,
@@ -236,9 +238,9 @@
             self._parameters.keeper_id,
             self._term(),
         )
-        self._turns.record_order(record.server.server_id, now_ms)
+        self._turns.record_order(server_id, order.fencing_token, now_ms)
         answer = await self._client.order(record.server, order)
-        self._turns.record_order(record.server.server_id, monotonic_ms())
+        self._turns.record_order(server_id, order.fencing_token, monotonic_ms())
         log = get_logger()
         outcome = "no-answer" if isinstance(answer, Err) else answer.unwrap().value
         self._metrics.count("orders_total", op=op.value, outcome=outcome)
--- a/src/cowslipwood/keeper/engines/_turns.py
+++ b/src/cowslipwood/keeper/engines/_turns.py
@@ -61,9 +61,14 @@
                 longest_ms=round(until_ms - now_ms),
             )
 
-    def record_order(self, server_id: str, now_ms: float) -> None:
-        """Record that an order to an engine is sent or answered now."""
-        self._own_order_ms[server_id] = now_ms
+    def record_order(self, server_id: str, term: int, now_ms: float) -> None:
+        """Record that an order of a term is sent to an engine or answered now.
+
+        The answer may come in a later term than that of the order.
+        """
+        is_own = term == self._term
+        order_ms = self._own_order_ms if is_own else self._earlier_order_ms
+        order_ms[server_id] = now_ms
 
     def get_next_order_ms(self, server_id: str) -> float:
         """Return the earliest time of an order to an engine in this term."""
--- a/tests/test_order_turns.py
+++ b/tests/test_order_turns.py
@@ -8,6 +8,7 @@
 import anyio
 
 from cowslipwood.keeper.engines._step import Step
+from cowslipwood.keeper.engines._turns import OrderTurns
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.messages import HolderRequest
 
@@ -43,6 +44,40 @@
     anyio.run(main)
 
 
+class OrderTurnsTest(unittest.TestCase):
+    """The time of the next order to an engine."""
+
+    def test_answer_in_a_later_term(self):
+        """An order whose answer comes in a later term counts as one of its own term."""
+        # The engine may have received it as late as that.
+        turns = OrderTurns(LEASE_MS)
+        turns.start_term(1, 0, 0.0)
+        turns.record_order("s0", 1, 100.0)
+        turns.start_term(3, 2, 200.0)
+        self.assertEqual(turns.get_next_order_ms("s0"), 100.0 + LEASE_MS)
+        turns.record_order("s0", 1, 250.0)
+        self.assertEqual(turns.get_next_order_ms("s0"), 250.0 + LEASE_MS)
+
+
+class EngineThatPausesTest(unittest.TestCase):
+    """One of two engines with a model has asked to pause."""
+
+    def test_adapter_goes_to_the_other(self):
+        """An adapter's lookup does not wait for the engine that asked to pause."""
+        # That engine was chosen again and again, as the least loaded one.
+        engines = [FakeEngine("s0", {"m0": set()}), FakeEngine("s1", {"m0": {"a1"}})]
+        fleet = FakeFleet(engines)
+
+        async def scenario(keepers):
+            controller = keepers.controllers["k1"]
+            await anyio.sleep(0.1)
+            controller._fleet.records["s0"].hold_off(monotonic_ms() + 60_000.0)
+            await controller.find_holder(HolderRequest("llm", "m0", "a2", "", 1_000.0))
+
+        _run_keepers(fleet, scenario)
+        self.assertIn("a2", engines[1].held["m0"])
+
+
 class LeadershipThatReturnsTest(unittest.TestCase):
     """A keeper leads, another one does, and the first one leads again."""
 
