Count unloads that a plan has decided on or that are under way

Two steps of one round could each unload a copy of the same model as a spare one, after which no engine held it and its next callers waited for a load. Cause: a round counted the copies that it added but not the unloads that make room for them, and a copy that was being unloaded still counted as one.

Now the second unload has the price of a last copy.

--- a/src/cowslipwood/keeper/engines/_copies.py
+++ b/src/cowslipwood/keeper/engines/_copies.py
@@ -137,9 +137,14 @@
         self._held_values: dict[str, dict[str, float]] = {}
         self._now_ms = now_ms
 
-    def add_copy(self, model: str, record: EngineRecord) -> None:
-        """Include a copy that has been decided on."""
-        self.layout.n_copies[model] = self.layout.n_copies.get(model, 0) + 1
+    def add_copy(
+        self, model: str, record: EngineRecord, unload_model: str = ""
+    ) -> None:
+        """Include a copy that has been decided on, and the unload that it needs."""
+        n_copies = self.layout.n_copies
+        n_copies[model] = n_copies.get(model, 0) + 1
+        if unload_model in n_copies:
+            n_copies[unload_model] -= 1
         self.layout.expected_load.add_copy(model, record.server.server_id)
         self._held_values.clear()
 
@@ -163,13 +168,15 @@
         n_decided = 0
 
         def add_candidate(rank: int) -> None:
+            # A model that no engine holds is loaded when the model is requested.
+            if not self.get_n_copies(models[rank].name):
+                return
             candidate = self._choose_engine(models[rank], free, rank, n_decided)
             if candidate is not None:
                 heappush(queue, candidate)
 
         for rank, model in enumerate(models):
-            # A model that no engine holds is loaded when the model is requested.
-            if self.get_n_copies(model.name) and self._is_model_requested(model):
+            if self._is_model_requested(model):
                 add_candidate(rank)
                 yield None
         while queue:
@@ -178,8 +185,9 @@
             if candidate.n_decided == n_decided:
                 n_decided += 1
                 free.remove(candidate.step.record)
-                self.add_copy(model.name, candidate.step.record)
-                yield model, candidate.step
+                step = candidate.step
+                self.add_copy(model.name, step.record, step.unload_model)
+                yield model, step
             add_candidate(candidate.rank)
             yield None
 
--- a/src/cowslipwood/keeper/engines/_placement.py
+++ b/src/cowslipwood/keeper/engines/_placement.py
@@ -343,7 +343,7 @@
     contention that its requests would add on other engines. `time_cost_factor`
     scales the cost of waiting until running requests end.
     """
-    n_copies = layout.n_copies.get(name, 1)
+    n_copies = max(1, layout.n_copies.get(name, 1))
     model_demand = demand.get(name, NO_DEMAND)
     # The engine reports how many requests run, but not for which models.
     n_running = min(model_demand.n_in_flight / n_copies, record.n_running)
@@ -383,10 +383,11 @@
 
 
 def count_copies(records: Iterable[EngineRecord]) -> dict[str, int]:
-    """Return how many available engines hold each model."""
+    """Return how many available engines hold each model and go on to hold it."""
     copies: dict[str, int] = {}
     for record in records:
         if record.is_available:
             for name in record.held:
-                copies[name] = copies.get(name, 0) + 1
+                if name != record.unloading_model:
+                    copies[name] = copies.get(name, 0) + 1
     return copies
--- a/tests/test_crowded_engines.py
+++ b/tests/test_crowded_engines.py
@@ -19,9 +19,11 @@
 )
 from cowslipwood.keeper.engines._offered_load import OfferedLoadEstimator
 from cowslipwood.keeper.engines._placement import (
+    LAST_COPY_VALUE_REQUESTS,
     ModelDemand,
     choose_load_step,
     compute_expected_load,
+    count_copies,
 )
 from cowslipwood.keeper.engines._plan import plan_loads
 from cowslipwood.keeper.engines._step import skip_pauses
@@ -453,6 +455,26 @@
         self.assertEqual(self._plan_loads(demand, "m9"), {"m9": "s1"})
 
 
+class SpareCopiesTest(unittest.TestCase):
+    """Two models need copies, and two engines hold a third that nobody requests."""
+
+    def test_last_copy_is_no_spare(self):
+        """Of two copies of an unused model, a round unloads one as a spare at most."""
+        # Both were unloaded at the price of a spare copy, and no engine held the model.
+        records = make_records("m0 m1 m3", "m0 m2 m4")
+        demand = make_offered_demand(m1=90.0, m2=90.0, m3=30.0, m4=30.0)
+        steps = list(skip_pauses(plan_copies(records, MODELS, demand, NOW_MS)))
+        costs = [step.cost for _, step in steps if step.unload_model == "m0"]
+        self.assertEqual(len(costs), 2)
+        self.assertAlmostEqual(costs[1] - costs[0], LAST_COPY_VALUE_REQUESTS)
+
+    def test_copy_that_is_being_unloaded(self):
+        """A copy that is being unloaded does not make another one a spare."""
+        records = make_records("m0", "m0")
+        records[0].unloading_model = "m0"
+        self.assertEqual(count_copies(records), {"m0": 1})
+
+
 class FullBatchTest(unittest.TestCase):
     """All batch slots of an engine are taken, so less urgent requests don't end."""
 
