--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -54,6 +54,32 @@
 PRIOR_DEMAND_MS = 4_000.0
 
 
+class _HolderSearch:
+    """A search for an engine, for which lookups wait.
+
+    Parameters
+    ----------
+    request : HolderRequest
+        The first of these lookups.
+    spec : ModelSpec
+
+    Attributes
+    ----------
+    holder : EngineRecord or None
+        The engine that was found.
+    n_waiting : int
+        Lookups that wait.
+    ended : anyio.Event
+    """
+
+    def __init__(self, request: HolderRequest, spec: ModelSpec):
+        self.request = request
+        self.spec = spec
+        self.holder: EngineRecord | None = None
+        self.n_waiting = 0
+        self.ended = anyio.Event()
+
+
 class EngineController:
     """Gives orders to engines while its keeper leads.
 
@@ -93,6 +119,8 @@
         self._demand = DemandTracker()
         # Time of the last search for an adapter, by model and adapter.
         self._adapter_searched_ms: dict[tuple[str, str], float] = {}
+        # Searches for engines by service, model and adapter.
+        self._searches: dict[tuple[str, str, str], _HolderSearch] = {}
         # Service and model of each load whose callers were told to retry later.
         self._background_loads: set[tuple[str, str]] = set()
         self._known_term = 0
@@ -126,6 +154,8 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._planning.run)
+            for search in self._searches.values():
+                tasks.start_soon(self._run_search, search)
             while True:
                 now_ms = monotonic_ms()
                 if self._can_act_as_leader(now_ms):
@@ -210,14 +240,36 @@
     async def _wait_for_holder(
         self, request: HolderRequest, spec: ModelSpec
     ) -> EngineRecord | None:
-        """Return an engine once it holds the model; None on loss of leadership."""
-        while self._can_act_as_leader(monotonic_ms()):
-            holder = await self._find_or_load_holder(request, spec)
-            if holder is not None:
-                return holder
+        """Return an engine once it holds the model; None on loss of leadership.
+
+        Lookups of one model or adapter wait for the same search.
+        """
+        key = (request.service, spec.name, request.adapter)
+        search = self._searches.get(key)
+        if search is None:
+            search = self._searches[key] = _HolderSearch(request, spec)
+            if self._tasks is not None:
+                self._tasks.start_soon(self._run_search, search)
+        search.n_waiting += 1
+        try:
             with self._demand.count_pending_lookup(spec.name):
+                await search.ended.wait()
+        finally:
+            search.n_waiting -= 1
+        return search.holder
+
+    async def _run_search(self, search: "_HolderSearch") -> None:
+        """Search for an engine until one is found or no lookup waits any more."""
+        request, spec = search.request, search.spec
+        try:
+            while search.n_waiting and self._can_act_as_leader(monotonic_ms()):
+                search.holder = await self._find_or_load_holder(request, spec)
+                if search.holder is not None:
+                    return
                 await anyio.sleep(LOOKUP_RETRY_MS / 1000)
-        return None
+        finally:
+            del self._searches[request.service, spec.name, request.adapter]
+            search.ended.set()
 
     async def _find_or_load_holder(
         self, request: HolderRequest, spec: ModelSpec
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -5,6 +5,7 @@
 
 import unittest
 from typing import Any
+from unittest import mock
 
 import anyio
 
@@ -138,6 +139,33 @@
 
         self.assertLess(_run_large_fleet(scenario), Timing().heartbeat_ms)
 
+    def test_lookups_of_one_model_share_a_search(self):
+        """Seventy lookups for one model look at the engines as often as one does."""
+        # Each of them looked at all engines every 20 ms.
+        counts = []
+
+        async def scenario(fleet, controller, processor):
+            await anyio.sleep(SETTLING_S)
+            spec = fleet.spec.models[-1]
+            list_engines = controller._fleet.list_engines
+
+            def count(service: str) -> list:
+                counts[-1] += 1
+                return list_engines(service)
+
+            with mock.patch.object(controller._fleet, "list_engines", count):
+                for n_lookups in (1, LARGE_FLEET.n_entries):
+                    counts.append(0)
+                    async with anyio.create_task_group() as tasks:
+                        for _ in range(n_lookups):
+                            request = HolderRequest("llm", spec.name, "missing", "", 0)
+                            tasks.start_soon(controller._wait_for_holder, request, spec)
+                        await anyio.sleep(0.2)
+                        tasks.cancel_scope.cancel()
+
+        _run_large_fleet(scenario)
+        self.assertLess(counts[1], 3 * counts[0])
+
     def test_new_term_during_a_lookup(self):
         """A lookup is answered though a term begins while its search pauses."""
 
