Resume orders to an engine that did not count an order answered DONE

Seen by callers: lookups of models and adapters that only this engine could take ended without a holder; by operators: no further order to the engine after an order with the outcome "done" (and one with "conflict"), until it restarted or another keeper led.

Cause: an order that is already in effect may be answered DONE without being counted. The record raised its own number and the lowest number of a valid report, so that every later report seemed to be from before the order, and the record stayed out of date.

Evidence, on the code before: test_orders_after_an_uncounted_adapter_order, test_orders_after_an_uncounted_model_order and test_orders_after_an_uncounted_unload fail with "AssertionError: None is not an instance of HolderReply": the lookup that needs a further order gets no answer within 3 s.

Fix: the record also keeps the number that the engine is known to have counted, from accepted orders and reports. For 1 s after a DONE order, which is longer than the age of reports, the higher number applies as before; later reports are compared with the known number. An accepted order after the DONE one confirms its number at once. A swap of adapters still sends its load right after the unload.

If the order after an uncounted one has no answer, its number is too high, and it would be carried out late once other orders have raised the engine's number. test_late_order_after_an_uncounted_one shows an engine over its slots ("1 != 0") without a wait, so the record stays out of date for 60 s then, unless a report shows that the orders counted. This rests on an order not staying on its way for longer.

--- a/src/cowslipwood/keeper/engines/_engine_record.py
+++ b/src/cowslipwood/keeper/engines/_engine_record.py
@@ -27,6 +27,14 @@
 # Failed reads of a report in a row from which an engine counts as lost. One report may
 # be lost on its way; an engine that is down gives none.
 N_FAILED_READS_LOST = 2
+# Time after an order answered DONE for which older reports are ignored: several times
+# the age of reports. A later report that seems older shows that the engine did not
+# count the order.
+UNCOUNTED_ORDER_MS = 1_000.0
+# The same time if the next order had no answer. Its number may be too high, and the
+# engine would still carry it out if further orders raised the engine's number. Much
+# longer than an order stays on its way.
+LOST_ORDER_MS = 60_000.0
 
 
 class _Reservation(NamedTuple):
@@ -103,6 +111,10 @@
         self.set_spec(spec)
         self.sequence: int | None = None
         self._min_sequence = 0  # delayed reports may show an older state
+        # Orders that the engine is known to have counted, and from when older reports
+        # are compared with these only.
+        self._counted_sequence = 0
+        self._counted_only_from_ms = 0.0
         self.held: dict[str, set[str]] = {}
         self.cached_models: frozenset[str] = frozenset()
         self.is_busy = False
@@ -313,15 +325,25 @@
         )
 
     def apply_report(self, report: EngineReport, now_ms: float) -> bool:
-        """Apply a report unless it is older than the last accepted order."""
+        """Apply a report unless it is older than the last accepted order.
+
+        An order answered DONE that the engine did not count makes reports seem older
+        only for a time.
+        """
         self.n_failed_reads = 0
         self.n_running = report.n_running
         self.n_queued = report.n_queued
         self.kv_share = report.kv_share
         self._reports_leaving = self._reports_leaving or report.is_leaving
-        if report.sequence < self._min_sequence:
+        min_sequence = (
+            self._min_sequence
+            if now_ms < self._counted_only_from_ms
+            else self._counted_sequence
+        )
+        if report.sequence < min_sequence:
             return False
         self.sequence = self._min_sequence = report.sequence
+        self._counted_sequence = report.sequence
         self.is_busy = report.is_busy
         held = {model.name: set(model.adapters) for model in report.models}
         for model, adapter in report.pending:
@@ -353,6 +375,10 @@
         further order.
         """
         self.sequence = self._min_sequence = (self.sequence or 0) + 1
+        if is_done:
+            self._counted_only_from_ms = now_ms + UNCOUNTED_ORDER_MS
+        else:
+            self._counted_sequence = self.sequence
         if adapter:
             adapters = self.held.setdefault(model, set())
             if op is OrderOp.LOAD:
@@ -373,3 +399,9 @@
             self.load_started_ms[model] = now_ms
         else:
             self.unloading_model = model
+
+    def record_lost_order(self, now_ms: float) -> None:
+        """Record that an order may still be carried out, or may have been refused."""
+        self.sequence = None
+        if self._counted_sequence < self._min_sequence:
+            self._counted_only_from_ms = now_ms + LOST_ORDER_MS
--- a/src/cowslipwood/keeper/engines/_order_sender.py
+++ b/src/cowslipwood/keeper/engines/_order_sender.py
@@ -264,4 +264,6 @@
             record.hold_off(monotonic_ms() + answer.failure().retry_after_ms)
         # The state of the engine is unknown until its next report.
         record.sequence = None
+        if isinstance(answer, Err):
+            record.record_lost_order(monotonic_ms())
         return False
--- a/tests/engine_builders.py
+++ b/tests/engine_builders.py
@@ -61,6 +61,9 @@
         Whether orders are carried out, but their answers are lost.
     defers_orders : bool
         Whether orders are carried out only by `run_deferred_orders`.
+    counts_orders_in_effect : bool
+        Whether an order that is already in effect counts as accepted; it is answered
+        DONE without being counted otherwise.
     is_unreachable : bool
         Whether the engine gives no report.
     n_overflows : int
@@ -78,6 +81,7 @@
         self.deferred_orders: list[EngineOrder] = []
         self.loses_answers = False
         self.defers_orders = False
+        self.counts_orders_in_effect = True
         self.is_unreachable = False
         self.is_leaving = False
         self.n_overflows = 0
@@ -100,6 +104,8 @@
         if order.expected_sequence != self.sequence or self.is_busy:
             return OrderOutcome.CONFLICT
         self.fencing_token = order.fencing_token
+        if not self.counts_orders_in_effect and self._is_in_effect(order):
+            return OrderOutcome.DONE
         self.sequence += 1
         self.keeper_ids.append(order.keeper_id)
         if order.adapter:
@@ -123,6 +129,13 @@
             self.n_overflows += 1
         return OrderOutcome.ACCEPTED
 
+    def _is_in_effect(self, order: EngineOrder) -> bool:
+        """Return whether carrying out an order would change nothing."""
+        is_held = order.model in self.held and (
+            not order.adapter or order.adapter in self.held[order.model]
+        )
+        return is_held == (order.op is OrderOp.LOAD)
+
     def end_running_requests(self) -> None:
         """End all running requests, and carry out the unloads that waited for them."""
         self.adapters_in_use.clear()
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cowslipwood.keeper.engines import _controller, _plan
+from cowslipwood.keeper.engines import _controller, _engine_record, _plan
 from cowslipwood.keeper.engines._adapters import choose_adapter_step
 from cowslipwood.keeper.engines._controller import MIN_PLAN_INTERVAL_MS
 from cowslipwood.keeper.engines._copies import choose_copy
@@ -220,6 +220,130 @@
         self.assertFalse(held.is_synced)
         self.assertTrue(held.apply_report(old._replace(sequence=1), 1_300.0))
 
+    def test_report_from_before_a_done_order(self):
+        """A report older than a counted order answered DONE does not undo the order."""
+        held = make_record("s0", {"m0": {"a1"}})
+        held.apply_accepted_order(OrderOp.UNLOAD, "m0", "a1", 0.0, 1_000.0, True)
+        old = EngineReport(0, False, (ListedModel("m0", 1, ("a1",)),))
+        # Fails if a number that may not count lets older reports in at once.
+        self.assertFalse(held.apply_report(old, 1_300.0))
+        self.assertFalse(held.has_adapter("m0", "a1"))
+        self.assertEqual(held.sequence, 1)
+        counted = EngineReport(1, False, (ListedModel("m0"),))
+        self.assertTrue(held.apply_report(counted, 1_400.0))
+        # Fails if a report of the counted order leaves its number uncertain.
+        self.assertFalse(held.apply_report(old, 60_000.0))
+
+    def test_report_from_before_an_order_after_a_done_one(self):
+        """An accepted order confirms the number of the DONE order before it."""
+        held = make_record("s0", {"m0": {"a1"}})
+        held.apply_accepted_order(OrderOp.UNLOAD, "m0", "a1", 0.0, 1_000.0, True)
+        held.apply_accepted_order(OrderOp.LOAD, "m0", "a2", 0.0, 1_010.0)
+        old = EngineReport(1, False, (ListedModel("m0"),))
+        # Fails if a DONE order makes reports from before an accepted one valid later.
+        self.assertFalse(held.apply_report(old, 60_000.0))
+        self.assertTrue(held.has_adapter("m0", "a2"))
+
+    def test_orders_after_an_uncounted_adapter_order(self):
+        """An engine that did not count a DONE adapter order takes further orders."""
+        engine = FakeEngine("s0", {"m0": set()})
+        engine.counts_orders_in_effect = False
+        fleet = FakeFleet([engine])
+
+        async def scenario(controller):
+            engine.held["m0"].add("a1")
+            self.assertIsInstance(await look_up(controller, "m0", "a1"), HolderReply)
+            # Fails if the record stays out of date: no order is given any more.
+            self.assertIsInstance(await look_up(controller, "m0", "a2"), HolderReply)
+
+        run_controller(fleet, scenario)
+        self.assertEqual(engine.held["m0"], {"a1", "a2"})
+
+    def test_orders_after_an_uncounted_model_order(self):
+        """An engine that did not count a DONE model order takes further orders."""
+        engine = FakeEngine("s0", {"m0": set()})
+        engine.counts_orders_in_effect = False
+        fleet = FakeFleet([engine])
+
+        async def scenario(controller):
+            engine.held["m1"] = set()
+            self.assertIsInstance(await look_up(controller, "m1"), HolderReply)
+            # Fails if the record stays out of date: no order is given any more.
+            self.assertIsInstance(await look_up(controller, "m1", "a1"), HolderReply)
+
+        run_controller(fleet, scenario)
+        self.assertEqual(engine.held["m1"], {"a1"})
+        self.assertEqual(engine.n_overflows, 0)
+
+    def test_orders_after_an_uncounted_unload(self):
+        """A swap whose unload was in effect already and not counted ends later."""
+        engine = FakeEngine("s0", {"m0": {"a1", "a2", "a3"}})
+        engine.counts_orders_in_effect = False
+        fleet = FakeFleet([engine])
+
+        async def scenario(controller):
+            await look_up(controller, "m0", "a2")
+            await look_up(controller, "m0", "a3")
+            await anyio.sleep(0.75)
+            engine.held["m0"].discard("a1")
+            # Fails if the record stays out of date after the refused load.
+            self.assertIsInstance(await look_up(controller, "m0", "a9"), HolderReply)
+
+        run_controller(fleet, scenario)
+        self.assertIn("a9", engine.held["m0"])
+        self.assertEqual(engine.n_overflows, 0)
+
+    def test_swap_of_adapters_takes_two_orders(self):
+        """The load of a swap follows an unload answered DONE without a report."""
+        engine = FakeEngine("s0", {"m0": {"a1", "a2", "a3"}})
+        fleet = FakeFleet([engine])
+
+        async def scenario(controller):
+            self.assertIsInstance(await look_up(controller, "m0", "a9"), HolderReply)
+
+        run_controller(fleet, scenario)
+        # Fails if a swap waits for a report or has an order refused in between.
+        self.assertEqual([order.expected_sequence for order in fleet.orders], [0, 1])
+
+    def test_late_order_after_an_uncounted_one(self):
+        """An order with a number too high that arrives late overfills no engine."""
+        engine = FakeEngine("s0", {"m0": {"a1", "a2", "a3"}})
+        engine.counts_orders_in_effect = False
+        fleet = FakeFleet([engine])
+
+        async def defer_second_order():
+            while not fleet.orders:
+                await anyio.sleep(0)
+            engine.defers_orders = True
+
+        async def scenario(controller):
+            async with anyio.create_task_group() as tasks:
+                engine.held["m0"].discard("a1")
+                tasks.start_soon(defer_second_order)
+                with anyio.move_on_after(0.1):
+                    await look_up(controller, "m0", "a9")
+                engine.defers_orders = False
+                with anyio.move_on_after(0.5):
+                    await look_up(controller, "m0", "a8")
+                self.assertEqual(engine.deferred_orders[0].expected_sequence, 1)
+                engine.run_deferred_orders()
+
+        with mock.patch.object(_engine_record, "UNCOUNTED_ORDER_MS", 0.0):
+            run_controller(fleet, scenario)
+        # Fails if further orders raise the engine's number to that of the late order.
+        self.assertEqual(engine.n_overflows, 0)
+        self.assertLessEqual(engine.count_adapters(), SPEC.max_adapters)
+
+    def test_lost_order_after_an_uncounted_one(self):
+        """An engine takes orders again when the lost order can't arrive any more."""
+        held = make_record("s0", {"m0": {"a1"}})
+        held.apply_accepted_order(OrderOp.UNLOAD, "m0", "a1", 0.0, 1_000.0, True)
+        held.record_lost_order(1_100.0)
+        uncounted = EngineReport(0, False, (ListedModel("m0"),))
+        self.assertFalse(held.apply_report(uncounted, 5_000.0))
+        # Fails if the record stays out of date for good.
+        self.assertTrue(held.apply_report(uncounted, 61_200.0))
+
     def test_concurrent_lookups(self):
         """Concurrent lookups never order more adapters than there are slots."""
         engines = [FakeEngine(f"s{number}", {"m0": set()}) for number in range(2)]
