Log the layout of every service with engines

Seen by operators: with several engine services, "engine_seen" lines only of the first service in the document; nothing on the models and load of the others.

Cause: the services shared the time of the last log, so the first one's log made the log of the others not due for 2 s, and then the first one was first again.

Evidence: test_each_service_is_logged on the code before: "AssertionError: Items in the second set but not the first: 's1'", over one interval of the log.

Fix: the time of the last log is kept by service. The lines on demand and lateness, which all services share, now come with each service's log.

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -145,7 +145,8 @@
         self._expected_load: dict[str, ExpectedLoad] = {}
         # Time of the last lookup of a missing model, by service and model.
         self._missing_lookup_ms: dict[tuple[str, str], float] = {}
-        self._logged_ms = -math.inf
+        # Time of the last log of the layout, by service.
+        self._logged_ms: dict[str, float] = {}
         self._planning_logged_ms = -math.inf
         self._known_term = 0
         self._term_start_ms = 0.0
@@ -467,8 +468,8 @@
             records, self._demand.by_model, self._demand.late_share
         )
         self._expected_load[service.name] = expected_load
-        if now_ms >= self._logged_ms + LAYOUT_LOG_MS:
-            self._logged_ms = now_ms
+        if now_ms >= self._logged_ms.get(service.name, -math.inf) + LAYOUT_LOG_MS:
+            self._logged_ms[service.name] = now_ms
             log_layout(records, expected_load, self._demand, now_ms)
         loads = iterate_loads(
             records,
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -8,12 +8,14 @@
 from unittest import mock
 
 import anyio
+import structlog
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from returns.result import Success
 
 from cowslipwood.keeper.engines import _controller, _engine_record, _plan
 from cowslipwood.keeper.engines._adapters import choose_adapter_step
-from cowslipwood.keeper.engines._controller import MIN_PLAN_INTERVAL_MS
+from cowslipwood.keeper.engines._controller import LAYOUT_LOG_MS, MIN_PLAN_INTERVAL_MS
 from cowslipwood.keeper.engines._copies import choose_copy
 from cowslipwood.keeper.engines._orders import EngineReport, OrderOp
 from cowslipwood.keeper.engines._placement import (
@@ -24,8 +26,16 @@
 )
 from cowslipwood.kernel.messages import HolderReply, HolderRequest, Refused
 from cowslipwood.listing import ListedModel
-
-from .engine_builders import MODELS, SPEC, FakeEngine, FakeFleet, make_record
+from cowslipwood.routes import RouteDocument, ServiceSpec
+
+from .engine_builders import (
+    MODELS,
+    SPEC,
+    FakeEngine,
+    FakeFleet,
+    make_listed_server,
+    make_record,
+)
 
 LOOKUP_TIMEOUT_S = 3.0
 
@@ -484,6 +494,48 @@
         self.assertEqual([engine.n_overflows for engine in engines], [0, 0])
 
 
+class LayoutLogTest(unittest.TestCase):
+    """Logs of the engines' models and load."""
+
+    def test_each_service_is_logged(self):
+        """With several engine services, the engines of each one are logged."""
+        services = {"s0": "llm", "s1": "chat"}
+        fleet = FakeFleet([FakeEngine(server_id, {}) for server_id in services])
+        document = RouteDocument(
+            1, (), tuple(ServiceSpec(name, engine=SPEC) for name in services.values())
+        )
+
+        async def read():
+            return Success(
+                [
+                    make_listed_server(server_id)._replace(service=name)
+                    for server_id, name in services.items()
+                ]
+            )
+
+        make_controller = fleet.make_controller
+
+        def make_controller_of_services(**parameters):
+            controller = make_controller(**parameters)
+            controller._document = lambda: document
+            return controller
+
+        async def scenario(controller):
+            await anyio.sleep((LAYOUT_LOG_MS + 300) / 1000)
+
+        with (
+            mock.patch.object(fleet, "read", read),
+            mock.patch.object(fleet, "make_controller", make_controller_of_services),
+            structlog.testing.capture_logs() as log_lines,
+        ):
+            run_controller(fleet, scenario)
+        logged = {
+            line["server"] for line in log_lines if line["event"] == "engine_seen"
+        }
+        # Fails if the log of one service keeps the next ones from being logged.
+        self.assertEqual(logged, {"s0", "s1"})
+
+
 class LostEngineTest(unittest.TestCase):
     """Engines that are listed but give no report."""
 
