Remove the demand of unknown model names once they are unused

Seen by operators: nothing at first; the leader's work in each round of control, every 50 ms, grows with every model name that callers have ever requested, until it restarts.

Cause: entries count a request before they know whether its model exists, and callers choose the name. The tracker kept each name's last use, demand and target for good, and each round goes through all of them. Once 10,000 names had targets, no further model got one. Pending lookups are counted only for models of the document, so these were bounded; their zeros are now removed too.

Evidence: test_unused_models_have_no_demand on the code before, without the new argument: all 50 names are still tracked 79 s after their only report.

Fix: names outside the document are removed when they were not requested for 20 s and their smoothed demand has ended. Models of the document stay, since the target of an idle model decides whether it may be unloaded.

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -382,8 +382,9 @@
                 count_copies(self._fleet.records.values())
             )
         unserved = self._fleet.list_unserved(self._demand.by_model)
+        known_models = _list_model_names(self._document())
         self._demand.update(
-            prior_waiting, CONTROL_INTERVAL_MS, now_ms, is_new, unserved
+            prior_waiting, CONTROL_INTERVAL_MS, now_ms, is_new, unserved, known_models
         )
         for record in self._fleet.list_engines_to_read(now_ms):
             # Read in separate tasks, as an engine that is down must not delay the rest.
@@ -523,3 +524,13 @@
     if service is None or service.engine is None:
         return None
     return next((spec for spec in service.engine.models if spec.name == model), None)
+
+
+def _list_model_names(document: RouteDocument | None) -> set[str]:
+    """Return the names of the models of all services."""
+    return {
+        model.name
+        for service in (document.services if document else ())
+        if service.engine is not None
+        for model in service.engine.models
+    }
--- a/src/cowslipwood/keeper/engines/_demand.py
+++ b/src/cowslipwood/keeper/engines/_demand.py
@@ -6,7 +6,13 @@
 from contextlib import contextmanager
 
 from ...kernel.messages import DemandSample, EntryReport
-from ._offered_load import RISE_TIME_MS, OfferedLoadEstimator, parse_model, smooth
+from ._offered_load import (
+    NEGLIGIBLE_REQUESTS,
+    RISE_TIME_MS,
+    OfferedLoadEstimator,
+    parse_model,
+    smooth,
+)
 from ._placement import NO_DEMAND, ModelDemand
 
 __all__ = ["DemandTracker"]
@@ -100,6 +106,8 @@
             yield
         finally:
             self._n_pending_lookups[model] -= 1
+            if not self._n_pending_lookups[model]:
+                del self._n_pending_lookups[model]
 
     def record_report(self, report: EntryReport, now_ms: float) -> None:
         """Record the demand in an entry's report."""
@@ -120,6 +128,7 @@
         now_ms: float,
         is_new: bool = False,
         unserved: Collection[str] = (),
+        known_models: Collection[str] = (),
     ) -> None:
         """Advance the smoothed values by one interval.
 
@@ -137,6 +146,8 @@
             reliable yet.
         unserved : collection of str
             Models that no engine can serve yet.
+        known_models : collection of str
+            Models of the document; other names are removed when they are unused.
         """
         rise_ms = interval_ms if is_new else RISE_TIME_MS
         waiting, in_flight = self._sum_samples(now_ms)
@@ -176,6 +187,24 @@
                 ),
                 self._target_ms.get(model, 0.0),
             )
+        self._remove_unused(known_models)
+
+    def _remove_unused(self, known_models: Collection[str]) -> None:
+        """Remove the names outside the document that are no longer requested.
+
+        Callers choose model names freely, and each round of control goes through all
+        names.
+        """
+        for model, model_demand in list(self.by_model.items()):
+            is_used = (
+                model_demand.recency
+                or model_demand.n_waiting >= NEGLIGIBLE_REQUESTS
+                or model_demand.n_callers >= NEGLIGIBLE_REQUESTS
+            )
+            if model not in known_models and not is_used:
+                del self.by_model[model]
+                del self._last_use_ms[model]
+                self._target_ms.pop(model, None)
 
     def _sum_samples(self, now_ms: float) -> tuple[dict[str, float], dict[str, float]]:
         """Return waiting requests and requests in flight by model, over all entries."""
--- a/src/cowslipwood/keeper/engines/_offered_load.py
+++ b/src/cowslipwood/keeper/engines/_offered_load.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "FALL_TIME_MS",
+    "NEGLIGIBLE_REQUESTS",
     "RISE_TIME_MS",
     "OfferedLoadEstimator",
     "parse_model",
--- a/tests/test_crowded_engines.py
+++ b/tests/test_crowded_engines.py
@@ -190,6 +190,29 @@
             estimator.update((), 50.0, False)
         self.assertEqual(len(estimator._trends), 0)
 
+    def test_unused_models_have_no_demand(self):
+        """The demand of names that no document contains ends with their requests."""
+        tracker = DemandTracker()
+        samples = tuple(
+            DemandSample(f"llm|{name}", 2.0, 1.0, 1.0, target_ms=9_000.0)
+            for name in ("m0", *(f"x{number}" for number in range(50)))
+        )
+        tracker.record_report(make_demand_report("e1")._replace(demand=samples), NOW_MS)
+        with tracker.count_pending_lookup("x7"):
+            tracker.update({}, 50.0, NOW_MS, known_models={"m0"})
+        self.assertGreater(tracker.get("x7").n_in_flight, 0.0)
+        tracker.update({}, 50.0, NOW_MS + 10_000.0, known_models={"m0"})
+        self.assertGreater(tracker.get("x7").recency, 0.0)
+        for step in range(60):
+            now_ms = NOW_MS + 20_000.0 + step * 1_000.0
+            tracker.update({}, 1_000.0, now_ms, known_models={"m0"})
+        # Fails if each round of control goes through all names ever requested.
+        self.assertEqual(set(tracker.by_model), {"m0"})
+        self.assertEqual(set(tracker._last_use_ms), {"m0"})
+        self.assertEqual(set(tracker._target_ms), {"m0"})
+        self.assertEqual(set(tracker._n_pending_lookups), set())
+        self.assertEqual(tracker.get("m0").target_ms, 9_000.0)
+
 
 class QueuedRequestsTest(unittest.TestCase):
     """Requests queue at full engines, so that each takes longer than at an idle one."""
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -17,6 +17,7 @@
 from cowslipwood.keeper.engines._adapters import choose_adapter_step
 from cowslipwood.keeper.engines._controller import LAYOUT_LOG_MS, MIN_PLAN_INTERVAL_MS
 from cowslipwood.keeper.engines._copies import choose_copy
+from cowslipwood.keeper.engines._demand import DemandTracker
 from cowslipwood.keeper.engines._orders import EngineReport, OrderOp
 from cowslipwood.keeper.engines._placement import (
     ModelDemand,
@@ -494,6 +495,21 @@
         self.assertEqual([engine.n_overflows for engine in engines], [0, 0])
 
 
+class KnownModelsTest(unittest.TestCase):
+    """Demand for models of the document is kept while nobody requests them."""
+
+    def test_models_of_the_document(self):
+        """The demand is updated with the models of the document in force."""
+
+        async def scenario(controller):
+            await anyio.sleep(0.2)
+
+        with mock.patch.object(DemandTracker, "update", autospec=True) as update:
+            run_controller(FakeFleet([FakeEngine("s0", {})]), scenario)
+        # Fails if idle models lose the target that decides whether they are unloaded.
+        self.assertEqual(update.call_args.args[-1], {model.name for model in MODELS})
+
+
 class LayoutLogTest(unittest.TestCase):
     """Logs of the engines' models and load."""
 
