Forget silent servers that have no assignment

Seen by operators: the leader keeps the last report of every agent that ever reported to it and was never assigned a model, such as agents of services and engines that were replaced early, until it restarts.

Cause: only servers in the committed assignments were checked for their silence.

Fix: the check covers servers with a report or an assignment. A server without assigned models is forgotten without a command to the log.

--- a/src/cowslipwood/keeper/_planner.py
+++ b/src/cowslipwood/keeper/_planner.py
@@ -370,7 +370,7 @@
         per call.
         """
         reported = self._directory.list_agent_reports()
-        for server_id, assigned in self._machine.assignments.items():
+        for server_id in reported.keys() | self._machine.assignments.keys():
             received_at_ms = (
                 reported[server_id].received_at_ms
                 if server_id in reported
@@ -382,6 +382,6 @@
             ):
                 continue
             self._directory.forget_server(server_id)
-            if assigned.desired:
+            if self._get_assigned_models(server_id).desired:
                 await self._commit_plan(Plan({server_id: ()}), self._replica.term)
                 return
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -8,7 +8,12 @@
 from cowslipwood.keeper._commands import AssignCommand, decode_command
 from cowslipwood.keeper._directory import REPORT_TIMEOUT_MS, ProcessDirectory
 from cowslipwood.keeper._machine import AssignedModels, KeeperStateMachine
-from cowslipwood.keeper._planner import FIRST_ROUND_DELAY_MS, Planner, PlannerSettings
+from cowslipwood.keeper._planner import (
+    FIRST_ROUND_DELAY_MS,
+    FORGET_SERVER_AFTER_MS,
+    Planner,
+    PlannerSettings,
+)
 from cowslipwood.kernel.codes import Code
 from cowslipwood.kernel.messages import DesiredModel, PermitRequest
 from cowslipwood.kernel.metrics import Metrics
@@ -76,6 +81,17 @@
         self.assertIs(self.get_status("s1", 300.0), ServerStatus.LIVE)
         self.assertIsNone(self.get_status("s1", 101.0 + REPORT_TIMEOUT_MS))
 
+    def test_silent_server_without_assignment_is_forgotten(self):
+        """A server that was never assigned a model is forgotten like the others."""
+        self.run_round(0.0)
+        self.directory.record_agent_report(agent_report("s1"), 100.0)
+        self.run_round(FORGET_SERVER_AFTER_MS)
+        self.assertIn("s1", self.directory.list_agent_reports())
+        self.run_round(FORGET_SERVER_AFTER_MS + 101.0)
+        # Fails if the reports of servers that were replaced are kept for good.
+        self.assertNotIn("s1", self.directory.list_agent_reports())
+        self.assertEqual(self.replica.commands, [])
+
     def test_new_leader_gives_agents_time_to_report(self):
         """In each term, silence is counted from the start of the leadership."""
         self.machine.assignments["s1"] = AssignedModels(1, (MODEL,))
