Forget the reports of entries that have stopped

Seen by operators: a keeper keeps the last report, with its demand samples, of every entry id that ever reported to it; each listing of live entries goes through all of them.

Cause: nothing removed an entry's report.

Evidence: test_silent_entries_are_forgotten on the code before: the lists differ, 17 of 20 entries that stopped are still kept.

Fix: each new report removes those that no longer count as live. All readers leave these out already.

--- a/src/cowslipwood/keeper/_directory.py
+++ b/src/cowslipwood/keeper/_directory.py
@@ -102,7 +102,12 @@
         self._agents[load.server_id] = ReceivedReport(report, now_ms)
 
     def record_entry_report(self, report: EntryReport, now_ms: float) -> None:
-        """Record an entry's report."""
+        """Record an entry's report, and forget the entries that are not live."""
+        self._entries = {
+            entry_id: reported
+            for entry_id, reported in self._entries.items()
+            if now_ms - reported.received_at_ms <= REPORT_TIMEOUT_MS
+        }
         self._entries[report.entry_id] = ReceivedReport(report, now_ms)
 
     def record_platform_hosts(self, hosts: Mapping[str, str], now_ms: float) -> None:
--- a/tests/test_keeper_directory.py
+++ b/tests/test_keeper_directory.py
@@ -3,9 +3,9 @@
 import unittest
 
 from cowslipwood.agent._load_report import extract_load
-from cowslipwood.keeper._directory import ProcessDirectory
+from cowslipwood.keeper._directory import REPORT_TIMEOUT_MS, ProcessDirectory
 
-from .builders import agent_report
+from .builders import agent_report, demand_report
 
 
 class TestLoad(unittest.TestCase):
@@ -27,3 +27,19 @@
         restarted = agent_report("s1", incarnation="i2", n_in_flight=7)
         directory.record_agent_load(extract_load(restarted), 10.0)
         self.assertEqual(directory.list_live_agent_reports(20.0), [agent_report("s1")])
+
+
+class TestEntries(unittest.TestCase):
+    """The reports of entries."""
+
+    def test_silent_entries_are_forgotten(self):
+        """The report of an entry that is no longer live is not kept."""
+        directory = ProcessDirectory()
+        for number in range(20):
+            report = demand_report()._replace(entry_id=f"e{number}")
+            directory.record_entry_report(report, 1_000.0 * number)
+        self.assertEqual(directory.list_live_entry_ids(19_000.0), ["e17", "e18", "e19"])
+        # Fails if the reports of entries that have stopped are kept for good.
+        self.assertEqual(sorted(directory._entries), ["e17", "e18", "e19"])
+        now_ms = 17_000.0 + REPORT_TIMEOUT_MS
+        self.assertIn("e17", directory.list_live_entry_ids(now_ms))
