Let a replica wait while no initial member has a disk

Seen by operators: a keeper whose list of initial members does not name the keeper itself ends at its start with "ValueError: min() arg is an empty sequence", if all listed hosts run as relays, which have no disk.

Cause: such hosts agree on the initial members, so the check for the first member with a disk looked for the least name among none. A keeper that is in its own list always counts itself and did not meet this.

Evidence: test_no_initial_member_has_a_disk on the code before fails with that ValueError.

Fix: without any member with a disk nobody creates the log, and the queries go on.

--- a/src/cowslipwood/replication/_formation.py
+++ b/src/cowslipwood/replication/_formation.py
@@ -69,7 +69,8 @@
 
 def _is_first_founder(name: str, identities: list[Identity]) -> bool:
     """Return whether a keeper is the first by name of those that have a disk."""
-    return name == min(member.name for member in _list_founders(identities))
+    names = (member.name for member in _list_founders(identities))
+    return name == min(names, default=None)
 
 
 def _list_founders(identities: list[Identity]) -> list[Member]:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -24,6 +24,7 @@
     draw_election_timeout_ms,
 )
 from cowslipwood.replication._follower import Follower
+from cowslipwood.replication._formation import form_log
 from cowslipwood.replication._leader import Leadership
 from cowslipwood.replication._log import DurableLog, make_members_entry
 from cowslipwood.replication._membership import compute_next_members, has_quorum
@@ -33,6 +34,7 @@
     EntryKind,
     HeartbeatReply,
     HeartbeatRequest,
+    Identity,
     LogEntry,
     Member,
     SnapshotHeader,
@@ -261,6 +263,43 @@
             anyio.run(check, Path(folder_name))
 
 
+class TestFormation(unittest.TestCase):
+    """Creation of the log by the initial members."""
+
+    def test_no_initial_member_has_a_disk(self):
+        """A replica outside the initial members waits while none of them has a disk."""
+
+        async def check(folder: Path) -> None:
+            _, state, _ = _make_follower(folder)
+            links = _DisklessLinks()
+            peers = {"k2": "127.0.0.1:2", "k3": "127.0.0.1:3"}
+            async with anyio.create_task_group() as tasks:
+                # Fails if the lack of a first member ends the replica.
+                tasks.start_soon(form_log, state, links, "k1", peers)
+                while links.n_queries < 2 * len(peers):
+                    await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+            self.assertFalse(state.has_log_entries)
+
+        with tempfile.TemporaryDirectory() as folder_name:
+            anyio.run(check, Path(folder_name))
+
+
+class _DisklessLinks:
+    """Fake links to hosts without a disk, which agree on the initial members."""
+
+    def __init__(self):
+        self.n_queries = 0
+
+    def get_link(self, addr: str) -> "_DisklessLinks":
+        return self
+
+    async def request(self, value: Any, timeout_ms: float) -> Success:
+        await anyio.sleep(0)
+        self.n_queries += 1
+        return Success(Identity("", "127.0.0.1:2", False, True))
+
+
 class TestLease(unittest.TestCase):
     """The leader's lease."""
 
