Lower the log's payload bytes when entries are truncated

Cause: truncation removed the entries and left their payloads in the count.

Fix: truncation subtracts the payloads that it removes.

--- a/src/cowslipwood/replication/_log.py
+++ b/src/cowslipwood/replication/_log.py
@@ -178,7 +178,11 @@
     async def truncate_from(self, index: int) -> None:
         """Remove the entries from `index` on, in memory and on disk."""
         async with self._disk_lock:
-            del self._entries[max(index - self.first_index, 0) :]
+            start = max(index - self.first_index, 0)
+            n_removed_bytes = sum(len(entry.payload) for entry in self._entries[start:])
+            # Entries appended before the last snapshot was saved were not counted.
+            self._n_payload_bytes = max(self._n_payload_bytes - n_removed_bytes, 0)
+            del self._entries[start:]
             self._membership_changes = [
                 change for change in self._membership_changes if change[0] < index
             ]
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -263,6 +263,50 @@
             anyio.run(check, Path(folder_name))
 
 
+class TestPayloadBytes(unittest.TestCase):
+    """The payload bytes since the last snapshot."""
+
+    def _run(self, check: Callable) -> None:
+        async def run() -> None:
+            with tempfile.TemporaryDirectory() as folder_name:
+                log = DurableLog(Path(folder_name), SEGMENT_BYTES)
+                log.append([LogEntry(index, 1, 1, b"x" * 10) for index in range(1, 6)])
+                await log.sync(5)
+                await check(log, Path(folder_name))
+
+        anyio.run(run)
+
+    def test_truncated_entries(self):
+        """Entries that were truncated do not count."""
+
+        async def check(log: DurableLog, folder: Path) -> None:
+            for _ in range(3):
+                await log.truncate_from(4)
+                log.append([LogEntry(4, 2, 1, b"y" * 7)])
+                await log.sync(4)
+            # Fails if entries that replace others lead to snapshots too early.
+            self.assertEqual(log.n_payload_bytes, 37)
+            recovered = DurableLog(folder, SEGMENT_BYTES)
+            self.assertEqual(recovered.n_payload_bytes, 37)
+
+        self._run(check)
+
+    def test_truncated_entries_after_a_snapshot(self):
+        """Truncating entries that a snapshot left uncounted lowers no other count."""
+
+        async def check(log: DurableLog, folder: Path) -> None:
+            await log.save_snapshot(Snapshot(SnapshotHeader(2, 1, ()), b""), 0)
+            log.append([LogEntry(6, 1, 1, b"z" * 4)])
+            await log.sync(6)
+            await log.truncate_from(4)
+            # Fails if the count falls below zero and delays the next snapshot.
+            self.assertEqual(log.n_payload_bytes, 0)
+            log.append([LogEntry(4, 2, 1, b"y" * 7)])
+            self.assertEqual(log.n_payload_bytes, 7)
+
+        self._run(check)
+
+
 class TestFormation(unittest.TestCase):
     """Creation of the log by the initial members."""
 
