--- a/src/cowslipwood/replication/_log.py
+++ b/src/cowslipwood/replication/_log.py
@@ -61,8 +61,7 @@
         self._entries = self._recover()
         for entry in self._entries:
             self._record_members(entry)
-            if entry.index > self.snapshot_header.index:
-                self._n_payload_bytes += len(entry.payload)
+        self._count_payload_bytes()
         self.synced_index = self.last_index
 
     @property
@@ -220,8 +219,16 @@
                 self._membership_changes.clear()
                 self.synced_index = header.index
                 await run_disk_work(self._segments.clear)
+            self._count_payload_bytes()
             self._drop_membership_changes(header.index)
 
+    def _count_payload_bytes(self) -> None:
+        """Count the payloads of the entries after the snapshot."""
+        start = max(self.snapshot_header.index + 1 - self.first_index, 0)
+        self._n_payload_bytes = sum(
+            len(entry.payload) for entry in self._entries[start:]
+        )
+
     def _record_members(self, entry: LogEntry) -> None:
         if entry.kind == EntryKind.MEMBERS and entry.index > self.snapshot_header.index:
             self._membership_changes.append((entry.index, _decode_members(entry)))
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -306,6 +306,18 @@
 
         self._run(check)
 
+    def test_entries_before_an_installed_snapshot(self):
+        """Entries that the leader's snapshot covers or replaces do not count."""
+
+        async def check(log: DurableLog, folder: Path) -> None:
+            await log.install_snapshot(Snapshot(SnapshotHeader(3, 1, ()), b""))
+            # Fails if an installed snapshot leads to another one too early.
+            self.assertEqual(log.n_payload_bytes, 20)
+            await log.install_snapshot(Snapshot(SnapshotHeader(9, 3, ()), b""))
+            self.assertEqual(log.n_payload_bytes, 0)
+
+        self._run(check)
+
 
 class TestFormation(unittest.TestCase):
     """Creation of the log by the initial members."""
