Change engines just before an order arrives in the tests of uncounted orders

The tests let an engine change by itself before a lookup. A report read in between would have shown the change, so that no order was in effect already and the test showed nothing, or, for the late order, failed. The change now happens when the order arrives, and the tests also check which orders the engine counted.

--- a/tests/engine_builders.py
+++ b/tests/engine_builders.py
@@ -1,5 +1,6 @@
 """An in-memory engine without an agent, and builders of records for its tests."""
 
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -171,6 +172,11 @@
     Parameters
     ----------
     engines : list of FakeEngine
+
+    Attributes
+    ----------
+    before_orders : list of callable
+        What happens just before each of the next orders arrives, one for each order.
     """
 
     def __init__(self, engines: list[FakeEngine]):
@@ -182,6 +188,7 @@
         self.spec = SPEC
         self.orders: list[EngineOrder] = []
         self.ordered_at_ms: list[float] = []
+        self.before_orders: list[Callable[[], None]] = []
 
     async def read(self) -> Result[list[ListedServer], Failure]:
         """Return the list."""
@@ -198,6 +205,8 @@
     ) -> Result[OrderOutcome, Failure]:
         """Send an order, whose answer may be lost or which may arrive late."""
         await anyio.sleep(0)
+        if self.before_orders:
+            self.before_orders.pop(0)()
         self.orders.append(order)
         self.ordered_at_ms.append(monotonic_ms())
         engine = self.engines[listed.server_id]
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -262,13 +262,14 @@
         fleet = FakeFleet([engine])
 
         async def scenario(controller):
-            engine.held["m0"].add("a1")
+            fleet.before_orders.append(lambda: engine.held["m0"].add("a1"))
             self.assertIsInstance(await look_up(controller, "m0", "a1"), HolderReply)
             # Fails if the record stays out of date: no order is given any more.
             self.assertIsInstance(await look_up(controller, "m0", "a2"), HolderReply)
 
         run_controller(fleet, scenario)
         self.assertEqual(engine.held["m0"], {"a1", "a2"})
+        self.assertEqual(engine.sequence, 1)
 
     def test_orders_after_an_uncounted_model_order(self):
         """An engine that did not count a DONE model order takes further orders."""
@@ -277,13 +278,14 @@
         fleet = FakeFleet([engine])
 
         async def scenario(controller):
-            engine.held["m1"] = set()
+            fleet.before_orders.append(lambda: engine.held.update(m1=set()))
             self.assertIsInstance(await look_up(controller, "m1"), HolderReply)
             # Fails if the record stays out of date: no order is given any more.
             self.assertIsInstance(await look_up(controller, "m1", "a1"), HolderReply)
 
         run_controller(fleet, scenario)
         self.assertEqual(engine.held["m1"], {"a1"})
+        self.assertEqual(engine.sequence, 1)
         self.assertEqual(engine.n_overflows, 0)
 
     def test_orders_after_an_uncounted_unload(self):
@@ -295,14 +297,13 @@
         async def scenario(controller):
             await look_up(controller, "m0", "a2")
             await look_up(controller, "m0", "a3")
-            await anyio.sleep(0.75)
-            engine.held["m0"].discard("a1")
+            fleet.before_orders.append(lambda: engine.held["m0"].discard("a1"))
             # Fails if the record stays out of date after the refused load.
             self.assertIsInstance(await look_up(controller, "m0", "a9"), HolderReply)
 
         run_controller(fleet, scenario)
-        self.assertIn("a9", engine.held["m0"])
-        self.assertEqual(engine.n_overflows, 0)
+        self.assertEqual(engine.held["m0"], {"a2", "a3", "a9"})
+        self.assertEqual(engine.sequence, 1)
 
     def test_swap_of_adapters_takes_two_orders(self):
         """The load of a swap follows an unload answered DONE without a report."""
@@ -322,22 +323,24 @@
         engine.counts_orders_in_effect = False
         fleet = FakeFleet([engine])
 
-        async def defer_second_order():
-            while not fleet.orders:
-                await anyio.sleep(0)
+        def defer_orders():
             engine.defers_orders = True
 
         async def scenario(controller):
+            fleet.before_orders += [
+                lambda: engine.held["m0"].discard("a1"),
+                defer_orders,
+            ]
             async with anyio.create_task_group() as tasks:
-                engine.held["m0"].discard("a1")
-                tasks.start_soon(defer_second_order)
-                with anyio.move_on_after(0.1):
-                    await look_up(controller, "m0", "a9")
-                engine.defers_orders = False
-                with anyio.move_on_after(0.5):
-                    await look_up(controller, "m0", "a8")
-                self.assertEqual(engine.deferred_orders[0].expected_sequence, 1)
-                engine.run_deferred_orders()
+                tasks.start_soon(look_up, controller, "m0", "a9")
+                while not engine.deferred_orders:
+                    await anyio.sleep(0)
+                tasks.cancel_scope.cancel()
+            engine.defers_orders = False
+            with anyio.move_on_after(0.5):
+                await look_up(controller, "m0", "a8")
+            self.assertEqual(engine.deferred_orders[0].expected_sequence, 1)
+            engine.run_deferred_orders()
 
         with mock.patch.object(_engine_record, "UNCOUNTED_ORDER_MS", 0.0):
             run_controller(fleet, scenario)
