Count an order whose lookup ended before its answer as lost

Seen by nobody yet; found by reading while the lost orders were mended. A lookup that runs out of its time ends its order under way. The engine may still carry the order out, also late, and if an order before it was not counted its number is too high.

Cause: only an order with a failed answer was recorded as lost; the end of the lookup left the record as it was.

Fix: the record counts such an order as lost too, and is out of date until the next report.

--- a/src/cowslipwood/keeper/engines/_order_sender.py
+++ b/src/cowslipwood/keeper/engines/_order_sender.py
@@ -235,7 +235,11 @@
             self._term(),
         )
         self._turns.record_order(record.server.server_id, now_ms)
-        answer = await self._client.order(record.server, order)
+        try:
+            answer = await self._client.order(record.server, order)
+        except anyio.get_cancelled_exc_class():
+            record.record_lost_order(monotonic_ms())
+            raise
         self._turns.record_order(record.server.server_id, monotonic_ms())
         log = get_logger()
         outcome = "no-answer" if isinstance(answer, Err) else answer.unwrap().value
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -348,6 +348,40 @@
         self.assertEqual(engine.n_overflows, 0)
         self.assertLessEqual(engine.count_adapters(), SPEC.max_adapters)
 
+    def test_cancelled_order_after_an_uncounted_one(self):
+        """An order whose lookup ended before its answer counts as lost."""
+        engine = FakeEngine("s0", {"m0": {"a1", "a2", "a3"}})
+        engine.counts_orders_in_effect = False
+        fleet = FakeFleet([engine])
+        send_order = fleet.order
+
+        async def order_without_answer(listed, order):
+            engine.defers_orders = len(fleet.orders) == 1
+            answer = await send_order(listed, order)
+            if engine.deferred_orders and len(fleet.orders) == 2:
+                await anyio.sleep_forever()
+            return answer
+
+        async def scenario(controller):
+            fleet.before_orders.append(lambda: engine.held["m0"].discard("a1"))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(look_up, controller, "m0", "a9")
+                while not engine.deferred_orders:
+                    await anyio.sleep(0)
+                tasks.cancel_scope.cancel()
+            with anyio.move_on_after(0.5):
+                await look_up(controller, "m0", "a8")
+            self.assertEqual(engine.deferred_orders[0].expected_sequence, 1)
+            engine.run_deferred_orders()
+
+        with (
+            mock.patch.object(_engine_record, "UNCOUNTED_ORDER_MS", 0.0),
+            mock.patch.object(fleet, "order", order_without_answer),
+        ):
+            run_controller(fleet, scenario)
+        # Fails if further orders raise the engine's number to that of the late order.
+        self.assertEqual(engine.n_overflows, 0)
+
     def test_lost_order_after_an_uncounted_one(self):
         """An engine takes orders again when the lost order can't arrive any more."""
         held = make_record("s0", {"m0": {"a1"}})
