--- a/src/cowslipwood/keeper/engines/_order_sender.py
+++ b/src/cowslipwood/keeper/engines/_order_sender.py
@@ -239,8 +239,13 @@
             self._term(),
         )
         self._turns.record_order(server_id, order.fencing_token, now_ms)
-        answer = await self._client.order(record.server, order)
-        self._turns.record_order(server_id, order.fencing_token, monotonic_ms())
+        try:
+            answer = await self._client.order(record.server, order)
+        except anyio.get_cancelled_exc_class():
+            record.record_lost_order(monotonic_ms())
+            raise
+        finally:
+            self._turns.record_order(server_id, order.fencing_token, monotonic_ms())
         log = get_logger()
         outcome = "no-answer" if isinstance(answer, Err) else answer.unwrap().value
         self._metrics.count("orders_total", op=op.value, outcome=outcome)
@@ -268,4 +273,6 @@
             record.hold_off(monotonic_ms() + answer.failure().retry_after_ms)
         # The state of the engine is unknown until its next report.
         record.sequence = None
+        if isinstance(answer, Err):
+            record.record_lost_order(monotonic_ms())
         return False
--- a/src/cowslipwood/keeper/engines/_planning.py
+++ b/src/cowslipwood/keeper/engines/_planning.py
@@ -93,7 +93,8 @@
         self._expected_load: dict[str, ExpectedLoad] = {}
         # Time of the last lookup of a missing model, by service and model.
         self._missing_lookup_ms: dict[tuple[str, str], float] = {}
-        self._layout_logged_ms = -math.inf
+        # Time of the last log of the layout, by service.
+        self._layout_logged_ms: dict[str, float] = {}
         self._round_logged_ms = -math.inf
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -168,8 +169,9 @@
             records, self._demand.by_model, self._demand.late_share
         )
         self._expected_load[service.name] = expected_load
-        if now_ms >= self._layout_logged_ms + LAYOUT_LOG_MS:
-            self._layout_logged_ms = now_ms
+        layout_logged_ms = self._layout_logged_ms.get(service.name, -math.inf)
+        if now_ms >= layout_logged_ms + LAYOUT_LOG_MS:
+            self._layout_logged_ms[service.name] = now_ms
             log_layout(records, expected_load, self._demand, now_ms)
         planned_loads = plan_loads(
             records,
--- a/tests/engine_builders.py
+++ b/tests/engine_builders.py
@@ -1,5 +1,6 @@
 """An in-memory engine without an agent, and builders of records for its tests."""
 
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -61,6 +62,9 @@
         Whether orders are carried out, but their answers are lost.
     defers_orders : bool
         Whether orders are carried out only by `run_deferred_orders`.
+    counts_orders_in_effect : bool
+        Whether an order that is already in effect counts as accepted; it is answered
+        DONE without being counted otherwise.
     is_unreachable : bool
         Whether the engine gives no report.
     n_overflows : int
@@ -78,6 +82,7 @@
         self.deferred_orders: list[EngineOrder] = []
         self.loses_answers = False
         self.defers_orders = False
+        self.counts_orders_in_effect = True
         self.is_unreachable = False
         self.is_leaving = False
         self.n_overflows = 0
@@ -100,6 +105,8 @@
         if order.expected_sequence != self.sequence or self.is_busy:
             return OrderOutcome.CONFLICT
         self.fencing_token = order.fencing_token
+        if not self.counts_orders_in_effect and self._is_in_effect(order):
+            return OrderOutcome.DONE
         self.sequence += 1
         self.keeper_ids.append(order.keeper_id)
         if order.adapter:
@@ -123,6 +130,13 @@
             self.n_overflows += 1
         return OrderOutcome.ACCEPTED
 
+    def _is_in_effect(self, order: EngineOrder) -> bool:
+        """Return whether carrying out an order would change nothing."""
+        is_held = order.model in self.held and (
+            not order.adapter or order.adapter in self.held[order.model]
+        )
+        return is_held == (order.op is OrderOp.LOAD)
+
     def end_running_requests(self) -> None:
         """End all running requests, and carry out the unloads that waited for them."""
         self.adapters_in_use.clear()
@@ -158,6 +172,11 @@
     Parameters
     ----------
     engines : list of FakeEngine
+
+    Attributes
+    ----------
+    before_orders : list of callable
+        What happens just before each of the next orders arrives, one for each order.
     """
 
     def __init__(self, engines: list[FakeEngine]):
@@ -167,8 +186,10 @@
         self.term = 1
         self.preceding_term = 0
         self.spec = SPEC
+        self.document: RouteDocument | None = None
         self.orders: list[EngineOrder] = []
         self.ordered_at_ms: list[float] = []
+        self.before_orders: list[Callable[[], None]] = []
 
     async def read(self) -> Result[list[ListedServer], Failure]:
         """Return the list."""
@@ -185,6 +206,8 @@
     ) -> Result[OrderOutcome, Failure]:
         """Send an order, whose answer may be lost or which may arrive late."""
         await anyio.sleep(0)
+        if self.before_orders:
+            self.before_orders.pop(0)()
         self.orders.append(order)
         self.ordered_at_ms.append(monotonic_ms())
         engine = self.engines[listed.server_id]
@@ -206,7 +229,9 @@
         self, keeper_id: str = "k1", order_quiet_ms: float = 0.0
     ) -> EngineController:
         """Return a keeper's controller, which gives orders to these engines."""
-        document = RouteDocument(1, (), (ServiceSpec("llm", engine=self.spec),))
+        document = self.document or RouteDocument(
+            1, (), (ServiceSpec("llm", engine=self.spec),)
+        )
         return EngineController(
             OrderParameters(keeper_id, order_quiet_ms=order_quiet_ms),
             self,
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -8,12 +8,15 @@
 from unittest import mock
 
 import anyio
+import structlog
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from returns.result import Success
 
-from cowslipwood.keeper.engines import _controller, _plan
+from cowslipwood.keeper.engines import _controller, _engine_record, _plan
 from cowslipwood.keeper.engines._adapters import choose_adapter_step
 from cowslipwood.keeper.engines._copies import choose_copy
+from cowslipwood.keeper.engines._demand import DemandTracker
 from cowslipwood.keeper.engines._orders import EngineReport, OrderOp
 from cowslipwood.keeper.engines._placement import (
     ModelDemand,
@@ -21,11 +24,19 @@
     count_copies,
     estimate_prior_waiting,
 )
-from cowslipwood.keeper.engines._planning import MIN_PLAN_INTERVAL_MS
+from cowslipwood.keeper.engines._planning import LAYOUT_LOG_MS, MIN_PLAN_INTERVAL_MS
 from cowslipwood.kernel.messages import HolderReply, HolderRequest, Refused
 from cowslipwood.listing import ListedModel
-
-from .engine_builders import MODELS, SPEC, FakeEngine, FakeFleet, make_record
+from cowslipwood.routes import RouteDocument, ServiceSpec
+
+from .engine_builders import (
+    MODELS,
+    SPEC,
+    FakeEngine,
+    FakeFleet,
+    make_listed_server,
+    make_record,
+)
 
 LOOKUP_TIMEOUT_S = 3.0
 
@@ -220,6 +231,167 @@
         self.assertFalse(held.is_synced)
         self.assertTrue(held.apply_report(old._replace(sequence=1), 1_300.0))
 
+    def test_report_from_before_a_done_order(self):
+        """A report older than a counted order answered DONE does not undo the order."""
+        held = make_record("s0", {"m0": {"a1"}})
+        held.apply_accepted_order(OrderOp.UNLOAD, "m0", "a1", 0.0, 1_000.0, True)
+        old = EngineReport(0, False, (ListedModel("m0", 1, ("a1",)),))
+        # Fails if a number that may not count lets older reports in at once.
+        self.assertFalse(held.apply_report(old, 1_300.0))
+        self.assertFalse(held.has_adapter("m0", "a1"))
+        self.assertEqual(held.sequence, 1)
+        counted = EngineReport(1, False, (ListedModel("m0"),))
+        self.assertTrue(held.apply_report(counted, 1_400.0))
+        # Fails if a report of the counted order leaves its number uncertain.
+        self.assertFalse(held.apply_report(old, 60_000.0))
+
+    def test_report_from_before_an_order_after_a_done_one(self):
+        """An accepted order confirms the number of the DONE order before it."""
+        held = make_record("s0", {"m0": {"a1"}})
+        held.apply_accepted_order(OrderOp.UNLOAD, "m0", "a1", 0.0, 1_000.0, True)
+        held.apply_accepted_order(OrderOp.LOAD, "m0", "a2", 0.0, 1_010.0)
+        old = EngineReport(1, False, (ListedModel("m0"),))
+        # Fails if a DONE order makes reports from before an accepted one valid later.
+        self.assertFalse(held.apply_report(old, 60_000.0))
+        self.assertTrue(held.has_adapter("m0", "a2"))
+
+    def test_orders_after_an_uncounted_adapter_order(self):
+        """An engine that did not count a DONE adapter order takes further orders."""
+        engine = FakeEngine("s0", {"m0": set()})
+        engine.counts_orders_in_effect = False
+        fleet = FakeFleet([engine])
+
+        async def scenario(controller):
+            fleet.before_orders.append(lambda: engine.held["m0"].add("a1"))
+            self.assertIsInstance(await look_up(controller, "m0", "a1"), HolderReply)
+            # Fails if the record stays out of date: no order is given any more.
+            self.assertIsInstance(await look_up(controller, "m0", "a2"), HolderReply)
+
+        run_controller(fleet, scenario)
+        self.assertEqual(engine.held["m0"], {"a1", "a2"})
+        self.assertEqual(engine.sequence, 1)
+
+    def test_orders_after_an_uncounted_model_order(self):
+        """An engine that did not count a DONE model order takes further orders."""
+        engine = FakeEngine("s0", {"m0": set()})
+        engine.counts_orders_in_effect = False
+        fleet = FakeFleet([engine])
+
+        async def scenario(controller):
+            fleet.before_orders.append(lambda: engine.held.update(m1=set()))
+            self.assertIsInstance(await look_up(controller, "m1"), HolderReply)
+            # Fails if the record stays out of date: no order is given any more.
+            self.assertIsInstance(await look_up(controller, "m1", "a1"), HolderReply)
+
+        run_controller(fleet, scenario)
+        self.assertEqual(engine.held["m1"], {"a1"})
+        self.assertEqual(engine.sequence, 1)
+        self.assertEqual(engine.n_overflows, 0)
+
+    def test_orders_after_an_uncounted_unload(self):
+        """A swap whose unload was in effect already and not counted ends later."""
+        engine = FakeEngine("s0", {"m0": {"a1", "a2", "a3"}})
+        engine.counts_orders_in_effect = False
+        fleet = FakeFleet([engine])
+
+        async def scenario(controller):
+            await look_up(controller, "m0", "a2")
+            await look_up(controller, "m0", "a3")
+            fleet.before_orders.append(lambda: engine.held["m0"].discard("a1"))
+            # Fails if the record stays out of date after the refused load.
+            self.assertIsInstance(await look_up(controller, "m0", "a9"), HolderReply)
+
+        run_controller(fleet, scenario)
+        self.assertEqual(engine.held["m0"], {"a2", "a3", "a9"})
+        self.assertEqual(engine.sequence, 1)
+
+    def test_swap_of_adapters_takes_two_orders(self):
+        """The load of a swap follows an unload answered DONE without a report."""
+        engine = FakeEngine("s0", {"m0": {"a1", "a2", "a3"}})
+        fleet = FakeFleet([engine])
+
+        async def scenario(controller):
+            self.assertIsInstance(await look_up(controller, "m0", "a9"), HolderReply)
+
+        run_controller(fleet, scenario)
+        # Fails if a swap waits for a report or has an order refused in between.
+        self.assertEqual([order.expected_sequence for order in fleet.orders], [0, 1])
+
+    def test_late_order_after_an_uncounted_one(self):
+        """An order with a number too high that arrives late overfills no engine."""
+        engine = FakeEngine("s0", {"m0": {"a1", "a2", "a3"}})
+        engine.counts_orders_in_effect = False
+        fleet = FakeFleet([engine])
+
+        def defer_orders():
+            engine.defers_orders = True
+
+        async def scenario(controller):
+            fleet.before_orders += [
+                lambda: engine.held["m0"].discard("a1"),
+                defer_orders,
+            ]
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(look_up, controller, "m0", "a9")
+                while not engine.deferred_orders:
+                    await anyio.sleep(0)
+                tasks.cancel_scope.cancel()
+            engine.defers_orders = False
+            with anyio.move_on_after(0.5):
+                await look_up(controller, "m0", "a8")
+            self.assertEqual(engine.deferred_orders[0].expected_sequence, 1)
+            engine.run_deferred_orders()
+
+        with mock.patch.object(_engine_record, "UNCOUNTED_ORDER_MS", 0.0):
+            run_controller(fleet, scenario)
+        # Fails if further orders raise the engine's number to that of the late order.
+        self.assertEqual(engine.n_overflows, 0)
+        self.assertLessEqual(engine.count_adapters(), SPEC.max_adapters)
+
+    def test_cancelled_order_after_an_uncounted_one(self):
+        """An order whose lookup ended before its answer counts as lost."""
+        engine = FakeEngine("s0", {"m0": {"a1", "a2", "a3"}})
+        engine.counts_orders_in_effect = False
+        fleet = FakeFleet([engine])
+        send_order = fleet.order
+
+        async def order_without_answer(listed, order):
+            engine.defers_orders = len(fleet.orders) == 1
+            answer = await send_order(listed, order)
+            if engine.deferred_orders and len(fleet.orders) == 2:
+                await anyio.sleep_forever()
+            return answer
+
+        async def scenario(controller):
+            fleet.before_orders.append(lambda: engine.held["m0"].discard("a1"))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(look_up, controller, "m0", "a9")
+                while not engine.deferred_orders:
+                    await anyio.sleep(0)
+                tasks.cancel_scope.cancel()
+            with anyio.move_on_after(0.5):
+                await look_up(controller, "m0", "a8")
+            self.assertEqual(engine.deferred_orders[0].expected_sequence, 1)
+            engine.run_deferred_orders()
+
+        with (
+            mock.patch.object(_engine_record, "UNCOUNTED_ORDER_MS", 0.0),
+            mock.patch.object(fleet, "order", order_without_answer),
+        ):
+            run_controller(fleet, scenario)
+        # Fails if further orders raise the engine's number to that of the late order.
+        self.assertEqual(engine.n_overflows, 0)
+
+    def test_lost_order_after_an_uncounted_one(self):
+        """An engine takes orders again when the lost order can't arrive any more."""
+        held = make_record("s0", {"m0": {"a1"}})
+        held.apply_accepted_order(OrderOp.UNLOAD, "m0", "a1", 0.0, 1_000.0, True)
+        held.record_lost_order(1_100.0)
+        uncounted = EngineReport(0, False, (ListedModel("m0"),))
+        self.assertFalse(held.apply_report(uncounted, 5_000.0))
+        # Fails if the record stays out of date for good.
+        self.assertTrue(held.apply_report(uncounted, 61_200.0))
+
     def test_concurrent_lookups(self):
         """Concurrent lookups never order more adapters than there are slots."""
         engines = [FakeEngine(f"s{number}", {"m0": set()}) for number in range(2)]
@@ -360,6 +532,55 @@
         self.assertEqual([engine.n_overflows for engine in engines], [0, 0])
 
 
+class KnownModelsTest(unittest.TestCase):
+    """Demand for models of the document is kept while nobody requests them."""
+
+    def test_models_of_the_document(self):
+        """The demand is updated with the models of the document in force."""
+
+        async def scenario(controller):
+            await anyio.sleep(0.2)
+
+        with mock.patch.object(DemandTracker, "update", autospec=True) as update:
+            run_controller(FakeFleet([FakeEngine("s0", {})]), scenario)
+        # Fails if idle models lose the target that decides whether they are unloaded.
+        self.assertEqual(update.call_args.args[-1], {model.name for model in MODELS})
+
+
+class LayoutLogTest(unittest.TestCase):
+    """Logs of the engines' models and load."""
+
+    def test_each_service_is_logged(self):
+        """With several engine services, the engines of each one are logged."""
+        services = {"s0": "llm", "s1": "chat"}
+        fleet = FakeFleet([FakeEngine(server_id, {}) for server_id in services])
+        fleet.document = RouteDocument(
+            1, (), tuple(ServiceSpec(name, engine=SPEC) for name in services.values())
+        )
+
+        async def read():
+            return Success(
+                [
+                    make_listed_server(server_id)._replace(service=name)
+                    for server_id, name in services.items()
+                ]
+            )
+
+        async def scenario(controller):
+            await anyio.sleep((LAYOUT_LOG_MS + 300) / 1000)
+
+        with (
+            mock.patch.object(fleet, "read", read),
+            structlog.testing.capture_logs() as log_lines,
+        ):
+            run_controller(fleet, scenario)
+        logged = {
+            line["server"] for line in log_lines if line["event"] == "engine_seen"
+        }
+        # Fails if the log of one service keeps the next ones from being logged.
+        self.assertEqual(logged, {"s0", "s1"})
+
+
 class LostEngineTest(unittest.TestCase):
     """Engines that are listed but give no report."""
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -24,6 +24,7 @@
     draw_election_timeout_ms,
 )
 from cowslipwood.replication._follower import Follower
+from cowslipwood.replication._formation import form_log
 from cowslipwood.replication._leader import Leadership
 from cowslipwood.replication._log import DurableLog, make_members_entry
 from cowslipwood.replication._membership import compute_next_members, has_quorum
@@ -33,6 +34,7 @@
     EntryKind,
     HeartbeatReply,
     HeartbeatRequest,
+    Identity,
     LogEntry,
     Member,
     SnapshotHeader,
@@ -261,6 +263,99 @@
             anyio.run(check, Path(folder_name))
 
 
+class TestPayloadBytes(unittest.TestCase):
+    """The payload bytes since the last snapshot."""
+
+    def _run(self, check: Callable) -> None:
+        async def run() -> None:
+            with tempfile.TemporaryDirectory() as folder_name:
+                log = DurableLog(Path(folder_name), SEGMENT_BYTES)
+                log.append([LogEntry(index, 1, 1, b"x" * 10) for index in range(1, 6)])
+                await log.sync(5)
+                await check(log, Path(folder_name))
+
+        anyio.run(run)
+
+    def test_truncated_entries(self):
+        """Entries that were truncated do not count."""
+
+        async def check(log: DurableLog, folder: Path) -> None:
+            for _ in range(3):
+                await log.truncate_from(4)
+                log.append([LogEntry(4, 2, 1, b"y" * 7)])
+                await log.sync(4)
+            # Fails if entries that replace others lead to snapshots too early.
+            self.assertEqual(log.n_payload_bytes, 37)
+            recovered = DurableLog(folder, SEGMENT_BYTES)
+            self.assertEqual(recovered.n_payload_bytes, 37)
+
+        self._run(check)
+
+    def test_truncated_entries_after_a_snapshot(self):
+        """Truncating entries that a snapshot left uncounted lowers no other count."""
+
+        async def check(log: DurableLog, folder: Path) -> None:
+            await log.save_snapshot(Snapshot(SnapshotHeader(2, 1, ()), b""), 0)
+            log.append([LogEntry(6, 1, 1, b"z" * 4)])
+            await log.sync(6)
+            await log.truncate_from(4)
+            # Fails if the count falls below zero and delays the next snapshot.
+            self.assertEqual(log.n_payload_bytes, 0)
+            log.append([LogEntry(4, 2, 1, b"y" * 7)])
+            self.assertEqual(log.n_payload_bytes, 7)
+
+        self._run(check)
+
+    def test_entries_before_an_installed_snapshot(self):
+        """Entries that the leader's snapshot covers or replaces do not count."""
+
+        async def check(log: DurableLog, folder: Path) -> None:
+            await log.install_snapshot(Snapshot(SnapshotHeader(3, 1, ()), b""))
+            # Fails if an installed snapshot leads to another one too early.
+            self.assertEqual(log.n_payload_bytes, 20)
+            await log.install_snapshot(Snapshot(SnapshotHeader(9, 3, ()), b""))
+            self.assertEqual(log.n_payload_bytes, 0)
+
+        self._run(check)
+
+
+class TestFormation(unittest.TestCase):
+    """Creation of the log by the initial members."""
+
+    def test_no_initial_member_has_a_disk(self):
+        """A replica outside the initial members waits while none of them has a disk."""
+
+        async def check(folder: Path) -> None:
+            _, state, _ = _make_follower(folder)
+            links = _DisklessLinks()
+            peers = {"k2": "127.0.0.1:2", "k3": "127.0.0.1:3"}
+            async with anyio.create_task_group() as tasks:
+                # Fails if the lack of a first member ends the replica.
+                tasks.start_soon(form_log, state, links, "k1", peers)
+                while links.n_queries < 2 * len(peers):
+                    await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+            self.assertFalse(state.has_log_entries)
+
+        with tempfile.TemporaryDirectory() as folder_name:
+            anyio.run(check, Path(folder_name))
+
+
+class _DisklessLinks:
+    """Fake links to hosts without a disk, which agree on the initial members."""
+
+    def __init__(self):
+        self.n_queries = 0
+
+    def get_link(self, addr: str) -> "_DisklessLinks":
+        return self
+
+    async def request(self, value: Any, timeout_ms: float) -> Success:
+        await anyio.sleep(0)
+        self.n_queries += 1
+        return Success(Identity("", "127.0.0.1:2", False, True))
+
+
 class TestLease(unittest.TestCase):
     """The leader's lease."""
 
