--- a/tests/test_spec_turns.py
+++ b/tests/test_spec_turns.py
@@ -1,33 +1,21 @@
 """Tests of the model of keepers that lead in turn."""
 
-import unittest
-
-from minicheck import check_safety
 from spec.turns import Rules, build_turns_protocol
 
-PROPERTY_NAME = "no_turns"
-
+from .spec_checks import RulesTestCase
 
-def check_protocol(rules):
-    """Return the verdict on the property and the whole report."""
-    report = check_safety(build_turns_protocol(rules))
-    return report["properties"][PROPERTY_NAME], report
 
-
-class TestTurns(unittest.TestCase):
+class TestTurns(RulesTestCase):
     """Orders of keepers that lead in turn, to one engine."""
 
+    property_name = "no_turns"
+    rules_type = Rules
+    build_protocol = build_turns_protocol
+
     def test_no_turns(self):
         """No keeper orders again within a lease if another one has in between."""
-        verdict, report = check_protocol(Rules())
-        self.assertTrue(verdict["holds"], verdict)
-        self.assertGreater(report["reachable_states"], 1_000)
-        self.assertTrue(report["exhaustive"])
+        self.assert_holds(min_states=1_000)
 
     def test_each_rule_is_needed(self):
         """Without any one rule two keepers can take turns."""
-        for rule in Rules._fields:
-            with self.subTest(rule=rule):
-                verdict, _ = check_protocol(Rules(**{rule: False}))
-                self.assertFalse(verdict["holds"])
-                self.assertTrue(verdict["counterexample"])
+        self.assert_each_rule_is_needed()
