Let a search that fails refuse its lookups only

Since lookups wait for one search, an error in it would have ended all tasks of the engine controller in place of one connection (test_failed_search, shown failing). It is logged, and the lookups are refused.

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -10,6 +10,7 @@
 from ...kernel.channel import to_refused
 from ...kernel.clock import monotonic_ms
 from ...kernel.codes import Code, failure
+from ...kernel.logs import get_logger
 from ...kernel.messages import (
     EntryReport,
     FleetLoad,
@@ -267,6 +268,9 @@
                 if search.holder is not None:
                     return
                 await anyio.sleep(LOOKUP_RETRY_MS / 1000)
+        except Exception:
+            # The lookups are refused; the other tasks of the controller go on.
+            get_logger().exception("search_failed", model=spec.name)
         finally:
             del self._searches[request.service, spec.name, request.adapter]
             search.ended.set()
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from cowslipwood.kernel.messages import HolderRequest
+from cowslipwood.kernel.messages import HolderReply, HolderRequest
 from cowslipwood.replication._state import Timing
 
 from .large_fleet import (
@@ -166,6 +166,22 @@
         _run_large_fleet(scenario)
         self.assertLess(counts[1], 3 * counts[0])
 
+    def test_failed_search(self):
+        """A search that fails refuses its lookups, and later ones are answered."""
+
+        # The failure would end all tasks of the controller.
+        async def scenario(fleet, controller, processor):
+            await anyio.sleep(SETTLING_S / 4)
+            held = next(iter(fleet.engines["s0"].held))
+            request = HolderRequest("llm", held, "", "", 200)
+            with mock.patch.object(
+                controller, "_find_or_load_holder", side_effect=ArithmeticError
+            ):
+                await controller._wait_for_holder(request, fleet.spec.models[0])
+            return await controller.find_holder(request)
+
+        self.assertIsInstance(_run_large_fleet(scenario), HolderReply)
+
     def test_new_term_during_a_lookup(self):
         """A lookup is answered though a term begins while its search pauses."""
 
