Remove the oldest adapter names by halves

Callers choose adapter names freely. Now the half that was not requested for longest is removed once the bound is passed.

--- a/src/cowslipwood/keeper/engines/_demand.py
+++ b/src/cowslipwood/keeper/engines/_demand.py
@@ -89,10 +89,16 @@
         if adapter:
             self.adapter_last_used_ms[model, adapter] = now_ms
         if len(self.adapter_last_used_ms) > MAX_ADAPTERS_KEPT:
-            # Callers choose adapter names freely, so unused names are removed.
-            for key, used_ms in list(self.adapter_last_used_ms.items()):
-                if used_ms < now_ms - RECENT_USE_MS:
-                    del self.adapter_last_used_ms[key]
+            self._remove_oldest_adapters()
+
+    def _remove_oldest_adapters(self) -> None:
+        """Remove the half of the adapters that were not requested for longest.
+
+        Callers choose adapter names freely. Half of them, so that a removal is rare.
+        """
+        used_ms = self.adapter_last_used_ms
+        for key in sorted(used_ms, key=used_ms.__getitem__)[: len(used_ms) // 2]:
+            del used_ms[key]
 
     @contextmanager
     def count_pending_lookup(self, model: str) -> Iterator[None]:
--- a/tests/test_crowded_engines.py
+++ b/tests/test_crowded_engines.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from cowslipwood.keeper.engines._copies import choose_copy, plan_copies
-from cowslipwood.keeper.engines._demand import DemandTracker
+from cowslipwood.keeper.engines._demand import MAX_ADAPTERS_KEPT, DemandTracker
 from cowslipwood.keeper.engines._engine_record import EngineRecord
 from cowslipwood.keeper.engines._expected_load import (
     MIN_SPREAD_REQUESTS,
@@ -178,6 +178,20 @@
         self.assertGreater(tracker.late_share, 0.25)
 
 
+class UnknownAdaptersTest(unittest.TestCase):
+    """Callers request adapters by ever new names."""
+
+    def test_oldest_names_are_removed(self):
+        """A bounded number of names is kept, the latest ones."""
+        # None was removed within 20 s, and each further use looked at all of them.
+        tracker = DemandTracker()
+        for number in range(3 * MAX_ADAPTERS_KEPT):
+            tracker.record_use("m0", f"a{number}", NOW_MS + number / 1000)
+        self.assertLessEqual(len(tracker.adapter_last_used_ms), MAX_ADAPTERS_KEPT)
+        newest = f"a{3 * MAX_ADAPTERS_KEPT - 1}"
+        self.assertIn(("m0", newest), tracker.adapter_last_used_ms)
+
+
 class UnknownModelsTest(unittest.TestCase):
     """Callers request models that do not exist."""
 
