--- a/src/cowslipwood/kernel/loop_delay.py
+++ b/src/cowslipwood/kernel/loop_delay.py
@@ -9,7 +9,7 @@
 from .logs import get_logger
 from .metrics import Metrics
 
-__all__ = ["LoopDelay", "measure_loop_delay", "watch_loop_delay"]
+__all__ = ["ClockReadings", "LoopDelay", "measure_loop_delay", "watch_loop_delay"]
 
 # Interval between two measurements: short enough that a delay that ends a leader's
 # lease is seen whole, and long enough to cost nearly no processor time.
@@ -36,7 +36,7 @@
     processor_ms: float
 
 
-class _Clocks(NamedTuple):
+class ClockReadings(NamedTuple):
     """Readings of the clocks that tell causes of a delay apart, in milliseconds."""
 
     monotonic_ms: float
@@ -44,14 +44,16 @@
     processor_ms: float
 
     @classmethod
-    def read(cls) -> "_Clocks":
+    def read(cls) -> "ClockReadings":
         """Read all clocks."""
         return cls(
             monotonic_ms(), time.monotonic() * 1000.0, time.process_time() * 1000.0
         )
 
 
-def measure_loop_delay(before: _Clocks, after: _Clocks, slept_ms: float) -> LoopDelay:
+def measure_loop_delay(
+    before: ClockReadings, after: ClockReadings, slept_ms: float
+) -> LoopDelay:
     """Return the delay of a task that wanted to sleep for `slept_ms`."""
     elapsed_ms = after.monotonic_ms - before.monotonic_ms
     awake_ms = after.awake_ms - before.awake_ms
@@ -68,10 +70,10 @@
     A delay is due to work of this process if `processor_ms` is about as long, to a
     suspended host if `suspended_ms` is, and otherwise to other processes.
     """
-    clocks = _Clocks.read()
+    clocks = ClockReadings.read()
     while True:
         await anyio.sleep(WATCH_INTERVAL_MS / 1000)
-        clocks, before = _Clocks.read(), clocks
+        clocks, before = ClockReadings.read(), clocks
         delay = measure_loop_delay(before, clocks, WATCH_INTERVAL_MS)
         metrics.observe("loop_delay_ms", delay.late_ms)
         if delay.late_ms >= MIN_LOGGED_DELAY_MS:
