Log what marked the end of an answer and how much of an event was open

An answered stream's line now states whether a length, a last chunk or the end of the connection marked its end, and how many bytes came after the last whole event. It tells a connection that was closed inside an event from a body that was cut and framed anew.

No answer changes: the splitter keeps the count that it had for the size limit.

--- a/src/cowslipwood/entry/direct/_events.py
+++ b/src/cowslipwood/entry/direct/_events.py
@@ -1,15 +1,13 @@
 """Splits a stream of server-sent events, to know the last event before a failure."""
 
-import re
-
 __all__ = ["MAX_EVENT_BYTES", "EventSplitter", "EventTooLongError"]
 
 # Empty line that ends an event in streams with plain line feeds.
 _EVENT_END = b"\n\n"
-# Empty line that ends an event, in streams whose lines end with a line feed or with a
+# Empty lines that end an event, in streams whose lines end with a line feed and with a
 # carriage return and a line feed.
-_ANY_EVENT_END = re.compile(rb"\n\r?\n")
-# Length, in bytes, of the longest match of `_ANY_EVENT_END`.
+_EVENT_ENDS = (b"\n\n", b"\n\r\n")
+# Length, in bytes, of the longest of `_EVENT_ENDS`.
 _MAX_EVENT_END_BYTES = 3
 # Largest number of bytes without the end of an event. It is many times the longest
 # event of a few tokens; a stream beyond it does not consist of events.
@@ -36,15 +34,17 @@
         `whole_only` is set.
     n_chunks_with_event_end : int
         Number of chunks in which an event ended.
+    n_open_bytes : int
+        Number of bytes since the end of the last event.
     """
 
     def __init__(self, whole_only: bool):
         self._whole_only = whole_only
         self._held = bytearray()
         self._tail = b""
-        self._n_bytes_since_end = 0
         self.last_event_id = b""
         self.n_chunks_with_event_end = 0
+        self.n_open_bytes = 0
 
     def feed(self, data: bytes) -> bytes:
         """Take a chunk and return the bytes to forward now.
@@ -74,18 +74,25 @@
     def _count_event_end(self, data: bytes) -> None:
         recent = self._tail + data
         self._tail = recent[-_MAX_EVENT_END_BYTES + 1 :]
-        if _ANY_EVENT_END.search(recent):
+        end = _find_last_event_end(recent)
+        if end:
             self.n_chunks_with_event_end += 1
-            self._n_bytes_since_end = 0
+            self.n_open_bytes = len(recent) - end
             return
-        self._n_bytes_since_end += len(data)
-        if self._n_bytes_since_end > MAX_EVENT_BYTES:
-            raise EventTooLongError(
-                f"no event ended in {self._n_bytes_since_end} bytes"
-            )
+        self.n_open_bytes += len(data)
+        if self.n_open_bytes > MAX_EVENT_BYTES:
+            raise EventTooLongError(f"no event ended in {self.n_open_bytes} bytes")
 
     def _read_last_event_id(self, events: bytes) -> None:
         for line in reversed(events.split(b"\n")):
             if line.startswith(b"id:"):
                 self.last_event_id = line[3:].strip()
                 return
+
+
+def _find_last_event_end(data: bytes) -> int:
+    """Return the position after the last end of an event; 0 if there is none."""
+    return max(
+        position + len(end) if (position := data.rfind(end)) >= 0 else 0
+        for end in _EVENT_ENDS
+    )
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -461,6 +461,7 @@
             request=request.facts.request_id,
             server=backend.view.server_id,
             status=head.status,
+            body_end=head.body_end.value,
         )
         return None
 
@@ -510,6 +511,8 @@
             request=self._request.facts.request_id,
             server=backend.view.server_id,
             status=head.status,
+            body_end=head.body_end.value,
+            open_bytes=splitter.n_open_bytes,
             key=self._request.key,
             first_ms=round(first_after_ms),
             sent_ms=round(sent_ms - self._request.arrived_ms),
--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -4,6 +4,7 @@
 of the next answer. These connections use h11 instead, which reports such bytes.
 """
 
+import enum
 import select
 import socket
 from collections.abc import AsyncIterator, Sequence
@@ -15,7 +16,13 @@
 
 from .codes import Code
 
-__all__ = ["AnswerHead", "BrokenAnswerError", "ServerConnection", "open_connection"]
+__all__ = [
+    "AnswerHead",
+    "BodyEnd",
+    "BrokenAnswerError",
+    "ServerConnection",
+    "open_connection",
+]
 
 # Largest number of bytes that one read or one write transfers.
 MAX_TRANSFER_BYTES = 65_536
@@ -54,12 +61,30 @@
         self.code = code
 
 
+class BodyEnd(enum.StrEnum):
+    """What marks the end of an answer's body."""
+
+    LENGTH = "length"
+    LAST_CHUNK = "last_chunk"
+    CONNECTION_CLOSE = "connection_close"
+
+
 class AnswerHead(NamedTuple):
     """Status and headers of an answer; header names are lower-case."""
 
     status: int
     headers: Sequence[tuple[bytes, bytes]]
 
+    @property
+    def body_end(self) -> BodyEnd:
+        """What marks the end of the body."""
+        names = {name for name, _ in self.headers}
+        if b"transfer-encoding" in names:
+            return BodyEnd.LAST_CHUNK
+        if b"content-length" in names:
+            return BodyEnd.LENGTH
+        return BodyEnd.CONNECTION_CLOSE
+
 
 class ServerConnection:
     """A connection and the state of its current exchange.
