Reproduce streams that are marked as complete although they broke off

Both tests fail on this code: whichever byte of an event a server's stream without length or chunks ends in, and whatever its line ends, the caller gets the last chunk of a complete answer. With a length, with chunks and after a reset the caller's answer is incomplete, as it must be.

--- /dev/null
+++ b/tests/test_answer_framing.py
@@ -0,0 +1,93 @@
+"""An answer reaches its caller as complete only if the server completed it."""
+
+import unittest
+from typing import Any
+
+import anyio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from .answer_builders import (
+    STREAM_HEADERS,
+    CallerAnswer,
+    End,
+    Framing,
+    build_events,
+    call_entry,
+    frame_answer,
+    send_and_end,
+)
+
+STREAM = {"kind": "streaming", "max_attempts": 1}
+RESUMABLE = {"kind": "streaming", "max_attempts": 2, "is_resumable": True}
+LINE_ENDS = (b"\n", b"\r\n")
+
+
+def call(scripts: list, **route: Any) -> CallerAnswer:
+    """Return the answer of an entry whose servers have these scripts."""
+
+    async def main() -> CallerAnswer:
+        with anyio.fail_after(20):
+            answer, _ = await call_entry(scripts, **route)
+        return answer
+
+    return anyio.run(main)
+
+
+def send_stream(body: bytes, end: End = End.CLOSED) -> Any:
+    """Return a script that sends a stream that ends with its connection."""
+    head, framed = frame_answer(Framing.CONNECTION, body, headers=STREAM_HEADERS)
+    return send_and_end(head + framed, end)
+
+
+class BrokenStreamTest(unittest.TestCase):
+    """Streams without length or chunks, whose server ends the connection."""
+
+    # An answer that broke off inside an event reached its caller as complete.
+    def test_stream_that_ends_inside_an_event_is_not_complete(self):
+        """A stream that ends inside an event is never marked as complete."""
+        for line_end in LINE_ENDS:
+            whole = build_events(1, 2, line_end)
+            for n_missing in range(1, len(build_events(2, 2, line_end))):
+                for route in (STREAM, RESUMABLE):
+                    body = whole[:-n_missing]
+                    with self.subTest(body=body, route=route):
+                        answer = call([send_stream(body)], **route)
+                        self.assertFalse(answer.is_complete and answer.status == 200)
+
+
+class AnyAnswerTest(unittest.TestCase):
+    """Answers of each framing that a server may break off at any byte."""
+
+    # A broken-off answer reached its caller as complete; a whole one must still do.
+    @settings(max_examples=120, deadline=None, derandomize=True)
+    @given(
+        framing=st.sampled_from(Framing),
+        end=st.sampled_from(End),
+        line_end=st.sampled_from(LINE_ENDS),
+        n_events=st.integers(0, 4),
+        cut_share=st.one_of(st.just(1.0), st.floats(0, 1)),
+        route=st.sampled_from((STREAM, RESUMABLE, {"kind": "safe", "max_attempts": 1})),
+    )
+    def test_caller_has_complete_answer_only_if_server_completed_it(
+        self, framing, end, line_end, n_events, cut_share, route
+    ):
+        """The caller's answer is complete exactly if the server's is."""
+        is_stream = route["kind"] == "streaming"
+        body = build_events(1, n_events, line_end)
+        headers = STREAM_HEADERS if is_stream else ""
+        head, framed = frame_answer(framing, body, headers=headers)
+        sent = framed[: round(cut_share * len(framed))]
+        is_whole = sent == framed
+        if framing is Framing.CONNECTION:
+            is_whole = end is End.CLOSED and not is_stream
+            if is_stream and end is End.CLOSED:
+                is_whole = sent.endswith(2 * line_end)
+        answer = call([send_and_end(head + sent, end)], **route)
+        if is_whole:
+            self.assertEqual((answer.status, answer.is_complete), (200, True))
+            self.assertEqual(
+                answer.body, sent if framing is Framing.CONNECTION else body
+            )
+        else:
+            self.assertFalse(answer.is_complete and answer.status == 200)
