Take a stream that ends inside an event as broken off

Callers got a stream that its server had broken off, with the last chunk of a complete answer: 4 events of 13 or of 73, status 200, and nothing to tell it from a whole one.

Cause: for an answer without length or chunks the end of the connection was taken as the end of the answer, whatever the body held. A server that crashes closes its connections in order unless unread bytes are left in them, so most crashes looked like an end. The class: the end of an answer was inferred from the transport alone.

Now the end of a stream is an event's end, whatever marks the end of the body; and a connection that ends before the first event vouches for nothing. A stream that breaks off is resumed where its route allows it, and is otherwise left without its last chunk. An answer that states another content type is no stream and is held until it is whole.

A test answered a streaming route with two bytes that were no event; it now answers with an event, and still checks the wait for the holder.

--- a/src/cowslipwood/entry/direct/_events.py
+++ b/src/cowslipwood/entry/direct/_events.py
@@ -7,8 +7,6 @@
 # Empty lines that end an event, in streams whose lines end with a line feed and with a
 # carriage return and a line feed.
 _EVENT_ENDS = (b"\n\n", b"\n\r\n")
-# Length, in bytes, of the longest of `_EVENT_ENDS`.
-_MAX_EVENT_END_BYTES = 3
 # Largest number of bytes without the end of an event. It is many times the longest
 # event of a few tokens; a stream beyond it does not consist of events.
 MAX_EVENT_BYTES = 262_144
@@ -34,17 +32,30 @@
         `whole_only` is set.
     n_chunks_with_event_end : int
         Number of chunks in which an event ended.
-    n_open_bytes : int
-        Number of bytes since the end of the last event.
     """
 
     def __init__(self, whole_only: bool):
         self._whole_only = whole_only
         self._held = bytearray()
-        self._tail = b""
+        self._open = bytearray()
         self.last_event_id = b""
         self.n_chunks_with_event_end = 0
-        self.n_open_bytes = 0
+
+    @property
+    def n_open_bytes(self) -> int:
+        """Number of bytes since the end of the last event."""
+        return len(self._open)
+
+    @property
+    def has_open_event(self) -> bool:
+        """Whether an event has begun and its end has not arrived.
+
+        Empty lines and whole comment lines are not part of an event.
+        """
+        *lines, unfinished_line = bytes(self._open).split(b"\n")
+        return bool(unfinished_line) or any(
+            line.rstrip(b"\r") and not line.startswith(b":") for line in lines
+        )
 
     def feed(self, data: bytes) -> bytes:
         """Take a chunk and return the bytes to forward now.
@@ -72,16 +83,13 @@
         return held
 
     def _count_event_end(self, data: bytes) -> None:
-        recent = self._tail + data
-        self._tail = recent[-_MAX_EVENT_END_BYTES + 1 :]
-        end = _find_last_event_end(recent)
+        self._open += data
+        end = _find_last_event_end(self._open)
         if end:
             self.n_chunks_with_event_end += 1
-            self.n_open_bytes = len(recent) - end
-            return
-        self.n_open_bytes += len(data)
-        if self.n_open_bytes > MAX_EVENT_BYTES:
-            raise EventTooLongError(f"no event ended in {self.n_open_bytes} bytes")
+            del self._open[:end]
+        elif len(self._open) > MAX_EVENT_BYTES:
+            raise EventTooLongError(f"no event ended in {len(self._open)} bytes")
 
     def _read_last_event_id(self, events: bytes) -> None:
         for line in reversed(events.split(b"\n")):
@@ -90,7 +98,7 @@
                 return
 
 
-def _find_last_event_end(data: bytes) -> int:
+def _find_last_event_end(data: bytearray) -> int:
     """Return the position after the last end of an event; 0 if there is none."""
     return max(
         position + len(end) if (position := data.rfind(end)) >= 0 else 0
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -10,7 +10,12 @@
 from returns.result import Failure as Err
 
 from ...kernel.codes import Code, Failure, failure
-from ...kernel.http_connection import AnswerHead, BrokenAnswerError, ServerConnection
+from ...kernel.http_connection import (
+    AnswerHead,
+    BodyEnd,
+    BrokenAnswerError,
+    ServerConnection,
+)
 from ...kernel.logs import get_logger
 from ...routes import RouteKind
 from ..choosing._backend import (
@@ -81,6 +86,8 @@
 # Least time, in milliseconds, without a whole event after which a stream is considered
 # stalled.
 MIN_STALL_MS = 4_000.0
+# Content type of a stream of events; also taken for answers that name none.
+EVENT_STREAM_TYPE = b"text/event-stream"
 # Failures after which no retry is made: nothing was sent, and an immediate retry would
 # fail in the same way.
 NON_RETRYABLE_CODES = frozenset(
@@ -411,7 +418,12 @@
             raise
 
     def _is_stream(self, head: AnswerHead) -> bool:
-        return self._request.route.kind is RouteKind.STREAMING and head.status < 300
+        content_type = dict(head.headers).get(b"content-type", EVENT_STREAM_TYPE)
+        return (
+            self._request.route.kind is RouteKind.STREAMING
+            and head.status < 300
+            and content_type.lower().startswith(EVENT_STREAM_TYPE)
+        )
 
     async def _handle_not_run(
         self, backend: Backend, conn: ServerConnection, head: AnswerHead
@@ -492,6 +504,7 @@
                     await self._sink.write(data)
         if stall.cancelled_caught:
             raise BrokenAnswerError(Code.ANSWER_CUT, "the stream stalls")
+        _check_stream_end(head, splitter)
         await self._start_answer(head)
         held = splitter.take_held()
         if held:
@@ -563,6 +576,31 @@
         backend.first_event_ms.add(first_event_at_ms - sent_ms)
 
 
+def _check_stream_end(head: AnswerHead, splitter: EventSplitter) -> None:
+    """Check that a stream whose body has ended was not broken off.
+
+    The end of a connection alone does not tell a complete stream from one whose server
+    ended.
+
+    Raises
+    ------
+    BrokenAnswerError
+        ANSWER_CUT if the stream ended inside an event, or ended with its connection
+        before any event.
+    """
+    if splitter.has_open_event:
+        reason = (
+            f"the stream ended inside an event, after {splitter.n_open_bytes} bytes"
+        )
+        raise BrokenAnswerError(Code.ANSWER_CUT, reason)
+    if (
+        head.body_end is BodyEnd.CONNECTION_CLOSE
+        and not splitter.n_chunks_with_event_end
+    ):
+        reason = "the connection ended before the first event"
+        raise BrokenAnswerError(Code.ANSWER_CUT, reason)
+
+
 async def _discard_body(conn: ServerConnection) -> None:
     """Read and drop a refusal's body, so that the connection can be reused."""
     try:
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -21,6 +21,7 @@
 from cowslipwood.listing import ListedModel
 from cowslipwood.routes import RouteKind
 
+from .answer_builders import build_events
 from .direct_builders import (
     FixedHolderFinder,
     NoHolderFinder,
@@ -239,7 +240,7 @@
     def test_holder_refuses_temporarily(self):
         """A request waits while the only holder refuses during an order."""
         refusal = build_answer(b"", "503 Service Unavailable", extra_headers=NOT_RUN)
-        answers = [refusal, refusal, build_answer()]
+        answers = [refusal, refusal, build_answer(build_events(1, 1))]
 
         async def serve(stream: Any, head: bytes) -> None:
             await stream.send(answers.pop(0))
@@ -328,11 +329,6 @@
         self.assertEqual(compute_urgency_rank(build_route(priority=1), 60_000.0), 1)
 
 
-def build_events(first: int, last: int) -> bytes:
-    """Return server-sent events with ids."""
-    return b"".join(b"id: %d\ndata: x%d\n\n" % (i, i) for i in range(first, last + 1))
-
-
 class ResumeTest(unittest.TestCase):
     """Streams that are resumed at another server."""
 
