Split resumable streams with CR and LF at each event

Callers of resumable streams whose lines end with CR and LF got nothing until the stream ended, late as a whole; when it broke off, nothing had been sent and the stream was run anew from its start, and the limit on the size of an event never applied.

Cause: whether an event had ended was searched for with both line ends, but what to forward with line feeds only. Both now use one search over the bytes since the last event's end.

--- a/src/cowslipwood/entry/direct/_events.py
+++ b/src/cowslipwood/entry/direct/_events.py
@@ -2,11 +2,11 @@
 
 __all__ = ["MAX_EVENT_BYTES", "EventSplitter", "EventTooLongError"]
 
-# Empty line that ends an event in streams with plain line feeds.
-_EVENT_END = b"\n\n"
 # Empty lines that end an event, in streams whose lines end with a line feed and with a
 # carriage return and a line feed.
 _EVENT_ENDS = (b"\n\n", b"\n\r\n")
+# Length, in bytes, of the longest of `_EVENT_ENDS`.
+_MAX_EVENT_END_BYTES = 3
 # Largest number of bytes without the end of an event. It is many times the longest
 # event of a few tokens; a stream beyond it does not consist of events.
 MAX_EVENT_BYTES = 262_144
@@ -36,7 +36,6 @@
 
     def __init__(self, whole_only: bool):
         self._whole_only = whole_only
-        self._held = bytearray()
         self._open = bytearray()
         self.last_event_id = b""
         self.n_chunks_with_event_end = 0
@@ -65,32 +64,27 @@
         EventTooLongError
             If no event has ended for more than `MAX_EVENT_BYTES`.
         """
-        self._count_event_end(data)
+        n_searched = max(0, len(self._open) - _MAX_EVENT_END_BYTES + 1)
+        self._open += data
+        end = _find_last_event_end(self._open, n_searched)
+        if not end:
+            if len(self._open) > MAX_EVENT_BYTES:
+                raise EventTooLongError(f"no event ended in {len(self._open)} bytes")
+            return b"" if self._whole_only else data
+        self.n_chunks_with_event_end += 1
+        whole = bytes(self._open[:end])
+        del self._open[:end]
         if not self._whole_only:
             return data
-        self._held += data
-        end = self._held.rfind(_EVENT_END)
-        if end < 0:
-            return b""
-        whole = bytes(self._held[: end + len(_EVENT_END)])
-        del self._held[: end + len(_EVENT_END)]
         self._read_last_event_id(whole)
         return whole
 
     def take_held(self) -> bytes:
         """Return the bytes held back, after a stream has ended properly."""
-        held, self._held = bytes(self._held), bytearray()
+        held = bytes(self._open) if self._whole_only else b""
+        self._open.clear()
         return held
 
-    def _count_event_end(self, data: bytes) -> None:
-        self._open += data
-        end = _find_last_event_end(self._open)
-        if end:
-            self.n_chunks_with_event_end += 1
-            del self._open[:end]
-        elif len(self._open) > MAX_EVENT_BYTES:
-            raise EventTooLongError(f"no event ended in {len(self._open)} bytes")
-
     def _read_last_event_id(self, events: bytes) -> None:
         for line in reversed(events.split(b"\n")):
             if line.startswith(b"id:"):
@@ -98,9 +92,16 @@
                 return
 
 
-def _find_last_event_end(data: bytearray) -> int:
-    """Return the position after the last end of an event; 0 if there is none."""
+def _find_last_event_end(data: bytearray, start: int) -> int:
+    """Return the position after the last end of an event; 0 if none ends.
+
+    Parameters
+    ----------
+    data : bytearray
+    start : int
+        Where to begin the search.
+    """
     return max(
-        position + len(end) if (position := data.rfind(end)) >= 0 else 0
+        position + len(end) if (position := data.rfind(end, start)) >= 0 else 0
         for end in _EVENT_ENDS
     )
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -91,3 +91,38 @@
             )
         else:
             self.assertFalse(answer.is_complete and answer.status == 200)
+
+
+class ResumedStreamTest(unittest.TestCase):
+    """Streams that another server continues."""
+
+    # Events of a resumable stream with CRLF line ends were held until its end.
+    def test_stream_with_carriage_returns_is_resumed_after_its_last_event(self):
+        """A stream whose lines end with CR and LF is resumed like any other."""
+        for line_end in LINE_ENDS:
+            with self.subTest(line_end=line_end):
+                self._check_resumed(Framing.CHUNKS, Framing.CHUNKS, line_end)
+
+    def _check_resumed(
+        self, first: Framing, second: Framing, line_end: bytes = b"\n"
+    ) -> None:
+        answer = self._resume(first, second, line_end)
+        self.assertEqual(answer.body, build_events(1, 5, line_end))
+        self.assertTrue(answer.is_complete)
+
+    def _resume(self, first: Framing, second: Framing, line_end: bytes) -> CallerAnswer:
+        body = build_events(1, 3, line_end)
+        head, framed = frame_answer(first, body, headers=STREAM_HEADERS)
+        broken = send_and_end(head + framed[: len(framed) - 8], End.CLOSED)
+        rest = build_events(3, 5, line_end)
+        resumed = b"".join(frame_answer(second, rest, headers=STREAM_HEADERS))
+
+        async def serve(stream: Any, request_head: bytes) -> None:
+            script = (
+                send_and_end(resumed, End.CLOSED)
+                if b"last-event-id" in request_head.lower()
+                else broken
+            )
+            await script(stream, request_head)
+
+        return call([serve, serve], **RESUMABLE)
