State no length for a stream that another server may end

Callers of a resumable stream lost it after the last event that its first server had sent, although another server had gone on with it.

Cause: the first server had stated the length of its answer, and the entry passed that on; the events of the second server then did not fit the length, and the connection closed. Of the three ways to mark an answer's end only this one failed in the new test.

A resumable stream now goes to its caller in chunks whatever its servers state.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -540,7 +540,11 @@
     async def _start_answer(self, head: AnswerHead) -> None:
         if not self._has_started:
             self._has_started = True
-            await self._sink.start(head.status, filter_answer_headers(head.headers))
+            headers = filter_answer_headers(head.headers)
+            if self._is_stream(head) and self._request.route.is_resumable:
+                # The server that ends the stream may send another number of bytes.
+                headers = [pair for pair in headers if pair[0] != b"content-length"]
+            await self._sink.start(head.status, headers)
 
     def _compute_stall_s(self) -> float:
         """Return the time without a whole event after which a stream is stalled."""
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -103,6 +103,14 @@
             with self.subTest(line_end=line_end):
                 self._check_resumed(Framing.CHUNKS, Framing.CHUNKS, line_end)
 
+    # A resumed stream broke off when its first server had stated a length.
+    def test_resumed_stream_is_complete_whatever_marks_the_two_answers_ends(self):
+        """The caller gets each event once, and the end of a complete answer."""
+        for first in Framing:
+            for second in Framing:
+                with self.subTest(first=first, second=second):
+                    self._check_resumed(first, second)
+
     def _check_resumed(
         self, first: Framing, second: Framing, line_end: bytes = b"\n"
     ) -> None:
