--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -10,6 +10,11 @@
 from returns.result import Failure as Err
 
 from ...kernel.codes import Code, Failure, failure
+from ...kernel.event_stream import (
+    EventSplitter,
+    EventTooLongError,
+    is_event_stream,
+)
 from ...kernel.http_connection import (
     AnswerHead,
     BodyEnd,
@@ -26,7 +31,6 @@
 )
 from ..routing import TYPICAL_PROMPT_TOKENS, RoutingContext, usable_candidates
 from ._admission import decide_admission
-from ._events import EventSplitter, EventTooLongError
 from ._headers import (
     AnswerFacts,
     build_request_headers,
@@ -86,8 +90,6 @@
 # Least time, in milliseconds, without a whole event after which a stream is considered
 # stalled.
 MIN_STALL_MS = 4_000.0
-# Content type of a stream of events; also taken for answers that name none.
-EVENT_STREAM_TYPE = b"text/event-stream"
 # Failures after which no retry is made: nothing was sent, and an immediate retry would
 # fail in the same way.
 NON_RETRYABLE_CODES = frozenset(
@@ -418,11 +420,10 @@
             raise
 
     def _is_stream(self, head: AnswerHead) -> bool:
-        content_type = dict(head.headers).get(b"content-type", EVENT_STREAM_TYPE)
         return (
             self._request.route.kind is RouteKind.STREAMING
             and head.status < 300
-            and content_type.lower().startswith(EVENT_STREAM_TYPE)
+            and is_event_stream(head.headers, default=True)
         )
 
     async def _handle_not_run(
--- a/src/cowslipwood/entry/direct/_events.py
+++ b/src/cowslipwood/kernel/event_stream.py
@@ -1,7 +1,16 @@
 """Splits a stream of server-sent events, to know the last event before a failure."""
 
-__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "EventTooLongError"]
+from collections.abc import Iterable
 
+__all__ = [
+    "MAX_EVENT_BYTES",
+    "EventSplitter",
+    "EventTooLongError",
+    "is_event_stream",
+]
+
+# Content type of a stream of events.
+_EVENT_STREAM_TYPE = b"text/event-stream"
 # Empty lines that end an event, in streams whose lines end with a line feed and with a
 # carriage return and a line feed.
 _EVENT_ENDS = (b"\n\n", b"\n\r\n")
@@ -12,6 +21,21 @@
 MAX_EVENT_BYTES = 262_144
 
 
+def is_event_stream(headers: Iterable[tuple[bytes, bytes]], default: bool) -> bool:
+    """Return whether an answer's content type is that of a stream of events.
+
+    Parameters
+    ----------
+    headers : iterable of tuple of bytes
+    default : bool
+        Result for an answer that states no content type.
+    """
+    for name, value in headers:
+        if name.lower() == b"content-type":
+            return value.lower().startswith(_EVENT_STREAM_TYPE)
+    return default
+
+
 class EventTooLongError(Exception):
     """A stream has more bytes without the end of an event than allowed."""
 
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -10,13 +10,13 @@
 
 from cowslipwood.entry.choosing._view import FleetView
 from cowslipwood.entry.direct import _exchange
-from cowslipwood.entry.direct._events import MAX_EVENT_BYTES
 from cowslipwood.entry.direct._exchange import RequestForwarder
 from cowslipwood.entry.direct._holders import HolderFinder
 from cowslipwood.entry.direct._request import compute_urgency_rank
 from cowslipwood.entry.direct._servers import KnownServers
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.codes import CODE_INFO, Code, Outcome, failure
+from cowslipwood.kernel.event_stream import MAX_EVENT_BYTES
 from cowslipwood.kernel.messages import HolderReply
 from cowslipwood.listing import ListedModel
 from cowslipwood.routes import RouteKind
