Let agents take a stream that ends inside an event as broken off

Callers of a plain service behind an agent got a broken-off stream as complete, by the same cause as at entries that reach servers directly: the agent took the end of the connection as the end of the answer. Engines' completions were not affected, as entries ask for their closing event.

Agent and entry now share the check. Events over the splitter's limit stay allowed here; the end of such a stream is not checked, which the log states. The new test failed before for each stream that ended inside an event and for an empty one.

--- a/src/cowslipwood/agent/_forward.py
+++ b/src/cowslipwood/agent/_forward.py
@@ -13,7 +13,10 @@
 
 from ..kernel.clock import monotonic_ms
 from ..kernel.codes import Code, failure
+from ..kernel.event_stream import EventSplitter, EventTooLongError, is_event_stream
 from ..kernel.http import send_failure
+from ..kernel.http_connection import read_body_end
+from ..kernel.logs import get_logger
 
 __all__ = ["BackendCall", "ForwardOutcome", "ForwardResult", "Forwarder"]
 
@@ -174,12 +177,46 @@
             await answer.refuse(refusal, ForwardOutcome.REFUSED)
             return
         await answer.send_start(response)
+        stream_end = _StreamEnd(response.headers)
         async for chunk in response.aiter_stream():
+            stream_end.feed(chunk)
             await answer.send_chunk(chunk)
             idle_scope.deadline = anyio.current_time() + self._idle_timeout_ms / 1000
+        break_reason = stream_end.find_break()
+        if break_reason:
+            get_logger().info("answer_cut", reason=break_reason)
+            await answer.fail(Code.ANSWER_CUT)
+            return
         await answer.finish()
 
 
+class _StreamEnd:
+    """Tells whether an answer that has ended is a stream that was broken off."""
+
+    def __init__(self, headers: Headers):
+        self._body_end = read_body_end(headers)
+        self._splitter: EventSplitter | None = None
+        if is_event_stream(headers, default=False):
+            self._splitter = EventSplitter(whole_only=False)
+
+    def feed(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        if self._splitter is None:
+            return
+        try:
+            self._splitter.feed(chunk)
+        except EventTooLongError as exc:
+            # Services may send events of any size; their ends are then not checked.
+            get_logger().info("stream_end_unchecked", reason=str(exc))
+            self._splitter = None
+
+    def find_break(self) -> str:
+        """Return why the answer was broken off; empty if it was not."""
+        if self._splitter is None:
+            return ""
+        return self._splitter.find_break(self._body_end)
+
+
 class _AnswerSender:
     """Sends the answer of one call to the caller and measures its times."""
 
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -17,7 +17,6 @@
 )
 from ...kernel.http_connection import (
     AnswerHead,
-    BodyEnd,
     BrokenAnswerError,
     ServerConnection,
 )
@@ -505,7 +504,9 @@
                     await self._sink.write(data)
         if stall.cancelled_caught:
             raise BrokenAnswerError(Code.ANSWER_CUT, "the stream stalls")
-        _check_stream_end(head, splitter)
+        break_reason = splitter.find_break(head.body_end)
+        if break_reason:
+            raise BrokenAnswerError(Code.ANSWER_CUT, break_reason)
         await self._start_answer(head)
         held = splitter.take_held()
         if held:
@@ -581,31 +582,6 @@
         backend.first_event_ms.add(first_event_at_ms - sent_ms)
 
 
-def _check_stream_end(head: AnswerHead, splitter: EventSplitter) -> None:
-    """Check that a stream whose body has ended was not broken off.
-
-    The end of a connection alone does not tell a complete stream from one whose server
-    ended.
-
-    Raises
-    ------
-    BrokenAnswerError
-        ANSWER_CUT if the stream ended inside an event, or ended with its connection
-        before any event.
-    """
-    if splitter.has_open_event:
-        reason = (
-            f"the stream ended inside an event, after {splitter.n_open_bytes} bytes"
-        )
-        raise BrokenAnswerError(Code.ANSWER_CUT, reason)
-    if (
-        head.body_end is BodyEnd.CONNECTION_CLOSE
-        and not splitter.n_chunks_with_event_end
-    ):
-        reason = "the connection ended before the first event"
-        raise BrokenAnswerError(Code.ANSWER_CUT, reason)
-
-
 async def _discard_body(conn: ServerConnection) -> None:
     """Read and drop a refusal's body, so that the connection can be reused."""
     try:
--- a/src/cowslipwood/kernel/event_stream.py
+++ b/src/cowslipwood/kernel/event_stream.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+from .http_connection import BodyEnd
+
 __all__ = [
     "MAX_EVENT_BYTES",
     "EventSplitter",
@@ -80,6 +82,23 @@
             line.rstrip(b"\r") and not line.startswith(b":") for line in lines
         )
 
+    def find_break(self, body_end: BodyEnd) -> str:
+        """Return why a stream whose body has ended was broken off; empty if it was not.
+
+        The end of a connection alone does not tell a complete stream from one whose
+        server ended.
+
+        Parameters
+        ----------
+        body_end : BodyEnd
+            What marked the end of the body.
+        """
+        if self.has_open_event:
+            return f"the stream ended {self.n_open_bytes} bytes into an event"
+        if body_end is BodyEnd.CONNECTION_CLOSE and not self.n_chunks_with_event_end:
+            return "the connection ended before the first event"
+        return ""
+
     def feed(self, data: bytes) -> bytes:
         """Take a chunk and return the bytes to forward now.
 
--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -22,6 +22,7 @@
     "BrokenAnswerError",
     "ServerConnection",
     "open_connection",
+    "read_body_end",
 ]
 
 # Largest number of bytes that one read or one write transfers.
@@ -78,12 +79,7 @@
     @property
     def body_end(self) -> BodyEnd:
         """What marks the end of the body."""
-        names = {name for name, _ in self.headers}
-        if b"transfer-encoding" in names:
-            return BodyEnd.LAST_CHUNK
-        if b"content-length" in names:
-            return BodyEnd.LENGTH
-        return BodyEnd.CONNECTION_CLOSE
+        return read_body_end(self.headers)
 
 
 class ServerConnection:
@@ -264,6 +260,16 @@
         return BrokenAnswerError(Code.ANSWER_CUT, reason)
 
 
+def read_body_end(headers: Sequence[tuple[bytes, bytes]]) -> BodyEnd:
+    """Return what marks the end of the body of an answer with these headers."""
+    names = {name.lower() for name, _ in headers}
+    if b"transfer-encoding" in names:
+        return BodyEnd.LAST_CHUNK
+    if b"content-length" in names:
+        return BodyEnd.LENGTH
+    return BodyEnd.CONNECTION_CLOSE
+
+
 async def open_connection(
     host: str, port: int, timeout_ms: float
 ) -> ServerConnection | None:
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -7,6 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cowslipwood.agent._forward import BackendCall, Forwarder, ForwardOutcome
+
 from .answer_builders import (
     STREAM_HEADERS,
     CallerAnswer,
@@ -17,6 +19,7 @@
     frame_answer,
     send_and_end,
 )
+from .direct_builders import run_scripted_server
 
 STREAM = {"kind": "streaming", "max_attempts": 1}
 RESUMABLE = {"kind": "streaming", "max_attempts": 2, "is_resumable": True}
@@ -134,3 +137,30 @@
             await script(stream, request_head)
 
         return call([serve, serve], **RESUMABLE)
+
+
+class ForwardedByAgentTest(unittest.TestCase):
+    """Streams of a plain service that an agent forwards."""
+
+    async def _forward(self, body: bytes) -> ForwardOutcome:
+        async def send(event: dict[str, Any]) -> None:
+            pass
+
+        async with run_scripted_server(send_stream(body)) as (addr, _):
+            forwarder = Forwarder(f"http://{addr}", {})
+            call_to_server = BackendCall("GET", "/", [("host", "shop.example")], b"")
+            result = await forwarder.forward(call_to_server, send, dict, None)
+        return result.outcome
+
+    # An agent passed a stream that broke off inside an event on as complete.
+    def test_agent_breaks_off_a_stream_that_ends_inside_an_event(self):
+        """An agent states that a stream was cut if it ended inside an event."""
+        whole = build_events(1, 2)
+        for body, outcome in (
+            (whole, ForwardOutcome.WHOLE),
+            (whole[:-1], ForwardOutcome.CUT),
+            (whole[:-4], ForwardOutcome.CUT),
+            (b"", ForwardOutcome.CUT),
+        ):
+            with self.subTest(body=body):
+                self.assertEqual(anyio.run(self._forward, body), outcome)
