Break off a stream in which another answer begins

Callers found an error's head in the middle of their stream (reported by operators of similar systems). Here it needs a server that answers a second time on a connection whose end marks the end of the stream: the second head is then part of the body, and its empty line looked like the end of an event.

No line of an event begins like the first line of an answer, so such a line now breaks the stream off before it is forwarded, at entries and at agents. The other answers to a resume that the test sends (errors, refusals, an answer that is no stream, none at all) never reached the caller before either.

--- a/src/cowslipwood/agent/_forward.py
+++ b/src/cowslipwood/agent/_forward.py
@@ -13,7 +13,12 @@
 
 from ..kernel.clock import monotonic_ms
 from ..kernel.codes import Code, failure
-from ..kernel.event_stream import EventSplitter, EventTooLongError, is_event_stream
+from ..kernel.event_stream import (
+    EventSplitter,
+    EventTooLongError,
+    StatusLineError,
+    is_event_stream,
+)
 from ..kernel.http import send_failure
 from ..kernel.http_connection import read_body_end
 from ..kernel.logs import get_logger
@@ -161,6 +166,9 @@
                     await self._forward_answer(response, answer, idle_scope)
             except _NOT_SENT_ERRORS:
                 await answer.refuse(Code.BACKEND_UNREACHABLE, ForwardOutcome.NOT_SENT)
+            except StatusLineError as exc:
+                get_logger().info("answer_cut", reason=str(exc))
+                await answer.fail(Code.ANSWER_CUT)
             except (httpcore.NetworkError, httpcore.ProtocolError):
                 await answer.fail(Code.OUTCOME_UNKNOWN)
         if idle_scope.cancelled_caught:
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -13,6 +13,7 @@
 from ...kernel.event_stream import (
     EventSplitter,
     EventTooLongError,
+    StatusLineError,
     is_event_stream,
 )
 from ...kernel.http_connection import (
@@ -408,7 +409,7 @@
             if not self._is_stream(head):
                 return await self._forward_whole(backend, conn, head, sent_ms)
             return await self._forward_stream(backend, conn, head, sent_ms)
-        except (BrokenAnswerError, EventTooLongError) as exc:
+        except (BrokenAnswerError, EventTooLongError, StatusLineError) as exc:
             await conn.close()
             return self._record_failure(backend, failure(Code.ANSWER_CUT, str(exc)))
         except TimeoutError:
--- a/src/cowslipwood/kernel/event_stream.py
+++ b/src/cowslipwood/kernel/event_stream.py
@@ -1,5 +1,6 @@
 """Splits a stream of server-sent events, to know the last event before a failure."""
 
+import re
 from collections.abc import Iterable
 
 from .http_connection import BodyEnd
@@ -8,6 +9,7 @@
     "MAX_EVENT_BYTES",
     "EventSplitter",
     "EventTooLongError",
+    "StatusLineError",
     "is_event_stream",
 ]
 
@@ -18,6 +20,10 @@
 _EVENT_ENDS = (b"\n\n", b"\n\r\n")
 # Length, in bytes, of the longest of `_EVENT_ENDS`.
 _MAX_EVENT_END_BYTES = 3
+# Beginning of the first line of an HTTP answer, at the beginning of a line.
+_STATUS_LINE = re.compile(rb"^HTTP/1\.[01] [0-9]{3}", re.MULTILINE)
+# Length, in bytes, of the longest match of `_STATUS_LINE` and the line end before it.
+_MAX_STATUS_LINE_BYTES = 13
 # Largest number of bytes without the end of an event. It is many times the longest
 # event of a few tokens; a stream beyond it does not consist of events.
 MAX_EVENT_BYTES = 262_144
@@ -42,6 +48,14 @@
     """A stream has more bytes without the end of an event than allowed."""
 
 
+class StatusLineError(Exception):
+    """The first line of another answer stands among the lines of a stream.
+
+    Only a stream that ends with its connection can hold it: a faulty server has
+    answered twice, and what follows is not part of the stream.
+    """
+
+
 class EventSplitter:
     """Splits a byte stream into events.
 
@@ -106,10 +120,16 @@
         ------
         EventTooLongError
             If no event has ended for more than `MAX_EVENT_BYTES`.
+        StatusLineError
+            If a line is the first line of an answer.
         """
-        n_searched = max(0, len(self._open) - _MAX_EVENT_END_BYTES + 1)
+        n_open = len(self._open)
         self._open += data
-        end = _find_last_event_end(self._open, n_searched)
+        if _STATUS_LINE.search(self._open, max(0, n_open - _MAX_STATUS_LINE_BYTES)):
+            raise StatusLineError("another answer begins within the stream")
+        end = _find_last_event_end(
+            self._open, max(0, n_open - _MAX_EVENT_END_BYTES + 1)
+        )
         if not end:
             if len(self._open) > MAX_EVENT_BYTES:
                 raise EventTooLongError(f"no event ended in {len(self._open)} bytes")
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -19,7 +19,7 @@
     frame_answer,
     send_and_end,
 )
-from .direct_builders import run_scripted_server
+from .direct_builders import build_answer, run_scripted_server
 
 STREAM = {"kind": "streaming", "max_attempts": 1}
 RESUMABLE = {"kind": "streaming", "max_attempts": 2, "is_resumable": True}
@@ -121,20 +121,55 @@
         self.assertEqual(answer.body, build_events(1, 5, line_end))
         self.assertTrue(answer.is_complete)
 
+    # An error of the next server reached callers in the middle of their stream.
+    def test_error_answer_to_a_resume_never_reaches_the_caller(self):
+        """A stream that has begun holds events only, and ends without its end."""
+        head, framed = frame_answer(
+            Framing.CHUNKS, build_events(1, 3), headers=STREAM_HEADERS
+        )
+        begun = head + framed[:-8]
+        json_body = b'{"error":"none"}'
+        stream_head, stream_body = frame_answer(
+            Framing.CONNECTION, build_events(3, 4), headers=STREAM_HEADERS
+        )
+        answers = {
+            "server error": build_answer(json_body, "500 Internal Server Error"),
+            "no such path": build_answer(json_body, "404 Not Found"),
+            "refusal": build_answer(
+                json_body, "503 Busy", extra_headers="x-cowslip-not-run: 1\r\n"
+            ),
+            "no stream": build_answer(
+                json_body, extra_headers="content-type: application/json\r\n"
+            ),
+            "no answer": b"",
+            "head in the stream": stream_head
+            + stream_body
+            + build_answer(json_body, "500 Internal Server Error"),
+        }
+        for name, answer_bytes in answers.items():
+            with self.subTest(name=name):
+                answer = self._answer_resume(begun, answer_bytes)
+                self.assertFalse(answer.is_complete)
+                self.assertTrue(build_events(1, 4).startswith(answer.body))
+
     def _resume(self, first: Framing, second: Framing, line_end: bytes) -> CallerAnswer:
-        body = build_events(1, 3, line_end)
-        head, framed = frame_answer(first, body, headers=STREAM_HEADERS)
-        broken = send_and_end(head + framed[: len(framed) - 8], End.CLOSED)
+        head, framed = frame_answer(
+            first, build_events(1, 3, line_end), headers=STREAM_HEADERS
+        )
         rest = build_events(3, 5, line_end)
-        resumed = b"".join(frame_answer(second, rest, headers=STREAM_HEADERS))
+        return self._answer_resume(
+            head + framed[:-8],
+            b"".join(frame_answer(second, rest, headers=STREAM_HEADERS)),
+        )
+
+    def _answer_resume(self, begun: bytes, answer_to_resume: bytes) -> CallerAnswer:
+        """Break off a stream after these bytes, and answer its resume with others."""
+        broken = send_and_end(begun, End.CLOSED)
+        resumed = send_and_end(answer_to_resume, End.CLOSED)
 
         async def serve(stream: Any, request_head: bytes) -> None:
-            script = (
-                send_and_end(resumed, End.CLOSED)
-                if b"last-event-id" in request_head.lower()
-                else broken
-            )
-            await script(stream, request_head)
+            is_resume = b"last-event-id" in request_head.lower()
+            await (resumed if is_resume else broken)(stream, request_head)
 
         return call([serve, serve], **RESUMABLE)
 
@@ -161,6 +196,7 @@
             (whole[:-1], ForwardOutcome.CUT),
             (whole[:-4], ForwardOutcome.CUT),
             (b"", ForwardOutcome.CUT),
+            (whole + build_answer(b"", "503 Busy"), ForwardOutcome.CUT),
         ):
             with self.subTest(body=body):
                 self.assertEqual(anyio.run(self._forward, body), outcome)
