Believe no refusal without a request id after answers with ids

Callers were told 'not run, try again' for requests that a server had run (reported by operators of similar systems): a faulty server had written an earlier refusal once more on a kept connection.

A refusal that names its request was already told apart. One that names none was believed on any connection. Servers that repeat the ids do so in each answer, so after one answer with an id, one without belongs to no request that is waiting; the outcome is then unknown and the connection is closed. The new test failed before (not-run instead of unknown).

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -386,10 +386,12 @@
         state, request = self._state, self._request
         facts = read_answer_facts(head.status, head.headers, state.header_names)
         now_ms = state.now_ms()
-        if facts.request_id and facts.request_id != request.facts.request_id:
+        is_foreign = facts.request_id != request.facts.request_id
+        if is_foreign and (facts.request_id or conn.peer_repeats_ids):
             await conn.close()
-            fault = failure(Code.OUTCOME_UNKNOWN, "an answer to another request came")
-            return self._record_failure(backend, fault)
+            reason = f"an answer to request {facts.request_id or 'unknown'} came"
+            return self._record_failure(backend, failure(Code.OUTCOME_UNKNOWN, reason))
+        conn.peer_repeats_ids = bool(facts.request_id)
         self._record_load(backend, facts, now_ms)
         state.apply_notice(backend, facts.notice, now_ms)
         if facts.not_run or head.status == MISDIRECTED_STATUS:
--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -98,6 +98,9 @@
     idle_limit_ms : float or None
         Idle time after which the server closes the connection, as its last
         ``Keep-Alive`` header states; None when there was none.
+    peer_repeats_ids : bool
+        Whether the last answer named its request. A server that does so does it in
+        each answer, so an answer without an id is not to the current request.
     """
 
     def __init__(self, stream: anyio.abc.ByteStream):
@@ -109,6 +112,7 @@
         self.idle_since_ms = 0.0
         self.n_requests = 0
         self.idle_limit_ms: float | None = None
+        self.peer_repeats_ids = False
 
     async def send(
         self, method: bytes, target: bytes, headers: Sequence, body: bytes
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -219,6 +219,33 @@
         self.assertEqual(len(heads), 2)
 
 
+class RepeatedRefusalTest(unittest.TestCase):
+    """Refusals that a faulty server writes once more on a kept connection."""
+
+    # A request that ran was reported as not run, by an earlier refusal of another one.
+    def test_refusal_without_id_after_answers_with_ids(self):
+        """A refusal that names no request proves nothing on a kept connection."""
+        refusal = (
+            b"HTTP/1.1 503 Full\r\nx-cowslip-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+        )
+        answers = [build_answer(), refusal]
+
+        async def serve(stream: Any, head: bytes) -> None:
+            await stream.send(answers.pop(0))
+
+        async def main() -> Any:
+            async with run_scripted_server(serve) as (addr, _):
+                state = build_direct_state([build_listed_server("s0", addr)])
+                for _ in range(2):
+                    request = build_request(build_route(**UNSAFE))
+                    fault = await RequestForwarder(
+                        state, request, RecordingSink(), create_rng()
+                    ).run()
+            return fault
+
+        self.assertIs(anyio.run(main).outcome, Outcome.UNKNOWN)
+
+
 class HolderTest(unittest.TestCase):
     """Requests for models that no usable server holds."""
 
