Send a refused request to the same server on a new connection

A request that ran could be sent again, or be answered as not run: while the only engine with a model carried out an order, the entry sent the request to it again on the connection on which it had just been refused. A server that writes that refusal once more (reported by operators of similar systems) answers the new attempt with it, and the id is the right one.

The refusals of two attempts of one request can only be told apart by their connections, so another attempt at a server that has refused goes over a new connection.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -139,6 +139,7 @@
         self._rng = rng
         self._attempt_counts = AttemptCounts()
         self._tried_server_ids: set[str] = set()
+        self._refusing_server_ids: set[str] = set()
         self._retry_pause_ms = FIRST_RETRY_PAUSE_MS
         self._log = get_logger()
         self._has_started = False
@@ -218,7 +219,14 @@
         left_ms = self._request.answer_by_ms - now_ms
         if left_ms <= 0:
             return failure(Code.DEADLINE_PASSED)
-        conn = await self._state.pool.acquire(backend.view.http_addr, now_ms, left_ms)
+        # A server may repeat its refusal of the last attempt, which bears the same id,
+        # so another attempt there goes over another connection.
+        conn = await self._state.pool.acquire(
+            backend.view.http_addr,
+            now_ms,
+            left_ms,
+            is_kept_allowed=backend.view.server_id not in self._refusing_server_ids,
+        )
         if conn is None:
             backend.exclude("", self._state.now_ms() + UNREACHABLE_EXCLUSION_MS)
             return failure(Code.BACKEND_UNREACHABLE, backend.view.server_id)
@@ -432,6 +440,7 @@
         self, backend: Backend, conn: ServerConnection, head: AnswerHead
     ) -> Failure:
         """Record a server's statement that the request did not run there."""
+        self._refusing_server_ids.add(backend.view.server_id)
         self._attempt_counts = self._attempt_counts._replace(
             n_possibly_run=self._attempt_counts.n_possibly_run - 1
         )
--- a/src/cowslipwood/kernel/http_pool.py
+++ b/src/cowslipwood/kernel/http_pool.py
@@ -45,10 +45,20 @@
         self._idle_by_addr: dict[str, list[ServerConnection]] = defaultdict(list)
 
     async def acquire(
-        self, addr: str, now_ms: float, timeout_ms: float
+        self, addr: str, now_ms: float, timeout_ms: float, is_kept_allowed: bool = True
     ) -> ServerConnection | None:
-        """Return an idle or new connection; None when no connection can be opened."""
-        idle = self._idle_by_addr[addr]
+        """Return an idle or new connection; None when no connection can be opened.
+
+        Parameters
+        ----------
+        addr : str
+        now_ms : float
+        timeout_ms : float
+            Longest time for opening a connection.
+        is_kept_allowed : bool
+            Whether a connection that has carried other requests will do.
+        """
+        idle = self._idle_by_addr[addr] if is_kept_allowed else []
         while idle:
             conn = idle.pop()
             if now_ms < _idle_until_ms(conn) and not conn.has_unexpected_data():
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -245,6 +245,24 @@
 
         self.assertIs(anyio.run(main).outcome, Outcome.UNKNOWN)
 
+    # A request that ran was sent again, as its server repeated its own first refusal.
+    def test_request_is_sent_again_to_its_server_on_a_new_connection(self):
+        """The refusals of one request's attempts cannot be taken for each other."""
+        refusal = build_answer(b"", "503 Full", extra_headers=NOT_RUN)
+        n_requests_by_connection: list[int] = []
+
+        async def serve(stream: Any, head: bytes) -> None:
+            if not hasattr(stream, "n_requests"):
+                stream.n_requests = 0
+            stream.n_requests += 1
+            n_requests_by_connection.append(stream.n_requests)
+            await stream.send(refusal)
+
+        route = build_route(kind=RouteKind.STREAMING, max_attempts=1)
+        run([serve], route, FixedHolderFinder("s0"), x_cowslip_model="m1", holds="yes")
+        self.assertGreater(len(n_requests_by_connection), 1)
+        self.assertEqual(set(n_requests_by_connection), {1})
+
 
 class HolderTest(unittest.TestCase):
     """Requests for models that no usable server holds."""
