Leave odd entries out of the server list, whatever makes them unreadable

One odd entry of another writer kept the processes that read the list from following it (reported by operators of similar systems; here entries and keepers). Callers then get servers that have left, and none that are new.

A list that cannot be decoded is now split into its entries, which are decoded one by one; and an entry is read only if messages, headers and connections can carry its values.

--- a/src/cowslipwood/listing/_http_list.py
+++ b/src/cowslipwood/listing/_http_list.py
@@ -1,15 +1,15 @@
 """Reads the list of backend servers as JSON from one address."""
 
-import orjson
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
 from ..kernel.clock import monotonic_ms
 from ..kernel.codes import Code, Failure, failure
 from ..kernel.http_pool import ConnectionPool
+from ..kernel.json_entries import load_with_entries
 from ..kernel.logs import get_logger
 from ..routes import FieldError, record_from_json
-from ._servers import ListedServer
+from ._servers import ListedServer, check_server
 
 __all__ = ["HttpServerList"]
 
@@ -45,9 +45,9 @@
         if answer.status != 200:
             return Err(failure(Code.OVERLOADED, f"list: status {answer.status}"))
         try:
-            values = orjson.loads(answer.body)["servers"]
-        except (orjson.JSONDecodeError, KeyError, TypeError) as exc:
-            return Err(failure(Code.BAD_MESSAGE, f"list: {type(exc).__name__}"))
+            values = load_with_entries(answer.body, "servers")["servers"]
+        except ValueError as exc:
+            return Err(failure(Code.BAD_MESSAGE, f"list: {exc}"))
         return Success(
             [server for server in map(_decode_server, values) if server is not None]
         )
@@ -55,7 +55,9 @@
 
 def _decode_server(value: object) -> ListedServer | None:
     try:
-        return record_from_json(ListedServer, value, "server")
-    except FieldError as exc:
+        server = record_from_json(ListedServer, value, "server")
+        check_server(server)
+        return server
+    except (FieldError, ValueError) as exc:
         get_logger().info("list_entry_ignored", reason=str(exc)[:120])
         return None
--- a/src/cowslipwood/listing/_servers.py
+++ b/src/cowslipwood/listing/_servers.py
@@ -1,22 +1,30 @@
 """Records of the server list, and the keys by which servers are looked up."""
 
+import ipaddress
 from typing import NamedTuple, Protocol
 
 from returns.result import Result
 
 from ..kernel.codes import Failure
 from ..kernel.messages import ServerView
+from ..kernel.settings import parse_address
 
 __all__ = [
     "ListedModel",
     "ListedServer",
     "ServerListSource",
+    "check_server",
     "list_holding_keys",
     "make_holding_key",
     "service_key",
     "to_server_view",
 ]
 
+# Longest id of a server, in characters.
+MAX_ID_LENGTH = 256
+# Largest number of requests that a server runs at once; messages between the daemons
+# hold numbers of 32 bits.
+MAX_SLOTS = 1_000_000
 # Prefix that distinguishes the keys of plain services from those of models.
 SERVICE_KEY_PREFIX = "service:"
 
@@ -65,6 +73,29 @@
         """Return all servers; elements that cannot be decoded are left out."""
 
 
+def check_server(server: ListedServer) -> None:
+    """Check the values of a listed server that later steps could not handle.
+
+    Raises
+    ------
+    ValueError
+        When the address is not an IP address and a port, the id does not fit into a
+        header, or a number is out of its range.
+    """
+    host, port = parse_address(server.addr)
+    ipaddress.ip_address(host)
+    if not port:
+        raise ValueError("expected a port from 1 to 65535")
+    if len(server.server_id) > MAX_ID_LENGTH or not _is_header_text(server.server_id):
+        raise ValueError(f"expected an id of up to {MAX_ID_LENGTH} characters")
+    if not 0 <= server.n_slots <= MAX_SLOTS:
+        raise ValueError(f"expected up to {MAX_SLOTS} slots, got {server.n_slots}")
+
+
+def _is_header_text(text: str) -> bool:
+    return text.isascii() and text.isprintable() and text == text.strip()
+
+
 def service_key(name: str) -> str:
     """Return the key by which the servers of a plain service are looked up."""
     return SERVICE_KEY_PREFIX + name
