--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import math
 import random
 from typing import Protocol
@@ -100,6 +101,14 @@
 NO_CAPACITY_CODES = frozenset((Code.NO_REPLICA, Code.OVERLOADED))
 
 
+class AnswerStage(enum.StrEnum):
+    """How far the answer to an attempt has come."""
+
+    AWAITED = "awaited"
+    BEGUN = "begun"
+    EVENTS = "events"
+
+
 class AnswerSink(Protocol):
     """Receives the parts of an answer as they arrive from a server."""
 
@@ -143,6 +152,7 @@
         self._retry_pause_ms = FIRST_RETRY_PAUSE_MS
         self._log = get_logger()
         self._has_started = False
+        self._answer_stage = AnswerStage.AWAITED
         self._last_event_id = b""
         self._error_answer: tuple[AnswerHead, bytes] | None = None
 
@@ -347,6 +357,7 @@
             n_sent=self._attempt_counts.n_sent + 1,
             n_possibly_run=self._attempt_counts.n_possibly_run + 1,
         )
+        self._answer_stage = AnswerStage.AWAITED
         n_tokens = estimate_tokens_to_read(request.facts)
         state.get_prompt_tokens_average(request.service).add(n_tokens)
         try:
@@ -357,6 +368,7 @@
             ):
                 await conn.send(request.method, request.target, headers, request.body)
                 head = await conn.receive_head()
+                self._answer_stage = AnswerStage.BEGUN
         except TimeoutError:
             await conn.close()
             return self._record_failure(backend, failure(Code.BACKEND_TIMEOUT))
@@ -510,6 +522,7 @@
                     gap_ms = now_ms - last_event_at_ms if last_event_at_ms else 0.0
                     longest_gap_ms = max(longest_gap_ms, gap_ms)
                     last_event_at_ms = now_ms
+                    self._answer_stage = AnswerStage.EVENTS
                     stall.deadline = anyio.current_time() + self._compute_stall_s()
                 if data:
                     await self._start_answer(head)
@@ -584,6 +597,8 @@
             server=backend.view.server_id,
             code=fault.code.value,
             reason=fault.message,
+            stage=self._answer_stage.value,
+            shared_parts=",".join(self._request.facts.shared_parts),
         )
         return fault
 
--- a/src/cowslipwood/entry/direct/_headers.py
+++ b/src/cowslipwood/entry/direct/_headers.py
@@ -19,6 +19,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# Largest number of shared parts whose ids are read; prompts have a few.
+MAX_SHARED_PARTS = 32
 # Headers that concern a single connection and are never forwarded.
 _HOP_BY_HOP = frozenset(
     (
@@ -97,6 +99,8 @@
         Hash of the parts of the prompt that other requests may share; 0 if none.
     n_shared_tokens : int
         Number of tokens of these parts.
+    shared_parts : tuple of str
+        Ids of these parts, in order, up to `MAX_SHARED_PARTS`.
     """
 
     request_id: str
@@ -107,6 +111,7 @@
     n_output_tokens: int = 0
     prefix_hash: int = 0
     n_shared_tokens: int = 0
+    shared_parts: tuple[str, ...] = ()
 
 
 class AnswerFacts(NamedTuple):
@@ -227,14 +232,15 @@
     return [int(part) for part in parts]
 
 
-def _read_shared_prefix(text: str) -> tuple[int, int]:
-    """Return hash and token count of the shared parts.
+def _read_shared_prefix(text: str) -> tuple[int, int, tuple[str, ...]]:
+    """Return hash, token count and ids of the shared parts.
 
     These are all parts but the last, which belongs to this request alone.
     """
     shared = text.rpartition(",")[0]
     if not shared:
-        return 0, 0
-    sizes = (part.rpartition(":")[2] for part in shared.split(","))
-    n_tokens = sum(int(size) for size in sizes if size.isdigit())
-    return xxhash.xxh3_64_intdigest(shared.encode()), n_tokens
+        return 0, 0, ()
+    parts = [part.strip().partition(":") for part in shared.split(",")]
+    n_tokens = sum(int(size) for _, _, size in parts if size.isdigit())
+    part_ids = tuple(part_id for part_id, _, _ in parts[:MAX_SHARED_PARTS])
+    return xxhash.xxh3_64_intdigest(shared.encode()), n_tokens, part_ids
