--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -50,6 +50,7 @@
 
     Attributes
     ----------
+    servers : KnownServers
     demand : DemandMeter
         Requests from their arrival to their answer, by key.
     waiting_demand : DemandMeter
@@ -79,7 +80,7 @@
         self.metrics = metrics
         self.now_ms = now_ms
         self.view = view
-        self._servers = servers
+        self.servers = servers
         self.demand = DemandMeter(now_ms())
         self.waiting_demand = DemandMeter(now_ms())
         self.pool = ConnectionPool()
@@ -96,7 +97,7 @@
     @property
     def list_read_at_ms(self) -> float:
         """When the server list that the view is based on was read."""
-        return self._servers.list_read_at_ms
+        return self.servers.list_read_at_ms
 
     @property
     def document_version(self) -> int:
@@ -156,7 +157,7 @@
         for name in notice.unreadable:
             self.metrics.count("notices_ignored_total", header=name)
             get_logger().info("notice_ignored", server=server_id, header=name)
-        if notice.is_leaving and self._servers.record_leaving(server_id, now_ms):
+        if notice.is_leaving and self.servers.record_leaving(server_id, now_ms):
             self.metrics.count("servers_left_total")
             get_logger().info("server_said_leaving", server=server_id)
         if notice.hold_off_ms:
--- /dev/null
+++ b/tests/crash_builders.py
@@ -0,0 +1,130 @@
+"""Servers that end when they begin to answer a prompt with a certain part."""
+
+import random
+from contextlib import AsyncExitStack
+
+import anyio
+import anyio.abc
+
+from cowslipwood.entry.direct._exchange import RequestForwarder
+from cowslipwood.entry.direct._state import DirectState
+from cowslipwood.kernel.clock import monotonic_ms
+from cowslipwood.kernel.codes import Failure
+from cowslipwood.routes import RouteKind
+
+from .answer_builders import STREAM_HEADERS, Framing, build_events, frame_answer
+from .direct_builders import (
+    RecordingSink,
+    build_direct_state,
+    build_listed_server,
+    build_request,
+    build_route,
+    read_head,
+)
+
+# Prompt part that ends servers in tests.
+BAD_PART = "bad0"
+HOST = "127.0.0.1"
+
+
+class CrashingFleet:
+    """Servers that end on `BAD_PART` and start again at once under another id.
+
+    Parameters
+    ----------
+    tasks : anyio.abc.TaskGroup
+        Runs the servers.
+    n_servers : int
+
+    Attributes
+    ----------
+    n_ended : int
+        Number of servers that have ended.
+    n_bad_arrivals : int
+        Number of requests with the part that reached servers.
+    """
+
+    def __init__(self, tasks: anyio.abc.TaskGroup, n_servers: int):
+        self._tasks = tasks
+        self._n_servers = n_servers
+        self._n_started = 0
+        self._addrs: dict[str, str] = {}
+        self.states: list[DirectState] = []
+        self.n_ended = 0
+        self.n_bad_arrivals = 0
+
+    async def start(self) -> None:
+        """Start all servers."""
+        for _ in range(self._n_servers):
+            await self._start_server()
+
+    async def _start_server(self) -> None:
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        server_id = f"s{self._n_started}"
+        self._n_started += 1
+        self._addrs[server_id] = f"{HOST}:{port}"
+        self._tasks.start_soon(self._serve, server_id, listener)
+
+    async def _serve(self, server_id: str, listener: anyio.abc.Listener) -> None:
+        async with AsyncExitStack() as stack:
+            await stack.enter_async_context(listener)
+            async with anyio.create_task_group() as connections:
+
+                async def handle(stream: anyio.abc.SocketStream) -> None:
+                    async with stream:
+                        while head := await read_head(stream):
+                            if await self._answer(stream, head):
+                                connections.cancel_scope.cancel()
+
+                await listener.serve(handle, connections)
+        del self._addrs[server_id]
+        self.n_ended += 1
+        await self._start_server()
+        self.publish()
+
+    async def _answer(self, stream: anyio.abc.SocketStream, head: bytes) -> bool:
+        """Answer a request; return whether the server ends."""
+        answer_head, body = frame_answer(
+            Framing.CHUNKS, build_events(1, 2), headers=STREAM_HEADERS
+        )
+        if f"{BAD_PART}:".encode() not in head:
+            await stream.send(answer_head + body)
+            return False
+        self.n_bad_arrivals += 1
+        await stream.send(answer_head)
+        await anyio.sleep(0.005)
+        return True
+
+    def publish(self) -> None:
+        """Tell each entry which servers run now."""
+        servers = [build_listed_server(*item) for item in self._addrs.items()]
+        for state in self.states:
+            state.servers.apply_list(servers, monotonic_ms())
+
+    def add_entry(self) -> DirectState:
+        """Return the state of an entry that knows the servers."""
+        state = build_direct_state([])
+        self.states.append(state)
+        self.publish()
+        return state
+
+
+def build_prefix(rng: random.Random, is_bad: bool) -> str:
+    """Return a prompt's parts: one of a few shared ones, a subject and its own."""
+    parts = ["f0:800", f"c{rng.randrange(4)}:400"]
+    if is_bad:
+        parts.insert(rng.randrange(3), f"{BAD_PART}:90")
+    return ",".join([*parts, f"own{rng.getrandbits(40):x}:250"])
+
+
+async def send_prompt(
+    state: DirectState, rng: random.Random, is_bad: bool
+) -> tuple[Failure | None, RecordingSink]:
+    """Send one prompt through an entry."""
+    route = build_route(kind=RouteKind.STREAMING, max_attempts=2, is_resumable=True)
+    prefix = build_prefix(rng, is_bad)
+    request = build_request(route, x_cowslip_prefix=prefix)
+    sink = RecordingSink()
+    fault = await RequestForwarder(state, request, sink, rng).run()
+    return fault, sink
