Refuse prompts with a part under which servers have ended

Cause: a server that ended was an event of one request at one entry. Nothing in an entry outlived the request, and no entry saw more than two or three of the ends, so every entry sent the next such request to the next server.

Now an entry that loses an answer before its first event, and finds the server gone, accuses the shared parts that no completed answer has cleared. The leader passes the evidence on to all entries at once, merges their views of one end, and has it sent anew when it is new itself. Each entry applies the same rules to all of it: two ends with one part in common, and nothing else, block the part; three, if a few parts were always there together; five, if the requests may only have waited. A completed answer anywhere ends a block, ten minutes do, and one further end brings it back for longer. A request that may have ended a server is not repeated.

Prompts with a blocked part are refused as not run (code 1210).

--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -16,6 +16,7 @@
 from ...kernel.keeper_link import KeeperLink
 from ...kernel.logs import get_logger
 from ...kernel.messages import (
+    CrashEvidence,
     DocumentUpdate,
     EntryPlace,
     EntryReport,
@@ -233,6 +234,7 @@
             tasks.start_soon(self._holder_finder.run)
             tasks.start_soon(self._list_loop)
             tasks.start_soon(self._pool_sweep_loop)
+            tasks.start_soon(self._evidence_loop)
             await stop.wait()
             await self._drain(server)
             tasks.cancel_scope.cancel()
@@ -260,6 +262,8 @@
                 self._state.live_entries.update(value.n_entries, monotonic_ms())
             case FleetLoad():
                 self._servers.apply_load(value, monotonic_ms())
+            case CrashEvidence():
+                self._state.part_guard.apply_evidence(value, monotonic_ms())
 
     def _apply_document(self, update: DocumentUpdate) -> None:
         parsed = _decompress_document(update.document).bind(parse_document)
@@ -308,8 +312,19 @@
             }
             await self._state.pool.close_expired(addrs, monotonic_ms())
 
+    async def _evidence_loop(self) -> None:
+        """Send what this entry sees of the ends of servers to the leader at once."""
+        guard = self._state.part_guard
+        while True:
+            await guard.has_news.wait()
+            news = guard.take_news(monotonic_ms())
+            if news is not None:
+                await self.link.send(news)
+
     async def _report_loop(self, channel: Channel) -> None:
         self._servers.forget_leader()
+        # A new leader may know none of the evidence.
+        await channel.send(self._state.part_guard.build_all(monotonic_ms()))
         while True:
             state = self._state
             state.hold_off_requested = anyio.Event()
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -94,7 +94,12 @@
 # Failures after which no retry is made: nothing was sent, and an immediate retry would
 # fail in the same way.
 NON_RETRYABLE_CODES = frozenset(
-    (Code.NO_REPLICA, Code.DEADLINE_PASSED, Code.OVERLOADED)
+    (
+        Code.NO_REPLICA,
+        Code.DEADLINE_PASSED,
+        Code.OVERLOADED,
+        Code.PROMPT_BLOCKED,
+    )
 )
 # Failures for lack of engines: another copy of the model would have served the
 # request. They count as missed demand.
@@ -153,11 +158,15 @@
         self._log = get_logger()
         self._has_started = False
         self._answer_stage = AnswerStage.AWAITED
+        self._may_have_ended_server = False
         self._last_event_id = b""
         self._error_answer: tuple[AnswerHead, bytes] | None = None
 
     async def run(self) -> Failure | None:
         """Answer the request; return a failure if no complete answer was sent."""
+        refusal = self._check_parts()
+        if refusal is not None:
+            return refusal
         budget = self._state.get_retry_budget(self._request.service)
         budget.count_request(self._state.now_ms())
         key = self._request.key
@@ -184,6 +193,7 @@
                 self._request.route, self._attempt_counts, fault, left_ms
             )
             will_retry = will_retry and fault.code not in NON_RETRYABLE_CODES
+            will_retry = will_retry and not self._may_have_ended_server
             will_retry = will_retry and (
                 not self._has_started or self._request.route.is_resumable
             )
@@ -219,11 +229,18 @@
         retry_after_ms = round(DEFAULT_RETRY_AFTER_MS * self._rng.uniform(0.5, 1.5))
         return build_final_failure(self._attempt_counts, fault, retry_after_ms)
 
+    def _check_parts(self) -> Failure | None:
+        parts = self._request.facts.shared_parts
+        return self._state.part_guard.check(parts, self._state.now_ms())
+
     async def _run_attempt(self) -> Failure | None:
         """Send the request to one server; return the failure, or None on success."""
         backend = await self._choose_backend()
         if not isinstance(backend, Backend):
             return backend
+        refusal = self._check_parts()
+        if refusal is not None:
+            return refusal
         self._tried_server_ids.add(backend.view.server_id)
         now_ms = self._state.now_ms()
         left_ms = self._request.answer_by_ms - now_ms
@@ -374,6 +391,7 @@
             return self._record_failure(backend, failure(Code.BACKEND_TIMEOUT))
         except BrokenAnswerError as exc:
             await conn.close()
+            await self._record_break(backend)
             return self._record_failure(
                 backend, failure(Code.OUTCOME_UNKNOWN, str(exc))
             )
@@ -433,6 +451,7 @@
             return await self._forward_stream(backend, conn, head, sent_ms)
         except (BrokenAnswerError, EventTooLongError, StatusLineError) as exc:
             await conn.close()
+            await self._record_break(backend)
             return self._record_failure(backend, failure(Code.ANSWER_CUT, str(exc)))
         except TimeoutError:
             await conn.close()
@@ -589,6 +608,17 @@
             report = LoadReport(n_running, n_waiting, 0.0, n_slots)
         self._state.apply_load_report(backend, report, now_ms)
 
+    async def _record_break(self, backend: Backend) -> None:
+        """Record that the server broke off the answer to this request."""
+        if self._answer_stage is AnswerStage.EVENTS:
+            return
+        self._may_have_ended_server = await self._state.part_guard.record_break(
+            backend.view,
+            self._request.facts.shared_parts,
+            self._answer_stage is AnswerStage.BEGUN,
+            self._state.now_ms(),
+        )
+
     def _record_failure(self, backend: Backend, fault: Failure) -> Failure:
         backend.health.record_error(self._state.now_ms())
         self._log.info(
@@ -606,6 +636,9 @@
         self, backend: Backend, sent_ms: float, first_event_at_ms: float
     ) -> None:
         backend.health.record_answer(1.0, first_event_at_ms)
+        self._state.part_guard.record_complete(
+            self._request.facts.shared_parts, self._state.now_ms()
+        )
         backend.first_event_ms.add(first_event_at_ms - sent_ms)
 
 
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -19,6 +19,7 @@
 from ..routing import RoutingContext, RoutingPolicy
 from ._headers import HeaderNames
 from ._holders import HolderFinder
+from ._part_guard import PartGuard
 from ._retries import LiveEntryCount, RetryBudgetLimits, SharedRetryBudget
 from ._servers import KnownServers
 
@@ -56,6 +57,8 @@
     waiting_demand : DemandMeter
         Requests that were sent to a server and wait there for the first event of the
         answer, by key.
+    part_guard : PartGuard
+        Refuses prompts with parts under which servers have ended.
     document_applied : anyio.Event
         Set once a route document is in force.
     hold_off_requested : anyio.Event
@@ -84,6 +87,7 @@
         self.demand = DemandMeter(now_ms())
         self.waiting_demand = DemandMeter(now_ms())
         self.pool = ConnectionPool()
+        self.part_guard = PartGuard(metrics)
         self.document: RouteDocument | None = None
         self.document_applied = anyio.Event()
         self.route_table = RouteTable()
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -25,6 +25,7 @@
     ClaimAttempt,
     ClaimBegin,
     ClaimFinish,
+    CrashEvidence,
     EntryReport,
     Hello,
     HolderRequest,
@@ -51,6 +52,7 @@
 from ._claims import ClaimLimits, ClaimService
 from ._directory import ProcessDirectory, make_server_view
 from ._documents import DocumentService
+from ._evidence import EvidenceRelay
 from ._feed import RoutingFeed
 from ._leaving import LeavingServers
 from ._machine import AssignedModels, KeeperStateMachine
@@ -177,6 +179,7 @@
         )
         self._subscribers: set[Subscriber] = set()
         self._feed = RoutingFeed()
+        self._evidence = EvidenceRelay()
         self._document_frame = DocumentFrame()
         # Wakes the tasks that send updates to entries and gateways.
         self._state_changed = ChangeNotifier()
@@ -301,6 +304,9 @@
                 self._planner.record_entry_report(value, now_ms)
                 if self._engines is not None:
                     self._engines.record_entry_report(value, now_ms)
+            case CrashEvidence():
+                if self._evidence.add(value, now_ms):
+                    self._state_changed.notify()
             case HolderRequest() if self._engines is not None:
                 return self._count_refusal(await self._engines.find_holder(value))
             case PermitRequest() | PermitRelease():
@@ -408,7 +414,12 @@
             frame = self._document_frame.encode(document.version, document.document)
         keeper_addrs = tuple(member.addr for member in self._replica.members)
         return PublishedState(
-            self._machine.catalogue, document.version, frame, keeper_addrs, self._feed
+            self._machine.catalogue,
+            document.version,
+            frame,
+            keeper_addrs,
+            self._feed,
+            self._evidence,
         )
 
     async def _run_membership(self) -> None:
--- a/src/cowslipwood/keeper/_subscribers.py
+++ b/src/cowslipwood/keeper/_subscribers.py
@@ -22,6 +22,7 @@
     KeepersUpdate,
 )
 from ..kernel.wire import encode_frame
+from ._evidence import EvidenceRelay
 from ._feed import RoutingFeed, SentRevisions
 
 __all__ = ["DocumentFrame", "PublishedState", "Subscriber"]
@@ -63,6 +64,8 @@
         ip:port of each keeper.
     feed : RoutingFeed
         The backend servers and their load.
+    evidence : EvidenceRelay
+        What the entries have seen of the ends of servers.
     """
 
     catalogue: Catalogue
@@ -70,6 +73,7 @@
     document_frame: bytes
     keeper_addrs: tuple[str, ...]
     feed: RoutingFeed
+    evidence: EvidenceRelay
 
 
 class Subscriber:
@@ -97,6 +101,7 @@
         self._sent_document_version = 0
         self._sent_keeper_addrs: tuple[str, ...] = ()
         self._n_sent_fleet_loads = 0
+        self._sent_evidence_revision = 0
         self._last_sent_at_ms = float("-inf")
 
     async def close(self, reason: Failure) -> None:
@@ -114,6 +119,7 @@
         if self.role in ("agent", "entry"):
             await self._send_catalogue(state.catalogue, now_ms)
         if self.role == "entry":
+            await self._send_evidence(state.evidence, now_ms)
             await self._send_document(state, now_ms)
             await self.send_servers(state.feed, now_ms)
         if not self.get_heartbeat_wait_ms(now_ms):
@@ -142,6 +148,13 @@
             self._sent_document_version = state.document_version
             await self._send_frame(state.document_frame, now_ms)
 
+    async def _send_evidence(self, evidence: EvidenceRelay, now_ms: float) -> None:
+        """Send what entries have seen of the ends of servers since the last call."""
+        if evidence.revision > self._sent_evidence_revision:
+            update = evidence.build_update(self._sent_evidence_revision, now_ms)
+            self._sent_evidence_revision = evidence.revision
+            await self._send(update, now_ms)
+
     async def _send_keeper_addrs(self, addrs: tuple[str, ...], now_ms: float) -> None:
         """Send the addresses of the keepers when they have changed."""
         if addrs != self._sent_keeper_addrs:
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -61,6 +61,7 @@
     CLAIM_IN_PROGRESS = 1207
     TOO_MANY_CONNECTIONS = 1208
     NO_CATALOGUE = 1209
+    PROMPT_BLOCKED = 1210
 
     OUTCOME_UNKNOWN = 1301
     ANSWER_CUT = 1302
@@ -213,6 +214,9 @@
     Code.NO_CATALOGUE: CodeInfo(
         503, _NOT_RUN, 11, "This entry does not know the catalogue yet."
     ),
+    Code.PROMPT_BLOCKED: CodeInfo(
+        503, _NOT_RUN, 11, "Servers have ended under a part of the prompt."
+    ),
     Code.OUTCOME_UNKNOWN: CodeInfo(
         504, _UNKNOWN, 12, "The request may have run; it is not run again."
     ),
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -23,6 +23,7 @@
     "ClaimBegin",
     "ClaimFinish",
     "ClaimState",
+    "CrashEvidence",
     "DemandSample",
     "DesiredModel",
     "DocumentUpdate",
@@ -43,6 +44,7 @@
     "Refused",
     "Resident",
     "RoutingUpdate",
+    "ServerEnd",
     "ServerView",
     "Welcome",
 ]
@@ -335,6 +337,32 @@
     addrs: tuple[str, ...]
 
 
+@message("control")
+class ServerEnd(NamedTuple):
+    """The end of a server, with the shared prompt parts of requests that it cut.
+
+    `server_id` includes the incarnation. The requests had no event of their answers;
+    `begun_parts` are of those whose answers had begun, `awaited_parts` of the others.
+    """
+
+    server_id: str
+    begun_parts: tuple[str, ...]
+    awaited_parts: tuple[str, ...]
+    age_ms: float
+
+
+@message("control")
+class CrashEvidence(NamedTuple):
+    """Ends of servers, and accused parts with which answers were completed.
+
+    An entry sends to the leader what it has seen, and the leader to every entry what
+    it has received.
+    """
+
+    ends: tuple[ServerEnd, ...]
+    cleared_parts: tuple[str, ...]
+
+
 @message("control")
 class FleetLoad(NamedTuple):
     """The load that engines reported, and the age of the list that contains them.
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -210,6 +210,18 @@
   ready @1 :List(Text);
 }
 
+struct ServerEnd {
+  serverId @0 :Text;            # with the incarnation
+  begunParts @1 :List(Text);    # of prompts whose answers had begun, without an event
+  awaitedParts @2 :List(Text);  # of prompts whose answers had not begun
+  ageMs @3 :Float64;            # time since the end in milliseconds, at the sending
+}
+
+struct CrashEvidence {
+  ends @0 :List(ServerEnd);
+  clearedParts @1 :List(Text);
+}
+
 struct FleetLoad {
   listAgeMs @0 :Float64;   # age of the platform's list
   serverIds @1 :List(Text);
--- a/tests/test_keeper_subscribers.py
+++ b/tests/test_keeper_subscribers.py
@@ -7,6 +7,7 @@
 from cowslipwood.catalogue import empty_catalogue
 from cowslipwood.entry.choosing._view import FleetView
 from cowslipwood.entry.direct._servers import KnownServers
+from cowslipwood.keeper._evidence import EvidenceRelay
 from cowslipwood.keeper._feed import MAX_KEPT_REMOVALS, RoutingFeed, SentRevisions
 from cowslipwood.keeper._subscribers import (
     HEARTBEAT_MS,
@@ -146,7 +147,12 @@
         channel = _Channel()
         subscriber = Subscriber(channel, "gateway", "g1")
         state = PublishedState(
-            empty_catalogue(), 0, DocumentFrame().encode(0, b""), (), RoutingFeed()
+            empty_catalogue(),
+            0,
+            DocumentFrame().encode(0, b""),
+            (),
+            RoutingFeed(),
+            EvidenceRelay(),
         )
 
         async def run():
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -2,12 +2,25 @@
 
 import random
 import unittest
+from typing import Any
 
 import anyio
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from cowslipwood.entry.direct._crash_ledger import (
+    MAX_ENDS,
+    MAX_REMEMBERED_PARTS,
+    CrashLedger,
+    EndEvidence,
+)
+from cowslipwood.keeper._evidence import EvidenceRelay
 from cowslipwood.kernel.codes import CODE_INFO, Outcome
+from cowslipwood.kernel.messages import CrashEvidence, ServerEnd
+from cowslipwood.kernel.wire import decode_record, encode_record
 
 from .crash_builders import CrashingFleet, send_prompt
+from .crash_model import CrashModel, ModelResult, ModelSettings
 
 # Number of servers that may end under one part.
 MAX_ENDED = 5
@@ -41,3 +54,152 @@
         fault, _ = bad[-1]
         self.assertIs(fault.outcome, Outcome.NOT_RUN)
         self.assertEqual(CODE_INFO[fault.code].http_status, 503)
+
+
+class ManyEntriesTest(unittest.TestCase):
+    """Entries that exchange their evidence through a leader, in model time."""
+
+    def _play(self, model_settings: ModelSettings, seeds: range) -> list[ModelResult]:
+        return [anyio.run(CrashModel(model_settings, seed).run) for seed in seeds]
+
+    # Each of many entries sent the part to servers, as none had seen enough of them.
+    def test_part_is_refused_everywhere_within_three_seconds(self):
+        """Nothing with the part is sent to a server 3 s after the fifth end."""
+        for model_settings in (
+            ModelSettings(),
+            ModelSettings(n_bad_parts=3),
+            ModelSettings(bad_per_s=20.0),
+            ModelSettings(n_entries=24, n_servers=20, n_bad_parts=2, n_subjects=2_000),
+        ):
+            for result in self._play(model_settings, range(3)):
+                with self.subTest(settings=model_settings):
+                    self.assertEqual(set(result.n_sent_late.values()), {0})
+                    self.assertLess(result.n_sound_refused, result.n_sound / 2)
+
+    def test_no_more_than_five_servers_end(self):
+        """At the rate of the incident, five servers at most end under a part."""
+        for result in self._play(ModelSettings(bad_per_s=2.0), range(8)):
+            self.assertLessEqual(max(result.n_ended.values()), MAX_ENDED)
+
+    def test_servers_that_end_for_other_causes(self):
+        """Sound prompts are served while servers end without such a part."""
+        many_ends = ModelSettings(n_bad_parts=0, crash_interval_s=0.7)
+        for result in self._play(many_ends, range(2)):
+            self.assertLess(result.n_sound_refused, result.n_sound / 2)
+
+
+def end(server_id: str, at_ms: float, begun: str = "", awaited: str = "") -> Any:
+    """Return the end of a server; parts are single letters."""
+    return EndEvidence(server_id, at_ms, frozenset(begun), frozenset(awaited))
+
+
+def find_blocked(ends: list[EndEvidence], cleared: str = "") -> set[str]:
+    """Return the parts that are refused after this evidence."""
+    ledger = CrashLedger()
+    now_ms = max((each.at_ms for each in ends), default=0.0)
+    for each in ends:
+        ledger.record_end(each, now_ms)
+    ledger.record_cleared(cleared, now_ms)
+    return set(ledger.blocks)
+
+
+class CrashLedgerTest(unittest.TestCase):
+    """Which parts are refused after which evidence."""
+
+    def test_one_part_in_common(self):
+        """The only part that two ends have in common is refused."""
+        self.assertEqual(find_blocked([end("1", 0, "ab"), end("2", 900, "ac")]), {"a"})
+
+    def test_one_end(self):
+        """The end of one server makes no part refused."""
+        self.assertEqual(find_blocked([end("1", 0, "a")]), set())
+
+    def test_parts_that_cannot_be_told_apart(self):
+        """Two parts that two ends share are told apart by a completed answer."""
+        ends = [end("1", 0, "ab"), end("2", 900, "ab")]
+        self.assertEqual(find_blocked(ends), set())
+        self.assertEqual(find_blocked(ends, cleared="b"), {"a"})
+
+    def test_cleared_part(self):
+        """A part of a completed answer is not refused, however many servers ended."""
+        ends = [end(str(i), 900.0 * i, "a") for i in range(8)]
+        self.assertEqual(find_blocked(ends), {"a"})
+        self.assertEqual(find_blocked(ends, cleared="a"), set())
+
+    def test_ends_at_one_moment(self):
+        """Requests that waited at servers that ended together make no part refused."""
+        ends = [end(str(i), float(i), awaited="a") for i in range(8)]
+        self.assertEqual(find_blocked(ends), set())
+
+    def test_ends_far_apart(self):
+        """Ends over hours make no part refused."""
+        ends = [end(str(i), 500_000.0 * i, "a") for i in range(8)]
+        self.assertEqual(find_blocked(ends), set())
+
+    def test_several_parts(self):
+        """Each of several parts is refused for the ends that it explains."""
+        ends = [end(str(i), 900.0 * i, "fa" if i % 2 else "fb") for i in range(6)]
+        self.assertEqual(find_blocked(ends, cleared="f"), {"a", "b"})
+
+    def test_block_ends_and_returns(self):
+        """A block ends by itself; then one end is enough, for a longer time."""
+        ledger = CrashLedger()
+        for i in range(2):
+            ledger.record_end(end(str(i), 0.0, "a"), 0.0)
+        until_ms = ledger.blocks["a"].until_ms
+        self.assertIsNotNone(ledger.find_block(["x", "a"], until_ms - 1))
+        self.assertIsNone(ledger.find_block(["a"], until_ms))
+        ledger.record_end(end("2", until_ms, "a"), until_ms)
+        self.assertGreater(ledger.blocks["a"].until_ms, 3 * until_ms)
+
+    def test_bounded(self):
+        """Made-up parts and servers without end take a bounded amount of memory."""
+        ledger = CrashLedger()
+        for i in range(900):
+            ledger.record_end(end(f"s{i}", 10.0 * i, awaited=chr(i)), 10.0 * i)
+            ledger.record_cleared([f"{i}-{j}" for j in range(5)], 10.0 * i)
+        self.assertLessEqual(len(ledger.list_ends()), MAX_ENDS)
+        self.assertLessEqual(len(ledger._cleared_at_ms), MAX_REMEMBERED_PARTS)
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(st.data())
+    def test_order_of_evidence(self, data):
+        """Entries that learn of the same evidence in any order refuse the same."""
+        ends = data.draw(
+            st.lists(
+                st.builds(
+                    end,
+                    st.sampled_from("123456"),
+                    st.integers(0, 9).map(lambda second: 1_000.0 * second),
+                    st.text("abc", max_size=2),
+                    st.text("abcd", max_size=2),
+                ),
+                max_size=8,
+            )
+        )
+        cleared = data.draw(st.text("abcd", max_size=1))
+        shuffled = data.draw(st.permutations(ends))
+        self.assertEqual(
+            find_blocked(list(ends), cleared), find_blocked(list(shuffled), cleared)
+        )
+
+
+class EvidenceRelayTest(unittest.TestCase):
+    """What the leader passes on."""
+
+    def test_views_of_one_end_are_merged(self):
+        """Entries get the parts that any of them saw, once, with their age."""
+        relay = EvidenceRelay()
+        for part in "ab":
+            message = CrashEvidence((ServerEnd("s1", (part,), (), 5.0),), ("c",))
+            self.assertTrue(relay.add(message, 100.0))
+            self.assertFalse(relay.add(message, 100.0))
+        update = relay.build_update(0, 200.0)
+        self.assertEqual(update.ends, (ServerEnd("s1", ("a", "b"), (), 105.0),))
+        self.assertEqual(update.cleared_parts, ("c",))
+        self.assertEqual(
+            decode_record(CrashEvidence, encode_record(update)).unwrap(), update
+        )
+        self.assertEqual(
+            relay.build_update(relay.revision, 200.0), CrashEvidence((), ())
+        )
