--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -34,6 +34,8 @@
     leader_change_s : float
         Time between two losses of the leader and of what it knows.
     duration_s : float
+    shares_evidence : bool
+        Whether what entries send reaches the leader.
     """
 
     n_entries: int = 8
@@ -46,6 +48,7 @@
     crash_interval_s: float = 10.0
     leader_change_s: float = 17.0
     duration_s: float = 60.0
+    shares_evidence: bool = True
 
 
 class ModelResult(NamedTuple):
@@ -245,7 +248,9 @@
         self._after(self._draw_message_ms(), lambda: self._receive(message, relay))
 
     def _receive(self, message: Any, relay: EvidenceRelay) -> None:
-        if relay is not self._relay or not relay.add(message, self._now_ms):
+        if relay is not self._relay or not self._settings.shares_evidence:
+            return
+        if not relay.add(message, self._now_ms):
             return
         for entry in range(self._settings.n_entries):
             update = relay.build_update(self._sent_revisions[entry], self._now_ms)
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -76,6 +76,13 @@
                     self.assertEqual(set(result.n_sent_late.values()), {0})
                     self.assertLess(result.n_sound_refused, result.n_sound / 2)
 
+    def test_model_shows_entries_that_share_nothing(self):
+        """The model finds the fault if entries keep what they see to themselves."""
+        alone = ModelSettings(n_entries=24, n_servers=20, shares_evidence=False)
+        for result in self._play(alone, range(2)):
+            self.assertGreater(min(result.n_sent_late.values()), 3)
+            self.assertGreater(min(result.n_ended.values()), MAX_ENDED)
+
     def test_no_more_than_five_servers_end(self):
         """At the rate of the incident, five servers at most end under a part."""
         for result in self._play(ModelSettings(bad_per_s=2.0), range(8)):
