Tell a new leader which accused parts were in completed answers

Sound prompts could stay refused at entries that had learned of the ends from a new leader: the completed answer that cleared the part had been told to the leader before it only. What is sent to a new leader now names the cleared parts of the ends too. Found by reading; the new test failed before.

--- a/src/cowslipwood/entry/direct/_crash_ledger.py
+++ b/src/cowslipwood/entry/direct/_crash_ledger.py
@@ -114,6 +114,15 @@
         """Return all ends that count."""
         return list(self._ends.values())
 
+    def list_cleared(self) -> frozenset[str]:
+        """Return the parts that some end would accuse if no answer had cleared them."""
+        return frozenset(
+            part
+            for end in self._ends.values()
+            for part in end.begun_parts | end.awaited_parts
+            if part in self._cleared_at_ms
+        )
+
     def record_end(self, end: EndEvidence, now_ms: float) -> bool:
         """Add what one entry saw of an end; return whether it was new."""
         known = self._ends.get(end.server_id)
--- a/src/cowslipwood/entry/direct/_part_guard.py
+++ b/src/cowslipwood/entry/direct/_part_guard.py
@@ -157,7 +157,9 @@
 
     def build_all(self, now_ms: float) -> CrashEvidence:
         """Return all evidence, for a leader that may have none of it."""
-        return _build_message(self._ledger.list_ends(), (), now_ms)
+        return _build_message(
+            self._ledger.list_ends(), self._ledger.list_cleared(), now_ms
+        )
 
     def _apply_end(self, end: EndEvidence, now_ms: float) -> None:
         before = dict(self._ledger.blocks)
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -14,13 +14,21 @@
     CrashLedger,
     EndEvidence,
 )
+from cowslipwood.entry.direct._part_guard import (
+    MAX_CLEARED_PARTS,
+    PartGuard,
+    is_server_gone,
+)
 from cowslipwood.keeper._evidence import EvidenceRelay
 from cowslipwood.kernel.codes import CODE_INFO, Outcome
 from cowslipwood.kernel.messages import CrashEvidence, ServerEnd
+from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.kernel.wire import decode_record, encode_record
+from cowslipwood.listing import to_server_view
 
 from .crash_builders import CrashingFleet, send_prompt
 from .crash_model import CrashModel, ModelResult, ModelSettings
+from .direct_builders import always_send, build_listed_server, run_scripted_server
 
 # Number of servers that may end under one part.
 MAX_ENDED = 5
@@ -210,3 +218,64 @@
         self.assertEqual(
             relay.build_update(relay.revision, 200.0), CrashEvidence((), ())
         )
+
+
+async def report_gone(addr: str) -> bool:
+    """Report that a server is gone."""
+    return True
+
+
+class PartGuardTest(unittest.TestCase):
+    """What one entry records and tells the others."""
+
+    def _build_guard(self) -> PartGuard:
+        return PartGuard(Metrics("entry"), report_gone)
+
+    def _record_break(self, guard: PartGuard, server_id: str, *parts: str) -> bool:
+        view = to_server_view(build_listed_server(server_id, "10.0.0.1:80"), ())
+        return anyio.run(guard.record_break, view, parts, True, 0.0)
+
+    # A completed answer was told to a leader that ended, and never again.
+    def test_new_leader_is_told_which_accused_parts_were_completed(self):
+        """An entry that has the ends from a new leader does not refuse the part."""
+        guard, other = self._build_guard(), self._build_guard()
+        for server_id in ("s1", "s2"):
+            self._record_break(guard, server_id, "a")
+        guard.record_complete(["a"], 0.0)
+        guard.take_news(0.0)
+        other.apply_evidence(guard.build_all(0.0), 0.0)
+        self.assertIsNone(other.check(["a"], 0.0))
+
+    def test_running_server(self):
+        """A server that broke off an answer and still runs accuses no part."""
+
+        async def report_running(addr: str) -> bool:
+            return False
+
+        guard = PartGuard(Metrics("entry"), report_running)
+        for server_id in ("s1", "s2"):
+            self.assertFalse(self._record_break(guard, server_id, "a"))
+        self.assertIsNone(guard.check(["a"], 0.0))
+
+    def test_remembered_parts_are_bounded(self):
+        """Made-up parts do not push out those in use, and take bounded memory."""
+        guard = self._build_guard()
+        for number in range(2 * MAX_CLEARED_PARTS):
+            guard.record_complete(["used", f"made-up{number}"], 0.0)
+        self.assertEqual(len(guard._cleared_parts), MAX_CLEARED_PARTS)
+        for server_id in ("s1", "s2"):
+            self.assertFalse(self._record_break(guard, server_id, "used"))
+
+
+class GonePortTest(unittest.TestCase):
+    """How an entry tells a server that has ended from one that runs."""
+
+    def test_servers(self):
+        """A running server keeps a connection open; one that has ended has no port."""
+
+        async def main() -> tuple[bool, bool]:
+            async with run_scripted_server(always_send(b"")) as (addr, _):
+                is_running_gone = await is_server_gone(addr)
+            return is_running_gone, await is_server_gone(addr)
+
+        self.assertEqual(anyio.run(main), (False, True))
