Repeat requests that waited at a server that ended

Since prompts are suspected of ending servers, a sound request that waited at a server that ended was given up if its prompt had a part that no completed answer had yet, even where its route allows a second server. What ends a server is the beginning of an answer, so only a request whose answer had begun is not repeated.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -612,12 +612,15 @@
         """Record that the server broke off the answer to this request."""
         if self._answer_stage is AnswerStage.EVENTS:
             return
-        self._may_have_ended_server = await self._state.part_guard.record_break(
+        has_begun = self._answer_stage is AnswerStage.BEGUN
+        is_suspect = await self._state.part_guard.record_break(
             backend.view,
             self._request.facts.shared_parts,
-            self._answer_stage is AnswerStage.BEGUN,
+            has_begun,
             self._state.now_ms(),
         )
+        # A request that waited when its server ended has most likely not ended it.
+        self._may_have_ended_server = is_suspect and has_begun
 
     def _record_failure(self, backend: Backend, fault: Failure) -> Failure:
         backend.health.record_error(self._state.now_ms())
--- a/tests/crash_builders.py
+++ b/tests/crash_builders.py
@@ -22,8 +22,10 @@
     read_head,
 )
 
-# Prompt part that ends servers in tests.
+# Prompt part that ends servers when they begin to answer.
 BAD_PART = "bad0"
+# Prompt part of requests that wait at a server when it ends.
+WAITING_PART = "waiting0"
 HOST = "127.0.0.1"
 
 
@@ -85,6 +87,8 @@
 
     async def _answer(self, stream: anyio.abc.SocketStream, head: bytes) -> bool:
         """Answer a request; return whether the server ends."""
+        if f"{WAITING_PART}:".encode() in head:
+            return True
         answer_head, body = frame_answer(
             Framing.CHUNKS, build_events(1, 2), headers=STREAM_HEADERS
         )
@@ -110,20 +114,20 @@
         return state
 
 
-def build_prefix(rng: random.Random, is_bad: bool) -> str:
-    """Return a prompt's parts: one of a few shared ones, a subject and its own."""
+def build_prefix(rng: random.Random, odd_part: str) -> str:
+    """Return a prompt's parts: shared ones, an odd one if it is named, and its own."""
     parts = ["f0:800", f"c{rng.randrange(4)}:400"]
-    if is_bad:
-        parts.insert(rng.randrange(3), f"{BAD_PART}:90")
+    if odd_part:
+        parts.insert(rng.randrange(3), f"{odd_part}:90")
     return ",".join([*parts, f"own{rng.getrandbits(40):x}:250"])
 
 
 async def send_prompt(
-    state: DirectState, rng: random.Random, is_bad: bool
+    state: DirectState, rng: random.Random, odd_part: str = ""
 ) -> tuple[Failure | None, RecordingSink]:
     """Send one prompt through an entry."""
     route = build_route(kind=RouteKind.STREAMING, max_attempts=2, is_resumable=True)
-    prefix = build_prefix(rng, is_bad)
+    prefix = build_prefix(rng, odd_part)
     request = build_request(route, x_cowslip_prefix=prefix)
     sink = RecordingSink()
     fault = await RequestForwarder(state, request, sink, rng).run()
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -26,7 +26,7 @@
 from cowslipwood.kernel.wire import decode_record, encode_record
 from cowslipwood.listing import to_server_view
 
-from .crash_builders import CrashingFleet, send_prompt
+from .crash_builders import BAD_PART, WAITING_PART, CrashingFleet, send_prompt
 from .crash_model import CrashModel, ModelResult, ModelSettings
 from .direct_builders import always_send, build_listed_server, run_scripted_server
 
@@ -50,7 +50,7 @@
                 state = fleet.add_entry()
                 for number in range(60):
                     is_bad = number % 3 == 2
-                    answer = await send_prompt(state, rng, is_bad)
+                    answer = await send_prompt(state, rng, BAD_PART if is_bad else "")
                     (bad if is_bad else sound).append(answer)
                 tasks.cancel_scope.cancel()
             return fleet, bad, sound
@@ -64,6 +64,31 @@
         self.assertEqual(CODE_INFO[fault.code].http_status, 503)
 
 
+class RepeatTest(unittest.TestCase):
+    """Whether a request whose server ended is sent to another one."""
+
+    def _count_ended(self, odd_part: str) -> int:
+        async def main() -> int:
+            async with anyio.create_task_group() as tasks:
+                fleet = CrashingFleet(tasks, 3)
+                await fleet.start()
+                await send_prompt(fleet.add_entry(), random.Random(3), odd_part)
+                tasks.cancel_scope.cancel()
+            return fleet.n_ended
+
+        return anyio.run(main)
+
+    # One request ended two servers.
+    def test_request_that_may_have_ended_a_server_is_not_repeated(self):
+        """A request whose answer had begun when its server ended is not sent again."""
+        self.assertEqual(self._count_ended(BAD_PART), 1)
+
+    # Sound requests that waited at a server that ended were given up.
+    def test_request_that_waited_is_repeated(self):
+        """A request whose answer had not begun is sent to another server."""
+        self.assertEqual(self._count_ended(WAITING_PART), 2)
+
+
 class ManyEntriesTest(unittest.TestCase):
     """Entries that exchange their evidence through a leader, in model time."""
 
