Show blocked prompt parts to operators, and let them be lifted

`cowslipctl blocked-parts` lists them with the servers that ended; `allow-part` has every entry treat the part as one of a completed answer.

--- a/src/cowslipwood/entry/direct/_part_guard.py
+++ b/src/cowslipwood/entry/direct/_part_guard.py
@@ -6,13 +6,13 @@
 
 import anyio
 
+from ...crash_evidence import Block, CrashLedger, EndEvidence
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.http_connection import open_connection
 from ...kernel.logs import get_logger
 from ...kernel.messages import CrashEvidence, ServerEnd, ServerView
 from ...kernel.metrics import Metrics
 from ...kernel.settings import parse_address
-from ._crash_ledger import Block, CrashLedger, EndEvidence
 
 __all__ = ["PartGuard", "is_server_gone"]
 
--- a/src/cowslipwood/keeper/_evidence.py
+++ b/src/cowslipwood/keeper/_evidence.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
+from ..crash_evidence import Block, CrashLedger, EndEvidence
 from ..kernel.messages import CrashEvidence, ServerEnd
 
 __all__ = ["EvidenceRelay"]
@@ -67,6 +68,18 @@
             ),
         )
 
+    def find_blocks(self, now_ms: float) -> list[Block]:
+        """Return the parts that entries refuse by this evidence."""
+        ledger = CrashLedger()
+        ledger.record_cleared(self._cleared_revisions, now_ms)
+        for kept in self._ends.values():
+            begun, awaited = kept.end.begun_parts, kept.end.awaited_parts
+            end = EndEvidence(
+                kept.end.server_id, kept.at_ms, frozenset(begun), frozenset(awaited)
+            )
+            ledger.record_end(end, now_ms)
+        return sorted(ledger.blocks.values())
+
     def _merge_end(self, end: ServerEnd, now_ms: float, revision: int) -> bool:
         """Add one entry's view of an end; return whether it held anything new."""
         known = self._ends.get(end.server_id)
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -153,8 +153,13 @@
         self._directory = ProcessDirectory()
         self._leaving_servers = LeavingServers(self._directory)
         self._closed_server_ids: set[str] = set()
+        self._evidence = EvidenceRelay()
         self._operators = OperatorService(
-            self._machine, self._replica, self._directory, operator_token
+            self._machine,
+            self._replica,
+            self._directory,
+            self._evidence,
+            operator_token,
         )
         planner_settings = {
             name: getattr(settings, name) for name in PlannerSettings._fields
@@ -179,7 +184,6 @@
         )
         self._subscribers: set[Subscriber] = set()
         self._feed = RoutingFeed()
-        self._evidence = EvidenceRelay()
         self._document_frame = DocumentFrame()
         # Wakes the tasks that send updates to entries and gateways.
         self._state_changed = ChangeNotifier()
--- a/src/cowslipwood/keeper/_operators.py
+++ b/src/cowslipwood/keeper/_operators.py
@@ -9,18 +9,20 @@
 from ..kernel.channel import to_refused
 from ..kernel.clock import monotonic_ms, wall_ms
 from ..kernel.codes import Code, failure
-from ..kernel.messages import OperatorReply, OperatorRequest
+from ..kernel.logs import get_logger
+from ..kernel.messages import CrashEvidence, OperatorReply, OperatorRequest
 from ..kernel.tokens import token_matches
 from ..replication import LogReplica
 from ._commands import DrainCommand, EditCommand, encode_command
 from ._directory import ProcessDirectory
+from ._evidence import EvidenceRelay
 from ._machine import KeeperStateMachine
 from ._member_operations import MEMBER_OPS, answer_member_request
 
 __all__ = ["OperatorService"]
 
 # Operations that need the operators' token.
-EDIT_OPS = ("put", "delete", "drain", "undrain", "replace-member")
+EDIT_OPS = ("put", "delete", "drain", "undrain", "replace-member", "allow-part")
 
 
 class OperatorService:
@@ -31,6 +33,7 @@
     machine : KeeperStateMachine
     replica : LogReplica
     directory : ProcessDirectory
+    evidence : EvidenceRelay
     operator_token : str
         Token that requests with an operation of `EDIT_OPS` must hold.
     """
@@ -40,11 +43,13 @@
         machine: KeeperStateMachine,
         replica: LogReplica,
         directory: ProcessDirectory,
+        evidence: EvidenceRelay,
         operator_token: str,
     ):
         self._machine = machine
         self._replica = replica
         self._directory = directory
+        self._evidence = evidence
         self._operator_token = operator_token
 
     async def answer_request(self, request: OperatorRequest, operator: str) -> Any:
@@ -70,6 +75,10 @@
                 return self._make_reply([item._asdict() for item in history])
             case "status":
                 return self._make_reply(self._collect_status())
+            case "blocked-parts":
+                return self._make_reply(self._list_blocked_parts())
+            case "allow-part":
+                return self._allow_part(request.name, operator)
             case op if op in MEMBER_OPS:
                 revision = self._machine.catalogue.revision
                 return await answer_member_request(self._replica, request, revision)
@@ -134,6 +143,23 @@
             return to_refused(failure(Code.NO_SUCH_ENTRY, f"no entry named {name}"))
         return self._make_reply(entry_to_json(entry))
 
+    def _list_blocked_parts(self) -> list[dict[str, Any]]:
+        now_ms = monotonic_ms()
+        return [
+            {
+                "part": block.part,
+                "servers": block.server_ids,
+                "for_s": round((block.until_ms - now_ms) / 1000),
+            }
+            for block in self._evidence.find_blocks(now_ms)
+        ]
+
+    def _allow_part(self, part: str, operator: str) -> Any:
+        """Tell all entries to treat a part as one of completed answers."""
+        get_logger().warning("prompt_part_lifted", part=part, operator=operator)
+        self._evidence.add(CrashEvidence((), (part,)), monotonic_ms())
+        return self._make_reply({"revision": self._machine.catalogue.revision})
+
     def _collect_status(self) -> dict[str, Any]:
         now_ms = monotonic_ms()
         return {
--- a/src/cowslipwood/programs/_ctl_tables.py
+++ b/src/cowslipwood/programs/_ctl_tables.py
@@ -33,6 +33,8 @@
             return _render_members(value)
         case "status":
             return _render_status(value)
+        case "blocked-parts":
+            return _render_blocked_parts(value)
         case "apply":
             return f"document version {value['version']} is in force"
         case "document":
@@ -86,6 +88,12 @@
     return _make_table(headings, rows)
 
 
+def _render_blocked_parts(value: list[dict[str, Any]]) -> str:
+    headings = ("part", "for s", "servers that ended")
+    rows = ((item["part"], item["for_s"], ", ".join(item["servers"])) for item in value)
+    return _make_table(headings, rows)
+
+
 def _render_members(value: Any) -> str:
     items = value["members"] if isinstance(value, dict) else value
     if not items:
--- a/src/cowslipwood/programs/ctl.py
+++ b/src/cowslipwood/programs/ctl.py
@@ -161,6 +161,24 @@
     return OperatorCommand("document")
 
 
+def blocked_parts() -> OperatorCommand:
+    """List the prompt parts that entries refuse because servers ended under them."""
+    return OperatorCommand("blocked-parts")
+
+
+def allow_part(part: str) -> OperatorCommand:
+    """Let entries send prompts with a part to servers again.
+
+    For ten minutes no end of a server is held against the part.
+
+    Parameters
+    ----------
+    part : str
+        Id of the part.
+    """
+    return OperatorCommand("allow-part", part)
+
+
 COMMANDS = {
     "apply": apply,
     "document": document,
@@ -173,6 +191,8 @@
     "members": members,
     "replace-member": replace_member,
     "drain": drain,
+    "blocked-parts": blocked_parts,
+    "allow-part": allow_part,
 }
 
 
--- a/tests/agent_bench.py
+++ b/tests/agent_bench.py
@@ -11,7 +11,7 @@
 from .processes import Cluster, free_port
 from .served import Client, run_http_server, wait_until
 
-__all__ = ["AgentHarness", "run_agent_harness"]
+__all__ = ["TOKEN", "AgentHarness", "run_agent_harness"]
 
 # Cluster token of the processes that `Cluster` starts.
 TOKEN = "cluster-secret"
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cowslipwood.entry.direct._crash_ledger import (
+from cowslipwood.crash_evidence._ledger import (
     MAX_ENDS,
     MAX_REMEMBERED_PARTS,
     CrashLedger,
