Read malformed and huge numbers in headers as absent

A request failed with an internal error when its caller or its server sent a number with a digit that is none ("²"), or one of thousands of digits: a prompt's size, a load, an idle time. The first is accepted by isdigit and refused by int, the second exceeds what int converts.

The new tests failed before with ValueError. What agents read of a claim's expiry and addresses use it too.

--- a/src/cowslipwood/agent/_attempts.py
+++ b/src/cowslipwood/agent/_attempts.py
@@ -22,6 +22,7 @@
 from returns.result import Result, Success
 
 from ..kernel.codes import Code, Failure, Outcome, failure
+from ..kernel.counts import parse_count
 from ..kernel.messages import AttemptEnd, AttemptQuery
 from ..kernel.metrics import Metrics
 
@@ -285,11 +286,12 @@
         if ATTEMPT_HEADER not in headers:
             return Success(0)
         expires = headers.get(EXPIRES_HEADER, "")
-        if INCARNATION_HEADER not in headers or not expires.isdecimal():
+        expires_ms = parse_count(expires)
+        if INCARNATION_HEADER not in headers or expires_ms is None:
             return Err(failure(Code.BAD_HEADER, "an attempt needs all its headers"))
-        if int(expires) <= wall_ms:
+        if expires_ms <= wall_ms:
             return Err(failure(Code.ATTEMPT_VOIDED, "the claim has expired"))
-        return Success(int(expires))
+        return Success(expires_ms)
 
     def _find_or_add(
         self, attempt_id: str, expires_ms: int, wall_ms: int
--- a/src/cowslipwood/entry/direct/_headers.py
+++ b/src/cowslipwood/entry/direct/_headers.py
@@ -5,6 +5,7 @@
 
 import xxhash
 
+from ...kernel.counts import parse_count
 from ...listing import ServerNotice, read_notice
 
 __all__ = [
@@ -138,10 +139,10 @@
     values_by_name = dict(headers)
     model, _, adapter = _read_text(values_by_name, names.model).partition("/")
     tokens = _read_numbers(_read_text(values_by_name, names.tokens))
-    timeout = _read_text(values_by_name, names.deadline)
+    timeout_ms = parse_count(_read_text(values_by_name, names.deadline))
     return RequestFacts(
         _read_text(values_by_name, names.request_id),
-        float(timeout) if timeout.isascii() and timeout.isdigit() else None,
+        None if timeout_ms is None else float(timeout_ms),
         model,
         adapter,
         tokens[0] if tokens else 0,
@@ -226,10 +227,8 @@
 
 
 def _read_numbers(text: str) -> list[int]:
-    parts = text.split(",")
-    if not all(part.strip().isdigit() for part in parts):
-        return []
-    return [int(part) for part in parts]
+    numbers = [parse_count(part.strip()) for part in text.split(",")]
+    return [] if None in numbers else numbers
 
 
 def _read_shared_prefix(text: str) -> tuple[int, int, tuple[str, ...]]:
@@ -241,6 +240,6 @@
     if not shared:
         return 0, 0, ()
     parts = [part.strip().partition(":") for part in shared.split(",")]
-    n_tokens = sum(int(size) for _, _, size in parts if size.isdigit())
+    n_tokens = sum(parse_count(size) or 0 for _, _, size in parts)
     part_ids = tuple(part_id for part_id, _, _ in parts[:MAX_SHARED_PARTS])
     return xxhash.xxh3_64_intdigest(shared.encode()), n_tokens, part_ids
--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -15,6 +15,7 @@
 import h11
 
 from .codes import Code
+from .counts import parse_count
 
 __all__ = [
     "AnswerHead",
@@ -300,6 +301,7 @@
     """Return the idle time that a ``Keep-Alive`` header states; None without one."""
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.isdigit():
-            return int(seconds) * 1000.0
+        if name.lower() == b"timeout":
+            timeout_s = parse_count(seconds.decode("latin-1"))
+            return None if timeout_s is None else timeout_s * 1000.0
     return None
--- a/src/cowslipwood/kernel/settings.py
+++ b/src/cowslipwood/kernel/settings.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple, NoReturn
 
 from .codes import CODE_INFO, Code
+from .counts import parse_count
 
 __all__ = [
     "Check",
@@ -77,9 +78,10 @@
         When the text does not have this form.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"expected ip:port, got {text!r}")
-    return host.strip("[]"), int(port)
+    port_number = parse_count(port)
+    if not host or port_number is None or port_number > 65535:
+        raise ValueError(f"expected ip:port, got {text[:60]!r}")
+    return host.strip("[]"), port_number
 
 
 def _is_address(text: str) -> bool:
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -11,6 +11,7 @@
 from cowslipwood.entry.choosing._view import FleetView
 from cowslipwood.entry.direct import _exchange
 from cowslipwood.entry.direct._exchange import RequestForwarder
+from cowslipwood.entry.direct._headers import read_answer_facts, read_request_facts
 from cowslipwood.entry.direct._holders import HolderFinder
 from cowslipwood.entry.direct._request import compute_urgency_rank
 from cowslipwood.entry.direct._servers import KnownServers
@@ -23,6 +24,7 @@
 
 from .answer_builders import build_events
 from .direct_builders import (
+    NAMES,
     FixedHolderFinder,
     NoHolderFinder,
     RecordingSink,
@@ -465,3 +467,36 @@
 
 def _encode_chunk(data: bytes) -> bytes:
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+class NumberTest(unittest.TestCase):
+    """Numbers in headers that are malformed or too large."""
+
+    MALFORMED = ("²", "٣", "9" * 5_000, "-1", "1.5", "")
+
+    # A malformed number in a header raised an error, and its request was lost.
+    def test_malformed_numbers_of_callers_and_servers(self):
+        """Such a number counts as absent, whoever sent it."""
+        for text in self.MALFORMED:
+            with self.subTest(text=text[:9]):
+                value = text.encode("latin-1", "replace")
+                caller = [
+                    (NAMES.deadline, value),
+                    (NAMES.tokens, value + b",8"),
+                    (NAMES.prefix, b"a:" + value + b",own:3"),
+                ]
+                facts = read_request_facts(caller, NAMES)
+                self.assertIsNone(facts.caller_timeout_ms)
+                self.assertEqual((facts.n_prompt_tokens, facts.n_shared_tokens), (0, 0))
+                server = [(NAMES.load, value + b",1,8")]
+                self.assertIsNone(read_answer_facts(200, server, NAMES).load)
+
+    def test_malformed_idle_time(self):
+        """An idle time that cannot be read does not spoil the answer."""
+        for text in ("9" * 5_000, "9" * 400, "x"):
+            script = always_send(
+                build_answer(extra_headers=f"keep-alive: timeout={text}\r\n")
+            )
+            fault, sink, _ = run([script], build_route(**UNSAFE))
+            self.assertIsNone(fault)
+            self.assertTrue(sink.is_complete)
