--- a/src/cowslipwood/kernel/counts.py
+++ b/src/cowslipwood/kernel/counts.py
@@ -2,8 +2,8 @@
 
 __all__ = ["parse_count"]
 
-# Largest number of digits that is read. Any time in milliseconds and any number of bytes
-# fits, and a float holds it exactly.
+# Largest number of digits that is read. Any time in milliseconds fits, and floats hold
+# all such numbers exactly.
 MAX_DIGITS = 15
 
 
