Keep the times of blocks and of completed answers right

Three things found by reading the guard against prompts that end servers, in one commit as they touch the same lines: a part in use could have been refused for a moment ten minutes after the answer that cleared it (the new test holds it to that); a block that ended while other evidence was applied did not lengthen the next one; a new leader was sent an empty message by each entry, which an older keeper would not have understood.

An entry remembers when it last saw a part's answer completed, blocks end by one function, and nothing is sent where there is no evidence.

--- a/src/cowslipwood/crash_evidence/__init__.py
+++ b/src/cowslipwood/crash_evidence/__init__.py
@@ -1,5 +1,5 @@
 """Which prompt parts servers end under, by the evidence of all entries."""
 
-from ._ledger import Block, CrashLedger, EndEvidence
+from ._ledger import CLEARED_LIFE_MS, Block, CrashLedger, EndEvidence
 
-__all__ = ["Block", "CrashLedger", "EndEvidence"]
+__all__ = ["CLEARED_LIFE_MS", "Block", "CrashLedger", "EndEvidence"]
--- a/src/cowslipwood/crash_evidence/_ledger.py
+++ b/src/cowslipwood/crash_evidence/_ledger.py
@@ -142,9 +142,11 @@
 
     def record_cleared(self, parts: Iterable[str], now_ms: float) -> bool:
         """Record that answers with these parts were completed; return if one is new."""
+        parts = list(parts)
         new_parts = [part for part in parts if part not in self._cleared_at_ms]
-        for part in new_parts:
+        for part in parts:
             self._cleared_at_ms[part] = now_ms
+            self._cleared_at_ms.move_to_end(part)
         while len(self._cleared_at_ms) > MAX_REMEMBERED_PARTS:
             self._cleared_at_ms.popitem(last=False)
         if new_parts:
@@ -155,23 +157,16 @@
         """Return the block that concerns a prompt with these shared parts."""
         for part in parts:
             block = self.blocks.get(part)
+            if block is not None and now_ms >= block.until_ms:
+                self._update_blocks(now_ms)
+                block = self.blocks.get(part)
             if block is not None:
-                if now_ms < block.until_ms:
-                    return block
-                self.lift(part, now_ms)
+                return block
         return None
 
-    def lift(self, part: str, now_ms: float) -> None:
-        """End the block of a part; it is refused again after one more end."""
-        self._n_blocks_ended[part] = self._n_blocks_ended.pop(part, 0) + 1
-        while len(self._n_blocks_ended) > MAX_REMEMBERED_PARTS:
-            self._n_blocks_ended.popitem(last=False)
-        for server_id in self.blocks[part].server_ids:
-            self._ends.pop(server_id, None)
-        self._update_blocks(now_ms)
-
     def _update_blocks(self, now_ms: float) -> None:
         """Choose the parts to refuse anew, from all evidence that counts."""
+        self._end_expired_blocks(now_ms)
         self._forget_old(now_ms)
         self.accused_parts = frozenset().union(
             *(
@@ -241,11 +236,22 @@
     def _list_uncleared(self, parts: frozenset[str]) -> frozenset[str]:
         return frozenset(part for part in parts if part not in self._cleared_at_ms)
 
+    def _end_expired_blocks(self, now_ms: float) -> None:
+        """End blocks whose time is over; one more end brings such a part back."""
+        for block in self.blocks.values():
+            if now_ms < block.until_ms:
+                continue
+            part = block.part
+            self._n_blocks_ended[part] = self._n_blocks_ended.pop(part, 0) + 1
+            for server_id in block.server_ids:
+                self._ends.pop(server_id, None)
+        while len(self._n_blocks_ended) > MAX_REMEMBERED_PARTS:
+            self._n_blocks_ended.popitem(last=False)
+
     def _forget_old(self, now_ms: float) -> None:
         kept = {
             server_id
             for block in self.blocks.values()
-            if now_ms < block.until_ms
             for server_id in block.server_ids
         }
         n_over = len(self._ends) - MAX_ENDS
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -324,7 +324,9 @@
     async def _report_loop(self, channel: Channel) -> None:
         self._servers.forget_leader()
         # A new leader may know none of the evidence.
-        await channel.send(self._state.part_guard.build_all(monotonic_ms()))
+        evidence = self._state.part_guard.build_all(monotonic_ms())
+        if evidence is not None:
+            await channel.send(evidence)
         while True:
             state = self._state
             state.hold_off_requested = anyio.Event()
--- a/src/cowslipwood/entry/direct/_part_guard.py
+++ b/src/cowslipwood/entry/direct/_part_guard.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from ...crash_evidence import Block, CrashLedger, EndEvidence
+from ...crash_evidence import CLEARED_LIFE_MS, Block, CrashLedger, EndEvidence
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.http_connection import open_connection
 from ...kernel.logs import get_logger
@@ -27,7 +27,7 @@
 PROBE_LIFE_MS = 1_000.0
 # Number of parts that are remembered as parts of completed answers, the most recently
 # used ones. Parts in use come again within seconds.
-MAX_CLEARED_PARTS = 20_000
+MAX_COMPLETED_PARTS = 20_000
 # Largest number of parts that one end accuses in a message.
 MAX_ACCUSED_PARTS = 128
 
@@ -64,7 +64,7 @@
         self._metrics = metrics
         self._probe_server = probe_server
         self._ledger = CrashLedger()
-        self._cleared_parts: OrderedDict[str, None] = OrderedDict()
+        self._completed_at_ms: OrderedDict[str, float] = OrderedDict()
         self._probes: dict[str, tuple[float, bool]] = {}
         self._unsent_ends: dict[str, EndEvidence] = {}
         self._unsent_cleared: set[str] = set()
@@ -78,6 +78,9 @@
         if not self._ledger.blocks:
             return None
         block = self._ledger.find_block(parts, now_ms)
+        if block is not None and self._was_completed(block.part, now_ms):
+            self._clear_accused(now_ms)
+            block = self._ledger.find_block(parts, now_ms)
         if block is None:
             return None
         message = (
@@ -88,10 +91,10 @@
     def record_complete(self, parts: Sequence[str], now_ms: float) -> None:
         """Record that an answer to a prompt with these shared parts was completed."""
         for part in parts:
-            self._cleared_parts[part] = None
-            self._cleared_parts.move_to_end(part)
-        while len(self._cleared_parts) > MAX_CLEARED_PARTS:
-            self._cleared_parts.popitem(last=False)
+            self._completed_at_ms[part] = now_ms
+            self._completed_at_ms.move_to_end(part)
+        while len(self._completed_at_ms) > MAX_COMPLETED_PARTS:
+            self._completed_at_ms.popitem(last=False)
         if not self._ledger.accused_parts.isdisjoint(parts):
             self._clear_accused(now_ms)
 
@@ -115,7 +118,7 @@
             Whether the server has ended and the prompt has a part that no completed
             answer had; the request may have ended it.
         """
-        suspects = [part for part in parts if part not in self._cleared_parts]
+        suspects = [part for part in parts if not self._was_completed(part, now_ms)]
         if not suspects or not await self._is_gone(server, now_ms):
             return False
         found = frozenset(suspects[:MAX_ACCUSED_PARTS])
@@ -155,11 +158,15 @@
             return None
         return _build_message(ends.values(), cleared, now_ms)
 
-    def build_all(self, now_ms: float) -> CrashEvidence:
-        """Return all evidence, for a leader that may have none of it."""
-        return _build_message(
-            self._ledger.list_ends(), self._ledger.list_cleared(), now_ms
-        )
+    def build_all(self, now_ms: float) -> CrashEvidence | None:
+        """Return all evidence, for a leader that may have none of it.
+
+        The result is None if there is none.
+        """
+        ends = self._ledger.list_ends()
+        if not ends:
+            return None
+        return _build_message(ends, self._ledger.list_cleared(), now_ms)
 
     def _apply_end(self, end: EndEvidence, now_ms: float) -> None:
         before = dict(self._ledger.blocks)
@@ -178,7 +185,9 @@
     def _clear_accused(self, now_ms: float) -> None:
         """Tell the other entries which accused parts this one has seen completed."""
         cleared = [
-            part for part in self._ledger.accused_parts if part in self._cleared_parts
+            part
+            for part in self._ledger.accused_parts
+            if self._was_completed(part, now_ms)
         ]
         before = dict(self._ledger.blocks)
         if cleared and self._ledger.record_cleared(cleared, now_ms):
@@ -186,6 +195,11 @@
             self.has_news.set()
             _log_changes(before, self._ledger.blocks)
 
+    def _was_completed(self, part: str, now_ms: float) -> bool:
+        """Return whether an answer with a part was completed here lately."""
+        completed_at_ms = self._completed_at_ms.get(part, -math.inf)
+        return now_ms - completed_at_ms <= CLEARED_LIFE_MS
+
     async def _is_gone(self, server: ServerView, now_ms: float) -> bool:
         key = f"{server.server_id}@{server.incarnation}"
         tested_at_ms, is_gone = self._probes.get(key, (-math.inf, False))
--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -233,7 +233,9 @@
         self._relay = EvidenceRelay()
         self._sent_revisions = [0] * self._settings.n_entries
         for guard in self._guards:
-            self._send_to_leader(guard.build_all(self._now_ms), self._relay)
+            evidence = guard.build_all(self._now_ms)
+            if evidence is not None:
+                self._send_to_leader(evidence, self._relay)
 
     def _exchange_news(self) -> None:
         """Send each entry's news to the leader; without a leader they are lost."""
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -15,7 +15,7 @@
     EndEvidence,
 )
 from cowslipwood.entry.direct._part_guard import (
-    MAX_CLEARED_PARTS,
+    MAX_COMPLETED_PARTS,
     PartGuard,
     is_server_gone,
 )
@@ -271,6 +271,19 @@
         other.apply_evidence(guard.build_all(0.0), 0.0)
         self.assertIsNone(other.check(["a"], 0.0))
 
+    # A part in use would have been refused once an older completed answer was too old.
+    def test_part_in_use_is_not_refused_when_its_clearing_expires(self):
+        """A part whose answers go on being completed is never refused."""
+        guard = self._build_guard()
+        ends = tuple(ServerEnd(f"s{i}@1", ("a",), (), 0.0) for i in range(2))
+        guard.record_complete(["a"], 0.0)
+        for minute in range(20):
+            now_ms = 60_000.0 * minute
+            if minute == 8:
+                guard.apply_evidence(CrashEvidence(ends, ()), now_ms)
+            self.assertIsNone(guard.check(["a"], now_ms))
+            guard.record_complete(["a"], now_ms)
+
     def test_running_server(self):
         """A server that broke off an answer and still runs accuses no part."""
 
@@ -285,9 +298,9 @@
     def test_remembered_parts_are_bounded(self):
         """Made-up parts do not push out those in use, and take bounded memory."""
         guard = self._build_guard()
-        for number in range(2 * MAX_CLEARED_PARTS):
+        for number in range(2 * MAX_COMPLETED_PARTS):
             guard.record_complete(["used", f"made-up{number}"], 0.0)
-        self.assertEqual(len(guard._cleared_parts), MAX_CLEARED_PARTS)
+        self.assertEqual(len(guard._completed_at_ms), MAX_COMPLETED_PARTS)
         for server_id in ("s1", "s2"):
             self.assertFalse(self._record_break(guard, server_id, "used"))
 
