Clear parts by successful answers only, and pass on what is cleared again

Found by reading, each shown by a test that failed before: an error that a server wrote whole, such as 404, cleared the parts of its prompt, so a part that ends servers could have been taken for harmless; and the leader passed a cleared part on only once, although entries forget it after ten minutes, so a sound part could have stayed refused at the entries that had not seen it answered.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -510,7 +510,7 @@
             await self._start_answer(head)
             await self._sink.write(bytes(buffer))
         await self._sink.end()
-        self._record_success(backend, sent_ms, self._state.now_ms())
+        self._record_success(backend, head, sent_ms, self._state.now_ms())
         self._log.info(
             "request_answered",
             request=request.facts.request_id,
@@ -557,7 +557,7 @@
             await self._sink.write(held)
         await self._sink.end()
         now_ms = self._state.now_ms()
-        self._record_success(backend, sent_ms, first_event_at_ms or now_ms)
+        self._record_success(backend, head, sent_ms, first_event_at_ms or now_ms)
         if first_event_at_ms:
             backend.answer_ms.add(now_ms - first_event_at_ms)
         first_after_ms = first_event_at_ms - self._request.arrived_ms
@@ -571,7 +571,6 @@
             server=backend.view.server_id,
             status=head.status,
             body_end=head.body_end.value,
-            open_bytes=splitter.n_open_bytes,
             key=self._request.key,
             first_ms=round(first_after_ms),
             sent_ms=round(sent_ms - self._request.arrived_ms),
@@ -636,12 +635,17 @@
         return fault
 
     def _record_success(
-        self, backend: Backend, sent_ms: float, first_event_at_ms: float
+        self,
+        backend: Backend,
+        head: AnswerHead,
+        sent_ms: float,
+        first_event_at_ms: float,
     ) -> None:
         backend.health.record_answer(1.0, first_event_at_ms)
-        self._state.part_guard.record_complete(
-            self._request.facts.shared_parts, self._state.now_ms()
-        )
+        if head.status < 300:
+            self._state.part_guard.record_complete(
+                self._request.facts.shared_parts, self._state.now_ms()
+            )
         backend.first_event_ms.add(first_event_at_ms - sent_ms)
 
 
--- a/src/cowslipwood/keeper/_evidence.py
+++ b/src/cowslipwood/keeper/_evidence.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-from ..crash_evidence import Block, CrashLedger, EndEvidence
+from ..crash_evidence import CLEARED_LIFE_MS, Block, CrashLedger, EndEvidence
 from ..kernel.messages import CrashEvidence, ServerEnd
 
 __all__ = ["EvidenceRelay"]
@@ -12,6 +12,9 @@
 MAX_ENDS = 256
 # Largest number of cleared parts that are kept, the newest ones.
 MAX_CLEARED_PARTS = 4_096
+# Time, in milliseconds, after which a cleared part that an entry repeats is passed on
+# again; entries forget it after `CLEARED_LIFE_MS`.
+REPEAT_CLEARED_MS = CLEARED_LIFE_MS / 2
 # Largest number of parts of one end, of each kind, that are kept.
 MAX_PARTS = 256
 
@@ -24,6 +27,13 @@
     revision: int
 
 
+class _ClearedPart(NamedTuple):
+    """When a part was last passed on as cleared, and the revision of that."""
+
+    at_ms: float
+    revision: int
+
+
 class EvidenceRelay:
     """The evidence that the leader has received.
 
@@ -36,7 +46,7 @@
     def __init__(self):
         self.revision = 0
         self._ends: OrderedDict[str, _KeptEnd] = OrderedDict()
-        self._cleared_revisions: OrderedDict[str, int] = OrderedDict()
+        self._cleared: OrderedDict[str, _ClearedPart] = OrderedDict()
 
     def add(self, evidence: CrashEvidence, now_ms: float) -> bool:
         """Add an entry's evidence; return whether it held anything new."""
@@ -45,12 +55,15 @@
             if self._merge_end(end, now_ms, revision):
                 self.revision = revision
         for part in evidence.cleared_parts:
-            if part not in self._cleared_revisions:
-                self._cleared_revisions[part] = self.revision = revision
+            known = self._cleared.get(part)
+            if known is None or now_ms - known.at_ms > REPEAT_CLEARED_MS:
+                self._cleared[part] = _ClearedPart(now_ms, revision)
+                self._cleared.move_to_end(part)
+                self.revision = revision
         while len(self._ends) > MAX_ENDS:
             self._ends.popitem(last=False)
-        while len(self._cleared_revisions) > MAX_CLEARED_PARTS:
-            self._cleared_revisions.popitem(last=False)
+        while len(self._cleared) > MAX_CLEARED_PARTS:
+            self._cleared.popitem(last=False)
         return self.revision == revision
 
     def build_update(self, sent_revision: int, now_ms: float) -> CrashEvidence:
@@ -63,15 +76,16 @@
             ),
             tuple(
                 part
-                for part, revision in self._cleared_revisions.items()
-                if revision > sent_revision
+                for part, cleared in self._cleared.items()
+                if cleared.revision > sent_revision
+                and now_ms - cleared.at_ms <= CLEARED_LIFE_MS
             ),
         )
 
     def find_blocks(self, now_ms: float) -> list[Block]:
         """Return the parts that entries refuse by this evidence."""
         ledger = CrashLedger()
-        ledger.record_cleared(self._cleared_revisions, now_ms)
+        ledger.record_cleared(self.build_update(0, now_ms).cleared_parts, now_ms)
         for kept in self._ends.values():
             begun, awaited = kept.end.begun_parts, kept.end.awaited_parts
             end = EndEvidence(
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from cowslipwood.crash_evidence._ledger import (
+    CLEARED_LIFE_MS,
     MAX_ENDS,
     MAX_REMEMBERED_PARTS,
     CrashLedger,
@@ -19,6 +20,7 @@
     PartGuard,
     is_server_gone,
 )
+from cowslipwood.entry.direct._state import DirectState
 from cowslipwood.keeper._evidence import EvidenceRelay
 from cowslipwood.kernel.codes import CODE_INFO, Outcome
 from cowslipwood.kernel.messages import CrashEvidence, ServerEnd
@@ -28,7 +30,13 @@
 
 from .crash_builders import BAD_PART, WAITING_PART, CrashingFleet, send_prompt
 from .crash_model import CrashModel, ModelResult, ModelSettings
-from .direct_builders import always_send, build_listed_server, run_scripted_server
+from .direct_builders import (
+    always_send,
+    build_answer,
+    build_direct_state,
+    build_listed_server,
+    run_scripted_server,
+)
 
 # Number of servers that may end under one part.
 MAX_ENDED = 5
@@ -227,6 +235,17 @@
 class EvidenceRelayTest(unittest.TestCase):
     """What the leader passes on."""
 
+    # A part stayed refused at other entries when it was cleared a second time.
+    def test_part_that_is_cleared_again_is_passed_on_again(self):
+        """Entries forget a cleared part, so a later answer with it is news."""
+        relay = EvidenceRelay()
+        message = CrashEvidence((), ("a",))
+        relay.add(message, 0.0)
+        self.assertFalse(relay.add(message, 1_000.0))
+        self.assertTrue(relay.add(message, CLEARED_LIFE_MS))
+        update = relay.build_update(1, CLEARED_LIFE_MS)
+        self.assertEqual(update.cleared_parts, ("a",))
+
     def test_views_of_one_end_are_merged(self):
         """Entries get the parts that any of them saw, once, with their age."""
         relay = EvidenceRelay()
@@ -284,6 +303,23 @@
             self.assertIsNone(guard.check(["a"], now_ms))
             guard.record_complete(["a"], now_ms)
 
+    # An error that a server wrote whole cleared the part that ended others.
+    def test_error_clears_no_part(self):
+        """Only a successful answer shows that a prompt's parts end no server."""
+
+        async def main() -> DirectState:
+            not_found = build_answer(status="404 Not Found")
+            async with run_scripted_server(always_send(not_found)) as (addr, _):
+                state = build_direct_state([build_listed_server("s0", addr)])
+                await send_prompt(state, random.Random(3), BAD_PART)
+            return state
+
+        state = anyio.run(main)
+        ends = tuple(ServerEnd(f"s{i}@1", (BAD_PART,), (), 0.0) for i in range(2))
+        now_ms = state.now_ms()
+        state.part_guard.apply_evidence(CrashEvidence(ends, ()), now_ms)
+        self.assertIsNotNone(state.part_guard.check([BAD_PART], now_ms))
+
     def test_running_server(self):
         """A server that broke off an answer and still runs accuses no part."""
 
