Keep an answer that ends in the closing event only if it is a stream

A caller that sent a request again could get a broken-off answer as complete: the record of an answer under a claim took any body that ended in the closing event of a completion as complete, also one of a plain service that was cut there.

Same class as the streams without length: the end was inferred from something that does not state it. The rule now needs the content type of a stream. The new test failed before.

--- a/src/cowslipwood/entry/claims/_kept_answer.py
+++ b/src/cowslipwood/entry/claims/_kept_answer.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from ...kernel.event_stream import is_event_stream
 from ..sending._dispatcher import Answer
 
 __all__ = ["AnswerRecorder", "KeptAnswer"]
@@ -62,8 +63,15 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether the answer was read to its end or to its ``[DONE]`` event."""
-        return self._is_at_end or self._body.endswith(_DONE_EVENT)
+        """Whether the answer was read to its end, or a stream to ``[DONE]``."""
+        headers = [
+            (name.encode(), value.encode("latin-1"))
+            for name, value in self._answer.headers.items()
+        ]
+        has_done_event = is_event_stream(
+            headers, default=False
+        ) and self._body.endswith(_DONE_EVENT)
+        return self._is_at_end or has_done_event
 
     def to_kept_answer(self) -> KeptAnswer:
         """Return the complete answer, without its body if that was too large."""
--- a/tests/test_claims_entry.py
+++ b/tests/test_claims_entry.py
@@ -1,12 +1,16 @@
 """Claimed requests at an entry, with a claim table in place of the keepers."""
 
 import unittest
+from collections.abc import AsyncIterator
+from contextlib import suppress
 from typing import Any
 
 import anyio
 import orjson
 from returns.result import Failure as Err
 
+from cowslipwood.entry.claims._kept_answer import AnswerRecorder
+from cowslipwood.entry.sending._dispatcher import Answer, AnswerCutError
 from cowslipwood.kernel.codes import Code, failure
 
 from .builders import model_value, service_value
@@ -133,3 +137,30 @@
         for _ in range(2):
             self.assertEqual(self.send_request().error["outcome"], "unknown")
         self.assertEqual(self.n_sent(), 1)
+
+
+class AnswerRecorderTest(unittest.TestCase):
+    """Which answers are kept as complete for a resend."""
+
+    def _read_broken(self, content_type: str) -> bool:
+        """Return whether an answer that breaks off after this body is complete."""
+
+        async def break_off() -> AsyncIterator[bytes]:
+            yield b"data: [DONE]\n\n"
+            raise AnswerCutError(failure(Code.ANSWER_CUT))
+
+        async def main() -> bool:
+            headers = {"content-type": content_type}
+            recorder = AnswerRecorder(Answer(200, headers, break_off()))
+            with suppress(AnswerCutError):
+                async for _ in recorder.chunks():
+                    pass
+            return recorder.is_complete
+
+        return anyio.run(main)
+
+    # A broken-off answer was kept, and came back as complete when it was asked again.
+    def test_broken_answer_that_ends_like_a_stream(self):
+        """Only in a stream of events does the closing event end the answer."""
+        self.assertFalse(self._read_broken("text/plain"))
+        self.assertTrue(self._read_broken("text/event-stream; charset=utf-8"))
