--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -1,7 +1,7 @@
 """An answer reaches its caller as complete only if the server completed it."""
 
 import unittest
-from typing import Any
+from typing import Any, ClassVar
 
 import anyio
 from hypothesis import given, settings
@@ -96,6 +96,29 @@
             self.assertFalse(answer.is_complete and answer.status == 200)
 
 
+class LongAnswerTest(unittest.TestCase):
+    """Answers of a plain service that are forwarded while they arrive."""
+
+    BODY = b"0123456789abcdef" * 16_384
+    ROUTE: ClassVar = {"kind": "safe", "max_attempts": 1, "timeout_ms": 20_000}
+
+    # A long answer that breaks off after it has begun must not look complete.
+    def test_long_answer_is_complete_only_if_the_server_completed_it(self):
+        """Whatever marks the answer's end, a cut shows in the caller's answer."""
+        for framing in Framing:
+            head, framed = frame_answer(framing, self.BODY)
+            for end in End:
+                is_whole = framing is Framing.CONNECTION and end is End.CLOSED
+                with self.subTest(framing=framing, end=end):
+                    cut = framed[: len(framed) * 3 // 4]
+                    answer = call([send_and_end(head + cut, end)], **self.ROUTE)
+                    self.assertEqual(answer.is_complete, is_whole)
+            with self.subTest(framing=framing):
+                whole = call([send_and_end(head + framed, End.CLOSED)], **self.ROUTE)
+                self.assertTrue(whole.is_complete)
+                self.assertEqual(whole.body, self.BODY)
+
+
 class ResumedStreamTest(unittest.TestCase):
     """Streams that another server continues."""
 
