--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -142,7 +142,7 @@
 
         async def act(state, servers, heads_by_server):
             await send_request(state)
-            state._servers.apply_list(servers, monotonic_ms())
+            state.servers.apply_list(servers, monotonic_ms())
             for _ in range(20):
                 fault, _ = await send_request(state)
                 self.assertIsNone(fault)
@@ -202,7 +202,7 @@
     def test_next_incarnation(self):
         """Another incarnation under the same id gets requests again."""
         state = build_direct_state([build_listed_server("s0", "127.0.0.1:1")])
-        known_servers: KnownServers = state._servers
+        known_servers: KnownServers = state.servers
         self.assertTrue(known_servers.record_leaving("s0", 1.0))
         self.assertFalse(known_servers.record_leaving("s0", 2.0))
         known_servers.apply_list(
@@ -217,7 +217,7 @@
     def test_unlisted_meanwhile(self):
         """A server that is unlisted and listed again is still leaving."""
         state = build_direct_state([build_listed_server("s0", "127.0.0.1:1")])
-        known_servers: KnownServers = state._servers
+        known_servers: KnownServers = state.servers
         known_servers.record_leaving("s0", 1.0)
         known_servers.apply_list([], monotonic_ms())
         known_servers.apply_list(
