Split the exchange of a request by job, without a change of behaviour

Now: _choice (which server), _sending (one attempt and the head of its answer), _forwarding (whole answers and streams), _attempt_record (what an attempt shows), _progress (the state that they share) and _exchange (retries, final failure). One test patches a constant in its new module.

--- /dev/null
+++ b/src/cowslipwood/entry/direct/_attempt_record.py
@@ -0,0 +1,81 @@
+"""Records how the attempts of one request end, for the choice of later servers."""
+
+from ...kernel.codes import Failure
+from ...kernel.http_connection import AnswerHead
+from ...kernel.logs import get_logger
+from ..choosing._backend import Backend, LoadReport
+from ._headers import AnswerFacts
+from ._progress import AnswerStage, RequestProgress
+from ._request import RoutedRequest
+from ._state import DirectState
+
+__all__ = ["AttemptRecorder"]
+
+
+class AttemptRecorder:
+    """Records what the attempts of one request show of servers and prompts.
+
+    Parameters
+    ----------
+    state : DirectState
+    request : RoutedRequest
+    progress : RequestProgress
+    """
+
+    def __init__(
+        self, state: DirectState, request: RoutedRequest, progress: RequestProgress
+    ):
+        self._state = state
+        self._request = request
+        self._progress = progress
+
+    def record_load(self, backend: Backend, facts: AnswerFacts, now_ms: float) -> None:
+        """Record the load that a server reported with its answer."""
+        report = None
+        if facts.load is not None:
+            n_running, n_waiting, n_slots = facts.load
+            report = LoadReport(n_running, n_waiting, 0.0, n_slots)
+        self._state.apply_load_report(backend, report, now_ms)
+
+    async def record_break(self, backend: Backend) -> None:
+        """Record that the server broke off the answer to this request."""
+        if self._progress.answer_stage is AnswerStage.EVENTS:
+            return
+        has_begun = self._progress.answer_stage is AnswerStage.BEGUN
+        is_suspect = await self._state.part_guard.record_break(
+            backend.view,
+            self._request.facts.shared_parts,
+            has_begun,
+            self._state.now_ms(),
+        )
+        # A request that waited when its server ended has most likely not ended it.
+        self._progress.may_have_ended_server = is_suspect and has_begun
+
+    def record_failure(self, backend: Backend, fault: Failure) -> Failure:
+        """Record that an attempt failed, and return the failure."""
+        backend.health.record_error(self._state.now_ms())
+        get_logger().info(
+            "attempt_failed",
+            request=self._request.facts.request_id,
+            server=backend.view.server_id,
+            code=fault.code.value,
+            reason=fault.message,
+            stage=self._progress.answer_stage.value,
+            shared_parts=",".join(self._request.facts.shared_parts),
+        )
+        return fault
+
+    def record_success(
+        self,
+        backend: Backend,
+        head: AnswerHead,
+        sent_ms: float,
+        first_event_at_ms: float,
+    ) -> None:
+        """Record a complete answer."""
+        backend.health.record_answer(1.0, first_event_at_ms)
+        if head.status < 300:
+            self._state.part_guard.record_complete(
+                self._request.facts.shared_parts, self._state.now_ms()
+            )
+        backend.first_event_ms.add(first_event_at_ms - sent_ms)
--- /dev/null
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -0,0 +1,43 @@
+"""Records how far one request has come, for the parts of the entry that serve it."""
+
+import enum
+
+from ...kernel.http_connection import AnswerHead
+from ._retries import AttemptCounts
+
+__all__ = ["AnswerStage", "RequestProgress"]
+
+
+class AnswerStage(enum.StrEnum):
+    """How far the answer to an attempt has come."""
+
+    AWAITED = "awaited"
+    BEGUN = "begun"
+    EVENTS = "events"
+
+
+class RequestProgress:
+    """How far one request has come, over all its attempts.
+
+    Attributes
+    ----------
+    attempt_counts : AttemptCounts
+    has_started : bool
+        Whether the caller has been sent the head of an answer.
+    answer_stage : AnswerStage
+        How far the answer to the present attempt has come.
+    may_have_ended_server : bool
+        Whether the last attempt may have ended its server.
+    last_event_id : bytes
+        Id of the last event that was forwarded; empty for none.
+    error_answer : tuple of AnswerHead and bytes, or None
+        The last error that a server answered, with its body.
+    """
+
+    def __init__(self):
+        self.attempt_counts = AttemptCounts()
+        self.has_started = False
+        self.answer_stage = AnswerStage.AWAITED
+        self.may_have_ended_server = False
+        self.last_event_id = b""
+        self.error_answer: tuple[AnswerHead, bytes] | None = None
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -10,7 +10,7 @@
 from structlog.testing import capture_logs
 
 from cowslipwood.entry.choosing._view import FleetView
-from cowslipwood.entry.direct import _exchange
+from cowslipwood.entry.direct import _forwarding
 from cowslipwood.entry.direct._exchange import RequestForwarder
 from cowslipwood.entry.direct._headers import read_answer_facts, read_request_facts
 from cowslipwood.entry.direct._holders import HolderFinder
@@ -461,7 +461,7 @@
         route = build_route(
             kind=RouteKind.STREAMING, max_attempts=1, timeout_ms=60_000.0
         )
-        with mock.patch.object(_exchange, "MIN_STALL_MS", 200.0):
+        with mock.patch.object(_forwarding, "MIN_STALL_MS", 200.0):
             fault, sink, _ = run([self._build_script(b"x", 0.02)], route)
         self.assertEqual(fault.code, Code.ANSWER_CUT)
         self.assertFalse(sink.is_complete)
@@ -477,7 +477,7 @@
             await stream.send(b"0\r\n\r\n")
 
         route = build_route(kind=RouteKind.STREAMING, max_attempts=1)
-        with mock.patch.object(_exchange, "MIN_STALL_MS", 300.0):
+        with mock.patch.object(_forwarding, "MIN_STALL_MS", 300.0):
             fault, sink, _ = run([serve], route)
         self.assertIsNone(fault)
         self.assertEqual(sink.body, build_events(1, 8))
