Log the limit of requests per second that a server names

The header is read and logged; nothing acts on it yet. A value that is no plain decimal number (a sign, an exponent, nan, 400 digits) counts as absent and is counted in notices_ignored_total; of several, the lowest counts.

--- a/src/cowslipwood/entry/choosing/_backend.py
+++ b/src/cowslipwood/entry/choosing/_backend.py
@@ -99,6 +99,9 @@
         When the keepers' full list began to omit the server; 0 while it is listed.
     held_off_until_ms : float
         Time until which the server has asked for no requests; 0 for none.
+    rate_limit : float or None
+        Requests per second that the server takes from all hosts together, by its last
+        answer; None if that named no limit.
     """
 
     __slots__ = (
@@ -117,6 +120,7 @@
         "_pending",
         "n_pending_tokens",
         "n_in_flight",
+        "rate_limit",
         "report",
         "id_hash",
         "unlisted_since_ms",
@@ -138,6 +142,7 @@
         self.kv_share = 0.0
         self.unlisted_since_ms = 0.0
         self.held_off_until_ms = 0.0
+        self.rate_limit: float | None = None
         self._excluded_until_ms: dict[str, float] = {}
         self._apply_report(_report_of_view(view), now_ms)
 
@@ -147,6 +152,7 @@
             self.health = Health()
             self._excluded_until_ms.clear()
             self.held_off_until_ms = 0.0
+            self.rate_limit = None
         self.view = view
         self.unlisted_since_ms = 0.0
         if now_ms - self._reported_at_ms > FRESH_REPORT_MS:
--- a/src/cowslipwood/entry/direct/_headers.py
+++ b/src/cowslipwood/entry/direct/_headers.py
@@ -53,6 +53,9 @@
         In a server's refusal: the request did not run there.
     leaving : bytes
         In any answer, with the value 1: the server is about to stop.
+    rate_limit : bytes
+        In any answer: the requests per second that the server takes from all hosts
+        together, a decimal number.
     load : bytes
         In answers: running requests, waiting requests and slots, separated by commas.
     urgency : bytes
@@ -75,6 +78,7 @@
     server_id: bytes = b"x-cowslip-server"
     not_run: bytes = b"x-cowslip-not-run"
     leaving: bytes = b"x-cowslip-leaving"
+    rate_limit: bytes = b"x-cowslip-limit"
     load: bytes = b"x-cowslip-load"
     urgency: bytes = b"x-cowslip-urgency"
     model: bytes = b"x-cowslip-model"
@@ -162,7 +166,7 @@
         _read_text(values_by_name, names.request_id),
         names.not_run in values_by_name,
         (load[0], load[1], load[2]) if len(load) == 3 else None,
-        read_notice(status, headers, names.leaving),
+        read_notice(status, headers, names.leaving, names.rate_limit),
     )
 
 
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -107,6 +107,7 @@
                 1,
             ),
             left_ms=left_ms,
+            limit_per_s=backend.rate_limit,
             attempt=self._progress.attempt_counts.n_sent + 1,
         )
         self._progress.attempt_counts = self._progress.attempt_counts._replace(
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -171,6 +171,14 @@
                 "server_held_off", server=server_id, for_ms=notice.hold_off_ms
             )
             self.hold_off_requested.set()
+        if notice.rate_limit != backend.rate_limit:
+            get_logger().info(
+                "server_limit_changed",
+                server=server_id,
+                per_s=notice.rate_limit,
+                before_per_s=backend.rate_limit,
+            )
+            backend.rate_limit = notice.rate_limit
 
     def list_held_off(self, now_ms: float) -> tuple[HeldOff, ...]:
         """Return the servers that asked to be held off, with the time left."""
--- a/src/cowslipwood/listing/_notice.py
+++ b/src/cowslipwood/listing/_notice.py
@@ -10,9 +10,9 @@
 RETRY_AFTER_HEADER = b"retry-after"
 # Only status with which a server can ask for no further requests.
 SERVICE_UNAVAILABLE_STATUS = 503
-# Legal form of a time in seconds. Ten digits of seconds are 300 years, longer than any
-# server runs; a number with more digits is malformed.
-_SECONDS_PATTERN = re.compile(rb"[0-9]{1,10}(\.[0-9]{1,9})?")
+# Legal form of a number of seconds or of requests a second. Ten digits of seconds are
+# 300 years, longer than any server runs; a number with more digits is malformed.
+_DECIMAL_PATTERN = re.compile(rb"[0-9]{1,10}(\.[0-9]{1,9})?")
 
 
 class ServerNotice(NamedTuple):
@@ -25,17 +25,24 @@
     hold_off_ms : float
         Time for which the server wants no further requests from this host; 0 if it
         did not ask for that.
+    rate_limit : float or None
+        Requests per second that the server takes from all hosts together; None if it
+        named no limit. Of several limits it is the lowest.
     unreadable : tuple of str
         Names of headers whose value is malformed; they count as absent.
     """
 
     is_leaving: bool = False
     hold_off_ms: float = 0.0
+    rate_limit: float | None = None
     unreadable: tuple[str, ...] = ()
 
 
 def read_notice(
-    status: int, headers: Iterable[tuple[bytes, bytes]], leaving_header: bytes
+    status: int,
+    headers: Iterable[tuple[bytes, bytes]],
+    leaving_header: bytes,
+    limit_header: bytes,
 ) -> ServerNotice:
     """Read what an answer states about its server.
 
@@ -47,8 +54,11 @@
         Headers of the answer, with names in lower case.
     leaving_header : bytes
         Name of the header by which a server states that it is about to stop.
+    limit_header : bytes
+        Name of the header in which a server names its limit of requests per second.
     """
     unreadable = []
+    limits = []
     is_leaving, hold_off_ms = False, 0.0
     for name, value in headers:
         if name == leaving_header:
@@ -56,8 +66,14 @@
             if value.strip() != b"1":
                 unreadable.append(name.decode("latin-1"))
         elif name == RETRY_AFTER_HEADER and status == SERVICE_UNAVAILABLE_STATUS:
-            if _SECONDS_PATTERN.fullmatch(value.strip()):
+            if _DECIMAL_PATTERN.fullmatch(value.strip()):
                 hold_off_ms = max(hold_off_ms, 1000 * float(value))
             else:
                 unreadable.append(name.decode("latin-1"))
-    return ServerNotice(is_leaving, hold_off_ms, tuple(unreadable))
+        elif name == limit_header:
+            if _DECIMAL_PATTERN.fullmatch(value.strip()):
+                limits.append(float(value))
+            else:
+                unreadable.append(name.decode("latin-1"))
+    rate_limit = min(limits, default=None)
+    return ServerNotice(is_leaving, hold_off_ms, rate_limit, tuple(unreadable))
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -40,6 +40,8 @@
 STREAM = {"kind": RouteKind.STREAMING, "max_attempts": 1, "target_latency_ms": 250.0}
 # Name of the header by which servers of the platform state that they are leaving.
 LEAVING_HEADER = b"server-leaving"
+# Name of the header in which servers of the platform name their limit.
+LIMIT_HEADER = b"server-limit"
 
 
 def run_with_servers(scripts: list, act, models: tuple[ListedModel, ...] = ()):
@@ -106,32 +108,56 @@
             (200, [(b"retry-after", b"2")], ServerNotice()),
             (500, [(b"retry-after", b"soon")], ServerNotice()),
             (200, [], ServerNotice()),
+            (200, [(LIMIT_HEADER, b"0.2")], ServerNotice(rate_limit=0.2)),
+            (503, [(LIMIT_HEADER, b" 0 ")], ServerNotice(rate_limit=0.0)),
+            (
+                200,
+                [(LIMIT_HEADER, b"7"), (LIMIT_HEADER, b"2.5")],
+                ServerNotice(rate_limit=2.5),
+            ),
         ]
         for status, headers, expected in cases:
             with self.subTest(status=status, headers=headers):
-                self.assertEqual(read_notice(status, headers, LEAVING_HEADER), expected)
+                self.assertEqual(
+                    read_notice(status, headers, LEAVING_HEADER, LIMIT_HEADER), expected
+                )
 
     def test_malformed(self):
         """A malformed value counts as absent, and its header is reported."""
         for value in (b"", b"true", b"0", b"11", b"\xff"):
             with self.subTest(value=value):
-                found = read_notice(200, [(LEAVING_HEADER, value)], LEAVING_HEADER)
+                found = read_notice(
+                    200, [(LEAVING_HEADER, value)], LEAVING_HEADER, LIMIT_HEADER
+                )
                 self.assertEqual(found, ServerNotice(unreadable=("server-leaving",)))
         for value in (b"", b"-1", b"1e3", b"inf", b"nan", b"1,2", b"Thu, 01 Jan"):
             with self.subTest(value=value):
-                found = read_notice(503, [(b"retry-after", value)], LEAVING_HEADER)
+                found = read_notice(
+                    503, [(b"retry-after", value)], LEAVING_HEADER, LIMIT_HEADER
+                )
                 self.assertEqual(found, ServerNotice(unreadable=("retry-after",)))
+        malformed = (b"", b"-1", b"1e3", b"nan", b"inf", b"1,2", b"\xb2", b"9" * 400)
+        for value in malformed:
+            with self.subTest(limit=value):
+                found = read_notice(
+                    200, [(LIMIT_HEADER, value)], LEAVING_HEADER, LIMIT_HEADER
+                )
+                self.assertEqual(found, ServerNotice(unreadable=("server-limit",)))
 
     @given(
         st.integers(100, 599),
         st.lists(
-            st.tuples(st.sampled_from([LEAVING_HEADER, b"retry-after"]), st.binary())
+            st.tuples(
+                st.sampled_from([LEAVING_HEADER, LIMIT_HEADER, b"retry-after"]),
+                st.binary(),
+            )
         ),
     )
     def test_any_bytes(self, status: int, headers: list[tuple[bytes, bytes]]):
         """Any bytes are read without an error, and every hold-off is finite."""
-        found = read_notice(status, headers, LEAVING_HEADER)
+        found = read_notice(status, headers, LEAVING_HEADER, LIMIT_HEADER)
         self.assertTrue(0.0 <= found.hold_off_ms < 1e14)
+        self.assertTrue(0.0 <= (found.rate_limit or 0.0) < 1e10)
 
 
 class LeavingTest(unittest.TestCase):
