Keep to the limits that servers name, all entries together

Callers and servers saw: a server in need that named a limit of 1 request a second went on to get 3 a second, from every entry, and orders of the leader beside them; what it could not take delayed everybody there.

Cause: nothing read the limit, and nothing in the system counts requests over all entries.

Now each request to a limited server needs a permit. The leader grants them from a token bucket that fills at the limit's rate; a permit is for one request within 0.5 s. A new leader grants nothing until the old permits have expired. Entries report limits to the leader at once, and it tells all. An answer ends or raises a limit only if its request was sent after the last statement; a new incarnation begins without. Orders and report requests of the leader take permits too. Without a leader an entry sends at half of its share, from a random moment on. A refused request goes to another copy at once, waits for its turn if that is near, or is refused with code 1211, not run, and the time of its turn. An engine whose limit is short counts as no copy, so its models are loaded elsewhere.

Ruled out: N divided by the entries (with 8 entries and N = 1 all may send at once); chance for each request (its sum has the same mean and a longer tail).

Connected entries use between 0.6 and 1 of the limit (test_connected_entries).

--- a/src/cowslipwood/entry/choosing/_backend.py
+++ b/src/cowslipwood/entry/choosing/_backend.py
@@ -99,9 +99,8 @@
         When the keepers' full list began to omit the server; 0 while it is listed.
     held_off_until_ms : float
         Time until which the server has asked for no requests; 0 for none.
-    rate_limit : float or None
-        Requests per second that the server takes from all hosts together, by its last
-        answer; None if that named no limit.
+    limited_until_ms : float
+        Time until which the limit that the server has named allows no request.
     """
 
     __slots__ = (
@@ -115,12 +114,12 @@
         "held_off_until_ms",
         "knee_in_flight",
         "kv_share",
+        "limited_until_ms",
         "_late_share",
         "_last_stream_at_ms",
         "_pending",
         "n_pending_tokens",
         "n_in_flight",
-        "rate_limit",
         "report",
         "id_hash",
         "unlisted_since_ms",
@@ -142,7 +141,7 @@
         self.kv_share = 0.0
         self.unlisted_since_ms = 0.0
         self.held_off_until_ms = 0.0
-        self.rate_limit: float | None = None
+        self.limited_until_ms = 0.0
         self._excluded_until_ms: dict[str, float] = {}
         self._apply_report(_report_of_view(view), now_ms)
 
@@ -152,7 +151,7 @@
             self.health = Health()
             self._excluded_until_ms.clear()
             self.held_off_until_ms = 0.0
-            self.rate_limit = None
+            self.limited_until_ms = 0.0
         self.view = view
         self.unlisted_since_ms = 0.0
         if now_ms - self._reported_at_ms > FRESH_REPORT_MS:
@@ -289,6 +288,11 @@
         """
         self.held_off_until_ms = max(self.held_off_until_ms, until_ms)
 
+    @property
+    def paused_until_ms(self) -> float:
+        """Time until which the server itself has ruled out further requests."""
+        return max(self.held_off_until_ms, self.limited_until_ms)
+
     def is_usable(self, key: str, now_ms: float) -> bool:
         """Return whether the server may get one more request for a key."""
         return self.is_eligible(key, now_ms) and self.health.allows_request(
@@ -298,10 +302,11 @@
     def is_eligible(self, key: str, now_ms: float) -> bool:
         """Return whether the server may get requests, apart from its health.
 
-        A server is not eligible while it is leaving, has asked to be held off, or
-        is excluded for the key or for all keys.
+        A server is not eligible while it is leaving, has asked to be held off, has
+        had as many requests as its limit allows, or is excluded for the key or for all
+        keys.
         """
-        if self.view.leaving or now_ms < self.held_off_until_ms:
+        if self.view.leaving or now_ms < self.paused_until_ms:
             return False
         until_ms = self._excluded_until_ms
         if not until_ms:
--- a/src/cowslipwood/entry/direct/_choice.py
+++ b/src/cowslipwood/entry/direct/_choice.py
@@ -10,7 +10,7 @@
 from ...routes import RouteKind
 from ..choosing._backend import Backend
 from ..routing import TYPICAL_PROMPT_TOKENS, RoutingContext, usable_candidates
-from ._admission import decide_admission
+from ._admission import compute_max_wait_ms, decide_admission
 from ._progress import RequestProgress
 from ._request import RoutedRequest, compute_urgency_rank
 from ._state import DirectState
@@ -27,6 +27,9 @@
 # refused it. All pauses together are longer than a crash stays undetected; after them
 # the caller does better to come back later.
 MAX_RETRY_PAUSE_MS = 1_000.0
+# Share of the time that a request may wait for its first event for which it waits for
+# its turn at a limited server. The server needs the rest.
+LIMIT_WAIT_SHARE = 0.4
 
 
 class ServerChoice:
@@ -44,6 +47,8 @@
     ----------
     tried_server_ids : set of str
         Servers that got an attempt, apart from those to which another one may go.
+    limit_refusal : Failure or None
+        The last refusal for a server's limit; None if there was none.
     """
 
     def __init__(
@@ -58,7 +63,9 @@
         self._progress = progress
         self._rng = rng
         self._retry_pause_ms = FIRST_RETRY_PAUSE_MS
+        self._has_waited_for_limit = False
         self.tried_server_ids: set[str] = set()
+        self.limit_refusal: Failure | None = None
 
     async def choose(self) -> Backend | Failure:
         """Return the server for the next attempt, or why there is none."""
@@ -77,14 +84,13 @@
             typical_tokens.value or TYPICAL_PROMPT_TOKENS,
         )
         chosen = state.choose_backend(context, self._rng, now_ms)
-        hold_off_left_ms = (
-            state.compute_hold_off_left_ms(request.key, now_ms)
-            if chosen is None
-            else 0.0
-        )
-        if hold_off_left_ms:
-            message = f"{request.key}: all servers want a pause"
-            return failure(Code.OVERLOADED, message, math.ceil(hold_off_left_ms))
+        if chosen is None:
+            paused = state.find_first_pause(request.key, now_ms)
+            if paused is not None:
+                refusal = await self._wait_for_server(paused, context)
+                if refusal is not None:
+                    return refusal
+                chosen = state.choose_backend(context, self._rng, state.now_ms())
         while chosen is None and request.facts.model:
             holder = await state.holder_finder.find_holder(request, state.now_ms())
             if isinstance(holder, Err):
@@ -102,9 +108,36 @@
             self._retry_pause_ms *= RETRY_PAUSE_FACTOR
             chosen = state.choose_backend(context, self._rng, state.now_ms())
         if chosen is None:
+            if self.limit_refusal is not None:
+                return self.limit_refusal
             return failure(Code.NO_REPLICA, f"no server for {request.key}")
         return self._apply_admission(chosen, context)
 
+    async def _wait_for_server(
+        self, backend: Backend, context: RoutingContext
+    ) -> Failure | None:
+        """Wait for the first of the paused servers, or return why not to wait.
+
+        None also if a copy of the model elsewhere may be ready sooner.
+        """
+        state, request = self._state, self._request
+        now_ms = state.now_ms()
+        left_ms = backend.paused_until_ms - now_ms
+        if backend.held_off_until_ms >= backend.limited_until_ms:
+            message = f"{request.key}: all servers want a pause"
+            return failure(Code.OVERLOADED, message, math.ceil(left_ms))
+        turn_ms = state.limits.queue_ms(backend.view, now_ms)
+        max_wait_ms = LIMIT_WAIT_SHARE * compute_max_wait_ms(request, now_ms)
+        if not self._has_waited_for_limit and turn_ms <= max_wait_ms:
+            self._has_waited_for_limit = True
+            await anyio.sleep(max(left_ms, turn_ms) / 1000)
+            self.tried_server_ids.discard(backend.view.server_id)
+            return None
+        if request.facts.model:
+            return None
+        message = f"{request.key}: all servers have had as many requests as they take"
+        return failure(Code.SERVER_LIMITED, message, math.ceil(turn_ms))
+
     def _apply_admission(
         self, chosen: Backend, context: RoutingContext
     ) -> Backend | Failure:
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -23,6 +23,7 @@
     FleetLoad,
     Hello,
     RoutingUpdate,
+    ServerLimits,
 )
 from ...kernel.metrics import Metrics
 from ...kernel.registry import PluginKind, lookup, plugin_names
@@ -44,6 +45,8 @@
 from ._app import RouteApp
 from ._headers import HeaderNames
 from ._holders import HolderFinder
+from ._limits import ServerLimitKeeper
+from ._part_guard import PartGuard
 from ._retries import RetryBudgetLimits
 from ._servers import KnownServers
 from ._state import DirectState
@@ -201,6 +204,7 @@
             self._holder_finder,
             retry_limits,
             self._metrics,
+            ask_leader=self.link.request,
         )
         self._app = RouteApp(self._state, random.Random())
 
@@ -234,7 +238,8 @@
             tasks.start_soon(self._holder_finder.run)
             tasks.start_soon(self._list_loop)
             tasks.start_soon(self._pool_sweep_loop)
-            tasks.start_soon(self._evidence_loop)
+            tasks.start_soon(self._send_news, self._state.part_guard)
+            tasks.start_soon(self._send_news, self._state.limits)
             await stop.wait()
             await self._drain(server)
             tasks.cancel_scope.cancel()
@@ -264,6 +269,8 @@
                 self._servers.apply_load(value, monotonic_ms())
             case CrashEvidence():
                 self._state.part_guard.apply_evidence(value, monotonic_ms())
+            case ServerLimits():
+                self._state.limits.apply_update(value, monotonic_ms())
 
     def _apply_document(self, update: DocumentUpdate) -> None:
         parsed = _decompress_document(update.document).bind(parse_document)
@@ -311,22 +318,23 @@
                 backend.view.http_addr for backend in self._state.view.backends.values()
             }
             await self._state.pool.close_expired(addrs, monotonic_ms())
+            self._state.limits.forget_unlisted(set(self._state.view.backends))
 
-    async def _evidence_loop(self) -> None:
-        """Send what this entry sees of the ends of servers to the leader at once."""
-        guard = self._state.part_guard
+    async def _send_news(self, observer: PartGuard | ServerLimitKeeper) -> None:
+        """Send what this entry sees of servers to the leader at once."""
         while True:
-            await guard.has_news.wait()
-            news = guard.take_news(monotonic_ms())
+            await observer.has_news.wait()
+            news = observer.take_news(monotonic_ms())
             if news is not None:
                 await self.link.send(news)
 
     async def _report_loop(self, channel: Channel) -> None:
         self._servers.forget_leader()
-        # A new leader may know none of the evidence.
-        evidence = self._state.part_guard.build_all(monotonic_ms())
-        if evidence is not None:
-            await channel.send(evidence)
+        # A new leader may know none of this.
+        for observer in (self._state.part_guard, self._state.limits):
+            known = observer.build_all(monotonic_ms())
+            if known is not None:
+                await channel.send(known)
         while True:
             state = self._state
             state.hold_off_requested = anyio.Event()
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -1,5 +1,6 @@
 """Sends one request to servers until one answers it or no further retry is allowed."""
 
+import math
 import random
 
 from ...kernel.codes import Code, Failure, failure
@@ -8,8 +9,9 @@
 from ._attempt_record import AttemptRecorder
 from ._choice import ServerChoice
 from ._forwarding import AnswerForwarder, AnswerSink
+from ._limits import Permit
 from ._progress import RequestProgress
-from ._request import RoutedRequest
+from ._request import RoutedRequest, compute_urgency_rank
 from ._retries import SharedRetryBudget, build_final_failure, may_retry
 from ._sending import AttemptSender
 from ._state import DirectState
@@ -35,7 +37,7 @@
 )
 # Failures for lack of engines: another copy of the model would have served the
 # request. They count as missed demand.
-NO_CAPACITY_CODES = frozenset((Code.NO_REPLICA, Code.OVERLOADED))
+NO_CAPACITY_CODES = frozenset((Code.NO_REPLICA, Code.OVERLOADED, Code.SERVER_LIMITED))
 
 
 class RequestForwarder:
@@ -153,11 +155,14 @@
         left_ms = self._request.answer_by_ms - now_ms
         if left_ms <= 0:
             return failure(Code.DEADLINE_PASSED)
+        permit = await self._take_permit(backend)
+        if isinstance(permit, Failure):
+            return permit
         # A server may repeat its refusal of the last attempt, which bears the same id,
         # so another attempt there goes over another connection.
         conn = await self._state.pool.acquire(
             backend.view.http_addr,
-            now_ms,
+            self._state.now_ms(),
             left_ms,
             is_kept_allowed=backend.view.server_id
             not in self._sender.refusing_server_ids,
@@ -166,9 +171,36 @@
             backend.exclude("", self._state.now_ms() + UNREACHABLE_EXCLUSION_MS)
             return failure(Code.BACKEND_UNREACHABLE, backend.view.server_id)
         try:
+            if permit.rate_per_s is None:
+                # The server may have named a limit while the connection was opened.
+                permit = await self._take_permit(backend)
+                if isinstance(permit, Failure):
+                    return permit
             with backend.track_request():
-                return await self._sender.send(backend, conn)
+                return await self._sender.send(backend, conn, permit)
         finally:
             await self._state.pool.release(
                 backend.view.http_addr, conn, self._state.now_ms()
             )
+
+    async def _take_permit(self, backend: Backend) -> Permit | Failure:
+        """Return leave to send to a server; fails with SERVER_LIMITED."""
+        state, request = self._state, self._request
+        waited_ms = state.now_ms() - request.arrived_ms
+        rank = compute_urgency_rank(request.route, waited_ms)
+        permit = await state.limits.take_permit(backend, rank)
+        if isinstance(permit, Permit):
+            return permit
+        self._log.info(
+            "permit_refused",
+            request=request.facts.request_id,
+            server=backend.view.server_id,
+            next_ms=round(permit.next_ms),
+            retry_after_ms=round(permit.retry_after_ms),
+        )
+        message = f"{backend.view.server_id} has had as many requests as it takes"
+        refusal = failure(
+            Code.SERVER_LIMITED, message, math.ceil(permit.retry_after_ms)
+        )
+        self._choice.limit_refusal = refusal
+        return refusal
--- a/src/cowslipwood/entry/direct/_retries.py
+++ b/src/cowslipwood/entry/direct/_retries.py
@@ -74,15 +74,24 @@
     ----------
     window_ms : float
         Time for which a higher count is kept.
+
+    Attributes
+    ----------
+    n_entries : int
+        The count; 1 while no leader has sent any.
+    is_known : bool
+        Whether a leader has sent a count.
     """
 
     def __init__(self, window_ms: float):
         self._window_ms = window_ms
         self._highest_at_ms = -math.inf
         self.n_entries = 1
+        self.is_known = False
 
     def update(self, n_entries: int, now_ms: float) -> None:
         """Apply the number of live entries that the leader has counted."""
+        self.is_known = True
         is_expired = now_ms - self._highest_at_ms > self._window_ms
         if n_entries >= self.n_entries or is_expired:
             self.n_entries = max(1, n_entries)
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -14,6 +14,7 @@
 from ._attempt_record import AttemptRecorder
 from ._forwarding import AnswerForwarder
 from ._headers import build_request_headers, read_answer_facts
+from ._limits import Permit
 from ._progress import AnswerStage, RequestProgress
 from ._request import (
     RoutedRequest,
@@ -74,7 +75,9 @@
         self._log = get_logger()
         self.refusing_server_ids: set[str] = set()
 
-    async def send(self, backend: Backend, conn: ServerConnection) -> Failure | None:
+    async def send(
+        self, backend: Backend, conn: ServerConnection, permit: Permit
+    ) -> Failure | None:
         """Send the request over a connection; return the failure, or None."""
         state, request = self._state, self._request
         names = state.header_names
@@ -107,7 +110,9 @@
                 1,
             ),
             left_ms=left_ms,
-            limit_per_s=backend.rate_limit,
+            limit_per_s=permit.rate_per_s,
+            permit_age_ms=round(permit.age_ms),
+            permit_alone=permit.is_alone,
             attempt=self._progress.attempt_counts.n_sent + 1,
         )
         self._progress.attempt_counts = self._progress.attempt_counts._replace(
@@ -174,6 +179,9 @@
         conn.peer_repeats_ids = bool(facts.request_id)
         self._recorder.record_load(backend, facts, now_ms)
         state.apply_notice(backend, facts.notice, now_ms)
+        state.limits.record_answer(
+            backend.view, facts.notice.rate_limit, sent_ms, now_ms
+        )
         if facts.not_run or head.status == MISDIRECTED_STATUS:
             return await self._handle_not_run(backend, conn, head)
         if head.status in NOT_RUN_STATUSES:
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -4,11 +4,14 @@
 from collections.abc import Callable
 
 import anyio
+from returns.result import Failure as Err
+from returns.result import Result
 
 from ...kernel.clock import monotonic_ms
+from ...kernel.codes import Code, Failure, failure
 from ...kernel.http_pool import ConnectionPool
 from ...kernel.logs import get_logger
-from ...kernel.messages import DemandSample, HeldOff
+from ...kernel.messages import DemandSample, HeldOff, SendPermitRequest, SendPermits
 from ...kernel.metrics import Metrics
 from ...listing import ServerNotice
 from ...routes import RouteDocument, RouteTable
@@ -19,6 +22,7 @@
 from ..routing import RoutingContext, RoutingPolicy
 from ._headers import HeaderNames
 from ._holders import HolderFinder
+from ._limits import PermitSource, ServerLimitKeeper
 from ._part_guard import PartGuard
 from ._retries import LiveEntryCount, RetryBudgetLimits, SharedRetryBudget
 from ._servers import KnownServers
@@ -48,6 +52,8 @@
     metrics : Metrics
     now_ms : callable
         Returns the current time.
+    ask_leader : callable
+        Asks the leader for permits to send; see `PermitSource`.
 
     Attributes
     ----------
@@ -59,6 +65,8 @@
         answer, by key.
     part_guard : PartGuard
         Refuses prompts with parts under which servers have ended.
+    limits : ServerLimitKeeper
+        The limits that servers have named, and the permits to send to them.
     document_applied : anyio.Event
         Set once a route document is in force.
     hold_off_requested : anyio.Event
@@ -76,6 +84,7 @@
         retry_limits: RetryBudgetLimits,
         metrics: Metrics,
         now_ms: Callable[[], float] = monotonic_ms,
+        ask_leader: PermitSource | None = None,
     ):
         self.zone = zone
         self.header_names = header_names
@@ -93,6 +102,13 @@
         self.route_table = RouteTable()
         self.hold_off_requested = anyio.Event()
         self.live_entries = LiveEntryCount(retry_limits.window_ms)
+        self.limits = ServerLimitKeeper(
+            ask_leader or _find_no_leader,
+            self.live_entries,
+            metrics,
+            random.Random(),
+            now_ms,
+        )
         self._policy = policy
         self._retry_limits = retry_limits
         self._retry_budgets: dict[str, SharedRetryBudget] = {}
@@ -171,14 +187,6 @@
                 "server_held_off", server=server_id, for_ms=notice.hold_off_ms
             )
             self.hold_off_requested.set()
-        if notice.rate_limit != backend.rate_limit:
-            get_logger().info(
-                "server_limit_changed",
-                server=server_id,
-                per_s=notice.rate_limit,
-                before_per_s=backend.rate_limit,
-            )
-            backend.rate_limit = notice.rate_limit
 
     def list_held_off(self, now_ms: float) -> tuple[HeldOff, ...]:
         """Return the servers that asked to be held off, with the time left."""
@@ -188,20 +196,17 @@
             if backend.held_off_until_ms > now_ms
         )
 
-    def compute_hold_off_left_ms(self, key: str, now_ms: float) -> float:
-        """Return the time until the first server of a key may get requests again.
+    def find_first_pause(self, key: str, now_ms: float) -> Backend | None:
+        """Return the server of a key that may get requests again first.
 
-        The time is 0 when a server of the key that is not leaving has not asked to
-        be held off, and when no such server exists.
+        None when a server of the key that is not leaving has neither asked to be held
+        off nor used up its limit, and when no such server exists.
         """
         staying = [
             backend for backend in self.view.candidates(key) if not backend.view.leaving
         ]
-        return max(
-            0.0,
-            min((backend.held_off_until_ms for backend in staying), default=now_ms)
-            - now_ms,
-        )
+        first = min(staying, key=lambda backend: backend.paused_until_ms, default=None)
+        return first if first and first.paused_until_ms > now_ms else None
 
     def apply_load_report(
         self, backend: Backend, report: LoadReport | None, now_ms: float
@@ -210,3 +215,10 @@
         backend.record_answer(report, now_ms)
         if report is not None:
             self.view.typical_others_load_share.add(backend.others_load_share)
+
+
+async def _find_no_leader(
+    request: SendPermitRequest, timeout_ms: float
+) -> Result[SendPermits, Failure]:
+    """Answer as a link without a leader does."""
+    return Err(failure(Code.NO_QUORUM))
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -35,6 +35,8 @@
     PermitRequest,
     ReadDocument,
     Refused,
+    SendPermitRequest,
+    ServerLimits,
     Welcome,
 )
 from ..kernel.metrics import Metrics
@@ -61,6 +63,7 @@
 from ._operators import OperatorService
 from ._planner import Planner, PlannerSettings
 from ._platform import poll_platform
+from ._server_limits import ServerLimitTable
 from ._settings import KeeperSettings
 from ._subscribers import DocumentFrame, PublishedState, Subscriber
 from .engines import EngineClient, EngineController, OrderParameters
@@ -154,11 +157,13 @@
         self._leaving_servers = LeavingServers(self._directory)
         self._closed_server_ids: set[str] = set()
         self._evidence = EvidenceRelay()
+        self._limits = ServerLimitTable()
         self._operators = OperatorService(
             self._machine,
             self._replica,
             self._directory,
             self._evidence,
+            self._limits,
             operator_token,
         )
         planner_settings = {
@@ -213,6 +218,7 @@
             lambda: self._replica.preceding_term,
             self._machine.get_route_document,
             self._metrics,
+            self._limits,
         )
 
     async def run(self, stop: anyio.Event) -> None:
@@ -311,6 +317,11 @@
             case CrashEvidence():
                 if self._evidence.add(value, now_ms):
                     self._state_changed.notify()
+            case ServerLimits():
+                if self._limits.add(value, self._replica.term, now_ms):
+                    self._state_changed.notify()
+            case SendPermitRequest():
+                return self._limits.grant(value, self._replica.term, now_ms)
             case HolderRequest() if self._engines is not None:
                 return self._count_refusal(await self._engines.find_holder(value))
             case PermitRequest() | PermitRelease():
@@ -387,6 +398,8 @@
             }
             if self._engines is not None:
                 views.update(self._engines.build_server_views())
+            if views:
+                self._limits.forget_unlisted(set(views))
             has_changed |= feed.update_servers(views)
         if self._engines is not None and feed.is_fleet_load_due(now_ms):
             feed.update_fleet_load(self._engines.build_fleet_load(now_ms), now_ms)
@@ -424,6 +437,7 @@
             keeper_addrs,
             self._feed,
             self._evidence,
+            self._limits,
         )
 
     async def _run_membership(self) -> None:
--- a/src/cowslipwood/keeper/_operators.py
+++ b/src/cowslipwood/keeper/_operators.py
@@ -18,6 +18,7 @@
 from ._evidence import EvidenceRelay
 from ._machine import KeeperStateMachine
 from ._member_operations import MEMBER_OPS, answer_member_request
+from ._server_limits import ServerLimitTable
 
 __all__ = ["OperatorService"]
 
@@ -34,6 +35,7 @@
     replica : LogReplica
     directory : ProcessDirectory
     evidence : EvidenceRelay
+    limits : ServerLimitTable
     operator_token : str
         Token that requests with an operation of `EDIT_OPS` must hold.
     """
@@ -44,12 +46,14 @@
         replica: LogReplica,
         directory: ProcessDirectory,
         evidence: EvidenceRelay,
+        limits: ServerLimitTable,
         operator_token: str,
     ):
         self._machine = machine
         self._replica = replica
         self._directory = directory
         self._evidence = evidence
+        self._limits = limits
         self._operator_token = operator_token
 
     async def answer_request(self, request: OperatorRequest, operator: str) -> Any:
@@ -77,6 +81,8 @@
                 return self._make_reply(self._collect_status())
             case "blocked-parts":
                 return self._make_reply(self._list_blocked_parts())
+            case "limited-servers":
+                return self._make_reply(self._list_limited_servers())
             case "allow-part":
                 return self._allow_part(request.name, operator)
             case op if op in MEMBER_OPS:
@@ -154,6 +160,20 @@
             for block in self._evidence.find_blocks(now_ms)
         ]
 
+    def _list_limited_servers(self) -> list[dict[str, Any]]:
+        now_ms = monotonic_ms()
+        return [
+            {
+                "server": fact.server_id,
+                "requests_per_s": fact.rate_per_s,
+                "age_s": round((now_ms - fact.at_ms) / 1000),
+                "short": self._limits.was_short(
+                    fact.server_id, fact.incarnation, now_ms
+                ),
+            }
+            for fact in self._limits.list_limits()
+        ]
+
     def _allow_part(self, part: str, operator: str) -> Any:
         """Tell all entries to treat a part as one of completed answers."""
         get_logger().warning("prompt_part_lifted", part=part, operator=operator)
--- a/src/cowslipwood/keeper/_subscribers.py
+++ b/src/cowslipwood/keeper/_subscribers.py
@@ -24,6 +24,7 @@
 from ..kernel.wire import encode_frame
 from ._evidence import EvidenceRelay
 from ._feed import RoutingFeed, SentRevisions
+from ._server_limits import ServerLimitTable
 
 __all__ = ["DocumentFrame", "PublishedState", "Subscriber"]
 
@@ -66,6 +67,8 @@
         The backend servers and their load.
     evidence : EvidenceRelay
         What the entries have seen of the ends of servers.
+    limits : ServerLimitTable
+        The limits that servers have named.
     """
 
     catalogue: Catalogue
@@ -74,6 +77,7 @@
     keeper_addrs: tuple[str, ...]
     feed: RoutingFeed
     evidence: EvidenceRelay
+    limits: ServerLimitTable
 
 
 class Subscriber:
@@ -102,6 +106,7 @@
         self._sent_keeper_addrs: tuple[str, ...] = ()
         self._n_sent_fleet_loads = 0
         self._sent_evidence_revision = 0
+        self._sent_limits_revision = 0
         self._last_sent_at_ms = float("-inf")
 
     async def close(self, reason: Failure) -> None:
@@ -120,6 +125,7 @@
             await self._send_catalogue(state.catalogue, now_ms)
         if self.role == "entry":
             await self._send_evidence(state.evidence, now_ms)
+            await self._send_limits(state.limits, now_ms)
             await self._send_document(state, now_ms)
             await self.send_servers(state.feed, now_ms)
         if not self.get_heartbeat_wait_ms(now_ms):
@@ -155,6 +161,13 @@
             self._sent_evidence_revision = evidence.revision
             await self._send(update, now_ms)
 
+    async def _send_limits(self, limits: ServerLimitTable, now_ms: float) -> None:
+        """Send the limits of servers that have changed since the last call."""
+        if limits.revision > self._sent_limits_revision:
+            update = limits.build_update(self._sent_limits_revision, now_ms)
+            self._sent_limits_revision = limits.revision
+            await self._send(update, now_ms)
+
     async def _send_keeper_addrs(self, addrs: tuple[str, ...], now_ms: float) -> None:
         """Send the addresses of the keepers when they have changed."""
         if addrs != self._sent_keeper_addrs:
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -21,6 +21,7 @@
 from ...kernel.metrics import Metrics
 from ...listing import ServerListSource
 from ...routes import ModelSpec, RouteDocument, ServiceSpec
+from .._server_limits import ServerLimitTable
 from ._adapters import choose_adapter_step
 from ._demand import DemandTracker
 from ._engine_record import EngineRecord
@@ -98,6 +99,8 @@
     document : callable
         Returns the document in force, or None.
     metrics : Metrics
+    limits : ServerLimitTable
+        The limits that servers have named.
     """
 
     def __init__(
@@ -110,13 +113,14 @@
         preceding_term: Callable[[], int],
         document: Callable[[], RouteDocument | None],
         metrics: Metrics,
+        limits: ServerLimitTable | None = None,
     ):
         self._can_act_as_leader = can_act_as_leader
         self._term = term
         self._preceding_term = preceding_term
         self._turns = OrderTurns(parameters.order_turn_ms)
         self._document = document
-        self._fleet = Fleet(source, client, self._turns)
+        self._fleet = Fleet(source, client, self._turns, limits or ServerLimitTable())
         self._demand = DemandTracker()
         # Time of the last search for an adapter, by model and adapter.
         self._adapter_searched_ms: dict[tuple[str, str], float] = {}
@@ -341,6 +345,7 @@
             self._sender.start_term(self._known_term, now_ms)
             self._planning.start_term(self._known_term, now_ms)
         await self._fleet.read_list(self._document(), now_ms)
+        self._fleet.apply_limits(now_ms)
         prior_waiting = {}
         if not self._demand.has_reported_requests:
             self._first_request_after_ms = now_ms
--- a/src/cowslipwood/keeper/engines/_engine_record.py
+++ b/src/cowslipwood/keeper/engines/_engine_record.py
@@ -7,6 +7,7 @@
 
 from ...listing import ListedServer, make_holding_key
 from ...routes import EngineSpec, ModelSpec
+from ...server_limits import count_rate
 from ._orders import EngineReport, OrderOp
 
 __all__ = ["N_FAILED_READS_LOST", "TYPICAL_UNLOAD_MS", "EngineRecord"]
@@ -20,6 +21,11 @@
 # Time for which the next load of an engine is reserved for a model: longer than the
 # usual interval between two rounds of planning, each of which reserves it again.
 NEXT_LOAD_RESERVATION_MS = 150.0
+# Part of a limited server's rate that the calls of the leader may take.
+OWN_CALL_SHARE = 0.5
+# Longest time between two calls of the leader to a limited server, which must notice
+# that the server is lost or idle.
+MAX_CALL_INTERVAL_MS = 5_000.0
 # Ratio of the load priority of one model to that of the model for which an engine was
 # reserved first, from which the engine is taken over. Models with similar priorities
 # would take the engine from each other.
@@ -96,6 +102,10 @@
         pause.
     next_order_ms : float
         Earliest time of the next order, where another keeper has led in between.
+    next_call_ms : float
+        Earliest time of the next order or report request, by the engine's limit.
+    is_short : bool
+        Whether the engine has named a limit and entries ask for more than that.
     lock : anyio.Lock
         Held while an order or a report is on its way.
     """
@@ -108,6 +118,9 @@
     ):
         self.server = server
         self.next_order_ms = next_order_ms
+        self.next_call_ms = -math.inf
+        self.is_short = False
+        self._call_interval_ms = 0.0
         self.set_spec(spec)
         self.sequence: int | None = None
         self._min_sequence = 0  # delayed reports may show an older state
@@ -157,8 +170,11 @@
 
     @property
     def is_available(self) -> bool:
-        """Whether requests may rely on the engine: it is neither leaving nor lost."""
-        return not self.is_leaving and not self.is_lost
+        """Whether requests may rely on the engine.
+
+        It is neither leaving nor lost, and its limit, if any, suffices.
+        """
+        return not self.is_leaving and not self.is_lost and not self.is_short
 
     @property
     def is_usable(self) -> bool:
@@ -170,7 +186,35 @@
 
     def may_be_ordered(self, now_ms: float) -> bool:
         """Return whether the engine wants orders now and this keeper may give any."""
-        return now_ms >= max(self.held_off_until_ms, self.next_order_ms)
+        return now_ms >= max(
+            self.held_off_until_ms, self.next_order_ms, self.next_call_ms
+        )
+
+    def set_limit(self, rate_per_s: float | None, is_short: bool) -> None:
+        """Apply the limit of requests per second that the engine has named."""
+        self.is_short = is_short
+        self._call_interval_ms = 0.0
+        if rate_per_s is not None:
+            self._call_interval_ms = min(
+                MAX_CALL_INTERVAL_MS, 1000 / (OWN_CALL_SHARE * count_rate(rate_per_s))
+            )
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the engine has named a limit."""
+        return self._call_interval_ms > 0
+
+    def record_call(self, now_ms: float) -> None:
+        """Record an order or a report request, which a limit counts too."""
+        if self.is_limited:
+            self.next_call_ms = now_ms + self._call_interval_ms
+
+    def get_report_interval_ms(self, interval_ms: float) -> float:
+        """Return the interval between two reads of the report.
+
+        A limited engine is read less often, so that orders come to it in between.
+        """
+        return max(interval_ms, 2 * self._call_interval_ms)
 
     def estimate_busy_ms(self, now_ms: float) -> float:
         """Return the estimated remaining time of the engine's present order."""
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -9,6 +9,7 @@
 from ...kernel.messages import N_QUEUED_WHEN_DOWN, FleetLoad, ServerView
 from ...listing import ListedServer, ServerListSource, list_holding_keys, to_server_view
 from ...routes import RouteDocument
+from .._server_limits import ServerLimitTable
 from ._engine_record import N_FAILED_READS_LOST, EngineRecord
 from ._orders import EngineClient
 from ._turns import OrderTurns
@@ -39,11 +40,17 @@
     source : ServerListSource
     client : EngineClient
     turns : OrderTurns
+    limits : ServerLimitTable
     """
 
     def __init__(
-        self, source: ServerListSource, client: EngineClient, turns: OrderTurns
+        self,
+        source: ServerListSource,
+        client: EngineClient,
+        turns: OrderTurns,
+        limits: ServerLimitTable,
     ):
+        self._limits = limits
         self._source = source
         self._turns = turns
         self._client = client
@@ -132,6 +139,20 @@
         self._list_read_ms = now_ms
         self._apply_list(listed.unwrap(), document)
 
+    def apply_limits(self, now_ms: float) -> None:
+        """Apply the limits that entries have reported."""
+        for record in self.records.values():
+            server_id, incarnation = _get_limit_key(record)
+            rate_per_s = self._limits.find_rate(server_id, incarnation)
+            if rate_per_s is not None or record.is_limited:
+                is_short = self._limits.was_short(server_id, incarnation, now_ms)
+                record.set_limit(rate_per_s, is_short)
+
+    def record_call(self, record: EngineRecord, now_ms: float) -> None:
+        """Record an order or a report request, which an engine's limit counts."""
+        record.record_call(now_ms)
+        self._limits.take_own(*_get_limit_key(record), now_ms)
+
     def list_engines_to_read(self, now_ms: float) -> list[EngineRecord]:
         """Return the engines whose report should be read now."""
         return [
@@ -141,6 +162,7 @@
     async def read_report(self, record: EngineRecord) -> None:
         """Read an engine's report; count a failure unless the engine asked to pause."""
         async with record.lock:
+            self.record_call(record, monotonic_ms())
             answer = await self._client.report(record.server)
             record.report_read_ms = monotonic_ms()
             if isinstance(answer, Err):
@@ -182,7 +204,8 @@
 
 def _needs_report(record: EngineRecord, now_ms: float) -> bool:
     age_ms = now_ms - record.report_read_ms
-    if record.lock.locked() or now_ms < record.held_off_until_ms:
+    paused_until_ms = max(record.held_off_until_ms, record.next_call_ms)
+    if record.lock.locked() or now_ms < paused_until_ms:
         return False
     if record.is_lost:
         return age_ms > REPORT_INTERVAL_MS
@@ -190,7 +213,12 @@
         return age_ms > RESYNC_INTERVAL_MS
     if record.is_busy:
         return now_ms > record.busy_until_ms and age_ms > BUSY_REPORT_INTERVAL_MS
-    return age_ms > REPORT_INTERVAL_MS
+    return age_ms > record.get_report_interval_ms(REPORT_INTERVAL_MS)
+
+
+def _get_limit_key(record: EngineRecord) -> tuple[str, str]:
+    """Return the id and the incarnation of an engine, as entries name them."""
+    return record.server.server_id, str(record.server.born_ms)
 
 
 def _record_failed_read(record: EngineRecord, reason: str) -> None:
--- a/src/cowslipwood/keeper/engines/_order_sender.py
+++ b/src/cowslipwood/keeper/engines/_order_sender.py
@@ -228,7 +228,7 @@
             return False
         server_id = record.server.server_id
         next_order_ms = self._turns.get_next_order_ms(server_id)
-        if now_ms < max(record.held_off_until_ms, next_order_ms):
+        if now_ms < max(record.held_off_until_ms, record.next_call_ms, next_order_ms):
             return False
         order = EngineOrder(
             op,
@@ -239,6 +239,7 @@
             self._term(),
         )
         self._turns.record_order(server_id, order.fencing_token, now_ms)
+        self._fleet.record_call(record, now_ms)
         try:
             answer = await self._client.order(record.server, order)
         except anyio.get_cancelled_exc_class():
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -62,6 +62,7 @@
     TOO_MANY_CONNECTIONS = 1208
     NO_CATALOGUE = 1209
     PROMPT_BLOCKED = 1210
+    SERVER_LIMITED = 1211
 
     OUTCOME_UNKNOWN = 1301
     ANSWER_CUT = 1302
@@ -217,6 +218,9 @@
     Code.PROMPT_BLOCKED: CodeInfo(
         503, _NOT_RUN, 11, "Servers have ended under a part of the prompt."
     ),
+    Code.SERVER_LIMITED: CodeInfo(
+        503, _NOT_RUN, 11, "The servers' limits allow no further request now."
+    ),
     Code.OUTCOME_UNKNOWN: CodeInfo(
         504, _UNKNOWN, 12, "The request may have run; it is not run again."
     ),
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -44,7 +44,11 @@
     "Refused",
     "Resident",
     "RoutingUpdate",
+    "SendPermitRequest",
+    "SendPermits",
     "ServerEnd",
+    "ServerLimit",
+    "ServerLimits",
     "ServerView",
     "Welcome",
 ]
@@ -363,6 +367,49 @@
     cleared_parts: tuple[str, ...]
 
 
+@message("control")
+class ServerLimit(NamedTuple):
+    """What a server last said about its limit of requests per second.
+
+    `rate_per_s` is the sum over all hosts; it is infinite if the limit has ended.
+    """
+
+    server_id: str
+    incarnation: str
+    rate_per_s: float
+    age_ms: float
+
+
+@message("control")
+class ServerLimits(NamedTuple):
+    """Limits that have changed: an entry to the leader, the leader to all entries."""
+
+    limits: tuple[ServerLimit, ...]
+
+
+@message("control")
+class SendPermitRequest(NamedTuple):
+    """An entry asks for permits to send requests to a limited server."""
+
+    limit: ServerLimit
+    n_wanted: int
+    urgency_rank: int
+
+
+@message("control")
+class SendPermits(NamedTuple):
+    """The permits that the leader grants.
+
+    Each is for one request, sent within `PERMIT_LIFE_MS` of the entry's question. With
+    none granted, `next_ms` is the time until the next one, and `retry_after_ms` the
+    time until those who asked before have theirs.
+    """
+
+    n_granted: int
+    next_ms: float
+    retry_after_ms: float
+
+
 @message("control")
 class FleetLoad(NamedTuple):
     """The load that engines reported, and the age of the list that contains them.
--- a/src/cowslipwood/programs/_ctl_tables.py
+++ b/src/cowslipwood/programs/_ctl_tables.py
@@ -35,6 +35,8 @@
             return _render_status(value)
         case "blocked-parts":
             return _render_blocked_parts(value)
+        case "limited-servers":
+            return _render_limited_servers(value)
         case "apply":
             return f"document version {value['version']} is in force"
         case "document":
@@ -94,6 +96,15 @@
     return _make_table(headings, rows)
 
 
+def _render_limited_servers(value: list[dict[str, Any]]) -> str:
+    headings = ("server", "requests per s", "age s", "short of permits")
+    rows = (
+        (item["server"], item["requests_per_s"], item["age_s"], item["short"])
+        for item in value
+    )
+    return _make_table(headings, rows)
+
+
 def _render_members(value: Any) -> str:
     items = value["members"] if isinstance(value, dict) else value
     if not items:
--- a/src/cowslipwood/programs/ctl.py
+++ b/src/cowslipwood/programs/ctl.py
@@ -166,6 +166,11 @@
     return OperatorCommand("blocked-parts")
 
 
+def limited_servers() -> OperatorCommand:
+    """List the servers that have named a limit of requests per second."""
+    return OperatorCommand("limited-servers")
+
+
 def allow_part(part: str) -> OperatorCommand:
     """Let entries send prompts with a part to servers again.
 
@@ -193,6 +198,7 @@
     "drain": drain,
     "blocked-parts": blocked_parts,
     "allow-part": allow_part,
+    "limited-servers": limited_servers,
 }
 
 
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -222,6 +222,29 @@
   clearedParts @1 :List(Text);
 }
 
+struct ServerLimit {
+  serverId @0 :Text;
+  incarnation @1 :Text;
+  ratePerS @2 :Float64;  # requests from all hosts together; infinite: no limit any more
+  ageMs @3 :Float64;     # time since an answer last said so, at the sending
+}
+
+struct ServerLimits {
+  limits @0 :List(ServerLimit);
+}
+
+struct SendPermitRequest {
+  limit @0 :ServerLimit;  # as the entry knows it
+  nWanted @1 :UInt16;
+  urgencyRank @2 :UInt8;  # 0 is the most urgent
+}
+
+struct SendPermits {
+  nGranted @0 :UInt16;
+  nextMs @1 :Float64;        # time until the next permit; 0 if some were granted
+  retryAfterMs @2 :Float64;  # time until those who asked before have theirs
+}
+
 struct FleetLoad {
   listAgeMs @0 :Float64;   # age of the platform's list
   serverIds @1 :List(Text);
--- a/tests/test_keeper_subscribers.py
+++ b/tests/test_keeper_subscribers.py
@@ -9,6 +9,7 @@
 from cowslipwood.entry.direct._servers import KnownServers
 from cowslipwood.keeper._evidence import EvidenceRelay
 from cowslipwood.keeper._feed import MAX_KEPT_REMOVALS, RoutingFeed, SentRevisions
+from cowslipwood.keeper._server_limits import ServerLimitTable
 from cowslipwood.keeper._subscribers import (
     HEARTBEAT_MS,
     LOAD_INTERVAL_MS,
@@ -153,6 +154,7 @@
             (),
             RoutingFeed(),
             EvidenceRelay(),
+            ServerLimitTable(),
         )
 
         async def run():
