Test answers whose server stops inside their head

Another operator's callers got 200 with an empty or short body. It cannot happen here: a head cut anywhere, with a length, in chunks or with neither, with an interim answer before it, closed or reset, on three kinds of route, is no success; nor does the second server of a stream that has begun end it as complete; nor does an agent take it for an answer. No code is changed.

--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -187,24 +187,67 @@
 
     def _answer_resume(self, begun: bytes, answer_to_resume: bytes) -> CallerAnswer:
         """Break off a stream after these bytes, and answer its resume with others."""
-        broken = send_and_end(begun, End.CLOSED)
-        resumed = send_and_end(answer_to_resume, End.CLOSED)
+        return answer_resume(
+            send_and_end(begun, End.CLOSED), send_and_end(answer_to_resume, End.CLOSED)
+        )
 
-        async def serve(stream: Any, request_head: bytes) -> None:
-            is_resume = b"last-event-id" in request_head.lower()
-            await (resumed if is_resume else broken)(stream, request_head)
 
-        return call([serve, serve], **RESUMABLE)
+class CutHeadTest(unittest.TestCase):
+    """Answers whose server stops inside their head and ends the connection."""
+
+    INTERIM = b"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"
+
+    # Callers got 200 with an empty or short body when a server stopped in its head.
+    def test_answer_cut_inside_its_head_is_no_success(self):
+        """Cut anywhere, with or without a length or an interim answer before."""
+        routes = (STREAM, RESUMABLE, {"kind": "safe", "max_attempts": 1})
+        for framing in Framing:
+            for interim in (b"", self.INTERIM):
+                head, _ = frame_answer(framing, build_events(1, 2))
+                for n_bytes in range(0, len(head), 2):
+                    route = routes[n_bytes // 2 % len(routes)]
+                    end = End.RESET if n_bytes % 4 else End.CLOSED
+                    sent = interim + head[:n_bytes]
+                    with self.subTest(sent=sent, route=route):
+                        answer = call([send_and_end(sent, end)], **route)
+                        self.assertFalse(answer.is_complete and answer.status == 200)
+
+    # A stream must not end as complete because the server that continues it stops.
+    def test_resume_cut_inside_its_head_breaks_the_stream(self):
+        """A stream that has begun stays incomplete, and holds its events only."""
+        head, framed = frame_answer(
+            Framing.CHUNKS, build_events(1, 3), headers=STREAM_HEADERS
+        )
+        second, _ = frame_answer(
+            Framing.CONNECTION, build_events(3, 5), headers=STREAM_HEADERS
+        )
+        for n_bytes in range(0, len(second), 3):
+            with self.subTest(n_bytes=n_bytes):
+                broken = send_and_end(head + framed[:-8], End.CLOSED)
+                resumed = send_and_end(self.INTERIM + second[:n_bytes], End.CLOSED)
+                answer = answer_resume(broken, resumed)
+                self.assertFalse(answer.is_complete)
+                self.assertTrue(build_events(1, 3).startswith(answer.body))
+
+
+def answer_resume(broken: Any, resumed: Any) -> CallerAnswer:
+    """Return the answer of servers with one script for resumes and one for others."""
+
+    async def serve(stream: Any, request_head: bytes) -> None:
+        is_resume = b"last-event-id" in request_head.lower()
+        await (resumed if is_resume else broken)(stream, request_head)
+
+    return call([serve, serve], **RESUMABLE)
 
 
 class ForwardedByAgentTest(unittest.TestCase):
     """Streams of a plain service that an agent forwards."""
 
-    async def _forward(self, body: bytes) -> ForwardOutcome:
+    async def _forward(self, script: Any) -> ForwardOutcome:
         async def send(event: dict[str, Any]) -> None:
             pass
 
-        async with run_scripted_server(send_stream(body)) as (addr, _):
+        async with run_scripted_server(script) as (addr, _):
             forwarder = Forwarder(f"http://{addr}", {})
             call_to_server = BackendCall("GET", "/", [("host", "shop.example")], b"")
             result = await forwarder.forward(call_to_server, send, dict, None)
@@ -222,4 +265,16 @@
             (whole + build_answer(b"", "503 Busy"), ForwardOutcome.CUT),
         ):
             with self.subTest(body=body):
-                self.assertEqual(anyio.run(self._forward, body), outcome)
+                script = send_stream(body)
+                self.assertEqual(anyio.run(self._forward, script), outcome)
+
+    # Callers got 200 with an empty body when a server stopped in its answer's head.
+    def test_agent_never_takes_a_cut_head_for_an_answer(self):
+        """An answer cut at every other byte of its head is not whole at the agent."""
+        for framing in Framing:
+            head, _ = frame_answer(framing, build_events(1, 2))
+            for n_bytes in range(0, len(head), 2):
+                with self.subTest(sent=head[:n_bytes]):
+                    script = send_and_end(head[:n_bytes], End.CLOSED)
+                    outcome = anyio.run(self._forward, script)
+                    self.assertIsNot(outcome, ForwardOutcome.WHOLE)
