Log which request a server broke off, the same for all its attempts

The log names prompt parts only, so a request that ends server after server, with the parts of sound prompts or without a prompt, cannot be told from a part that does. The line answer_broken_off names a keyed digest of method, host, path, caller and body, and how far the answer had come. Nothing acts on it yet.

--- a/src/cowslipwood/entry/direct/_attempt_record.py
+++ b/src/cowslipwood/entry/direct/_attempt_record.py
@@ -5,6 +5,7 @@
 from ...kernel.logs import get_logger
 from ..choosing._backend import Backend, LoadReport
 from ._headers import AnswerFacts
+from ._identity import RequestIdentity
 from ._progress import AnswerStage, RequestProgress
 from ._request import RoutedRequest
 from ._state import DirectState
@@ -20,11 +21,17 @@
     state : DirectState
     request : RoutedRequest
     progress : RequestProgress
+    identity : RequestIdentity
     """
 
     def __init__(
-        self, state: DirectState, request: RoutedRequest, progress: RequestProgress
+        self,
+        state: DirectState,
+        request: RoutedRequest,
+        progress: RequestProgress,
+        identity: RequestIdentity,
     ):
+        self._identity = identity
         self._state = state
         self._request = request
         self._progress = progress
@@ -41,6 +48,13 @@
         """Record that the server broke off the answer to this request."""
         if self._progress.answer_stage is AnswerStage.EVENTS:
             return
+        get_logger().info(
+            "answer_broken_off",
+            request=self._request.facts.request_id,
+            identity=await self._identity.compute(),
+            server=backend.view.server_id,
+            stage=self._progress.answer_stage.value,
+        )
         has_begun = self._progress.answer_stage is AnswerStage.BEGUN
         is_suspect = await self._state.part_guard.record_break(
             backend.view,
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -1,5 +1,6 @@
 """Runs an entry daemon that sends requests directly to backend servers."""
 
+import hashlib
 import random
 import uuid
 import zlib
@@ -205,6 +206,7 @@
             retry_limits,
             self._metrics,
             ask_leader=self.link.request,
+            identity_key=_make_identity_key(settings.cluster_token),
         )
         self._app = RouteApp(self._state, random.Random())
 
@@ -370,6 +372,12 @@
     return min(drain_ms, MAX_SERVING_SHARE * grace_ms)
 
 
+def _make_identity_key(cluster_token: str) -> bytes:
+    """Return a key that all entries have and no caller knows."""
+    token = read_token(cluster_token)
+    return hashlib.blake2b(token.encode(), person=b"identity").digest()
+
+
 def _decompress_document(document: bytes) -> Result[bytes, Failure]:
     try:
         return Success(zlib.decompress(document))
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -9,6 +9,7 @@
 from ._attempt_record import AttemptRecorder
 from ._choice import ServerChoice
 from ._forwarding import AnswerForwarder, AnswerSink
+from ._identity import RequestIdentity
 from ._limits import Permit
 from ._progress import RequestProgress
 from ._request import RoutedRequest, compute_urgency_rank
@@ -65,7 +66,10 @@
         self._rng = rng
         self._log = get_logger()
         self._progress = RequestProgress()
-        recorder = AttemptRecorder(state, request, self._progress)
+        self._identity = RequestIdentity(
+            request, state.header_names, state.identity_key
+        )
+        recorder = AttemptRecorder(state, request, self._progress, self._identity)
         self._forwarder = AnswerForwarder(
             state, request, self._progress, recorder, sink
         )
--- a/src/cowslipwood/entry/direct/_headers.py
+++ b/src/cowslipwood/entry/direct/_headers.py
@@ -67,6 +67,8 @@
         comma.
     prefix : bytes
         Parts of the prompt in order, as ID:TOKENS separated by commas.
+    caller : bytes
+        Credentials of the caller, by which its requests are told from others'.
     last_event_id : bytes
         Id of the event after which a stream is resumed.
     reserved : frozenset of bytes
@@ -84,6 +86,7 @@
     model: bytes = b"x-cowslip-model"
     tokens: bytes = b"x-cowslip-tokens"
     prefix: bytes = b"x-cowslip-prefix"
+    caller: bytes = b"authorization"
     last_event_id: bytes = b"last-event-id"
     reserved: frozenset[bytes] = frozenset()
 
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -54,6 +54,8 @@
         Returns the current time.
     ask_leader : callable
         Asks the leader for permits to send; see `PermitSource`.
+    identity_key : bytes
+        Key of the digests by which entries recognise requests; the same at all.
 
     Attributes
     ----------
@@ -85,7 +87,9 @@
         metrics: Metrics,
         now_ms: Callable[[], float] = monotonic_ms,
         ask_leader: PermitSource | None = None,
+        identity_key: bytes = b"",
     ):
+        self.identity_key = identity_key
         self.zone = zone
         self.header_names = header_names
         self.holder_finder = holder_finder
