--- a/tests/crash_builders.py
+++ b/tests/crash_builders.py
@@ -1,7 +1,8 @@
-"""Servers that end when they begin to answer a prompt with a certain part."""
+"""Servers that end under certain prompt parts or requests."""
 
 import random
 from contextlib import AsyncExitStack
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -26,6 +27,8 @@
 BAD_PART = "bad0"
 # Prompt part of requests that wait at a server when it ends.
 WAITING_PART = "waiting0"
+# Path of the request that ends servers.
+BAD_TARGET = b"/orders/bad"
 HOST = "127.0.0.1"
 
 
@@ -37,6 +40,8 @@
     tasks : anyio.abc.TaskGroup
         Runs the servers.
     n_servers : int
+    answers_first : bool
+        Whether a server sends the head of its answer before it ends.
 
     Attributes
     ----------
@@ -46,7 +51,10 @@
         Number of requests with the part that reached servers.
     """
 
-    def __init__(self, tasks: anyio.abc.TaskGroup, n_servers: int):
+    def __init__(
+        self, tasks: anyio.abc.TaskGroup, n_servers: int, answers_first: bool = True
+    ):
+        self._answers_first = answers_first
         self._tasks = tasks
         self._n_servers = n_servers
         self._n_started = 0
@@ -92,11 +100,13 @@
         answer_head, body = frame_answer(
             Framing.CHUNKS, build_events(1, 2), headers=STREAM_HEADERS
         )
-        if f"{BAD_PART}:".encode() not in head:
+        is_bad_request = BAD_TARGET in head.partition(b"\r\n")[0]
+        if f"{BAD_PART}:".encode() not in head and not is_bad_request:
             await stream.send(answer_head + body)
             return False
         self.n_bad_arrivals += 1
-        await stream.send(answer_head)
+        if self._answers_first:
+            await stream.send(answer_head)
         await anyio.sleep(0.005)
         return True
 
@@ -132,3 +142,25 @@
     sink = RecordingSink()
     fault = await RequestForwarder(state, request, sink, rng).run()
     return fault, sink
+
+
+async def send_target(
+    state: DirectState, rng: random.Random, target: bytes, route: Any = None
+) -> tuple[Failure | None, RecordingSink]:
+    """Send a request for a target, with sound prompt parts, through an entry."""
+    route = route or build_route(kind=RouteKind.STREAMING, max_attempts=2)
+    request = build_request(route, x_cowslip_prefix=build_prefix(rng, ""))
+    request = request._replace(target=target)
+    sink = RecordingSink()
+    fault = await RequestForwarder(state, request, sink, rng).run()
+    return fault, sink
+
+
+def share_evidence(states: list[DirectState]) -> None:
+    """Pass what each entry has seen on to all, as the leader does."""
+    now_ms = monotonic_ms()
+    for state in states:
+        news = state.part_guard.take_news(now_ms)
+        if news is not None:
+            for other in states:
+                other.part_guard.apply_evidence(news, now_ms)
