Refuse a request under which servers have ended, at every entry

Cause: what entries exchange about ended servers knew prompt parts only. The parts of such a request are in sound prompts that are answered, and a request of a plain service has none, so nothing was ever accused.

Now a request is accused by a mark of its own beside its parts: a keyed digest of method, host, path, caller and body, computed only when a server breaks off or a request is accused. The same ledger, relay and messages carry it. It is refused (code 1212, not run) after two ends if its answer had begun and it alone was there, or after three; an answer completed anywhere clears it. If a request was at all the ends that its parts explain, it is refused and not they. An entry does not repeat a request after two ends under it.

Why it works: the digest is the one thing that all attempts have in common, and sound requests are at a third end by chance only.

--- a/src/cowslipwood/crash_evidence/_ledger.py
+++ b/src/cowslipwood/crash_evidence/_ledger.py
@@ -1,4 +1,7 @@
-"""Finds the prompt parts under which servers end, from what all entries saw.
+"""Finds the prompt parts and requests under which servers end, from what all saw.
+
+A request is accused by a mark of its own, beside the parts of its prompt. What is said
+of parts here holds for these marks too, unless it names requests.
 
 Requests share most parts of their prompts, so the end of one server accuses all shared
 parts of the requests whose answers had begun on it without an event. What tells them
@@ -12,7 +15,7 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-__all__ = ["Block", "CrashLedger", "EndEvidence"]
+__all__ = ["REQUEST_MARK", "Block", "CrashLedger", "EndEvidence", "is_request"]
 
 # Time, in milliseconds, within which ends count together. Servers end within seconds of
 # each other under a part in use; ends over hours have other causes.
@@ -37,6 +40,15 @@
 # Number of moments that make a part refused if the requests with it may only have
 # waited at the servers that ended.
 N_UNCERTAIN_MOMENTS = 5
+# Number of ends, at `N_MOMENTS_ALONE` moments or more, that make a request refused that
+# may only have waited there. One that is cut is sent again and may so be there at a
+# second end, seldom at a third; a prompt part is in many requests.
+N_UNCERTAIN_REQUEST_ENDS = 3
+# Number of ends under one request after which an entry does not repeat it by itself.
+N_ENDS_NOT_REPEATED = 2
+# Prefix that distinguishes the mark of a request from the ids of prompt parts, which
+# cannot contain a colon.
+REQUEST_MARK = "request:"
 # Largest number of parts that are refused for the same ends. If more were there equally
 # often, the evidence does not tell them apart.
 MAX_EQUAL_PARTS = 3
@@ -46,6 +58,11 @@
 MAX_REMEMBERED_PARTS = 4_096
 
 
+def is_request(part: str) -> bool:
+    """Return whether a part is the mark of a request."""
+    return part.startswith(REQUEST_MARK)
+
+
 class EndEvidence(NamedTuple):
     """The end of one server, with the shared parts of the requests that it cut.
 
@@ -101,6 +118,8 @@
         Parts that are refused, as of the last call.
     accused_parts : frozenset of str
         Parts that some end accuses and no completed answer has cleared.
+    accuses_requests : bool
+        Whether some of them are requests.
     """
 
     def __init__(self):
@@ -109,6 +128,7 @@
         self._n_blocks_ended: OrderedDict[str, int] = OrderedDict()
         self.blocks: dict[str, Block] = {}
         self.accused_parts: frozenset[str] = frozenset()
+        self.accuses_requests = False
 
     def list_ends(self) -> list[EndEvidence]:
         """Return all ends that count."""
@@ -153,6 +173,16 @@
             self._update_blocks(now_ms)
         return bool(new_parts)
 
+    def was_there_repeatedly(self, part: str) -> bool:
+        """Return whether a part was there at `N_ENDS_NOT_REPEATED` ends, uncleared."""
+        if part not in self.accused_parts:
+            return False
+        n_ends = sum(
+            part in end.begun_parts or part in end.awaited_parts
+            for end in self._ends.values()
+        )
+        return n_ends >= N_ENDS_NOT_REPEATED
+
     def find_block(self, parts: Sequence[str], now_ms: float) -> Block | None:
         """Return the block that concerns a prompt with these shared parts."""
         for part in parts:
@@ -174,6 +204,7 @@
                 for end in self._ends.values()
             )
         )
+        self.accuses_requests = any(map(is_request, self.accused_parts))
         moments = self._list_moments()
         blocks: dict[str, Block] = {}
         while found := self._choose_parts(moments):
@@ -190,9 +221,19 @@
             return known
         if n_moments >= N_MOMENTS_ALONE and len(found) == 1:
             return found
-        if n_moments >= N_MOMENTS and len(found) <= MAX_EQUAL_PARTS:
-            return found
+        if n_moments >= N_MOMENTS:
+            found = _prefer_requests(found)
+            if len(found) <= MAX_EQUAL_PARTS:
+                return found
         n_moments, found = _find_most_frequent(moments)
+        requests = frozenset(
+            part
+            for part in found
+            if is_request(part)
+            and _count_ends(part, moments) >= N_UNCERTAIN_REQUEST_ENDS
+        )
+        if n_moments >= N_MOMENTS_ALONE and 0 < len(requests) <= MAX_EQUAL_PARTS:
+            return requests
         if n_moments >= N_UNCERTAIN_MOMENTS and len(found) <= MAX_EQUAL_PARTS:
             return found
         return frozenset()
@@ -265,6 +306,21 @@
                 del self._cleared_at_ms[part]
 
 
+def _count_ends(part: str, moments: Iterable[_Moment]) -> int:
+    """Return the number of servers that ended at the moments that accuse a part."""
+    return sum(len(moment.server_ids) for moment in moments if part in moment.parts)
+
+
+def _prefer_requests(parts: frozenset[str]) -> frozenset[str]:
+    """Return the requests among equally frequent parts, or all if there is none.
+
+    A request that was at each of the ends explains them without the parts of its
+    prompt, which other requests have too.
+    """
+    requests = frozenset(part for part in parts if is_request(part))
+    return requests or parts
+
+
 def _find_most_frequent(moments: Iterable[_Moment]) -> tuple[int, frozenset[str]]:
     """Return the parts accused at most moments within one span, and their number."""
     times_by_part: dict[str, list[float]] = {}
--- a/src/cowslipwood/entry/direct/_attempt_record.py
+++ b/src/cowslipwood/entry/direct/_attempt_record.py
@@ -48,22 +48,22 @@
         """Record that the server broke off the answer to this request."""
         if self._progress.answer_stage is AnswerStage.EVENTS:
             return
+        progress, request = self._progress, self._request
+        mark = await self._identity.compute()
         get_logger().info(
             "answer_broken_off",
-            request=self._request.facts.request_id,
-            identity=await self._identity.compute(),
+            request=request.facts.request_id,
+            identity=mark,
             server=backend.view.server_id,
-            stage=self._progress.answer_stage.value,
+            stage=progress.answer_stage.value,
         )
-        has_begun = self._progress.answer_stage is AnswerStage.BEGUN
-        is_suspect = await self._state.part_guard.record_break(
+        progress.may_have_ended_server = await self._state.part_guard.record_break(
             backend.view,
-            self._request.facts.shared_parts,
-            has_begun,
+            request.facts.shared_parts,
+            progress.answer_stage is AnswerStage.BEGUN,
             self._state.now_ms(),
+            mark,
         )
-        # A request that waited when its server ended has most likely not ended it.
-        self._progress.may_have_ended_server = is_suspect and has_begun
 
     def record_failure(self, backend: Backend, fault: Failure) -> Failure:
         """Record that an attempt failed, and return the failure."""
@@ -79,7 +79,7 @@
         )
         return fault
 
-    def record_success(
+    async def record_success(
         self,
         backend: Backend,
         head: AnswerHead,
@@ -88,8 +88,12 @@
     ) -> None:
         """Record a complete answer."""
         backend.health.record_answer(1.0, first_event_at_ms)
+        guard = self._state.part_guard
         if head.status < 300:
-            self._state.part_guard.record_complete(
+            guard.record_complete(
                 self._request.facts.shared_parts, self._state.now_ms()
             )
+        if guard.accuses_requests:
+            mark = await self._identity.compute()
+            guard.record_complete((mark,), self._state.now_ms())
         backend.first_event_ms.add(first_event_at_ms - sent_ms)
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -34,6 +34,7 @@
         Code.DEADLINE_PASSED,
         Code.OVERLOADED,
         Code.PROMPT_BLOCKED,
+        Code.REQUEST_BLOCKED,
     )
 )
 # Failures for lack of engines: another copy of the model would have served the
@@ -80,7 +81,7 @@
 
     async def run(self) -> Failure | None:
         """Answer the request; return a failure if no complete answer was sent."""
-        refusal = self._check_parts()
+        refusal = await self._check_evidence()
         if refusal is not None:
             return refusal
         budget = self._state.get_retry_budget(self._request.service)
@@ -142,16 +143,20 @@
         retry_after_ms = round(DEFAULT_RETRY_AFTER_MS * self._rng.uniform(0.5, 1.5))
         return build_final_failure(self._progress.attempt_counts, fault, retry_after_ms)
 
-    def _check_parts(self) -> Failure | None:
+    async def _check_evidence(self) -> Failure | None:
+        """Return the refusal of a request under which servers have ended."""
+        guard = self._state.part_guard
         parts = self._request.facts.shared_parts
-        return self._state.part_guard.check(parts, self._state.now_ms())
+        if guard.accuses_requests:
+            parts = (*parts, await self._identity.compute())
+        return guard.check(parts, self._state.now_ms())
 
     async def _run_attempt(self) -> Failure | None:
         """Send the request to one server; return the failure, or None on success."""
         backend = await self._choice.choose()
         if not isinstance(backend, Backend):
             return backend
-        refusal = self._check_parts()
+        refusal = await self._check_evidence()
         if refusal is not None:
             return refusal
         self._choice.tried_server_ids.add(backend.view.server_id)
--- a/src/cowslipwood/entry/direct/_forwarding.py
+++ b/src/cowslipwood/entry/direct/_forwarding.py
@@ -132,7 +132,9 @@
             await self._start_answer(head)
             await self._sink.write(bytes(buffer))
         await self._sink.end()
-        self._recorder.record_success(backend, head, sent_ms, self._state.now_ms())
+        await self._recorder.record_success(
+            backend, head, sent_ms, self._state.now_ms()
+        )
         self._log.info(
             "request_answered",
             request=request.facts.request_id,
@@ -184,7 +186,7 @@
         if first_event_at_ms:
             backend.answer_ms.add(now_ms - first_event_at_ms)
         first_event_at_ms = first_event_at_ms or now_ms
-        self._recorder.record_success(backend, head, sent_ms, first_event_at_ms)
+        await self._recorder.record_success(backend, head, sent_ms, first_event_at_ms)
         first_after_ms = first_event_at_ms - self._request.arrived_ms
         was_late = missed_target(self._request.route, first_after_ms, longest_gap_ms)
         backend.record_stream(was_late, now_ms)
--- a/src/cowslipwood/entry/direct/_identity.py
+++ b/src/cowslipwood/entry/direct/_identity.py
@@ -4,14 +4,12 @@
 
 import anyio.lowlevel
 
+from ...crash_evidence import REQUEST_MARK
 from ._headers import HeaderNames
 from ._request import RoutedRequest
 
-__all__ = ["REQUEST_MARK", "RequestIdentity"]
+__all__ = ["RequestIdentity"]
 
-# Prefix that distinguishes the mark of a request from the ids of prompt parts, which
-# cannot contain a colon.
-REQUEST_MARK = "request:"
 # Length of the digest, in bytes: too long to find two requests with the same one.
 DIGEST_BYTES = 12
 # Number of bytes of a body that are hashed before other tasks run, well below a
--- a/src/cowslipwood/entry/direct/_part_guard.py
+++ b/src/cowslipwood/entry/direct/_part_guard.py
@@ -1,4 +1,4 @@
-"""Refuses prompts with parts under which servers have ended."""
+"""Refuses prompts with parts, and requests, under which servers have ended."""
 
 import math
 from collections import OrderedDict
@@ -6,7 +6,13 @@
 
 import anyio
 
-from ...crash_evidence import CLEARED_LIFE_MS, Block, CrashLedger, EndEvidence
+from ...crash_evidence import (
+    CLEARED_LIFE_MS,
+    Block,
+    CrashLedger,
+    EndEvidence,
+    is_request,
+)
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.http_connection import open_connection
 from ...kernel.logs import get_logger
@@ -71,9 +77,9 @@
         self.has_news = anyio.Event()
 
     def check(self, parts: Sequence[str], now_ms: float) -> Failure | None:
-        """Return the refusal of a prompt with these shared parts; None if it may run.
+        """Return the refusal of a request with these parts; None if it may run.
 
-        Fails with PROMPT_BLOCKED.
+        Fails with PROMPT_BLOCKED or REQUEST_BLOCKED.
         """
         if not self._ledger.blocks:
             return None
@@ -83,10 +89,17 @@
             block = self._ledger.find_block(parts, now_ms)
         if block is None:
             return None
-        message = (
-            f"{len(block.server_ids)} servers ended under prompt part {block.part}"
-        )
-        return failure(Code.PROMPT_BLOCKED, message, math.ceil(block.until_ms - now_ms))
+        n_ended, left_ms = len(block.server_ids), math.ceil(block.until_ms - now_ms)
+        if is_request(block.part):
+            message = f"{n_ended} servers ended under {block.part}"
+            return failure(Code.REQUEST_BLOCKED, message, left_ms)
+        message = f"{n_ended} servers ended under prompt part {block.part}"
+        return failure(Code.PROMPT_BLOCKED, message, left_ms)
+
+    @property
+    def accuses_requests(self) -> bool:
+        """Whether a request is refused or may be; else marks need not be computed."""
+        return self._ledger.accuses_requests
 
     def record_complete(self, parts: Sequence[str], now_ms: float) -> None:
         """Record that an answer to a prompt with these shared parts was completed."""
@@ -99,7 +112,12 @@
             self._clear_accused(now_ms)
 
     async def record_break(
-        self, server: ServerView, parts: Iterable[str], has_begun: bool, now_ms: float
+        self,
+        server: ServerView,
+        parts: Iterable[str],
+        has_begun: bool,
+        now_ms: float,
+        request_mark: str = "",
     ) -> bool:
         """Record that a server broke off an answer of which no event had come.
 
@@ -111,14 +129,20 @@
         has_begun : bool
             Whether the head of the answer had come.
         now_ms : float
+        request_mark : str
+            Mark of the request; empty to accuse parts only.
 
         Returns
         -------
         bool
-            Whether the server has ended and the prompt has a part that no completed
-            answer had; the request may have ended it.
+            Whether the request may well have ended the server: its answer had begun,
+            and its prompt has a part that no completed answer had, or another server
+            has ended under it before.
         """
         suspects = [part for part in parts if not self._was_completed(part, now_ms)]
+        has_suspect_part = bool(suspects)
+        if request_mark and not self._was_completed(request_mark, now_ms):
+            suspects.insert(0, request_mark)
         if not suspects or not await self._is_gone(server, now_ms):
             return False
         found = frozenset(suspects[:MAX_ACCUSED_PARTS])
@@ -136,7 +160,9 @@
             awaited_parts=known.awaited_parts | end.awaited_parts,
         )
         self.has_news.set()
-        return True
+        # A request that waited when its server ended has most likely not ended it.
+        is_likely = has_begun and has_suspect_part
+        return is_likely or self._ledger.was_there_repeatedly(request_mark)
 
     def apply_evidence(self, evidence: CrashEvidence, now_ms: float) -> None:
         """Apply what other entries have seen."""
@@ -234,8 +260,8 @@
 
 def _log_changes(before: dict[str, Block], after: dict[str, Block]) -> None:
     for part in after.keys() - before.keys():
-        get_logger().warning(
-            "prompt_part_blocked", part=part, servers=",".join(after[part].server_ids)
-        )
+        event = "request_blocked" if is_request(part) else "prompt_part_blocked"
+        get_logger().warning(event, part=part, servers=",".join(after[part].server_ids))
     for part in before.keys() - after.keys():
-        get_logger().info("prompt_part_allowed", part=part)
+        event = "request_allowed" if is_request(part) else "prompt_part_allowed"
+        get_logger().info(event, part=part)
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -63,6 +63,7 @@
     NO_CATALOGUE = 1209
     PROMPT_BLOCKED = 1210
     SERVER_LIMITED = 1211
+    REQUEST_BLOCKED = 1212
 
     OUTCOME_UNKNOWN = 1301
     ANSWER_CUT = 1302
@@ -221,6 +222,9 @@
     Code.SERVER_LIMITED: CodeInfo(
         503, _NOT_RUN, 11, "The servers' limits allow no further request now."
     ),
+    Code.REQUEST_BLOCKED: CodeInfo(
+        503, _NOT_RUN, 11, "Servers have ended under this request."
+    ),
     Code.OUTCOME_UNKNOWN: CodeInfo(
         504, _UNKNOWN, 12, "The request may have run; it is not run again."
     ),
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -343,10 +343,11 @@
 
 @message("control")
 class ServerEnd(NamedTuple):
-    """The end of a server, with the shared prompt parts of requests that it cut.
+    """The end of a server, with the requests that it cut and their prompts' parts.
 
     `server_id` includes the incarnation. The requests had no event of their answers;
     `begun_parts` are of those whose answers had begun, `awaited_parts` of the others.
+    Both hold shared parts, and a mark for each request.
     """
 
     server_id: str
--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -1,4 +1,4 @@
-"""Model of entries and servers, of which some prompts end one after the other."""
+"""Model of entries and servers, which some prompts or requests end, one by one."""
 
 import heapq
 import itertools
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from cowslipwood.crash_evidence import REQUEST_MARK
 from cowslipwood.entry.direct._part_guard import PartGuard
 from cowslipwood.keeper._evidence import EvidenceRelay
 from cowslipwood.kernel.messages import ServerView
@@ -13,6 +14,8 @@
 
 # Part that every prompt begins with, sound and bad ones alike.
 FIRST_PART = "first"
+# Mark of the request that ends servers; its prompt has sound parts only.
+BAD_REQUEST = f"{REQUEST_MARK}bad"
 
 
 class ModelSettings(NamedTuple):
@@ -27,6 +30,8 @@
         Number of sound parts after the first; a few are in most prompts.
     requests_per_s, bad_per_s : float
         Arrivals of sound requests, and of requests with each bad part.
+    bad_request_per_s : float
+        Arrivals of the one request that ends servers.
     message_ms : float
         Longest time that a message between an entry and the leader takes.
     crash_interval_s : float
@@ -44,6 +49,7 @@
     n_subjects: int = 200
     requests_per_s: float = 40.0
     bad_per_s: float = 3.0
+    bad_request_per_s: float = 0.0
     message_ms: float = 300.0
     crash_interval_s: float = 10.0
     leader_change_s: float = 17.0
@@ -57,9 +63,10 @@
     Parameters
     ----------
     n_ended : dict of str to int
-        Servers that ended under each bad part.
+        Servers that ended under each bad part, or under the bad request.
     n_sent_late : dict of str to int
-        Requests with each bad part sent to servers more than 3 s after the fifth end.
+        Requests with each bad part sent to servers more than 3 s after the fifth end,
+        and the bad request's sendings more than 3 s after the third.
     n_sound, n_sound_refused : int
         Sound requests, and those of them that were refused.
     n_messages, n_message_parts : int
@@ -80,6 +87,8 @@
     entry: int
     parts: tuple[str, ...]
     has_begun: bool
+    mark: str
+    is_repeat: bool = False
 
 
 class CrashModel:
@@ -116,6 +125,9 @@
         for part in bad_parts:
             self._ended_at_ms[part], self._n_sent_late[part] = [], 0
             self._after(5_000.0, lambda part=part: self._arrive_bad(part))
+        if settings.bad_request_per_s:
+            self._ended_at_ms[BAD_REQUEST], self._n_sent_late[BAD_REQUEST] = [], 0
+            self._after(5_000.0, self._arrive_bad_request)
         self._after(self._draw_ms(settings.crash_interval_s), self._crash_any)
         self._after(1000 * settings.leader_change_s, self._lose_leader)
         while self._events and self._now_ms < 1000 * settings.duration_s:
@@ -159,24 +171,42 @@
             self._draw_ms(1 / self._settings.bad_per_s), lambda: self._arrive_bad(part)
         )
 
+    def _arrive_bad_request(self) -> None:
+        self._send(self._draw_parts(), BAD_REQUEST)
+        self._after(
+            self._draw_ms(1 / self._settings.bad_request_per_s),
+            self._arrive_bad_request,
+        )
+
     def _draw_parts(self) -> tuple[str, ...]:
         """Return a prompt's shared parts; low numbers are frequent."""
         subject = int(self._settings.n_subjects * self._rng.random() ** 3)
         return (FIRST_PART, f"group{subject % 7}", f"subject{subject}")
 
-    def _send(self, parts: tuple[str, ...], bad_part: str) -> bool:
+    def _send(
+        self, parts: tuple[str, ...], bad_part: str, repeated_mark: str = ""
+    ) -> bool:
         """Send a request from any entry to any server; return False if refused."""
         entry = self._rng.randrange(self._settings.n_entries)
-        if self._guards[entry].check(parts, self._now_ms) is not None:
+        is_bad_request = bad_part == BAD_REQUEST
+        own_mark = f"{REQUEST_MARK}{next(self._order)}"
+        mark = BAD_REQUEST if is_bad_request else repeated_mark or own_mark
+        if self._guards[entry].check((*parts, mark), self._now_ms) is not None:
             return False
         if not self._runs:
             return True
         ended_at_ms = self._ended_at_ms.get(bad_part, [])
-        if len(ended_at_ms) >= 5 and self._now_ms > ended_at_ms[4] + self.CONTACT_MS:
+        n_allowed = 3 if is_bad_request else 5
+        if (
+            len(ended_at_ms) >= n_allowed
+            and self._now_ms > ended_at_ms[n_allowed - 1] + self.CONTACT_MS
+        ):
             self._n_sent_late[bad_part] += 1
         server_id = self._rng.choice(sorted(self._runs))
         run_id = next(self._order)
-        self._runs[server_id][run_id] = _Run(entry, parts, False)
+        self._runs[server_id][run_id] = _Run(
+            entry, parts, False, mark, bool(repeated_mark)
+        )
         self._after(
             self._rng.uniform(20.0, 400.0),
             lambda: self._begin(server_id, run_id, bad_part),
@@ -205,16 +235,26 @@
 
     def _complete(self, server_id: str, run: _Run) -> None:
         if server_id in self._runs:
-            self._guards[run.entry].record_complete(run.parts, self._now_ms)
+            guard = self._guards[run.entry]
+            guard.record_complete(run.parts, self._now_ms)
+            if guard.accuses_requests:
+                guard.record_complete((run.mark,), self._now_ms)
 
     async def _end_server(self, server_id: str) -> None:
         view = _build_view(server_id)
         for run in self._runs.pop(server_id).values():
             await self._guards[run.entry].record_break(
-                view, run.parts, run.has_begun, self._now_ms
+                view, run.parts, run.has_begun, self._now_ms, run.mark
             )
+            if not self._is_bad(run) and not run.is_repeat:
+                self._n_sound += 1
+                if not self._send(run.parts, "", run.mark):
+                    self._n_refused += 1
         self._after(self._rng.uniform(2_000.0, 4_000.0), self._start_server)
 
+    def _is_bad(self, run: _Run) -> bool:
+        return run.mark == BAD_REQUEST or any(p in self._ended_at_ms for p in run.parts)
+
     async def _crash_any(self) -> None:
         """End one server, or two at the same moment, for another cause."""
         for _ in range(self._rng.choice((1, 1, 2))):
