Continue a broken-off stream only at the software version that began it

Another operator's clients got answers joined from two software versions. Within one answer it could happen here: an entry resumed a resumable stream that had broken off at any server of the service, since nothing knew a server's version.

Now the list's version is part of what the leader and the entries know of a server. Once the caller has events, servers of other versions are excluded from further attempts; if no other is left, the answer breaks off at once, never as complete. request_sent names the version.

Left: streams that a client takes up again itself (Resumes) still go to any version.

--- a/src/cowslipwood/entry/direct/_choice.py
+++ b/src/cowslipwood/entry/direct/_choice.py
@@ -83,6 +83,7 @@
             len(request.body),
             typical_tokens.value or TYPICAL_PROMPT_TOKENS,
         )
+        self._exclude_other_versions()
         chosen = state.choose_backend(context, self._rng, now_ms)
         if chosen is None:
             paused = state.find_first_pause(request.key, now_ms)
@@ -95,6 +96,8 @@
             holder = await state.holder_finder.find_holder(request, state.now_ms())
             if isinstance(holder, Err):
                 return holder.failure()
+            if holder.unwrap() in self._exclude_other_versions():
+                break
             if holder.unwrap() not in self.tried_server_ids:
                 chosen = state.choose_backend(context, self._rng, state.now_ms())
                 if chosen is not None:
@@ -113,6 +116,22 @@
             return failure(Code.NO_REPLICA, f"no server for {request.key}")
         return self._apply_admission(chosen, context)
 
+    def _exclude_other_versions(self) -> set[str]:
+        """Exclude servers that may not continue the stream that has begun.
+
+        What two software versions write does not fit together, and servers do not check
+        that. Returns the ids of these servers.
+        """
+        if not self._progress.has_started:
+            return set()
+        others = {
+            backend.view.server_id
+            for backend in self._state.view.candidates(self._request.key)
+            if backend.view.software_version != self._progress.software_version
+        }
+        self.tried_server_ids |= others
+        return others
+
     async def _wait_for_server(
         self, backend: Backend, context: RoutingContext
     ) -> Failure | None:
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -28,6 +28,8 @@
         How far the answer to the present attempt has come.
     may_have_ended_server : bool
         Whether the last attempt may have ended its server.
+    software_version : str
+        Version of the server whose events the caller has; empty while there are none.
     last_event_id : bytes
         Id of the last event that was forwarded; empty for none.
     error_answer : tuple of AnswerHead and bytes, or None
@@ -39,5 +41,6 @@
         self.has_started = False
         self.answer_stage = AnswerStage.AWAITED
         self.may_have_ended_server = False
+        self.software_version = ""
         self.last_event_id = b""
         self.error_answer: tuple[AnswerHead, bytes] | None = None
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -102,6 +102,7 @@
             key=request.key,
             document=state.document_version,
             server=backend.view.server_id,
+            version=backend.view.software_version,
             list_age_ms=round(now_ms - state.list_read_at_ms),
             load=round(
                 backend.expected_load(
@@ -195,6 +196,8 @@
                 f"status {head.status} to a resume",
             )
             return self._recorder.record_failure(backend, fault)
+        if not self._progress.has_started:
+            self._progress.software_version = backend.view.software_version
         try:
             return await self._forwarder.forward(backend, conn, head, sent_ms)
         except (BrokenAnswerError, EventTooLongError, StatusLineError) as exc:
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -212,6 +212,7 @@
     n_queued: int
     wait_ms: float
     knee_in_flight: int
+    software_version: str = ""
 
 
 @message("control")
--- a/src/cowslipwood/listing/_servers.py
+++ b/src/cowslipwood/listing/_servers.py
@@ -54,6 +54,8 @@
         When the server started, as Unix time; distinguishes two incarnations that
         have the same id.
     models : tuple of ListedModel
+    software_version : str
+        Version of the server's software, not of its weights; empty if it is not known.
     """
 
     server_id: str
@@ -64,6 +66,7 @@
     is_leaving: bool = False
     born_ms: int = 0
     models: tuple[ListedModel, ...] = ()
+    software_version: str = ""
 
 
 class ServerListSource(Protocol):
@@ -88,6 +91,8 @@
         raise ValueError("expected a port from 1 to 65535")
     if len(server.server_id) > MAX_ID_LENGTH or not _is_header_text(server.server_id):
         raise ValueError(f"expected an id of up to {MAX_ID_LENGTH} characters")
+    if len(server.software_version) > MAX_ID_LENGTH:
+        raise ValueError(f"expected a version of up to {MAX_ID_LENGTH} characters")
     if not 0 <= server.n_slots <= MAX_SLOTS:
         raise ValueError(f"expected up to {MAX_SLOTS} slots, got {server.n_slots}")
 
@@ -133,4 +138,5 @@
         n_queued=0,
         wait_ms=0.0,
         knee_in_flight=server.n_slots,
+        software_version=server.software_version,
     )
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -110,6 +110,7 @@
   nQueued @9 :UInt32;
   waitMs @10 :Float64;
   kneeInFlight @11 :UInt32;
+  softwareVersion @12 :Text;  # of the server, not of its weights; empty: not known
 }
 
 struct RoutingUpdate {
