Resume a client's stream only at the software version that began it

Operators of systems like this one saw: clients resumed broken-off streams after all entries had been killed during a release, or at an entry that was out of step, and got 200 with a text joined from two versions. Here an entry forwarded such a resume to any server of the service; nothing read Resumes.

Now an entry remembers which version began each resumable stream, reports it to the leader while several versions serve or did within a minute, and asks the leader for streams that it does not know. The replicated log keeps which versions a service has and had within a minute; servers of a version are told to entries once it is recorded. If the version is not certain, or no leader answers, the resume is refused as not run with code 1213.

Why it works: an answer names a version only if an entry reported it for that stream, or if no other version can have begun it. A keeper without memory has the log's record; an entry that is cut off resumes nothing that it did not begin.

--- a/src/cowslipwood/entry/direct/_choice.py
+++ b/src/cowslipwood/entry/direct/_choice.py
@@ -117,12 +117,12 @@
         return self._apply_admission(chosen, context)
 
     def _exclude_other_versions(self) -> set[str]:
-        """Exclude servers that may not continue the stream that has begun.
+        """Exclude servers that may not continue a stream that has begun.
 
         What two software versions write does not fit together, and servers do not check
         that. Returns the ids of these servers.
         """
-        if not self._progress.has_started:
+        if not self._progress.must_keep_version:
             return set()
         others = {
             backend.view.server_id
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -51,6 +51,7 @@
 from ._retries import RetryBudgetLimits
 from ._servers import KnownServers
 from ._state import DirectState
+from ._stream_versions import StreamVersions
 
 __all__ = ["DIRECT_SETTING_CHECKS", "DirectEntry", "DirectSettings"]
 
@@ -67,6 +68,9 @@
 # Interval, in milliseconds, at which a stopping entry checks whether requests are still
 # in flight. It lengthens the stop by at most this much.
 DRAIN_POLL_INTERVAL_MS = 20.0
+# Pause, in milliseconds, between two reports of streams that clients may resume. Others
+# do not learn what is not reported when the entry fails.
+STREAM_REPORT_PAUSE_MS = 50.0
 # Least time, in milliseconds, between two reports to the keepers, however much there is
 # to report.
 MIN_REPORT_INTERVAL_MS = 100.0
@@ -240,8 +244,11 @@
             tasks.start_soon(self._holder_finder.run)
             tasks.start_soon(self._list_loop)
             tasks.start_soon(self._pool_sweep_loop)
-            tasks.start_soon(self._send_news, self._state.part_guard)
-            tasks.start_soon(self._send_news, self._state.limits)
+            tasks.start_soon(self._send_news, self._state.part_guard, 0.0)
+            tasks.start_soon(self._send_news, self._state.limits, 0.0)
+            tasks.start_soon(
+                self._send_news, self._state.stream_versions, STREAM_REPORT_PAUSE_MS
+            )
             await stop.wait()
             await self._drain(server)
             tasks.cancel_scope.cancel()
@@ -264,6 +271,9 @@
             case DocumentUpdate():
                 self._apply_document(value)
             case RoutingUpdate():
+                self._state.stream_versions.record_servers(
+                    value.servers, monotonic_ms()
+                )
                 self._servers.apply_update(value, monotonic_ms())
             case EntryPlace():
                 self._state.live_entries.update(value.n_entries, monotonic_ms())
@@ -320,20 +330,30 @@
                 backend.view.http_addr for backend in self._state.view.backends.values()
             }
             await self._state.pool.close_expired(addrs, monotonic_ms())
-            self._state.limits.forget_unlisted(set(self._state.view.backends))
+            state = self._state
+            state.limits.forget_unlisted(set(state.view.backends))
+            views = [backend.view for backend in state.view.backends.values()]
+            state.stream_versions.record_servers(views, monotonic_ms())
+            state.stream_versions.forget_old(monotonic_ms())
 
-    async def _send_news(self, observer: PartGuard | ServerLimitKeeper) -> None:
-        """Send what this entry sees of servers to the leader at once."""
+    async def _send_news(
+        self,
+        observer: PartGuard | ServerLimitKeeper | StreamVersions,
+        pause_ms: float,
+    ) -> None:
+        """Send what this entry sees of servers to the leader, at once or in batches."""
         while True:
             await observer.has_news.wait()
             news = observer.take_news(monotonic_ms())
             if news is not None:
                 await self.link.send(news)
+            await anyio.sleep(pause_ms / 1000)
 
     async def _report_loop(self, channel: Channel) -> None:
         self._servers.forget_leader()
         # A new leader may know none of this.
-        for observer in (self._state.part_guard, self._state.limits):
+        state = self._state
+        for observer in (state.part_guard, state.limits, state.stream_versions):
             known = observer.build_all(monotonic_ms())
             if known is not None:
                 await channel.send(known)
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -5,6 +5,7 @@
 
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.logs import get_logger
+from ...software_versions import MAX_STREAM_ID_LENGTH
 from ..choosing._backend import UNREACHABLE_EXCLUSION_MS, Backend
 from ._attempt_record import AttemptRecorder
 from ._choice import ServerChoice
@@ -82,6 +83,9 @@
     async def run(self) -> Failure | None:
         """Answer the request; return a failure if no complete answer was sent."""
         refusal = await self._check_evidence()
+        if refusal is not None:
+            return refusal
+        refusal = await self._find_resumed_version()
         if refusal is not None:
             return refusal
         budget = self._state.get_retry_budget(self._request.service)
@@ -143,6 +147,30 @@
         retry_after_ms = round(DEFAULT_RETRY_AFTER_MS * self._rng.uniform(0.5, 1.5))
         return build_final_failure(self._progress.attempt_counts, fault, retry_after_ms)
 
+    async def _find_resumed_version(self) -> Failure | None:
+        """Find which version began the stream that the client resumes, if it does.
+
+        Fails with STREAM_UNKNOWN.
+        """
+        request, facts = self._request, self._request.facts
+        if not (facts.is_resume and request.route.is_resumable):
+            return None
+        version = await self._state.stream_versions.find_version(
+            request.service, facts.resumed_id
+        )
+        self._log.info(
+            "stream_resumed",
+            request=facts.request_id,
+            resumes=facts.resumed_id[:MAX_STREAM_ID_LENGTH],
+            version=version,
+        )
+        if version is None:
+            message = f"resumes {facts.resumed_id[:MAX_STREAM_ID_LENGTH]!r}"
+            return failure(Code.STREAM_UNKNOWN, message, round(DEFAULT_RETRY_AFTER_MS))
+        self._progress.software_version = version
+        self._progress.is_resumed = True
+        return None
+
     async def _check_evidence(self) -> Failure | None:
         """Return the refusal of a request under which servers have ended."""
         guard = self._state.part_guard
--- a/src/cowslipwood/entry/direct/_forwarding.py
+++ b/src/cowslipwood/entry/direct/_forwarding.py
@@ -214,10 +214,21 @@
             self._progress.has_started = True
             headers = filter_answer_headers(head.headers)
             if self.is_stream(head) and self._request.route.is_resumable:
+                self._record_stream()
                 # The server that ends the stream may send another number of bytes.
                 headers = [pair for pair in headers if pair[0] != b"content-length"]
             await self._sink.start(head.status, headers)
 
+    def _record_stream(self) -> None:
+        """Remember which version begins a stream that the client may resume."""
+        if not self._progress.is_resumed:
+            self._state.stream_versions.record_stream(
+                self._request.service,
+                self._request.facts.request_id,
+                self._progress.software_version,
+                self._state.now_ms(),
+            )
+
     def _compute_stall_s(self) -> float:
         """Return the time without a whole event after which a stream is stalled."""
         route = self._request.route
--- a/src/cowslipwood/entry/direct/_headers.py
+++ b/src/cowslipwood/entry/direct/_headers.py
@@ -71,6 +71,8 @@
         Credentials of the caller, by which its requests are told from others'.
     last_event_id : bytes
         Id of the event after which a stream is resumed.
+    resumes : bytes
+        In a client's resume of a stream: its attempt that brought the first event.
     reserved : frozenset of bytes
         Headers that only the entry may set; those of a caller are dropped.
     """
@@ -88,6 +90,7 @@
     prefix: bytes = b"x-cowslip-prefix"
     caller: bytes = b"authorization"
     last_event_id: bytes = b"last-event-id"
+    resumes: bytes = b"x-cowslip-resumes"
     reserved: frozenset[bytes] = frozenset()
 
 
@@ -109,6 +112,10 @@
         Number of tokens of these parts.
     shared_parts : tuple of str
         Ids of these parts, in order, up to `MAX_SHARED_PARTS`.
+    is_resume : bool
+        Whether the client resumes a stream.
+    resumed_id : str
+        The attempt that began it; empty if that is not said, or in two ways.
     """
 
     request_id: str
@@ -120,6 +127,8 @@
     prefix_hash: int = 0
     n_shared_tokens: int = 0
     shared_parts: tuple[str, ...] = ()
+    is_resume: bool = False
+    resumed_id: str = ""
 
 
 class AnswerFacts(NamedTuple):
@@ -155,6 +164,8 @@
         tokens[0] if tokens else 0,
         tokens[1] if len(tokens) > 1 else 0,
         *_read_shared_prefix(_read_text(values_by_name, names.prefix)),
+        names.last_event_id in values_by_name,
+        _read_only_value(headers, names.resumes),
     )
 
 
@@ -233,6 +244,12 @@
     return headers.get(name, b"").decode("latin-1").strip()
 
 
+def _read_only_value(headers: Headers, name: bytes) -> str:
+    """Return the value of a header; empty if it is absent or has several."""
+    values = {value for each, value in headers if each == name}
+    return values.pop().decode("latin-1").strip() if len(values) == 1 else ""
+
+
 def _read_numbers(text: str) -> list[int]:
     numbers = [parse_count(part.strip()) for part in text.split(",")]
     return [] if None in numbers else numbers
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -29,7 +29,9 @@
     may_have_ended_server : bool
         Whether the last attempt may have ended its server.
     software_version : str
-        Version of the server whose events the caller has; empty while there are none.
+        Version of the server that answers, or began the stream.
+    is_resumed : bool
+        Whether the client resumes a stream that `software_version` began.
     last_event_id : bytes
         Id of the last event that was forwarded; empty for none.
     error_answer : tuple of AnswerHead and bytes, or None
@@ -42,5 +44,11 @@
         self.answer_stage = AnswerStage.AWAITED
         self.may_have_ended_server = False
         self.software_version = ""
+        self.is_resumed = False
         self.last_event_id = b""
         self.error_answer: tuple[AnswerHead, bytes] | None = None
+
+    @property
+    def must_keep_version(self) -> bool:
+        """Whether the client has events, which no other version may continue."""
+        return self.has_started or self.is_resumed
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -196,7 +196,7 @@
                 f"status {head.status} to a resume",
             )
             return self._recorder.record_failure(backend, fault)
-        if not self._progress.has_started:
+        if not self._progress.must_keep_version:
             self._progress.software_version = backend.view.software_version
         try:
             return await self._forwarder.forward(backend, conn, head, sent_ms)
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -1,7 +1,8 @@
 """State that the request handlers and loops of a direct-route entry share."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import anyio
 from returns.result import Failure as Err
@@ -11,7 +12,7 @@
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.http_pool import ConnectionPool
 from ...kernel.logs import get_logger
-from ...kernel.messages import DemandSample, HeldOff, SendPermitRequest, SendPermits
+from ...kernel.messages import DemandSample, HeldOff
 from ...kernel.metrics import Metrics
 from ...listing import ServerNotice
 from ...routes import RouteDocument, RouteTable
@@ -22,10 +23,11 @@
 from ..routing import RoutingContext, RoutingPolicy
 from ._headers import HeaderNames
 from ._holders import HolderFinder
-from ._limits import PermitSource, ServerLimitKeeper
+from ._limits import ServerLimitKeeper
 from ._part_guard import PartGuard
 from ._retries import LiveEntryCount, RetryBudgetLimits, SharedRetryBudget
 from ._servers import KnownServers
+from ._stream_versions import StreamVersions
 
 __all__ = ["DirectState"]
 
@@ -53,7 +55,7 @@
     now_ms : callable
         Returns the current time.
     ask_leader : callable
-        Asks the leader for permits to send; see `PermitSource`.
+        Sends the leader a question and returns its answer; see `KeeperLink.request`.
     identity_key : bytes
         Key of the digests by which entries recognise requests; the same at all.
 
@@ -69,6 +71,8 @@
         Refuses prompts with parts under which servers have ended.
     limits : ServerLimitKeeper
         The limits that servers have named, and the permits to send to them.
+    stream_versions : StreamVersions
+        Which software version began each stream that clients may resume.
     document_applied : anyio.Event
         Set once a route document is in force.
     hold_off_requested : anyio.Event
@@ -86,9 +90,10 @@
         retry_limits: RetryBudgetLimits,
         metrics: Metrics,
         now_ms: Callable[[], float] = monotonic_ms,
-        ask_leader: PermitSource | None = None,
+        ask_leader: Callable[[Any, float], Awaitable[Result]] | None = None,
         identity_key: bytes = b"",
     ):
+        ask = ask_leader or _find_no_leader
         self.identity_key = identity_key
         self.zone = zone
         self.header_names = header_names
@@ -101,13 +106,14 @@
         self.waiting_demand = DemandMeter(now_ms())
         self.pool = ConnectionPool()
         self.part_guard = PartGuard(metrics)
+        self.stream_versions = StreamVersions(ask, metrics)
         self.document: RouteDocument | None = None
         self.document_applied = anyio.Event()
         self.route_table = RouteTable()
         self.hold_off_requested = anyio.Event()
         self.live_entries = LiveEntryCount(retry_limits.window_ms)
         self.limits = ServerLimitKeeper(
-            ask_leader or _find_no_leader,
+            ask,
             self.live_entries,
             metrics,
             random.Random(),
@@ -221,8 +227,6 @@
             self.view.typical_others_load_share.add(backend.others_load_share)
 
 
-async def _find_no_leader(
-    request: SendPermitRequest, timeout_ms: float
-) -> Result[SendPermits, Failure]:
+async def _find_no_leader(request: Any, timeout_ms: float) -> Result[Any, Failure]:
     """Answer as a link without a leader does."""
     return Err(failure(Code.NO_QUORUM))
--- a/src/cowslipwood/keeper/_commands.py
+++ b/src/cowslipwood/keeper/_commands.py
@@ -22,6 +22,7 @@
     "ClaimFinishCommand",
     "DrainCommand",
     "EditCommand",
+    "VersionsCommand",
     "decode_command",
     "encode_command",
 ]
@@ -66,6 +67,15 @@
     drained: bool
 
 
+@message("commands")
+class VersionsCommand(NamedTuple):
+    """Records the software versions of a service's listed servers."""
+
+    service: str
+    versions: tuple[str, ...]
+    wall_ms: int
+
+
 @message("commands")
 class ClaimBeginCommand(NamedTuple):
     """Opens or reads a claim, by the leader's clock and limits."""
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -37,6 +37,9 @@
     Refused,
     SendPermitRequest,
     ServerLimits,
+    ServerView,
+    StreamsBegun,
+    StreamVersionRequest,
     Welcome,
 )
 from ..kernel.metrics import Metrics
@@ -51,7 +54,9 @@
     ReplicaSettings,
     StateMachine,
 )
+from ..software_versions import ServiceVersions
 from ._claims import ClaimLimits, ClaimService
+from ._commands import VersionsCommand, encode_command
 from ._directory import ProcessDirectory, make_server_view
 from ._documents import DocumentService
 from ._evidence import EvidenceRelay
@@ -65,6 +70,7 @@
 from ._platform import poll_platform
 from ._server_limits import ServerLimitTable
 from ._settings import KeeperSettings
+from ._stream_versions import StreamVersionTable
 from ._subscribers import DocumentFrame, PublishedState, Subscriber
 from .engines import EngineClient, EngineController, OrderParameters
 
@@ -81,6 +87,9 @@
 # Shortest time in milliseconds between two updates of the published servers. Each
 # update is sent to all entries, and an entry that needs a server sooner asks for it.
 SERVERS_INTERVAL_MS = 100.0
+# Milliseconds between two comparisons of the recorded software versions with the list,
+# which is read less often.
+VERSIONS_INTERVAL_MS = 50.0
 # Milliseconds between two messages that tell relays the addresses of the members.
 # After a power loss relays know no member, and entries wait until the relays do.
 RELAYS_INTERVAL_MS = 500.0
@@ -158,6 +167,7 @@
         self._closed_server_ids: set[str] = set()
         self._evidence = EvidenceRelay()
         self._limits = ServerLimitTable()
+        self._streams = StreamVersionTable()
         self._operators = OperatorService(
             self._machine,
             self._replica,
@@ -245,6 +255,7 @@
             tasks.start_soon(self._planner.run)
             tasks.start_soon(self._poll_platform)
             tasks.start_soon(self._run_membership)
+            tasks.start_soon(self._record_versions)
             if self._engines is not None:
                 tasks.start_soon(self._engines.run)
             if self._settings.join:
@@ -322,6 +333,11 @@
                     self._state_changed.notify()
             case SendPermitRequest():
                 return self._limits.grant(value, self._replica.term, now_ms)
+            case StreamsBegun():
+                self._streams.add(value)
+            case StreamVersionRequest():
+                possible = self._list_possible_versions(value.service)
+                return self._streams.answer(value, possible)
             case HolderRequest() if self._engines is not None:
                 return self._count_refusal(await self._engines.find_holder(value))
             case PermitRequest() | PermitRelease():
@@ -397,7 +413,11 @@
                 for report in self._directory.list_live_agent_reports(now_ms)
             }
             if self._engines is not None:
-                views.update(self._engines.build_server_views())
+                views.update(
+                    (server_id, view)
+                    for server_id, view in self._engines.build_server_views().items()
+                    if self._is_version_recorded(view)
+                )
             if views:
                 self._limits.forget_unlisted(set(views))
             has_changed |= feed.update_servers(views)
@@ -440,6 +460,40 @@
             self._limits,
         )
 
+    def _list_possible_versions(self, service: str) -> frozenset[str] | None:
+        """Return the software versions that may have begun a stream resumed now."""
+        listed = None if self._engines is None else self._engines.list_versions()
+        if listed is None:
+            return None
+        recorded = self._machine.versions.get(service, ServiceVersions())
+        return listed.get(service, frozenset()) | recorded.list_possible(wall_ms())
+
+    def _is_version_recorded(self, server: ServerView) -> bool:
+        """Return whether the log names the server's software version."""
+        recorded = self._machine.versions.get(server.service_name, ServiceVersions())
+        return server.software_version in recorded.current
+
+    async def _record_versions(self) -> None:
+        """Record the software versions of the listed servers while this keeper leads.
+
+        Servers of a version get work only once it is recorded, so that a keeper that
+        leads after a loss of all memory knows which versions may have begun a stream.
+        """
+        while True:
+            await anyio.sleep(VERSIONS_INTERVAL_MS / 1000)
+            listed = None if self._engines is None else self._engines.list_versions()
+            if listed is None or not self._replica.can_act_as_leader(monotonic_ms()):
+                continue
+            for service in sorted(listed.keys() | self._machine.versions.keys()):
+                versions = tuple(sorted(listed.get(service, ())))
+                known = self._machine.versions.get(service, ServiceVersions())
+                if versions != known.current:
+                    get_logger().info(
+                        "versions_changed", service=service, versions=",".join(versions)
+                    )
+                    command = VersionsCommand(service, versions, wall_ms())
+                    await self._replica.propose(encode_command(command))
+
     async def _run_membership(self) -> None:
         """Add or replace members while this keeper leads."""
         while True:
--- a/src/cowslipwood/keeper/_machine.py
+++ b/src/cowslipwood/keeper/_machine.py
@@ -19,6 +19,7 @@
 from ..kernel.codes import Code, Failure, failure
 from ..kernel.messages import DesiredModel
 from ..routes import RouteDocument, parse_document
+from ..software_versions import DepartedVersion, ServiceVersions
 from ._claim_table import ClaimTable
 from ._commands import (
     ApplyCommand,
@@ -28,6 +29,7 @@
     ClaimFinishCommand,
     DrainCommand,
     EditCommand,
+    VersionsCommand,
     decode_command,
 )
 
@@ -60,6 +62,7 @@
         self.assignments: dict[str, AssignedModels] = {}
         self.drained: set[str] = set()
         self.claims = ClaimTable()
+        self.versions: dict[str, ServiceVersions] = {}
         self.applied_document = NO_DOCUMENT
         self._parsed_document: RouteDocument | None = None
         self.on_change = lambda: None
@@ -91,6 +94,10 @@
             case DrainCommand(server_id, False):
                 self.drained.discard(server_id)
                 return Success(index)
+            case VersionsCommand(service, versions, wall_ms):
+                known = self.versions.get(service, ServiceVersions())
+                self.versions[service] = known.change(versions, wall_ms)
+                return Success(self.versions[service])
             case ClaimBeginCommand() | ClaimAttemptCommand() | ClaimFinishCommand():
                 return self.claims.apply(index, command)
             case _:
@@ -133,6 +140,10 @@
                 },
                 "drained": sorted(self.drained),
                 "claims": self.claims.to_json(),
+                "versions": {
+                    service: [list(known.current), list(map(list, known.departed))]
+                    for service, known in self.versions.items()
+                },
                 "applied": [
                     self.applied_document.version,
                     base64.b64encode(self.applied_document.source).decode(),
@@ -153,6 +164,12 @@
         }
         self.drained = set(value["drained"])
         self.claims = ClaimTable.from_json(value["claims"])
+        self.versions = {
+            service: ServiceVersions(
+                tuple(current), tuple(DepartedVersion(*each) for each in departed)
+            )
+            for service, (current, departed) in value.get("versions", {}).items()
+        }
         version, *contents = value.get("applied", [0, "", ""])
         self.applied_document = ApplyCommand(version, *map(base64.b64decode, contents))
         self.on_change()
--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -178,6 +178,13 @@
         """
         return self._fleet.build_views() if self._is_term_started() else {}
 
+    def list_versions(self) -> dict[str, frozenset[str]] | None:
+        """Return the listed servers' software versions by service.
+
+        None before a list was read in this term.
+        """
+        return self._fleet.list_versions() if self._is_term_started() else None
+
     def _is_term_started(self) -> bool:
         """Return whether the fleet is of this term and not of an earlier one."""
         return self._known_term == self._term()
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -85,6 +85,18 @@
             record.is_synced or record.held for record in available
         )
 
+    def list_versions(self) -> dict[str, frozenset[str]] | None:
+        """Return the software versions of the listed servers, by service.
+
+        None before a list was read.
+        """
+        if not self._list_read_ms:
+            return None
+        versions: dict[str, set[str]] = {}
+        for server in self._listed:
+            versions.setdefault(server.service, set()).add(server.software_version)
+        return {service: frozenset(found) for service, found in versions.items()}
+
     def list_unserved(self, models: Iterable[str]) -> list[str]:
         """Return the models that no engine can serve; none until `is_known`."""
         if not self.is_known:
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -64,6 +64,7 @@
     PROMPT_BLOCKED = 1210
     SERVER_LIMITED = 1211
     REQUEST_BLOCKED = 1212
+    STREAM_UNKNOWN = 1213
 
     OUTCOME_UNKNOWN = 1301
     ANSWER_CUT = 1302
@@ -225,6 +226,9 @@
     Code.REQUEST_BLOCKED: CodeInfo(
         503, _NOT_RUN, 11, "Servers have ended under this request."
     ),
+    Code.STREAM_UNKNOWN: CodeInfo(
+        503, _NOT_RUN, 11, "The version that began the stream is unknown; begin anew."
+    ),
     Code.OUTCOME_UNKNOWN: CodeInfo(
         504, _UNKNOWN, 12, "The request may have run; it is not run again."
     ),
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -16,6 +16,7 @@
     "AgentLoad",
     "AgentReport",
     "Assignment",
+    "BegunStream",
     "AttemptEnd",
     "AttemptQuery",
     "CatalogueUpdate",
@@ -50,6 +51,9 @@
     "ServerLimit",
     "ServerLimits",
     "ServerView",
+    "StreamVersion",
+    "StreamVersionRequest",
+    "StreamsBegun",
     "Welcome",
 ]
 
@@ -412,6 +416,41 @@
     retry_after_ms: float
 
 
+@message("control")
+class BegunStream(NamedTuple):
+    """A stream that a client may resume, by the attempt that brought its first event.
+
+    `version` is that of the server's software.
+    """
+
+    service: str
+    request_id: str
+    version: str
+
+
+@message("control")
+class StreamsBegun(NamedTuple):
+    """An entry reports streams of services whose servers have several versions."""
+
+    streams: tuple[BegunStream, ...]
+
+
+@message("control")
+class StreamVersionRequest(NamedTuple):
+    """An entry asks which software version began a stream that it does not know."""
+
+    service: str
+    request_id: str
+
+
+@message("control")
+class StreamVersion(NamedTuple):
+    """The version that began a stream, if it is certain."""
+
+    version: str
+    is_known: bool
+
+
 @message("control")
 class FleetLoad(NamedTuple):
     """The load that engines reported, and the age of the list that contains them.
--- a/src/cowslipwood/schema/commands.capnp
+++ b/src/cowslipwood/schema/commands.capnp
@@ -20,6 +20,12 @@
   desired @1 :List(Control.DesiredModel);
 }
 
+struct VersionsCommand {
+  service @0 :Text;
+  versions @1 :List(Text);   # of the software of the listed servers
+  wallMs @2 :UInt64;         # wall time of the leader
+}
+
 struct DrainCommand {
   serverId @0 :Text;
   drained @1 :Bool;
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -246,6 +246,26 @@
   retryAfterMs @2 :Float64;  # time until those who asked before have theirs
 }
 
+struct BegunStream {
+  service @0 :Text;
+  requestId @1 :Text;  # the client's attempt that brought the first event
+  version @2 :Text;    # of the server's software
+}
+
+struct StreamsBegun {
+  streams @0 :List(BegunStream);
+}
+
+struct StreamVersionRequest {
+  service @0 :Text;
+  requestId @1 :Text;
+}
+
+struct StreamVersion {
+  version @0 :Text;
+  isKnown @1 :Bool;
+}
+
 struct FleetLoad {
   listAgeMs @0 :Float64;   # age of the platform's list
   serverIds @1 :List(Text);
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -2,20 +2,36 @@
 
 import random
 import unittest
-from contextlib import AsyncExitStack
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Any
 
 import anyio
 import anyio.abc
+import orjson
+from returns.result import Success
 
 from cowslipwood.entry.direct._exchange import RequestForwarder
-from cowslipwood.kernel.codes import Failure
+from cowslipwood.entry.direct._headers import read_request_facts
+from cowslipwood.entry.direct._state import DirectState
+from cowslipwood.entry.direct._stream_versions import StreamVersions
+from cowslipwood.keeper._commands import VersionsCommand, encode_command
+from cowslipwood.keeper._machine import KeeperStateMachine
+from cowslipwood.keeper._stream_versions import StreamVersionTable
+from cowslipwood.kernel.clock import monotonic_ms
+from cowslipwood.kernel.codes import Code, Failure, Outcome
+from cowslipwood.kernel.messages import StreamVersionRequest
+from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.kernel.wire import decode_record, encode_record
-from cowslipwood.listing import to_server_view
+from cowslipwood.listing import ListedServer, to_server_view
 from cowslipwood.routes import RouteKind
+from cowslipwood.software_versions import STREAM_LIFE_MS
 
 from .answer_builders import STREAM_HEADERS, Framing, build_events, frame_answer
 from .direct_builders import (
+    NAMES,
     RecordingSink,
+    ServerScript,
     build_direct_state,
     build_listed_server,
     build_request,
@@ -28,32 +44,41 @@
 )
 
 
+def read_request_id(head: bytes) -> str:
+    """Return the id of the client's attempt."""
+    lines = head.decode().splitlines()
+    return next(line.split()[1] for line in lines if line.startswith("x-request-id:"))
+
+
 async def break_or_resume(stream: anyio.abc.SocketStream, head: bytes) -> None:
     """Break off a new stream after two events; complete one that is resumed."""
+    request_id = read_request_id(head)
     is_resumed = b"last-event-id:" in head.lower()
     body = build_events(3, 4) if is_resumed else build_events(1, 2) + b"id: 3\nda"
-    answer_head, framed = frame_answer(Framing.CHUNKS, body, headers=STREAM_HEADERS)
+    answer_head, framed = frame_answer(Framing.CHUNKS, body, request_id, STREAM_HEADERS)
     await stream.send(answer_head + (framed if is_resumed else framed[:-5]))
     if not is_resumed:
         await stream.aclose()
 
 
-async def play(versions: str) -> tuple[Failure | None, RecordingSink, str]:
-    """Send one stream to servers of these versions, a letter each.
+@asynccontextmanager
+async def run_versions(
+    versions: str,
+) -> AsyncIterator[tuple[list[ListedServer], list[str]]]:
+    """Run servers of these versions, a letter each.
 
-    The third result holds the versions that got an attempt, in order.
+    Yields the servers, and the versions that got an attempt so far, in order.
     """
-    async with AsyncExitStack() as stack:
-        tried = ""
+    tried: list[str] = []
 
-        def build_script(version: str):
-            async def serve(stream: anyio.abc.SocketStream, head: bytes) -> None:
-                nonlocal tried
-                tried += version
-                await break_or_resume(stream, head)
+    def build_script(version: str) -> ServerScript:
+        async def serve(stream: anyio.abc.SocketStream, head: bytes) -> None:
+            tried.append(version)
+            await break_or_resume(stream, head)
 
-            return serve
+        return serve
 
+    async with AsyncExitStack() as stack:
         servers = []
         for i, version in enumerate(versions):
             addr, _ = await stack.enter_async_context(
@@ -61,6 +86,12 @@
             )
             servers.append(build_listed_server(f"s{i}", addr, software_version=version))
         random.Random(versions).shuffle(servers)
+        yield servers, tried
+
+
+async def play(versions: str) -> tuple[Failure | None, RecordingSink, list[str]]:
+    """Send one stream to servers of these versions, of which the tried are returned."""
+    async with run_versions(versions) as (servers, tried):
         sink = RecordingSink()
         request = build_request(ROUTE)
         state = build_direct_state(servers)
@@ -95,6 +126,199 @@
                 self.assertEqual(sink.body, build_events(1, 4))
 
 
+class FakeLeader:
+    """A leader that answers for the streams that entries report to it."""
+
+    def __init__(self, possible: str):
+        self.possible: frozenset[str] | None = frozenset(possible)
+        self.table = StreamVersionTable()
+        self.states: list[DirectState] = []
+
+    async def ask(self, request: StreamVersionRequest, timeout_ms: float) -> Any:
+        """Answer an entry's question."""
+        return Success(self.table.answer(request, self.possible))
+
+    def add_entry(self, servers: list[ListedServer]) -> DirectState:
+        """Return the state of an entry that is connected to this leader."""
+        state = build_direct_state(servers)
+        state.stream_versions = StreamVersions(self.ask, state.metrics)
+        views = [backend.view for backend in state.view.backends.values()]
+        state.stream_versions.record_servers(views, monotonic_ms())
+        self.states.append(state)
+        return state
+
+    def receive_reports(self) -> None:
+        """Receive what the entries have to report."""
+        for state in self.states:
+            news = state.stream_versions.take_news(monotonic_ms())
+            if news is not None:
+                self.table.add(news)
+
+
+class TakenUpByClientTest(unittest.TestCase):
+    """Streams that broke off and that their clients resume, at any entry."""
+
+    ROUTE = ROUTE._replace(max_attempts=1)
+
+    async def _begin_and_resume(
+        self, versions: str, leader: FakeLeader, at_same_entry: bool, **headers: str
+    ) -> tuple[Failure | None, list[str]]:
+        """Return the failure of the resume, and the versions that got an attempt."""
+        async with run_versions(versions) as (servers, tried):
+            first, second = (leader.add_entry(servers) for _ in range(2))
+            await self._send(first, "a1", {})
+            leader.receive_reports()
+            resume = {"last_event_id": "2", "x_cowslip_resumes": "a1", **headers}
+            state = first if at_same_entry else second
+            return await self._send(state, "a2", resume), tried
+
+    async def _send(
+        self, state: DirectState, request_id: str, headers: dict[str, str]
+    ) -> Failure | None:
+        headers = {name: value for name, value in headers.items() if value}
+        request = build_request(self.ROUTE, x_request_id=request_id, **headers)
+        sink = RecordingSink()
+        return await RequestForwarder(state, request, sink, random.Random(1)).run()
+
+    def _play(self, *args: Any, **headers: str) -> tuple[Failure | None, list[str]]:
+        return anyio.run(lambda: self._begin_and_resume(*args, **headers))
+
+    # Clients that resumed a stream at another entry got the rest from another version.
+    def test_known_stream_goes_on_at_its_version(self):
+        """At the same entry or another, the version that began it continues it."""
+        for at_same_entry in (True, False):
+            for versions in ("aabb", "abab", "baab", "bbbaaa"):
+                with self.subTest(same=at_same_entry, versions=versions):
+                    leader = FakeLeader("ab")
+                    fault, tried = self._play(versions, leader, at_same_entry)
+                    self.assertIsNone(fault)
+                    self.assertEqual(tried[0], tried[1])
+
+    def test_unknown_stream_is_not_joined(self):
+        """With two possible versions, a stream that nobody knows is to begin anew."""
+        for resumes in ("other", "", "x" * 4_000):
+            with self.subTest(resumes=resumes[:9]):
+                leader = FakeLeader("ab")
+                fault, tried = self._play(
+                    "aabb", leader, False, x_cowslip_resumes=resumes
+                )
+                self.assertEqual(fault.code, Code.STREAM_UNKNOWN)
+                self.assertIs(fault.outcome, Outcome.NOT_RUN)
+                self.assertEqual(len(tried), 1)
+
+    def test_one_possible_version(self):
+        """If only one version can have begun it, an unknown stream goes on there."""
+        fault, tried = self._play(
+            "aaa", FakeLeader("a"), False, x_cowslip_resumes="other"
+        )
+        self.assertIsNone(fault)
+        self.assertEqual(tried, ["a", "a"])
+
+    def test_leader_that_does_not_know_the_servers(self):
+        """Until the leader has read the list, an unknown stream is to begin anew."""
+        leader = FakeLeader("a")
+        leader.possible = None
+        fault, _ = self._play("aaa", leader, False)
+        self.assertEqual(fault.code, Code.STREAM_UNKNOWN)
+
+    def test_no_leader(self):
+        """An entry without a leader resumes no stream that it does not know."""
+
+        async def main() -> Failure | None:
+            state = build_direct_state([build_listed_server("s0", "127.0.0.1:9")])
+            headers = {"last_event_id": "2", "x_cowslip_resumes": "a1"}
+            return await self._send(state, "a2", headers)
+
+        self.assertEqual(anyio.run(main).code, Code.STREAM_UNKNOWN)
+
+    def test_two_ids(self):
+        """Two different ids of the attempt count as none."""
+        headers = [
+            (NAMES.last_event_id, b"2"),
+            (NAMES.resumes, b"a1"),
+            (NAMES.resumes, b"a3"),
+        ]
+        facts = read_request_facts(headers, NAMES)
+        self.assertEqual((facts.is_resume, facts.resumed_id), (True, ""))
+
+
+class ReportedStreamsTest(unittest.TestCase):
+    """Which streams an entry reports to the leader."""
+
+    def _build(self) -> StreamVersions:
+        return StreamVersions(FakeLeader("").ask, Metrics("entry"))
+
+    def _view(self, version: str) -> Any:
+        server = build_listed_server("s0", "10.0.0.1:80", software_version=version)
+        return to_server_view(server, ())
+
+    def test_nothing_while_one_version_serves(self):
+        """With one version there is nothing to report."""
+        streams = self._build()
+        streams.record_servers([self._view("a")], 0.0)
+        streams.record_stream("desk", "q1", "a", 1.0)
+        self.assertIsNone(streams.take_news(2.0))
+        self.assertIsNone(streams.build_all(2.0))
+
+    def test_earlier_streams_once_another_version_joins(self):
+        """Once another version joins, the streams that began before are reported."""
+        streams = self._build()
+        streams.record_servers([self._view("a")], 0.0)
+        streams.record_stream("desk", "q1", "a", 1.0)
+        streams.record_servers([self._view("b")], 2.0)
+        streams.record_stream("desk", "q2", "b", 3.0)
+        reported = [each.request_id for each in streams.take_news(4.0).streams]
+        self.assertEqual(reported, ["q1", "q2"])
+        self.assertEqual(len(streams.build_all(5.0).streams), 2)
+
+    def test_forgotten(self):
+        """Old streams and versions are forgotten."""
+        streams = self._build()
+        streams.record_servers([self._view("a"), self._view("b")], 0.0)
+        streams.record_stream("desk", "q1", "a", 1.0)
+        streams.forget_old(STREAM_LIFE_MS + 10.0)
+        self.assertIsNone(streams.build_all(STREAM_LIFE_MS + 10.0))
+
+
+class RecordedVersionsTest(unittest.TestCase):
+    """The versions that the replicated log keeps for a keeper without memory."""
+
+    def _apply(self, machine: KeeperStateMachine, versions: str, wall_ms: int) -> None:
+        command = VersionsCommand("desk", tuple(versions), wall_ms)
+        machine.apply(1, encode_command(command))
+
+    # After a loss of all memory, a version that had just left was not known.
+    def test_version_that_has_left(self):
+        """A version that has left counts for a time, also after a restart."""
+        machine = KeeperStateMachine()
+        self._apply(machine, "a", 1_000)
+        self._apply(machine, "ab", 2_000)
+        self._apply(machine, "b", 3_000)
+        restored = KeeperStateMachine()
+        restored.restore(machine.snapshot())
+        for each in (machine, restored):
+            recorded = each.versions["desk"]
+            self.assertEqual(recorded.list_possible(4_000), {"a", "b"})
+            later_ms = 3_001 + int(STREAM_LIFE_MS)
+            self.assertEqual(recorded.list_possible(later_ms), {"b"})
+
+    def test_version_that_comes_back(self):
+        """A version that comes back is listed once."""
+        machine = KeeperStateMachine()
+        for i, versions in enumerate(("a", "b", "a", "ab")):
+            self._apply(machine, versions, 1_000 * i)
+        self.assertEqual(machine.versions["desk"].departed, ())
+        self.assertEqual(machine.versions["desk"].current, ("a", "b"))
+
+    def test_old_snapshot(self):
+        """A snapshot of an earlier release has no versions."""
+        value = orjson.loads(KeeperStateMachine().snapshot())
+        del value["versions"]
+        machine = KeeperStateMachine()
+        machine.restore(orjson.dumps(value))
+        self.assertEqual(machine.versions, {})
+
+
 class KnownVersionTest(unittest.TestCase):
     """How an entry learns a server's software version."""
 
