End a server's pause when its limit changes

A server whose limit of 0.2 a second had ended got no request for up to 5 s more, since the time of its next permit was kept. test_ended_limit_ends_the_pause failed before.

--- a/src/cowslipwood/entry/direct/_limits.py
+++ b/src/cowslipwood/entry/direct/_limits.py
@@ -141,7 +141,7 @@
 
     def record_answer(
         self,
-        server: ServerView,
+        backend: Backend,
         rate_per_s: float | None,
         sent_ms: float,
         now_ms: float,
@@ -153,12 +153,13 @@
 
         Parameters
         ----------
-        server : ServerView
+        backend : Backend
         rate_per_s : float or None
         sent_ms : float
             When the request was sent.
         now_ms : float
         """
+        server = backend.view
         known = self._ledger.find(server.server_id, server.incarnation)
         named = math.inf if rate_per_s is None else rate_per_s
         if known is None and rate_per_s is None:
@@ -170,6 +171,8 @@
         self._ledger.replace(fact)
         if known is None or known.rate_per_s != named:
             self._report(fact, known, "answer")
+            # The next permit was due by the rate before.
+            backend.limited_until_ms = 0.0
 
     def apply_update(self, update: ServerLimits, now_ms: float) -> None:
         """Apply the limits that the leader has heard of."""
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -180,9 +180,7 @@
         conn.peer_repeats_ids = bool(facts.request_id)
         self._recorder.record_load(backend, facts, now_ms)
         state.apply_notice(backend, facts.notice, now_ms)
-        state.limits.record_answer(
-            backend.view, facts.notice.rate_limit, sent_ms, now_ms
-        )
+        state.limits.record_answer(backend, facts.notice.rate_limit, sent_ms, now_ms)
         if facts.not_run or head.status == MISDIRECTED_STATUS:
             return await self._handle_not_run(backend, conn, head)
         if head.status in NOT_RUN_STATUSES:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -124,7 +124,7 @@
         self.backend = self.state.view.backends["s0"]
 
     def _name(self, rate_per_s: float | None, sent_ms: float, now_ms: float) -> None:
-        self.limits.record_answer(self.backend.view, rate_per_s, sent_ms, now_ms)
+        self.limits.record_answer(self.backend, rate_per_s, sent_ms, now_ms)
 
     def _get_rate(self) -> float | None:
         fact = self.limits._ledger.find_limit("s0", self.backend.view.incarnation)
@@ -150,6 +150,14 @@
             self.assertEqual(self._get_rate(), rate_per_s)
             self._name(3.0, 300.0, 350.0)
 
+    # A server whose limit had ended got nothing until its old permit was due.
+    def test_ended_limit_ends_the_pause(self):
+        """Once the limit has ended, the server is eligible at once."""
+        self._name(0.2, 100.0, 150.0)
+        self.backend.limited_until_ms = 5_000.0
+        self._name(None, 200.0, 250.0)
+        self.assertTrue(self.backend.is_eligible("service:desk", 251.0))
+
     def test_next_incarnation_begins_without(self):
         """A server that has started again has no limit until it names one."""
         self._name(3.0, 100.0, 150.0)
@@ -249,7 +257,7 @@
                     lambda: now[0],
                 )
                 backend = state.view.backends["s0"]
-                limits.record_answer(backend.view, 4.0, 0.0, 1.0)
+                limits.record_answer(backend, 4.0, 0.0, 1.0)
                 entries.append((backend, limits))
             sent_ms = []
             while now[0] < 60_000.0:
