--- a/src/cowslipwood/entry/direct/_choice.py
+++ b/src/cowslipwood/entry/direct/_choice.py
@@ -88,7 +88,7 @@
         if chosen is None:
             paused = state.find_first_pause(request.key, now_ms)
             if paused is not None:
-                refusal = await self._wait_for_server(paused, context)
+                refusal = await self._wait_for_server(paused)
                 if refusal is not None:
                     return refusal
                 chosen = state.choose_backend(context, self._rng, state.now_ms())
@@ -132,9 +132,7 @@
         self.tried_server_ids |= others
         return others
 
-    async def _wait_for_server(
-        self, backend: Backend, context: RoutingContext
-    ) -> Failure | None:
+    async def _wait_for_server(self, backend: Backend) -> Failure | None:
         """Wait for the first of the paused servers, or return why not to wait.
 
         None also if a copy of the model elsewhere may be ready sooner.
@@ -145,7 +143,7 @@
         if backend.held_off_until_ms >= backend.limited_until_ms:
             message = f"{request.key}: all servers want a pause"
             return failure(Code.OVERLOADED, message, math.ceil(left_ms))
-        turn_ms = state.limits.queue_ms(backend.view, now_ms)
+        turn_ms = state.limits.enqueue_caller(backend.view, now_ms)
         max_wait_ms = LIMIT_WAIT_SHARE * compute_max_wait_ms(request, now_ms)
         if not self._has_waited_for_limit and turn_ms <= max_wait_ms:
             self._has_waited_for_limit = True
--- a/src/cowslipwood/entry/direct/_limits.py
+++ b/src/cowslipwood/entry/direct/_limits.py
@@ -212,8 +212,8 @@
         }
         self._metrics.gauge("limited_servers", self._count_limited())
 
-    def queue_ms(self, server: ServerView, now_ms: float) -> float:
-        """Return the time until the turn of one more caller, after all others."""
+    def enqueue_caller(self, server: ServerView, now_ms: float) -> float:
+        """Add a caller to those who wait; return the milliseconds until its turn."""
         fact = self._ledger.find_limit(server.server_id, server.incarnation)
         if fact is None:
             return 0.0
@@ -248,7 +248,7 @@
         now_ms = self._now_ms()
         if now_ms < backend.limited_until_ms:
             next_ms = backend.limited_until_ms - now_ms
-            return PermitRefusal(next_ms, self.queue_ms(backend.view, now_ms))
+            return PermitRefusal(next_ms, self.enqueue_caller(backend.view, now_ms))
         if held.n_permits and now_ms - held.asked_at_ms < PERMIT_LIFE_MS:
             return self._use(held, fact, now_ms)
         return await self._ask(backend, fact, held, urgency_rank)
