Let a new leader grant permits at once, from an empty bucket

The model of the permits holds its bound without the wait of half a second that a new leader made for permits of the one before: their sum is bounded by the rate, whoever grants them, as long as the new bucket is empty.

--- a/src/cowslipwood/keeper/_server_limits.py
+++ b/src/cowslipwood/keeper/_server_limits.py
@@ -1,12 +1,10 @@
 """Grants entries permits to send requests to servers that have named a limit.
 
 The limit holds for all entries together, so one process counts: the leader. What it
-has granted is in memory only. A new leader grants nothing until the permits of the one
-before have expired, and learns the limits from the entries.
+has granted is in memory only. A new leader begins with empty buckets and learns the
+limits from the entries.
 """
 
-import math
-
 from ..kernel.logs import get_logger
 from ..kernel.messages import (
     SendPermitRequest,
@@ -15,7 +13,6 @@
     ServerLimits,
 )
 from ..server_limits import (
-    PERMIT_LIFE_MS,
     LimitFact,
     LimitLedger,
     PermitBucket,
@@ -44,7 +41,6 @@
         self._revisions: dict[str, int] = {}
         self._buckets: dict[tuple[str, str], PermitBucket] = {}
         self._term = -1
-        self._grants_from_ms = -math.inf
 
     def add(self, report: ServerLimits, term: int, now_ms: float) -> bool:
         """Add an entry's report; return whether a limit has changed."""
@@ -109,15 +105,11 @@
         if term == self._term:
             return
         self._term = term
-        self._grants_from_ms = now_ms + PERMIT_LIFE_MS
         self._buckets = {
-            (fact.server_id, fact.incarnation): self._make_bucket(fact, now_ms)
+            (fact.server_id, fact.incarnation): _make_bucket(fact, now_ms)
             for fact in self.list_limits()
         }
 
-    def _make_bucket(self, fact: LimitFact, now_ms: float) -> PermitBucket:
-        return PermitBucket(count_rate(fact.rate_per_s), now_ms, self._grants_from_ms)
-
     def _record(self, limit: ServerLimit, now_ms: float) -> bool:
         fact = LimitFact(
             limit.server_id, limit.incarnation, limit.rate_per_s, now_ms - limit.age_ms
@@ -145,7 +137,7 @@
         else:
             for other in [other for other in self._buckets if other[0] == key[0]]:
                 del self._buckets[other]
-            self._buckets[key] = self._make_bucket(fact, now_ms)
+            self._buckets[key] = _make_bucket(fact, now_ms)
 
     def _forget_ended(self, now_ms: float) -> None:
         for fact in self._ledger.list_facts():
@@ -160,3 +152,7 @@
                 self._ledger.forget(fact.server_id)
                 self._revisions.pop(fact.server_id, None)
                 self._buckets.pop((fact.server_id, fact.incarnation), None)
+
+
+def _make_bucket(fact: LimitFact, now_ms: float) -> PermitBucket:
+    return PermitBucket(count_rate(fact.rate_per_s), now_ms)
--- a/src/cowslipwood/server_limits/_permits.py
+++ b/src/cowslipwood/server_limits/_permits.py
@@ -5,8 +5,7 @@
 __all__ = ["PERMIT_LIFE_MS", "PermitBucket"]
 
 # Time, in milliseconds, within which a permit may be used, counted from the question
-# for it. A question and its answer may take most of it on a slow link. A new leader
-# grants none for as long, since permits of the one before may be in use.
+# for it. A question and its answer may take most of it on a slow link.
 PERMIT_LIFE_MS = 500.0
 # Time, in milliseconds, of the limit's rate that unused permits may add up to.
 BURST_MS = 250.0
@@ -29,15 +28,13 @@
     ----------
     rate_per_s : float
     now_ms : float
-        The bucket is empty at this time.
-    from_ms : float
-        Time from which permits are granted.
+        The bucket is empty at this time, as another leader may just have emptied it.
     """
 
-    def __init__(self, rate_per_s: float, now_ms: float, from_ms: float):
+    def __init__(self, rate_per_s: float, now_ms: float):
         self._rate_per_s = rate_per_s
         self._n_permits = 0.0
-        self._filled_at_ms = max(now_ms, from_ms)
+        self._filled_at_ms = now_ms
         # Time at which all who were refused have had a permit, if each comes back.
         self._queue_until_ms = now_ms
         self._refused_at_ms: dict[int, float] = {}
@@ -69,7 +66,7 @@
         self._refused_at_ms[urgency_rank] = now_ms
         interval_ms = 1000.0 / self._rate_per_s
         missing = max(0.0, 1.0 - self._n_permits)
-        next_ms = max(0.0, self._filled_at_ms - now_ms) + missing * interval_ms
+        next_ms = missing * interval_ms
         latest_ms = now_ms + MAX_RETRY_AFTER_MS
         self._queue_until_ms = min(
             latest_ms, max(self._queue_until_ms + interval_ms, now_ms + next_ms)
