--- a/src/cowslipwood/agent/_admission.py
+++ b/src/cowslipwood/agent/_admission.py
@@ -19,6 +19,7 @@
 from ..kernel.clock import monotonic_ms
 from ..kernel.codes import Code, Failure, failure
 from ._memory_ledger import MemoryLedger
+from ._server_limit import ServerLimit
 
 __all__ = [
     "AdmissionController",
@@ -128,10 +129,16 @@
     ledger : MemoryLedger or None
         Account of the accelerator's memory, with the KV cache of calls; None beside
         a plain service.
+
+    Attributes
+    ----------
+    limit : ServerLimit
+        The limit that the server has named.
     """
 
     def __init__(self, knee_in_flight: int, ledger: MemoryLedger | None):
         self.knee_in_flight = knee_in_flight
+        self.limit = ServerLimit()
         self.time_estimate = CallTimeEstimate()
         self._ledger = ledger
         self._running: set[AdmissionTicket] = set()
@@ -195,6 +202,7 @@
         if ticket.refusal is not None:
             return Err(ticket.refusal)
         fault = _check_deadline_and_model(ticket.spec, now_ms)
+        fault = fault or self.limit.refuse_call(ticket.spec.call_class, now_ms)
         if fault is not None:
             self.release_all(ticket)
             return Err(fault)
--- a/src/cowslipwood/agent/_agent.py
+++ b/src/cowslipwood/agent/_agent.py
@@ -164,7 +164,7 @@
         engine = self._engine
         refusals = engine.dialect.refusals if engine else {}
         return CallApp(
-            Forwarder(settings.backend_url, refusals),
+            Forwarder(settings.backend_url, refusals, limit=self._admission.limit),
             settings.server_id,
             token,
             EngineContext(engine.dialect, engine.models, self._compute_max_kv_bytes)
--- a/src/cowslipwood/agent/_forward.py
+++ b/src/cowslipwood/agent/_forward.py
@@ -22,6 +22,7 @@
 from ..kernel.http import send_failure
 from ..kernel.http_connection import read_body_end
 from ..kernel.logs import get_logger
+from ._server_limit import ServerLimit
 
 __all__ = ["BackendCall", "ForwardOutcome", "ForwardResult", "Forwarder"]
 
@@ -101,6 +102,8 @@
         HTTP statuses by which the backend server refuses a call before running it.
     idle_timeout_ms : float
         Time without a byte of the answer after which the call is given up.
+    limit : ServerLimit or None
+        Is told of the limit that each answer names.
     """
 
     def __init__(
@@ -108,7 +111,9 @@
         backend_url: str,
         refusals: Mapping[int, Code],
         idle_timeout_ms: float = IDLE_TIMEOUT_MS,
+        limit: ServerLimit | None = None,
     ):
+        self._limit = limit or ServerLimit()
         self._backend_url = backend_url
         self._refusals = refusals
         self._idle_timeout_ms = idle_timeout_ms
@@ -154,6 +159,7 @@
     ) -> None:
         """Forward a call unless the backend server is silent for too long."""
         idle_s = self._idle_timeout_ms / 1000
+        sent_ms = monotonic_ms()
         with anyio.CancelScope(deadline=anyio.current_time() + idle_s) as idle_scope:
             try:
                 async with self._pool.stream(
@@ -163,6 +169,9 @@
                     content=call.body,
                     extensions={"timeout": {"connect": CONNECT_TIMEOUT_MS / 1000}},
                 ) as response:
+                    self._limit.record_answer(
+                        response.status, response.headers, sent_ms, monotonic_ms()
+                    )
                     await self._forward_answer(response, answer, idle_scope)
             except _NOT_SENT_ERRORS:
                 await answer.refuse(Code.BACKEND_UNREACHABLE, ForwardOutcome.NOT_SENT)
--- a/src/cowslipwood/entry/choosing/_router.py
+++ b/src/cowslipwood/entry/choosing/_router.py
@@ -54,6 +54,7 @@
     Code.AGENT_LEAVING: LEAVING_EXCLUSION_MS,
     Code.WRONG_SERVER: UNREACHABLE_EXCLUSION_MS,
     Code.BAD_TOKEN: UNREACHABLE_EXCLUSION_MS,
+    Code.SERVER_LIMITED: NOT_READY_EXCLUSION_MS,
 }
 # Failures that count as errors of the server and can eject it.
 _SERVER_ERROR_CODES = frozenset(
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -8,9 +8,13 @@
 import anyio
 from returns.result import Failure as Err
 
+from cowslipwood.agent._admission import AdmissionController, CallClass, CallSpec
+from cowslipwood.agent._forward import BackendCall, Forwarder
+from cowslipwood.agent._server_limit import ServerLimit as AgentServerLimit
 from cowslipwood.entry.direct._limits import Permit, PermitRefusal, ServerLimitKeeper
 from cowslipwood.keeper._server_limits import ServerLimitTable
-from cowslipwood.kernel.codes import Code, Outcome, failure
+from cowslipwood.kernel.clock import monotonic_ms
+from cowslipwood.kernel.codes import Code, Failure, Outcome, failure
 from cowslipwood.kernel.messages import SendPermitRequest, ServerLimit, ServerLimits
 from cowslipwood.server_limits import PermitBucket
 
@@ -286,6 +290,67 @@
     return Err(failure(Code.NO_QUORUM))
 
 
+class AgentTest(unittest.TestCase):
+    """An agent whose server names a limit."""
+
+    LIMIT_HEADERS = ((b"X-Cowslip-Limit", b"2"),)
+
+    def _call(self, admission: AdmissionController, now_ms: float) -> Failure | None:
+        spec = CallSpec(CallClass.STANDARD, now_ms + 9e9, 0, 0, lambda: True)
+        ticket = admission.submit(spec, now_ms).unwrap()
+        checked = admission.recheck(ticket, now_ms)
+        if isinstance(checked, Err):
+            return checked.failure()
+        admission.release_all(ticket)
+        return None
+
+    # An agent passed every call on, whatever limit its server named.
+    def test_calls_keep_to_the_limit(self):
+        """Calls beyond the limit are refused as not run, with when to come back."""
+        admission = AdmissionController(8, None)
+        now_ms = monotonic_ms()
+        admission.limit.record_answer(200, self.LIMIT_HEADERS, now_ms - 1, now_ms)
+        sent_ms = []
+        for i in range(400):
+            at_ms = now_ms + 50.0 * i
+            fault = self._call(admission, at_ms)
+            if fault is None:
+                sent_ms.append(at_ms)
+            else:
+                self.assertEqual(fault.code, Code.SERVER_LIMITED)
+                self.assertGreater(fault.retry_after_ms, 0)
+        self.assertLessEqual(count_most(sent_ms), 4 * 2 + 2)
+        self.assertGreater(len(sent_ms), 30)
+        self.assertEqual(admission.n_in_flight, 0)
+
+    def test_end_of_the_limit(self):
+        """A later answer without a limit ends it; one to an earlier call does not."""
+        limit = AgentServerLimit()
+        limit.record_answer(200, self.LIMIT_HEADERS, 100.0, 150.0)
+        limit.record_answer(200, (), 120.0, 160.0)
+        self.assertEqual(limit.rate_per_s, 2.0)
+        limit.record_answer(200, (), 200.0, 250.0)
+        self.assertIsNone(limit.rate_per_s)
+        self.assertIsNone(limit.refuse_call(1, 251.0))
+
+    def test_named_in_an_answer(self):
+        """The forwarder reads the limit from the server's answers."""
+
+        async def main() -> float | None:
+            limit = AgentServerLimit()
+            async with run_servers([LimitingServer(3.5)]) as listed:
+                forwarder = Forwarder(f"http://{listed[0].addr}", {}, limit=limit)
+                call = BackendCall("GET", "/", [("host", "shop.example")], b"")
+                await forwarder.forward(call, _ignore, dict, None)
+            return limit.rate_per_s
+
+        self.assertEqual(anyio.run(main), 3.5)
+
+
+async def _ignore(event: dict) -> None:
+    pass
+
+
 class UnlimitedTest(unittest.TestCase):
     """Servers that name no limit."""
 
