Count a server as short of permits for a time, also while some are granted

An engine of which entries wanted more than its limit counted as a copy again with every permit, until the next refusal, so that the leader planned copies for its models and against them in turn. test_short_for_a_time failed before.

--- a/src/cowslipwood/server_limits/_permits.py
+++ b/src/cowslipwood/server_limits/_permits.py
@@ -2,7 +2,7 @@
 
 import math
 
-__all__ = ["PERMIT_LIFE_MS", "PermitBucket"]
+__all__ = ["PERMIT_LIFE_MS", "SHORT_MS", "PermitBucket"]
 
 # Time, in milliseconds, within which a permit may be used, counted from the question
 # for it. A question and its answer may take most of it on a slow link.
@@ -37,7 +37,9 @@
         self._filled_at_ms = now_ms
         # Time at which all who were refused have had a permit, if each comes back.
         self._queue_until_ms = now_ms
+        # Last refusal of each rank that has had no permit since, and of any.
         self._refused_at_ms: dict[int, float] = {}
+        self._short_at_ms = -math.inf
 
     def set_rate(self, rate_per_s: float, now_ms: float) -> None:
         """Fill at another rate from now on."""
@@ -63,7 +65,7 @@
 
     def refuse(self, urgency_rank: int, now_ms: float) -> tuple[float, float]:
         """Record a refusal; return the times until the next permit and the own one."""
-        self._refused_at_ms[urgency_rank] = now_ms
+        self._refused_at_ms[urgency_rank] = self._short_at_ms = now_ms
         interval_ms = 1000.0 / self._rate_per_s
         missing = max(0.0, 1.0 - self._n_permits)
         next_ms = missing * interval_ms
@@ -75,8 +77,7 @@
 
     def was_short(self, now_ms: float) -> bool:
         """Return whether a question was refused within `SHORT_MS`."""
-        latest_ms = max(self._refused_at_ms.values(), default=-math.inf)
-        return now_ms - latest_ms < SHORT_MS
+        return now_ms - self._short_at_ms < SHORT_MS
 
     @property
     def _capacity(self) -> float:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -16,7 +16,7 @@
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.codes import Code, Failure, Outcome, failure
 from cowslipwood.kernel.messages import SendPermitRequest, ServerLimit, ServerLimits
-from cowslipwood.server_limits import PermitBucket
+from cowslipwood.server_limits import SHORT_MS, PermitBucket
 
 from .direct_builders import build_direct_state, build_listed_server
 from .limit_builders import (
@@ -200,6 +200,15 @@
         self.assertEqual(bucket.take(1, 7, 1_005.0), 0)
         self.assertEqual(bucket.take(1, 2, 1_006.0), 1)
 
+    # With each permit the engine counted as a copy again, until the next refusal.
+    def test_short_for_a_time(self):
+        """A server that was short of permits stays so while some are granted."""
+        bucket = PermitBucket(1.0, 0.0)
+        bucket.refuse(5, 10.0)
+        self.assertEqual(bucket.take(1, 5, 1_100.0), 1)
+        self.assertTrue(bucket.was_short(1_200.0))
+        self.assertFalse(bucket.was_short(10.0 + SHORT_MS))
+
     def test_retry_after_grows_with_the_queue(self):
         """Each refused caller is told a later time, by the rate, up to a bound."""
         bucket = PermitBucket(2.0, 0.0)
