Test what the leader does about engines that name a limit

A model whose only copy is on an engine of which entries want more than its limit is loaded elsewhere, and the engine's report is read less often than its limit allows. Both hold; no code is changed.

--- a/tests/engine_builders.py
+++ b/tests/engine_builders.py
@@ -7,6 +7,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from cowslipwood.keeper._server_limits import ServerLimitTable
 from cowslipwood.keeper.engines import (
     EngineController,
     EngineOrder,
@@ -175,6 +176,8 @@
 
     Attributes
     ----------
+    limits : ServerLimitTable
+        Limits that entries have reported.
     before_orders : list of callable
         What happens just before each of the next orders arrives, one for each order.
     """
@@ -186,6 +189,7 @@
         self.term = 1
         self.preceding_term = 0
         self.spec = SPEC
+        self.limits = ServerLimitTable()
         self.document: RouteDocument | None = None
         self.orders: list[EngineOrder] = []
         self.ordered_at_ms: list[float] = []
@@ -241,4 +245,5 @@
             lambda: self.preceding_term,
             lambda: document,
             Metrics("keeper"),
+            self.limits,
         )
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 from returns.result import Failure as Err
@@ -13,12 +14,15 @@
 from cowslipwood.agent._server_limit import ServerLimit as AgentServerLimit
 from cowslipwood.entry.direct._limits import Permit, PermitRefusal, ServerLimitKeeper
 from cowslipwood.keeper._server_limits import ServerLimitTable
+from cowslipwood.keeper.engines import EngineController
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.codes import Code, Failure, Outcome, failure
 from cowslipwood.kernel.messages import SendPermitRequest, ServerLimit, ServerLimits
+from cowslipwood.listing import ListedServer
 from cowslipwood.server_limits import SHORT_MS, PermitBucket
 
 from .direct_builders import build_direct_state, build_listed_server
+from .engine_builders import FakeEngine, FakeFleet
 from .limit_builders import (
     CONTACT_MS,
     LimitingServer,
@@ -29,6 +33,7 @@
     send_requests,
 )
 from .limit_leader import LimitLeader
+from .test_engine_orders import look_up, run_controller
 
 
 def count_after_contact(server: LimitingServer) -> int:
@@ -299,6 +304,53 @@
     return Err(failure(Code.NO_QUORUM))
 
 
+class LimitedEngineTest(unittest.TestCase):
+    """What the leading keeper does about engines that name a limit."""
+
+    LIMIT = ServerLimit("s0", "1", 1.0, 0.0)
+
+    # A model whose only copy was on a limited engine was served at its limit for good.
+    def test_model_gets_another_copy(self):
+        """A model of a limited engine is loaded elsewhere if entries want more."""
+        fleet = FakeFleet([FakeEngine("s0", {"m0": set()}), FakeEngine("s1", {})])
+
+        async def act(controller: EngineController) -> None:
+            now_ms = monotonic_ms()
+            fleet.limits.add(ServerLimits((self.LIMIT,)), 1, now_ms)
+            await anyio.sleep(0.1)
+            self.assertEqual((await look_up(controller, "m0")).server_id, "s0")
+            request = SendPermitRequest(self.LIMIT, 1, 5)
+            self.assertEqual(fleet.limits.grant(request, 1, now_ms).n_granted, 0)
+            await anyio.sleep(0.1)
+            self.assertEqual((await look_up(controller, "m0")).server_id, "s1")
+
+        run_controller(fleet, act)
+        self.assertIn("m0", fleet.engines["s1"].held)
+
+    # The leader read the reports of a limited engine twice a second.
+    def test_report_requests_are_fewer(self):
+        """A limited engine is asked for its report less often than its limit."""
+        fleet = FakeFleet([FakeEngine("s0", {"m0": set()}), FakeEngine("s1", {})])
+        read_ids: list[str] = []
+        report = fleet.report
+
+        async def report_and_record(server: ListedServer) -> Any:
+            read_ids.append(server.server_id)
+            return await report(server)
+
+        fleet.report = report_and_record
+
+        async def act(controller: EngineController) -> None:
+            fleet.limits.add(ServerLimits((self.LIMIT,)), 1, monotonic_ms())
+            await anyio.sleep(0.6)
+            read_ids.clear()
+            await anyio.sleep(2.0)
+            self.assertLessEqual(read_ids.count("s0"), 1)
+            self.assertGreater(read_ids.count("s1"), 1)
+
+        run_controller(fleet, act)
+
+
 class AgentTest(unittest.TestCase):
     """An agent whose server names a limit."""
 
