Let keepers learn of new seeds while they run

Cause: each part of a process held keepers' addresses of its own. A reload of the settings reached only the operators' link of a keeper; the tasks that announce it and that tell relays where the members are used the addresses of the start for ever.

Change: one KeeperAddresses for each process, which holds what the settings name and which members are known. A reload changes it, and KeeperLink, the announcements and the messages to relays all use it. A keeper's own link also learns the members from its log.

Ruled out: the relays themselves; they answer with the leader as soon as one keeper tells them the members.

--- a/benchmarks/bench_log.py
+++ b/benchmarks/bench_log.py
@@ -20,6 +20,7 @@
 from tests.processes import wait_for
 
 from cowslipwood.kernel.clock import monotonic_ms
+from cowslipwood.kernel.keeper_addresses import KeeperAddresses
 from cowslipwood.kernel.keeper_link import KeeperLink
 from cowslipwood.kernel.messages import Hello, OperatorRequest
 
@@ -82,7 +83,7 @@
 async def _run_measurements(
     keepers: str, proposers: list[int], n_edits: int
 ) -> list[_Measurement]:
-    link = KeeperLink(keepers, _HELLO, _discard_heartbeat)
+    link = KeeperLink(KeeperAddresses.parse(keepers), _HELLO, _discard_heartbeat)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(link.run)
         while not link.is_connected:
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: runs the programs of the deploy file and injects faults from outside."""
--- a/src/cowslipwood/agent/_agent.py
+++ b/src/cowslipwood/agent/_agent.py
@@ -10,6 +10,7 @@
 from ..kernel.channel import Channel
 from ..kernel.clock import monotonic_ms
 from ..kernel.http import HttpServer, add_health_endpoints, bind_socket
+from ..kernel.keeper_addresses import KeeperAddresses
 from ..kernel.keeper_link import KeeperLink
 from ..kernel.lifecycle import require_tokens
 from ..kernel.logs import get_logger
@@ -142,7 +143,10 @@
             "agent", settings.server_id, self._incarnation, settings.zone, token
         )
         self._link = KeeperLink(
-            settings.keepers, hello, self._handle_message, self._send_reports
+            KeeperAddresses.parse(settings.keepers),
+            hello,
+            self._handle_message,
+            self._send_reports,
         )
         self._engine = self._make_engine_manager()
         self._admission = AdmissionController(
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -14,6 +14,7 @@
 from ...kernel.clock import monotonic_ms
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.http import HttpServer, add_health_endpoints, bind_socket, send_failure
+from ...kernel.keeper_addresses import KeeperAddresses
 from ...kernel.keeper_link import KeeperLink
 from ...kernel.logs import get_logger
 from ...kernel.messages import (
@@ -170,6 +171,9 @@
     header_names : HeaderNames
     list_source : ServerListSource
         Where the entry reads the list of backend servers.
+    keepers : KeeperAddresses, optional
+        Addresses of the keepers, whose configured ones a reload may replace; by
+        default those of the setting `keepers`.
     """
 
     def __init__(
@@ -177,6 +181,7 @@
         settings: DirectSettings,
         header_names: HeaderNames,
         list_source: ServerListSource,
+        keepers: KeeperAddresses | None = None,
     ):
         self._settings = settings
         self._list_source = list_source
@@ -192,10 +197,13 @@
             settings.zone,
             read_token(settings.cluster_token),
         )
-        self.link = KeeperLink(
-            settings.keepers, hello, self._on_message, self._report_loop
+        self._link = KeeperLink(
+            keepers or KeeperAddresses.parse(settings.keepers),
+            hello,
+            self._on_message,
+            self._report_loop,
         )
-        self._holder_finder = HolderFinder(self.link, self._servers, monotonic_ms)
+        self._holder_finder = HolderFinder(self._link, self._servers, monotonic_ms)
         retry_limits = RetryBudgetLimits(
             settings.retry_share, settings.retry_extra, settings.retry_window_ms
         )
@@ -209,7 +217,7 @@
             self._holder_finder,
             retry_limits,
             self._metrics,
-            ask_leader=self.link.request,
+            ask_leader=self._link.request,
             identity_key=_make_identity_key(settings.cluster_token),
         )
         self._app = RouteApp(self._state, random.Random())
@@ -240,7 +248,7 @@
         async with anyio.create_task_group() as tasks:
             for http_server in (server, *health_servers):
                 tasks.start_soon(http_server.run)
-            tasks.start_soon(self.link.run)
+            tasks.start_soon(self._link.run)
             tasks.start_soon(self._holder_finder.run)
             tasks.start_soon(self._list_loop)
             tasks.start_soon(self._pool_sweep_loop)
@@ -297,7 +305,7 @@
                 "document_in_force",
                 version=update.version,
                 routes=len(parsed.unwrap().routes),
-                term=self.link.term,
+                term=self._link.term,
             )
 
     async def _list_loop(self) -> None:
@@ -346,7 +354,7 @@
             await observer.has_news.wait()
             news = observer.take_news(monotonic_ms())
             if news is not None:
-                await self.link.send(news)
+                await self._link.send(news)
             await anyio.sleep(pause_ms / 1000)
 
     async def _report_loop(self, channel: Channel) -> None:
--- a/src/cowslipwood/entry/through_agents/_entry.py
+++ b/src/cowslipwood/entry/through_agents/_entry.py
@@ -15,6 +15,7 @@
 from ...kernel.clock import monotonic_ms
 from ...kernel.codes import Code
 from ...kernel.http import HttpServer, add_health_endpoints, bind_socket
+from ...kernel.keeper_addresses import KeeperAddresses
 from ...kernel.keeper_link import KeeperLink
 from ...kernel.lifecycle import require_tokens
 from ...kernel.logs import get_logger
@@ -144,7 +145,10 @@
         self._incarnation = uuid.uuid4().hex
         hello = Hello("entry", self._entry_id, self._incarnation, settings.zone, token)
         self._link = KeeperLink(
-            settings.keepers, hello, self._on_message, self._report_loop
+            KeeperAddresses.parse(settings.keepers),
+            hello,
+            self._on_message,
+            self._report_loop,
         )
         self._claims = Claims(
             self._entry_id, self._link, AttemptClient(token), self._metrics
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -11,6 +11,7 @@
 from ..kernel.clock import monotonic_ms, wall_ms
 from ..kernel.codes import Code, failure
 from ..kernel.http import HttpServer, add_health_endpoints, bind_socket, send_failure
+from ..kernel.keeper_addresses import KeeperAddresses
 from ..kernel.keeper_link import KeeperLink
 from ..kernel.lifecycle import require_tokens
 from ..kernel.logs import get_logger
@@ -120,6 +121,7 @@
     stop: anyio.Event,
     engines: DirectEngines | None = None,
     started_ms: float | None = None,
+    keepers: KeeperAddresses | None = None,
 ) -> None:
     """Run a keeper until `stop` is set.
 
@@ -134,13 +136,23 @@
         time at which this process opens the data folder. The keeper votes for
         nobody until the shortest election timeout has passed since then, because
         its earlier process may have answered a leader shortly before.
+    keepers : KeeperAddresses, optional
+        Addresses of keepers and relays, whose configured ones a reload may replace; by
+        default those of the setting `join`.
     """
     cluster_token = read_token(settings.cluster_token)
     operator_token = read_token(settings.operator_token)
     require_tokens(
         settings.listen, settings.allow_no_token, cluster_token, operator_token
     )
-    keeper = _Keeper(settings, cluster_token, operator_token, engines, started_ms)
+    keeper = _Keeper(
+        settings,
+        cluster_token,
+        operator_token,
+        engines,
+        started_ms,
+        keepers or KeeperAddresses.parse(settings.join),
+    )
     await keeper.run(stop)
 
 
@@ -154,8 +166,10 @@
         operator_token: str,
         engines: DirectEngines | None,
         started_ms: float | None,
+        keepers: KeeperAddresses,
     ):
         self._settings = settings
+        self._keepers = keepers
         self._cluster_token = cluster_token
         self._metrics = Metrics("keeper")
         self._machine = KeeperStateMachine()
@@ -505,7 +519,7 @@
     async def _announce_until_voting(self) -> None:
         """Announce this keeper to the other keepers until it votes in their log."""
         hello = Hello("operator", self._settings.keeper_id, "", "", self._cluster_token)
-        link = KeeperLink(self._settings.join, hello, _ignore_message)
+        link = KeeperLink(self._keepers, hello, _ignore_message)
         settings = self._settings
         announce = Announce(self._replica.replica_id, settings.listen, settings.grows)
         async with anyio.create_task_group() as tasks:
@@ -514,18 +528,20 @@
                 await link.send(announce)
                 await anyio.sleep(MEMBERSHIP_INTERVAL_MS / 1000)
             tasks.cancel_scope.cancel()
+        get_logger().info("keeper_votes", replica=self._replica.replica_id)
 
     async def _send_members_to_relays(self) -> None:
         """Send the members' addresses to the relays.
 
-        The relays are the addresses in the `join` setting that belong to no member.
+        The relays are the configured addresses that belong to no member.
         """
         while True:
             await anyio.sleep(RELAYS_INTERVAL_MS / 1000)
             if not self._replica.is_voter:
                 continue
             members = tuple(member.addr for member in self._replica.members)
-            for addr in self._settings.join.split(","):
+            self._keepers.set_members(members)
+            for addr in self._keepers.configured:
                 if addr not in (*members, self._settings.listen):
                     update = KeepersUpdate(members)
                     await self._replica.send_message(addr, update, RELAYS_INTERVAL_MS)
--- a/src/cowslipwood/kernel/keeper_link.py
+++ b/src/cowslipwood/kernel/keeper_link.py
@@ -9,6 +9,7 @@
 
 from .channel import Channel, Handler, failure_from_refused, open_channel
 from .codes import Code, Failure, failure
+from .keeper_addresses import KeeperAddresses
 from .logs import get_logger
 from .messages import Hello, KeepersUpdate, Refused, Welcome
 from .settings import parse_address
@@ -32,8 +33,8 @@
 
     Parameters
     ----------
-    keepers : str
-        Comma-separated ``ip:port`` of the keepers.
+    keepers : KeeperAddresses
+        Addresses to try; the leader's `KeepersUpdate` sets the members in it.
     hello : Hello
         The first message on each connection, which identifies this process.
     handle : callable
@@ -45,6 +46,7 @@
 
     Attributes
     ----------
+    keepers : KeeperAddresses
     leader_addr : str
         Address of the connected leader; empty while none is connected.
     term : int
@@ -56,13 +58,12 @@
 
     def __init__(
         self,
-        keepers: str,
+        keepers: KeeperAddresses,
         hello: Hello,
         handle: Handler,
         on_connect: Callable[[Channel], Awaitable[None]] | None = None,
     ):
-        self._configured_addrs = keepers.split(",")
-        self._announced_addrs: tuple[str, ...] = ()
+        self.keepers = keepers
         self._hello = hello
         self._handle = handle
         self._on_connect = on_connect
@@ -84,25 +85,11 @@
         """
         n_attempts = 0
         while True:
-            addrs = [*dict.fromkeys([*self._announced_addrs, *self._configured_addrs])]
-            addr = addrs[n_attempts % len(addrs)]
+            if addrs := self.keepers.list_in_order():
+                await self._try(addrs[n_attempts % len(addrs)])
             n_attempts += 1
-            leader_addr = await self._connect(addr)
-            if leader_addr and leader_addr != addr:
-                await self._connect(leader_addr)
             await anyio.sleep(RECONNECT_INTERVAL_MS / 1000)
 
-    def set_configured_keepers(self, keepers: str) -> None:
-        """Replace the configured addresses after a reload of the settings."""
-        self._configured_addrs = keepers.split(",")
-
-    def set_announced_keepers(self, addrs: tuple[str, ...]) -> None:
-        """Set the addresses that the leader announced.
-
-        They are tried before the configured addresses, which are kept.
-        """
-        self._announced_addrs = addrs
-
     async def request(self, value: Any, timeout_ms: float) -> Result[Any, Failure]:
         """Send a request to the leader and wait for its reply.
 
@@ -127,6 +114,12 @@
         if self._channel is not None:
             await self._channel.send(value)
 
+    async def _try(self, addr: str) -> None:
+        """Connect to the leader, found through the keeper at an address."""
+        leader_addr = await self._connect(addr)
+        if leader_addr and leader_addr != addr:
+            await self._connect(leader_addr)
+
     async def _connect(self, addr: str) -> str:
         """Connect to a keeper and, if it leads, serve the connection to its end.
 
@@ -156,7 +149,7 @@
 
     async def _on_message(self, value: Any) -> Any:
         if isinstance(value, KeepersUpdate):
-            self.set_announced_keepers(value.addrs)
+            self.keepers.set_members(value.addrs)
             return None
         return await self._handle(value)
 
--- a/src/cowslipwood/programs/_ctl_client.py
+++ b/src/cowslipwood/programs/_ctl_client.py
@@ -11,6 +11,7 @@
 
 from ..kernel.clock import monotonic_ms
 from ..kernel.codes import Code, Failure, failure
+from ..kernel.keeper_addresses import KeeperAddresses
 from ..kernel.keeper_link import KeeperLink
 from ..kernel.messages import (
     AppliedDocument,
@@ -114,7 +115,9 @@
 
     def __init__(self, access: KeeperAccess, hello: Hello):
         self._operator_token = access.operator_token
-        self.link = KeeperLink(access.keepers, hello, _ignore_message)
+        self.link = KeeperLink(
+            KeeperAddresses.parse(access.keepers), hello, _ignore_message
+        )
 
     async def execute(self, command: OperatorCommand) -> Result[Any, Failure]:
         """Send the request until there is an answer or the time has passed."""
--- a/src/cowslipwood/relay/_relay.py
+++ b/src/cowslipwood/relay/_relay.py
@@ -64,7 +64,7 @@
             # settings could not ask this host.
             return Identity("", listen, False, True)
         if isinstance(message, KeepersUpdate):
-            link.set_announced_keepers(message.addrs)
+            link.keepers.set_members(message.addrs)
             return Ack(0)
         return to_refused(failure(Code.NOT_LEADER), link.leader_addr)
 
--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -11,6 +11,7 @@
 from returns.result import Failure as Err
 
 from cowslipwood.kernel.channel import Channel, open_channel
+from cowslipwood.kernel.keeper_addresses import KeeperAddresses
 from cowslipwood.kernel.keeper_link import KeeperLink
 from cowslipwood.kernel.messages import Hello, OperatorRequest
 from cowslipwood.kernel.settings import parse_address
@@ -54,7 +55,7 @@
     async def ignore(value: Any) -> None:
         """Ignore heartbeats."""
 
-    link = KeeperLink(keepers, OPERATOR_HELLO, ignore)
+    link = KeeperLink(KeeperAddresses.parse(keepers), OPERATOR_HELLO, ignore)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(link.run)
         for name in names:
--- a/tests/test_crash_evidence_processes.py
+++ b/tests/test_crash_evidence_processes.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from cowslipwood.kernel.keeper_addresses import KeeperAddresses
 from cowslipwood.kernel.keeper_link import KeeperLink
 from cowslipwood.kernel.messages import CrashEvidence, Hello, ServerEnd
 
@@ -33,7 +34,7 @@
                 received.append(value)
 
         hello = Hello("entry", entry_id, "1", "z", TOKEN)
-        return KeeperLink(self.cluster.keepers, hello, keep)
+        return KeeperLink(KeeperAddresses.parse(self.cluster.keepers), hello, keep)
 
     def test_evidence_reaches_entries_and_operators(self):
         """Other entries get evidence, later ones too; an operator can lift a block."""
--- a/tests/test_limits_processes.py
+++ b/tests/test_limits_processes.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from cowslipwood.kernel.keeper_addresses import KeeperAddresses
 from cowslipwood.kernel.keeper_link import KeeperLink
 from cowslipwood.kernel.messages import (
     BegunStream,
@@ -39,7 +40,7 @@
                 self.received[entry_id].append(value)
 
         hello = Hello("entry", entry_id, "1", "z", TOKEN)
-        return KeeperLink(self.cluster.keepers, hello, keep)
+        return KeeperLink(KeeperAddresses.parse(self.cluster.keepers), hello, keep)
 
     def _list_limited(self) -> list[dict[str, Any]]:
         completed = self.cluster.ctl("limited-servers", "--json")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,6 +9,7 @@
 
 from cowslipwood.kernel.channel import open_channel
 from cowslipwood.kernel.codes import Code
+from cowslipwood.kernel.keeper_addresses import KeeperAddresses
 from cowslipwood.kernel.keeper_link import KeeperLink
 from cowslipwood.kernel.messages import Hello, ReadDocument, Welcome
 from cowslipwood.kernel.settings import parse_address
@@ -27,7 +28,9 @@
         """Discard the leader's heartbeats."""
 
     return KeeperLink(
-        keepers, Hello("gateway", "r1", "", "", CLUSTER_TOKEN), discard_message
+        KeeperAddresses.parse(keepers),
+        Hello("gateway", "r1", "", "", CLUSTER_TOKEN),
+        discard_message,
     )
 
 
