Find members that lost their disks without the seeds

Cause: such a keeper only announces itself, to the leader that it finds through the addresses in its settings. It knows no others, because its log is gone.

Change: the leader, which knows the addresses of all members, asks a member that has not answered for 500 ms who it is. Another identity at the address of a member counts as an announcement. A learner that is a member already counts too, so a new leader ends a replacement at the same address that its predecessor began.

--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,12 @@
 	$(BIN)/python -m nose2 --start-dir tests
 
 lint: install
-	$(BIN)/ruff format --check src platform tests spec benchmarks
-	$(BIN)/ruff check src platform tests spec benchmarks
+	$(BIN)/ruff format --check src platform tests spec benchmarks soak
+	$(BIN)/ruff check src platform tests spec benchmarks soak
 
 format: install
-	$(BIN)/ruff format src platform tests spec benchmarks
-	$(BIN)/ruff check --fix src platform tests spec benchmarks
+	$(BIN)/ruff format src platform tests spec benchmarks soak
+	$(BIN)/ruff check --fix src platform tests spec benchmarks soak
 
 demo: install
 	$(BIN)/cowslip-solo --demo
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -513,7 +513,8 @@
         while True:
             now_ms = monotonic_ms()
             if self._replica.can_act_as_leader(now_ms):
-                await self._membership.change_one_member(now_ms)
+                await self._membership.find_lost_disks(now_ms)
+                await self._membership.change_one_member(monotonic_ms())
             await anyio.sleep(MEMBERSHIP_INTERVAL_MS / 1000)
 
     async def _announce_until_voting(self) -> None:
--- a/src/cowslipwood/keeper/_membership.py
+++ b/src/cowslipwood/keeper/_membership.py
@@ -17,6 +17,9 @@
 # than a restart takes, so that the log of a restarting follower is not discarded, and
 # short compared with the time in which its successor must have caught up.
 LOST_AFTER_MS = 2_000.0
+# Milliseconds without an answer after which a follower is asked for its identity. A
+# follower answers a heartbeat several times in this time.
+IDENTITY_QUERY_AFTER_MS = 500.0
 # Age in milliseconds from which an announcement is ignored, because the keeper that
 # sent it may have ended since.
 ANNOUNCEMENT_VALID_MS = 1_500.0
@@ -63,6 +66,26 @@
         """Record an announcement and the time of its arrival."""
         self._announced[announce.addr] = (announce, now_ms)
 
+    async def find_lost_disks(self, now_ms: float) -> None:
+        """Record an announcement for each silent member that has lost its disk.
+
+        Such a keeper has a new identity at the address of the member. It announces
+        itself only if it finds the leader through the addresses in its settings.
+        """
+        silent_ms = self._replica.silent_ms_by_follower(now_ms)
+        member_ids = {member.replica_id for member in self._replica.members}
+        for member in self._replica.members:
+            if silent_ms.get(member.replica_id, 0.0) < IDENTITY_QUERY_AFTER_MS:
+                continue
+            identity = await self._replica.query_identity(member.addr)
+            if identity is None or not identity.replica_id:
+                continue
+            # A keeper that has a log but is no member belongs to another log.
+            is_new = not identity.formed or identity.replica_id in member_ids
+            if is_new and identity.replica_id != member.replica_id:
+                announce = Announce(identity.replica_id, member.addr)
+                self.record_announcement(announce, now_ms)
+
     async def change_one_member(self, now_ms: float) -> None:
         """Add or replace one member if an announced keeper is to become one."""
         if self._is_changing:
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -47,6 +47,9 @@
 # Interval at which connections to all members are opened, in ms. A member that was
 # just added is connected this soon, before it can be asked to vote.
 MEMBER_DIAL_INTERVAL_MS = 500
+# Time limit for the answer to one identity query, in ms. A running replica answers
+# from memory.
+IDENTITY_QUERY_TIMEOUT_MS = 300.0
 # Largest command that the log accepts, in bytes.
 MAX_COMMAND_BYTES = 8 * 1024 * 1024
 # Time that a new leader of a log with too few voters waits for further members, in
@@ -340,6 +343,15 @@
         """Send a message to any process, member or not; the message may be lost."""
         await self._links.get_link(addr).request(message, timeout_ms)
 
+    async def query_identity(self, addr: str) -> Identity | None:
+        """Return the identity of the replica at an address; None without an answer."""
+        query = IdentityQuery(self.replica_id, "")
+        result = await self._links.get_link(addr).request(
+            query, IDENTITY_QUERY_TIMEOUT_MS
+        )
+        identity = result.value_or(None)
+        return identity if isinstance(identity, Identity) else None
+
     def set_gauges(self, now_ms: float) -> None:
         """Set the gauges of term, leadership and log indexes."""
         state = self._state
--- a/tests/test_seed_turnover.py
+++ b/tests/test_seed_turnover.py
@@ -86,6 +86,12 @@
         self.wait_for_config(KEEPERS[2], 7)
         self.wait_until_acknowledged(RELAYS[0], {**CONFIG, "version": 8})
 
-
-if __name__ == "__main__":
-    unittest.main()
+    # Guards against a keeper without its disk that waits for seeds which are down.
+    def test_disk_lost_while_seeds_are_down(self):
+        """A keeper that lost its disk joins again while no seed answers."""
+        self.deployment.change_seeds(RELAYS)
+        for host in RELAYS:
+            self.deployment.kill("keeper", host)
+        for host in KEEPERS[:2]:
+            self.lose_disk(host)
+        self.wait_for_config(KEEPERS[2], 7)
