Keep each entry's part of the retry budget when a leader knows few entries

Callers and servers saw: after a change of the leader, or before an entry knew any, each entry could take the extra retries of all entries together (BUDGET).

Cause: LiveEntryCount kept a higher count for one window after it had arrived, not after a lower one had replaced it. The leader sends the count only when it changes, so in calm it is old, and the first, low count of a new leader came into force at once. An entry that knew no leader counted itself alone.

Change: a replaced count is kept for one window from its replacement, and an entry that knows no leader takes the share of one among 100, as limits of servers already did.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -120,7 +120,7 @@
             )
             if will_retry and self._progress.attempt_counts.n_sent:
                 will_retry = budget.spend_retry(
-                    self._state.live_entries.n_entries, now_ms
+                    self._state.live_entries.get(now_ms), now_ms
                 )
                 counter = "retries_total" if will_retry else "retries_denied_total"
                 self._state.metrics.count(counter, reason=fault.code.name)
--- a/src/cowslipwood/entry/direct/_limits.py
+++ b/src/cowslipwood/entry/direct/_limits.py
@@ -43,9 +43,6 @@
 # Part of its share of the rate at which an entry sends without a leader. Others may
 # have a leader meanwhile, which grants the whole rate.
 ALONE_SHARE = 0.5
-# Number of entries that is assumed while no leader has sent the number. It is near that
-# of large installations, as too low a number would break the limit.
-ASSUMED_N_ENTRIES = 100
 # Time, in milliseconds, within which requests to one server count as a series, for
 # which several permits are asked for at once.
 SERIES_MS = 200.0
@@ -284,9 +281,7 @@
     ) -> Permit | PermitRefusal:
         """Send without a leader, at a part of this entry's share of the rate."""
         rate_per_s = ALONE_SHARE * count_rate(fact.rate_per_s)
-        entries = self._live_entries
-        n_entries = entries.n_entries if entries.is_known else ASSUMED_N_ENTRIES
-        interval_ms = 1000.0 * n_entries / rate_per_s
+        interval_ms = 1000.0 * self._live_entries.get(now_ms) / rate_per_s
         if not held.is_alone:
             # All entries may lose the leader at once; they must not send at once.
             held.is_alone = True
--- a/src/cowslipwood/entry/direct/_retries.py
+++ b/src/cowslipwood/entry/direct/_retries.py
@@ -1,6 +1,5 @@
 """Decides whether a failed attempt is retried, and which failure the caller gets."""
 
-import math
 from typing import NamedTuple
 
 from ...kernel.codes import Code, Failure, Outcome, failure
@@ -21,6 +20,9 @@
 # Share of its part of the extra retries that an entry uses. The rest is a margin for
 # entries that have just started or stopped and that not every entry counts yet.
 USED_EXTRA_SHARE = 0.75
+# Number of entries that is assumed while no leader has sent the number. It is near that
+# of large installations, as too low a number would exceed the budget of all entries.
+ASSUMED_N_ENTRIES = 100
 # Least time, in milliseconds, that an attempt must have. Connecting to a server and
 # a short run there take longer.
 MIN_ATTEMPT_MS = 20.0
@@ -67,35 +69,33 @@
     """Number of live entries that share each retry budget.
 
     A newly elected leader has had reports from few entries, so its count is too low.
-    The highest count of the last window is therefore used, so that no entry takes
-    more than its part in the meantime.
+    The highest count that was in force during the last window is therefore used, so
+    that no entry takes more than its part in the meantime.
 
     Parameters
     ----------
     window_ms : float
-        Time for which a higher count is kept.
-
-    Attributes
-    ----------
-    n_entries : int
-        The count; 1 while no leader has sent any.
-    is_known : bool
-        Whether a leader has sent a count.
+        Time for which a higher count is kept after a lower one has replaced it.
     """
 
     def __init__(self, window_ms: float):
         self._window_ms = window_ms
-        self._highest_at_ms = -math.inf
-        self.n_entries = 1
-        self.is_known = False
+        self._n_entries: int | None = None
+        # Replaced counts and the times until which they are kept.
+        self._former: list[tuple[int, float]] = []
 
     def update(self, n_entries: int, now_ms: float) -> None:
         """Apply the number of live entries that the leader has counted."""
-        self.is_known = True
-        is_expired = now_ms - self._highest_at_ms > self._window_ms
-        if n_entries >= self.n_entries or is_expired:
-            self.n_entries = max(1, n_entries)
-            self._highest_at_ms = now_ms
+        if self._n_entries is not None and n_entries < self._n_entries:
+            self._former.append((self._n_entries, now_ms + self._window_ms))
+        self._n_entries = max(1, n_entries)
+
+    def get(self, now_ms: float) -> int:
+        """Return the number of entries to share with."""
+        if self._n_entries is None:
+            return ASSUMED_N_ENTRIES
+        self._former = [pair for pair in self._former if pair[1] >= now_ms]
+        return max([self._n_entries, *(n_entries for n_entries, _ in self._former)])
 
 
 class SharedRetryBudget:
