Spend no retry budget anew after a restart

Servers saw: entries that were killed and started again in series repeated more than all entries together may within 10 s (BUDGET).

Cause: an entry that starts does not know what its predecessor has spent in the same window, and began with its whole part of the extra retries.

Change: running entries already use three quarters of the extra retries. The last quarter is now that of entries in their first window, and grows with the time since their start, so that the starts of any number of successors add up to one quarter.

Ruled out: asking the leader for what was spent. It may be lost in the same moment, and its answer would be needed before the first retry.

--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -219,6 +219,7 @@
             self._metrics,
             ask_leader=self._link.request,
             identity_key=_make_identity_key(settings.cluster_token),
+            started_ms=monotonic_ms(),
         )
         self._app = RouteApp(self._state, random.Random())
 
--- a/src/cowslipwood/entry/direct/_retries.py
+++ b/src/cowslipwood/entry/direct/_retries.py
@@ -17,8 +17,8 @@
 # Number of buckets into which a budget's window is divided. The counts of a window
 # then cover at most one bucket more than its length.
 N_BUCKETS = 10
-# Share of its part of the extra retries that an entry uses. The rest is a margin for
-# entries that have just started or stopped and that not every entry counts yet.
+# Share of its part of the extra retries that an entry uses. The rest is for entries
+# that have restarted: their predecessors may have used up their parts in this window.
 USED_EXTRA_SHARE = 0.75
 # Number of entries that is assumed while no leader has sent the number. It is near that
 # of large installations, as too low a number would exceed the budget of all entries.
@@ -102,15 +102,21 @@
     """One entry's part of the retries that all entries may send to a service.
 
     Requests and retries are counted in buckets, so that any span as long as the
-    window holds at most the retries that the entry's part allows.
+    window holds at most the retries that the entry's part allows. An entry that has
+    just started does not know what its predecessor has sent. In its first window its
+    extra retries come from the margin that running entries leave, and grow with the
+    time since the start, so that any number of restarts stays within that margin.
 
     Parameters
     ----------
     limits : RetryBudgetLimits
+    started_ms : float
+        When the entry started.
     """
 
-    def __init__(self, limits: RetryBudgetLimits):
+    def __init__(self, limits: RetryBudgetLimits, started_ms: float):
         self._limits = limits
+        self._started_ms = started_ms
         self._n_requests_by_bucket: dict[int, int] = {}
         self._n_retries_by_bucket: dict[int, int] = {}
 
@@ -140,12 +146,20 @@
             if each_bucket > bucket - N_BUCKETS
         )
         n_allowed = self._limits.retries_per_request * n_requests
-        n_allowed += self._limits.n_extra_retries / max(1, n_entries) * USED_EXTRA_SHARE
+        n_allowed += self._compute_extra_share(now_ms) / n_entries
         if sum(self._n_retries_by_bucket.values()) + 1 > n_allowed:
             return False
         self._n_retries_by_bucket[bucket] = self._n_retries_by_bucket.get(bucket, 0) + 1
         return True
 
+    def _compute_extra_share(self, now_ms: float) -> float:
+        """Return the extra retries of all entries if each had run for as long."""
+        uptime_share = (now_ms - self._started_ms) / self._limits.window_ms
+        used_share = USED_EXTRA_SHARE
+        if uptime_share <= 1.0 + 1.0 / N_BUCKETS:
+            used_share = (1.0 - USED_EXTRA_SHARE) * min(1.0, uptime_share)
+        return self._limits.n_extra_retries * used_share
+
     def _compute_bucket(self, now_ms: float) -> int:
         return int(now_ms * N_BUCKETS // self._limits.window_ms)
 
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -1,5 +1,6 @@
 """State that the request handlers and loops of a direct-route entry share."""
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -58,6 +59,8 @@
         Sends the leader a question and returns its answer; see `KeeperLink.request`.
     identity_key : bytes
         Key of the digests by which entries recognise requests; the same at all.
+    started_ms : float
+        When the entry started; by default more than a retry window ago.
 
     Attributes
     ----------
@@ -92,6 +95,7 @@
         now_ms: Callable[[], float] = monotonic_ms,
         ask_leader: Callable[[Any, float], Awaitable[Result]] | None = None,
         identity_key: bytes = b"",
+        started_ms: float = -math.inf,
     ):
         ask = ask_leader or _find_no_leader
         self.identity_key = identity_key
@@ -121,6 +125,7 @@
         )
         self._policy = policy
         self._retry_limits = retry_limits
+        self._started_ms = started_ms
         self._retry_budgets: dict[str, SharedRetryBudget] = {}
         self._typical_tokens: dict[str, Ewma] = {}
 
@@ -148,7 +153,7 @@
         budget = self._retry_budgets.get(service)
         if budget is None:
             budget = self._retry_budgets[service] = SharedRetryBudget(
-                self._retry_limits
+                self._retry_limits, self._started_ms
             )
         return budget
 
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -4,6 +4,8 @@
 would get under the pattern that its class is named after.
 """
 
+import math
+import random
 import unittest
 from collections import Counter
 
@@ -350,7 +352,7 @@
     def test_window_bound(self):
         """In any window, the retries of all entries together stay within the budget."""
         terms = RetryBudgetLimits(0.2, 64.0, 10_000.0)
-        budgets = [SharedRetryBudget(terms) for _ in range(8)]
+        budgets = [SharedRetryBudget(terms, -math.inf) for _ in range(8)]
         taken_ms: list[float] = []
         for step in range(4_000):
             now_ms = step * 10.0
@@ -366,7 +368,7 @@
     def test_busy_window_bound(self):
         """Retries that come all together stay within the budget of one window."""
         terms = RetryBudgetLimits(0.2, 64.0, 10_000.0)
-        budgets = [SharedRetryBudget(terms) for _ in range(8)]
+        budgets = [SharedRetryBudget(terms, -math.inf) for _ in range(8)]
         taken_ms: list[float] = []
         n_per_window = 2_000
         for step in range(3 * n_per_window):
@@ -403,9 +405,33 @@
         """An entry that knows no leader takes the share of one among many."""
         self.assertGreaterEqual(LiveEntryCount(10_000.0).get(0.0), 70)
 
+    # Guards against entries that spend the budget anew after each restart.
+    def test_restarts_share_one_window(self):
+        """Entries that restart in series stay within the budget of any window."""
+        terms = RetryBudgetLimits(0.2, 64.0, 10_000.0)
+        rng = create_rng()
+        for _ in range(20):
+            self.check_window(terms, rng)
+
+    def check_window(self, terms: RetryBudgetLimits, rng: random.Random) -> None:
+        """Repeat all that is allowed, at eight entries that restart at random."""
+        budgets = [SharedRetryBudget(terms, -math.inf) for _ in range(8)]
+        restart_share = rng.choice((0.0002, 0.001, 0.005))
+        taken_ms: list[float] = []
+        for step in range(4_000):
+            now_ms = step * 10.0
+            if rng.random() < restart_share:
+                budgets = [SharedRetryBudget(terms, now_ms) for _ in range(8)]
+            for budget in budgets:
+                while budget.spend_retry(8, now_ms):
+                    taken_ms.append(now_ms)
+        for start_ms in range(0, 30_000, 500):
+            n_repeats = sum(start_ms <= at_ms < start_ms + 10_000 for at_ms in taken_ms)
+            self.assertLessEqual(n_repeats, 64)
+
     def test_calm_service_may_repeat(self):
         """A service with few requests may still retry some."""
-        budget = SharedRetryBudget(RetryBudgetLimits(0.2, 64.0, 10_000.0))
+        budget = SharedRetryBudget(RetryBudgetLimits(0.2, 64.0, 10_000.0), -math.inf)
         self.assertTrue(budget.spend_retry(8, 0.0))
 
 
