--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,194 @@
+"""Checks the history of a soak run against what callers and servers were promised."""
+
+from bisect import bisect_right
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Any, NamedTuple
+
+__all__ = ["CHECKS", "Violation", "check_history"]
+
+Record = Mapping[str, Any]
+
+# Time for which a server may go on with a request that was taken up elsewhere, in ms.
+OVERLAP_MS = 400.0
+# Time after a fault in which a host is not held to limits of time, in ms.
+CONTACT_MS = 3_000.0
+# Limits on the requests that servers get beyond the first of each.
+RETRY_SHARE = 0.2
+RETRY_EXTRA = 64
+RETRY_WINDOW_MS = 10_000.0
+# Time after which a server's wish to get nothing must be met, in ms.
+HOLD_OFF_SLACK_MS = 500.0
+# Number of requests that may still reach a server that asked for none.
+MAX_HELD_OFF_ARRIVALS = 2
+# Statuses that promise that a request did not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
+class Violation(NamedTuple):
+    """A broken promise.
+
+    Parameters
+    ----------
+    rule : str
+    at_ms : float
+    text : str
+    """
+
+    rule: str
+    at_ms: float
+    text: str
+
+
+def check_history(history: Sequence[Record]) -> list[Violation]:
+    """Return what all checks find, in the order of time."""
+    found = [violation for check in CHECKS for violation in check(history)]
+    return sorted(found, key=lambda violation: violation.at_ms)
+
+
+def check_single_runs(history: Sequence[Record]) -> Iterable[Violation]:
+    """Find requests that may not be repeated and ran more than once."""
+    once = {r["request"] for r in _select(history, "sent") if not r["repeatable"]}
+    servers = defaultdict(list)
+    for record in _select(history, "run"):
+        if record["request"] in once:
+            servers[record["request"]].append(record["server"])
+            if len(servers[record["request"]]) > 1:
+                text = f"{record['request']} ran at {servers[record['request']]}"
+                yield Violation("TWICE", record["at_ms"], text)
+
+
+def check_overlapping_runs(history: Sequence[Record]) -> Iterable[Violation]:
+    """Find streams that went on elsewhere while an earlier server still worked."""
+    sent = {record["request"]: record for record in _select(history, "sent")}
+    ended_at_ms = {
+        (r["request"], r["server"], r["born_ms"]): r["at_ms"]
+        for r in _select(history, "ended")
+    }
+    disturbed = _Disturbances(history)
+    runs = defaultdict(list)
+    for record in _select(history, "run"):
+        request = sent.get(record["request"])
+        if request is None or not request["stream"]:
+            continue
+        for earlier in runs[request["first"]]:
+            key = (earlier["request"], earlier["server"], earlier["born_ms"])
+            end_ms = ended_at_ms.get(key)
+            entry = sent[earlier["request"]]["entry"]
+            hosts = (entry, earlier["server"])
+            if any(disturbed.is_near(host, record["at_ms"]) for host in hosts):
+                continue
+            overlap_ms = (end_ms or float("inf")) - record["at_ms"]
+            if earlier["server"] != record["server"] and overlap_ms > OVERLAP_MS:
+                text = (
+                    f"{record['request']} went on at {record['server']} while "
+                    f"{earlier['server']} worked on {earlier['request']} of {entry} "
+                    f"for {overlap_ms:.0f} ms more"
+                )
+                yield Violation("TWICE", record["at_ms"], text)
+        runs[request["first"]].append(record)
+
+
+def check_not_run_answers(history: Sequence[Record]) -> Iterable[Violation]:
+    """Find requests that ran although the caller was told that they had not."""
+    once = {r["request"] for r in _select(history, "sent") if not r["repeatable"]}
+    ran = {record["request"] for record in _select(history, "run")}
+    for record in _select(history, "finished"):
+        if record["status"] in NOT_RUN_STATUSES and record["request"] in once & ran:
+            text = f"{record['request']} was answered {record['status']}"
+            yield Violation("REFUSED", record["at_ms"], text)
+
+
+def check_retry_budget(history: Sequence[Record]) -> Iterable[Violation]:
+    """Find windows in which a service got too many repeated requests."""
+    sent_at_ms = defaultdict(list)
+    repeats_at_ms = defaultdict(list)
+    seen = set()
+    for record in history:
+        if record["event"] == "sent":
+            sent_at_ms[record["service"]].append(record["at_ms"])
+        elif record["event"] == "arrived" and record["request"]:
+            if record["request"] in seen:
+                repeats_at_ms[record["service"]].append(record["at_ms"])
+            seen.add(record["request"])
+    for service, repeats in repeats_at_ms.items():
+        for at_ms in repeats:
+            n_repeats = _count(repeats, at_ms)
+            n_requests = max(
+                _count(sent_at_ms[service], at_ms - share * RETRY_WINDOW_MS)
+                for share in (0.0, 0.5, 1.0)
+            )
+            n_allowed = RETRY_SHARE * n_requests + RETRY_EXTRA
+            if n_repeats > n_allowed:
+                text = f"{service}: {n_repeats} repeats, {n_allowed:.1f} allowed"
+                yield Violation("BUDGET", at_ms, text)
+                break
+
+
+def check_hold_off(history: Sequence[Record]) -> Iterable[Violation]:
+    """Find entries that send to a server that has asked for nothing for a time."""
+    entry_of = {
+        record["request"]: record["entry"] for record in _select(history, "sent")
+    }
+    disturbed = _Disturbances(history)
+    for refusal in _select(history, "refused"):
+        if not refusal["hold_off_s"]:
+            continue
+        entry = entry_of.get(refusal["request"])
+        until_ms = refusal["at_ms"] + refusal["hold_off_s"] * 1000
+        arrivals = [
+            record
+            for record in _select(history, "arrived")
+            if record["server"] == refusal["server"]
+            and entry_of.get(record["request"]) == entry
+            and refusal["at_ms"] + HOLD_OFF_SLACK_MS < record["at_ms"] < until_ms
+        ]
+        is_excused = disturbed.is_near(entry, until_ms)
+        if len(arrivals) > MAX_HELD_OFF_ARRIVALS and not is_excused:
+            text = f"{refusal['server']} got {len(arrivals)} requests from {entry}"
+            yield Violation("BUDGET", refusal["at_ms"], text)
+
+
+def check_answers(history: Sequence[Record]) -> Iterable[Violation]:
+    """Find answers that are wrong or belong to another request."""
+    for record in history:
+        if record["event"] in ("foreign_answer", "wrong_stream"):
+            yield Violation("MIXED", record["at_ms"], str(dict(record)))
+
+
+CHECKS: tuple[Callable[[Sequence[Record]], Iterable[Violation]], ...] = (
+    check_single_runs,
+    check_overlapping_runs,
+    check_not_run_answers,
+    check_retry_budget,
+    check_hold_off,
+    check_answers,
+)
+
+
+class _Disturbances:
+    """Times at which a fault was injected, by the host or server that it struck."""
+
+    def __init__(self, history: Sequence[Record]):
+        self._spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        for record in _select(history, "fault"):
+            span = (record["at_ms"], record["until_ms"])
+            for target in record["targets"]:
+                self._spans[target].append(span)
+
+    def is_near(self, target: str | None, at_ms: float) -> bool:
+        """Return whether a fault struck a target shortly before or after a moment."""
+        return any(
+            begin_ms - OVERLAP_MS <= at_ms <= end_ms + CONTACT_MS
+            for begin_ms, end_ms in self._spans[target or ""]
+        )
+
+
+def _select(history: Iterable[Record], event: str) -> list[Record]:
+    return [record for record in history if record["event"] == event]
+
+
+def _count(times_ms: Sequence[float], end_ms: float) -> int:
+    """Return how many of the sorted times lie in the window that ends at `end_ms`."""
+    begin = bisect_right(times_ms, end_ms - RETRY_WINDOW_MS)
+    return bisect_right(times_ms, end_ms) - begin
--- /dev/null
+++ b/soak/server.py
@@ -0,0 +1,357 @@
+"""Backend server for the soak: a plain service or a model engine with faults.
+
+    python -m soak.server SETTINGS
+
+SETTINGS is the JSON form of `ServerSettings`. The process records each request that
+arrives, runs and ends. It is killed and restarted from outside.
+"""
+
+import enum
+import functools
+import json
+import random
+import select
+import socket
+import struct
+import sys
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import anyio
+import anyio.abc
+
+from .history import HistoryWriter
+from .wire import END_OF_CHUNKS, Head, MessageReader, encode_chunk, encode_head
+
+__all__ = ["Fault", "ServerSettings", "make_instance"]
+
+# Time between two looks at the connection of a running request, in ms.
+CONNECTION_CHECK_MS = 20
+# Events of one stream.
+N_EVENTS = 40
+# Pause of a stream under `Fault.PAUSE`, in seconds: longer than an entry waits for the
+# next event before it goes on elsewhere.
+PAUSE_S = 5.5
+# Delay of an answer under `Fault.LATE`, in seconds.
+LATE_S = 1.6
+# Reads from a connection that the peer has closed return at once.
+CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+class Fault(enum.StrEnum):
+    """What a server does wrong with one request."""
+
+    REFUSE = "refuse"
+    REFUSE_TWICE = "refuse_twice"
+    HOLD_OFF = "hold_off"
+    RESET_BEFORE = "reset_before"
+    RESET_AFTER = "reset_after"
+    CUT = "cut"
+    ERROR = "error"
+    LATE = "late"
+    ANSWER_TWICE = "answer_twice"
+    PAUSE = "pause"
+
+
+class ServerSettings(NamedTuple):
+    """Settings of a server process.
+
+    Parameters
+    ----------
+    host, port : str, int
+    server_id, service, zone, version : str
+    model : str
+        The model that it holds; empty for a plain service.
+    history : str
+        File for the records.
+    seed : int
+    fault_share : float
+        Share of the requests that meet a fault.
+    faults : tuple of str
+        Values of `Fault` to draw from.
+    idle_timeout_s : float
+        Idle time after which it closes a connection.
+    work_ms : float
+        Mean time of a run, or between two events of a stream.
+    n_slots : int
+    """
+
+    host: str
+    port: int
+    server_id: str
+    service: str
+    zone: str
+    model: str
+    history: str
+    seed: int
+    version: str = "v1"
+    fault_share: float = 0.0
+    faults: tuple[str, ...] = tuple(Fault)
+    idle_timeout_s: float = 3.0
+    work_ms: float = 30.0
+    n_slots: int = 48
+
+
+def make_instance(settings: ServerSettings, state: str = "ready") -> dict[str, Any]:
+    """Return the server's entry in the platform's list."""
+    return {
+        "id": settings.server_id,
+        "service": settings.service,
+        "address": f"{settings.host}:{settings.port}",
+        "zone": settings.zone,
+        "version": settings.version,
+        "slots": settings.n_slots,
+        "state": state,
+        "coldRemainingMs": 0,
+        **_make_model_fields(settings),
+    }
+
+
+def _make_model_fields(settings: ServerSettings) -> dict[str, Any]:
+    if not settings.model:
+        return {}
+    models = [{"name": settings.model, "version": 1, "adapters": []}]
+    return {"stage": "prefill_decode", "models": models}
+
+
+class _Server:
+    def __init__(self, settings: ServerSettings):
+        self._settings = settings
+        self._history = HistoryWriter(Path(settings.history))
+        self._rng = random.Random(settings.seed)
+        self._n_running = 0
+        self._sequence = 0
+        self._born_ms = int(time.time() * 1000)
+
+    async def run(self) -> None:
+        settings = self._settings
+        listener = await anyio.create_tcp_listener(
+            local_host=settings.host, local_port=settings.port, reuse_port=False
+        )
+        self._record("server_started")
+        await listener.serve(self._serve)
+
+    def _record(self, event: str, head: Head | None = None, **fields: Any) -> None:
+        if head is not None:
+            headers = head.headers
+            fields["request"] = headers.get("request-id", "")
+            fields["deadline_ms"] = headers.get("request-deadline")
+        self._history.write(
+            event,
+            server=self._settings.server_id,
+            service=self._settings.service,
+            born_ms=self._born_ms,
+            **fields,
+        )
+
+    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
+        reader = MessageReader(stream)
+        errors = (anyio.EndOfStream, anyio.IncompleteRead, ValueError, OSError)
+        try:
+            async with stream:
+                while True:
+                    with anyio.fail_after(self._settings.idle_timeout_s):
+                        head = await reader.read_head()
+                    await reader.read_body(head)
+                    if not await self._answer(head, stream):
+                        return
+        except (*errors, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
+    async def _answer(self, head: Head, stream: anyio.abc.SocketStream) -> bool:
+        """Answer one request; return whether the connection goes on."""
+        method, target, _ = head.line.split()
+        wanted = head.headers.get("expect-instance", self._settings.server_id)
+        if wanted != self._settings.server_id:
+            await stream.send(self._make_answer(head, 421, not_run=True))
+        elif target == "/cowslipwood/report":
+            await stream.send(self._make_answer(head, 200, body=self._make_report()))
+        elif target == "/cowslipwood/order" and method == "POST":
+            self._sequence += 1
+            await stream.send(self._make_answer(head, 200))
+        elif target == "/health":
+            await stream.send(self._make_answer(head, 200))
+        else:
+            return await self._answer_request(head, stream)
+        return True
+
+    async def _answer_request(self, head: Head, stream: anyio.abc.SocketStream) -> bool:
+        self._record("arrived", head)
+        fault = None
+        if self._rng.random() < self._settings.fault_share:
+            fault = Fault(self._rng.choice(self._settings.faults))
+        if self._n_running >= self._settings.n_slots:
+            fault = Fault.REFUSE
+        match fault:
+            case Fault.REFUSE | Fault.REFUSE_TWICE | Fault.HOLD_OFF:
+                return await self._refuse(head, stream, fault)
+            case Fault.RESET_BEFORE:
+                _reset(stream)
+                return False
+        self._n_running += 1
+        self._record("run", head, fault=fault)
+        reason = "cancelled"
+        try:
+            reason = await self._run_while_connected(head, stream, fault)
+        except (anyio.BrokenResourceError, OSError):
+            reason = "not_written"
+        finally:
+            self._n_running -= 1
+            self._record("ended", head, reason=reason)
+        return reason == "answered"
+
+    async def _refuse(
+        self, head: Head, stream: anyio.abc.SocketStream, fault: Fault
+    ) -> bool:
+        hold_off_s = 2 if fault is Fault.HOLD_OFF else None
+        self._record("refused", head, hold_off_s=hold_off_s)
+        answer = self._make_answer(head, 503, not_run=True, hold_off_s=hold_off_s)
+        await stream.send(answer)
+        if fault is Fault.REFUSE_TWICE:
+            await anyio.sleep(self._rng.uniform(0.0, 0.05))
+            await stream.send(answer)
+        return True
+
+    async def _run_while_connected(
+        self, head: Head, stream: anyio.abc.SocketStream, fault: Fault | None
+    ) -> str:
+        """Run a request until it is answered or its connection is closed."""
+        reason = "connection_closed"
+        async with anyio.create_task_group() as tasks:
+
+            async def watch_connection() -> None:
+                poll = select.poll()
+                poll.register(_get_socket(stream).fileno(), select.POLLRDHUP)
+                while not any(event & CLOSED_EVENTS for _, event in poll.poll(0)):
+                    await anyio.sleep(CONNECTION_CHECK_MS / 1000)
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(watch_connection)
+            work = self._write_stream if self._settings.model else self._write_answer
+            reason = await work(head, stream, fault)
+            tasks.cancel_scope.cancel()
+        return reason
+
+    async def _write_answer(
+        self, head: Head, stream: anyio.abc.SocketStream, fault: Fault | None
+    ) -> str:
+        await anyio.sleep(self._settings.work_ms * self._rng.uniform(0.5, 1.5) / 1000)
+        status = 500 if fault is Fault.ERROR else 200
+        answer = self._make_answer(head, status, {"seal": self._settings.server_id})
+        match fault:
+            case Fault.RESET_AFTER:
+                _reset(stream)
+                return "reset"
+            case Fault.CUT:
+                await stream.send(answer[: -self._rng.randint(1, 20)])
+                return "cut"
+            case Fault.LATE | Fault.PAUSE:
+                await anyio.sleep(LATE_S)
+        await stream.send(answer)
+        if fault is Fault.ANSWER_TWICE:
+            await anyio.sleep(self._rng.uniform(0.0, 0.05))
+            await stream.send(answer)
+        return "answered"
+
+    async def _write_stream(
+        self, head: Head, stream: anyio.abc.SocketStream, fault: Fault | None
+    ) -> str:
+        first = int(head.headers.get("last-event-id") or 0) + 1
+        if fault is Fault.LATE:
+            await anyio.sleep(LATE_S)
+        fault_at = self._rng.randint(first, max(first, N_EVENTS))
+        headers = {
+            "content-type": "text/event-stream",
+            "transfer-encoding": "chunked",
+            **self._make_common_headers(head),
+        }
+        await stream.send(encode_head("HTTP/1.1 200 OK", headers))
+        for number in range(first, N_EVENTS + 1):
+            await anyio.sleep(
+                self._settings.work_ms * self._rng.uniform(0.5, 1.5) / 1000
+            )
+            if number == fault_at:
+                match fault:
+                    case Fault.RESET_AFTER | Fault.ERROR:
+                        _reset(stream)
+                        return "reset"
+                    case Fault.CUT:
+                        await stream.send(b"10\r\nid: ")
+                        return "cut"
+                    case Fault.PAUSE:
+                        await anyio.sleep(PAUSE_S)
+            await stream.send(encode_chunk(make_event(number)))
+        await stream.send(END_OF_CHUNKS)
+        return "answered"
+
+    def _make_answer(
+        self,
+        head: Head,
+        status: int,
+        body: Any = None,
+        not_run: bool = False,
+        hold_off_s: int | None = None,
+    ) -> bytes:
+        data = json.dumps(body or {}).encode()
+        headers = {
+            "content-type": "application/json",
+            "content-length": len(data),
+            "instance-id": self._settings.server_id,
+            **self._make_common_headers(head),
+        }
+        if not_run:
+            headers["not-executed"] = 1
+        if hold_off_s:
+            headers["retry-after"] = hold_off_s
+        return encode_head(f"HTTP/1.1 {status} X", headers) + data
+
+    def _make_common_headers(self, head: Head) -> dict[str, object]:
+        slots = self._settings.n_slots
+        headers: dict[str, object] = {
+            "server-load": f"{self._n_running},0,{slots}",
+            "response-seal": f"{self._settings.server_id}.{self._born_ms}",
+        }
+        if request_id := head.headers.get("request-id"):
+            headers["request-id"] = request_id
+        return headers
+
+    def _make_report(self) -> dict[str, Any]:
+        return {
+            **_make_model_fields(self._settings),
+            "busy": False,
+            "sequence": self._sequence,
+            "queued": 0,
+            "running": self._n_running,
+            "kvUsed": 1_000 * self._n_running,
+            "kvTotal": 200_000,
+            "handles": 0,
+            "born": self._born_ms,
+            "pending": [],
+        }
+
+
+def make_event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+def _get_socket(stream: anyio.abc.SocketStream) -> socket.socket:
+    return stream.extra(anyio.abc.SocketAttribute.raw_socket)
+
+
+def _reset(stream: anyio.abc.SocketStream) -> None:
+    """Have the connection reset when it is closed."""
+    _get_socket(stream).setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+
+
+def main() -> None:
+    """Run the server that the first argument describes until it is killed."""
+    settings = ServerSettings(**json.loads(sys.argv[1]))
+    anyio.run(functools.partial(_Server(settings).run))
+
+
+if __name__ == "__main__":
+    main()
