Give an idle connection to one request only

Cause: ConnectionPool.acquire held the list of idle connections of a server while it awaited the closing of dead ones. The second found the connection in use and closed it under the first.

Change: idle connections are taken out of the lists without awaiting; dead ones are closed afterwards.

Evidence: test_one_connection_for_one_request gives one connection to both requests before and to one of them with the change.

--- a/src/cowslipwood/kernel/http_pool.py
+++ b/src/cowslipwood/kernel/http_pool.py
@@ -58,12 +58,10 @@
         is_kept_allowed : bool
             Whether a connection that has carried other requests will do.
         """
-        idle = self._idle_by_addr[addr] if is_kept_allowed else []
-        while idle:
-            conn = idle.pop()
-            if now_ms < _idle_until_ms(conn) and not conn.has_unexpected_data():
+        if is_kept_allowed:
+            conn = await self._take_idle(addr, now_ms)
+            if conn is not None:
                 return conn
-            await conn.close()
         host, port = parse_address(addr)
         return await open_connection(host, port, min(CONNECT_TIMEOUT_MS, timeout_ms))
 
@@ -119,23 +117,46 @@
 
     async def close_expired(self, listed_addrs: set[str], now_ms: float) -> None:
         """Close connections that were idle too long or lead to unlisted servers."""
+        expired = []
         for addr, idle in list(self._idle_by_addr.items()):
             kept = []
             for conn in idle:
-                if addr in listed_addrs and now_ms < _idle_until_ms(conn):
-                    kept.append(conn)
-                else:
-                    await conn.close()
+                is_kept = addr in listed_addrs and now_ms < _idle_until_ms(conn)
+                (kept if is_kept else expired).append(conn)
             if kept:
                 self._idle_by_addr[addr] = kept
             else:
                 del self._idle_by_addr[addr]
+        await _close_all(expired)
+
+    async def _take_idle(self, addr: str, now_ms: float) -> ServerConnection | None:
+        """Remove and return a usable idle connection; None when there is none.
+
+        The lists change only between two awaits, so that no other task finds a
+        connection that this one has taken.
+        """
+        unusable = []
+        taken = None
+        idle = self._idle_by_addr[addr]
+        while idle and taken is None:
+            conn = idle.pop()
+            if now_ms < _idle_until_ms(conn) and not conn.has_unexpected_data():
+                taken = conn
+            else:
+                unusable.append(conn)
+        await _close_all(unusable)
+        return taken
 
     async def close(self) -> None:
         """Close every idle connection."""
         await self.close_expired(set(), 0.0)
 
 
+async def _close_all(conns: Sequence[ServerConnection]) -> None:
+    for conn in conns:
+        await conn.close()
+
+
 async def _read_body(conn: ServerConnection) -> bytes:
     data = bytearray()
     async for chunk in conn.receive_body():
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -158,6 +158,30 @@
         anyio.run(run)
 
 
+class _IdleConnection:
+    """Stands in for an idle connection; closing it takes until `may_close` is set."""
+
+    def __init__(self, is_usable: bool):
+        self.may_close = anyio.Event()
+        self.closing = anyio.Event()
+        self.idle_limit_ms = None
+        self.idle_since_ms = 0.0
+        self._is_usable = is_usable
+
+    def prepare_for_reuse(self) -> bool:
+        """Accept the connection into the pool."""
+        return True
+
+    def has_unexpected_data(self) -> bool:
+        """Return whether the server has closed the connection."""
+        return not self._is_usable
+
+    async def close(self) -> None:
+        """Wait, as for a busy event loop."""
+        self.closing.set()
+        await self.may_close.wait()
+
+
 class ConnectionPoolTest(unittest.TestCase):
     """The pool's choice between idle and new connections, and its limits."""
 
@@ -219,3 +243,30 @@
             self.assertIsNone(conn)
 
         anyio.run(run)
+
+    # Guards against streams that are cut because two requests share a connection.
+    def test_one_connection_for_one_request(self):
+        """A connection is given out once while others are being closed."""
+        acquired = anyio.run(self.acquire_twice_during_sweep)
+        n_idle = sum(isinstance(conn, _IdleConnection) for conn in acquired)
+        self.assertEqual((len(acquired), n_idle), (2, 1))
+
+    async def acquire_twice_during_sweep(self) -> list:
+        """Acquire a connection, sweep while a dead one is closed, acquire another."""
+        addr = "127.0.0.1:1"  # Nothing listens there, so no connection can be opened.
+        pool = ConnectionPool()
+        usable, dead = _IdleConnection(True), _IdleConnection(False)
+        await pool.release(addr, usable, 0.0)
+        await pool.release(addr, dead, 0.0)
+        acquired = []
+
+        async def acquire() -> None:
+            acquired.append(await pool.acquire(addr, 0.0, 1_000.0))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(acquire)
+            await dead.closing.wait()
+            await pool.close_expired({addr}, 0.0)
+            await acquire()
+            dead.may_close.set()
+        return acquired
