Keep a paused stream for as long as its caller waits

Cause: the limit for a stalled stream depends on the pause between events that the route allows, not on the latency target, on which callers' patience depends too.

Change: a stream with which no other server may go on is kept for five times the latency target at least; callers leave after four times. One with which another server may go on is still taken there after 4 s, which its caller is better served by.

Evidence: test_pause_within_the_callers_patience fails before with 'the stream stalls'.

--- a/src/cowslipwood/entry/direct/_forwarding.py
+++ b/src/cowslipwood/entry/direct/_forwarding.py
@@ -29,6 +29,9 @@
 # stream is considered stalled, whatever bytes it sends. Slow engines pause for several
 # times the gap target, and callers leave after about this multiple.
 STALL_GAP_FACTOR = 10.0
+# The same as a multiple of the route's latency target. Callers leave after four times
+# that target.
+STALL_TARGET_FACTOR = 5.0
 # Least time, in milliseconds, without a whole event after which a stream is considered
 # stalled.
 MIN_STALL_MS = 4_000.0
@@ -230,9 +233,17 @@
             )
 
     def _compute_stall_s(self) -> float:
-        """Return the time without a whole event after which a stream is stalled."""
+        """Return the time without a whole event after which a stream is stalled.
+
+        A stream with which no other server may go on is kept for longer than its caller
+        waits, so that only the caller decides when it is too late.
+        """
         route = self._request.route
-        return max(MIN_STALL_MS, STALL_GAP_FACTOR * route.gap_target_ms) / 1000
+        stall_ms = max(MIN_STALL_MS, STALL_GAP_FACTOR * route.gap_target_ms)
+        n_possibly_run = self._progress.attempt_counts.n_possibly_run
+        if not route.is_resumable or n_possibly_run >= route.max_attempts:
+            stall_ms = max(stall_ms, STALL_TARGET_FACTOR * route.target_latency_ms)
+        return stall_ms / 1000
 
     def _compute_left_s(self) -> float:
         """Return the time left until the answer must be complete."""
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -466,6 +466,28 @@
         self.assertEqual(fault.code, Code.ANSWER_CUT)
         self.assertFalse(sink.is_complete)
 
+    # Guards against answers that are cut while their callers still wait for them.
+    def test_pause_within_the_callers_patience(self):
+        """A stream with which no other server may go on survives a long pause."""
+
+        async def serve(stream, head):
+            await stream.send(self.HEAD.encode() + _encode_chunk(build_events(1, 2)))
+            await anyio.sleep(0.3)
+            await stream.send(_encode_chunk(build_events(3, 3)) + b"0\r\n\r\n")
+
+        for is_resumable in (False, True):
+            route = build_route(
+                kind=RouteKind.STREAMING,
+                is_resumable=is_resumable,
+                max_attempts=1,
+                target_latency_ms=100.0,
+                timeout_ms=60_000.0,
+            )
+            with mock.patch.object(_forwarding, "MIN_STALL_MS", 100.0):
+                fault, sink, _ = run([serve], route)
+            self.assertIsNone(fault)
+            self.assertEqual(sink.body, build_events(1, 3))
+
     def test_slow_stream(self):
         """A slow stream may last much longer than a stall is allowed to."""
 
