Refuse a caller's body without end before the entry runs out of memory

Cause: the entry read the whole body before it looked at its limit, and nothing limited the bodies that it held together.

Change: a body is refused as soon as it is over the limit of the document, and while the bodies that are held exceed 64 MiB together. What still comes is discarded.

Evidence: test_body_without_end reads all parts before and two with the change; test_many_unfinished_bodies admits all before.

--- a/src/cowslipwood/entry/direct/_app.py
+++ b/src/cowslipwood/entry/direct/_app.py
@@ -21,6 +21,12 @@
 
 # Largest request body, in bytes, until a route document sets its own limit.
 DEFAULT_MAX_BODY_BYTES = 8_388_608
+# Total size, in bytes, of the bodies that an entry holds at once. With what it needs
+# otherwise it fits into the 200 MB of the smallest hosts.
+MAX_HELD_BODY_BYTES = 67_108_864
+# Time, in milliseconds, after which a caller is told to come back while the entry holds
+# too many large bodies.
+BODIES_RETRY_MS = 500
 # Time, in milliseconds, after which a caller is told to come back while the entry has
 # no route document.
 NO_CATALOGUE_RETRY_MS = 500
@@ -61,6 +67,7 @@
         self.n_in_flight = 0
         self.is_leaving = False
         self._kill_at_ms = math.inf
+        self._n_held_body_bytes = 0
 
     def start_leaving(self, kill_at_ms: float) -> None:
         """Mark the entry as leaving and refuse requests that may outlast the process.
@@ -88,9 +95,27 @@
     async def _serve(self, scope: dict, receive: Any, send: Any) -> None:
         arrived_ms = self._state.now_ms()
         answer = _CallerAnswer(send, self)
-        body = await self._read_body(receive)
-        if body is None:
-            return
+        body = bytearray()
+        try:
+            refusal = await self._read_body(receive, body)
+            if refusal is None:
+                await self._serve_body(scope, receive, answer, bytes(body), arrived_ms)
+            elif refusal.code is not Code.PEER_GONE:
+                await self._refuse(
+                    answer, _read_request_id(scope, self._state), refusal
+                )
+        finally:
+            self._n_held_body_bytes -= len(body)
+
+    async def _serve_body(
+        self,
+        scope: dict,
+        receive: Any,
+        answer: "_CallerAnswer",
+        body: bytes,
+        arrived_ms: float,
+    ) -> None:
+        """Serve a request whose whole body has arrived."""
         await self._wait_for_document(scope)
         routed = self._route_request(scope, body, arrived_ms)
         if not isinstance(routed, Failure) and routed.answer_by_ms > self._kill_at_ms:
@@ -121,16 +146,29 @@
             return await RequestForwarder(self._state, routed, answer, self._rng).run()
         return failure(Code.BACKEND_TIMEOUT, "the route's timeout has passed")
 
-    async def _read_body(self, receive: Any) -> bytes | None:
-        """Return the complete body; None if the caller disconnected before its end."""
-        body = bytearray()
+    async def _read_body(self, receive: Any, body: bytearray) -> Failure | None:
+        """Append the parts of the body to `body`; return a failure, or None at its end.
+
+        Fails with PEER_GONE when the caller disconnects, BODY_TOO_LARGE and OVERLOADED.
+        The server discards what follows of a body that is refused.
+        """
+        document = self._state.document
+        max_bytes = (
+            document.limits.max_body_bytes if document else DEFAULT_MAX_BODY_BYTES
+        )
         while True:
             event = await receive()
             if event["type"] == "http.disconnect":
-                return None
-            body += event.get("body", b"")
+                return failure(Code.PEER_GONE)
+            part = event.get("body", b"")
+            if len(body) + len(part) > max_bytes:
+                return failure(Code.BODY_TOO_LARGE)
+            if self._n_held_body_bytes + len(part) > MAX_HELD_BODY_BYTES:
+                return failure(Code.OVERLOADED, "large bodies", BODIES_RETRY_MS)
+            body += part
+            self._n_held_body_bytes += len(part)
             if not event.get("more_body"):
-                return bytes(body)
+                return None
 
     async def _wait_for_document(self, scope: dict) -> None:
         """Wait for the first route document, for a part of the caller's time."""
--- a/tests/test_direct_app.py
+++ b/tests/test_direct_app.py
@@ -2,9 +2,11 @@
 
 import unittest
 from typing import Any
+from unittest import mock
 
 import anyio
 
+from cowslipwood.entry.direct import _app
 from cowslipwood.entry.direct._app import RouteApp
 from cowslipwood.kernel.clock import monotonic_ms
 
@@ -48,6 +50,71 @@
     return sent[0]["status"], dict(sent[0]["headers"])
 
 
+async def send_body(app: RouteApp, parts: list[bytes]) -> tuple[int, int]:
+    """Send a body without an end; return the status and the number of parts read."""
+    scope = {
+        "type": "http",
+        "method": "POST",
+        "raw_path": b"/orders/1",
+        "query_string": b"",
+        "headers": [(b"host", b"shop.example"), (b"x-request-id", b"q1")],
+    }
+    n_read = 0
+    statuses: list[int] = []
+
+    async def receive() -> dict[str, Any]:
+        nonlocal n_read
+        if n_read == len(parts):
+            await anyio.sleep_forever()
+        n_read += 1
+        return {"type": "http.request", "body": parts[n_read - 1], "more_body": True}
+
+    async def send(event: dict[str, Any]) -> None:
+        if event["type"] == "http.response.start":
+            statuses.append(event["status"])
+
+    with anyio.move_on_after(1.0):
+        await app(scope, receive, send)
+    return statuses[0] if statuses else 0, n_read
+
+
+class EndlessBodyTest(unittest.TestCase):
+    """Bodies of callers that are too long or too many."""
+
+    # Guards against an entry that runs out of memory because of one caller.
+    def test_body_without_end(self):
+        """A body is refused once it is over the limit, not at its end."""
+
+        async def main() -> tuple[int, int]:
+            state = build_direct_state([])
+            state.apply_document(build_document(limits={"max_body_bytes": 100}))
+            return await send_body(RouteApp(state, create_rng()), [b"x" * 60] * 9)
+
+        self.assertEqual(anyio.run(main), (413, 2))
+
+    # Guards against an entry that runs out of memory because of many callers.
+    def test_many_unfinished_bodies(self):
+        """Bodies over the total limit are refused, and ended requests free theirs."""
+
+        async def main() -> list[int]:
+            state = build_direct_state([])
+            state.apply_document(build_document(limits={"max_body_bytes": 100}))
+            app = RouteApp(state, create_rng())
+            statuses = []
+
+            async def send_one() -> None:
+                statuses.append((await send_body(app, [b"x" * 90]))[0])
+
+            with mock.patch.object(_app, "MAX_HELD_BODY_BYTES", 200):
+                async with anyio.create_task_group() as tasks:
+                    for _ in range(3):
+                        tasks.start_soon(send_one)
+                await send_one()
+            return sorted(statuses[:3]) + statuses[3:]
+
+        self.assertEqual(anyio.run(main), [0, 0, 503, 0])
+
+
 class LeavingTest(unittest.TestCase):
     """Requests that arrive while the entry stops."""
 
