Refuse requests whose time limit is that of the kill in a planned stop

Cause: the check left no time between the last answer and the kill.

Evidence: the third route of test_long_requests_refused is answered with 200 before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,7 @@
     n_callers: int = 60,
     pause_ms: float = 200.0,
     fault_share: float = 0.1,
+    work_ms: float = 30.0,
     faults: list[FaultKind] | None = None,
     server_faults: list[Fault] | None = None,
     keep: Path | None = None,
@@ -40,6 +41,8 @@
         Mean time between two requests of one caller.
     fault_share : float
         Share of the requests that meet a fault at their server.
+    work_ms : float
+        Mean time of a run, and between two events of a stream.
     faults : list[FaultKind] | None
         Kinds of faults to draw; all by default.
     server_faults : list[Fault] | None
@@ -55,6 +58,7 @@
         n_callers=n_callers,
         pause_ms=pause_ms,
         fault_share=fault_share,
+        work_ms=work_ms,
         server_faults=tuple(server_faults or Fault),
         kinds=kinds,
     )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -21,6 +21,10 @@
 HOLD_OFF_SLACK_MS = 500.0
 # Number of requests that may still reach a server that asked for none.
 MAX_HELD_OFF_ARRIVALS = 2
+# Share of the grace period after which work from before the stop may be cut.
+LAST_GRACE_SHARE = 5 / 6
+# How a client's attempt ends when its connection is closed.
+CUT_REASONS = ("EndOfStream", "IncompleteRead", "BrokenResourceError")
 # Statuses that promise that a request did not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -149,6 +153,37 @@
             yield Violation("BUDGET", refusal["at_ms"], text)
 
 
+def check_planned_stops(history: Sequence[Record]) -> Iterable[Violation]:
+    """Find requests that a server ran and that were cut in a planned stop.
+
+    Work that was under way before the stop, or began soon after it, and that outlasts
+    the grace period may be cut.
+    """
+    sent = {record["request"]: record for record in _select(history, "sent")}
+    runs = {record["request"]: record for record in _select(history, "run")}
+    for stop in _select(history, "fault"):
+        if stop["kind"] != "stop_entry" or not stop["targets"]:
+            continue
+        entry = stop["targets"][0]
+        others = _Disturbances([record for record in history if record is not stop])
+        late_ms = stop["at_ms"] + LAST_GRACE_SHARE * (stop["until_ms"] - stop["at_ms"])
+        for record in _select(history, "finished"):
+            run, request = runs.get(record["request"]), sent[record["request"]]
+            is_cut = record["status"] == 0 and record["reason"] in CUT_REASONS
+            is_cut |= record["status"] == 200 and not record["whole"]
+            if not is_cut or request["entry"] != entry or run is None or run["fault"]:
+                continue
+            if not stop["at_ms"] <= record["at_ms"] <= stop["until_ms"]:
+                continue
+            began_late = request["at_ms"] > stop["at_ms"] + CONTACT_MS
+            if record["at_ms"] > late_ms and not began_late:
+                continue
+            hosts = (entry, run["server"])
+            if not any(others.is_near(host, record["at_ms"]) for host in hosts):
+                text = f"{record['request']} was cut by {entry}: {record['reason']}"
+                yield Violation("LOST", record["at_ms"], text)
+
+
 def check_answers(history: Sequence[Record]) -> Iterable[Violation]:
     """Find answers that are wrong or belong to another request."""
     for record in history:
@@ -162,6 +197,7 @@
     check_not_run_answers,
     check_retry_budget,
     check_hold_off,
+    check_planned_stops,
     check_answers,
 )
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -61,6 +61,8 @@
         What servers do wrong.
     n_load_processes : int
         Number of busy processes while the cores are loaded.
+    work_ms : float
+        Mean time of a run, and between two events of a stream.
     kinds : tuple of FaultKind
         Faults that are drawn.
     """
@@ -75,6 +77,7 @@
     fault_share: float = 0.1
     server_faults: tuple[Fault, ...] = tuple(Fault)
     n_load_processes: int = 12
+    work_ms: float = 30.0
     kinds: tuple[FaultKind, ...] = tuple(FaultKind)
 
 
@@ -213,7 +216,7 @@
                 seed=self._settings.seed * 1_000 + number + 7 * generation,
                 fault_share=self._settings.fault_share,
                 faults=self._settings.server_faults,
-                work_ms=25.0 if model else 45.0,
+                work_ms=self._settings.work_ms,
             )
         )
 
--- a/src/cowslipwood/entry/direct/_app.py
+++ b/src/cowslipwood/entry/direct/_app.py
@@ -33,6 +33,9 @@
 # Time, in milliseconds, after which a caller of a leaving entry is told to come back.
 # Another entry takes the request at once, but a time of 0 would not be sent.
 LEAVING_RETRY_MS = 10
+# Time before the kill, in milliseconds, by which the last answers must have ended. A
+# busy event loop sends an answer this much later.
+KILL_MARGIN_MS = 400.0
 # Share of the caller's time for which a request waits for the first route document.
 # The rest is enough for the caller to try another entry.
 DOCUMENT_WAIT_SHARE = 0.25
@@ -78,7 +81,7 @@
             When the process is killed. Requests that end by then are still served.
         """
         self.is_leaving = True
-        self._kill_at_ms = kill_at_ms
+        self._kill_at_ms = kill_at_ms - KILL_MARGIN_MS
 
     async def __call__(self, scope: dict, receive: Any, send: Any) -> None:
         """Serve one request."""
--- a/tests/test_direct_app.py
+++ b/tests/test_direct_app.py
@@ -123,6 +123,10 @@
         routes = [
             route_value(path_prefix="/short/", timeout_ms=1_000),
             route_value(name="r2", path_prefix="/long/", timeout_ms=15_000),
+            # Guards against an answer at the time limit that the kill cuts.
+            route_value(
+                name="r3", path_prefix="/limit/", timeout_ms=round(GRACE_MS) - 100
+            ),
         ]
 
         async def main() -> list:
@@ -135,10 +139,14 @@
                 app = RouteApp(state, create_rng())
                 before = await call(app, "/long/1")
                 app.start_leaving(monotonic_ms() + GRACE_MS)
-                answers = [await call(app, path) for path in ("/short/1", "/long/1")]
+                answers = [
+                    await call(app, path)
+                    for path in ("/short/1", "/long/1", "/limit/1")
+                ]
                 return [before, *answers, len(received_heads)]
 
-        before, short, long, n_sent = anyio.run(main)
+        before, short, long, limit, n_sent = anyio.run(main)
         self.assertEqual((before[0], short[0], long[0], n_sent), (200, 200, 503, 2))
+        self.assertEqual(limit[0], 503)
         self.assertIn(b"retry-after", long[1])
         self.assertEqual(long[1][b"connection"], b"close")
