--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -11,6 +11,7 @@
 from cowslipwood.kernel.settings import parse_address
 
 from .direct_builders import always_send, build_answer, run_scripted_server
+from .processes import DEFAULT_TIMEOUT_S
 
 HEADERS = [(b"host", b"shop.example"), (b"x-request-id", b"q1")]
 
@@ -158,6 +159,64 @@
         anyio.run(run)
 
 
+class EndlessAnswerTest(unittest.TestCase):
+    """Servers that send bytes without end."""
+
+    BEGINNINGS = {
+        "head": (b"", b"x" * 4_096),
+        "header lines": (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n" * 512),
+        "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 64),
+        "chunk size": (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            b"0" * 4_096,
+        ),
+        "chunk extension": (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2;",
+            b"e" * 4_096,
+        ),
+        "trailer": (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+            b"t: v\r\n" * 512,
+        ),
+    }
+    # What the entry may read before it gives up. Some hundred connections at once must
+    # fit into the memory of the smallest hosts.
+    MAX_BYTES = 262_144
+
+    # Guards against an entry that runs out of memory because of one server.
+    def test_bytes_that_are_no_answer(self):
+        """The connection gives up after a bounded number of bytes."""
+        for name, (beginning, part) in self.BEGINNINGS.items():
+            with self.subTest(name):
+                self.assertLess(anyio.run(self.count_read, beginning, part), 1)
+
+    async def count_read(self, beginning: bytes, part: bytes) -> int:
+        """Return how many times `MAX_BYTES` a connection has read."""
+
+        async def serve(stream, head):
+            await stream.send(beginning)
+            while True:
+                await stream.send(part)
+
+        async with run_scripted_server(serve) as (addr, _):
+            conn = await connect_to(addr)
+            n_read = 0
+            receive = conn._stream.receive
+
+            async def count(max_bytes: int) -> bytes:
+                nonlocal n_read
+                data = await receive(max_bytes)
+                n_read += len(data)
+                return data
+
+            conn._stream.receive = count
+            with anyio.fail_after(DEFAULT_TIMEOUT_S):
+                with self.assertRaises(BrokenAnswerError):
+                    await fetch_body(conn)
+            await conn.close()
+        return n_read // self.MAX_BYTES
+
+
 class _IdleConnection:
     """Stands in for an idle connection; closing it takes until `may_close` is set."""
 
