--- a/src/cowslipwood/replication/_log.py
+++ b/src/cowslipwood/replication/_log.py
@@ -19,6 +19,11 @@
 
 __all__ = ["DurableLog", "make_members_entry", "run_disk_work"]
 
+# Largest total payload of the entries before a snapshot that stay in the log, in bytes.
+# With a segment, the entries after the snapshot and two snapshots it fits several times
+# into the smallest disks.
+MAX_TRAILING_BYTES = 4 * 1024 * 1024
+
 
 def make_members_entry(index: int, term: int, members: Sequence[Member]) -> LogEntry:
     """Return the entry that sets the membership."""
@@ -191,7 +196,8 @@
     async def save_snapshot(self, snapshot: Snapshot, n_trailing_entries: int) -> None:
         """Store a snapshot and drop the entries more than `n_trailing_entries` older.
 
-        Entries are dropped by whole files, so more of them may remain.
+        Fewer are kept if they are larger than `MAX_TRAILING_BYTES` together. Entries
+        are dropped by whole files, so those of one more file may remain.
         """
         async with self._disk_lock:
             if snapshot.header.index <= self.snapshot_header.index:
@@ -200,7 +206,9 @@
             self.snapshot = snapshot
             self._n_payload_bytes = 0
             self._segments.close_segment()
-            keep_from = max(snapshot.header.index - n_trailing_entries, 0)
+            keep_from = self._find_trailing_start(
+                snapshot.header.index, n_trailing_entries
+            )
             await run_disk_work(self._segments.drop_before, keep_from)
             n_dropped = self._segments.first_index - self.first_index
             if n_dropped > 0:
@@ -222,6 +230,16 @@
             self._count_payload_bytes()
             self._drop_membership_changes(header.index)
 
+    def _find_trailing_start(self, index: int, n_entries: int) -> int:
+        """Return the first index of the entries to keep up to `index`."""
+        n_bytes = 0
+        first_kept = max(index - n_entries, self.first_index, 0)
+        for candidate in range(index, first_kept - 1, -1):
+            n_bytes += len(self._entries[candidate - self.first_index].payload)
+            if n_bytes > MAX_TRAILING_BYTES:
+                return candidate + 1
+        return first_kept
+
     def _count_payload_bytes(self) -> None:
         """Count the payloads of the entries after the snapshot."""
         start = max(self.snapshot_header.index + 1 - self.first_index, 0)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 import anyio
 import structlog
@@ -17,7 +18,7 @@
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.codes import Code, failure
 from cowslipwood.kernel.metrics import Metrics
-from cowslipwood.replication import DataDamagedError
+from cowslipwood.replication import DataDamagedError, _log
 from cowslipwood.replication._applier import MAX_LOG_PAYLOAD_BYTES, Applier
 from cowslipwood.replication._election import (
     _log_unanswered_vote,
@@ -306,6 +307,23 @@
 
         self._run(check)
 
+    # Guards against large entries before each snapshot that fill the disk.
+    def test_large_entries_before_a_snapshot(self):
+        """Entries before a snapshot are kept up to a total size, not a number alone."""
+
+        async def check(log: DurableLog, folder: Path) -> None:
+            for index in range(6, 70):
+                log.append([LogEntry(index, 1, 1, b"x" * 1_000)])
+                await log.sync(index)
+            with mock.patch.object(_log, "MAX_TRAILING_BYTES", 10_000):
+                header = SnapshotHeader(69, 1, ())
+                await log.save_snapshot(Snapshot(header, b""), 64)
+            n_bytes = sum(path.stat().st_size for path in folder.glob("*.log"))
+            self.assertLess(n_bytes, 10_000 + 2 * (SEGMENT_BYTES + 1_100))
+            self.assertEqual(len(log.entries_from(61, 9, 9_000)), 9)
+
+        self._run(check)
+
     def test_entries_before_an_installed_snapshot(self):
         """Entries that the leader's snapshot covers or replaces do not count."""
 
