Read the members before the keepers that replace some are started

test_two_disks_lost failed once beside other plays: waited 60 s for both disks. It read the members after it had started the keepers without their disks and waited for others than these. Since the leader asks silent members who they are, they may have been replaced by then. With a pause of 4 s before that line it fails each time; read before the start, it asks for the same change.

--- a/tests/test_keeper_failures.py
+++ b/tests/test_keeper_failures.py
@@ -333,9 +333,9 @@
                 cluster.delete_data(name)
             cluster.put_many(["m2"])
             self.assertEqual(cluster.list_entry_names(), {"m1", "m2"})
+            before = cluster.voters()
             for name in lost:
                 cluster.start_joining_keeper(name)
-            before = cluster.voters()
             wait_for(lambda: self._all_new(cluster, before, lost), "both disks")
 
     def test_too_few(self):
