Let a keeper that was replaced while it stood still succeed the next lost one

Cause: a keeper that is replaced while it does not run is never told, and is a voter by its own log for ever, so it did not announce itself. Had it done so, the leader would have refused it, as it has a log.

Change: a voter that has not heard from a leader for 3 s announces itself. The leader takes a keeper with a log if that names one of the present members: identities are random, so it is a former state of the same log, which replication brings up to date. Such a keeper is no additional voter, it succeeds the next member that is lost.

Ruled out: that it empties its folder and joins with a new identity. Its votes and log are sound, and nothing is gained by losing them.

--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -272,9 +272,8 @@
             tasks.start_soon(self._record_versions)
             if self._engines is not None:
                 tasks.start_soon(self._engines.run)
-            if self._settings.join:
-                tasks.start_soon(self._announce_until_voting)
-                tasks.start_soon(self._send_members_to_relays)
+            tasks.start_soon(self._run_announcements)
+            tasks.start_soon(self._send_members_to_relays)
             await stop.wait()
             await self._replica.hand_over_leadership()
             http_server.stop()
@@ -517,15 +516,29 @@
                 await self._membership.change_one_member(monotonic_ms())
             await anyio.sleep(MEMBERSHIP_INTERVAL_MS / 1000)
 
-    async def _announce_until_voting(self) -> None:
-        """Announce this keeper to the other keepers until it votes in their log."""
+    async def _run_announcements(self) -> None:
+        """Announce this keeper whenever the leader may not count it as a voter.
+
+        A keeper that was replaced while it did not run is still a voter by its own log.
+        """
+        while True:
+            if not self._is_counted():
+                await self._announce_until_counted()
+            await anyio.sleep(MEMBERSHIP_INTERVAL_MS / 1000)
+
+    def _is_counted(self) -> bool:
+        return self._replica.is_voter and self._replica.hears_leader(monotonic_ms())
+
+    async def _announce_until_counted(self) -> None:
+        """Announce this keeper to the leader until that counts it as a voter."""
         hello = Hello("operator", self._settings.keeper_id, "", "", self._cluster_token)
         link = KeeperLink(self._keepers, hello, _ignore_message)
         settings = self._settings
-        announce = Announce(self._replica.replica_id, settings.listen, settings.grows)
+        grows = settings.grows and not self._replica.is_voter
+        announce = Announce(self._replica.replica_id, settings.listen, grows)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(link.run)
-            while not self._replica.is_voter:
+            while not self._is_counted():
                 await link.send(announce)
                 await anyio.sleep(MEMBERSHIP_INTERVAL_MS / 1000)
             tasks.cancel_scope.cancel()
--- a/src/cowslipwood/replication/_membership_change.py
+++ b/src/cowslipwood/replication/_membership_change.py
@@ -141,10 +141,11 @@
     if identified.name != new_keeper.replica_id:
         message = f"the keeper at {new_keeper.addr} is named {identified.name}"
         return Err(failure(Code.NO_SUCH_MEMBER, message))
-    is_member = any(
-        member.replica_id == identified.replica_id for member in state.log.members
-    )
-    if identity.formed and not is_member:
+    # Identities are random, so a log that names a member is a former state of this one.
+    member_ids = {member.replica_id for member in state.log.members}
+    has_same_log = not member_ids.isdisjoint(identity.member_ids)
+    is_known = identified.replica_id in member_ids or has_same_log
+    if identity.formed and not is_known:
         message = (
             f"the keeper at {new_keeper.addr} has a log of its own; empty its folder"
         )
--- a/src/cowslipwood/replication/_messages.py
+++ b/src/cowslipwood/replication/_messages.py
@@ -174,12 +174,14 @@
     """A replica's identity and whether it has a log or has voted in one.
 
     `replica_id` is empty for a host without a disk, which never becomes a member.
+    `member_ids` is the newest membership in the replica's log.
     """
 
     replica_id: str
     addr: str
     formed: bool
     peers_agree: bool
+    member_ids: tuple[str, ...] = ()
 
 
 @message("replication")
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -50,6 +50,9 @@
 # Time limit for the answer to one identity query, in ms. A running replica answers
 # from memory.
 IDENTITY_QUERY_TIMEOUT_MS = 300.0
+# Time without a leader's message after which a voter may have been replaced, in ms.
+# Elections take less.
+LEADER_SILENCE_MS = 3_000.0
 # Largest command that the log accepts, in bytes.
 MAX_COMMAND_BYTES = 8 * 1024 * 1024
 # Time that a new leader of a log with too few voters waits for further members, in
@@ -209,6 +212,12 @@
         """Whether this replica is a voter in the newest membership that it knows."""
         return self._state.is_voter
 
+    def hears_leader(self, now_ms: float) -> bool:
+        """Return whether this replica leads, or has heard from a leader lately."""
+        if self._state.leadership is not None:
+            return True
+        return now_ms - self._state.last_leader_contact_ms < LEADER_SILENCE_MS
+
     def can_act_as_leader(self, now_ms: float) -> bool:
         """Return whether this replica may act as leader now.
 
@@ -368,6 +377,7 @@
             self._state.addr,
             self._state.has_taken_part,
             query.peers == peers,
+            tuple(member.replica_id for member in self.members),
         )
 
     async def _run_leadership(self) -> None:
--- a/src/cowslipwood/schema/replication.capnp
+++ b/src/cowslipwood/schema/replication.capnp
@@ -95,6 +95,7 @@
   addr @1 :Text;
   formed @2 :Bool;       # the replica has a log or has voted in an election
   peersAgree @3 :Bool;   # both replicas are configured with the same initial members
+  memberIds @4 :List(Text);  # the newest membership in its log
 }
 
 struct SnapshotHeader {
--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -121,7 +121,11 @@
         self.start_one(name)
         return f"{name}={self.listens[name]}"
 
-    def start_joining_keeper(self, name: str) -> None:
+    def start_successor(self, name: str) -> None:
+        """Start a keeper that replaces the next member that is lost."""
+        self.start_joining_keeper(name, grows=False)
+
+    def start_joining_keeper(self, name: str, grows: bool = True) -> None:
         """Start a keeper that announces itself to the initial keepers."""
         if name not in self.listens:
             self.listens[name] = f"127.0.0.1:{free_port()}"
@@ -134,7 +138,7 @@
             self.listens[name],
             self.http_ports[name],
             f"--join={initial_addrs}",
-            "--grows",
+            *(["--grows"] if grows else []),
             *self._flags,
         )
         if self.listens[name] not in self.keepers:
--- a/tests/test_keeper_failures.py
+++ b/tests/test_keeper_failures.py
@@ -211,6 +211,24 @@
             self.assertEqual(cluster.list_entry_names(), {"m1", "m2"})
             self.assertIn(cluster.leader(), (lost, second))
 
+    # Guards against a keeper that believes for ever that it votes, so that a later
+    # loss leaves no quorum.
+    def test_replaced_while_frozen(self):
+        """A keeper that was replaced while frozen succeeds the next lost one."""
+        with KeeperCluster() as cluster:
+            leader = cluster.start_all()
+            frozen, kept = (name for name in ("k1", "k2", "k3") if name != leader)
+            cluster.signal(frozen, signal.SIGSTOP)
+            cluster.start_successor("k4")
+            voters = {leader, kept, "k4"}
+            wait_for(lambda: cluster.voters().keys() == voters, "the successor")
+            cluster.signal(frozen, signal.SIGCONT)
+            cluster.kill(kept)
+            voters = {leader, frozen, "k4"}
+            wait_for(lambda: cluster.voters().keys() == voters, "the replaced keeper")
+            cluster.kill("k4")
+            cluster.put_many(["m1"])
+
     def test_new_host(self):
         """A keeper of another name replaces a lost one; a repeated request succeeds."""
         with KeeperCluster() as cluster:
