--- a/src/cowslipwood/kernel/http_pool.py
+++ b/src/cowslipwood/kernel/http_pool.py
@@ -25,8 +25,8 @@
 # millisecond; a host that has not answered for this long is unreachable, and the
 # request can still go to another server.
 CONNECT_TIMEOUT_MS = 250.0
-# Largest body that `ConnectionPool.exchange` reads; lists and reports of thousands
-# of servers are smaller.
+# Largest body that `ConnectionPool.exchange` reads by default; lists of thousands of
+# servers are smaller.
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
@@ -74,6 +74,7 @@
         body: bytes,
         now_ms: float,
         timeout_ms: float,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> Result[WholeAnswer, Failure]:
         """Send a small request and read the complete answer.
 
@@ -91,7 +92,7 @@
             with anyio.fail_after(timeout_ms / 1000):
                 await conn.send(method.encode(), target.encode(), raw_headers, body)
                 head = await conn.receive_head()
-                data = await _read_body(conn)
+                data = await _read_body(conn, max_body_bytes)
         except TimeoutError:
             await conn.close()
             return Err(failure(Code.BACKEND_TIMEOUT, addr))
@@ -157,12 +158,12 @@
         await conn.close()
 
 
-async def _read_body(conn: ServerConnection) -> bytes:
+async def _read_body(conn: ServerConnection, max_bytes: int) -> bytes:
     data = bytearray()
     async for chunk in conn.receive_body():
         data += chunk
-        if len(data) > MAX_BODY_BYTES:
-            reason = f"an answer of over {MAX_BODY_BYTES} bytes"
+        if len(data) > max_bytes:
+            reason = f"an answer of over {max_bytes} bytes"
             raise BrokenAnswerError(Code.ANSWER_CUT, reason)
     return bytes(data)
 
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -293,6 +293,21 @@
 
         self.assertEqual(anyio.run(run).failure().code, Code.ANSWER_CUT)
 
+    # Guards against a keeper that runs out of memory because many engines send reports
+    # without end.
+    def test_body_over_the_callers_limit(self):
+        """`exchange` reads no more than its caller asks for."""
+
+        async def run(max_body_bytes: int):
+            answer = build_answer(b"x" * 2_000)
+            async with run_scripted_server(always_send(answer)) as (addr, _):
+                return await ConnectionPool().exchange(
+                    addr, "GET", "/", [], b"", monotonic_ms(), 20_000.0, max_body_bytes
+                )
+
+        self.assertEqual(len(anyio.run(run, 2_000).unwrap().body), 2_000)
+        self.assertEqual(anyio.run(run, 1_999).failure().code, Code.ANSWER_CUT)
+
     def test_no_listener(self):
         """`acquire` returns None when nothing listens at the address."""
 
