Count the copies of held bodies in their limit

An entry copies a body up to three times when it sends it, so 64 MiB of bodies could take 256 MiB. The limit is 24 MiB now: 96 MiB with the copies, beside 50 MB.

--- a/src/cowslipwood/entry/direct/_app.py
+++ b/src/cowslipwood/entry/direct/_app.py
@@ -21,9 +21,10 @@
 
 # Largest request body, in bytes, until a route document sets its own limit.
 DEFAULT_MAX_BODY_BYTES = 8_388_608
-# Total size, in bytes, of the bodies that an entry holds at once. With what it needs
-# otherwise it fits into the 200 MB of the smallest hosts.
-MAX_HELD_BODY_BYTES = 67_108_864
+# Total size, in bytes, of the bodies that an entry holds at once. Sending a body copies
+# it up to three times, and all copies must fit into the 200 MB of the smallest hosts
+# beside the 50 MB that the entry needs otherwise.
+MAX_HELD_BODY_BYTES = 25_165_824
 # Time, in milliseconds, after which a caller is told to come back while the entry holds
 # too many large bodies.
 BODIES_RETRY_MS = 500
