Keep the soak's servers running when a connection is reset

The logs show that the stand-in server had ended itself: a reset during a run raised in a task group that nobody caught, and all its streams broke off. The programs behaved as they should.

Change: a run ends when its connection does, and a server whose connection is closed before it is watched ends the run.

The check took the later begin for the later attempt.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -70,11 +70,21 @@
         for r in _select(history, "ended")
     }
     disturbed = _Disturbances(history)
+    stream_runs = [
+        record
+        for record in _select(history, "run")
+        if record["request"] in sent and sent[record["request"]]["stream"]
+    ]
+
+    def get_order(record: Record) -> tuple[float, int]:
+        # Within one request, a later attempt has less time left. A server that was
+        # frozen may begin an earlier attempt after the later one.
+        left_ms = int(record.get("deadline_ms") or 0)
+        return sent[record["request"]]["at_ms"], -left_ms
+
     runs = defaultdict(list)
-    for record in _select(history, "run"):
-        request = sent.get(record["request"])
-        if request is None or not request["stream"]:
-            continue
+    for record in sorted(stream_runs, key=get_order):
+        request = sent[record["request"]]
         for earlier in runs[request["first"]]:
             key = (earlier["request"], earlier["server"], earlier["born_ms"])
             end_ms = ended_at_ms.get(key)
--- a/soak/server.py
+++ b/soak/server.py
@@ -36,7 +36,7 @@
 # Delay of an answer under `Fault.LATE`, in seconds.
 LATE_S = 1.6
 # Reads from a connection that the peer has closed return at once.
-CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
 class Fault(enum.StrEnum):
@@ -194,8 +194,6 @@
         reason = "cancelled"
         try:
             reason = await self._run_while_connected(head, stream, fault)
-        except (anyio.BrokenResourceError, OSError):
-            reason = "not_written"
         finally:
             self._n_running -= 1
             self._record("ended", head, reason=reason)
@@ -222,14 +220,21 @@
 
             async def watch_connection() -> None:
                 poll = select.poll()
-                poll.register(_get_socket(stream).fileno(), select.POLLRDHUP)
+                descriptor = _get_socket(stream).fileno()
+                if descriptor < 0:
+                    tasks.cancel_scope.cancel()
+                    return
+                poll.register(descriptor, select.POLLRDHUP)
                 while not any(event & CLOSED_EVENTS for _, event in poll.poll(0)):
                     await anyio.sleep(CONNECTION_CHECK_MS / 1000)
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(watch_connection)
             work = self._write_stream if self._settings.model else self._write_answer
-            reason = await work(head, stream, fault)
+            try:
+                reason = await work(head, stream, fault)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+                reason = "not_written"
             tasks.cancel_scope.cancel()
         return reason
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -40,6 +40,15 @@
             fault = record("fault", 90.0, targets=["e1"], until_ms=95.0, kind="x")
             self.assertEqual(find_rules([*first, *second, fault]), [])
 
+    def test_frozen_server_starts_late(self):
+        """A server reads a request that went on elsewhere, and ends it at once."""
+        history = build_attempt("a", 0.0, "s2", 1_500.0, **STREAM)
+        history[2]["deadline_ms"] = "800"
+        for ended_at_ms, expected in ((305.0, []), (405.0, ["TWICE"])):
+            late = {**history[2], "at_ms": 300.0, "server": "s1", "deadline_ms": "900"}
+            end = record("ended", ended_at_ms, "a", server="s1", born_ms=0)
+            self.assertEqual(find_rules([*history, late, end]), expected)
+
     def test_untrue_refusal(self):
         """A caller is told that a request did not run, though it did."""
         for status, expected in ((503, ["REFUSED"]), (502, [])):
