--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
     pause_ms: float = 200.0,
     fault_share: float = 0.1,
     work_ms: float = 30.0,
+    unframed_share: float = 0.3,
     faults: list[FaultKind] | None = None,
     server_faults: list[Fault] | None = None,
     keep: Path | None = None,
@@ -43,6 +44,8 @@
         Share of the requests that meet a fault at their server.
     work_ms : float
         Mean time of a run, and between two events of a stream.
+    unframed_share : float
+        Share of the streams that have neither length nor chunks.
     faults : list[FaultKind] | None
         Kinds of faults to draw; all by default.
     server_faults : list[Fault] | None
@@ -59,6 +62,7 @@
         pause_ms=pause_ms,
         fault_share=fault_share,
         work_ms=work_ms,
+        unframed_share=unframed_share,
         server_faults=tuple(server_faults or Fault),
         kinds=kinds,
     )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
+from .server import N_EVENTS
+
 __all__ = ["CHECKS", "Violation", "check_history"]
 
 Record = Mapping[str, Any]
@@ -195,10 +197,30 @@
 
 
 def check_answers(history: Sequence[Record]) -> Iterable[Violation]:
-    """Find answers that are wrong or belong to another request."""
-    for record in history:
-        if record["event"] in ("foreign_answer", "wrong_stream"):
-            yield Violation("MIXED", record["at_ms"], str(dict(record)))
+    """Find answers that belong to another request."""
+    for record in _select(history, "foreign_answer"):
+        yield Violation("MIXED", record["at_ms"], str(dict(record)))
+
+
+def check_streams(history: Sequence[Record]) -> Iterable[Violation]:
+    """Find streams with events missing, repeated or out of order, over all tries."""
+    for record in _select(history, "wrong_stream"):
+        yield Violation("ORDER", record["at_ms"], str(dict(record)))
+    sent = {record["request"]: record for record in _select(history, "sent")}
+    reached: dict[str, int] = defaultdict(int)
+    for record in _select(history, "finished"):
+        request = sent.get(record["request"])
+        if request is None or not request["stream"] or record["status"] != 200:
+            continue
+        known = reached[request["first"]]
+        reached[request["first"]] = record["last_event_id"]
+        text = f"{record['request']} of {request['kind']} at {request['entry']}"
+        if record["first_event_id"] not in (0, known + 1):
+            text += f" begins with {record['first_event_id']} after {known}"
+            yield Violation("ORDER", record["at_ms"], text)
+        elif record["whole"] and record["last_event_id"] != N_EVENTS:
+            text += f" is whole with {record['last_event_id']} of {N_EVENTS} events"
+            yield Violation("ORDER", record["at_ms"], text)
 
 
 CHECKS: tuple[Callable[[Sequence[Record]], Iterable[Violation]], ...] = (
@@ -209,6 +231,7 @@
     check_hold_off,
     check_planned_stops,
     check_answers,
+    check_streams,
 )
 
 
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -7,6 +7,7 @@
 
 import json
 import random
+import re
 import sys
 import uuid
 from pathlib import Path
@@ -105,12 +106,15 @@
     is_whole : bool
     last_event_id : int
     retry_after_s : float
+    first_event_id : int
+        0 without an event.
     """
 
     status: int
     is_whole: bool = False
     last_event_id: int = 0
     retry_after_s: float = 0.0
+    first_event_id: int = 0
 
     @property
     def is_served(self) -> bool:
@@ -202,6 +206,7 @@
             request=request_id,
             status=outcome.status,
             whole=outcome.is_whole,
+            first_event_id=outcome.first_event_id,
             last_event_id=outcome.last_event_id,
             reason=reason,
         )
@@ -248,11 +253,14 @@
         except (TimeoutError, *BROKEN_ERRORS):
             pass
         expected = b"".join(make_event(n) for n in range(first + 1, N_EVENTS + 1))
-        if not expected.startswith(received) or (is_whole and received != expected):
+        if not expected.startswith(received):
             self._history.write("wrong_stream", request=request_id, first=first)
         if is_whole and head.headers.get("connection", "") == "close":
             await self._disconnect()
-        return _Outcome(200, is_whole, last)
+        begin = re.match(rb"id: (\d+)\n", received)
+        return _Outcome(
+            200, is_whole, last, first_event_id=int(begin[1]) if begin else 0
+        )
 
     async def _connect(self) -> _Connection | None:
         if self._conn is not None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -65,6 +65,8 @@
         Mean time of a run, and between two events of a stream.
     kinds : tuple of FaultKind
         Faults that are drawn.
+    unframed_share : float
+        Share of the streams that end with their connection.
     """
 
     seed: int
@@ -79,6 +81,7 @@
     n_load_processes: int = 12
     work_ms: float = 30.0
     kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    unframed_share: float = 0.3
 
 
 class SoakResult(NamedTuple):
@@ -217,6 +220,7 @@
                 fault_share=self._settings.fault_share,
                 faults=self._settings.server_faults,
                 work_ms=self._settings.work_ms,
+                unframed_share=self._settings.unframed_share,
             )
         )
 
@@ -391,12 +395,15 @@
         await anyio.sleep(LIST_LAG_S)
         server.is_listed = False
         await anyio.sleep(fault.for_s)
-        self._replace_server(server)
+        self._replace_server(server, keeps_id=bool(fault.seed % 2))
 
-    def _replace_server(self, server: "_Server") -> None:
-        """Start a server with a new id at the address of one that has ended."""
+    def _replace_server(self, server: "_Server", keeps_id: bool = False) -> None:
+        """Start a server at the address of one that has ended."""
         if server.process is not None and server.process.poll() is None:
             return
+        if keeps_id:
+            self._start_server(server)
+            return
         number = int(server.settings.host.rpartition(".")[2])
         generation = int(server.settings.server_id[-4:], 16) + 1
         model = server.settings.model
--- a/soak/server.py
+++ b/soak/server.py
@@ -75,6 +75,9 @@
     work_ms : float
         Mean time of a run, or between two events of a stream.
     n_slots : int
+    unframed_share : float
+        Share of the streams that have neither length nor chunks and end with their
+        connection.
     """
 
     host: str
@@ -91,6 +94,7 @@
     idle_timeout_s: float = 3.0
     work_ms: float = 30.0
     n_slots: int = 48
+    unframed_share: float = 0.0
 
 
 def make_instance(settings: ServerSettings, state: str = "ready") -> dict[str, Any]:
@@ -266,9 +270,10 @@
         if fault is Fault.LATE:
             await anyio.sleep(LATE_S)
         fault_at = self._rng.randint(first, max(first, N_EVENTS))
+        is_framed = self._rng.random() >= self._settings.unframed_share
         headers = {
             "content-type": "text/event-stream",
-            "transfer-encoding": "chunked",
+            **({"transfer-encoding": "chunked"} if is_framed else {}),
             **self._make_common_headers(head),
         }
         await stream.send(encode_head("HTTP/1.1 200 OK", headers))
@@ -282,11 +287,14 @@
                         _reset(stream)
                         return "reset"
                     case Fault.CUT:
-                        await stream.send(b"10\r\nid: ")
+                        await stream.send(b"10\r\nid: " if is_framed else b"id: ")
                         return "cut"
                     case Fault.PAUSE:
                         await anyio.sleep(PAUSE_S)
-            await stream.send(encode_chunk(make_event(number)))
+            event = make_event(number)
+            await stream.send(encode_chunk(event) if is_framed else event)
+        if not is_framed:
+            return "connection_ended"
         await stream.send(END_OF_CHUNKS)
         return "answered"
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -83,6 +83,45 @@
             history = [*build_attempt("a", 0.0), stop, {**cut, "reason": reason}]
             self.assertEqual(find_rules(history), expected)
 
+    def test_stream_with_missing_events(self):
+        """A stream is whole without its last events, or goes on at a wrong one."""
+        first = build_attempt("a", 0.0, **STREAM, kind="ask")
+        again = build_attempt("b", 90.0, **STREAM, first="a", kind="ask")
+        ends = {"status": 200, "reason": "answered"}
+        for whole, last, resumed_at, expected in (
+            (False, 20, 21, []),
+            (True, 40, 0, []),
+            (True, 39, 0, ["ORDER"]),
+            (False, 20, 22, ["ORDER"]),
+            (False, 20, 20, ["ORDER"]),
+            (False, 20, 1, ["ORDER"]),
+        ):
+            history = [
+                *first,
+                *again,
+                record(
+                    "finished",
+                    50.0,
+                    "a",
+                    **ends,
+                    whole=whole,
+                    first_event_id=1,
+                    last_event_id=last,
+                ),
+                record(
+                    "finished",
+                    150.0,
+                    "b",
+                    **ends,
+                    whole=bool(resumed_at),
+                    first_event_id=resumed_at,
+                    last_event_id=40 if resumed_at else last,
+                ),
+            ]
+            with self.subTest(last=last, resumed_at=resumed_at):
+                self.assertEqual(find_rules(history), expected)
+        self.assertEqual(find_rules([record("wrong_stream", 1.0, "a")]), ["ORDER"])
+
     def test_foreign_answer(self):
         """A caller gets the answer to another request."""
         self.assertEqual(find_rules([record("foreign_answer", 1.0, "a")]), ["MIXED"])
