--- a/src/cowslipwood/entry/direct/_forwarding.py
+++ b/src/cowslipwood/entry/direct/_forwarding.py
@@ -156,7 +156,7 @@
     ) -> Failure | None:
         """Forward events as they arrive, only whole ones if the stream is resumable."""
         splitter = EventSplitter(whole_only=self._request.route.is_resumable)
-        first_event_at_ms = last_event_at_ms = longest_gap_ms = 0.0
+        first_event_at_ms = last_event_at_ms = longest_gap_ms = unread_ms = 0.0
         with anyio.fail_after(self._compute_left_s()), anyio.CancelScope() as stall:
             async for chunk in conn.receive_body():
                 now_ms = self._state.now_ms()
@@ -175,6 +175,7 @@
                 if data:
                     await self._start_answer(head)
                     await self._sink.write(data)
+                    unread_ms += self._state.now_ms() - now_ms
         if stall.cancelled_caught:
             raise BrokenAnswerError(Code.ANSWER_CUT, "the stream stalls")
         break_reason = splitter.find_break(head.body_end)
@@ -206,6 +207,8 @@
             sent_ms=round(sent_ms - self._request.arrived_ms),
             pause_ms=round(longest_gap_ms),
             events=splitter.n_chunks_with_event_end,
+            last_event=self._progress.last_event_id.decode("latin-1"),
+            unread_ms=round(unread_ms),
             attempts=self._progress.attempt_counts.n_sent,
             target_ms=self._request.route.target_latency_ms,
             pause_target_ms=self._request.route.gap_target_ms,
