Check that a server has outlived an answer that ended with its connection

Callers got streams as complete whose server had been killed between two events, and plain answers cut anywhere: the operating system closes a killed process's connections in order, and without length or chunks that was taken for the end of the answer.

The entry now asks the server after the end: a new connection, the report with the server's id, its start compared with the one listed when the request was sent. What the process answers after the end proves that it was not its own end. Anything else breaks the answer off, so a resumable stream goes on elsewhere. Answers that end together share a question.

test_answer_ends: 4 checks fail without the check.

--- a/soak/run.py
+++ b/soak/run.py
@@ -225,6 +225,8 @@
         )
 
     def _start_server(self, server: "_Server") -> None:
+        born_ms = int(time.time() * 1000)
+        server.settings = server.settings._replace(born_ms=born_ms)
         server.process = self._start_module("soak.server", server.settings)
         server.state, server.is_listed = "ready", True
 
--- a/soak/server.py
+++ b/soak/server.py
@@ -14,7 +14,6 @@
 import socket
 import struct
 import sys
-import time
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -78,6 +77,8 @@
     unframed_share : float
         Share of the streams that have neither length nor chunks and end with their
         connection.
+    born_ms : int
+        When the process was started, as Unix time.
     """
 
     host: str
@@ -95,6 +96,7 @@
     work_ms: float = 30.0
     n_slots: int = 48
     unframed_share: float = 0.0
+    born_ms: int = 0
 
 
 def make_instance(settings: ServerSettings, state: str = "ready") -> dict[str, Any]:
@@ -108,6 +110,7 @@
         "slots": settings.n_slots,
         "state": state,
         "coldRemainingMs": 0,
+        "born": settings.born_ms,
         **_make_model_fields(settings),
     }
 
@@ -126,7 +129,7 @@
         self._rng = random.Random(settings.seed)
         self._n_running = 0
         self._sequence = 0
-        self._born_ms = int(time.time() * 1000)
+        self._born_ms = settings.born_ms
 
     async def run(self) -> None:
         settings = self._settings
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -45,6 +45,7 @@
 from ..receiving._caller_protocol import make_caller_protocol
 from ..receiving._reason_counters import REASON_COUNTERS
 from ._app import RouteApp
+from ._end_check import AskServer, ask_by_connection
 from ._headers import HeaderNames
 from ._holders import HolderFinder
 from ._limits import ServerLimitKeeper
@@ -174,6 +175,8 @@
     keepers : KeeperAddresses, optional
         Addresses of the keepers, whose configured ones a reload may replace; by
         default those of the setting `keepers`.
+    ask_server : callable
+        Asks a server whether it still runs; by default a connection to it tells.
     """
 
     def __init__(
@@ -182,6 +185,7 @@
         header_names: HeaderNames,
         list_source: ServerListSource,
         keepers: KeeperAddresses | None = None,
+        ask_server: AskServer = ask_by_connection,
     ):
         self._settings = settings
         self._list_source = list_source
@@ -220,6 +224,7 @@
             ask_leader=self._link.request,
             identity_key=_make_identity_key(settings.cluster_token),
             started_ms=monotonic_ms(),
+            ask_server=ask_server,
         )
         self._app = RouteApp(self._state, random.Random())
 
--- a/src/cowslipwood/entry/direct/_forwarding.py
+++ b/src/cowslipwood/entry/direct/_forwarding.py
@@ -8,6 +8,7 @@
 from ...kernel.event_stream import EventSplitter, is_event_stream
 from ...kernel.http_connection import (
     AnswerHead,
+    BodyEnd,
     BrokenAnswerError,
     ServerConnection,
 )
@@ -15,6 +16,7 @@
 from ...routes import RouteKind
 from ..choosing._backend import Backend
 from ._attempt_record import AttemptRecorder
+from ._end_check import EndSign
 from ._headers import filter_answer_headers
 from ._progress import AnswerStage, RequestProgress
 from ._request import RoutedRequest, missed_target
@@ -35,6 +37,8 @@
 # Least time, in milliseconds, without a whole event after which a stream is considered
 # stalled.
 MIN_STALL_MS = 4_000.0
+# Status of an answer that has no body.
+NO_CONTENT_STATUS = 204
 
 
 class AnswerSink(Protocol):
@@ -132,8 +136,11 @@
             self._progress.error_answer = (head, bytes(buffer))
             return self._recorder.record_failure(backend, fault)
         if not self._progress.has_started:
+            await self._check_end(backend, head, sent_ms)
             await self._start_answer(head)
             await self._sink.write(bytes(buffer))
+        else:
+            await self._check_end(backend, head, sent_ms)
         await self._sink.end()
         await self._recorder.record_success(
             backend, head, sent_ms, self._state.now_ms()
@@ -181,6 +188,7 @@
         break_reason = splitter.find_break(head.body_end)
         if break_reason:
             raise BrokenAnswerError(Code.ANSWER_CUT, break_reason)
+        await self._check_end(backend, head, sent_ms)
         await self._start_answer(head)
         held = splitter.take_held()
         if held:
@@ -215,6 +223,36 @@
         )
         return None
 
+    async def _check_end(
+        self, backend: Backend, head: AnswerHead, sent_ms: float
+    ) -> None:
+        """Check that the server outlived an answer that ended with its connection.
+
+        Raises
+        ------
+        BrokenAnswerError
+            If it did not, or does not answer: the answer may not be complete.
+        """
+        is_unframed = head.body_end is BodyEnd.CONNECTION_CLOSE
+        has_body = head.status != NO_CONTENT_STATUS and self._request.method != b"HEAD"
+        if not (is_unframed and has_body and head.status < 300):
+            return
+        server = self._progress.server or backend.view
+        now_ms = self._state.now_ms()
+        may_ask = backend.paused_until_ms <= now_ms
+        may_ask = may_ask and not self._state.limits.has_limit(server)
+        sign = await self._state.end_check.check(server, sent_ms, may_ask)
+        self._log.info(
+            "answer_end_checked",
+            request=self._request.facts.request_id,
+            server=server.server_id,
+            sign=sign.value,
+            took_ms=round(self._state.now_ms() - now_ms),
+        )
+        if sign is not EndSign.ALIVE:
+            reason = f"the connection ended and its server is {sign.value}"
+            raise BrokenAnswerError(Code.ANSWER_CUT, reason)
+
     async def _start_answer(self, head: AnswerHead) -> None:
         if not self._progress.has_started:
             self._progress.has_started = True
--- a/src/cowslipwood/entry/direct/_limits.py
+++ b/src/cowslipwood/entry/direct/_limits.py
@@ -219,6 +219,11 @@
         held.queue_until_ms = max(held.queue_until_ms, now_ms) + interval_ms
         return held.queue_until_ms - now_ms
 
+    def has_limit(self, server: ServerView) -> bool:
+        """Return whether a server has named a limit, which counts all calls to it."""
+        limit = self._ledger.find_limit(server.server_id, server.incarnation)
+        return limit is not None
+
     async def take_permit(
         self, backend: Backend, urgency_rank: int
     ) -> Permit | PermitRefusal:
--- a/src/cowslipwood/entry/direct/_part_guard.py
+++ b/src/cowslipwood/entry/direct/_part_guard.py
@@ -14,20 +14,13 @@
     is_request,
 )
 from ...kernel.codes import Code, Failure, failure
-from ...kernel.http_connection import open_connection
 from ...kernel.logs import get_logger
 from ...kernel.messages import CrashEvidence, ServerEnd, ServerView
 from ...kernel.metrics import Metrics
-from ...kernel.settings import parse_address
+from ...kernel.server_probe import is_server_gone
 
-__all__ = ["PartGuard", "is_server_gone"]
+__all__ = ["PartGuard"]
 
-# Time to wait for a connection to a server that has broken off an answer, in
-# milliseconds. A running server accepts one within a few milliseconds.
-PROBE_TIMEOUT_MS = 250.0
-# Time, in milliseconds, for which the connection must then stay open. A process that
-# ends may close the connections of its requests before it closes its port.
-PROBE_HOLD_MS = 30.0
 # Time, in milliseconds, for which the result of such a probe holds for further answers
 # of the same server. It is shorter than a server needs to start again.
 PROBE_LIFE_MS = 1_000.0
@@ -40,17 +33,6 @@
 ProbeServer = Callable[[str], Awaitable[bool]]
 
 
-async def is_server_gone(addr: str) -> bool:
-    """Return whether a server accepts no connection any more."""
-    conn = await open_connection(*parse_address(addr), PROBE_TIMEOUT_MS)
-    if conn is None:
-        return True
-    await anyio.sleep(PROBE_HOLD_MS / 1000)
-    is_closed = conn.has_unexpected_data()
-    await conn.close()
-    return is_closed
-
-
 class PartGuard:
     """What one entry knows of parts that end servers.
 
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -3,6 +3,7 @@
 import enum
 
 from ...kernel.http_connection import AnswerHead
+from ...kernel.messages import ServerView
 from ._retries import AttemptCounts
 
 __all__ = ["AnswerStage", "RequestProgress"]
@@ -26,6 +27,8 @@
         Whether the caller has been sent the head of an answer.
     answer_stage : AnswerStage
         How far the answer to the present attempt has come.
+    server : ServerView or None
+        The server of the present attempt, as it was known when that was sent.
     may_have_ended_server : bool
         Whether the last attempt may have ended its server.
     software_version : str
@@ -42,6 +45,7 @@
         self.attempt_counts = AttemptCounts()
         self.has_started = False
         self.answer_stage = AnswerStage.AWAITED
+        self.server: ServerView | None = None
         self.may_have_ended_server = False
         self.software_version = ""
         self.is_resumed = False
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -121,6 +121,7 @@
             n_possibly_run=self._progress.attempt_counts.n_possibly_run + 1,
         )
         self._progress.answer_stage = AnswerStage.AWAITED
+        self._progress.server = backend.view
         n_tokens = estimate_tokens_to_read(request.facts)
         state.get_prompt_tokens_average(request.service).add(n_tokens)
         try:
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -22,6 +22,7 @@
 from ..choosing._view import FleetView
 from ..metering._demand import DemandMeter
 from ..routing import RoutingContext, RoutingPolicy
+from ._end_check import AskServer, EndCheck, ask_by_connection
 from ._headers import HeaderNames
 from ._holders import HolderFinder
 from ._limits import ServerLimitKeeper
@@ -61,6 +62,8 @@
         Key of the digests by which entries recognise requests; the same at all.
     started_ms : float
         When the entry started; by default more than a retry window ago.
+    ask_server : callable
+        Asks a server whether it still runs; by default a connection to it tells.
 
     Attributes
     ----------
@@ -72,6 +75,8 @@
         answer, by key.
     part_guard : PartGuard
         Refuses prompts with parts under which servers have ended.
+    end_check : EndCheck
+        Tells whether servers outlived the answers that ended with their connection.
     limits : ServerLimitKeeper
         The limits that servers have named, and the permits to send to them.
     stream_versions : StreamVersions
@@ -96,6 +101,7 @@
         ask_leader: Callable[[Any, float], Awaitable[Result]] | None = None,
         identity_key: bytes = b"",
         started_ms: float = -math.inf,
+        ask_server: AskServer = ask_by_connection,
     ):
         ask = ask_leader or _find_no_leader
         self.identity_key = identity_key
@@ -110,6 +116,7 @@
         self.waiting_demand = DemandMeter(now_ms())
         self.pool = ConnectionPool()
         self.part_guard = PartGuard(metrics)
+        self.end_check = EndCheck(metrics, ask_server, now_ms)
         self.stream_versions = StreamVersions(ask, metrics)
         self.document: RouteDocument | None = None
         self.document_applied = anyio.Event()
--- /dev/null
+++ b/tests/test_answer_ends.py
@@ -0,0 +1,314 @@
+"""Answers without length or chunks, whose end alone does not prove them whole."""
+
+import contextlib
+import unittest
+from typing import Any
+
+import anyio
+import orjson
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from cowslipwood.entry.direct import ServerSign
+from cowslipwood.entry.direct._end_check import CLOCK_MARGIN_MS, EndCheck, EndSign
+from cowslipwood.entry.direct._exchange import RequestForwarder
+from cowslipwood.kernel.codes import Code, failure
+from cowslipwood.kernel.metrics import Metrics
+from cowslipwood.listing import ListedModel, to_server_view
+from cowslipwood.routes import Route, RouteKind
+
+from .answer_builders import STREAM_HEADERS, Framing, build_events, frame_answer
+from .direct_builders import (
+    RecordingSink,
+    build_direct_state,
+    build_listed_server,
+    build_request,
+    build_route,
+    create_rng,
+    read_head,
+    run_scripted_server,
+)
+from .test_platform_adapter import adapter_module
+
+STREAM = build_route(kind=RouteKind.STREAMING, max_attempts=1)
+RESUMABLE = build_route(kind=RouteKind.STREAMING, max_attempts=2, is_resumable=True)
+SAFE = build_route(max_attempts=1)
+BEGUN = b"".join(
+    frame_answer(Framing.CONNECTION, build_events(1, 3), headers=STREAM_HEADERS)
+)
+# Unix time of the tests' fixed clock, in milliseconds.
+WALL_MS = 1_700_000_000_000
+
+
+@contextlib.asynccontextmanager
+async def run_ending_server(data: bytes, ends: bool = True):
+    """Run a server that answers one request, ends and closes its connections in order.
+
+    Without `ends` it goes on after its answer.
+    """
+    listeners = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    listener = listeners.listeners[0]
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+
+    async def handle(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            if await read_head(stream):
+                await stream.send(data)
+                if ends:
+                    await listener.aclose()
+
+    async with anyio.create_task_group() as tasks:
+
+        async def serve() -> None:
+            with contextlib.suppress(anyio.ClosedResourceError):
+                await listener.serve(handle, tasks)
+
+        tasks.start_soon(serve)
+        yield f"127.0.0.1:{port}"
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+
+
+async def forward(
+    route: Route, addrs: list[str], end_check: EndCheck | None = None
+) -> RecordingSink:
+    """Return the answer to a request at an entry that knows these servers."""
+    servers = [build_listed_server(f"s{i}", addr) for i, addr in enumerate(addrs)]
+    state = build_direct_state(servers)
+    state.end_check = end_check or state.end_check
+    sink = RecordingSink()
+    await RequestForwarder(state, build_request(route), sink, create_rng()).run()
+    return sink
+
+
+class EndedServerTest(unittest.TestCase):
+    """Servers that end, or go on, after the last byte that they sent."""
+
+    def _forward(self, route: Route, answer: bytes, ends: bool) -> RecordingSink:
+        async def main() -> RecordingSink:
+            with anyio.fail_after(10):
+                async with run_ending_server(answer, ends) as addr:
+                    return await forward(route, [addr])
+
+        return anyio.run(main)
+
+    # A stream whose server was killed between two events reached its caller as whole.
+    def test_stream_of_a_server_that_ended_is_broken_off(self):
+        """Its events reach the caller, the end of a complete answer does not."""
+        for route in (STREAM, RESUMABLE):
+            with self.subTest(route=route):
+                sink = self._forward(route, BEGUN, ends=True)
+                self.assertEqual(sink.body, build_events(1, 3))
+                self.assertFalse(sink.is_complete)
+
+    def test_stream_of_a_server_that_goes_on_is_complete(self):
+        """A server that still accepts connections has ended its answer itself."""
+        for route in (STREAM, RESUMABLE):
+            with self.subTest(route=route):
+                sink = self._forward(route, BEGUN, ends=False)
+                self.assertEqual(sink.body, build_events(1, 3))
+                self.assertTrue(sink.is_complete)
+
+    # A plain answer without a length was whole wherever its server was killed.
+    def test_plain_answer_of_a_server_that_ended_is_no_success(self):
+        """A cut body reaches the caller as no complete answer."""
+        cut = b"".join(frame_answer(Framing.CONNECTION, b'{"total": 12'))
+        for ends in (True, False):
+            with self.subTest(ends=ends):
+                sink = self._forward(SAFE, cut, ends)
+                self.assertEqual(sink.is_complete and sink.status == 200, not ends)
+
+    # Of a resumable stream, the other events came never, though a server had them.
+    def test_stream_goes_on_at_another_server(self):
+        """The caller gets each event once, and the end of a complete answer."""
+
+        async def serve(stream: Any, head: bytes) -> None:
+            if b"last-event-id: 3" in head.lower():
+                rest = build_events(4, 5)
+                answer = frame_answer(Framing.CHUNKS, rest, headers=STREAM_HEADERS)
+                await stream.send(b"".join(answer))
+            else:
+                await stream.send(BEGUN)
+                await stream.aclose()
+
+        async def main() -> RecordingSink:
+            # Whichever is chosen first sends three events and ends.
+            with anyio.fail_after(10):
+                async with (
+                    run_scripted_server(serve) as (addr, _),
+                    run_scripted_server(serve) as (other_addr, _),
+                ):
+                    check = EndCheck(Metrics("entry"), say_gone)
+                    return await forward(RESUMABLE, [addr, other_addr], check)
+
+        sink = anyio.run(main)
+        self.assertEqual(sink.body, build_events(1, 5))
+        self.assertTrue(sink.is_complete)
+
+
+async def say_gone(server: Any) -> Result[ServerSign, Any]:
+    """Answer as a port does that nothing listens on."""
+    return Err(failure(Code.BACKEND_UNREACHABLE))
+
+
+def say(sign: Result[ServerSign, Any]) -> Any:
+    """Return a question with this answer."""
+
+    async def ask(server: Any) -> Result[ServerSign, Any]:
+        return sign
+
+    return ask
+
+
+class SignTest(unittest.TestCase):
+    """What the answers of a server prove; the request was sent at `WALL_MS`."""
+
+    def _check(self, sign: Result[ServerSign, Any], born_ms: int) -> EndSign:
+        server = to_server_view(build_listed_server("s", "a:1", born_ms=born_ms), ())
+        check = EndCheck(
+            Metrics("entry"), say(sign), lambda: 500.0, lambda: WALL_MS + 400.0
+        )
+        return anyio.run(check.check, server, 100.0)
+
+    # An entry that was frozen read the end when the server had started again.
+    def test_server_that_started_again(self):
+        """A process that is not older than the request did not answer it."""
+        born_ms = WALL_MS - 60_000
+        old_ms = round(WALL_MS - CLOCK_MARGIN_MS)
+        for told_ms, listed_ms, expected in (
+            (born_ms, born_ms, EndSign.ALIVE),
+            (WALL_MS + 1, born_ms, EndSign.RESTARTED),
+            (WALL_MS - 1, born_ms, EndSign.RESTARTED),
+            # The list was behind when the request was sent.
+            (old_ms, born_ms, EndSign.ALIVE),
+            # The server's clock is ahead, and the list names this process.
+            (WALL_MS + 9_000, WALL_MS + 9_000, EndSign.ALIVE),
+            (0, born_ms, EndSign.ALIVE),
+        ):
+            with self.subTest(told_ms=told_ms, listed_ms=listed_ms):
+                sign = Success(ServerSign(True, told_ms))
+                self.assertEqual(self._check(sign, listed_ms), expected)
+
+    def test_other_answers(self):
+        """Only the server that was sent the request proves anything."""
+        for sign, expected in (
+            (Success(ServerSign(False)), EndSign.OTHER_SERVER),
+            (Err(failure(Code.BACKEND_UNREACHABLE)), EndSign.GONE),
+            (Err(failure(Code.ANSWER_CUT)), EndSign.GONE),
+            (Err(failure(Code.BACKEND_TIMEOUT)), EndSign.SILENT),
+        ):
+            with self.subTest(sign=sign):
+                self.assertEqual(self._check(sign, 1), expected)
+
+
+class SharedQuestionTest(unittest.TestCase):
+    """Answers that end at the same time at one server."""
+
+    async def _check_together(self, n_early: int, n_late: int) -> tuple[int, list]:
+        """Let some answers end before the first question ends, others during it."""
+        asked, go_on = [], anyio.Event()
+        signs: list[EndSign] = []
+
+        async def ask(server: Any) -> Result[ServerSign, Any]:
+            asked.append(server)
+            if len(asked) == 1:
+                await go_on.wait()
+                return Success(ServerSign(True))
+            return await say_gone(server)
+
+        check = EndCheck(Metrics("entry"), ask)
+        server = to_server_view(build_listed_server("s", "a:1"), ())
+
+        async def run_one() -> None:
+            signs.append(await check.check(server, 0.0))
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(n_early):
+                tasks.start_soon(run_one)
+            await anyio.wait_all_tasks_blocked()
+            for _ in range(n_late):
+                tasks.start_soon(run_one)
+            await anyio.wait_all_tasks_blocked()
+            go_on.set()
+        return len(asked), signs
+
+    def test_question_from_before_the_end_proves_nothing(self):
+        """Answers that end during a question share the next one."""
+        n_asked, signs = anyio.run(self._check_together, 1, 20)
+        # The second question is put twice, as its answer is that the server is gone.
+        self.assertEqual(n_asked, 3)
+        self.assertEqual(signs, [EndSign.ALIVE] + 20 * [EndSign.GONE])
+
+    def test_cancelled_question(self):
+        """An answer whose neighbour asks, and is cancelled, asks itself."""
+
+        async def main() -> EndSign:
+            n_asked = 0
+
+            async def ask(server: Any) -> Result[ServerSign, Any]:
+                nonlocal n_asked
+                n_asked += 1
+                if n_asked == 1:
+                    await anyio.sleep_forever()
+                return Success(ServerSign(True))
+
+            check = EndCheck(Metrics("entry"), ask)
+            server = to_server_view(build_listed_server("s", "a:1"), ())
+            signs: list[EndSign] = []
+            first_scope = anyio.CancelScope()
+
+            async def run_first() -> None:
+                with first_scope:
+                    await check.check(server, 0.0)
+
+            async def run_other() -> None:
+                signs.append(await check.check(server, 0.0))
+
+            with anyio.fail_after(5):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(run_first)
+                    await anyio.wait_all_tasks_blocked()
+                    tasks.start_soon(run_other)
+                    await anyio.wait_all_tasks_blocked()
+                    first_scope.cancel()
+            return signs[0]
+
+        self.assertEqual(anyio.run(main), EndSign.ALIVE)
+
+
+class PlatformSignTest(unittest.TestCase):
+    """What the platform's servers answer to the question."""
+
+    def _ask(self, status: str, body: bytes, models: tuple = (ListedModel("m1"),)):
+        ask_server = adapter_module("_signs").ask_server
+        head = f"HTTP/1.1 {status}\r\ncontent-length: {len(body)}\r\n\r\n"
+
+        async def serve(stream: Any, request_head: bytes) -> None:
+            await stream.send(head.encode() + body)
+
+        async def main() -> tuple[Any, list[bytes]]:
+            async with run_scripted_server(serve) as (addr, heads):
+                server = build_listed_server("s", addr, models)
+                return await ask_server(to_server_view(server, ())), heads
+
+        return anyio.run(main)
+
+    def test_answers(self):
+        """A report names the start; 421 comes from another server."""
+        for status, body, expected in (
+            ("200 OK", orjson.dumps({"born": 17, "sequence": 1}), ServerSign(True, 17)),
+            ("200 OK", b"{}", ServerSign(True)),
+            ("503 Busy", b"", ServerSign(True)),
+            ("421 No", b"", ServerSign(False)),
+        ):
+            with self.subTest(status=status, body=body):
+                sign, heads = self._ask(status, body)
+                self.assertEqual(sign.unwrap(), expected)
+                self.assertIn(b"expect-instance: s\r\n", heads[0].lower())
+        self.assertIsInstance(self._ask("200 OK", b"[]")[0], Err)
+        self.assertIsInstance(self._ask("200 OK", b"{")[0], Err)
+
+    def test_server_without_models(self):
+        """A plain server gets no call, which it would take for a request."""
+        sign, heads = self._ask("200 OK", b"{}", models=())
+        self.assertEqual((sign.unwrap(), heads), (ServerSign(True), []))
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -18,13 +18,13 @@
 from cowslipwood.entry.direct._part_guard import (
     MAX_COMPLETED_PARTS,
     PartGuard,
-    is_server_gone,
 )
 from cowslipwood.entry.direct._state import DirectState
 from cowslipwood.keeper._evidence import EvidenceRelay
 from cowslipwood.kernel.codes import CODE_INFO, Outcome
 from cowslipwood.kernel.messages import CrashEvidence, ServerEnd
 from cowslipwood.kernel.metrics import Metrics
+from cowslipwood.kernel.server_probe import is_server_gone
 from cowslipwood.kernel.wire import decode_record, encode_record
 from cowslipwood.listing import to_server_view
 
