Join a continued stream only where its ids continue

Callers got events twice, out of order or with a gap when the server that went on with a stream, for the entry or for a client's own resume, began again at 1, some events too early or too late, or when one server's ids went back: nothing compared them.

EventOrder keeps the ids of one caller's stream over all attempts. They must increase; where they did so by one, a server that goes on must begin with the next. An answer that does not is broken off before its first event is forwarded, and another attempt may follow. Of a client's own resume only the last id is known, so a gap there is not noticed. Ids that are not numbers, or of over 18 digits, are left alone.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -10,6 +10,7 @@
 from ._attempt_record import AttemptRecorder
 from ._choice import ServerChoice
 from ._forwarding import AnswerForwarder, AnswerSink
+from ._headers import read_resumed_event_id
 from ._identity import RequestIdentity
 from ._limits import Permit
 from ._progress import RequestProgress
@@ -67,7 +68,11 @@
         self._request = request
         self._rng = rng
         self._log = get_logger()
-        self._progress = RequestProgress()
+        self._progress = RequestProgress(
+            read_resumed_event_id(request.headers, state.header_names)
+            if request.route.is_resumable
+            else b""
+        )
         self._identity = RequestIdentity(
             request, state.header_names, state.identity_key
         )
--- a/src/cowslipwood/entry/direct/_forwarding.py
+++ b/src/cowslipwood/entry/direct/_forwarding.py
@@ -89,7 +89,7 @@
 
         Raises
         ------
-        BrokenAnswerError, EventTooLongError, StatusLineError
+        BrokenAnswerError, EventOrderError, EventTooLongError, StatusLineError
             When the answer ends early or is malformed.
         TimeoutError
             When the time for the answer has passed.
@@ -163,6 +163,7 @@
     ) -> Failure | None:
         """Forward events as they arrive, only whole ones if the stream is resumable."""
         splitter = EventSplitter(whole_only=self._request.route.is_resumable)
+        self._progress.event_order.begin_answer()
         first_event_at_ms = last_event_at_ms = longest_gap_ms = unread_ms = 0.0
         with anyio.fail_after(self._compute_left_s()), anyio.CancelScope() as stall:
             async for chunk in conn.receive_body():
@@ -170,6 +171,7 @@
                 first_event_at_ms = first_event_at_ms or now_ms
                 n_chunks_with_event_end = splitter.n_chunks_with_event_end
                 data = splitter.feed(chunk)
+                self._progress.event_order.advance(splitter.fed_ids)
                 self._progress.last_event_id = (
                     splitter.last_event_id or self._progress.last_event_id
                 )
--- a/src/cowslipwood/entry/direct/_headers.py
+++ b/src/cowslipwood/entry/direct/_headers.py
@@ -16,6 +16,7 @@
     "filter_answer_headers",
     "read_answer_facts",
     "read_request_facts",
+    "read_resumed_event_id",
 ]
 
 Headers = list[tuple[bytes, bytes]]
@@ -169,6 +170,12 @@
     )
 
 
+def read_resumed_event_id(headers: Headers, names: HeaderNames) -> bytes:
+    """Return the id of the last event that a client has; empty for none."""
+    wanted = names.last_event_id
+    return next((value.strip() for name, value in headers if name == wanted), b"")
+
+
 def read_answer_facts(
     status: int, headers: Iterable[tuple[bytes, bytes]], names: HeaderNames
 ) -> AnswerFacts:
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -4,6 +4,7 @@
 
 from ...kernel.http_connection import AnswerHead
 from ...kernel.messages import ServerView
+from ._event_order import EventOrder
 from ._retries import AttemptCounts
 
 __all__ = ["AnswerStage", "RequestProgress"]
@@ -20,6 +21,11 @@
 class RequestProgress:
     """How far one request has come, over all its attempts.
 
+    Parameters
+    ----------
+    client_event_id : bytes
+        Id of the last event that the client has of an earlier attempt; empty for none.
+
     Attributes
     ----------
     attempt_counts : AttemptCounts
@@ -37,11 +43,13 @@
         Whether the client resumes a stream that `software_version` began.
     last_event_id : bytes
         Id of the last event that was forwarded; empty for none.
+    event_order : EventOrder
+        Checks the ids of the events that are forwarded.
     error_answer : tuple of AnswerHead and bytes, or None
         The last error that a server answered, with its body.
     """
 
-    def __init__(self):
+    def __init__(self, client_event_id: bytes = b""):
         self.attempt_counts = AttemptCounts()
         self.has_started = False
         self.answer_stage = AnswerStage.AWAITED
@@ -50,6 +58,7 @@
         self.software_version = ""
         self.is_resumed = False
         self.last_event_id = b""
+        self.event_order = EventOrder(client_event_id)
         self.error_answer: tuple[AnswerHead, bytes] | None = None
 
     @property
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -12,6 +12,7 @@
 from ...kernel.logs import get_logger
 from ..choosing._backend import NOT_READY_EXCLUSION_MS, Backend
 from ._attempt_record import AttemptRecorder
+from ._event_order import EventOrderError
 from ._forwarding import AnswerForwarder
 from ._headers import build_request_headers, read_answer_facts
 from ._limits import Permit
@@ -199,7 +200,12 @@
             self._progress.software_version = backend.view.software_version
         try:
             return await self._forwarder.forward(backend, conn, head, sent_ms)
-        except (BrokenAnswerError, EventTooLongError, StatusLineError) as exc:
+        except (
+            BrokenAnswerError,
+            EventOrderError,
+            EventTooLongError,
+            StatusLineError,
+        ) as exc:
             await conn.close()
             await self._recorder.record_break(backend)
             return self._recorder.record_failure(
--- a/src/cowslipwood/kernel/event_stream.py
+++ b/src/cowslipwood/kernel/event_stream.py
@@ -22,6 +22,8 @@
 _MAX_EVENT_END_BYTES = 3
 # Beginning of the first line of an HTTP answer, at the beginning of a line.
 _STATUS_LINE = re.compile(rb"^HTTP/1\.[01] [0-9]{3}", re.MULTILINE)
+# Line with the id of an event.
+_ID_LINE = re.compile(rb"^id:([^\r\n]*)", re.MULTILINE)
 # Length, in bytes, of the longest match of `_STATUS_LINE` and the line end before it.
 _MAX_STATUS_LINE_BYTES = 13
 # Largest number of bytes without the end of an event. It is many times the longest
@@ -68,8 +70,9 @@
     Attributes
     ----------
     last_event_id : bytes
-        Id of the last whole event; empty before the first one. It is read only if
-        `whole_only` is set.
+        Id of the last whole event; empty before the first one.
+    fed_ids : list of bytes
+        Ids of the events that ended in the last chunk.
     n_chunks_with_event_end : int
         Number of chunks in which an event ended.
     """
@@ -78,6 +81,7 @@
         self._whole_only = whole_only
         self._open = bytearray()
         self.last_event_id = b""
+        self.fed_ids: list[bytes] = []
         self.n_chunks_with_event_end = 0
 
     @property
@@ -125,6 +129,7 @@
         """
         n_open = len(self._open)
         self._open += data
+        self.fed_ids = []
         if _STATUS_LINE.search(self._open, max(0, n_open - _MAX_STATUS_LINE_BYTES)):
             raise StatusLineError("another answer begins within the stream")
         end = _find_last_event_end(
@@ -137,10 +142,10 @@
         self.n_chunks_with_event_end += 1
         whole = bytes(self._open[:end])
         del self._open[:end]
-        if not self._whole_only:
-            return data
-        self._read_last_event_id(whole)
-        return whole
+        self.fed_ids = [line.strip() for line in _ID_LINE.findall(whole)]
+        if self.fed_ids:
+            self.last_event_id = self.fed_ids[-1]
+        return whole if self._whole_only else data
 
     def take_held(self) -> bytes:
         """Return the bytes held back, after a stream has ended properly."""
@@ -148,12 +153,6 @@
         self._open.clear()
         return held
 
-    def _read_last_event_id(self, events: bytes) -> None:
-        for line in reversed(events.split(b"\n")):
-            if line.startswith(b"id:"):
-                self.last_event_id = line[3:].strip()
-                return
-
 
 def _find_last_event_end(data: bytearray, start: int) -> int:
     """Return the position after the last end of an event; 0 if none ends.
