Let a slow caller's reading not count against its server

A caller that stopped reading for longer than the stall limit had its sound stream cut, or moved to another server with events missing: the limit enclosed the write to the caller, and the last event counted as forwarded before it was. uvicorn waits for a paused transport before it takes a part, so a cancelled write had sent nothing of it.

The server's time now stops while the entry writes, and the last event is recorded after. The pause between two events no longer includes the caller's.

test_slow_caller_does_not_stall_a_stream fails before (the stream is cut as stalled).

--- a/src/cowslipwood/entry/direct/_forwarding.py
+++ b/src/cowslipwood/entry/direct/_forwarding.py
@@ -1,5 +1,6 @@
 """Forwards a server's answer to the caller, a whole one or a stream of events."""
 
+import math
 from typing import Protocol
 
 import anyio
@@ -172,9 +173,6 @@
                 n_chunks_with_event_end = splitter.n_chunks_with_event_end
                 data = splitter.feed(chunk)
                 self._progress.event_order.advance(splitter.fed_ids)
-                self._progress.last_event_id = (
-                    splitter.last_event_id or self._progress.last_event_id
-                )
                 if splitter.n_chunks_with_event_end > n_chunks_with_event_end:
                     gap_ms = now_ms - last_event_at_ms if last_event_at_ms else 0.0
                     longest_gap_ms = max(longest_gap_ms, gap_ms)
@@ -182,9 +180,13 @@
                     self._progress.answer_stage = AnswerStage.EVENTS
                     stall.deadline = anyio.current_time() + self._compute_stall_s()
                 if data:
-                    await self._start_answer(head)
-                    await self._sink.write(data)
-                    unread_ms += self._state.now_ms() - now_ms
+                    await self._write_unhurried(head, data, stall)
+                    wrote_ms = self._state.now_ms() - now_ms
+                    unread_ms += wrote_ms
+                    last_event_at_ms += wrote_ms if last_event_at_ms else 0.0
+                self._progress.last_event_id = (
+                    splitter.last_event_id or self._progress.last_event_id
+                )
         if stall.cancelled_caught:
             raise BrokenAnswerError(Code.ANSWER_CUT, "the stream stalls")
         break_reason = splitter.find_break(head.body_end)
@@ -225,6 +227,20 @@
         )
         return None
 
+    async def _write_unhurried(
+        self, head: AnswerHead, data: bytes, stall: anyio.CancelScope
+    ) -> None:
+        """Send a part of a stream, for which the server's time does not run.
+
+        A part that is cancelled may have been sent or not, so that no server could go
+        on after it.
+        """
+        left_s = stall.deadline - anyio.current_time()
+        stall.deadline = math.inf
+        await self._start_answer(head)
+        await self._sink.write(data)
+        stall.deadline = anyio.current_time() + left_s
+
     async def _check_end(
         self, backend: Backend, head: AnswerHead, sent_ms: float
     ) -> None:
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -431,6 +431,60 @@
         self.assertTrue(0 <= answered[0]["first_ms"] < route.timeout_ms)
 
 
+class SlowCallerTest(unittest.TestCase):
+    """Callers that read slowly, so that a write waits for them."""
+
+    # A sound stream was moved while its caller did not read, and events were missing.
+    def test_slow_caller_does_not_stall_a_stream(self):
+        """The stream stays with its server, and each event comes once."""
+        stall_ms = 1_000.0
+
+        class SlowSink(RecordingSink):
+            async def write(self, data: bytes) -> None:
+                if not self.body:
+                    # As a paused transport does, it waits before it takes the bytes.
+                    await anyio.sleep(1.5 * stall_ms / 1000)
+                await super().write(data)
+
+        async def serve(stream, head):
+            last_id = 2 if b"last-event-id: 2" in head.lower() else 0
+            answer_head = StalledStreamTest.HEAD.encode()
+            await stream.send(
+                answer_head + _encode_chunk(build_events(last_id + 1, last_id + 2))
+            )
+            await stream.send(_encode_chunk(build_events(last_id + 3, 6)))
+            await stream.send(b"0\r\n\r\n")
+
+        async def main():
+            sink = SlowSink()
+            async with (
+                run_scripted_server(serve) as (addr, heads),
+                run_scripted_server(serve) as (other_addr, other_heads),
+            ):
+                servers = [
+                    build_listed_server("s0", addr),
+                    build_listed_server("s1", other_addr),
+                ]
+                state = build_direct_state(servers)
+                route = build_route(
+                    kind=RouteKind.STREAMING,
+                    is_resumable=True,
+                    max_attempts=2,
+                    timeout_ms=20_000.0,
+                )
+                forwarder = RequestForwarder(
+                    state, build_request(route), sink, create_rng()
+                )
+                fault = await forwarder.run()
+            return fault, sink, len(heads) + len(other_heads)
+
+        with mock.patch.object(_forwarding, "MIN_STALL_MS", stall_ms):
+            fault, sink, n_attempts = anyio.run(main)
+        self.assertIsNone(fault)
+        self.assertEqual((sink.body, sink.is_complete), (build_events(1, 6), True))
+        self.assertEqual(n_attempts, 1)
+
+
 class StalledStreamTest(unittest.TestCase):
     """Streams whose server keeps sending bytes, but no events."""
 
