--- a/soak/server.py
+++ b/soak/server.py
@@ -14,7 +14,6 @@
 import socket
 import struct
 import sys
-import time
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -75,6 +74,11 @@
     work_ms : float
         Mean time of a run, or between two events of a stream.
     n_slots : int
+    unframed_share : float
+        Share of the streams that have neither length nor chunks and end with their
+        connection.
+    born_ms : int
+        When the process was started, as Unix time.
     """
 
     host: str
@@ -91,6 +95,8 @@
     idle_timeout_s: float = 3.0
     work_ms: float = 30.0
     n_slots: int = 48
+    unframed_share: float = 0.0
+    born_ms: int = 0
 
 
 def make_instance(settings: ServerSettings, state: str = "ready") -> dict[str, Any]:
@@ -104,6 +110,7 @@
         "slots": settings.n_slots,
         "state": state,
         "coldRemainingMs": 0,
+        "born": settings.born_ms,
         **_make_model_fields(settings),
     }
 
@@ -122,7 +129,7 @@
         self._rng = random.Random(settings.seed)
         self._n_running = 0
         self._sequence = 0
-        self._born_ms = int(time.time() * 1000)
+        self._born_ms = settings.born_ms
 
     async def run(self) -> None:
         settings = self._settings
@@ -266,9 +273,10 @@
         if fault is Fault.LATE:
             await anyio.sleep(LATE_S)
         fault_at = self._rng.randint(first, max(first, N_EVENTS))
+        is_framed = self._rng.random() >= self._settings.unframed_share
         headers = {
             "content-type": "text/event-stream",
-            "transfer-encoding": "chunked",
+            **({"transfer-encoding": "chunked"} if is_framed else {}),
             **self._make_common_headers(head),
         }
         await stream.send(encode_head("HTTP/1.1 200 OK", headers))
@@ -282,11 +290,14 @@
                         _reset(stream)
                         return "reset"
                     case Fault.CUT:
-                        await stream.send(b"10\r\nid: ")
+                        await stream.send(b"10\r\nid: " if is_framed else b"id: ")
                         return "cut"
                     case Fault.PAUSE:
                         await anyio.sleep(PAUSE_S)
-            await stream.send(encode_chunk(make_event(number)))
+            event = make_event(number)
+            await stream.send(encode_chunk(event) if is_framed else event)
+        if not is_framed:
+            return "connection_ended"
         await stream.send(END_OF_CHUNKS)
         return "answered"
 
--- a/src/cowslipwood/entry/direct/_forwarding.py
+++ b/src/cowslipwood/entry/direct/_forwarding.py
@@ -1,5 +1,6 @@
 """Forwards a server's answer to the caller, a whole one or a stream of events."""
 
+import math
 from typing import Protocol
 
 import anyio
@@ -8,6 +9,7 @@
 from ...kernel.event_stream import EventSplitter, is_event_stream
 from ...kernel.http_connection import (
     AnswerHead,
+    BodyEnd,
     BrokenAnswerError,
     ServerConnection,
 )
@@ -15,6 +17,7 @@
 from ...routes import RouteKind
 from ..choosing._backend import Backend
 from ._attempt_record import AttemptRecorder
+from ._end_check import EndSign
 from ._headers import filter_answer_headers
 from ._progress import AnswerStage, RequestProgress
 from ._request import RoutedRequest, missed_target
@@ -35,6 +38,8 @@
 # Least time, in milliseconds, without a whole event after which a stream is considered
 # stalled.
 MIN_STALL_MS = 4_000.0
+# Status of an answer that has no body.
+NO_CONTENT_STATUS = 204
 
 
 class AnswerSink(Protocol):
@@ -85,7 +90,7 @@
 
         Raises
         ------
-        BrokenAnswerError, EventTooLongError, StatusLineError
+        BrokenAnswerError, EventOrderError, EventTooLongError, StatusLineError
             When the answer ends early or is malformed.
         TimeoutError
             When the time for the answer has passed.
@@ -132,8 +137,11 @@
             self._progress.error_answer = (head, bytes(buffer))
             return self._recorder.record_failure(backend, fault)
         if not self._progress.has_started:
+            await self._check_end(backend, head, sent_ms)
             await self._start_answer(head)
             await self._sink.write(bytes(buffer))
+        else:
+            await self._check_end(backend, head, sent_ms)
         await self._sink.end()
         await self._recorder.record_success(
             backend, head, sent_ms, self._state.now_ms()
@@ -156,16 +164,15 @@
     ) -> Failure | None:
         """Forward events as they arrive, only whole ones if the stream is resumable."""
         splitter = EventSplitter(whole_only=self._request.route.is_resumable)
-        first_event_at_ms = last_event_at_ms = longest_gap_ms = 0.0
+        self._progress.event_order.begin_answer()
+        first_event_at_ms = last_event_at_ms = longest_gap_ms = unread_ms = 0.0
         with anyio.fail_after(self._compute_left_s()), anyio.CancelScope() as stall:
             async for chunk in conn.receive_body():
                 now_ms = self._state.now_ms()
                 first_event_at_ms = first_event_at_ms or now_ms
                 n_chunks_with_event_end = splitter.n_chunks_with_event_end
                 data = splitter.feed(chunk)
-                self._progress.last_event_id = (
-                    splitter.last_event_id or self._progress.last_event_id
-                )
+                self._progress.event_order.advance(splitter.fed_ids)
                 if splitter.n_chunks_with_event_end > n_chunks_with_event_end:
                     gap_ms = now_ms - last_event_at_ms if last_event_at_ms else 0.0
                     longest_gap_ms = max(longest_gap_ms, gap_ms)
@@ -173,13 +180,19 @@
                     self._progress.answer_stage = AnswerStage.EVENTS
                     stall.deadline = anyio.current_time() + self._compute_stall_s()
                 if data:
-                    await self._start_answer(head)
-                    await self._sink.write(data)
+                    await self._write_unhurried(head, data, stall)
+                    wrote_ms = self._state.now_ms() - now_ms
+                    unread_ms += wrote_ms
+                    last_event_at_ms += wrote_ms if last_event_at_ms else 0.0
+                self._progress.last_event_id = (
+                    splitter.last_event_id or self._progress.last_event_id
+                )
         if stall.cancelled_caught:
             raise BrokenAnswerError(Code.ANSWER_CUT, "the stream stalls")
         break_reason = splitter.find_break(head.body_end)
         if break_reason:
             raise BrokenAnswerError(Code.ANSWER_CUT, break_reason)
+        await self._check_end(backend, head, sent_ms)
         await self._start_answer(head)
         held = splitter.take_held()
         if held:
@@ -206,12 +219,58 @@
             sent_ms=round(sent_ms - self._request.arrived_ms),
             pause_ms=round(longest_gap_ms),
             events=splitter.n_chunks_with_event_end,
+            last_event=self._progress.last_event_id.decode("latin-1"),
+            unread_ms=round(unread_ms),
             attempts=self._progress.attempt_counts.n_sent,
             target_ms=self._request.route.target_latency_ms,
             pause_target_ms=self._request.route.gap_target_ms,
         )
         return None
 
+    async def _write_unhurried(
+        self, head: AnswerHead, data: bytes, stall: anyio.CancelScope
+    ) -> None:
+        """Send a part of a stream, for which the server's time does not run.
+
+        A part that is cancelled may have been sent or not, so that no server could go
+        on after it.
+        """
+        left_s = stall.deadline - anyio.current_time()
+        stall.deadline = math.inf
+        await self._start_answer(head)
+        await self._sink.write(data)
+        stall.deadline = anyio.current_time() + left_s
+
+    async def _check_end(
+        self, backend: Backend, head: AnswerHead, sent_ms: float
+    ) -> None:
+        """Check that the server outlived an answer that ended with its connection.
+
+        Raises
+        ------
+        BrokenAnswerError
+            If it did not, or does not answer: the answer may not be complete.
+        """
+        is_unframed = head.body_end is BodyEnd.CONNECTION_CLOSE
+        has_body = head.status != NO_CONTENT_STATUS and self._request.method != b"HEAD"
+        if not (is_unframed and has_body and head.status < 300):
+            return
+        server = self._progress.server or backend.view
+        now_ms = self._state.now_ms()
+        may_ask = backend.paused_until_ms <= now_ms
+        may_ask = may_ask and not self._state.limits.has_limit(server)
+        sign = await self._state.end_check.check(server, sent_ms, may_ask)
+        self._log.info(
+            "answer_end_checked",
+            request=self._request.facts.request_id,
+            server=server.server_id,
+            sign=sign.value,
+            took_ms=round(self._state.now_ms() - now_ms),
+        )
+        if sign is not EndSign.ALIVE:
+            reason = f"the connection ended and its server is {sign.value}"
+            raise BrokenAnswerError(Code.ANSWER_CUT, reason)
+
     async def _start_answer(self, head: AnswerHead) -> None:
         if not self._progress.has_started:
             self._progress.has_started = True
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -3,6 +3,8 @@
 import enum
 
 from ...kernel.http_connection import AnswerHead
+from ...kernel.messages import ServerView
+from ._event_order import EventOrder
 from ._retries import AttemptCounts
 
 __all__ = ["AnswerStage", "RequestProgress"]
@@ -19,6 +21,11 @@
 class RequestProgress:
     """How far one request has come, over all its attempts.
 
+    Parameters
+    ----------
+    client_event_id : bytes
+        Id of the last event that the client has of an earlier attempt; empty for none.
+
     Attributes
     ----------
     attempt_counts : AttemptCounts
@@ -26,6 +33,8 @@
         Whether the caller has been sent the head of an answer.
     answer_stage : AnswerStage
         How far the answer to the present attempt has come.
+    server : ServerView or None
+        The server of the present attempt, as it was known when that was sent.
     may_have_ended_server : bool
         Whether the last attempt may have ended its server.
     software_version : str
@@ -34,18 +43,22 @@
         Whether the client resumes a stream that `software_version` began.
     last_event_id : bytes
         Id of the last event that was forwarded; empty for none.
+    event_order : EventOrder
+        Checks the ids of the events that are forwarded.
     error_answer : tuple of AnswerHead and bytes, or None
         The last error that a server answered, with its body.
     """
 
-    def __init__(self):
+    def __init__(self, client_event_id: bytes = b""):
         self.attempt_counts = AttemptCounts()
         self.has_started = False
         self.answer_stage = AnswerStage.AWAITED
+        self.server: ServerView | None = None
         self.may_have_ended_server = False
         self.software_version = ""
         self.is_resumed = False
         self.last_event_id = b""
+        self.event_order = EventOrder(client_event_id)
         self.error_answer: tuple[AnswerHead, bytes] | None = None
 
     @property
