Report a break under a request of over 4 KB as a break

Callers got uvicorn's bare 500 when a server reset or closed the connection of a request whose body is over 4 KB, and requests that may be repeated were not repeated; the server's break was not counted either. Cause: the remainder of such a request is sent in a task group beside the wait for the answer, and anyio raises an error that leaves a task group inside an ExceptionGroup, which the callers' 'except BrokenAnswerError' does not catch. The error is now caught inside the group and raised behind it.

Found while listing the ways to an untrue refusal; a 500 promises nothing, so it is none of them.

--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -154,10 +154,17 @@
         """
         if not self._unsent:
             return await self._read_head()
+        broken: BrokenAnswerError | None = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._send_unsent)
-            head = await self._read_head()
+            try:
+                head = await self._read_head()
+            except BrokenAnswerError as exc:
+                # A task group would raise it inside an exception group.
+                broken = exc
             tasks.cancel_scope.cancel()
+        if broken is not None:
+            raise broken
         return head
 
     async def receive_body(self) -> AsyncIterator[bytes]:
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -98,6 +98,26 @@
         """An answer whose body is shorter than its length is reported as broken."""
         self._check_broken(build_answer(b"whole body")[:-3])
 
+    # Requests of over 4 KB were answered 500 and never repeated after a break.
+    def test_broken_answer_to_a_long_request(self):
+        """A break is reported as such, whatever the length of the request's body."""
+
+        async def serve(stream, head):
+            await stream.aclose()
+
+        async def run():
+            async with run_scripted_server(serve) as (addr, _):
+                for n_body_bytes in (0, 4_096, 8_000_000):
+                    conn = await connect_to(addr)
+                    length = (b"content-length", str(n_body_bytes).encode())
+                    body = b"x" * n_body_bytes
+                    await conn.send(b"POST", b"/", [*HEADERS, length], body)
+                    with self.assertRaises(BrokenAnswerError):
+                        await conn.receive_head()
+                    await conn.close()
+
+        anyio.run(run)
+
     def test_invalid_http(self):
         """Bytes that are not HTTP are reported as a broken answer."""
         self._check_broken(b"\x00\x01 garbage\r\n\r\n")
