Believe no refusal of an attempt to another id at the same address

Callers were told that a request that may run once had not run, and it ran (REFUSED; it could also go on to a third server, TWICE). A process that replaced another one answers 421 to the old id; where the list still has, or already has, both ids, the next attempt went to the new id over the same connection.

The request now keeps the addresses to which it was sent, and goes to each of them over a kept connection once at most, so a connection never carries two attempts of a request and the id names the attempt.

That users' cases came so is not known.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -195,14 +195,13 @@
         permit = await self._take_permit(backend)
         if isinstance(permit, Failure):
             return permit
-        # A server may repeat its refusal of the last attempt, which bears the same id,
-        # so another attempt there goes over another connection.
+        # A server may repeat its answer to the last attempt, which bears the same id,
+        # so another attempt at its address goes over another connection.
         conn = await self._state.pool.acquire(
             backend.view.http_addr,
             self._state.now_ms(),
             left_ms,
-            is_kept_allowed=backend.view.server_id
-            not in self._sender.refusing_server_ids,
+            is_kept_allowed=backend.view.http_addr not in self._sender.sent_addrs,
         )
         if conn is None:
             backend.exclude("", self._state.now_ms() + UNREACHABLE_EXCLUSION_MS)
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -55,8 +55,9 @@
 
     Attributes
     ----------
-    refusing_server_ids : set of str
-        Servers that stated that an attempt did not run there.
+    sent_addrs : set of str
+        Addresses of the servers to which the request was sent. A server that was
+        replaced shares its address with the next one.
     """
 
     def __init__(
@@ -73,7 +74,7 @@
         self._recorder = recorder
         self._forwarder = forwarder
         self._log = get_logger()
-        self.refusing_server_ids: set[str] = set()
+        self.sent_addrs: set[str] = set()
 
     async def send(
         self, backend: Backend, conn: ServerConnection, permit: Permit
@@ -121,6 +122,7 @@
             n_possibly_run=self._progress.attempt_counts.n_possibly_run + 1,
         )
         self._progress.answer_stage = AnswerStage.AWAITED
+        self.sent_addrs.add(backend.view.http_addr)
         n_tokens = estimate_tokens_to_read(request.facts)
         state.get_prompt_tokens_average(request.service).add(n_tokens)
         try:
@@ -215,7 +217,6 @@
         self, backend: Backend, conn: ServerConnection, head: AnswerHead
     ) -> Failure:
         """Record a server's statement that the request did not run there."""
-        self.refusing_server_ids.add(backend.view.server_id)
         self._progress.attempt_counts = self._progress.attempt_counts._replace(
             n_possibly_run=self._progress.attempt_counts.n_possibly_run - 1
         )
