Believe no answer without an id on a connection that was used before

An answer without an id is now taken only as the first one of its connection, where there is no other request it could belong to, and such a connection is not kept. The state about the last answer is gone. Servers that repeat ids, as the platform's do, see no difference; others get a connection for each request.

Evidence: test_refusal_of_another_request_without_its_id fails before and passes now.

--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -172,14 +172,21 @@
         state, request = self._state, self._request
         facts = read_answer_facts(head.status, head.headers, state.header_names)
         now_ms = state.now_ms()
-        is_foreign = facts.request_id != request.facts.request_id
-        if is_foreign and (facts.request_id or conn.peer_repeats_ids):
+        # An answer without an id on a connection that carried other requests may be one
+        # to them.
+        is_foreign = (
+            facts.request_id != request.facts.request_id
+            if facts.request_id
+            else conn.n_requests > 1
+        )
+        if is_foreign:
             await conn.close()
             reason = f"an answer to request {facts.request_id or 'unknown'} came"
             return self._recorder.record_failure(
                 backend, failure(Code.OUTCOME_UNKNOWN, reason)
             )
-        conn.peer_repeats_ids = bool(facts.request_id)
+        if not facts.request_id:
+            conn.forbid_reuse()
         self._recorder.record_load(backend, facts, now_ms)
         state.apply_notice(backend, facts.notice, now_ms)
         state.limits.record_answer(backend, facts.notice.rate_limit, sent_ms, now_ms)
--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -103,9 +103,6 @@
     idle_limit_ms : float or None
         Idle time after which the server closes the connection, as its last
         ``Keep-Alive`` header states; None when there was none.
-    peer_repeats_ids : bool
-        Whether the last answer named its request. A server that does so does it in
-        each answer, so an answer without an id is not to the current request.
     """
 
     def __init__(self, stream: anyio.abc.ByteStream):
@@ -117,7 +114,7 @@
         self.idle_since_ms = 0.0
         self.n_requests = 0
         self.idle_limit_ms: float | None = None
-        self.peer_repeats_ids = False
+        self._is_reuse_forbidden = False
 
     async def send(
         self, method: bytes, target: bytes, headers: Sequence, body: bytes
@@ -190,6 +187,7 @@
         http = self._http
         is_reusable = (
             not self._is_broken
+            and not self._is_reuse_forbidden
             and not self._unsent
             and not self._server_closes
             and http.our_state is h11.DONE
@@ -200,6 +198,13 @@
             http.start_next_cycle()
         return is_reusable
 
+    def forbid_reuse(self) -> None:
+        """Have the connection carry no further request after this one.
+
+        For exchanges after which a late answer could not be told from the next one.
+        """
+        self._is_reuse_forbidden = True
+
     def has_unexpected_data(self) -> bool:
         """Return whether an idle connection received bytes or was closed."""
         poll = select.poll()
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -6,6 +6,8 @@
 
 import anyio
 import anyio.abc
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from cowslipwood.entry.direct._app import RouteApp
 
@@ -212,3 +214,34 @@
         for act in (Act.REFUSE_TWICE, Act.MISDIRECT_TWICE):
             with self.subTest(act=act):
                 self.assertEqual(find_untrue([act, Act.RUN], shares_address=True), [])
+
+    # A request that ran was refused as not run, by a refusal that names no request.
+    def test_refusal_of_another_request_without_its_id(self):
+        """A refusal without an id never counts for the next request."""
+        acts = [Act.REFUSE_WITHOUT_ID_TWICE, Act.REFUSE, Act.REFUSE, Act.RUN]
+        self.assertEqual(find_untrue(acts, n_requests=2), [])
+
+
+class UntrueRefusalTest(unittest.TestCase):
+    """Sequences of what servers do, on the entry's application."""
+
+    # A request that ran was answered with a status that promises that it had not.
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(
+        acts=st.lists(st.sampled_from(Act), max_size=6),
+        requests=st.lists(
+            st.builds(
+                Request,
+                st.sampled_from((0, 3, 60_000)),
+                st.one_of(st.none(), st.floats(0.0, 0.06)),
+                st.booleans(),
+            ),
+            min_size=1,
+            max_size=3,
+        ),
+        shares_address=st.booleans(),
+    )
+    def test_refused_requests_never_run(self, acts, requests, shares_address):
+        """An answer that promises that a request did not run is always true."""
+        untrue = find_untrue(acts, requests=requests, shares_address=shares_address)
+        self.assertEqual(untrue, [])
