Log and answer errors that nothing in the entry handles

Callers got uvicorn's bare 500 without a request id, and no log told why, as uvicorn's messages are switched off in CallerProtocol. Entries through agents did this already. The error is now logged as request_failed and answered 502 with INTERNAL_ERROR; an answer that has begun is aborted as before.

Evidence: test_unforeseen_error fails before (the KeyError leaves the application) and passes now.

--- a/src/cowslipwood/entry/direct/_app.py
+++ b/src/cowslipwood/entry/direct/_app.py
@@ -108,9 +108,19 @@
                 await self._refuse(
                     answer, _read_request_id(scope, self._state), refusal
                 )
+        except AnswerAbortedError:
+            raise
+        except Exception:
+            await self._handle_error(scope, answer)
         finally:
             self._n_held_body_bytes -= len(body)
 
+    async def _handle_error(self, scope: dict, answer: "_CallerAnswer") -> None:
+        """Log an unforeseen exception, and answer it or abort the answer."""
+        request_id = _read_request_id(scope, self._state)
+        get_logger().exception("request_failed", request=request_id)
+        await self._refuse(answer, request_id, failure(Code.INTERNAL_ERROR))
+
     async def _serve_body(
         self,
         scope: dict,
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -3,12 +3,15 @@
 import enum
 import unittest
 from typing import Any, NamedTuple
+from unittest import mock
 
 import anyio
 import anyio.abc
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from structlog.testing import capture_logs
 
+from cowslipwood.entry.direct import _exchange
 from cowslipwood.entry.direct._app import RouteApp
 
 from .direct_builders import (
@@ -222,6 +225,27 @@
         self.assertEqual(find_untrue(acts, n_requests=2), [])
 
 
+class UnforeseenErrorTest(unittest.TestCase):
+    """Errors that no part of the entry handles."""
+
+    # An unforeseen error got a bare 500, and no log told of it.
+    def test_unforeseen_error(self):
+        """An error that nothing handles is logged and answered with its code."""
+
+        async def main() -> int:
+            state = build_direct_state([build_listed_server("s0", "127.0.0.1:1")])
+            state.apply_document(build_document(routes=[route_value()]))
+            return await call_app(RouteApp(state, create_rng()), "q0", Request())
+
+        with (
+            mock.patch.object(_exchange.ServerChoice, "choose", side_effect=KeyError),
+            capture_logs() as logs,
+        ):
+            self.assertEqual(anyio.run(main), 502)
+        failed = [line for line in logs if line["event"] == "request_failed"]
+        self.assertEqual([line["request"] for line in failed], ["q0"])
+
+
 class UntrueRefusalTest(unittest.TestCase):
     """Sequences of what servers do, on the entry's application."""
 
