Withhold a promise that a request did not run if a server may have run it

Each way to an answer had to know by itself whether a byte of the request had gone out; a new way, or an error in an old one, could promise 'not run' unseen. Every answer to a caller passes _CallerAnswer.start. No way that reaches it is known; build_final_failure decides as before.

--- a/src/cowslipwood/entry/direct/_app.py
+++ b/src/cowslipwood/entry/direct/_app.py
@@ -14,7 +14,9 @@
 from ...routes import pick_service
 from ._exchange import RequestForwarder
 from ._headers import read_request_facts
+from ._progress import RequestProgress
 from ._request import RoutedRequest
+from ._sending import NOT_RUN_STATUSES
 from ._state import DirectState
 
 __all__ = ["RouteApp"]
@@ -48,6 +50,10 @@
     """An answer that has started cannot be completed; its connection must close."""
 
 
+class UntruePromiseError(Exception):
+    """An answer says that a request did not run, though a server may have run it."""
+
+
 class RouteApp:
     """An ASGI application that forwards requests by their routes.
 
@@ -157,7 +163,10 @@
     async def _forward(self, routed: RoutedRequest, answer: "_CallerAnswer"):
         left_ms = routed.answer_by_ms - self._state.now_ms()
         with anyio.move_on_after(max(0.0, left_ms) / 1000):
-            return await RequestForwarder(self._state, routed, answer, self._rng).run()
+            forwarder = RequestForwarder(
+                self._state, routed, answer, self._rng, answer.progress
+            )
+            return await forwarder.run()
         return failure(Code.BACKEND_TIMEOUT, "the route's timeout has passed")
 
     async def _read_body(self, receive: Any, body: bytearray) -> Failure | None:
@@ -283,15 +292,31 @@
 
 
 class _CallerAnswer:
-    """An `AnswerSink` that sends one answer to the caller."""
+    """An `AnswerSink` that sends one answer to the caller.
+
+    Attributes
+    ----------
+    progress : RequestProgress
+        How far the request has come.
+    """
 
     def __init__(self, send: Any, app: RouteApp):
         self._send = send
         self._app = app
+        self.progress = RequestProgress()
         self.has_started = False
         self.is_finished = False
 
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Send status and headers.
+
+        Raises
+        ------
+        UntruePromiseError
+            When the status promises that the request did not run, and it may have.
+        """
+        if status in NOT_RUN_STATUSES and self.progress.may_have_run:
+            raise UntruePromiseError(f"status {status}")
         self.has_started = True
         if self._app.is_leaving:
             headers = [*headers, (b"connection", b"close")]
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -54,6 +54,8 @@
         Receives the answer for the caller.
     rng : random.Random
         Source of the random choice of servers and spread of retry-after times.
+    progress : RequestProgress or None
+        Is told how far the request has come; None if nobody else reads it.
     """
 
     def __init__(
@@ -62,12 +64,13 @@
         request: RoutedRequest,
         sink: AnswerSink,
         rng: random.Random,
+        progress: RequestProgress | None = None,
     ):
         self._state = state
         self._request = request
         self._rng = rng
         self._log = get_logger()
-        self._progress = RequestProgress()
+        self._progress = progress or RequestProgress()
         self._identity = RequestIdentity(
             request, state.header_names, state.identity_key
         )
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -48,6 +48,11 @@
         self.last_event_id = b""
         self.error_answer: tuple[AnswerHead, bytes] | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether some server has not disproved that it ran the request."""
+        return self.attempt_counts.n_possibly_run > 0
+
     @property
     def must_keep_version(self) -> bool:
         """Whether the client has events, which no other version may continue."""
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -11,8 +11,9 @@
 from hypothesis import strategies as st
 from structlog.testing import capture_logs
 
-from cowslipwood.entry.direct import _exchange
+from cowslipwood.entry.direct import _exchange, _sending
 from cowslipwood.entry.direct._app import RouteApp
+from cowslipwood.kernel.codes import Code, failure
 
 from .direct_builders import (
     build_answer,
@@ -225,8 +226,24 @@
         self.assertEqual(find_untrue(acts, n_requests=2), [])
 
 
-class UnforeseenErrorTest(unittest.TestCase):
-    """Errors that no part of the entry handles."""
+class UntruePromiseTest(unittest.TestCase):
+    """Errors in what decides on the answer."""
+
+    # Each path to an answer had to know by itself whether a server may have run it.
+    def test_no_promise_after_an_error_in_the_final_failure(self):
+        """A failure that says "not run" never reaches the caller of what ran."""
+        refusal = failure(Code.NO_REPLICA)
+        with mock.patch.object(
+            _exchange, "build_final_failure", lambda counts, fault, after_ms: refusal
+        ):
+            self.assertEqual(find_untrue([Act.RUN_RESET]), [])
+
+    def test_no_promise_by_a_server_that_does_not_make_it(self):
+        """A server's status without its not-run header is never forwarded."""
+        with mock.patch.object(_sending, "NOT_RUN_STATUSES", frozenset()):
+            for act in (Act.RUN_503, Act.RUN_429, Act.RUN_408):
+                with self.subTest(act=act):
+                    self.assertEqual(find_untrue([act]), [])
 
     # An unforeseen error got a bare 500, and no log told of it.
     def test_unforeseen_error(self):
