Read the answer behind a late answer to an earlier request

Requests that may be repeated were sent again while the server still worked on them. Cause: an answer that named another request ended the exchange and closed the connection, although the own answer stood behind it.

Such an answer is now skipped if it states its length or is in chunks, and the next one is awaited; four answers and 64 KB at most, on connections that carried a request before, and the connection is not kept afterwards. h11 reads one answer a request, so the bytes behind go to a fresh state. An answer that cannot be skipped (no length, too long, after HEAD, while a part of the request is unsent) ends the exchange as before. An answer without an id is never skipped nor believed there.

Evidence: test_refusal_behind_a_late_answer and test_answer_behind_late_answers fail before and pass now; test_answer_behind_a_late_one sends the bytes in segments of several lengths.

--- a/src/cowslipwood/entry/direct/_headers.py
+++ b/src/cowslipwood/entry/direct/_headers.py
@@ -15,6 +15,7 @@
     "build_request_headers",
     "filter_answer_headers",
     "read_answer_facts",
+    "read_answered_id",
     "read_request_facts",
 ]
 
@@ -177,13 +178,18 @@
     values_by_name = dict(headers)
     load = _read_numbers(_read_text(values_by_name, names.load))
     return AnswerFacts(
-        _read_text(values_by_name, names.request_id),
+        read_answered_id(headers, names),
         names.not_run in values_by_name,
         (load[0], load[1], load[2]) if len(load) == 3 else None,
         read_notice(status, headers, names.leaving, names.rate_limit),
     )
 
 
+def read_answered_id(headers: Iterable[tuple[bytes, bytes]], names: HeaderNames) -> str:
+    """Return the id of the request that an answer names; empty if it names none."""
+    return _read_text(dict(headers), names.request_id)
+
+
 def build_request_headers(
     headers: Headers,
     names: HeaderNames,
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -13,7 +13,11 @@
 from ..choosing._backend import NOT_READY_EXCLUSION_MS, Backend
 from ._attempt_record import AttemptRecorder
 from ._forwarding import AnswerForwarder
-from ._headers import build_request_headers, read_answer_facts
+from ._headers import (
+    build_request_headers,
+    read_answer_facts,
+    read_answered_id,
+)
 from ._limits import Permit
 from ._progress import AnswerStage, RequestProgress
 from ._request import (
@@ -32,6 +36,9 @@
 # Status of a server that is not the one addressed, or that lacks the model. The
 # request never ran there.
 MISDIRECTED_STATUS = 421
+# Largest number of late answers to other requests that are skipped before the answer to
+# a request. Each earlier request on a connection may leave one.
+MAX_SKIPPED_ANSWERS = 4
 # Time without an answer, as a multiple of the route's latency target, after which a
 # repeatable request is retried at another server if there is one. A shorter time
 # would repeat requests that are merely queued.
@@ -132,7 +139,7 @@
                 anyio.fail_after(self._compute_silence_limit_ms(left_ms) / 1000),
             ):
                 await conn.send(request.method, request.target, headers, request.body)
-                head = await conn.receive_head()
+                head = await self._receive_own_head(backend, conn)
                 self._progress.answer_stage = AnswerStage.BEGUN
         except TimeoutError:
             await conn.close()
@@ -148,6 +155,31 @@
             raise
         return await self._handle_answer(backend, conn, head, now_ms)
 
+    async def _receive_own_head(
+        self, backend: Backend, conn: ServerConnection
+    ) -> AnswerHead:
+        """Return the head of the next answer that names no earlier request.
+
+        The answer to this request may stand behind late ones to others, which are
+        skipped. One that cannot be skipped is returned.
+        """
+        head = await conn.receive_head()
+        for _ in range(MAX_SKIPPED_ANSWERS):
+            answered_id = read_answered_id(head.headers, self._state.header_names)
+            is_late = answered_id not in ("", self._request.facts.request_id)
+            if not is_late or conn.n_requests == 1 or not await conn.skip_answer(head):
+                break
+            self._state.metrics.count("late_answers_skipped_total")
+            self._log.info(
+                "late_answer_skipped",
+                request=self._request.facts.request_id,
+                server=backend.view.server_id,
+                answers=answered_id,
+                status=head.status,
+            )
+            head = await conn.receive_head()
+        return head
+
     def _compute_silence_limit_ms(self, left_ms: float) -> float:
         """Return how long to wait for the head of an answer."""
         route = self._request.route
--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -33,6 +33,9 @@
 # Largest number of interim answers (status 1xx) before the final one; servers send
 # one or two.
 MAX_INTERIM_ANSWERS = 8
+# Largest number of bytes of the answers to earlier requests that are skipped before the
+# answer to the current one. Larger answers hardly come late.
+MAX_SKIPPED_BYTES = 65_536
 # Number of bytes of a request that are sent before the answer is read. This many
 # fit into the smallest TCP window, so sending them never blocks on a server that
 # answers before it reads the request.
@@ -109,6 +112,8 @@
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
         self._unsent: bytes = b""
+        self._n_skipped_bytes = 0
+        self._has_sent_head_method = False
         self._is_broken = False
         self._server_closes = False
         self.idle_since_ms = 0.0
@@ -127,6 +132,7 @@
             When the connection has ended or the request is not valid HTTP.
         """
         self.n_requests += 1
+        self._has_sent_head_method |= method == b"HEAD"
         try:
             head = self._http.send(
                 h11.Request(method=method, target=target, headers=headers)
@@ -164,6 +170,41 @@
             raise broken
         return head
 
+    async def skip_answer(self, head: AnswerHead) -> bool:
+        """Skip an answer to an earlier request; return whether that was possible.
+
+        The next answer can then be received; the connection carries no further request.
+        It is impossible if the answer's end cannot be known, if it is too long, or if a
+        part of the request was not sent.
+
+        Raises
+        ------
+        BrokenAnswerError
+            When the connection ends, or carries invalid data, before the answer's end.
+        """
+        # An answer to HEAD has no body, whatever its headers state.
+        if (
+            self._unsent
+            or self._has_sent_head_method
+            or head.body_end is BodyEnd.CONNECTION_CLOSE
+        ):
+            return False
+        self.forbid_reuse()
+        async for part in self.receive_body():
+            self._n_skipped_bytes += len(part)
+            if self._n_skipped_bytes > MAX_SKIPPED_BYTES:
+                return False
+        # h11 reads one answer for each request.
+        received, has_ended = self._http.trailing_data
+        self._http = h11.Connection(h11.CLIENT)
+        self._http.send(h11.Request(method="GET", target="/", headers=[("host", "")]))
+        self._http.send(h11.EndOfMessage())
+        if received:
+            self._http.receive_data(received)
+        if has_ended:
+            self._http.receive_data(b"")
+        return True
+
     async def receive_body(self) -> AsyncIterator[bytes]:
         """Yield the body in parts.
 
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -15,6 +15,7 @@
 from cowslipwood.entry.direct._headers import read_answer_facts, read_request_facts
 from cowslipwood.entry.direct._holders import HolderFinder
 from cowslipwood.entry.direct._request import compute_urgency_rank
+from cowslipwood.entry.direct._sending import MAX_SKIPPED_ANSWERS
 from cowslipwood.entry.direct._servers import KnownServers
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.codes import CODE_INFO, Code, Outcome, failure
@@ -267,6 +268,68 @@
         self.assertEqual(set(n_requests_by_connection), {1})
 
 
+class LateAnswerTest(unittest.TestCase):
+    """Late answers to earlier requests, where the answer to this one is due."""
+
+    def _call(self, *answers: bytes, n_requests: int = 2) -> tuple[Any, Any, int]:
+        """Send requests over one connection; the last one gets all these answers.
+
+        Returns
+        -------
+        tuple
+            The failure or None, the sink, and the pause that the server has asked for.
+        """
+        series = [(n_requests - 1) * [build_answer()], answers]
+
+        async def serve(stream: Any, head: bytes) -> None:
+            if len(series) > 1 and series[0]:
+                await stream.send(series[0].pop())
+                return
+            await stream.send(b"".join(answers))
+
+        async def main() -> Any:
+            async with run_scripted_server(serve) as (addr, _):
+                state = build_direct_state([build_listed_server("s0", addr)])
+                route = build_route(**UNSAFE)
+                for _ in range(n_requests):
+                    sink = RecordingSink()
+                    fault = await RequestForwarder(
+                        state, build_request(route), sink, create_rng()
+                    ).run()
+                backend = state.view.backends["s0"]
+                return fault, sink, backend.held_off_until_ms
+
+        return anyio.run(main)
+
+    # A refusal behind a late answer was never read: its pause was missed.
+    def test_refusal_behind_a_late_answer(self):
+        """A refusal is read behind a late answer, with the pause that it asks for."""
+        headers = NOT_RUN + "retry-after: 2\r\n"
+        refusal = build_answer(b"", "503 Full", extra_headers=headers)
+        fault, _, held_off_until_ms = self._call(build_answer(request_id="q0"), refusal)
+        self.assertIs(fault.outcome, Outcome.NOT_RUN)
+        self.assertGreater(held_off_until_ms, 0)
+
+    def test_answer_behind_late_answers(self):
+        """An answer behind as many late ones as are skipped reaches the caller."""
+        late = MAX_SKIPPED_ANSWERS * [build_answer(b"late", request_id="q0")]
+        fault, sink, _ = self._call(*late, build_answer(b"own"))
+        self.assertIsNone(fault)
+        self.assertEqual((sink.status, sink.body), (200, b"own"))
+
+    def test_bounds(self):
+        """Too many late answers, or one on a new connection, leave the outcome open."""
+        late = build_answer(b"late", request_id="q0")
+        too_many = (MAX_SKIPPED_ANSWERS + 1) * [late]
+        for answers, n_requests in ((too_many, 2), ([late], 1)):
+            with self.subTest(n_answers=len(answers), n_requests=n_requests):
+                fault, sink, _ = self._call(
+                    *answers, build_answer(b"own"), n_requests=n_requests
+                )
+                self.assertIs(fault.code, Code.OUTCOME_UNKNOWN)
+                self.assertEqual(sink.status, 0)
+
+
 class HolderTest(unittest.TestCase):
     """Requests for models that no usable server holds."""
 
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -6,7 +6,11 @@
 
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.codes import Code
-from cowslipwood.kernel.http_connection import BrokenAnswerError, open_connection
+from cowslipwood.kernel.http_connection import (
+    MAX_SKIPPED_BYTES,
+    BrokenAnswerError,
+    open_connection,
+)
 from cowslipwood.kernel.http_pool import ConnectionPool
 from cowslipwood.kernel.settings import parse_address
 
@@ -118,6 +122,59 @@
 
         anyio.run(run)
 
+    # The connection was closed, so the answer behind a late one was never read.
+    def test_answer_behind_a_late_one(self):
+        """The answer behind one that is skipped is read, however the bytes arrive."""
+        own = build_answer(b"own")
+        chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        chunked += b"4\r\nlate\r\n0\r\n\r\n"
+        for late in (build_answer(b"late"), chunked, build_answer(b"", "503 Full")):
+            for n_first_bytes in (0, len(late) - 1, len(late), len(late) + 9):
+                sent = late + own
+
+                async def serve(stream, head, sent=sent, n_first_bytes=n_first_bytes):
+                    if n_first_bytes:
+                        await stream.send(sent[:n_first_bytes])
+                        await anyio.sleep(0.01)
+                    await stream.send(sent[n_first_bytes:])
+
+                async def run(serve=serve):
+                    async with run_scripted_server(serve) as (addr, _):
+                        conn = await connect_to(addr)
+                        await conn.send(b"GET", b"/", HEADERS, b"")
+                        self.assertTrue(
+                            await conn.skip_answer(await conn.receive_head())
+                        )
+                        self.assertEqual((await conn.receive_head()).status, 200)
+                        data = b"".join([part async for part in conn.receive_body()])
+                        self.assertEqual(data, b"own")
+                        self.assertFalse(conn.prepare_for_reuse())
+                        await conn.close()
+
+                with self.subTest(late=late, n_first_bytes=n_first_bytes):
+                    anyio.run(run)
+
+    def test_answer_that_cannot_be_skipped(self):
+        """Answers of any length, of unknown length or to HEAD are not skipped."""
+        without_length = b"HTTP/1.1 200 OK\r\n\r\nlate"
+        cases = (
+            (b"GET", without_length),
+            (b"GET", build_answer(b"x" * (MAX_SKIPPED_BYTES + 1))),
+            (b"HEAD", build_answer(b"")),
+        )
+        for method, sent in cases:
+
+            async def run(method=method, sent=sent):
+                async with run_scripted_server(always_send(sent)) as (addr, _):
+                    conn = await connect_to(addr)
+                    await conn.send(method, b"/", HEADERS, b"")
+                    head = await conn.receive_head()
+                    self.assertFalse(await conn.skip_answer(head))
+                    await conn.close()
+
+            with self.subTest(method=method, n_bytes=len(sent)):
+                anyio.run(run)
+
     def test_invalid_http(self):
         """Bytes that are not HTTP are reported as a broken answer."""
         self._check_broken(b"\x00\x01 garbage\r\n\r\n")
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -51,6 +51,7 @@
     RUN_RESET = "run_reset"
     RUN_FOREIGN_REFUSAL = "run_foreign_refusal"
     RUN_INTERIM = "run_interim"
+    RUN_BEHIND_LATE = "run_behind_late"
     REFUSE = "refuse"
     REFUSE_TWICE = "refuse_twice"
     REFUSE_LATE = "refuse_late"
@@ -58,6 +59,7 @@
     REFUSE_WITHOUT_ID = "refuse_without_id"
     REFUSE_WITHOUT_ID_TWICE = "refuse_without_id_twice"
     MISDIRECT_TWICE = "misdirect_twice"
+    REFUSE_BEHIND_LATE = "refuse_behind_late"
     CLOSE = "close"
 
 
@@ -117,6 +119,10 @@
                 return [build_answer(b"", "503 Full", "other", NOT_RUN)]
             case Act.RUN_INTERIM:
                 return [b"HTTP/1.1 103 Early\r\nx-cowslip-not-run: 1\r\n\r\n", answer]
+            case Act.RUN_BEHIND_LATE:
+                return [build_answer(b"", "503 Full", "other", NOT_RUN), answer]
+            case Act.REFUSE_BEHIND_LATE:
+                return [build_answer(request_id="other") + refusal]
             case Act.REFUSE:
                 return [refusal]
             case Act.REFUSE_TWICE:
@@ -233,14 +239,22 @@
     def test_no_promise_after_an_error_in_the_final_failure(self):
         """A failure that says "not run" never reaches the caller of what ran."""
         refusal = failure(Code.NO_REPLICA)
-        with mock.patch.object(
-            _exchange, "build_final_failure", lambda counts, fault, after_ms: refusal
+        with (
+            mock.patch.object(
+                _exchange,
+                "build_final_failure",
+                lambda counts, fault, after_ms: refusal,
+            ),
+            capture_logs(),
         ):
             self.assertEqual(find_untrue([Act.RUN_RESET]), [])
 
     def test_no_promise_by_a_server_that_does_not_make_it(self):
         """A server's status without its not-run header is never forwarded."""
-        with mock.patch.object(_sending, "NOT_RUN_STATUSES", frozenset()):
+        with (
+            mock.patch.object(_sending, "NOT_RUN_STATUSES", frozenset()),
+            capture_logs(),
+        ):
             for act in (Act.RUN_503, Act.RUN_429, Act.RUN_408):
                 with self.subTest(act=act):
                     self.assertEqual(find_untrue([act]), [])
