Give each call from an agent to its server a connection of its own

Callers of an entry with agents were told that a call had not run, and it ran: a server's second answer to one call, a refusal, was read as the answer to the next call. httpcore keeps bytes behind an answer and reads them as the next one, and engines repeat no ids, so an answer that comes late on a kept connection cannot be told either. The same way, a call could get the answer to another one.

The agent stands beside its server, where a connection costs little, so none is kept. Ports: a host's own connections in TIME_WAIT are reused on loopback; at some 470 calls a second to a server elsewhere they may run short. Calls to engines about their state and orders still use kept connections.

Evidence: test_agent_takes_no_second_answer_for_the_next_one fails before, for a second answer in the same segment and 10 ms late, and passes now. Platforms with direct routes run no agents.

--- a/src/cowslipwood/agent/_forward.py
+++ b/src/cowslipwood/agent/_forward.py
@@ -31,8 +31,6 @@
 # Default time without a byte of the answer after which the call is given up, in
 # milliseconds.
 IDLE_TIMEOUT_MS = 60_000
-# Time for which an idle connection to the backend server is kept, in milliseconds.
-KEEP_ALIVE_MS = 5_000
 # Largest number of connections to the backend server.
 MAX_CONNECTIONS = 1_024
 # Retry delay in the refusal of a call that did not run, in milliseconds.
@@ -92,7 +90,7 @@
 
 
 class Forwarder:
-    """Keeps connections to one backend server and forwards calls over them.
+    """Forwards calls to one backend server, each over a connection of its own.
 
     Parameters
     ----------
@@ -117,8 +115,10 @@
         self._backend_url = backend_url
         self._refusals = refusals
         self._idle_timeout_ms = idle_timeout_ms
+        # Backend servers repeat no ids, so on a kept connection a second answer to one
+        # call would be taken for the answer to the next.
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS, keepalive_expiry=KEEP_ALIVE_MS / 1000
+            max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
         )
 
     async def forward(
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from cowslipwood.agent._forward import BackendCall, Forwarder, ForwardOutcome
+from cowslipwood.kernel.codes import Code
 
 from .answer_builders import (
     STREAM_HEADERS,
@@ -278,3 +279,38 @@
                     script = send_and_end(head[:n_bytes], End.CLOSED)
                     outcome = anyio.run(self._forward, script)
                     self.assertIsNot(outcome, ForwardOutcome.WHOLE)
+
+    # A call that ran was refused as not run, by what followed the answer before.
+    def test_agent_takes_no_second_answer_for_the_next_one(self):
+        """Bytes behind an answer, sent at once or late, never answer the next call."""
+        for pause_s in (None, 0.0, 0.01):
+            with self.subTest(pause_s=pause_s):
+                outcomes = anyio.run(self._forward_two, pause_s)
+                self.assertEqual(outcomes, 2 * [ForwardOutcome.WHOLE])
+
+    async def _forward_two(self, pause_s: float | None) -> list[ForwardOutcome]:
+        """Return how two calls ended, the first with a second answer, a refusal."""
+        answers = [build_answer(), build_answer()]
+
+        async def serve(stream: Any, head: bytes) -> None:
+            answer = answers.pop()
+            refusal = build_answer(b"", "503 Full") if answers else b""
+            if pause_s is None:
+                await stream.send(answer + refusal)
+                return
+            # The next call's answer comes after the second one to this call.
+            await anyio.sleep(2 * pause_s)
+            await stream.send(answer)
+            await anyio.sleep(pause_s)
+            await stream.send(refusal)
+
+        async def send(event: dict[str, Any]) -> None:
+            pass
+
+        async with run_scripted_server(serve) as (addr, _):
+            forwarder = Forwarder(f"http://{addr}", {503: Code.AGENT_OVERLOADED})
+            call_to_server = BackendCall("POST", "/", [("host", "shop.example")], b"")
+            return [
+                (await forwarder.forward(call_to_server, send, dict, None)).outcome
+                for _ in range(2)
+            ]
