Soak: bodies of 20 KB, unexplained statuses, processes replaced at their address

Ways to a refusal that the soak did not have: servers that run a request and answer 408, 429 or 503 without the not-run header; a process that replaces another one at its address while the list names both ids, and may say 421 twice; bodies longer than an entry's first write. The check of untrue refusals is as strict as the promise (all four statuses, runs at any time); the planted violations now show each status and a run after the answer.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -26,6 +26,8 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Least time without an event after which a client gives up a stream, in seconds.
 MIN_PATIENCE_S = 2.0
+# Lengths of bodies, in bytes: shorter and longer than what entries send in one write.
+BODY_LENGTHS = (4, 4, 4, 20_000)
 # Share of the requests whose client leaves before the end.
 LEAVE_SHARE = 0.01
 BROKEN_ERRORS = (
@@ -161,11 +163,12 @@
         conn = await self._connect()
         if conn is None:
             return _Outcome(0)
+        body = b"x" * self._rng.choice(BODY_LENGTHS)
         headers = {
             "host": "soak.example",
             "request-id": request_id,
             "request-deadline": kind.time_limit_ms,
-            "content-length": 4,
+            "content-length": len(body),
             **extra,
         }
         if kind.model:
@@ -192,7 +195,7 @@
         with anyio.move_on_after(time_limit_s):
             try:
                 line = f"POST /{kind.name}/x HTTP/1.1"
-                await conn.stream.send(encode_head(line, headers) + b"body")
+                await conn.stream.send(encode_head(line, headers) + body)
                 outcome = await self._read_answer(kind, conn, request_id, extra)
                 reason = "answered"
             except BROKEN_ERRORS as exc:
--- a/soak/run.py
+++ b/soak/run.py
@@ -126,10 +126,17 @@
 
 
 class _Server:
-    """A backend server's process, which may be replaced by one with another id."""
+    """A backend server's process, which may be replaced by one with another id.
+
+    Attributes
+    ----------
+    former : ServerSettings or None
+        Settings of the process before, while the list still names it.
+    """
 
     def __init__(self, settings: ServerSettings):
         self.settings = settings
+        self.former: ServerSettings | None = None
         self.process: subprocess.Popen | None = None
         self.state = "ready"
         self.is_listed = True
@@ -266,6 +273,11 @@
                         for server in self._servers
                         if server.is_listed
                     ]
+                    instances += [
+                        make_instance(server.former)
+                        for server in self._servers
+                        if server.former is not None
+                    ]
                     body = json.dumps({"instances": instances, "next": None}).encode()
                     headers = {
                         "content-type": "application/json",
@@ -314,6 +326,8 @@
                 await self._freeze_server(fault, server)
             case FaultKind.LEAVE_SERVER:
                 await self._drain_server(fault, server)
+            case FaultKind.SWAP_SERVER:
+                await self._swap_server(fault, server)
             case FaultKind.CHANGE_CONFIG:
                 self._record(fault, [], 0.0)
                 await self._put_config()
@@ -403,6 +417,17 @@
         server.settings = self._make_server(number, model, generation).settings
         self._start_server(server)
 
+    async def _swap_server(self, fault: ScheduledFault, server: "_Server") -> None:
+        """Replace a process at its address; for a time, the list names both ids."""
+        former = server.settings
+        _end(server.process)
+        self._replace_server(server)
+        server.former = former
+        targets = [former.server_id, server.settings.server_id]
+        self._record(fault, targets, LIST_LAG_S)
+        await anyio.sleep(LIST_LAG_S)
+        server.former = None
+
     async def _freeze_server(self, fault: ScheduledFault, server: "_Server") -> None:
         self._record(fault, [server.settings.server_id], fault.for_s)
         process = server.process
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -28,6 +28,7 @@
     KILL_SERVER = "kill_server"
     FREEZE_SERVER = "freeze_server"
     LEAVE_SERVER = "leave_server"
+    SWAP_SERVER = "swap_server"
     CHANGE_CONFIG = "change_config"
     LOAD_CORES = "load_cores"
 
--- a/soak/server.py
+++ b/soak/server.py
@@ -35,6 +35,10 @@
 PAUSE_S = 5.5
 # Delay of an answer under `Fault.LATE`, in seconds.
 LATE_S = 1.6
+# Longest pause before an answer that is sent a second time, in seconds.
+REPEAT_S = 0.05
+# Statuses under `Fault.UNEXPLAINED`: they say "not run", but not by the header.
+UNEXPLAINED_STATUSES = (408, 429, 503)
 # Reads from a connection that the peer has closed return at once.
 CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
@@ -52,6 +56,7 @@
     LATE = "late"
     ANSWER_TWICE = "answer_twice"
     PAUSE = "pause"
+    UNEXPLAINED = "unexplained"
 
 
 class ServerSettings(NamedTuple):
@@ -164,7 +169,7 @@
         method, target, _ = head.line.split()
         wanted = head.headers.get("expect-instance", self._settings.server_id)
         if wanted != self._settings.server_id:
-            await stream.send(self._make_answer(head, 421, not_run=True))
+            await self._misdirect(head, stream)
         elif target == "/cowslipwood/report":
             await stream.send(self._make_answer(head, 200, body=self._make_report()))
         elif target == "/cowslipwood/order" and method == "POST":
@@ -176,11 +181,23 @@
             return await self._answer_request(head, stream)
         return True
 
+    async def _misdirect(self, head: Head, stream: anyio.abc.SocketStream) -> None:
+        """Refuse a request to another server; under `REFUSE_TWICE`, do it twice."""
+        answer = self._make_answer(head, 421, not_run=True)
+        await stream.send(answer)
+        if self._draw_fault() is Fault.REFUSE_TWICE:
+            await anyio.sleep(self._rng.uniform(0.0, REPEAT_S))
+            await stream.send(answer)
+
+    def _draw_fault(self) -> Fault | None:
+        """Return what to do wrong with the next request; None for nothing."""
+        if self._rng.random() < self._settings.fault_share:
+            return Fault(self._rng.choice(self._settings.faults))
+        return None
+
     async def _answer_request(self, head: Head, stream: anyio.abc.SocketStream) -> bool:
         self._record("arrived", head)
-        fault = None
-        if self._rng.random() < self._settings.fault_share:
-            fault = Fault(self._rng.choice(self._settings.faults))
+        fault = self._draw_fault()
         if self._n_running >= self._settings.n_slots:
             fault = Fault.REFUSE
         match fault:
@@ -207,7 +224,7 @@
         answer = self._make_answer(head, 503, not_run=True, hold_off_s=hold_off_s)
         await stream.send(answer)
         if fault is Fault.REFUSE_TWICE:
-            await anyio.sleep(self._rng.uniform(0.0, 0.05))
+            await anyio.sleep(self._rng.uniform(0.0, REPEAT_S))
             await stream.send(answer)
         return True
 
@@ -243,6 +260,8 @@
     ) -> str:
         await anyio.sleep(self._settings.work_ms * self._rng.uniform(0.5, 1.5) / 1000)
         status = 500 if fault is Fault.ERROR else 200
+        if fault is Fault.UNEXPLAINED:
+            status = self._rng.choice(UNEXPLAINED_STATUSES)
         answer = self._make_answer(head, status, {"seal": self._settings.server_id})
         match fault:
             case Fault.RESET_AFTER:
@@ -255,13 +274,15 @@
                 await anyio.sleep(LATE_S)
         await stream.send(answer)
         if fault is Fault.ANSWER_TWICE:
-            await anyio.sleep(self._rng.uniform(0.0, 0.05))
+            await anyio.sleep(self._rng.uniform(0.0, REPEAT_S))
             await stream.send(answer)
         return "answered"
 
     async def _write_stream(
         self, head: Head, stream: anyio.abc.SocketStream, fault: Fault | None
     ) -> str:
+        if fault is Fault.UNEXPLAINED:
+            return await self._write_answer(head, stream, fault)
         first = int(head.headers.get("last-event-id") or 0) + 1
         if fault is Fault.LATE:
             await anyio.sleep(LATE_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,12 +50,20 @@
             self.assertEqual(find_rules([*history, late, end]), expected)
 
     def test_untrue_refusal(self):
-        """A caller is told that a request did not run, though it did."""
-        for status, expected in ((503, ["REFUSED"]), (502, [])):
+        """A caller is told that a request did not run, though it did, or does later."""
+        for status in (408, 421, 429, 503, 500, 502, 504):
+            expected = ["REFUSED"] if status in (408, 421, 429, 503) else []
             answer = record(
                 "finished", 50.0, "a", status=status, whole=True, reason="answered"
             )
             self.assertEqual(find_rules([*build_attempt("a", 0.0), answer]), expected)
+            sent, arrived, run = build_attempt("a", 0.0)
+            later = {**run, "at_ms": 9_000.0}
+            self.assertEqual(find_rules([sent, arrived, answer, later]), expected)
+            # It is allowed for what may be repeated, and if nothing ran.
+            history = build_attempt("a", 0.0, repeatable=True)
+            self.assertEqual(find_rules([*history, answer]), [])
+            self.assertEqual(find_rules([sent, arrived, answer]), [])
 
     def test_too_many_repeats(self):
         """A service gets more repeats in a window than the budget allows."""
