--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -9,6 +9,7 @@
 from ..choosing._backend import UNREACHABLE_EXCLUSION_MS, Backend
 from ._attempt_record import AttemptRecorder
 from ._choice import ServerChoice
+from ._event_order import EventOrder
 from ._forwarding import AnswerForwarder, AnswerSink
 from ._headers import read_resumed_event_id
 from ._identity import RequestIdentity
@@ -55,6 +56,8 @@
         Receives the answer for the caller.
     rng : random.Random
         Source of the random choice of servers and spread of retry-after times.
+    progress : RequestProgress or None
+        Is told how far the request has come; None if nobody else reads it.
     """
 
     def __init__(
@@ -63,16 +66,16 @@
         request: RoutedRequest,
         sink: AnswerSink,
         rng: random.Random,
+        progress: RequestProgress | None = None,
     ):
         self._state = state
         self._request = request
         self._rng = rng
         self._log = get_logger()
-        self._progress = RequestProgress(
-            read_resumed_event_id(request.headers, state.header_names)
-            if request.route.is_resumable
-            else b""
-        )
+        self._progress = progress or RequestProgress()
+        if request.route.is_resumable:
+            resumed_id = read_resumed_event_id(request.headers, state.header_names)
+            self._progress.event_order = EventOrder(resumed_id)
         self._identity = RequestIdentity(
             request, state.header_names, state.identity_key
         )
@@ -200,14 +203,13 @@
         permit = await self._take_permit(backend)
         if isinstance(permit, Failure):
             return permit
-        # A server may repeat its refusal of the last attempt, which bears the same id,
-        # so another attempt there goes over another connection.
+        # A server may repeat its answer to the last attempt, which bears the same id,
+        # so another attempt at its address goes over another connection.
         conn = await self._state.pool.acquire(
             backend.view.http_addr,
             self._state.now_ms(),
             left_ms,
-            is_kept_allowed=backend.view.server_id
-            not in self._sender.refusing_server_ids,
+            is_kept_allowed=backend.view.http_addr not in self._sender.sent_addrs,
         )
         if conn is None:
             backend.exclude("", self._state.now_ms() + UNREACHABLE_EXCLUSION_MS)
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -21,11 +21,6 @@
 class RequestProgress:
     """How far one request has come, over all its attempts.
 
-    Parameters
-    ----------
-    client_event_id : bytes
-        Id of the last event that the client has of an earlier attempt; empty for none.
-
     Attributes
     ----------
     attempt_counts : AttemptCounts
@@ -49,7 +44,7 @@
         The last error that a server answered, with its body.
     """
 
-    def __init__(self, client_event_id: bytes = b""):
+    def __init__(self):
         self.attempt_counts = AttemptCounts()
         self.has_started = False
         self.answer_stage = AnswerStage.AWAITED
@@ -58,9 +53,14 @@
         self.software_version = ""
         self.is_resumed = False
         self.last_event_id = b""
-        self.event_order = EventOrder(client_event_id)
+        self.event_order = EventOrder()
         self.error_answer: tuple[AnswerHead, bytes] | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether some server has not disproved that it ran the request."""
+        return self.attempt_counts.n_possibly_run > 0
+
     @property
     def must_keep_version(self) -> bool:
         """Whether the client has events, which no other version may continue."""
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -14,7 +14,11 @@
 from ._attempt_record import AttemptRecorder
 from ._event_order import EventOrderError
 from ._forwarding import AnswerForwarder
-from ._headers import build_request_headers, read_answer_facts
+from ._headers import (
+    build_request_headers,
+    read_answer_facts,
+    read_answered_id,
+)
 from ._limits import Permit
 from ._progress import AnswerStage, RequestProgress
 from ._request import (
@@ -33,6 +37,9 @@
 # Status of a server that is not the one addressed, or that lacks the model. The
 # request never ran there.
 MISDIRECTED_STATUS = 421
+# Largest number of late answers to other requests that are skipped before the answer to
+# a request. Each earlier request on a connection may leave one.
+MAX_SKIPPED_ANSWERS = 4
 # Time without an answer, as a multiple of the route's latency target, after which a
 # repeatable request is retried at another server if there is one. A shorter time
 # would repeat requests that are merely queued.
@@ -56,8 +63,9 @@
 
     Attributes
     ----------
-    refusing_server_ids : set of str
-        Servers that stated that an attempt did not run there.
+    sent_addrs : set of str
+        Addresses of the servers to which the request was sent. A server that was
+        replaced shares its address with the next one.
     """
 
     def __init__(
@@ -74,7 +82,7 @@
         self._recorder = recorder
         self._forwarder = forwarder
         self._log = get_logger()
-        self.refusing_server_ids: set[str] = set()
+        self.sent_addrs: set[str] = set()
 
     async def send(
         self, backend: Backend, conn: ServerConnection, permit: Permit
@@ -123,6 +131,7 @@
         )
         self._progress.answer_stage = AnswerStage.AWAITED
         self._progress.server = backend.view
+        self.sent_addrs.add(backend.view.http_addr)
         n_tokens = estimate_tokens_to_read(request.facts)
         state.get_prompt_tokens_average(request.service).add(n_tokens)
         try:
@@ -132,7 +141,7 @@
                 anyio.fail_after(self._compute_silence_limit_ms(left_ms) / 1000),
             ):
                 await conn.send(request.method, request.target, headers, request.body)
-                head = await conn.receive_head()
+                head = await self._receive_own_head(backend, conn)
                 self._progress.answer_stage = AnswerStage.BEGUN
         except TimeoutError:
             await conn.close()
@@ -148,6 +157,31 @@
             raise
         return await self._handle_answer(backend, conn, head, now_ms)
 
+    async def _receive_own_head(
+        self, backend: Backend, conn: ServerConnection
+    ) -> AnswerHead:
+        """Return the head of the next answer that names no earlier request.
+
+        The answer to this request may stand behind late ones to others, which are
+        skipped. One that cannot be skipped is returned.
+        """
+        head = await conn.receive_head()
+        for _ in range(MAX_SKIPPED_ANSWERS):
+            answered_id = read_answered_id(head.headers, self._state.header_names)
+            is_late = answered_id not in ("", self._request.facts.request_id)
+            if not is_late or conn.n_requests == 1 or not await conn.skip_answer(head):
+                break
+            self._state.metrics.count("late_answers_skipped_total")
+            self._log.info(
+                "late_answer_skipped",
+                request=self._request.facts.request_id,
+                server=backend.view.server_id,
+                answers=answered_id,
+                status=head.status,
+            )
+            head = await conn.receive_head()
+        return head
+
     def _compute_silence_limit_ms(self, left_ms: float) -> float:
         """Return how long to wait for the head of an answer."""
         route = self._request.route
@@ -172,14 +206,21 @@
         state, request = self._state, self._request
         facts = read_answer_facts(head.status, head.headers, state.header_names)
         now_ms = state.now_ms()
-        is_foreign = facts.request_id != request.facts.request_id
-        if is_foreign and (facts.request_id or conn.peer_repeats_ids):
+        # An answer without an id on a connection that carried other requests may be one
+        # to them.
+        is_foreign = (
+            facts.request_id != request.facts.request_id
+            if facts.request_id
+            else conn.n_requests > 1
+        )
+        if is_foreign:
             await conn.close()
             reason = f"an answer to request {facts.request_id or 'unknown'} came"
             return self._recorder.record_failure(
                 backend, failure(Code.OUTCOME_UNKNOWN, reason)
             )
-        conn.peer_repeats_ids = bool(facts.request_id)
+        if not facts.request_id:
+            conn.forbid_reuse()
         self._recorder.record_load(backend, facts, now_ms)
         state.apply_notice(backend, facts.notice, now_ms)
         state.limits.record_answer(backend, facts.notice.rate_limit, sent_ms, now_ms)
@@ -222,7 +263,6 @@
         self, backend: Backend, conn: ServerConnection, head: AnswerHead
     ) -> Failure:
         """Record a server's statement that the request did not run there."""
-        self.refusing_server_ids.add(backend.view.server_id)
         self._progress.attempt_counts = self._progress.attempt_counts._replace(
             n_possibly_run=self._progress.attempt_counts.n_possibly_run - 1
         )
--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -33,6 +33,9 @@
 # Largest number of interim answers (status 1xx) before the final one; servers send
 # one or two.
 MAX_INTERIM_ANSWERS = 8
+# Largest number of bytes of the answers to earlier requests that are skipped before the
+# answer to the current one. Larger answers hardly come late.
+MAX_SKIPPED_BYTES = 65_536
 # Number of bytes of a request that are sent before the answer is read. This many
 # fit into the smallest TCP window, so sending them never blocks on a server that
 # answers before it reads the request.
@@ -103,21 +106,20 @@
     idle_limit_ms : float or None
         Idle time after which the server closes the connection, as its last
         ``Keep-Alive`` header states; None when there was none.
-    peer_repeats_ids : bool
-        Whether the last answer named its request. A server that does so does it in
-        each answer, so an answer without an id is not to the current request.
     """
 
     def __init__(self, stream: anyio.abc.ByteStream):
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
         self._unsent: bytes = b""
+        self._n_skipped_bytes = 0
+        self._has_sent_head_method = False
         self._is_broken = False
         self._server_closes = False
         self.idle_since_ms = 0.0
         self.n_requests = 0
         self.idle_limit_ms: float | None = None
-        self.peer_repeats_ids = False
+        self._is_reuse_forbidden = False
 
     async def send(
         self, method: bytes, target: bytes, headers: Sequence, body: bytes
@@ -130,6 +132,7 @@
             When the connection has ended or the request is not valid HTTP.
         """
         self.n_requests += 1
+        self._has_sent_head_method |= method == b"HEAD"
         try:
             head = self._http.send(
                 h11.Request(method=method, target=target, headers=headers)
@@ -154,12 +157,54 @@
         """
         if not self._unsent:
             return await self._read_head()
+        broken: BrokenAnswerError | None = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._send_unsent)
-            head = await self._read_head()
+            try:
+                head = await self._read_head()
+            except BrokenAnswerError as exc:
+                # A task group would raise it inside an exception group.
+                broken = exc
             tasks.cancel_scope.cancel()
+        if broken is not None:
+            raise broken
         return head
 
+    async def skip_answer(self, head: AnswerHead) -> bool:
+        """Skip an answer to an earlier request; return whether that was possible.
+
+        The next answer can then be received; the connection carries no further request.
+        It is impossible if the answer's end cannot be known, if it is too long, or if a
+        part of the request was not sent.
+
+        Raises
+        ------
+        BrokenAnswerError
+            When the connection ends, or carries invalid data, before the answer's end.
+        """
+        # An answer to HEAD has no body, whatever its headers state.
+        if (
+            self._unsent
+            or self._has_sent_head_method
+            or head.body_end is BodyEnd.CONNECTION_CLOSE
+        ):
+            return False
+        self.forbid_reuse()
+        async for part in self.receive_body():
+            self._n_skipped_bytes += len(part)
+            if self._n_skipped_bytes > MAX_SKIPPED_BYTES:
+                return False
+        # h11 reads one answer for each request.
+        received, has_ended = self._http.trailing_data
+        self._http = h11.Connection(h11.CLIENT)
+        self._http.send(h11.Request(method="GET", target="/", headers=[("host", "")]))
+        self._http.send(h11.EndOfMessage())
+        if received:
+            self._http.receive_data(received)
+        if has_ended:
+            self._http.receive_data(b"")
+        return True
+
     async def receive_body(self) -> AsyncIterator[bytes]:
         """Yield the body in parts.
 
@@ -183,6 +228,7 @@
         http = self._http
         is_reusable = (
             not self._is_broken
+            and not self._is_reuse_forbidden
             and not self._unsent
             and not self._server_closes
             and http.our_state is h11.DONE
@@ -193,6 +239,13 @@
             http.start_next_cycle()
         return is_reusable
 
+    def forbid_reuse(self) -> None:
+        """Have the connection carry no further request after this one.
+
+        For exchanges after which a late answer could not be told from the next one.
+        """
+        self._is_reuse_forbidden = True
+
     def has_unexpected_data(self) -> bool:
         """Return whether an idle connection received bytes or was closed."""
         poll = select.poll()
