Write down when streams go on before their first server has stopped

The soak's servers can notice closed connections late (--notice-ms), and send another request's answer or bytes that are no answer and go on with the run.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
     pause_ms: float = 200.0,
     fault_share: float = 0.1,
     work_ms: float = 30.0,
+    notice_ms: float = 0.0,
     faults: list[FaultKind] | None = None,
     server_faults: list[Fault] | None = None,
     keep: Path | None = None,
@@ -43,6 +44,9 @@
         Share of the requests that meet a fault at their server.
     work_ms : float
         Mean time of a run, and between two events of a stream.
+    notice_ms : float
+        Longest time after which a server notices that a connection was closed, unless
+        it writes to it before.
     faults : list[FaultKind] | None
         Kinds of faults to draw; all by default.
     server_faults : list[Fault] | None
@@ -61,6 +65,7 @@
         work_ms=work_ms,
         server_faults=tuple(server_faults or Fault),
         kinds=kinds,
+        notice_ms=notice_ms,
     )
     result = run_soak(settings, keep)
     counts = ", ".join(f"{n} {event}" for event, n in sorted(result.n_by_event.items()))
--- a/soak/run.py
+++ b/soak/run.py
@@ -65,6 +65,8 @@
         Mean time of a run, and between two events of a stream.
     kinds : tuple of FaultKind
         Faults that are drawn.
+    notice_ms : float
+        Longest time after which a server notices that a connection was closed.
     """
 
     seed: int
@@ -79,6 +81,7 @@
     n_load_processes: int = 12
     work_ms: float = 30.0
     kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    notice_ms: float = 0.0
 
 
 class SoakResult(NamedTuple):
@@ -217,6 +220,7 @@
                 fault_share=self._settings.fault_share,
                 faults=self._settings.server_faults,
                 work_ms=self._settings.work_ms,
+                notice_ms=self._settings.notice_ms,
             )
         )
 
--- a/soak/server.py
+++ b/soak/server.py
@@ -52,6 +52,8 @@
     LATE = "late"
     ANSWER_TWICE = "answer_twice"
     PAUSE = "pause"
+    FOREIGN = "foreign"
+    MALFORMED = "malformed"
 
 
 class ServerSettings(NamedTuple):
@@ -75,6 +77,9 @@
     work_ms : float
         Mean time of a run, or between two events of a stream.
     n_slots : int
+    notice_ms : float
+        Longest time after which it notices that a connection was closed, unless it
+        writes to it before.
     """
 
     host: str
@@ -91,6 +96,7 @@
     idle_timeout_s: float = 3.0
     work_ms: float = 30.0
     n_slots: int = 48
+    notice_ms: float = 0.0
 
 
 def make_instance(settings: ServerSettings, state: str = "ready") -> dict[str, Any]:
@@ -227,6 +233,9 @@
                 poll.register(descriptor, select.POLLRDHUP)
                 while not any(event & CLOSED_EVENTS for _, event in poll.poll(0)):
                     await anyio.sleep(CONNECTION_CHECK_MS / 1000)
+                self._record("connection_closed", head)
+                late_ms = self._rng.uniform(0.0, self._settings.notice_ms)
+                await anyio.sleep(late_ms / 1000)
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(watch_connection)
@@ -238,9 +247,24 @@
             tasks.cancel_scope.cancel()
         return reason
 
+    async def _misbehave_before_head(
+        self, head: Head, stream: anyio.abc.SocketStream, fault: Fault | None
+    ) -> None:
+        """Send what is no answer to the request, or nothing, and go on with the run."""
+        match fault:
+            case Fault.FOREIGN:
+                other = Head(head.line, {**head.headers, "request-id": "0" * 16})
+                await stream.send(self._make_answer(other, 200))
+            case Fault.MALFORMED:
+                await stream.send(b"no answer\r\n\r\n")
+        is_plain_pause = fault is Fault.PAUSE and not self._settings.model
+        if is_plain_pause or fault in (Fault.LATE, Fault.FOREIGN, Fault.MALFORMED):
+            await anyio.sleep(LATE_S)
+
     async def _write_answer(
         self, head: Head, stream: anyio.abc.SocketStream, fault: Fault | None
     ) -> str:
+        await self._misbehave_before_head(head, stream, fault)
         await anyio.sleep(self._settings.work_ms * self._rng.uniform(0.5, 1.5) / 1000)
         status = 500 if fault is Fault.ERROR else 200
         answer = self._make_answer(head, status, {"seal": self._settings.server_id})
@@ -251,8 +275,6 @@
             case Fault.CUT:
                 await stream.send(answer[: -self._rng.randint(1, 20)])
                 return "cut"
-            case Fault.LATE | Fault.PAUSE:
-                await anyio.sleep(LATE_S)
         await stream.send(answer)
         if fault is Fault.ANSWER_TWICE:
             await anyio.sleep(self._rng.uniform(0.0, 0.05))
@@ -263,8 +285,7 @@
         self, head: Head, stream: anyio.abc.SocketStream, fault: Fault | None
     ) -> str:
         first = int(head.headers.get("last-event-id") or 0) + 1
-        if fault is Fault.LATE:
-            await anyio.sleep(LATE_S)
+        await self._misbehave_before_head(head, stream, fault)
         fault_at = self._rng.randint(first, max(first, N_EVENTS))
         headers = {
             "content-type": "text/event-stream",
