Let a server that was given up stop before a stream goes on elsewhere

Cause: an entry that ended an attempt itself (silence, stall, another request's answer, bytes that are no answer) went on as soon as it had closed the connection, as after an end by the server.

Failures now say whether the server ended the attempt. If not, streams and requests to engines are held for 400 ms from the close.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -3,6 +3,8 @@
 import math
 import random
 
+import anyio
+
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.logs import get_logger
 from ...software_versions import MAX_STREAM_ID_LENGTH
@@ -14,7 +16,12 @@
 from ._limits import Permit
 from ._progress import RequestProgress
 from ._request import RoutedRequest, compute_urgency_rank
-from ._retries import SharedRetryBudget, build_final_failure, may_retry
+from ._retries import (
+    SharedRetryBudget,
+    build_final_failure,
+    compute_stop_pause_ms,
+    may_retry,
+)
 from ._sending import AttemptSender
 from ._state import DirectState
 
@@ -110,8 +117,17 @@
                 return None
             now_ms = self._state.now_ms()
             left_ms = self._request.answer_by_ms - now_ms
+            pause_ms = compute_stop_pause_ms(
+                self._request.route,
+                self._request.facts.model,
+                self._progress.given_up_at_ms,
+                now_ms,
+            )
             will_retry = may_retry(
-                self._request.route, self._progress.attempt_counts, fault, left_ms
+                self._request.route,
+                self._progress.attempt_counts,
+                fault,
+                left_ms - pause_ms,
             )
             will_retry = will_retry and fault.code not in NON_RETRYABLE_CODES
             will_retry = will_retry and not self._progress.may_have_ended_server
@@ -126,12 +142,14 @@
                 self._state.metrics.count(counter, reason=fault.code.name)
             if not will_retry:
                 return await self._give_up(fault)
+            await anyio.sleep(pause_ms / 1000)
             self._log.info(
                 "request_retried",
                 request=self._request.facts.request_id,
                 code=fault.code.value,
                 reason=fault.message,
-                left_ms=round(left_ms),
+                left_ms=round(left_ms - pause_ms),
+                paused_ms=round(pause_ms),
             )
 
     async def _give_up(self, fault: Failure) -> Failure | None:
--- a/src/cowslipwood/entry/direct/_forwarding.py
+++ b/src/cowslipwood/entry/direct/_forwarding.py
@@ -179,7 +179,7 @@
             raise BrokenAnswerError(Code.ANSWER_CUT, "the stream stalls")
         break_reason = splitter.find_break(head.body_end)
         if break_reason:
-            raise BrokenAnswerError(Code.ANSWER_CUT, break_reason)
+            raise BrokenAnswerError(Code.ANSWER_CUT, break_reason, by_server=True)
         await self._start_answer(head)
         held = splitter.take_held()
         if held:
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -1,6 +1,7 @@
 """Records how far one request has come, for the parts of the entry that serve it."""
 
 import enum
+import math
 
 from ...kernel.http_connection import AnswerHead
 from ._retries import AttemptCounts
@@ -26,6 +27,11 @@
         Whether the caller has been sent the head of an answer.
     answer_stage : AnswerStage
         How far the answer to the present attempt has come.
+    is_given_up : bool
+        Whether the entry ended the last attempt, so that its server may still work on
+        it.
+    given_up_at_ms : float
+        When the entry last ended an attempt, and closed its connection.
     may_have_ended_server : bool
         Whether the last attempt may have ended its server.
     software_version : str
@@ -42,6 +48,8 @@
         self.attempt_counts = AttemptCounts()
         self.has_started = False
         self.answer_stage = AnswerStage.AWAITED
+        self.is_given_up = False
+        self.given_up_at_ms = -math.inf
         self.may_have_ended_server = False
         self.software_version = ""
         self.is_resumed = False
--- a/src/cowslipwood/entry/direct/_retries.py
+++ b/src/cowslipwood/entry/direct/_retries.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from ...kernel.codes import Code, Failure, Outcome, failure
-from ...routes import Route
+from ...routes import Route, RouteKind
 
 __all__ = [
     "AttemptCounts",
@@ -11,6 +11,7 @@
     "RetryBudgetLimits",
     "SharedRetryBudget",
     "build_final_failure",
+    "compute_stop_pause_ms",
     "may_retry",
 ]
 
@@ -26,6 +27,11 @@
 # Least time, in milliseconds, that an attempt must have. Connecting to a server and
 # a short run there take longer.
 MIN_ATTEMPT_MS = 20.0
+# Time, in milliseconds, for which a stream is sent to no other server after the entry
+# has closed the connection of an attempt. Servers notice a close later than that it
+# arrives, busy ones by hundreds of milliseconds, and may work for 400 ms more once the
+# stream goes on elsewhere.
+STOP_PAUSE_MS = 400.0
 # Largest number of times that one request is sent to servers that refuse it. After
 # this many refusals the service is full, or an order there takes longer than the
 # pauses between the attempts, and the caller does better to come back later.
@@ -195,6 +201,29 @@
     return attempt_counts.n_sent < MAX_N_SENT
 
 
+def compute_stop_pause_ms(
+    route: Route, model: str, given_up_at_ms: float, now_ms: float
+) -> float:
+    """Return how long a request must wait until its servers have stopped.
+
+    Plain requests that may be repeated may run at two servers at once, so they go on
+    without a pause. Streams and requests to a model's engines may not.
+
+    Parameters
+    ----------
+    route : Route
+    model : str
+        The model that the request needs; empty for none.
+    given_up_at_ms : float
+        When the entry last closed the connection of an attempt that its server had
+        not ended.
+    now_ms : float
+    """
+    if route.kind is not RouteKind.STREAMING and not model:
+        return 0.0
+    return max(0.0, given_up_at_ms + STOP_PAUSE_MS - now_ms)
+
+
 def build_final_failure(
     attempt_counts: AttemptCounts, fault: Failure, retry_after_ms: int
 ) -> Failure:
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -121,6 +121,7 @@
             n_possibly_run=self._progress.attempt_counts.n_possibly_run + 1,
         )
         self._progress.answer_stage = AnswerStage.AWAITED
+        self._progress.is_given_up = False
         n_tokens = estimate_tokens_to_read(request.facts)
         state.get_prompt_tokens_average(request.service).add(n_tokens)
         try:
@@ -133,10 +134,10 @@
                 head = await conn.receive_head()
                 self._progress.answer_stage = AnswerStage.BEGUN
         except TimeoutError:
-            await conn.close()
+            await self._end_attempt(conn, by_server=False)
             return self._recorder.record_failure(backend, failure(Code.BACKEND_TIMEOUT))
         except BrokenAnswerError as exc:
-            await conn.close()
+            await self._end_attempt(conn, exc.by_server)
             await self._recorder.record_break(backend)
             return self._recorder.record_failure(
                 backend, failure(Code.OUTCOME_UNKNOWN, str(exc))
@@ -172,7 +173,7 @@
         now_ms = state.now_ms()
         is_foreign = facts.request_id != request.facts.request_id
         if is_foreign and (facts.request_id or conn.peer_repeats_ids):
-            await conn.close()
+            await self._end_attempt(conn, by_server=False)
             reason = f"an answer to request {facts.request_id or 'unknown'} came"
             return self._recorder.record_failure(
                 backend, failure(Code.OUTCOME_UNKNOWN, reason)
@@ -184,11 +185,11 @@
         if facts.not_run or head.status == MISDIRECTED_STATUS:
             return await self._handle_not_run(backend, conn, head)
         if head.status in NOT_RUN_STATUSES:
-            await conn.close()
+            await self._end_attempt(conn, by_server=True)
             fault = failure(Code.OUTCOME_UNKNOWN, f"status {head.status} unexplained")
             return self._recorder.record_failure(backend, fault)
         if self._progress.has_started and not self._forwarder.is_stream(head):
-            await conn.close()
+            await self._end_attempt(conn, by_server=head.status >= 300)
             fault = failure(
                 Code.OUTCOME_UNKNOWN,
                 f"status {head.status} to a resume",
@@ -199,18 +200,34 @@
         try:
             return await self._forwarder.forward(backend, conn, head, sent_ms)
         except (BrokenAnswerError, EventTooLongError, StatusLineError) as exc:
-            await conn.close()
+            by_server = isinstance(exc, BrokenAnswerError) and exc.by_server
+            await self._end_attempt(conn, by_server)
             await self._recorder.record_break(backend)
             return self._recorder.record_failure(
                 backend, failure(Code.ANSWER_CUT, str(exc))
             )
         except TimeoutError:
-            await conn.close()
+            await self._end_attempt(conn, by_server=False)
             return self._recorder.record_failure(backend, failure(Code.BACKEND_TIMEOUT))
         except BaseException:
             await conn.close()
             raise
 
+    async def _end_attempt(self, conn: ServerConnection, by_server: bool) -> None:
+        """Close a failed attempt's connection; record whether the entry gave it up.
+
+        Parameters
+        ----------
+        conn : ServerConnection
+        by_server : bool
+            Whether the server ended its work: it closed the connection, or sent what
+            ends its answer.
+        """
+        await conn.close()
+        self._progress.is_given_up = not by_server
+        if not by_server:
+            self._progress.given_up_at_ms = self._state.now_ms()
+
     async def _handle_not_run(
         self, backend: Backend, conn: ServerConnection, head: AnswerHead
     ) -> Failure:
--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -60,11 +60,15 @@
     ----------
     code : Code
         The result code of the failed exchange.
+    by_server : bool
+        Whether the server ended the exchange. Otherwise it may still work on the
+        request until it notices that the connection was closed.
     """
 
-    def __init__(self, code: Code, reason: str):
+    def __init__(self, code: Code, reason: str, by_server: bool = False):
         super().__init__(reason)
         self.code = code
+        self.by_server = by_server
 
 
 class BodyEnd(enum.StrEnum):
@@ -114,6 +118,7 @@
         self._unsent: bytes = b""
         self._is_broken = False
         self._server_closes = False
+        self._has_ended = False
         self.idle_since_ms = 0.0
         self.n_requests = 0
         self.idle_limit_ms: float | None = None
@@ -267,19 +272,22 @@
         try:
             return await self._stream.receive(MAX_TRANSFER_BYTES)
         except anyio.EndOfStream:
+            self._has_ended = True
             return b""
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
+            self._has_ended = True
             raise self._mark_broken(f"reset: {type(exc).__name__}") from exc
 
     async def _write(self, data: bytes) -> None:
         try:
             await self._stream.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
+            self._has_ended = True
             raise self._mark_broken(f"reset: {type(exc).__name__}") from exc
 
     def _mark_broken(self, reason: str) -> BrokenAnswerError:
         self._is_broken = True
-        return BrokenAnswerError(Code.ANSWER_CUT, reason)
+        return BrokenAnswerError(Code.ANSWER_CUT, reason, self._has_ended)
 
 
 def read_body_end(headers: Sequence[tuple[bytes, bytes]]) -> BodyEnd:
