Ask a server that was given up whether it still runs a stream

No pause helps where a server goes on for longer.

After the pause the entry asks the server for its report. A run that it lists is asked for again each 200 ms, as the report is some hundred ms old; 1.2 s after the close the request fails instead of going on. A server that does not answer is held to the pause alone.

--- a/soak/server.py
+++ b/soak/server.py
@@ -28,6 +28,8 @@
 
 # Time between two looks at the connection of a running request, in ms.
 CONNECTION_CHECK_MS = 20
+# Age of what a report says, in seconds.
+REPORT_AGE_S = 0.2
 # Events of one stream.
 N_EVENTS = 40
 # Pause of a stream under `Fault.PAUSE`, in seconds: longer than an entry waits for the
@@ -127,6 +129,8 @@
         self._history = HistoryWriter(Path(settings.history))
         self._rng = random.Random(settings.seed)
         self._n_running = 0
+        # Id, begin and end of each run, in seconds; the end is None while it goes on.
+        self._runs: list[list[Any]] = []
         self._sequence = 0
         self._born_ms = int(time.time() * 1000)
 
@@ -197,11 +201,14 @@
                 return False
         self._n_running += 1
         self._record("run", head, fault=fault)
+        run = [head.headers.get("request-id", ""), time.monotonic(), None]
+        self._runs.append(run)
         reason = "cancelled"
         try:
             reason = await self._run_while_connected(head, stream, fault)
         finally:
             self._n_running -= 1
+            run[2] = time.monotonic()
             self._record("ended", head, reason=reason)
         return reason == "answered"
 
@@ -343,12 +350,15 @@
         return headers
 
     def _make_report(self) -> dict[str, Any]:
+        at_s = time.monotonic() - REPORT_AGE_S
+        self._runs = [run for run in self._runs if run[2] is None or run[2] > at_s]
         return {
             **_make_model_fields(self._settings),
             "busy": False,
             "sequence": self._sequence,
             "queued": 0,
             "running": self._n_running,
+            "runs": [[run[0], 1, 1, 1] for run in self._runs if run[1] <= at_s],
             "kvUsed": 1_000 * self._n_running,
             "kvTotal": 200_000,
             "handles": 0,
--- a/src/cowslipwood/entry/direct/__init__.py
+++ b/src/cowslipwood/entry/direct/__init__.py
@@ -2,5 +2,12 @@
 
 from ._entry import DIRECT_SETTING_CHECKS, DirectEntry, DirectSettings
 from ._headers import HeaderNames
+from ._stopping import RunFinder
 
-__all__ = ["DIRECT_SETTING_CHECKS", "DirectEntry", "DirectSettings", "HeaderNames"]
+__all__ = [
+    "DIRECT_SETTING_CHECKS",
+    "DirectEntry",
+    "DirectSettings",
+    "HeaderNames",
+    "RunFinder",
+]
--- a/src/cowslipwood/entry/direct/_attempt_record.py
+++ b/src/cowslipwood/entry/direct/_attempt_record.py
@@ -75,7 +75,7 @@
             code=fault.code.value,
             reason=fault.message,
             stage=self._progress.answer_stage.value,
-            ended_by="entry" if self._progress.is_given_up else "server",
+            ended_by="entry" if self._progress.given_up else "server",
             shared_parts=",".join(self._request.facts.shared_parts),
         )
         return fault
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -52,6 +52,7 @@
 from ._retries import RetryBudgetLimits
 from ._servers import KnownServers
 from ._state import DirectState
+from ._stopping import RunFinder
 from ._stream_versions import StreamVersions
 
 __all__ = ["DIRECT_SETTING_CHECKS", "DirectEntry", "DirectSettings"]
@@ -174,6 +175,8 @@
     keepers : KeeperAddresses, optional
         Addresses of the keepers, whose configured ones a reload may replace; by
         default those of the setting `keepers`.
+    run_finder : RunFinder, optional
+        Asks servers what they run; None where they do not tell.
     """
 
     def __init__(
@@ -182,6 +185,7 @@
         header_names: HeaderNames,
         list_source: ServerListSource,
         keepers: KeeperAddresses | None = None,
+        run_finder: RunFinder | None = None,
     ):
         self._settings = settings
         self._list_source = list_source
@@ -220,6 +224,7 @@
             ask_leader=self._link.request,
             identity_key=_make_identity_key(settings.cluster_token),
             started_ms=monotonic_ms(),
+            run_finder=run_finder,
         )
         self._app = RouteApp(self._state, random.Random())
 
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -3,8 +3,6 @@
 import math
 import random
 
-import anyio
-
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.logs import get_logger
 from ...software_versions import MAX_STREAM_ID_LENGTH
@@ -117,12 +115,7 @@
                 return None
             now_ms = self._state.now_ms()
             left_ms = self._request.answer_by_ms - now_ms
-            pause_ms = compute_stop_pause_ms(
-                self._request.route,
-                self._request.facts.model,
-                self._progress.given_up_at_ms,
-                now_ms,
-            )
+            pause_ms = self._compute_pause_ms(now_ms)
             will_retry = may_retry(
                 self._request.route,
                 self._progress.attempt_counts,
@@ -142,16 +135,34 @@
                 self._state.metrics.count(counter, reason=fault.code.name)
             if not will_retry:
                 return await self._give_up(fault)
-            await anyio.sleep(pause_ms / 1000)
+            if pause_ms and not await self._wait_until_stopped(pause_ms):
+                return await self._give_up(fault)
             self._log.info(
                 "request_retried",
                 request=self._request.facts.request_id,
                 code=fault.code.value,
                 reason=fault.message,
-                left_ms=round(left_ms - pause_ms),
-                paused_ms=round(pause_ms),
+                left_ms=round(self._request.answer_by_ms - self._state.now_ms()),
+                paused_ms=round(self._state.now_ms() - now_ms) if pause_ms else 0,
             )
 
+    def _compute_pause_ms(self, now_ms: float) -> float:
+        """Return how long to hold the request for a server that was given up."""
+        if self._progress.given_up is None:
+            return 0.0
+        return compute_stop_pause_ms(
+            self._request.route,
+            self._request.facts.model,
+            self._progress.given_up.closed_at_ms,
+            now_ms,
+        )
+
+    async def _wait_until_stopped(self, pause_ms: float) -> bool:
+        """Hold the request for a server that was given up; return whether to go on."""
+        return self._progress.given_up is None or await self._state.stop_waiter.wait(
+            self._request.facts.request_id, self._progress.given_up, pause_ms
+        )
+
     async def _give_up(self, fault: Failure) -> Failure | None:
         """Return the final failure, or forward the last error answer of a server."""
         if self._progress.error_answer is not None and not self._progress.has_started:
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -1,12 +1,12 @@
 """Records how far one request has come, for the parts of the entry that serve it."""
 
 import enum
-import math
+from typing import NamedTuple
 
 from ...kernel.http_connection import AnswerHead
 from ._retries import AttemptCounts
 
-__all__ = ["AnswerStage", "RequestProgress"]
+__all__ = ["AnswerStage", "GivenUpAttempt", "RequestProgress"]
 
 
 class AnswerStage(enum.StrEnum):
@@ -17,6 +17,23 @@
     EVENTS = "events"
 
 
+class GivenUpAttempt(NamedTuple):
+    """An attempt that the entry ended; its server may still work on it.
+
+    Parameters
+    ----------
+    server_id : str
+    addr : str
+        ``ip:port`` of the server.
+    closed_at_ms : float
+        When the entry closed the connection.
+    """
+
+    server_id: str
+    addr: str
+    closed_at_ms: float
+
+
 class RequestProgress:
     """How far one request has come, over all its attempts.
 
@@ -27,11 +44,8 @@
         Whether the caller has been sent the head of an answer.
     answer_stage : AnswerStage
         How far the answer to the present attempt has come.
-    is_given_up : bool
-        Whether the entry ended the last attempt, so that its server may still work on
-        it.
-    given_up_at_ms : float
-        When the entry last ended an attempt, and closed its connection.
+    given_up : GivenUpAttempt or None
+        The last attempt, if the entry ended it.
     may_have_ended_server : bool
         Whether the last attempt may have ended its server.
     software_version : str
@@ -48,8 +62,7 @@
         self.attempt_counts = AttemptCounts()
         self.has_started = False
         self.answer_stage = AnswerStage.AWAITED
-        self.is_given_up = False
-        self.given_up_at_ms = -math.inf
+        self.given_up: GivenUpAttempt | None = None
         self.may_have_ended_server = False
         self.software_version = ""
         self.is_resumed = False
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -15,7 +15,7 @@
 from ._forwarding import AnswerForwarder
 from ._headers import build_request_headers, read_answer_facts
 from ._limits import Permit
-from ._progress import AnswerStage, RequestProgress
+from ._progress import AnswerStage, GivenUpAttempt, RequestProgress
 from ._request import (
     RoutedRequest,
     compute_urgency_rank,
@@ -121,7 +121,7 @@
             n_possibly_run=self._progress.attempt_counts.n_possibly_run + 1,
         )
         self._progress.answer_stage = AnswerStage.AWAITED
-        self._progress.is_given_up = False
+        self._progress.given_up = None
         n_tokens = estimate_tokens_to_read(request.facts)
         state.get_prompt_tokens_average(request.service).add(n_tokens)
         try:
@@ -134,10 +134,10 @@
                 head = await conn.receive_head()
                 self._progress.answer_stage = AnswerStage.BEGUN
         except TimeoutError:
-            await self._end_attempt(conn, by_server=False)
+            await self._end_attempt(backend, conn, by_server=False)
             return self._recorder.record_failure(backend, failure(Code.BACKEND_TIMEOUT))
         except BrokenAnswerError as exc:
-            await self._end_attempt(conn, exc.by_server)
+            await self._end_attempt(backend, conn, exc.by_server)
             await self._recorder.record_break(backend)
             return self._recorder.record_failure(
                 backend, failure(Code.OUTCOME_UNKNOWN, str(exc))
@@ -173,7 +173,7 @@
         now_ms = state.now_ms()
         is_foreign = facts.request_id != request.facts.request_id
         if is_foreign and (facts.request_id or conn.peer_repeats_ids):
-            await self._end_attempt(conn, by_server=False)
+            await self._end_attempt(backend, conn, by_server=False)
             reason = f"an answer to request {facts.request_id or 'unknown'} came"
             return self._recorder.record_failure(
                 backend, failure(Code.OUTCOME_UNKNOWN, reason)
@@ -185,11 +185,11 @@
         if facts.not_run or head.status == MISDIRECTED_STATUS:
             return await self._handle_not_run(backend, conn, head)
         if head.status in NOT_RUN_STATUSES:
-            await self._end_attempt(conn, by_server=True)
+            await self._end_attempt(backend, conn, by_server=True)
             fault = failure(Code.OUTCOME_UNKNOWN, f"status {head.status} unexplained")
             return self._recorder.record_failure(backend, fault)
         if self._progress.has_started and not self._forwarder.is_stream(head):
-            await self._end_attempt(conn, by_server=head.status >= 300)
+            await self._end_attempt(backend, conn, by_server=head.status >= 300)
             fault = failure(
                 Code.OUTCOME_UNKNOWN,
                 f"status {head.status} to a resume",
@@ -201,32 +201,36 @@
             return await self._forwarder.forward(backend, conn, head, sent_ms)
         except (BrokenAnswerError, EventTooLongError, StatusLineError) as exc:
             by_server = isinstance(exc, BrokenAnswerError) and exc.by_server
-            await self._end_attempt(conn, by_server)
+            await self._end_attempt(backend, conn, by_server)
             await self._recorder.record_break(backend)
             return self._recorder.record_failure(
                 backend, failure(Code.ANSWER_CUT, str(exc))
             )
         except TimeoutError:
-            await self._end_attempt(conn, by_server=False)
+            await self._end_attempt(backend, conn, by_server=False)
             return self._recorder.record_failure(backend, failure(Code.BACKEND_TIMEOUT))
         except BaseException:
             await conn.close()
             raise
 
-    async def _end_attempt(self, conn: ServerConnection, by_server: bool) -> None:
+    async def _end_attempt(
+        self, backend: Backend, conn: ServerConnection, by_server: bool
+    ) -> None:
         """Close a failed attempt's connection; record whether the entry gave it up.
 
         Parameters
         ----------
+        backend : Backend
         conn : ServerConnection
         by_server : bool
             Whether the server ended its work: it closed the connection, or sent what
             ends its answer.
         """
         await conn.close()
-        self._progress.is_given_up = not by_server
         if not by_server:
-            self._progress.given_up_at_ms = self._state.now_ms()
+            self._progress.given_up = GivenUpAttempt(
+                backend.view.server_id, backend.view.http_addr, self._state.now_ms()
+            )
 
     async def _handle_not_run(
         self, backend: Backend, conn: ServerConnection, head: AnswerHead
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -28,6 +28,7 @@
 from ._part_guard import PartGuard
 from ._retries import LiveEntryCount, RetryBudgetLimits, SharedRetryBudget
 from ._servers import KnownServers
+from ._stopping import RunFinder, StopWaiter
 from ._stream_versions import StreamVersions
 
 __all__ = ["DirectState"]
@@ -61,6 +62,8 @@
         Key of the digests by which entries recognise requests; the same at all.
     started_ms : float
         When the entry started; by default more than a retry window ago.
+    run_finder : RunFinder or None
+        Asks servers what they run; None where they do not tell.
 
     Attributes
     ----------
@@ -76,6 +79,8 @@
         The limits that servers have named, and the permits to send to them.
     stream_versions : StreamVersions
         Which software version began each stream that clients may resume.
+    stop_waiter : StopWaiter
+        Holds requests until a server that was given up has stopped.
     document_applied : anyio.Event
         Set once a route document is in force.
     hold_off_requested : anyio.Event
@@ -96,6 +101,7 @@
         ask_leader: Callable[[Any, float], Awaitable[Result]] | None = None,
         identity_key: bytes = b"",
         started_ms: float = -math.inf,
+        run_finder: RunFinder | None = None,
     ):
         ask = ask_leader or _find_no_leader
         self.identity_key = identity_key
@@ -109,6 +115,7 @@
         self.demand = DemandMeter(now_ms())
         self.waiting_demand = DemandMeter(now_ms())
         self.pool = ConnectionPool()
+        self.stop_waiter = StopWaiter(self.pool, run_finder, metrics, now_ms)
         self.part_guard = PartGuard(metrics)
         self.stream_versions = StreamVersions(ask, metrics)
         self.document: RouteDocument | None = None
--- a/tests/test_given_up_attempts.py
+++ b/tests/test_given_up_attempts.py
@@ -1,5 +1,6 @@
 """Streams go on elsewhere only when the server that was given up has stopped."""
 
+import asyncio
 import unittest
 from collections.abc import Callable
 from typing import Any
@@ -9,11 +10,15 @@
 import anyio.abc
 from structlog.testing import capture_logs
 
-from cowslipwood.entry.direct import _forwarding, _sending
+from cowslipwood.entry.direct import _forwarding, _sending, _stopping
 from cowslipwood.entry.direct._exchange import RequestForwarder
+from cowslipwood.entry.direct._progress import GivenUpAttempt
 from cowslipwood.entry.direct._retries import STOP_PAUSE_MS, compute_stop_pause_ms
+from cowslipwood.entry.direct._stopping import STOP_LIMIT_MS, StopWaiter
 from cowslipwood.kernel.codes import Code
 from cowslipwood.kernel.event_stream import MAX_EVENT_BYTES
+from cowslipwood.kernel.http_pool import ConnectionPool
+from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.routes import RouteKind
 
 from .answer_builders import (
@@ -239,6 +244,60 @@
                     self.assertEqual(servers.n_requests, 1)
 
 
+class ScriptedRuns:
+    """A `RunFinder` that gives these answers in order, the last one again and again."""
+
+    def __init__(self, answers: list[bool | None]):
+        self._answers = answers
+        self.n_calls = 0
+
+    async def find_run(self, *args: Any) -> bool | None:
+        """Return the next answer."""
+        answer = self._answers[min(self.n_calls, len(self._answers) - 1)]
+        self.n_calls += 1
+        return answer
+
+
+class ReportedRunTest(unittest.TestCase):
+    """What a server says that it runs decides whether a stream goes on elsewhere."""
+
+    def wait(self, answers: list[bool | None]) -> tuple[bool, int, float]:
+        """Return whether the stream goes on, the number of questions and the time."""
+        runs = ScriptedRuns(answers)
+        now_ms = 0.0
+
+        async def pass_time(time_s: float) -> None:
+            nonlocal now_ms
+            now_ms += time_s * 1000
+
+        async def main() -> bool:
+            waiter = StopWaiter(
+                ConnectionPool(), runs, Metrics("entry"), lambda: now_ms
+            )
+            attempt = GivenUpAttempt("s0", "127.0.0.1:1", 0.0)
+            return await waiter.wait("q1", attempt, STOP_PAUSE_MS)
+
+        with mock.patch.object(_stopping.anyio, "sleep", pass_time):
+            goes_on = asyncio.run(main())
+        return goes_on, runs.n_calls, now_ms
+
+    # Guards against streams that went on while a server that ignores a close worked.
+    def test_run_goes_on(self):
+        """A run that the server still reports after the limit ends the request."""
+        self.assertEqual(self.wait([True]), (False, 5, STOP_LIMIT_MS))
+
+    def test_run_ends(self):
+        """The stream goes on once the server no longer reports the run."""
+        self.assertEqual(self.wait([False]), (True, 1, STOP_PAUSE_MS))
+        self.assertEqual(self.wait([True, False]), (True, 2, 600.0))
+
+    def test_no_word(self):
+        """A silent server has stopped, unless it said before that it works."""
+        self.assertEqual(self.wait([None]), (True, 1, STOP_PAUSE_MS))
+        self.assertEqual(self.wait([True, None, False]), (True, 3, 800.0))
+        self.assertEqual(self.wait([True, None]), (False, 5, STOP_LIMIT_MS))
+
+
 class PauseTest(unittest.TestCase):
     """How long a request waits after an attempt was given up."""
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,10 +9,14 @@
 from pathlib import Path
 from unittest import mock
 
+import anyio
 import orjson
 
+from cowslipwood.kernel.http_pool import ConnectionPool
 from cowslipwood.routes import parse_document
 
+from .direct_builders import always_send, build_answer, run_scripted_server
+
 # Folder of the program that starts the others and of the adapter package.
 ADAPTER = Path(__file__).resolve().parent.parent / "platform"
 
@@ -150,6 +154,40 @@
                 self.assertIsNone(adapter_module("_list")._read_server(entry))
 
 
+class RunsTest(unittest.TestCase):
+    """What a model server's report says of a run."""
+
+    def find_run(self, body: bytes, status: str = "200 OK") -> bool | None:
+        """Return the result for a report with these bytes."""
+
+        async def main() -> bool | None:
+            script = always_send(build_answer(body, status))
+            async with run_scripted_server(script) as (addr, _):
+                pool = ConnectionPool()
+                finder = adapter_module("_runs").PlatformRuns()
+                found = await finder.find_run(pool, addr, "s1", "q1", 5_000.0)
+                await pool.close()
+                return found
+
+        return anyio.run(main)
+
+    def test_reports(self):
+        """A run is found by its id; a report that cannot be read tells nothing."""
+        for body, expected in (
+            (b'{"runs":[["q0",1,2,1],["q1",9,2,1]]}', True),
+            (b'{"runs":[["q0",1,2,1]]}', False),
+            (b'{"runs":[]}', False),
+            (b'{"running":1}', None),
+            (b'{"runs":[[]]}', None),
+            (b'{"runs":[7]}', None),
+            (b"[]", None),
+            (b"x", None),
+        ):
+            with self.subTest(body):
+                self.assertIs(self.find_run(body), expected)
+        self.assertIsNone(self.find_run(b'{"runs":[]}', "421 X"))
+
+
 class ReloadTest(unittest.TestCase):
     """Reload of settings in a running program."""
 
