--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,7 @@
     fault_share: float = 0.1,
     work_ms: float = 30.0,
     unframed_share: float = 0.3,
+    notice_ms: float = 0.0,
     faults: list[FaultKind] | None = None,
     server_faults: list[Fault] | None = None,
     keep: Path | None = None,
@@ -46,6 +47,9 @@
         Mean time of a run, and between two events of a stream.
     unframed_share : float
         Share of the streams that have neither length nor chunks.
+    notice_ms : float
+        Longest time after which a server notices that a connection was closed, unless
+        it writes to it before.
     faults : list[FaultKind] | None
         Kinds of faults to draw; all by default.
     server_faults : list[Fault] | None
@@ -65,6 +69,7 @@
         unframed_share=unframed_share,
         server_faults=tuple(server_faults or Fault),
         kinds=kinds,
+        notice_ms=notice_ms,
     )
     result = run_soak(settings, keep)
     counts = ", ".join(f"{n} {event}" for event, n in sorted(result.n_by_event.items()))
--- a/soak/run.py
+++ b/soak/run.py
@@ -67,6 +67,8 @@
         Faults that are drawn.
     unframed_share : float
         Share of the streams that end with their connection.
+    notice_ms : float
+        Longest time after which a server notices that a connection was closed.
     """
 
     seed: int
@@ -82,6 +84,7 @@
     work_ms: float = 30.0
     kinds: tuple[FaultKind, ...] = tuple(FaultKind)
     unframed_share: float = 0.3
+    notice_ms: float = 0.0
 
 
 class SoakResult(NamedTuple):
@@ -228,6 +231,7 @@
                 faults=self._settings.server_faults,
                 work_ms=self._settings.work_ms,
                 unframed_share=self._settings.unframed_share,
+                notice_ms=self._settings.notice_ms,
             )
         )
 
--- a/soak/server.py
+++ b/soak/server.py
@@ -14,6 +14,7 @@
 import socket
 import struct
 import sys
+import time
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -27,6 +28,8 @@
 
 # Time between two looks at the connection of a running request, in ms.
 CONNECTION_CHECK_MS = 20
+# Age of what a report says, in seconds.
+REPORT_AGE_S = 0.2
 # Events of one stream.
 N_EVENTS = 40
 # Pause of a stream under `Fault.PAUSE`, in seconds: longer than an entry waits for the
@@ -56,6 +59,8 @@
     ANSWER_TWICE = "answer_twice"
     PAUSE = "pause"
     UNEXPLAINED = "unexplained"
+    FOREIGN = "foreign"
+    MALFORMED = "malformed"
 
 
 class ServerSettings(NamedTuple):
@@ -84,6 +89,9 @@
         connection.
     born_ms : int
         When the process was started, as Unix time.
+    notice_ms : float
+        Longest time after which it notices that a connection was closed, unless it
+        writes to it before.
     """
 
     host: str
@@ -102,6 +110,7 @@
     n_slots: int = 48
     unframed_share: float = 0.0
     born_ms: int = 0
+    notice_ms: float = 0.0
 
 
 def make_instance(settings: ServerSettings, state: str = "ready") -> dict[str, Any]:
@@ -133,6 +142,8 @@
         self._history = HistoryWriter(Path(settings.history))
         self._rng = random.Random(settings.seed)
         self._n_running = 0
+        # Id, begin and end of each run, in seconds; the end is None while it goes on.
+        self._runs: list[list[Any]] = []
         self._sequence = 0
         self._born_ms = settings.born_ms
 
@@ -215,11 +226,14 @@
                 return False
         self._n_running += 1
         self._record("run", head, fault=fault)
+        run = [head.headers.get("request-id", ""), time.monotonic(), None]
+        self._runs.append(run)
         reason = "cancelled"
         try:
             reason = await self._run_while_connected(head, stream, fault)
         finally:
             self._n_running -= 1
+            run[2] = time.monotonic()
             self._record("ended", head, reason=reason)
         return reason == "answered"
 
@@ -251,6 +265,9 @@
                 poll.register(descriptor, select.POLLRDHUP)
                 while not any(event & CLOSED_EVENTS for _, event in poll.poll(0)):
                     await anyio.sleep(CONNECTION_CHECK_MS / 1000)
+                self._record("connection_closed", head)
+                late_ms = self._rng.uniform(0.0, self._settings.notice_ms)
+                await anyio.sleep(late_ms / 1000)
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(watch_connection)
@@ -262,9 +279,24 @@
             tasks.cancel_scope.cancel()
         return reason
 
+    async def _misbehave_before_head(
+        self, head: Head, stream: anyio.abc.SocketStream, fault: Fault | None
+    ) -> None:
+        """Send what is no answer to the request, or nothing, and go on with the run."""
+        match fault:
+            case Fault.FOREIGN:
+                other = Head(head.line, {**head.headers, "request-id": "0" * 16})
+                await stream.send(self._make_answer(other, 200))
+            case Fault.MALFORMED:
+                await stream.send(b"no answer\r\n\r\n")
+        is_plain_pause = fault is Fault.PAUSE and not self._settings.model
+        if is_plain_pause or fault in (Fault.LATE, Fault.FOREIGN, Fault.MALFORMED):
+            await anyio.sleep(LATE_S)
+
     async def _write_answer(
         self, head: Head, stream: anyio.abc.SocketStream, fault: Fault | None
     ) -> str:
+        await self._misbehave_before_head(head, stream, fault)
         await anyio.sleep(self._settings.work_ms * self._rng.uniform(0.5, 1.5) / 1000)
         status = 500 if fault is Fault.ERROR else 200
         if fault is Fault.UNEXPLAINED:
@@ -277,8 +309,6 @@
             case Fault.CUT:
                 await stream.send(answer[: -self._rng.randint(1, 20)])
                 return "cut"
-            case Fault.LATE | Fault.PAUSE:
-                await anyio.sleep(LATE_S)
         await stream.send(answer)
         if fault is Fault.ANSWER_TWICE:
             await anyio.sleep(self._rng.uniform(0.0, REPEAT_S))
@@ -291,8 +321,7 @@
         if fault is Fault.UNEXPLAINED:
             return await self._write_answer(head, stream, fault)
         first = int(head.headers.get("last-event-id") or 0) + 1
-        if fault is Fault.LATE:
-            await anyio.sleep(LATE_S)
+        await self._misbehave_before_head(head, stream, fault)
         fault_at = self._rng.randint(first, max(first, N_EVENTS))
         is_framed = self._rng.random() >= self._settings.unframed_share
         headers = {
@@ -354,12 +383,15 @@
         return headers
 
     def _make_report(self) -> dict[str, Any]:
+        at_s = time.monotonic() - REPORT_AGE_S
+        self._runs = [run for run in self._runs if run[2] is None or run[2] > at_s]
         return {
             **_make_model_fields(self._settings),
             "busy": False,
             "sequence": self._sequence,
             "queued": 0,
             "running": self._n_running,
+            "runs": [[run[0], 1, 1, 1] for run in self._runs if run[1] <= at_s],
             "kvUsed": 1_000 * self._n_running,
             "kvTotal": 200_000,
             "handles": 0,
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -53,6 +53,7 @@
 from ._retries import RetryBudgetLimits
 from ._servers import KnownServers
 from ._state import DirectState
+from ._stopping import RunFinder
 from ._stream_versions import StreamVersions
 
 __all__ = ["DIRECT_SETTING_CHECKS", "DirectEntry", "DirectSettings"]
@@ -177,6 +178,8 @@
         default those of the setting `keepers`.
     ask_server : callable
         Asks a server whether it still runs; by default a connection to it tells.
+    run_finder : RunFinder, optional
+        Asks servers what they run; None where they do not tell.
     """
 
     def __init__(
@@ -186,6 +189,7 @@
         list_source: ServerListSource,
         keepers: KeeperAddresses | None = None,
         ask_server: AskServer = ask_by_connection,
+        run_finder: RunFinder | None = None,
     ):
         self._settings = settings
         self._list_source = list_source
@@ -225,6 +229,7 @@
             identity_key=_make_identity_key(settings.cluster_token),
             started_ms=monotonic_ms(),
             ask_server=ask_server,
+            run_finder=run_finder,
         )
         self._app = RouteApp(self._state, random.Random())
 
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -16,7 +16,12 @@
 from ._limits import Permit
 from ._progress import RequestProgress
 from ._request import RoutedRequest, compute_urgency_rank
-from ._retries import SharedRetryBudget, build_final_failure, may_retry
+from ._retries import (
+    SharedRetryBudget,
+    build_final_failure,
+    compute_stop_pause_ms,
+    may_retry,
+)
 from ._sending import AttemptSender
 from ._state import DirectState
 
@@ -118,8 +123,12 @@
                 return None
             now_ms = self._state.now_ms()
             left_ms = self._request.answer_by_ms - now_ms
+            pause_ms = self._compute_pause_ms(now_ms)
             will_retry = may_retry(
-                self._request.route, self._progress.attempt_counts, fault, left_ms
+                self._request.route,
+                self._progress.attempt_counts,
+                fault,
+                left_ms - pause_ms,
             )
             will_retry = will_retry and fault.code not in NON_RETRYABLE_CODES
             will_retry = will_retry and not self._progress.may_have_ended_server
@@ -134,14 +143,34 @@
                 self._state.metrics.count(counter, reason=fault.code.name)
             if not will_retry:
                 return await self._give_up(fault)
+            if pause_ms and not await self._wait_until_stopped(pause_ms):
+                return await self._give_up(fault)
             self._log.info(
                 "request_retried",
                 request=self._request.facts.request_id,
                 code=fault.code.value,
                 reason=fault.message,
-                left_ms=round(left_ms),
+                left_ms=round(self._request.answer_by_ms - self._state.now_ms()),
+                paused_ms=round(self._state.now_ms() - now_ms) if pause_ms else 0,
             )
 
+    def _compute_pause_ms(self, now_ms: float) -> float:
+        """Return how long to hold the request for a server that was given up."""
+        if self._progress.given_up is None:
+            return 0.0
+        return compute_stop_pause_ms(
+            self._request.route,
+            self._request.facts.model,
+            self._progress.given_up.closed_at_ms,
+            now_ms,
+        )
+
+    async def _wait_until_stopped(self, pause_ms: float) -> bool:
+        """Hold the request for a server that was given up; return whether to go on."""
+        return self._progress.given_up is None or await self._state.stop_waiter.wait(
+            self._request.facts.request_id, self._progress.given_up, pause_ms
+        )
+
     async def _give_up(self, fault: Failure) -> Failure | None:
         """Return the final failure, or forward the last error answer of a server."""
         if self._progress.error_answer is not None and not self._progress.has_started:
--- a/src/cowslipwood/entry/direct/_forwarding.py
+++ b/src/cowslipwood/entry/direct/_forwarding.py
@@ -191,7 +191,7 @@
             raise BrokenAnswerError(Code.ANSWER_CUT, "the stream stalls")
         break_reason = splitter.find_break(head.body_end)
         if break_reason:
-            raise BrokenAnswerError(Code.ANSWER_CUT, break_reason)
+            raise BrokenAnswerError(Code.ANSWER_CUT, break_reason, by_server=True)
         await self._check_end(backend, head, sent_ms)
         await self._start_answer(head)
         held = splitter.take_held()
@@ -269,7 +269,7 @@
         )
         if sign is not EndSign.ALIVE:
             reason = f"the connection ended and its server is {sign.value}"
-            raise BrokenAnswerError(Code.ANSWER_CUT, reason)
+            raise BrokenAnswerError(Code.ANSWER_CUT, reason, by_server=True)
 
     async def _start_answer(self, head: AnswerHead) -> None:
         if not self._progress.has_started:
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -1,13 +1,14 @@
 """Records how far one request has come, for the parts of the entry that serve it."""
 
 import enum
+from typing import NamedTuple
 
 from ...kernel.http_connection import AnswerHead
 from ...kernel.messages import ServerView
 from ._event_order import EventOrder
 from ._retries import AttemptCounts
 
-__all__ = ["AnswerStage", "RequestProgress"]
+__all__ = ["AnswerStage", "GivenUpAttempt", "RequestProgress"]
 
 
 class AnswerStage(enum.StrEnum):
@@ -18,6 +19,23 @@
     EVENTS = "events"
 
 
+class GivenUpAttempt(NamedTuple):
+    """An attempt that the entry ended; its server may still work on it.
+
+    Parameters
+    ----------
+    server_id : str
+    addr : str
+        ``ip:port`` of the server.
+    closed_at_ms : float
+        When the entry closed the connection.
+    """
+
+    server_id: str
+    addr: str
+    closed_at_ms: float
+
+
 class RequestProgress:
     """How far one request has come, over all its attempts.
 
@@ -30,6 +48,8 @@
         How far the answer to the present attempt has come.
     server : ServerView or None
         The server of the present attempt, as it was known when that was sent.
+    given_up : GivenUpAttempt or None
+        The last attempt, if the entry ended it.
     may_have_ended_server : bool
         Whether the last attempt may have ended its server.
     software_version : str
@@ -49,6 +69,7 @@
         self.has_started = False
         self.answer_stage = AnswerStage.AWAITED
         self.server: ServerView | None = None
+        self.given_up: GivenUpAttempt | None = None
         self.may_have_ended_server = False
         self.software_version = ""
         self.is_resumed = False
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -20,7 +20,7 @@
     read_answered_id,
 )
 from ._limits import Permit
-from ._progress import AnswerStage, RequestProgress
+from ._progress import AnswerStage, GivenUpAttempt, RequestProgress
 from ._request import (
     RoutedRequest,
     compute_urgency_rank,
@@ -132,6 +132,7 @@
         self._progress.answer_stage = AnswerStage.AWAITED
         self._progress.server = backend.view
         self.sent_addrs.add(backend.view.http_addr)
+        self._progress.given_up = None
         n_tokens = estimate_tokens_to_read(request.facts)
         state.get_prompt_tokens_average(request.service).add(n_tokens)
         try:
@@ -144,10 +145,10 @@
                 head = await self._receive_own_head(backend, conn)
                 self._progress.answer_stage = AnswerStage.BEGUN
         except TimeoutError:
-            await conn.close()
+            await self._end_attempt(backend, conn, by_server=False)
             return self._recorder.record_failure(backend, failure(Code.BACKEND_TIMEOUT))
         except BrokenAnswerError as exc:
-            await conn.close()
+            await self._end_attempt(backend, conn, exc.by_server)
             await self._recorder.record_break(backend)
             return self._recorder.record_failure(
                 backend, failure(Code.OUTCOME_UNKNOWN, str(exc))
@@ -214,7 +215,7 @@
             else conn.n_requests > 1
         )
         if is_foreign:
-            await conn.close()
+            await self._end_attempt(backend, conn, by_server=False)
             reason = f"an answer to request {facts.request_id or 'unknown'} came"
             return self._recorder.record_failure(
                 backend, failure(Code.OUTCOME_UNKNOWN, reason)
@@ -227,11 +228,11 @@
         if facts.not_run or head.status == MISDIRECTED_STATUS:
             return await self._handle_not_run(backend, conn, head)
         if head.status in NOT_RUN_STATUSES:
-            await conn.close()
+            await self._end_attempt(backend, conn, by_server=True)
             fault = failure(Code.OUTCOME_UNKNOWN, f"status {head.status} unexplained")
             return self._recorder.record_failure(backend, fault)
         if self._progress.has_started and not self._forwarder.is_stream(head):
-            await conn.close()
+            await self._end_attempt(backend, conn, by_server=head.status >= 300)
             fault = failure(
                 Code.OUTCOME_UNKNOWN,
                 f"status {head.status} to a resume",
@@ -247,18 +248,38 @@
             EventTooLongError,
             StatusLineError,
         ) as exc:
-            await conn.close()
+            by_server = isinstance(exc, BrokenAnswerError) and exc.by_server
+            await self._end_attempt(backend, conn, by_server)
             await self._recorder.record_break(backend)
             return self._recorder.record_failure(
                 backend, failure(Code.ANSWER_CUT, str(exc))
             )
         except TimeoutError:
-            await conn.close()
+            await self._end_attempt(backend, conn, by_server=False)
             return self._recorder.record_failure(backend, failure(Code.BACKEND_TIMEOUT))
         except BaseException:
             await conn.close()
             raise
 
+    async def _end_attempt(
+        self, backend: Backend, conn: ServerConnection, by_server: bool
+    ) -> None:
+        """Close a failed attempt's connection; record whether the entry gave it up.
+
+        Parameters
+        ----------
+        backend : Backend
+        conn : ServerConnection
+        by_server : bool
+            Whether the server ended its work: it closed the connection, or sent what
+            ends its answer.
+        """
+        await conn.close()
+        if not by_server:
+            self._progress.given_up = GivenUpAttempt(
+                backend.view.server_id, backend.view.http_addr, self._state.now_ms()
+            )
+
     async def _handle_not_run(
         self, backend: Backend, conn: ServerConnection, head: AnswerHead
     ) -> Failure:
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -29,6 +29,7 @@
 from ._part_guard import PartGuard
 from ._retries import LiveEntryCount, RetryBudgetLimits, SharedRetryBudget
 from ._servers import KnownServers
+from ._stopping import RunFinder, StopWaiter
 from ._stream_versions import StreamVersions
 
 __all__ = ["DirectState"]
@@ -64,6 +65,8 @@
         When the entry started; by default more than a retry window ago.
     ask_server : callable
         Asks a server whether it still runs; by default a connection to it tells.
+    run_finder : RunFinder or None
+        Asks servers what they run; None where they do not tell.
 
     Attributes
     ----------
@@ -81,6 +84,8 @@
         The limits that servers have named, and the permits to send to them.
     stream_versions : StreamVersions
         Which software version began each stream that clients may resume.
+    stop_waiter : StopWaiter
+        Holds requests until a server that was given up has stopped.
     document_applied : anyio.Event
         Set once a route document is in force.
     hold_off_requested : anyio.Event
@@ -102,6 +107,7 @@
         identity_key: bytes = b"",
         started_ms: float = -math.inf,
         ask_server: AskServer = ask_by_connection,
+        run_finder: RunFinder | None = None,
     ):
         ask = ask_leader or _find_no_leader
         self.identity_key = identity_key
@@ -115,6 +121,7 @@
         self.demand = DemandMeter(now_ms())
         self.waiting_demand = DemandMeter(now_ms())
         self.pool = ConnectionPool()
+        self.stop_waiter = StopWaiter(self.pool, run_finder, metrics, now_ms)
         self.part_guard = PartGuard(metrics)
         self.end_check = EndCheck(metrics, ask_server, now_ms)
         self.stream_versions = StreamVersions(ask, metrics)
