Soak with servers of two software versions, releases and renewed servers

Servers write their version into their events. Two kinds of faults, drawn on request: a release replaces engines one by one by ones of the other version, and a renewed server starts again under its id with the other version while the list still shows the old one. check_versions allows no stream of two versions, check_resumes holds the share of resumed streams that go on against that of new ones that begin; planted violations for both. Callers of resumable streams try up to four times.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,7 +6,7 @@
 import defopt
 
 from .run import SoakSettings, run_soak
-from .schedule import FaultKind
+from .schedule import DEFAULT_KINDS, FaultKind
 from .server import Fault
 
 # Number of violations that are printed in full.
@@ -18,6 +18,7 @@
     seed: int = 1,
     minutes: float = 1.0,
     n_entries: int = 6,
+    n_engines: int = 3,
     n_callers: int = 60,
     pause_ms: float = 200.0,
     fault_share: float = 0.1,
@@ -36,6 +37,8 @@
         Length of the run after all entries are ready.
     n_entries : int
         Number of hosts with an entry; the first three have keepers.
+    n_engines : int
+        Number of model servers.
     n_callers : int
     pause_ms : float
         Mean time between two requests of one caller.
@@ -44,17 +47,18 @@
     work_ms : float
         Mean time of a run, and between two events of a stream.
     faults : list[FaultKind] | None
-        Kinds of faults to draw; all by default.
+        Kinds of faults to draw; all but those of releases by default.
     server_faults : list[Fault] | None
         What servers do wrong; everything by default.
     keep : Path | None
         Folder for the schedule, the history and the logs.
     """
-    kinds = tuple(faults or FaultKind)
+    kinds = tuple(faults or DEFAULT_KINDS)
     settings = SoakSettings(
         seed,
         minutes * 60,
         n_entries=n_entries,
+        n_engines=n_engines,
         n_callers=n_callers,
         pause_ms=pause_ms,
         fault_share=fault_share,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -29,6 +29,12 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
+# Number of resumed streams from which on their share counts, and the least share of
+# them that goes on, as a part of the share of new streams that begin.
+MIN_RESUMES = 12
+MIN_RESUMED_SHARE = 0.5
+
+
 class Violation(NamedTuple):
     """A broken promise.
 
@@ -201,6 +207,51 @@
             yield Violation("MIXED", record["at_ms"], str(dict(record)))
 
 
+def check_versions(history: Sequence[Record]) -> Iterable[Violation]:
+    """Find streams with events of two software versions, over a client's tries."""
+    sent = {record["request"]: record for record in _select(history, "sent")}
+    versions = defaultdict(set)
+    for record in _select(history, "finished"):
+        stream = sent[record["request"]].get("resumes") or record["request"]
+        n_before = len(versions[stream])
+        versions[stream].update(record.get("versions", ()))
+        if len(versions[stream]) > max(1, n_before):
+            text = f"{record['request']} holds events of {sorted(versions[stream])}"
+            yield Violation("ORDER", record["at_ms"], text)
+
+
+def check_resumes(history: Sequence[Record]) -> Iterable[Violation]:
+    """Find runs in which too few of the streams that clients resume go on."""
+    disturbed = _Disturbances(history)
+    finished = {record["request"]: record for record in _select(history, "finished")}
+    fleet = _Fleet(history)
+    has_begun, has_gone_on = [], []
+    for request in _select(history, "sent"):
+        end = finished.get(request["request"])
+        is_resumable = request["stream"] and request["repeatable"]
+        if end is None or not is_resumable:
+            continue
+        if disturbed.is_near(request["entry"], request["at_ms"]):
+            continue
+        if not request.get("resumes"):
+            has_begun.append(end.get("last_event_id", 0) > 0)
+            continue
+        version = finished[request["resumes"]]["versions"][0]
+        span_ms = request["at_ms"], end["at_ms"]
+        if fleet.count_serving(request["service"], version, span_ms) >= 2:
+            has_gone_on.append(end["last_event_id"] > request["after"])
+    if len(has_gone_on) < MIN_RESUMES:
+        return
+    gone_on_share = sum(has_gone_on) / len(has_gone_on)
+    begun_share = sum(has_begun) / max(1, len(has_begun))
+    if gone_on_share < MIN_RESUMED_SHARE * begun_share:
+        text = (
+            f"{sum(has_gone_on)} of {len(has_gone_on)} resumed streams went on, "
+            f"{sum(has_begun)} of {len(has_begun)} new ones began"
+        )
+        yield Violation("LOST", history[-1]["at_ms"], text)
+
+
 CHECKS: tuple[Callable[[Sequence[Record]], Iterable[Violation]], ...] = (
     check_single_runs,
     check_overlapping_runs,
@@ -209,6 +260,8 @@
     check_hold_off,
     check_planned_stops,
     check_answers,
+    check_versions,
+    check_resumes,
 )
 
 
@@ -230,6 +283,34 @@
         )
 
 
+class _Fleet:
+    """Which servers served when, apart from those that a fault had struck."""
+
+    def __init__(self, history: Sequence[Record]):
+        self._started = _select(history, "server_started")
+        self._ended_at_ms = defaultdict(list)
+        for record in _select(history, "server_ended"):
+            self._ended_at_ms[record["server"]].append(record["at_ms"])
+        self._disturbed = _Disturbances(history)
+
+    def count_serving(
+        self, service: str, version: str, span_ms: tuple[float, float]
+    ) -> int:
+        """Return how many servers of a version served all the time."""
+        begin_ms, end_ms = span_ms
+        return sum(
+            record["service"] == service
+            and record["version"] == version
+            and record["at_ms"] + CONTACT_MS <= begin_ms
+            and not self._disturbed.is_near(record["server"], begin_ms)
+            and not any(
+                record["at_ms"] < ended_ms <= end_ms
+                for ended_ms in self._ended_at_ms[record["server"]]
+            )
+            for record in self._started
+        )
+
+
 def _select(history: Iterable[Record], event: str) -> list[Record]:
     return [record for record in history if record["event"] == event]
 
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -16,7 +16,7 @@
 import anyio.abc
 
 from .history import HistoryWriter
-from .server import N_EVENTS, make_event
+from .server import N_EVENTS, make_event, split_versions
 from .wire import Head, MessageReader, encode_head
 
 __all__ = ["ClientSettings", "RequestKind"]
@@ -24,6 +24,9 @@
 CONNECT_TIMEOUT_S = 1.0
 # Statuses that promise that the request did not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Number of attempts of a client, and of one that resumes a stream.
+MAX_ATTEMPTS = 2
+MAX_ATTEMPTS_OF_STREAM = 4
 # Least time without an event after which a client gives up a stream, in seconds.
 MIN_PATIENCE_S = 2.0
 # Share of the requests whose client leaves before the end.
@@ -105,12 +108,15 @@
     is_whole : bool
     last_event_id : int
     retry_after_s : float
+    versions : tuple of str
+        Software versions of the servers that wrote the events.
     """
 
     status: int
     is_whole: bool = False
     last_event_id: int = 0
     retry_after_s: float = 0.0
+    versions: tuple[str, ...] = ()
 
     @property
     def is_served(self) -> bool:
@@ -142,9 +148,12 @@
         request_id = first_id
         begun_id = ""
         last_event_id = 0
-        for is_last_attempt in (False, True):
+        n_attempts = MAX_ATTEMPTS
+        if kind.is_stream and kind.is_repeatable:
+            n_attempts = MAX_ATTEMPTS_OF_STREAM
+        for number in range(n_attempts):
             outcome = await self._attempt(kind, request_id, first_id, headers)
-            if outcome.is_served or is_last_attempt:
+            if outcome.is_served or number + 1 == n_attempts:
                 return
             if not (kind.is_repeatable or outcome.is_not_run):
                 return
@@ -182,6 +191,7 @@
             stream=kind.is_stream,
             entry=conn.entry,
             resumes=extra.get("resumes", ""),
+            after=extra.get("last-event-id", 0),
             time_limit_ms=kind.time_limit_ms,
         )
         outcome = _Outcome(0)
@@ -203,6 +213,7 @@
             status=outcome.status,
             whole=outcome.is_whole,
             last_event_id=outcome.last_event_id,
+            versions=outcome.versions,
             reason=reason,
         )
         if not outcome.is_whole:
@@ -247,12 +258,13 @@
             is_whole = True
         except (TimeoutError, *BROKEN_ERRORS):
             pass
+        received, versions = split_versions(received)
         expected = b"".join(make_event(n) for n in range(first + 1, N_EVENTS + 1))
         if not expected.startswith(received) or (is_whole and received != expected):
             self._history.write("wrong_stream", request=request_id, first=first)
         if is_whole and head.headers.get("connection", "") == "close":
             await self._disconnect()
-        return _Outcome(200, is_whole, last)
+        return _Outcome(200, is_whole, last, versions=tuple(versions))
 
     async def _connect(self) -> _Connection | None:
         if self._conn is not None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,7 +19,7 @@
 from .clients import ClientSettings, RequestKind
 from .deployment import CALLERS_PORT, ROOT, SERVERS_PORT, Deployment, Host
 from .history import HistoryWriter, read_history
-from .schedule import FaultKind, ScheduledFault, draw_schedule
+from .schedule import DEFAULT_KINDS, FaultKind, ScheduledFault, draw_schedule
 from .server import Fault, ServerSettings, make_instance
 from .wire import MessageReader, encode_head
 
@@ -41,6 +41,12 @@
 START_TIMEOUT_S = 60.0
 # Time after which a killed server leaves the list, in seconds.
 LIST_LAG_S = 0.8
+# Software versions of servers; all begin with the first.
+VERSIONS = ("v1", "v2")
+# Time between two servers of a release, in seconds.
+RELEASE_GAP_S = 0.4
+# Time from the notice that a server leaves until its end, in seconds.
+DRAIN_S = 5.0
 
 
 class SoakSettings(NamedTuple):
@@ -78,7 +84,7 @@
     server_faults: tuple[Fault, ...] = tuple(Fault)
     n_load_processes: int = 12
     work_ms: float = 30.0
-    kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    kinds: tuple[FaultKind, ...] = DEFAULT_KINDS
 
 
 class SoakResult(NamedTuple):
@@ -129,7 +135,7 @@
     """A backend server's process, which may be replaced by one with another id."""
 
     def __init__(self, settings: ServerSettings):
-        self.settings = settings
+        self.settings = self.listed = settings
         self.process: subprocess.Popen | None = None
         self.state = "ready"
         self.is_listed = True
@@ -161,6 +167,7 @@
         ]
         self._children: list[subprocess.Popen] = []
         self._version = 1
+        self._n_released = 0
 
     async def execute(self) -> None:
         """Start everything, inject the faults and end the clients."""
@@ -202,7 +209,9 @@
         for process in self._children:
             process.wait()
 
-    def _make_server(self, number: int, model: str, generation: int = 0) -> "_Server":
+    def _make_server(
+        self, number: int, model: str, generation: int = 0, version: str = VERSIONS[0]
+    ) -> "_Server":
         folder = self._deployment.folder
         return _Server(
             ServerSettings(
@@ -212,6 +221,7 @@
                 service="assistant" if model else "ledger",
                 zone=f"z{number % 3 + 1}",
                 model=model,
+                version=version,
                 history=str(folder / f"history-server-{number}.jsonl"),
                 seed=self._settings.seed * 1_000 + number + 7 * generation,
                 fault_share=self._settings.fault_share,
@@ -221,9 +231,15 @@
         )
 
     def _start_server(self, server: "_Server") -> None:
-        server.process = self._start_module("soak.server", server.settings)
+        settings = server.settings._replace(born_ms=int(time.time() * 1000))
+        server.settings = server.listed = settings
+        server.process = self._start_module("soak.server", settings)
         server.state, server.is_listed = "ready", True
 
+    def _end_server(self, server: "_Server") -> None:
+        _end(server.process)
+        self._history.write("server_ended", server=server.settings.server_id)
+
     def _start_clients(self) -> None:
         entries = [
             f"{self._deployment.get_ip(host.number)}:{CALLERS_PORT}"
@@ -262,7 +278,7 @@
                 while True:
                     await reader.read_head()
                     instances = [
-                        make_instance(server.settings, server.state)
+                        make_instance(server.listed, server.state)
                         for server in self._servers
                         if server.is_listed
                     ]
@@ -319,6 +335,10 @@
                 await self._put_config()
             case FaultKind.LOAD_CORES:
                 await self._load_cores(fault)
+            case FaultKind.RELEASE:
+                await self._release(fault, rng)
+            case FaultKind.RENEW_SERVER:
+                await self._renew_server(fault, rng.choice(self._list_engines()))
 
     def _find_leader(self, rng: random.Random) -> Host:
         """Return the keeper whose log tells of the newest term that it won."""
@@ -387,7 +407,7 @@
 
     async def _kill_server(self, fault: ScheduledFault, server: "_Server") -> None:
         self._record(fault, [server.settings.server_id], fault.for_s + LIST_LAG_S)
-        _end(server.process)
+        self._end_server(server)
         await anyio.sleep(LIST_LAG_S)
         server.is_listed = False
         await anyio.sleep(fault.for_s)
@@ -399,8 +419,8 @@
             return
         number = int(server.settings.host.rpartition(".")[2])
         generation = int(server.settings.server_id[-4:], 16) + 1
-        model = server.settings.model
-        server.settings = self._make_server(number, model, generation).settings
+        model, version = server.settings.model, server.settings.version
+        server.settings = self._make_server(number, model, generation, version).settings
         self._start_server(server)
 
     async def _freeze_server(self, fault: ScheduledFault, server: "_Server") -> None:
@@ -414,13 +434,65 @@
     async def _drain_server(self, fault: ScheduledFault, server: "_Server") -> None:
         self._record(fault, [server.settings.server_id], 0.0)
         server.state = "draining"
-        await anyio.sleep(5.0)
+        await anyio.sleep(DRAIN_S)
         self._record(fault, [server.settings.server_id], 0.0)
-        _end(server.process)
+        self._end_server(server)
         server.is_listed = False
         await anyio.sleep(2.0)
         self._replace_server(server)
 
+    def _list_engines(self) -> list["_Server"]:
+        return [server for server in self._servers if server.settings.model]
+
+    async def _release(self, fault: ScheduledFault, rng: random.Random) -> None:
+        """Replace some engines, one by one, by ones of another version."""
+        version = rng.choice(VERSIONS)
+        old = [
+            server
+            for server in self._list_engines()
+            if server.settings.version != version and server.state == "ready"
+        ]
+        self._record(fault, [], 0.0)
+        async with anyio.create_task_group() as tasks:
+            for server in rng.sample(old, rng.randint(0, len(old))):
+                server.state = "draining"
+                used = {each.settings.host for each in self._servers}
+                number = next(
+                    number
+                    for number in range(FIRST_ENGINE, 255)
+                    if self._deployment.get_ip(number) not in used
+                )
+                self._n_released += 1
+                model = server.settings.model
+                new = self._make_server(number, model, self._n_released << 8, version)
+                self._servers.append(new)
+                self._start_server(new)
+                tasks.start_soon(self._retire_server, fault, server)
+                await anyio.sleep(RELEASE_GAP_S)
+
+    async def _retire_server(self, fault: ScheduledFault, server: "_Server") -> None:
+        """Let a server of an earlier version finish its requests, then end it."""
+        await anyio.sleep(DRAIN_S)
+        self._record(fault, [server.settings.server_id], 0.0)
+        if server in self._servers:
+            self._servers.remove(server)
+        self._end_server(server)
+
+    async def _renew_server(self, fault: ScheduledFault, server: "_Server") -> None:
+        """Start a server again with another version under its id.
+
+        The list shows it later.
+        """
+        listed = server.listed
+        (version,) = set(VERSIONS) - {server.settings.version}
+        self._record(fault, [server.settings.server_id], LIST_LAG_S)
+        self._end_server(server)
+        server.settings = server.settings._replace(version=version)
+        self._start_server(server)
+        server.listed = listed
+        await anyio.sleep(LIST_LAG_S)
+        server.listed = server.settings
+
     async def _load_cores(self, fault: ScheduledFault) -> None:
         self._record(fault, [], fault.for_s)
         processes = [
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -4,7 +4,7 @@
 import random
 from typing import NamedTuple
 
-__all__ = ["FaultKind", "ScheduledFault", "draw_schedule"]
+__all__ = ["DEFAULT_KINDS", "FaultKind", "ScheduledFault", "draw_schedule"]
 
 # Mean time between two draws, in seconds.
 MEAN_INTERVAL_S = 2.0
@@ -30,6 +30,16 @@
     LEAVE_SERVER = "leave_server"
     CHANGE_CONFIG = "change_config"
     LOAD_CORES = "load_cores"
+    RELEASE = "release"
+    RENEW_SERVER = "renew_server"
+
+
+# Releases need more engines than a run has by default.
+DEFAULT_KINDS = tuple(
+    kind
+    for kind in FaultKind
+    if kind not in (FaultKind.RELEASE, FaultKind.RENEW_SERVER)
+)
 
 
 class ScheduledFault(NamedTuple):
@@ -52,7 +62,7 @@
 
 
 def draw_schedule(
-    seed: int, length_s: float, kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    seed: int, length_s: float, kinds: tuple[FaultKind, ...] = DEFAULT_KINDS
 ) -> list[ScheduledFault]:
     """Return the faults of a run, which may overlap, in the order of time."""
     rng = random.Random(seed)
--- a/soak/server.py
+++ b/soak/server.py
@@ -10,6 +10,7 @@
 import functools
 import json
 import random
+import re
 import select
 import socket
 import struct
@@ -24,7 +25,13 @@
 from .history import HistoryWriter
 from .wire import END_OF_CHUNKS, Head, MessageReader, encode_chunk, encode_head
 
-__all__ = ["Fault", "ServerSettings", "make_instance"]
+__all__ = [
+    "Fault",
+    "ServerSettings",
+    "make_event",
+    "make_instance",
+    "split_versions",
+]
 
 # Time between two looks at the connection of a running request, in ms.
 CONNECTION_CHECK_MS = 20
@@ -39,6 +46,10 @@
 CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
+# The version at the end of an event's text; the end of a cut stream may lack a part.
+VERSION_MARK = re.compile(rb"~([^\n]*)")
+
+
 class Fault(enum.StrEnum):
     """What a server does wrong with one request."""
 
@@ -75,6 +86,8 @@
     work_ms : float
         Mean time of a run, or between two events of a stream.
     n_slots : int
+    born_ms : int
+        Unix time of its start; 0 for the present.
     """
 
     host: str
@@ -91,6 +104,7 @@
     idle_timeout_s: float = 3.0
     work_ms: float = 30.0
     n_slots: int = 48
+    born_ms: int = 0
 
 
 def make_instance(settings: ServerSettings, state: str = "ready") -> dict[str, Any]:
@@ -104,6 +118,7 @@
         "slots": settings.n_slots,
         "state": state,
         "coldRemainingMs": 0,
+        "born": settings.born_ms,
         **_make_model_fields(settings),
     }
 
@@ -122,14 +137,14 @@
         self._rng = random.Random(settings.seed)
         self._n_running = 0
         self._sequence = 0
-        self._born_ms = int(time.time() * 1000)
+        self._born_ms = settings.born_ms or int(time.time() * 1000)
 
     async def run(self) -> None:
         settings = self._settings
         listener = await anyio.create_tcp_listener(
             local_host=settings.host, local_port=settings.port, reuse_port=False
         )
-        self._record("server_started")
+        self._record("server_started", version=settings.version)
         await listener.serve(self._serve)
 
     def _record(self, event: str, head: Head | None = None, **fields: Any) -> None:
@@ -286,7 +301,8 @@
                         return "cut"
                     case Fault.PAUSE:
                         await anyio.sleep(PAUSE_S)
-            await stream.send(encode_chunk(make_event(number)))
+            event = make_event(number, self._settings.version)
+            await stream.send(encode_chunk(event))
         await stream.send(END_OF_CHUNKS)
         return "answered"
 
@@ -336,9 +352,16 @@
         }
 
 
-def make_event(number: int) -> bytes:
-    """Return one event of a stream."""
-    return b"id: %d\ndata: token %d\n\n" % (number, number)
+def make_event(number: int, version: str = "") -> bytes:
+    """Return one event of a stream, with the version of the server that wrote it."""
+    mark = b"~" + version.encode() if version else b""
+    return b"id: %d\ndata: token %d%b\n\n" % (number, number, mark)
+
+
+def split_versions(events: bytes) -> tuple[bytes, list[str]]:
+    """Return events without the versions, and the versions of the complete ones."""
+    found = VERSION_MARK.findall(events[: events.rfind(b"\n\n") + 1])
+    return VERSION_MARK.sub(b"", events), sorted({each.decode() for each in found})
 
 
 def _get_socket(stream: anyio.abc.SocketStream) -> socket.socket:
--- a/tests/soak_builders.py
+++ b/tests/soak_builders.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-__all__ = ["build_attempt", "record"]
+__all__ = ["build_attempt", "build_stream", "record"]
 
 Record = dict[str, Any]
 
@@ -37,3 +37,15 @@
     if ended_at_ms is not None:
         records.append(record("ended", ended_at_ms, request, **run))
     return records
+
+
+def build_stream(
+    request: str, at_ms: float, versions: list[str], **changes: Any
+) -> list[Record]:
+    """Return the records of a resumable stream that ends 20 ms later, after event 5."""
+    attempt = build_attempt(
+        request, at_ms, "s1", at_ms + 15, repeatable=True, stream=True, **changes
+    )
+    answer = {"status": 200, "whole": True, "reason": "", "versions": versions}
+    end = record("finished", at_ms + 20, request, last_event_id=5, **answer)
+    return [*attempt, end]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,9 +4,10 @@
 
 from soak.checks import check_history
 from soak.run import SoakSettings, run_soak
-from soak.schedule import FaultKind, draw_schedule
+from soak.schedule import DEFAULT_KINDS, FaultKind, draw_schedule
+from soak.server import make_event, split_versions
 
-from .soak_builders import build_attempt, record
+from .soak_builders import build_attempt, build_stream, record
 
 STREAM = {"repeatable": True, "stream": True}
 # Seed and length of the run in this suite; longer ones are started by hand.
@@ -87,6 +88,80 @@
         """A caller gets the answer to another request."""
         self.assertEqual(find_rules([record("foreign_answer", 1.0, "a")]), ["MIXED"])
 
+    def test_stream_of_two_versions(self):
+        """A stream holds events of two versions, in one answer or over two tries."""
+        for first, second, expected in (
+            (["v1"], ["v1"], []),
+            (["v1"], [], []),
+            (["v1", "v2"], [], ["ORDER"]),
+            (["v1"], ["v2"], ["ORDER"]),
+            (["v1"], ["v1", "v2"], ["ORDER"]),
+        ):
+            with self.subTest(first=first, second=second):
+                history = [
+                    *build_stream("a", 0.0, first),
+                    *build_stream("b", 100.0, second, resumes="a", after=3),
+                ]
+                self.assertEqual(find_rules(history), expected)
+
+    def test_resumed_streams_that_do_not_go_on(self):
+        """Of twelve resumed streams, fewer than half as many go on as new ones begin.
+
+        They count where two servers of their version serve and no fault is near.
+        """
+        for n_going_on, n_servers, fault_at_ms, expected in (
+            (6, 2, None, []),
+            (5, 2, None, ["LOST"]),
+            (5, 1, None, []),
+            (0, 2, 9_900.0, []),
+        ):
+            with self.subTest(n_going_on=n_going_on, n_servers=n_servers):
+                history = [
+                    record(
+                        "server_started", 0.0, server=f"s{n}", service="desk", version=v
+                    )
+                    for n, v in enumerate(["v2", "v2", *["v1"] * n_servers])
+                ]
+                for n in range(12):
+                    history += build_stream(f"a{n}", 9_000.0, ["v1"])
+                    after = 3 if n < n_going_on else 5
+                    changes = {"resumes": f"a{n}", "after": after, "first": f"a{n}"}
+                    history += build_stream(f"b{n}", 10_000.0, ["v1"], **changes)
+                if fault_at_ms is not None:
+                    fault = {"kind": "x", "targets": ["e1"], "until_ms": fault_at_ms}
+                    history.append(record("fault", fault_at_ms, **fault))
+                self.assertEqual(find_rules(history), expected)
+
+    def test_server_that_ends(self):
+        """A server that ends while a stream is resumed is not one that serves."""
+        start = {"service": "desk", "version": "v1"}
+        history = [
+            record("server_started", 0.0, server=name, **start) for name in ("s1", "s2")
+        ]
+        for n in range(12):
+            history += build_stream(f"a{n}", 9_000.0, ["v1"])
+            changes = {"resumes": f"a{n}", "after": 5, "first": f"a{n}"}
+            history += build_stream(f"b{n}", 10_000.0, ["v1"], **changes)
+        end = record("server_ended", 10_010.0, server="s2")
+        self.assertEqual(find_rules([*history, end]), [])
+        self.assertEqual(find_rules(history), ["LOST"])
+
+
+class VersionMarkTest(unittest.TestCase):
+    """Servers write their version into each event."""
+
+    def test_split(self):
+        """A cut stream keeps the versions of its complete events only."""
+        events = make_event(1, "v1") + make_event(2, "v2") + make_event(3, "v3")
+        plain = make_event(1) + make_event(2) + make_event(3)
+        for n_cut, versions in ((0, ["v1", "v2", "v3"]), (2, ["v1", "v2"])):
+            with self.subTest(n_cut=n_cut):
+                text, found = split_versions(events[: len(events) - n_cut])
+                self.assertEqual(found, versions)
+                self.assertTrue(plain.startswith(text))
+        joined = make_event(1, "v1")[:-2] + make_event(2, "v2")
+        self.assertFalse(plain.startswith(split_versions(joined)[0]))
+
 
 class ScheduleTest(unittest.TestCase):
     """Faults are drawn from the seed alone."""
@@ -102,7 +177,9 @@
 
     def test_no_violation(self):
         """Neither callers nor servers see a broken promise."""
-        kinds = tuple(kind for kind in FaultKind if kind is not FaultKind.LOAD_CORES)
+        kinds = tuple(
+            kind for kind in DEFAULT_KINDS if kind is not FaultKind.LOAD_CORES
+        )
         settings = SoakSettings(SEED, LENGTH_S, n_callers=30, kinds=kinds)
         result = run_soak(settings)
         self.assertEqual(result.violations, [])
