Keep a stream at its software version while it waits for a paused server

Callers got the rest of a stream from a server of another software version.

Cause: servers of other versions are excluded before the first choice only. Where all servers were paused, the wait picked the first paused one of any version and lifted its exclusion; a server that was listed during a wait was never judged.

Evidence: PausedServerTest, four failures before: a stream of version a went on at b, also where a server of a served, and at a server that joined during the wait.

Every choice now excludes other versions by the servers listed at that moment, and the search for a paused server leaves them out.

--- a/src/cowslipwood/entry/direct/_choice.py
+++ b/src/cowslipwood/entry/direct/_choice.py
@@ -83,15 +83,15 @@
             len(request.body),
             typical_tokens.value or TYPICAL_PROMPT_TOKENS,
         )
-        self._exclude_other_versions()
-        chosen = state.choose_backend(context, self._rng, now_ms)
+        chosen = self._choose_backend(context)
         if chosen is None:
-            paused = state.find_first_pause(request.key, now_ms)
+            others = self._exclude_other_versions()
+            paused = state.find_first_pause(request.key, now_ms, others)
             if paused is not None:
                 refusal = await self._wait_for_server(paused)
                 if refusal is not None:
                     return refusal
-                chosen = state.choose_backend(context, self._rng, state.now_ms())
+                chosen = self._choose_backend(context)
         while chosen is None and request.facts.model:
             holder = await state.holder_finder.find_holder(request, state.now_ms())
             if isinstance(holder, Err):
@@ -99,7 +99,7 @@
             if holder.unwrap() in self._exclude_other_versions():
                 break
             if holder.unwrap() not in self.tried_server_ids:
-                chosen = state.choose_backend(context, self._rng, state.now_ms())
+                chosen = self._choose_backend(context)
                 if chosen is not None:
                     break
             if self._retry_pause_ms > MAX_RETRY_PAUSE_MS:
@@ -109,13 +109,18 @@
             self.tried_server_ids.discard(holder.unwrap())
             await anyio.sleep(self._retry_pause_ms / 1000)
             self._retry_pause_ms *= RETRY_PAUSE_FACTOR
-            chosen = state.choose_backend(context, self._rng, state.now_ms())
+            chosen = self._choose_backend(context)
         if chosen is None:
             if self.limit_refusal is not None:
                 return self.limit_refusal
             return failure(Code.NO_REPLICA, f"no server for {request.key}")
         return self._apply_admission(chosen, context)
 
+    def _choose_backend(self, context: RoutingContext) -> Backend | None:
+        """Return the server that the policy chooses among those listed now."""
+        self._exclude_other_versions()
+        return self._state.choose_backend(context, self._rng, self._state.now_ms())
+
     def _exclude_other_versions(self) -> set[str]:
         """Exclude servers that may not continue a stream that has begun.
 
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Set
 from typing import Any
 
 import anyio
@@ -211,14 +211,18 @@
             if backend.held_off_until_ms > now_ms
         )
 
-    def find_first_pause(self, key: str, now_ms: float) -> Backend | None:
+    def find_first_pause(
+        self, key: str, now_ms: float, excluded_ids: Set[str] = frozenset()
+    ) -> Backend | None:
         """Return the server of a key that may get requests again first.
 
-        None when a server of the key that is not leaving has neither asked to be held
-        off nor used up its limit, and when no such server exists.
+        None when a server of the key that is neither leaving nor excluded has neither
+        asked to be held off nor used up its limit, and when no such server exists.
         """
         staying = [
-            backend for backend in self.view.candidates(key) if not backend.view.leaving
+            backend
+            for backend in self.view.candidates(key)
+            if not backend.view.leaving and backend.view.server_id not in excluded_ids
         ]
         first = min(staying, key=lambda backend: backend.paused_until_ms, default=None)
         return first if first and first.paused_until_ms > now_ms else None
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -126,6 +126,67 @@
                 self.assertEqual(sink.body, build_events(1, 4))
 
 
+class PausedServerTest(unittest.TestCase):
+    """Streams whose servers are paused or join while a request waits for one."""
+
+    async def _continue(
+        self, versions: str, limited: str, joining: str = ""
+    ) -> tuple[Failure | None, list[str]]:
+        """Resume a stream of version "a"; some servers are limited for a short time.
+
+        While the request waits, a server of another version joins.
+        """
+        async with run_versions(versions + joining) as (servers, tried):
+            servers.sort(key=lambda server: server.server_id)
+            state = build_direct_state(servers[: len(versions)])
+            for backend in state.view.backends.values():
+                if backend.view.software_version in limited:
+                    backend.limited_until_ms = monotonic_ms() + 100.0
+            now_ms = monotonic_ms()
+            state.stream_versions.record_stream("desk", "a1", "a", now_ms)
+            headers = {"last_event_id": "2", "x_cowslip_resumes": "a1"}
+            request = build_request(ROUTE, x_request_id="a2", **headers)
+            forwarder = RequestForwarder(
+                state, request, RecordingSink(), random.Random(1)
+            )
+            async with anyio.create_task_group() as tasks:
+
+                async def join() -> None:
+                    await anyio.sleep(0.03)
+                    # The list shows the limited servers as leaving.
+                    left = [server._replace(is_leaving=True) for server in servers]
+                    left[len(versions) :] = servers[len(versions) :]
+                    state.servers.apply_list(left, monotonic_ms())
+
+                if joining:
+                    tasks.start_soon(join)
+                fault = await forwarder.run()
+            return fault, tried
+
+    # A stream went on at a paused server of another version.
+    def test_paused_server_of_another_version(self):
+        """A wait for a paused server does not let its version continue the stream."""
+        for versions in ("b", "bb"):
+            with self.subTest(versions=versions):
+                fault, tried = anyio.run(self._continue, versions, "b")
+                self.assertIsNotNone(fault)
+                self.assertEqual(tried, [])
+
+    # A stream went on at a server of another version that joined during a wait.
+    def test_server_that_joins_during_the_wait(self):
+        """Servers that are listed while the request waits are judged as well."""
+        fault, tried = anyio.run(self._continue, "a", "a", "bb")
+        self.assertNotIn("b", tried)
+
+    def test_paused_server_of_the_version(self):
+        """A paused server of the version continues the stream after the wait."""
+        for versions in ("ab", "ba", "a"):
+            with self.subTest(versions=versions):
+                fault, tried = anyio.run(self._continue, versions, "ab")
+                self.assertIsNone(fault)
+                self.assertEqual(tried, ["a"])
+
+
 class FakeLeader:
     """A leader that answers for the streams that entries report to it."""
 
