Wait for the leader's connection before a resumed stream is refused

Callers that came back right after a reset of connections were told to begin anew.

Cause: an entry asks the leader which version began a stream, for up to 400 ms, but it gave up at once while its connection to the leader was gone, which is open again after some 100 ms.

The question is asked again until the 400 ms are over, as lookups of holders are.

--- a/src/cowslipwood/entry/direct/_holders.py
+++ b/src/cowslipwood/entry/direct/_holders.py
@@ -16,7 +16,7 @@
 from ._request import RoutedRequest
 from ._servers import KnownServers
 
-__all__ = ["HolderFinder"]
+__all__ = ["NO_LEADER_CODES", "HolderFinder"]
 
 # Time, in milliseconds, that a request must have left for its run after the model or
 # adapter has been loaded.
--- a/src/cowslipwood/entry/direct/_stream_versions.py
+++ b/src/cowslipwood/entry/direct/_stream_versions.py
@@ -12,6 +12,7 @@
 from returns.result import Failure as Err
 from returns.result import Result
 
+from ...kernel.clock import monotonic_ms
 from ...kernel.codes import Failure
 from ...kernel.messages import (
     BegunStream,
@@ -22,6 +23,7 @@
 )
 from ...kernel.metrics import Metrics
 from ...software_versions import MAX_STREAM_ID_LENGTH, STREAM_LIFE_MS
+from ._holders import NO_LEADER_CODES
 
 __all__ = ["StreamVersionSource", "StreamVersions"]
 
@@ -33,6 +35,9 @@
 # Longest time, in milliseconds, to wait for the leader's answer. The client is better
 # told soon that it has to begin anew.
 ASK_TIMEOUT_MS = 400.0
+# Pause, in milliseconds, before a question that no leader answered is asked again. A
+# connection to the leader that was reset is open again after a few such pauses.
+ASK_RETRY_PAUSE_MS = 50.0
 # Largest number of streams that are remembered, the newest ones: those of a minute at
 # 300 a second.
 MAX_STREAMS = 20_000
@@ -117,14 +122,28 @@
         known = self._streams.get((service, request_id))
         if known is not None:
             return known.version
-        reply = await self._ask_leader(
-            StreamVersionRequest(service, request_id), ASK_TIMEOUT_MS
-        )
+        reply = await self._ask(StreamVersionRequest(service, request_id))
         if isinstance(reply, Err) or not isinstance(reply.unwrap(), StreamVersion):
             return None
         answer: StreamVersion = reply.unwrap()
         return answer.version if answer.is_known else None
 
+    async def _ask(
+        self, request: StreamVersionRequest
+    ) -> Result[StreamVersion, Failure]:
+        """Ask the leader; ask again, for a short time, until a leader answers."""
+        until_ms = monotonic_ms() + ASK_TIMEOUT_MS
+        while True:
+            left_ms = until_ms - monotonic_ms()
+            reply = await self._ask_leader(request, max(1.0, left_ms))
+            if (
+                not isinstance(reply, Err)
+                or reply.failure().code not in NO_LEADER_CODES
+                or monotonic_ms() + ASK_RETRY_PAUSE_MS >= until_ms
+            ):
+                return reply
+            await anyio.sleep(ASK_RETRY_PAUSE_MS / 1000)
+
     def take_news(self, now_ms: float) -> StreamsBegun | None:
         """Return streams that were not reported yet; None if there are none."""
         self.has_news = anyio.Event()
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -9,6 +9,7 @@
 import anyio
 import anyio.abc
 import orjson
+from returns.result import Failure as Err
 from returns.result import Success
 
 from cowslipwood.entry.direct._exchange import RequestForwarder
@@ -19,8 +20,8 @@
 from cowslipwood.keeper._machine import KeeperStateMachine
 from cowslipwood.keeper._stream_versions import StreamVersionTable
 from cowslipwood.kernel.clock import monotonic_ms
-from cowslipwood.kernel.codes import Code, Failure, Outcome
-from cowslipwood.kernel.messages import StreamVersionRequest
+from cowslipwood.kernel.codes import Code, Failure, Outcome, failure
+from cowslipwood.kernel.messages import StreamVersion, StreamVersionRequest
 from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.kernel.wire import decode_record, encode_record
 from cowslipwood.listing import ListedServer, to_server_view
@@ -216,6 +217,22 @@
                 self.table.add(news)
 
 
+class LostLeader:
+    """A leader to which the connection is lost for the first questions."""
+
+    def __init__(self, n_refusals: int):
+        self.n_refusals = n_refusals
+        self.n_asked = 0
+
+    async def ask(self, request: StreamVersionRequest, timeout_ms: float) -> Any:
+        """Answer an entry's question."""
+        self.n_asked += 1
+        if self.n_asked <= self.n_refusals:
+            codes = (Code.NO_QUORUM, Code.PEER_GONE, Code.NOT_LEADER)
+            return Err(failure(codes[self.n_asked % len(codes)]))
+        return Success(StreamVersion("a", True))
+
+
 class TakenUpByClientTest(unittest.TestCase):
     """Streams that broke off and that their clients resume, at any entry."""
 
@@ -292,6 +309,18 @@
 
         self.assertEqual(anyio.run(main).code, Code.STREAM_UNKNOWN)
 
+    # Most streams whose callers came back right after a reset were refused.
+    def test_leader_that_is_found_again(self):
+        """A resume waits for the connection to the leader, but not for long."""
+        for n_refusals, version in ((0, "a"), (2, "a"), (1_000, None)):
+            with self.subTest(n_refusals=n_refusals):
+                leader = LostLeader(n_refusals)
+                streams = StreamVersions(leader.ask, Metrics("entry"))
+                found = anyio.run(streams.find_version, "desk", "a1")
+                self.assertEqual(found, version)
+                self.assertGreater(leader.n_asked, min(n_refusals, 3))
+                self.assertLess(leader.n_asked, 20)
+
     def test_two_ids(self):
         """Two different ids of the attempt count as none."""
         headers = [
