Narrow three checks of the soak by traces of runs with renewed servers

- check_overlapping_runs took a run without a recorded end for endless.
Such a run now lasts to the end of the history.
- check_hold_off held entries to the pause of a server's earlier process.
- check_resumes counted servers that leave among those that serve.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -98,7 +98,8 @@
             hosts = (entry, earlier["server"])
             if any(disturbed.is_near(host, record["at_ms"]) for host in hosts):
                 continue
-            overlap_ms = (end_ms or float("inf")) - record["at_ms"]
+            # A run without an end lasted to the end of the history at least.
+            overlap_ms = (end_ms or history[-1]["at_ms"]) - record["at_ms"]
             if earlier["server"] != record["server"] and overlap_ms > OVERLAP_MS:
                 text = (
                     f"{record['request']} went on at {record['server']} while "
@@ -160,6 +161,7 @@
             record
             for record in _select(history, "arrived")
             if record["server"] == refusal["server"]
+            and record["born_ms"] == refusal["born_ms"]
             and entry_of.get(record["request"]) == entry
             and refusal["at_ms"] + HOLD_OFF_SLACK_MS < record["at_ms"] < until_ms
         ]
@@ -284,12 +286,17 @@
 
 
 class _Fleet:
-    """Which servers served when, apart from those that a fault had struck."""
+    """Which servers served when, apart from those that a fault had struck.
+
+    A server that leaves gets no further requests, so it counts as ended.
+    """
 
     def __init__(self, history: Sequence[Record]):
         self._started = _select(history, "server_started")
         self._ended_at_ms = defaultdict(list)
-        for record in _select(history, "server_ended"):
+        for record in history:
+            if record["event"] not in ("server_leaving", "server_ended"):
+                continue
             self._ended_at_ms[record["server"]].append(record["at_ms"])
         self._disturbed = _Disturbances(history)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -236,6 +236,11 @@
         server.process = self._start_module("soak.server", settings)
         server.state, server.is_listed = "ready", True
 
+    def _announce_end(self, server: "_Server") -> None:
+        """Have the list show that a server leaves."""
+        server.state = "draining"
+        self._history.write("server_leaving", server=server.settings.server_id)
+
     def _end_server(self, server: "_Server") -> None:
         _end(server.process)
         self._history.write("server_ended", server=server.settings.server_id)
@@ -433,7 +438,7 @@
 
     async def _drain_server(self, fault: ScheduledFault, server: "_Server") -> None:
         self._record(fault, [server.settings.server_id], 0.0)
-        server.state = "draining"
+        self._announce_end(server)
         await anyio.sleep(DRAIN_S)
         self._record(fault, [server.settings.server_id], 0.0)
         self._end_server(server)
@@ -455,7 +460,7 @@
         self._record(fault, [], 0.0)
         async with anyio.create_task_group() as tasks:
             for server in rng.sample(old, rng.randint(0, len(old))):
-                server.state = "draining"
+                self._announce_end(server)
                 used = {each.settings.host for each in self._servers}
                 number = next(
                     number
