Take no renewed server for its earlier incarnation where streams may be resumed

Callers got streams with events of two software versions of a service.

Cause: the version of a server is that of the list, which lags. A server that started again under its id and address with another version was believed to be what it was: it went on with streams of the earlier version, and streams that it began were recorded under that version and went on at servers of it.

A process that ends takes its connections with it, so a connection that is older than the list in use leads to the listed incarnation. Over a younger one the entry asks the engine first when it started, once for all connections opened before; another answer than the listed start excludes it until the list is read again. The version of an attempt is that of the moment at which it is sent.

Not covered: streams of plain services, which do not say when they started.

--- a/src/cowslipwood/entry/choosing/_backend.py
+++ b/src/cowslipwood/entry/choosing/_backend.py
@@ -101,6 +101,8 @@
         Time until which the server has asked for no requests; 0 for none.
     limited_until_ms : float
         Time until which the limit that the server has named allows no request.
+    proven_at_ms : float
+        Last time at which the server was known to be the incarnation of its view.
     """
 
     __slots__ = (
@@ -118,6 +120,7 @@
         "_late_share",
         "_last_stream_at_ms",
         "_pending",
+        "proven_at_ms",
         "n_pending_tokens",
         "n_in_flight",
         "report",
@@ -142,6 +145,7 @@
         self.unlisted_since_ms = 0.0
         self.held_off_until_ms = 0.0
         self.limited_until_ms = 0.0
+        self.proven_at_ms = 0.0
         self._excluded_until_ms: dict[str, float] = {}
         self._apply_report(_report_of_view(view), now_ms)
 
@@ -152,6 +156,7 @@
             self._excluded_until_ms.clear()
             self.held_off_until_ms = 0.0
             self.limited_until_ms = 0.0
+            self.proven_at_ms = 0.0
         self.view = view
         self.unlisted_since_ms = 0.0
         if now_ms - self._reported_at_ms > FRESH_REPORT_MS:
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -51,7 +51,7 @@
 from ._part_guard import PartGuard
 from ._retries import RetryBudgetLimits
 from ._servers import KnownServers
-from ._state import DirectState
+from ._state import BornSource, DirectState
 from ._stream_versions import StreamVersions
 
 __all__ = ["DIRECT_SETTING_CHECKS", "DirectEntry", "DirectSettings"]
@@ -174,6 +174,8 @@
     keepers : KeeperAddresses, optional
         Addresses of the keepers, whose configured ones a reload may replace; by
         default those of the setting `keepers`.
+    read_born : BornSource, optional
+        Asks servers when they started.
     """
 
     def __init__(
@@ -182,6 +184,7 @@
         header_names: HeaderNames,
         list_source: ServerListSource,
         keepers: KeeperAddresses | None = None,
+        read_born: BornSource | None = None,
     ):
         self._settings = settings
         self._list_source = list_source
@@ -220,6 +223,7 @@
             ask_leader=self._link.request,
             identity_key=_make_identity_key(settings.cluster_token),
             started_ms=monotonic_ms(),
+            read_born=read_born,
         )
         self._app = RouteApp(self._state, random.Random())
 
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -11,6 +11,7 @@
 from ._choice import ServerChoice
 from ._forwarding import AnswerForwarder, AnswerSink
 from ._identity import RequestIdentity
+from ._incarnations import check_incarnation
 from ._limits import Permit
 from ._progress import RequestProgress
 from ._request import RoutedRequest, compute_urgency_rank
@@ -213,6 +214,10 @@
                 permit = await self._take_permit(backend)
                 if isinstance(permit, Failure):
                     return permit
+            if self._request.route.is_resumable:
+                fault = await check_incarnation(self._state, backend, conn)
+                if fault is not None:
+                    return fault
             with backend.track_request():
                 return await self._sender.send(backend, conn, permit)
         finally:
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -30,6 +30,8 @@
         Whether the last attempt may have ended its server.
     software_version : str
         Version of the server that answers, or began the stream.
+    sent_version : str
+        Version of the server that got the present attempt.
     is_resumed : bool
         Whether the client resumes a stream that `software_version` began.
     last_event_id : bytes
@@ -44,6 +46,7 @@
         self.answer_stage = AnswerStage.AWAITED
         self.may_have_ended_server = False
         self.software_version = ""
+        self.sent_version = ""
         self.is_resumed = False
         self.last_event_id = b""
         self.error_answer: tuple[AnswerHead, bytes] | None = None
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -82,6 +82,8 @@
         state, request = self._state, self._request
         names = state.header_names
         now_ms = state.now_ms()
+        # The list may show another incarnation of the server before it answers.
+        self._progress.sent_version = backend.view.software_version
         left_ms = max(1, int(request.answer_by_ms - now_ms))
         entry_headers = [
             (names.deadline, str(left_ms).encode()),
@@ -195,7 +197,7 @@
             )
             return self._recorder.record_failure(backend, fault)
         if not self._progress.must_keep_version:
-            self._progress.software_version = backend.view.software_version
+            self._progress.software_version = self._progress.sent_version
         try:
             return await self._forwarder.forward(backend, conn, head, sent_ms)
         except (BrokenAnswerError, EventTooLongError, StatusLineError) as exc:
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -11,9 +11,10 @@
 
 from ...kernel.clock import monotonic_ms
 from ...kernel.codes import Code, Failure, failure
+from ...kernel.http_connection import ServerConnection
 from ...kernel.http_pool import ConnectionPool
 from ...kernel.logs import get_logger
-from ...kernel.messages import DemandSample, HeldOff
+from ...kernel.messages import DemandSample, HeldOff, ServerView
 from ...kernel.metrics import Metrics
 from ...listing import ServerNotice
 from ...routes import RouteDocument, RouteTable
@@ -37,6 +38,11 @@
 TYPICAL_TOKENS_WEIGHT = 0.03
 
 
+# Asks a server over a connection when it started, as Unix time in milliseconds; 0 if
+# servers of its kind do not tell. The connection is free again after a success.
+BornSource = Callable[[ServerConnection, ServerView], Awaitable[Result[int, Failure]]]
+
+
 class DirectState:
     """Routes, servers, connections and meters of a direct-route entry.
 
@@ -61,6 +67,8 @@
         Key of the digests by which entries recognise requests; the same at all.
     started_ms : float
         When the entry started; by default more than a retry window ago.
+    read_born : BornSource, optional
+        Without it, the list alone tells which incarnation of a server answers.
 
     Attributes
     ----------
@@ -96,9 +104,11 @@
         ask_leader: Callable[[Any, float], Awaitable[Result]] | None = None,
         identity_key: bytes = b"",
         started_ms: float = -math.inf,
+        read_born: BornSource | None = None,
     ):
         ask = ask_leader or _find_no_leader
         self.identity_key = identity_key
+        self.read_born = read_born
         self.zone = zone
         self.header_names = header_names
         self.holder_finder = holder_finder
--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -96,6 +96,8 @@
 
     Attributes
     ----------
+    opened_at_ms : float
+        Time at which the connection was open, on `monotonic_ms`.
     idle_since_ms : float
         Time at which the pool got the connection back, on `monotonic_ms`.
     n_requests : int
@@ -114,6 +116,7 @@
         self._unsent: bytes = b""
         self._is_broken = False
         self._server_closes = False
+        self.opened_at_ms = 0.0
         self.idle_since_ms = 0.0
         self.n_requests = 0
         self.idle_limit_ms: float | None = None
--- a/src/cowslipwood/kernel/http_pool.py
+++ b/src/cowslipwood/kernel/http_pool.py
@@ -8,11 +8,12 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from .clock import monotonic_ms
 from .codes import Code, Failure, failure
 from .http_connection import BrokenAnswerError, ServerConnection, open_connection
 from .settings import parse_address
 
-__all__ = ["ConnectionPool", "WholeAnswer"]
+__all__ = ["ConnectionPool", "WholeAnswer", "exchange_on"]
 
 # Share of the server's own idle timeout after which an idle connection is not used
 # again. If the server closes a connection while a request is sent on it, the
@@ -63,7 +64,10 @@
             if conn is not None:
                 return conn
         host, port = parse_address(addr)
-        return await open_connection(host, port, min(CONNECT_TIMEOUT_MS, timeout_ms))
+        conn = await open_connection(host, port, min(CONNECT_TIMEOUT_MS, timeout_ms))
+        if conn is not None:
+            conn.opened_at_ms = monotonic_ms()
+        return conn
 
     async def exchange(
         self,
@@ -88,22 +92,12 @@
         raw_headers = [(b"host", addr.encode()), *headers]
         if body:
             raw_headers.append((b"content-length", str(len(body)).encode()))
-        try:
-            with anyio.fail_after(timeout_ms / 1000):
-                await conn.send(method.encode(), target.encode(), raw_headers, body)
-                head = await conn.receive_head()
-                data = await _read_body(conn, max_body_bytes)
-        except TimeoutError:
-            await conn.close()
-            return Err(failure(Code.BACKEND_TIMEOUT, addr))
-        except BrokenAnswerError as exc:
-            await conn.close()
-            return Err(failure(Code.ANSWER_CUT, f"{addr}: {exc}"))
-        except BaseException:
-            await conn.close()
-            raise
-        await self.release(addr, conn, now_ms)
-        return Success(WholeAnswer(head.status, head.headers, data))
+        answer = await exchange_on(
+            conn, method, target, raw_headers, body, timeout_ms, max_body_bytes
+        )
+        if not isinstance(answer, Err):
+            await self.release(addr, conn, now_ms)
+        return answer
 
     async def release(self, addr: str, conn: ServerConnection, now_ms: float) -> None:
         """Take back a connection whose exchange has ended, or close it.
@@ -153,6 +147,36 @@
         await self.close_expired(set(), 0.0)
 
 
+async def exchange_on(
+    conn: ServerConnection,
+    method: str,
+    target: str,
+    headers: Sequence[tuple[bytes, bytes]],
+    body: bytes,
+    timeout_ms: float,
+    max_body_bytes: int = MAX_BODY_BYTES,
+) -> Result[WholeAnswer, Failure]:
+    """Send a small request on a connection and read the complete answer.
+
+    Fails with BACKEND_TIMEOUT or ANSWER_CUT, and then closes the connection.
+    """
+    try:
+        with anyio.fail_after(timeout_ms / 1000):
+            await conn.send(method.encode(), target.encode(), headers, body)
+            head = await conn.receive_head()
+            data = await _read_body(conn, max_body_bytes)
+    except TimeoutError:
+        await conn.close()
+        return Err(failure(Code.BACKEND_TIMEOUT, target))
+    except BrokenAnswerError as exc:
+        await conn.close()
+        return Err(failure(Code.ANSWER_CUT, f"{target}: {exc}"))
+    except BaseException:
+        await conn.close()
+        raise
+    return Success(WholeAnswer(head.status, head.headers, data))
+
+
 async def _close_all(conns: Sequence[ServerConnection]) -> None:
     for conn in conns:
         await conn.close()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -7,12 +7,25 @@
 import tempfile
 import unittest
 from pathlib import Path
+from typing import Any
 from unittest import mock
 
+import anyio
 import orjson
+from returns.result import Failure as Err
 
+from cowslipwood.kernel.clock import monotonic_ms
+from cowslipwood.kernel.http_pool import ConnectionPool
+from cowslipwood.listing import to_server_view
 from cowslipwood.routes import parse_document
 
+from .direct_builders import (
+    always_send,
+    build_answer,
+    build_listed_server,
+    run_scripted_server,
+)
+
 # Folder of the program that starts the others and of the adapter package.
 ADAPTER = Path(__file__).resolve().parent.parent / "platform"
 
@@ -180,3 +193,56 @@
             text = path.read_text()
             for name in names:
                 self.assertNotIn(name, text, path.name)
+
+
+class BornReportTest(unittest.TestCase):
+    """What an engine says of its start over the connection of the next request."""
+
+    async def _read(self, answer: bytes, kind: str = "engine") -> tuple[Any, bool]:
+        """Return what the engine said, and whether the connection is free again."""
+        async with run_scripted_server(always_send(answer)) as (addr, heads):
+            view = to_server_view(build_listed_server("s0", addr), ())
+            conn = await ConnectionPool().acquire(addr, monotonic_ms(), 1_000.0)
+            reply = await adapter_module("_incarnations").read_born_ms(
+                conn, view._replace(kind=kind)
+            )
+            is_free = conn.n_requests == 0
+            if heads and not isinstance(reply, Err):
+                # A second copy of the report would pass for the answer to a request.
+                self.assertTrue(conn.peer_repeats_ids)
+                request = (b"GET", b"/x", [(b"host", b"h")], b"")
+                await conn.send(*request)
+                is_free = (await conn.receive_head()).status == 200
+            await conn.close()
+            return reply, is_free
+
+    def test_report(self):
+        """Another report than a whole number counts as none; an error as a failure."""
+        for body, expected in (
+            (b'{"born": 1780000000000}', 1780000000000),
+            (b'{"born": "1780000000000"}', 0),
+            (b'{"born": 1.5}', 0),
+            (b'{"born": true}', 0),
+            (b"{}", 0),
+            (b"[]", 0),
+            (b"no report", 0),
+        ):
+            with self.subTest(body=body):
+                reply, is_free = anyio.run(self._read, build_answer(body))
+                self.assertEqual((reply.unwrap(), is_free), (expected, True))
+
+    def test_no_report(self):
+        """A refusal, a cut answer or a last answer of a connection is a failure."""
+        for answer in (
+            build_answer(b"{}", "503 Busy"),
+            build_answer(b"{}", extra_headers="connection: close\r\n"),
+            b"no answer\r\n\r\n",
+        ):
+            with self.subTest(answer=answer):
+                reply, _ = anyio.run(self._read, answer)
+                self.assertIsInstance(reply, Err)
+
+    def test_plain_service(self):
+        """A plain service is not asked."""
+        reply, is_free = anyio.run(self._read, b"", "service")
+        self.assertEqual((reply.unwrap(), is_free), (0, True))
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -217,6 +217,66 @@
                 self.table.add(news)
 
 
+class RenewedServerTest(unittest.TestCase):
+    """Servers that started again under their id before the list shows it."""
+
+    async def _begin(
+        self,
+        born_ms: dict[str, int | None],
+        n_requests: int = 1,
+        list_age_ms: float = 0,
+    ) -> tuple[list[Failure | None], list[str], list[str]]:
+        """Send streams to servers of version "a" that are listed as born at 1 ms.
+
+        Returns the failures, the versions that got a stream, and the servers that were
+        asked when they started.
+        """
+        asked: list[str] = []
+
+        async def read_born(conn: Any, server: Any) -> Any:
+            asked.append(server.server_id)
+            born = born_ms[server.server_id]
+            return Err(failure(Code.BACKEND_TIMEOUT)) if born is None else Success(born)
+
+        async with run_versions("a" * len(born_ms)) as (servers, tried):
+            state = build_direct_state(servers)
+            state.read_born = read_born
+            state.servers.list_read_at_ms += list_age_ms
+            faults = []
+            for number in range(n_requests):
+                request = build_request(
+                    ROUTE._replace(max_attempts=1), x_request_id=f"a{number}"
+                )
+                forwarder = RequestForwarder(
+                    state, request, RecordingSink(), random.Random(1)
+                )
+                faults.append(await forwarder.run())
+            return faults, tried, asked
+
+    # A stream of a renewed server was taken for one of the version that it had before.
+    def test_renewed_server_begins_no_stream(self):
+        """A server that tells another start, or does not answer, gets no stream."""
+        for born_ms, n_tried in (
+            ({"s0": 1}, 1),
+            ({"s0": 0}, 1),
+            ({"s0": 2}, 0),
+            ({"s0": None}, 0),
+            ({"s0": 2, "s1": 2}, 0),
+            ({"s0": 2, "s1": 1}, 1),
+            ({"s0": 1, "s1": None}, 1),
+        ):
+            with self.subTest(born_ms=born_ms):
+                _, tried, _ = anyio.run(self._begin, born_ms)
+                self.assertEqual(len(tried), n_tried)
+
+    def test_one_proof_for_earlier_connections(self):
+        """A connection that is older than the list in use needs no question."""
+        _, tried, asked = anyio.run(self._begin, {"s0": 1}, 2, 60_000.0)
+        self.assertEqual((len(tried), asked), (2, []))
+        _, tried, asked = anyio.run(self._begin, {"s0": 1}, 2)
+        self.assertEqual((len(tried), asked), (2, ["s0", "s0"]))
+
+
 class LostLeader:
     """A leader to which the connection is lost for the first questions."""
 
