Begin resumable streams at recorded versions where an entry has no leader

Callers could get a stream of two versions after an entry was lost.

Cause: an entry without a leader reads the list itself and used servers of a version at once. The log names a version only after the leader has read it. If that entry is killed before it reports its streams, a leader that has not read the list since then, or cannot, knows one possible version and takes the streams for its own.

Such servers now begin a resumable stream only if no other server can. Other requests go to all servers as before.

--- a/src/cowslipwood/entry/direct/_choice.py
+++ b/src/cowslipwood/entry/direct/_choice.py
@@ -118,8 +118,26 @@
 
     def _choose_backend(self, context: RoutingContext) -> Backend | None:
         """Return the server that the policy chooses among those listed now."""
+        state = self._state
         self._exclude_other_versions()
-        return self._state.choose_backend(context, self._rng, self._state.now_ms())
+        untold = self._find_untold_servers()
+        self.tried_server_ids |= untold
+        chosen = state.choose_backend(context, self._rng, state.now_ms())
+        self.tried_server_ids -= untold
+        if chosen is None and untold:
+            chosen = state.choose_backend(context, self._rng, state.now_ms())
+        return chosen
+
+    def _find_untold_servers(self) -> set[str]:
+        """Return further servers that begin a resumable stream only if no other can."""
+        state, request = self._state, self._request
+        if not request.route.is_resumable or self._progress.must_keep_version:
+            return set()
+        return {
+            backend.view.server_id
+            for backend in state.view.candidates(request.key)
+            if state.servers.is_version_untold(backend.view)
+        } - self.tried_server_ids
 
     def _exclude_other_versions(self) -> set[str]:
         """Exclude servers that may not continue a stream that has begun.
@@ -168,10 +186,14 @@
         if request.route.kind is not RouteKind.STREAMING or self._progress.has_started:
             return chosen
         now_ms = state.now_ms()
+        untold = self._find_untold_servers()
+        usable = usable_candidates(state.view.candidates(request.key), context, now_ms)
+        if chosen.view.server_id not in untold:
+            usable = [each for each in usable if each.view.server_id not in untold]
         decision = decide_admission(
             request,
             chosen,
-            usable_candidates(state.view.candidates(request.key), context, now_ms),
+            usable,
             compute_urgency_rank(request.route, now_ms - request.arrived_ms),
             context,
             now_ms,
--- a/src/cowslipwood/entry/direct/_servers.py
+++ b/src/cowslipwood/entry/direct/_servers.py
@@ -45,6 +45,8 @@
         self._follows_leader = False
         # Incarnation of each server that announced that it is leaving, by server id.
         self._leaving_incarnations: dict[str, str] = {}
+        # Service and version of the servers of which a leader has told.
+        self._told_versions: set[tuple[str, str]] = set()
         self.list_read_at_ms = 0.0
 
     def needs_list_read(self, now_ms: float) -> bool:
@@ -55,8 +57,11 @@
         """Apply the leader's changes to the servers and to what they hold."""
         if update.full:
             self._leader_views.clear()
+            if update.servers:
+                self._told_versions.clear()
         for server in update.servers:
             self._leader_views[server.server_id] = server
+            self._told_versions.add((server.service_name, server.software_version))
         for server_id in update.removed:
             self._leader_views.pop(server_id, None)
         if not self._follows_leader:
@@ -66,6 +71,19 @@
         else:
             self._update_view(update.servers, update.removed, now_ms)
 
+    def is_version_untold(self, server: ServerView) -> bool:
+        """Return whether a leader has told of a server's service, not of its version.
+
+        The log may not name that version yet. So a stream that such a server begins
+        might be taken for one of another version.
+        """
+        if self._follows_leader:
+            return False
+        told = self._told_versions
+        return (server.service_name, server.software_version) not in told and any(
+            service == server.service_name for service, _ in told
+        )
+
     def apply_load(self, load: FleetLoad, now_ms: float) -> None:
         """Apply the engines' load and the age of the leader's server list."""
         self._apply_leader_list_age(load.list_age_ms, now_ms)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Any
+from unittest import mock
 
 import anyio
 import anyio.abc
@@ -12,6 +13,7 @@
 from returns.result import Failure as Err
 from returns.result import Success
 
+from cowslipwood.entry.direct import _admission
 from cowslipwood.entry.direct._exchange import RequestForwarder
 from cowslipwood.entry.direct._headers import read_request_facts
 from cowslipwood.entry.direct._state import DirectState
@@ -21,11 +23,15 @@
 from cowslipwood.keeper._stream_versions import StreamVersionTable
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.codes import Code, Failure, Outcome, failure
-from cowslipwood.kernel.messages import StreamVersion, StreamVersionRequest
+from cowslipwood.kernel.messages import (
+    RoutingUpdate,
+    StreamVersion,
+    StreamVersionRequest,
+)
 from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.kernel.wire import decode_record, encode_record
 from cowslipwood.listing import ListedServer, to_server_view
-from cowslipwood.routes import RouteKind
+from cowslipwood.routes import Route, RouteKind
 from cowslipwood.software_versions import STREAM_LIFE_MS
 
 from .answer_builders import STREAM_HEADERS, Framing, build_events, frame_answer
@@ -277,6 +283,89 @@
         self.assertEqual((len(tried), asked), (2, ["s0", "s0"]))
 
 
+class UntoldVersionTest(unittest.TestCase):
+    """Entries that read the list themselves, which shows versions before the log."""
+
+    async def _begin(
+        self, told: str, listed: str, route: Route, n_requests: int = 8
+    ) -> list[str]:
+        """Return the versions that get streams of an entry that lost its leader."""
+        async with run_versions(told + listed) as (servers, tried):
+            servers.sort(key=lambda server: server.server_id)
+            state = build_direct_state([])
+            views = [to_server_view(server, ("service:desk",)) for server in servers]
+            update = RoutingUpdate(True, tuple(views[: len(told)]), ())
+            state.servers.apply_update(update, monotonic_ms())
+            state.servers.forget_leader()
+            # A leader that has not read the list yet.
+            state.servers.apply_update(RoutingUpdate(True, (), ()), monotonic_ms())
+            state.servers.forget_leader()
+            state.servers.apply_list(servers[len(told) :], monotonic_ms())
+            for number in range(n_requests):
+                request = build_request(route, x_request_id=f"a{number}")
+                forwarder = RequestForwarder(
+                    state, request, RecordingSink(), random.Random(number)
+                )
+                await forwarder.run()
+            return tried
+
+    # A stream that nobody else knew was taken for one of the only recorded version.
+    def test_told_versions_first(self):
+        """A version of which no leader told begins a stream only if no other can."""
+        route = ROUTE._replace(max_attempts=1)
+        for told, listed, expected in (
+            ("a", "ab", {"a"}),
+            ("a", "abbb", {"a"}),
+            ("a", "bb", {"b"}),
+            ("", "ab", {"a", "b"}),
+            ("ab", "ab", {"a", "b"}),
+        ):
+            with self.subTest(told=told, listed=listed):
+                tried = anyio.run(self._begin, told, listed, route)
+                self.assertEqual(set(tried), expected)
+
+    def test_busy_servers_of_the_told_version(self):
+        """A queue at the told version does not move a stream to another one."""
+
+        async def main() -> tuple[list[str], Failure | None]:
+            async with run_versions("ab") as (servers, tried):
+                servers.sort(key=lambda server: server.software_version)
+                state = build_direct_state([])
+                view = to_server_view(servers[0], ("service:desk",))
+                update = RoutingUpdate(True, (view,), ())
+                state.servers.apply_update(update, monotonic_ms())
+                state.servers.forget_leader()
+                state.servers.apply_list(servers, monotonic_ms())
+                with mock.patch.object(
+                    _admission, "expected_queue_ms", self._compute_queue_ms
+                ):
+                    request = build_request(ROUTE, x_request_id="a1")
+                    forwarder = RequestForwarder(
+                        state, request, RecordingSink(), random.Random(1)
+                    )
+                    return tried, await forwarder.run()
+
+        tried, fault = anyio.run(main)
+        self.assertEqual((tried, fault.code), ([], Code.OVERLOADED))
+
+    def _compute_queue_ms(self, backend: Any, *_: Any) -> float:
+        return 60_000.0 if backend.view.software_version == "a" else 0.0
+
+    def test_streams_that_no_client_resumes(self):
+        """Other streams go to all servers."""
+        route = ROUTE._replace(is_resumable=False)
+        self.assertEqual(set(anyio.run(self._begin, "a", "ab", route)), {"a", "b"})
+
+    def test_retry(self):
+        """After the told version has failed, another one is tried."""
+
+        async def main() -> list[str]:
+            return await self._begin("a", "ab", ROUTE, 1)
+
+        # The stream has begun, so no other version may continue it.
+        self.assertEqual(anyio.run(main), ["a"])
+
+
 class LostLeader:
     """A leader to which the connection is lost for the first questions."""
 
