Resume a stream of a split route at the service that began it

Callers could get the rest of a stream from another service of the route.

Cause: the service of a split route is drawn anew for each attempt.

Evidence: test_service_of_a_split_route; before, the draw knew nothing of the stream.

An entry that served the attempt named by the caller takes its service, as long as the route sends requests there. Other entries draw as before: refusing there would cost more resumes than it protects, see docs/design/software-versions.md.

--- a/src/cowslipwood/entry/direct/_app.py
+++ b/src/cowslipwood/entry/direct/_app.py
@@ -205,9 +205,10 @@
         timeout_ms = route.timeout_ms
         if facts.caller_timeout_ms is not None:
             timeout_ms = min(timeout_ms, facts.caller_timeout_ms)
+        service = state.stream_versions.find_service(route, facts)
         return RoutedRequest(
             route=route,
-            service=pick_service(route, self._rng),
+            service=service or pick_service(route, self._rng),
             method=scope["method"].encode(),
             target=path + b"?" + query if query else path,
             headers=headers,
--- a/src/cowslipwood/entry/direct/_stream_versions.py
+++ b/src/cowslipwood/entry/direct/_stream_versions.py
@@ -22,7 +22,9 @@
     StreamVersionRequest,
 )
 from ...kernel.metrics import Metrics
+from ...routes import Route
 from ...software_versions import MAX_STREAM_ID_LENGTH, STREAM_LIFE_MS
+from ._headers import RequestFacts
 from ._holders import NO_LEADER_CODES
 
 __all__ = ["StreamVersionSource", "StreamVersions"]
@@ -108,6 +110,18 @@
         if len(self._seen_ms.get(service, ())) > 1:
             self._queue([BegunStream(service, request_id, version)])
 
+    def find_service(self, route: Route, facts: RequestFacts) -> str:
+        """Return the service of a route that began a resumed stream; empty if unknown.
+
+        The services of a split route run other software, whatever their versions.
+        """
+        if not (facts.is_resume and route.is_resumable and len(route.services) > 1):
+            return ""
+        for each in route.services:
+            if each.weight and (each.service, facts.resumed_id) in self._streams:
+                return each.service
+        return ""
+
     async def find_version(self, service: str, request_id: str) -> str | None:
         """Return the version that began a stream; None if it is not known.
 
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -15,7 +15,7 @@
 
 from cowslipwood.entry.direct import _admission
 from cowslipwood.entry.direct._exchange import RequestForwarder
-from cowslipwood.entry.direct._headers import read_request_facts
+from cowslipwood.entry.direct._headers import RequestFacts, read_request_facts
 from cowslipwood.entry.direct._state import DirectState
 from cowslipwood.entry.direct._stream_versions import StreamVersions
 from cowslipwood.keeper._commands import VersionsCommand, encode_command
@@ -31,7 +31,7 @@
 from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.kernel.wire import decode_record, encode_record
 from cowslipwood.listing import ListedServer, to_server_view
-from cowslipwood.routes import Route, RouteKind
+from cowslipwood.routes import Route, RouteKind, WeightedService
 from cowslipwood.software_versions import STREAM_LIFE_MS
 
 from .answer_builders import STREAM_HEADERS, Framing, build_events, frame_answer
@@ -510,6 +510,26 @@
         self.assertEqual(reported, ["q1", "q2"])
         self.assertEqual(len(streams.build_all(5.0).streams), 2)
 
+    # A resumed stream went on at another service of a split route.
+    def test_service_of_a_split_route(self):
+        """A resumed stream stays at the service that began it, if that is known."""
+        streams = self._build()
+        streams.record_stream("desk", "a1", "a", 1.0)
+        services = tuple(WeightedService(name, 50) for name in ("bar", "desk"))
+        closed = WeightedService("desk", 0)
+        split = ROUTE._replace(services=services)
+        resume = RequestFacts("a2", None, is_resume=True, resumed_id="a1")
+        for route, facts, expected in (
+            (split, resume, "desk"),
+            (split, resume._replace(resumed_id="a9"), ""),
+            (split, resume._replace(is_resume=False), ""),
+            (split._replace(is_resumable=False), resume, ""),
+            (split._replace(services=(services[0], closed)), resume, ""),
+            (ROUTE, resume, ""),
+        ):
+            with self.subTest(route=route.services, facts=facts):
+                self.assertEqual(streams.find_service(route, facts), expected)
+
     def test_forgotten(self):
         """Old streams and versions are forgotten."""
         streams = self._build()
