--- a/soak/server.py
+++ b/soak/server.py
@@ -10,6 +10,7 @@
 import functools
 import json
 import random
+import re
 import select
 import socket
 import struct
@@ -24,7 +25,13 @@
 from .history import HistoryWriter
 from .wire import END_OF_CHUNKS, Head, MessageReader, encode_chunk, encode_head
 
-__all__ = ["Fault", "ServerSettings", "make_instance"]
+__all__ = [
+    "Fault",
+    "ServerSettings",
+    "make_event",
+    "make_instance",
+    "split_versions",
+]
 
 # Time between two looks at the connection of a running request, in ms.
 CONNECTION_CHECK_MS = 20
@@ -45,6 +52,10 @@
 CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
+# The version at the end of an event's text; the end of a cut stream may lack a part.
+VERSION_MARK = re.compile(rb"~([^\n]*)")
+
+
 class Fault(enum.StrEnum):
     """What a server does wrong with one request."""
 
@@ -88,7 +99,7 @@
         Share of the streams that have neither length nor chunks and end with their
         connection.
     born_ms : int
-        When the process was started, as Unix time.
+        Unix time of its start; 0 for the present.
     notice_ms : float
         Longest time after which it notices that a connection was closed, unless it
         writes to it before.
@@ -145,14 +156,14 @@
         # Id, begin and end of each run, in seconds; the end is None while it goes on.
         self._runs: list[list[Any]] = []
         self._sequence = 0
-        self._born_ms = settings.born_ms
+        self._born_ms = settings.born_ms or int(time.time() * 1000)
 
     async def run(self) -> None:
         settings = self._settings
         listener = await anyio.create_tcp_listener(
             local_host=settings.host, local_port=settings.port, reuse_port=False
         )
-        self._record("server_started")
+        self._record("server_started", version=settings.version)
         await listener.serve(self._serve)
 
     def _record(self, event: str, head: Head | None = None, **fields: Any) -> None:
@@ -344,7 +355,7 @@
                         return "cut"
                     case Fault.PAUSE:
                         await anyio.sleep(PAUSE_S)
-            event = make_event(number)
+            event = make_event(number, self._settings.version)
             await stream.send(encode_chunk(event) if is_framed else event)
         if not is_framed:
             return "connection_ended"
@@ -400,9 +411,16 @@
         }
 
 
-def make_event(number: int) -> bytes:
-    """Return one event of a stream."""
-    return b"id: %d\ndata: token %d\n\n" % (number, number)
+def make_event(number: int, version: str = "") -> bytes:
+    """Return one event of a stream, with the version of the server that wrote it."""
+    mark = b"~" + version.encode() if version else b""
+    return b"id: %d\ndata: token %d%b\n\n" % (number, number, mark)
+
+
+def split_versions(events: bytes) -> tuple[bytes, list[str]]:
+    """Return events without the versions, and the versions of the complete ones."""
+    found = VERSION_MARK.findall(events[: events.rfind(b"\n\n") + 1])
+    return VERSION_MARK.sub(b"", events), sorted({each.decode() for each in found})
 
 
 def _get_socket(stream: anyio.abc.SocketStream) -> socket.socket:
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -52,7 +52,7 @@
 from ._part_guard import PartGuard
 from ._retries import RetryBudgetLimits
 from ._servers import KnownServers
-from ._state import DirectState
+from ._state import BornSource, DirectState
 from ._stopping import RunFinder
 from ._stream_versions import StreamVersions
 
@@ -180,6 +180,8 @@
         Asks a server whether it still runs; by default a connection to it tells.
     run_finder : RunFinder, optional
         Asks servers what they run; None where they do not tell.
+    read_born : BornSource, optional
+        Asks servers when they started.
     """
 
     def __init__(
@@ -190,6 +192,7 @@
         keepers: KeeperAddresses | None = None,
         ask_server: AskServer = ask_by_connection,
         run_finder: RunFinder | None = None,
+        read_born: BornSource | None = None,
     ):
         self._settings = settings
         self._list_source = list_source
@@ -230,6 +233,7 @@
             started_ms=monotonic_ms(),
             ask_server=ask_server,
             run_finder=run_finder,
+            read_born=read_born,
         )
         self._app = RouteApp(self._state, random.Random())
 
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -54,6 +54,8 @@
         Whether the last attempt may have ended its server.
     software_version : str
         Version of the server that answers, or began the stream.
+    sent_version : str
+        Version of the server that got the present attempt.
     is_resumed : bool
         Whether the client resumes a stream that `software_version` began.
     last_event_id : bytes
@@ -72,6 +74,7 @@
         self.given_up: GivenUpAttempt | None = None
         self.may_have_ended_server = False
         self.software_version = ""
+        self.sent_version = ""
         self.is_resumed = False
         self.last_event_id = b""
         self.event_order = EventOrder()
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Set
 from typing import Any
 
 import anyio
@@ -11,9 +11,10 @@
 
 from ...kernel.clock import monotonic_ms
 from ...kernel.codes import Code, Failure, failure
+from ...kernel.http_connection import ServerConnection
 from ...kernel.http_pool import ConnectionPool
 from ...kernel.logs import get_logger
-from ...kernel.messages import DemandSample, HeldOff
+from ...kernel.messages import DemandSample, HeldOff, ServerView
 from ...kernel.metrics import Metrics
 from ...listing import ServerNotice
 from ...routes import RouteDocument, RouteTable
@@ -39,6 +40,11 @@
 TYPICAL_TOKENS_WEIGHT = 0.03
 
 
+# Asks a server over a connection when it started, as Unix time in milliseconds; 0 if
+# servers of its kind do not tell. The connection is free again after a success.
+BornSource = Callable[[ServerConnection, ServerView], Awaitable[Result[int, Failure]]]
+
+
 class DirectState:
     """Routes, servers, connections and meters of a direct-route entry.
 
@@ -67,6 +73,8 @@
         Asks a server whether it still runs; by default a connection to it tells.
     run_finder : RunFinder or None
         Asks servers what they run; None where they do not tell.
+    read_born : BornSource, optional
+        Without it, the list alone tells which incarnation of a server answers.
 
     Attributes
     ----------
@@ -108,9 +116,11 @@
         started_ms: float = -math.inf,
         ask_server: AskServer = ask_by_connection,
         run_finder: RunFinder | None = None,
+        read_born: BornSource | None = None,
     ):
         ask = ask_leader or _find_no_leader
         self.identity_key = identity_key
+        self.read_born = read_born
         self.zone = zone
         self.header_names = header_names
         self.holder_finder = holder_finder
@@ -225,14 +235,18 @@
             if backend.held_off_until_ms > now_ms
         )
 
-    def find_first_pause(self, key: str, now_ms: float) -> Backend | None:
+    def find_first_pause(
+        self, key: str, now_ms: float, excluded_ids: Set[str] = frozenset()
+    ) -> Backend | None:
         """Return the server of a key that may get requests again first.
 
-        None when a server of the key that is not leaving has neither asked to be held
-        off nor used up its limit, and when no such server exists.
+        None when a server of the key that is neither leaving nor excluded has neither
+        asked to be held off nor used up its limit, and when no such server exists.
         """
         staying = [
-            backend for backend in self.view.candidates(key) if not backend.view.leaving
+            backend
+            for backend in self.view.candidates(key)
+            if not backend.view.leaving and backend.view.server_id not in excluded_ids
         ]
         first = min(staying, key=lambda backend: backend.paused_until_ms, default=None)
         return first if first and first.paused_until_ms > now_ms else None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,9 +4,10 @@
 
 from soak.checks import check_history
 from soak.run import SoakSettings, run_soak
-from soak.schedule import FaultKind, draw_schedule
+from soak.schedule import DEFAULT_KINDS, FaultKind, draw_schedule
+from soak.server import make_event, split_versions
 
-from .soak_builders import build_attempt, record
+from .soak_builders import build_attempt, build_stream, record
 
 STREAM = {"repeatable": True, "stream": True}
 # Seed and length of the run in this suite; longer ones are started by hand.
@@ -36,6 +37,10 @@
             first = build_attempt("a", 0.0, "s1", 101.0 + overlap_ms, **STREAM)
             second = build_attempt("b", 100.0, "s2", 900.0, **STREAM, first="a")
             self.assertEqual(find_rules([*first, *second]), expected)
+            # The history ends before the first server does.
+            cut = [each for each in first if each["event"] != "ended"]
+            last = record("config_acknowledged", 101.0 + overlap_ms)
+            self.assertEqual(find_rules([*cut, *second[:-1], last]), expected)
             # The entry of the first attempt was frozen.
             fault = record("fault", 90.0, targets=["e1"], until_ms=95.0, kind="x")
             self.assertEqual(find_rules([*first, *second, fault]), [])
@@ -74,8 +79,15 @@
 
     def test_requests_to_a_server_held_off(self):
         """An entry sends three requests to a server that has asked for none."""
-        refusal = record("refused", 5.0, "a", server="s1", hold_off_s=2)
-        for n_requests, expected in ((2, []), (3, ["BUDGET"])):
+        # A server that has started again since then has asked for nothing.
+        for n_requests, born_ms, expected in (
+            (2, 0, []),
+            (3, 0, ["BUDGET"]),
+            (3, 9, []),
+        ):
+            refusal = record(
+                "refused", 5.0, "a", server="s1", born_ms=born_ms, hold_off_s=2
+            )
             history = [*build_attempt("a", 0.0, repeatable=True), refusal]
             for number in range(n_requests):
                 history += build_attempt(f"b{number}", 900.0, repeatable=True)
@@ -134,6 +146,82 @@
         """A caller gets the answer to another request."""
         self.assertEqual(find_rules([record("foreign_answer", 1.0, "a")]), ["MIXED"])
 
+    def test_stream_of_two_versions(self):
+        """A stream holds events of two versions, in one answer or over two tries."""
+        for first, second, expected in (
+            (["v1"], ["v1"], []),
+            (["v1"], [], []),
+            (["v1", "v2"], [], ["ORDER"]),
+            (["v1"], ["v2"], ["ORDER"]),
+            (["v1"], ["v1", "v2"], ["ORDER"]),
+        ):
+            with self.subTest(first=first, second=second):
+                history = [
+                    *build_stream("a", 0.0, first, last_event_id=3),
+                    *build_stream("b", 100.0, second, after=3, resumes="a", first="a"),
+                ]
+                self.assertEqual(find_rules(history), expected)
+
+    def test_resumed_streams_that_do_not_go_on(self):
+        """Of twelve resumed streams, fewer than half as many go on as new ones begin.
+
+        They count where two servers of their version serve and no fault is near.
+        """
+        for n_going_on, n_servers, fault_at_ms, expected in (
+            (6, 2, None, []),
+            (5, 2, None, ["LOST"]),
+            (5, 1, None, []),
+            (0, 2, 9_900.0, []),
+        ):
+            with self.subTest(n_going_on=n_going_on, n_servers=n_servers):
+                history = [
+                    record(
+                        "server_started", 0.0, server=f"s{n}", service="desk", version=v
+                    )
+                    for n, v in enumerate(["v2", "v2", *["v1"] * n_servers])
+                ]
+                for n in range(12):
+                    after = 3 if n < n_going_on else 5
+                    begun = {"last_event_id": after}
+                    history += build_stream(f"a{n}", 9_000.0, ["v1"], **begun)
+                    changes = {"resumes": f"a{n}", "after": after, "first": f"a{n}"}
+                    history += build_stream(f"b{n}", 10_000.0, ["v1"], **changes)
+                if fault_at_ms is not None:
+                    fault = {"kind": "x", "targets": ["e1"], "until_ms": fault_at_ms}
+                    history.append(record("fault", fault_at_ms, **fault))
+                self.assertEqual(find_rules(history), expected)
+
+    def test_server_that_ends(self):
+        """A server that ends while a stream is resumed is not one that serves."""
+        start = {"service": "desk", "version": "v1"}
+        history = [
+            record("server_started", 0.0, server=name, **start) for name in ("s1", "s2")
+        ]
+        for n in range(12):
+            history += build_stream(f"a{n}", 9_000.0, ["v1"])
+            changes = {"resumes": f"a{n}", "after": 5, "first": f"a{n}"}
+            history += build_stream(f"b{n}", 10_000.0, ["v1"], **changes)
+        for event in ("server_ended", "server_leaving"):
+            end = record(event, 10_010.0, server="s2")
+            self.assertEqual(find_rules([*history, end]), [])
+        self.assertEqual(find_rules(history), ["LOST"])
+
+
+class VersionMarkTest(unittest.TestCase):
+    """Servers write their version into each event."""
+
+    def test_split(self):
+        """A cut stream keeps the versions of its complete events only."""
+        events = make_event(1, "v1") + make_event(2, "v2") + make_event(3, "v3")
+        plain = make_event(1) + make_event(2) + make_event(3)
+        for n_cut, versions in ((0, ["v1", "v2", "v3"]), (2, ["v1", "v2"])):
+            with self.subTest(n_cut=n_cut):
+                text, found = split_versions(events[: len(events) - n_cut])
+                self.assertEqual(found, versions)
+                self.assertTrue(plain.startswith(text))
+        joined = make_event(1, "v1")[:-2] + make_event(2, "v2")
+        self.assertFalse(plain.startswith(split_versions(joined)[0]))
+
 
 class ScheduleTest(unittest.TestCase):
     """Faults are drawn from the seed alone."""
@@ -149,7 +237,9 @@
 
     def test_no_violation(self):
         """Neither callers nor servers see a broken promise."""
-        kinds = tuple(kind for kind in FaultKind if kind is not FaultKind.LOAD_CORES)
+        kinds = tuple(
+            kind for kind in DEFAULT_KINDS if kind is not FaultKind.LOAD_CORES
+        )
         settings = SoakSettings(SEED, LENGTH_S, n_callers=30, kinds=kinds)
         result = run_soak(settings)
         self.assertEqual(result.violations, [])
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -5,26 +5,33 @@
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Any
+from unittest import mock
 
 import anyio
 import anyio.abc
 import orjson
+from returns.result import Failure as Err
 from returns.result import Success
 
+from cowslipwood.entry.direct import _admission
 from cowslipwood.entry.direct._exchange import RequestForwarder
-from cowslipwood.entry.direct._headers import read_request_facts
+from cowslipwood.entry.direct._headers import RequestFacts, read_request_facts
 from cowslipwood.entry.direct._state import DirectState
 from cowslipwood.entry.direct._stream_versions import StreamVersions
 from cowslipwood.keeper._commands import VersionsCommand, encode_command
 from cowslipwood.keeper._machine import KeeperStateMachine
 from cowslipwood.keeper._stream_versions import StreamVersionTable
 from cowslipwood.kernel.clock import monotonic_ms
-from cowslipwood.kernel.codes import Code, Failure, Outcome
-from cowslipwood.kernel.messages import StreamVersionRequest
+from cowslipwood.kernel.codes import Code, Failure, Outcome, failure
+from cowslipwood.kernel.messages import (
+    RoutingUpdate,
+    StreamVersion,
+    StreamVersionRequest,
+)
 from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.kernel.wire import decode_record, encode_record
 from cowslipwood.listing import ListedServer, to_server_view
-from cowslipwood.routes import RouteKind
+from cowslipwood.routes import Route, RouteKind, WeightedService
 from cowslipwood.software_versions import STREAM_LIFE_MS
 
 from .answer_builders import STREAM_HEADERS, Framing, build_events, frame_answer
@@ -126,6 +133,67 @@
                 self.assertEqual(sink.body, build_events(1, 4))
 
 
+class PausedServerTest(unittest.TestCase):
+    """Streams whose servers are paused or join while a request waits for one."""
+
+    async def _continue(
+        self, versions: str, limited: str, joining: str = ""
+    ) -> tuple[Failure | None, list[str]]:
+        """Resume a stream of version "a"; some servers are limited for a short time.
+
+        While the request waits, a server of another version joins.
+        """
+        async with run_versions(versions + joining) as (servers, tried):
+            servers.sort(key=lambda server: server.server_id)
+            state = build_direct_state(servers[: len(versions)])
+            for backend in state.view.backends.values():
+                if backend.view.software_version in limited:
+                    backend.limited_until_ms = monotonic_ms() + 100.0
+            now_ms = monotonic_ms()
+            state.stream_versions.record_stream("desk", "a1", "a", now_ms)
+            headers = {"last_event_id": "2", "x_cowslip_resumes": "a1"}
+            request = build_request(ROUTE, x_request_id="a2", **headers)
+            forwarder = RequestForwarder(
+                state, request, RecordingSink(), random.Random(1)
+            )
+            async with anyio.create_task_group() as tasks:
+
+                async def join() -> None:
+                    await anyio.sleep(0.03)
+                    # The list shows the limited servers as leaving.
+                    left = [server._replace(is_leaving=True) for server in servers]
+                    left[len(versions) :] = servers[len(versions) :]
+                    state.servers.apply_list(left, monotonic_ms())
+
+                if joining:
+                    tasks.start_soon(join)
+                fault = await forwarder.run()
+            return fault, tried
+
+    # A stream went on at a paused server of another version.
+    def test_paused_server_of_another_version(self):
+        """A wait for a paused server does not let its version continue the stream."""
+        for versions in ("b", "bb"):
+            with self.subTest(versions=versions):
+                fault, tried = anyio.run(self._continue, versions, "b")
+                self.assertIsNotNone(fault)
+                self.assertEqual(tried, [])
+
+    # A stream went on at a server of another version that joined during a wait.
+    def test_server_that_joins_during_the_wait(self):
+        """Servers that are listed while the request waits are judged as well."""
+        fault, tried = anyio.run(self._continue, "a", "a", "bb")
+        self.assertNotIn("b", tried)
+
+    def test_paused_server_of_the_version(self):
+        """A paused server of the version continues the stream after the wait."""
+        for versions in ("ab", "ba", "a"):
+            with self.subTest(versions=versions):
+                fault, tried = anyio.run(self._continue, versions, "ab")
+                self.assertIsNone(fault)
+                self.assertEqual(tried, ["a"])
+
+
 class FakeLeader:
     """A leader that answers for the streams that entries report to it."""
 
@@ -155,6 +223,165 @@
                 self.table.add(news)
 
 
+class RenewedServerTest(unittest.TestCase):
+    """Servers that started again under their id before the list shows it."""
+
+    async def _begin(
+        self,
+        born_ms: dict[str, int | None],
+        n_requests: int = 1,
+        list_age_ms: float = 0,
+    ) -> tuple[list[Failure | None], list[str], list[str]]:
+        """Send streams to servers of version "a" that are listed as born at 1 ms.
+
+        Returns the failures, the versions that got a stream, and the servers that were
+        asked when they started.
+        """
+        asked: list[str] = []
+
+        async def read_born(conn: Any, server: Any) -> Any:
+            asked.append(server.server_id)
+            born = born_ms[server.server_id]
+            return Err(failure(Code.BACKEND_TIMEOUT)) if born is None else Success(born)
+
+        async with run_versions("a" * len(born_ms)) as (servers, tried):
+            state = build_direct_state(servers)
+            state.read_born = read_born
+            state.servers.list_read_at_ms += list_age_ms
+            faults = []
+            for number in range(n_requests):
+                request = build_request(
+                    ROUTE._replace(max_attempts=1), x_request_id=f"a{number}"
+                )
+                forwarder = RequestForwarder(
+                    state, request, RecordingSink(), random.Random(1)
+                )
+                faults.append(await forwarder.run())
+            return faults, tried, asked
+
+    # A stream of a renewed server was taken for one of the version that it had before.
+    def test_renewed_server_begins_no_stream(self):
+        """A server that tells another start, or does not answer, gets no stream."""
+        for born_ms, n_tried in (
+            ({"s0": 1}, 1),
+            ({"s0": 0}, 1),
+            ({"s0": 2}, 0),
+            ({"s0": None}, 0),
+            ({"s0": 2, "s1": 2}, 0),
+            ({"s0": 2, "s1": 1}, 1),
+            ({"s0": 1, "s1": None}, 1),
+        ):
+            with self.subTest(born_ms=born_ms):
+                _, tried, _ = anyio.run(self._begin, born_ms)
+                self.assertEqual(len(tried), n_tried)
+
+    def test_one_proof_for_earlier_connections(self):
+        """A connection that is older than the list in use needs no question."""
+        _, tried, asked = anyio.run(self._begin, {"s0": 1}, 2, 60_000.0)
+        self.assertEqual((len(tried), asked), (2, []))
+        _, tried, asked = anyio.run(self._begin, {"s0": 1}, 2)
+        self.assertEqual((len(tried), asked), (2, ["s0", "s0"]))
+
+
+class UntoldVersionTest(unittest.TestCase):
+    """Entries that read the list themselves, which shows versions before the log."""
+
+    async def _begin(
+        self, told: str, listed: str, route: Route, n_requests: int = 8
+    ) -> list[str]:
+        """Return the versions that get streams of an entry that lost its leader."""
+        async with run_versions(told + listed) as (servers, tried):
+            servers.sort(key=lambda server: server.server_id)
+            state = build_direct_state([])
+            views = [to_server_view(server, ("service:desk",)) for server in servers]
+            update = RoutingUpdate(True, tuple(views[: len(told)]), ())
+            state.servers.apply_update(update, monotonic_ms())
+            state.servers.forget_leader()
+            # A leader that has not read the list yet.
+            state.servers.apply_update(RoutingUpdate(True, (), ()), monotonic_ms())
+            state.servers.forget_leader()
+            state.servers.apply_list(servers[len(told) :], monotonic_ms())
+            for number in range(n_requests):
+                request = build_request(route, x_request_id=f"a{number}")
+                forwarder = RequestForwarder(
+                    state, request, RecordingSink(), random.Random(number)
+                )
+                await forwarder.run()
+            return tried
+
+    # A stream that nobody else knew was taken for one of the only recorded version.
+    def test_told_versions_first(self):
+        """A version of which no leader told begins a stream only if no other can."""
+        route = ROUTE._replace(max_attempts=1)
+        for told, listed, expected in (
+            ("a", "ab", {"a"}),
+            ("a", "abbb", {"a"}),
+            ("a", "bb", {"b"}),
+            ("", "ab", {"a", "b"}),
+            ("ab", "ab", {"a", "b"}),
+        ):
+            with self.subTest(told=told, listed=listed):
+                tried = anyio.run(self._begin, told, listed, route)
+                self.assertEqual(set(tried), expected)
+
+    def test_busy_servers_of_the_told_version(self):
+        """A queue at the told version does not move a stream to another one."""
+
+        async def main() -> tuple[list[str], Failure | None]:
+            async with run_versions("ab") as (servers, tried):
+                servers.sort(key=lambda server: server.software_version)
+                state = build_direct_state([])
+                view = to_server_view(servers[0], ("service:desk",))
+                update = RoutingUpdate(True, (view,), ())
+                state.servers.apply_update(update, monotonic_ms())
+                state.servers.forget_leader()
+                state.servers.apply_list(servers, monotonic_ms())
+                with mock.patch.object(
+                    _admission, "expected_queue_ms", self._compute_queue_ms
+                ):
+                    request = build_request(ROUTE, x_request_id="a1")
+                    forwarder = RequestForwarder(
+                        state, request, RecordingSink(), random.Random(1)
+                    )
+                    return tried, await forwarder.run()
+
+        tried, fault = anyio.run(main)
+        self.assertEqual((tried, fault.code), ([], Code.OVERLOADED))
+
+    def _compute_queue_ms(self, backend: Any, *_: Any) -> float:
+        return 60_000.0 if backend.view.software_version == "a" else 0.0
+
+    def test_streams_that_no_client_resumes(self):
+        """Other streams go to all servers."""
+        route = ROUTE._replace(is_resumable=False)
+        self.assertEqual(set(anyio.run(self._begin, "a", "ab", route)), {"a", "b"})
+
+    def test_retry(self):
+        """After the told version has failed, another one is tried."""
+
+        async def main() -> list[str]:
+            return await self._begin("a", "ab", ROUTE, 1)
+
+        # The stream has begun, so no other version may continue it.
+        self.assertEqual(anyio.run(main), ["a"])
+
+
+class LostLeader:
+    """A leader to which the connection is lost for the first questions."""
+
+    def __init__(self, n_refusals: int):
+        self.n_refusals = n_refusals
+        self.n_asked = 0
+
+    async def ask(self, request: StreamVersionRequest, timeout_ms: float) -> Any:
+        """Answer an entry's question."""
+        self.n_asked += 1
+        if self.n_asked <= self.n_refusals:
+            codes = (Code.NO_QUORUM, Code.PEER_GONE, Code.NOT_LEADER)
+            return Err(failure(codes[self.n_asked % len(codes)]))
+        return Success(StreamVersion("a", True))
+
+
 class TakenUpByClientTest(unittest.TestCase):
     """Streams that broke off and that their clients resume, at any entry."""
 
@@ -231,6 +458,18 @@
 
         self.assertEqual(anyio.run(main).code, Code.STREAM_UNKNOWN)
 
+    # Most streams whose callers came back right after a reset were refused.
+    def test_leader_that_is_found_again(self):
+        """A resume waits for the connection to the leader, but not for long."""
+        for n_refusals, version in ((0, "a"), (2, "a"), (1_000, None)):
+            with self.subTest(n_refusals=n_refusals):
+                leader = LostLeader(n_refusals)
+                streams = StreamVersions(leader.ask, Metrics("entry"))
+                found = anyio.run(streams.find_version, "desk", "a1")
+                self.assertEqual(found, version)
+                self.assertGreater(leader.n_asked, min(n_refusals, 3))
+                self.assertLess(leader.n_asked, 20)
+
     def test_two_ids(self):
         """Two different ids of the attempt count as none."""
         headers = [
@@ -271,6 +510,26 @@
         self.assertEqual(reported, ["q1", "q2"])
         self.assertEqual(len(streams.build_all(5.0).streams), 2)
 
+    # A resumed stream went on at another service of a split route.
+    def test_service_of_a_split_route(self):
+        """A resumed stream stays at the service that began it, if that is known."""
+        streams = self._build()
+        streams.record_stream("desk", "a1", "a", 1.0)
+        services = tuple(WeightedService(name, 50) for name in ("bar", "desk"))
+        closed = WeightedService("desk", 0)
+        split = ROUTE._replace(services=services)
+        resume = RequestFacts("a2", None, is_resume=True, resumed_id="a1")
+        for route, facts, expected in (
+            (split, resume, "desk"),
+            (split, resume._replace(resumed_id="a9"), ""),
+            (split, resume._replace(is_resume=False), ""),
+            (split._replace(is_resumable=False), resume, ""),
+            (split._replace(services=(services[0], closed)), resume, ""),
+            (ROUTE, resume, ""),
+        ):
+            with self.subTest(route=route.services, facts=facts):
+                self.assertEqual(streams.find_service(route, facts), expected)
+
     def test_forgotten(self):
         """Old streams and versions are forgotten."""
         streams = self._build()
