--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -61,8 +61,8 @@
     code : Code
         The result code of the failed exchange.
     by_server : bool
-        Whether the server ended the exchange. Otherwise it may still work on the
-        request until it notices that the connection was closed.
+        Whether the server ended the exchange, or the connection was lost. Otherwise
+        the server may still work on the request until it notices the close.
     """
 
     def __init__(self, code: Code, reason: str, by_server: bool = False):
