Soak: leave out pauses that a server asked for on a closed connection

check_hold_off counted what a server wished when nobody could read it. The connection had ended before the server spoke, so no entry could know of the pause.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -140,13 +140,16 @@
 
 
 def check_hold_off(history: Sequence[Record]) -> Iterable[Violation]:
-    """Find entries that send to a server that has asked for nothing for a time."""
+    """Find entries that send to a server that has asked for nothing for a time.
+
+    A server that was frozen may ask on a connection that its entry has closed.
+    """
     entry_of = {
         record["request"]: record["entry"] for record in _select(history, "sent")
     }
     disturbed = _Disturbances(history)
     for refusal in _select(history, "refused"):
-        if not refusal["hold_off_s"]:
+        if not refusal["hold_off_s"] or not refusal["is_heard"]:
             continue
         entry = entry_of.get(refusal["request"])
         until_ms = refusal["at_ms"] + refusal["hold_off_s"] * 1000
--- a/soak/server.py
+++ b/soak/server.py
@@ -220,7 +220,9 @@
         self, head: Head, stream: anyio.abc.SocketStream, fault: Fault
     ) -> bool:
         hold_off_s = 2 if fault is Fault.HOLD_OFF else None
-        self._record("refused", head, hold_off_s=hold_off_s)
+        # Nobody reads what a server says that was frozen until its caller had left.
+        is_heard = not _has_ended(stream)
+        self._record("refused", head, hold_off_s=hold_off_s, is_heard=is_heard)
         answer = self._make_answer(head, 503, not_run=True, hold_off_s=hold_off_s)
         await stream.send(answer)
         if fault is Fault.REFUSE_TWICE:
@@ -236,13 +238,7 @@
         async with anyio.create_task_group() as tasks:
 
             async def watch_connection() -> None:
-                poll = select.poll()
-                descriptor = _get_socket(stream).fileno()
-                if descriptor < 0:
-                    tasks.cancel_scope.cancel()
-                    return
-                poll.register(descriptor, select.POLLRDHUP)
-                while not any(event & CLOSED_EVENTS for _, event in poll.poll(0)):
+                while not _has_ended(stream):
                     await anyio.sleep(CONNECTION_CHECK_MS / 1000)
                 tasks.cancel_scope.cancel()
 
@@ -366,6 +362,16 @@
     return stream.extra(anyio.abc.SocketAttribute.raw_socket)
 
 
+def _has_ended(stream: anyio.abc.SocketStream) -> bool:
+    """Return whether the peer has closed or reset the connection."""
+    descriptor = _get_socket(stream).fileno()
+    if descriptor < 0:
+        return True
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return any(event & CLOSED_EVENTS for _, event in poll.poll(0))
+
+
 def _reset(stream: anyio.abc.SocketStream) -> None:
     """Have the connection reset when it is closed."""
     _get_socket(stream).setsockopt(
