--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -2,6 +2,7 @@
 
 import enum
 import unittest
+from contextlib import suppress
 from typing import Any, NamedTuple
 from unittest import mock
 
@@ -12,9 +13,10 @@
 from structlog.testing import capture_logs
 
 from cowslipwood.entry.direct import _exchange, _sending
-from cowslipwood.entry.direct._app import RouteApp
+from cowslipwood.entry.direct._app import AnswerAbortedError, RouteApp
 from cowslipwood.kernel.codes import Code, failure
 
+from .answer_builders import build_events
 from .direct_builders import (
     build_answer,
     build_direct_state,
@@ -105,7 +107,7 @@
 
     def _build_parts(self, act: Act, request_id: str) -> list[bytes]:
         """Return the bytes that a server sends, with a pause after each part."""
-        answer = build_answer(request_id=request_id)
+        answer = build_answer(build_events(1, 1), request_id=request_id)
         refusal = build_answer(b"", "503 Full", request_id, NOT_RUN)
         without_id = refusal.replace(f"x-request-id: {request_id}\r\n".encode(), b"")
         match act:
@@ -169,13 +171,16 @@
             statuses.append(event["status"])
 
     cancel_after_s = request.leaves_after_s if request.is_cancelled else None
-    with anyio.move_on_after(cancel_after_s):
+    with anyio.move_on_after(cancel_after_s), suppress(AnswerAbortedError):
         await app(scope, receive, send)
     return statuses[0] if statuses else 0
 
 
 async def find_untrue_refusals(
-    acts: list[Act], requests: list[Request], shares_address: bool = False
+    acts: list[Act],
+    requests: list[Request],
+    shares_address: bool = False,
+    kind: str = "unsafe",
 ) -> list[str]:
     """Send requests one after another; return those that ran though refused."""
     servers = ScriptedServers(acts)
@@ -187,7 +192,7 @@
         addrs = (first_addr, first_addr if shares_address else second_addr)
         listed = [build_listed_server(f"s{i}", addr) for i, addr in enumerate(addrs)]
         state = build_direct_state(listed)
-        route = route_value(kind="unsafe", max_attempts=1, timeout_ms=TIME_LIMIT_MS)
+        route = route_value(kind=kind, max_attempts=1, timeout_ms=TIME_LIMIT_MS)
         state.apply_document(build_document(routes=[route]))
         app = RouteApp(state, create_rng())
         for number, request in enumerate(requests):
@@ -295,8 +300,10 @@
             max_size=3,
         ),
         shares_address=st.booleans(),
+        kind=st.sampled_from(("unsafe", "streaming")),
     )
-    def test_refused_requests_never_run(self, acts, requests, shares_address):
+    def test_refused_requests_never_run(self, acts, requests, shares_address, kind):
         """An answer that promises that a request did not run is always true."""
-        untrue = find_untrue(acts, requests=requests, shares_address=shares_address)
+        options = {"shares_address": shares_address, "kind": kind}
+        untrue = find_untrue(acts, requests=requests, **options)
         self.assertEqual(untrue, [])
