--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -79,14 +79,22 @@
 
     def test_requests_to_a_server_held_off(self):
         """An entry sends three requests to a server that has asked for none."""
-        # A server that has started again since then has asked for nothing.
-        for n_requests, born_ms, expected in (
-            (2, 0, []),
-            (3, 0, ["BUDGET"]),
-            (3, 9, []),
+        for n_requests, born_ms, is_heard, expected in (
+            (2, 0, True, []),
+            (3, 0, True, ["BUDGET"]),
+            # A server that has started again since then has asked for nothing.
+            (3, 9, True, []),
+            # The entry had closed the connection before.
+            (3, 0, False, []),
         ):
             refusal = record(
-                "refused", 5.0, "a", server="s1", born_ms=born_ms, hold_off_s=2
+                "refused",
+                5.0,
+                "a",
+                server="s1",
+                born_ms=born_ms,
+                hold_off_s=2,
+                is_heard=is_heard,
             )
             history = [*build_attempt("a", 0.0, repeatable=True), refusal]
             for number in range(n_requests):
