Check in agents too that a server has outlived an unframed answer

An agent passed on, and kept for its idempotency key, as whole what a killed server had sent of an answer without length or chunks. It now opens a connection to its server after such an end. The HTTP dialects of engines read JSON, whose cut is an error already.

test_answer_ends.AgentTest fails before (streams and plain answers).

--- a/src/cowslipwood/agent/_forward.py
+++ b/src/cowslipwood/agent/_forward.py
@@ -20,8 +20,9 @@
     is_event_stream,
 )
 from ..kernel.http import send_failure
-from ..kernel.http_connection import read_body_end
+from ..kernel.http_connection import BodyEnd, read_body_end
 from ..kernel.logs import get_logger
+from ..kernel.server_probe import still_accepts_connections
 from ._server_limit import ServerLimit
 
 __all__ = ["BackendCall", "ForwardOutcome", "ForwardResult", "Forwarder"]
@@ -37,6 +38,8 @@
 MAX_CONNECTIONS = 1_024
 # Retry delay in the refusal of a call that did not run, in milliseconds.
 RETRY_AFTER_MS = 500
+# Status of an answer that has no body.
+NO_CONTENT_STATUS = 204
 # Answer headers that concern only the connection to the backend server.
 _HOP_HEADERS = frozenset((b"connection", b"transfer-encoding", b"keep-alive"))
 # Prefix of the headers that only the system's own processes may set.
@@ -172,7 +175,7 @@
                     self._limit.record_answer(
                         response.status, response.headers, sent_ms, monotonic_ms()
                     )
-                    await self._forward_answer(response, answer, idle_scope)
+                    await self._forward_answer(call, response, answer, idle_scope)
             except _NOT_SENT_ERRORS:
                 await answer.refuse(Code.BACKEND_UNREACHABLE, ForwardOutcome.NOT_SENT)
             except StatusLineError as exc:
@@ -185,6 +188,7 @@
 
     async def _forward_answer(
         self,
+        call: BackendCall,
         response: httpcore.Response,
         answer: "_AnswerSender",
         idle_scope: anyio.CancelScope,
@@ -200,6 +204,11 @@
             await answer.send_chunk(chunk)
             idle_scope.deadline = anyio.current_time() + self._idle_timeout_ms / 1000
         break_reason = stream_end.find_break()
+        if not break_reason and _may_be_cut(response, call):
+            # A server that is killed ends its connections like those of whole answers.
+            addr = self._backend_url.removeprefix("http://")
+            if not await still_accepts_connections(addr):
+                break_reason = "the connection ended and its server is gone"
         if break_reason:
             get_logger().info("answer_cut", reason=break_reason)
             await answer.fail(Code.ANSWER_CUT)
@@ -207,6 +216,13 @@
         await answer.finish()
 
 
+def _may_be_cut(response: httpcore.Response, call: BackendCall) -> bool:
+    """Return whether only the end of the connection marked the end of a success."""
+    has_body = response.status < 300 and response.status != NO_CONTENT_STATUS
+    is_unframed = read_body_end(response.headers) is BodyEnd.CONNECTION_CLOSE
+    return has_body and is_unframed and call.method != "HEAD"
+
+
 class _StreamEnd:
     """Tells whether an answer that has ended is a stream that was broken off."""
 
--- a/src/cowslipwood/entry/direct/_end_check.py
+++ b/src/cowslipwood/entry/direct/_end_check.py
@@ -16,14 +16,14 @@
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.messages import ServerView
 from ...kernel.metrics import Metrics
-from ...kernel.server_probe import accepts_connections, is_server_gone
+from ...kernel.server_probe import still_accepts_connections
 
 __all__ = ["EndCheck", "EndSign", "ServerSign", "ask_by_connection"]
 
 # Number of questions to a server that does not answer the first one.
 N_QUESTIONS = 2
-# Pause between them, in milliseconds. Within it, a process that ends has closed its
-# port, and a server with too many connections may have closed one.
+# Pause between them, in milliseconds. Within it, a server with too many connections
+# may have closed one.
 QUESTION_PAUSE_MS = 50.0
 # Time, in milliseconds, by which a server's clock may be behind that of this host.
 CLOCK_MARGIN_MS = 2_000.0
@@ -166,9 +166,6 @@
 
     Fails with BACKEND_UNREACHABLE.
     """
-    if not await is_server_gone(server.http_addr):
-        return Success(ServerSign(is_same=True))
-    await anyio.sleep(QUESTION_PAUSE_MS / 1000)
-    if await accepts_connections(server.http_addr):
+    if await still_accepts_connections(server.http_addr):
         return Success(ServerSign(is_same=True))
     return Err(failure(Code.BACKEND_UNREACHABLE, server.server_id))
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -9,6 +9,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from cowslipwood.agent._forward import BackendCall, Forwarder, ForwardOutcome
 from cowslipwood.entry.direct import ServerSign
 from cowslipwood.entry.direct._end_check import CLOCK_MARGIN_MS, EndCheck, EndSign
 from cowslipwood.entry.direct._exchange import RequestForwarder
@@ -160,6 +161,30 @@
     return ask
 
 
+class AgentTest(unittest.TestCase):
+    """Answers that an agent forwards from a server that ends or goes on."""
+
+    # An agent kept and passed on as whole what a killed server had sent.
+    def test_answer_of_a_server_that_ended_is_cut(self):
+        """Streams and plain answers are whole only if the server goes on."""
+        plain = b"".join(frame_answer(Framing.CONNECTION, b'{"total": 12'))
+        for answer in (BEGUN, plain):
+            for ends in (True, False):
+                with self.subTest(answer=answer, ends=ends):
+                    outcome = anyio.run(self._forward, answer, ends)
+                    expected = ForwardOutcome.CUT if ends else ForwardOutcome.WHOLE
+                    self.assertEqual(outcome, expected)
+
+    async def _forward(self, answer: bytes, ends: bool) -> ForwardOutcome:
+        async def send(event: dict[str, Any]) -> None:
+            pass
+
+        async with run_ending_server(answer, ends) as addr:
+            forwarder = Forwarder(f"http://{addr}", {})
+            call = BackendCall("GET", "/", [("host", "shop.example")], b"")
+            return (await forwarder.forward(call, send, dict, None)).outcome
+
+
 class SignTest(unittest.TestCase):
     """What the answers of a server prove; the request was sent at `WALL_MS`."""
 
