Soak: let a server notice each reset of a connection

The stand-in server watched the number of a connection's socket. The number is now read anew, as a closed socket has none. This makes the stand-in do what it was meant to; no check asks for less.

--- a/soak/server.py
+++ b/soak/server.py
@@ -226,13 +226,7 @@
         async with anyio.create_task_group() as tasks:
 
             async def watch_connection() -> None:
-                poll = select.poll()
-                descriptor = _get_socket(stream).fileno()
-                if descriptor < 0:
-                    tasks.cancel_scope.cancel()
-                    return
-                poll.register(descriptor, select.POLLRDHUP)
-                while not any(event & CLOSED_EVENTS for _, event in poll.poll(0)):
+                while not _is_closed(stream):
                     await anyio.sleep(CONNECTION_CHECK_MS / 1000)
                 tasks.cancel_scope.cancel()
 
@@ -356,6 +350,17 @@
     return stream.extra(anyio.abc.SocketAttribute.raw_socket)
 
 
+def _is_closed(stream: anyio.abc.SocketStream) -> bool:
+    """Return whether the peer has closed or reset a connection."""
+    # The event loop may have closed the socket; its number then names another one.
+    descriptor = _get_socket(stream).fileno()
+    if descriptor < 0:
+        return True
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return any(event & CLOSED_EVENTS for _, event in poll.poll(0))
+
+
 def _reset(stream: anyio.abc.SocketStream) -> None:
     """Have the connection reset when it is closed."""
     _get_socket(stream).setsockopt(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,22 @@
 """The soak: each check finds a planted violation, and a short run finds none."""
 
+import contextlib
+import json
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
 import unittest
+from pathlib import Path
 
+import anyio
 from soak.checks import check_history
+from soak.deployment import ROOT
+from soak.history import read_history
 from soak.run import SoakSettings, run_soak
 from soak.schedule import FaultKind, draw_schedule
+from soak.server import ServerSettings
 
 from .soak_builders import build_attempt, record
 
@@ -136,6 +148,74 @@
         self.assertNotEqual(draw_schedule(1, 60.0), draw_schedule(2, 60.0))
 
 
+class ServerTest(unittest.TestCase):
+    """The soak's backend server."""
+
+    # A server watched the connection that had got the number of the closed one, so that
+    # sound entries were reported as TWICE.
+    def test_each_reset_ends_its_run(self):
+        """A run ends when its connection is reset, whatever is opened meanwhile."""
+        reasons = anyio.run(self._reset_runs, 10)
+        self.assertEqual(reasons, 10 * ["connection_closed"])
+
+    async def _reset_runs(self, n_runs: int) -> list[str]:
+        with tempfile.TemporaryDirectory() as folder, contextlib.ExitStack() as stack:
+            history = Path(folder) / "history.jsonl"
+            port = find_free_port()
+            settings = ServerSettings(
+                "127.0.0.1",
+                port,
+                "i-1",
+                "assistant",
+                "z1",
+                "m1",
+                str(history),
+                SEED,
+                idle_timeout_s=60.0,
+                # A run that is not ended goes on for long, and then cannot be written.
+                work_ms=10_000.0,
+            )
+            server = start_server(settings)
+            stack.callback(server.wait)
+            stack.callback(server.kill)
+
+            def count(event: str) -> list[dict]:
+                records = read_history([history]) if history.exists() else []
+                return [record for record in records if record["event"] == event]
+
+            while not count("server_started"):
+                await anyio.sleep(0.02)
+            for number in range(n_runs):
+                sock = socket.create_connection(("127.0.0.1", port))
+                head = f"POST /ask/x HTTP/1.1\r\nrequest-id: q{number}\r\n\r\n"
+                sock.sendall(head.encode())
+                while len(count("run")) <= number:
+                    await anyio.sleep(0.02)
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                sock.close()
+                # It may get the number of the connection that was reset.
+                next_sock = socket.create_connection(("127.0.0.1", port))
+                stack.callback(next_sock.close)
+            while len(count("ended")) < n_runs:
+                await anyio.sleep(0.02)
+            return [record["reason"] for record in count("ended")]
+
+
+def find_free_port() -> int:
+    """Return a port that no process listens on."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return listener.getsockname()[1]
+
+
+def start_server(settings: ServerSettings) -> subprocess.Popen:
+    """Start a backend server as a process."""
+    return subprocess.Popen(
+        [sys.executable, "-m", "soak.server", json.dumps(settings._asdict())],
+        cwd=ROOT,
+    )
+
+
 class ShortSoakTest(unittest.TestCase):
     """The programs of the deploy file as processes, under a series of faults."""
 
