--- a/soak/server.py
+++ b/soak/server.py
@@ -253,7 +253,7 @@
     ) -> bool:
         hold_off_s = 2 if fault is Fault.HOLD_OFF else None
         # Nobody reads what a server says that was frozen until its caller had left.
-        is_heard = not _has_ended(stream)
+        is_heard = not _is_closed(stream)
         self._record("refused", head, hold_off_s=hold_off_s, is_heard=is_heard)
         answer = self._make_answer(head, 503, not_run=True, hold_off_s=hold_off_s)
         await stream.send(answer)
@@ -270,7 +270,7 @@
         async with anyio.create_task_group() as tasks:
 
             async def watch_connection() -> None:
-                while not _has_ended(stream):
+                while not _is_closed(stream):
                     await anyio.sleep(CONNECTION_CHECK_MS / 1000)
                 self._record("connection_closed", head)
                 late_ms = self._rng.uniform(0.0, self._settings.notice_ms)
@@ -423,8 +423,9 @@
     return stream.extra(anyio.abc.SocketAttribute.raw_socket)
 
 
-def _has_ended(stream: anyio.abc.SocketStream) -> bool:
-    """Return whether the peer has closed or reset the connection."""
+def _is_closed(stream: anyio.abc.SocketStream) -> bool:
+    """Return whether the peer has closed or reset a connection."""
+    # The event loop may have closed the socket; its number then names another one.
     descriptor = _get_socket(stream).fileno()
     if descriptor < 0:
         return True
