--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 STREAM = {"repeatable": True, "stream": True}
 # Seed and length of the run in this suite; longer ones are started by hand.
 SEED = 3
+SEED_OF_VERSIONS = 9401
 LENGTH_S = 25.0
 
 
@@ -196,3 +197,20 @@
         result = run_soak(settings)
         self.assertEqual(result.violations, [])
         self.assertGreater(result.n_by_event["run"], 0)
+
+    # Streams held events of two software versions.
+    def test_two_versions(self):
+        """While versions are exchanged and entries are killed, no stream is mixed."""
+        kinds = (
+            FaultKind.RELEASE,
+            FaultKind.RENEW_SERVER,
+            FaultKind.KILL_ENTRIES,
+            FaultKind.KILL_SERVER,
+            FaultKind.KILL_LEADER,
+        )
+        settings = SoakSettings(
+            SEED_OF_VERSIONS, LENGTH_S, n_engines=6, n_callers=30, kinds=kinds
+        )
+        result = run_soak(settings)
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.n_by_event["run"], 0)
