Narrow two checks of the soak: runs of killed processes, resumes while keepers are struck

- check_overlapping_runs took a run whose process was killed for endless.
A run without an end now lasts as long as its process.
- check_resumes counted resumes while no leader could be reached because the keepers had just been killed or frozen.
No host is in touch then.

Planted histories: a process that ends in time and one that does not; a fault of a keeper's host beside one of an entry.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -23,6 +23,9 @@
 MAX_HELD_OFF_ARRIVALS = 2
 # Share of the grace period after which work from before the stop may be cut.
 LAST_GRACE_SHARE = 5 / 6
+# Faults of keepers, and the target under which they are found.
+CORE_FAULTS = ("kill_leader", "freeze_leader", "kill_all")
+CORE = "keepers"
 # How a client's attempt ends when its connection is closed.
 CUT_REASONS = ("EndOfStream", "IncompleteRead", "BrokenResourceError")
 # Statuses that promise that a request did not run.
@@ -76,6 +79,7 @@
         for r in _select(history, "ended")
     }
     disturbed = _Disturbances(history)
+    processes = _Fleet(history)
     stream_runs = [
         record
         for record in _select(history, "run")
@@ -98,8 +102,9 @@
             hosts = (entry, earlier["server"])
             if any(disturbed.is_near(host, record["at_ms"]) for host in hosts):
                 continue
-            # A run without an end lasted to the end of the history at least.
-            overlap_ms = (end_ms or history[-1]["at_ms"]) - record["at_ms"]
+            # A run without an end lasted as long as its process or the history.
+            end_ms = end_ms or processes.find_end(earlier, history[-1]["at_ms"])
+            overlap_ms = end_ms - record["at_ms"]
             if earlier["server"] != record["server"] and overlap_ms > OVERLAP_MS:
                 text = (
                     f"{record['request']} went on at {record['server']} while "
@@ -233,7 +238,8 @@
         is_resumable = request["stream"] and request["repeatable"]
         if end is None or not is_resumable:
             continue
-        if disturbed.is_near(request["entry"], request["at_ms"]):
+        hosts = (request["entry"], CORE)
+        if any(disturbed.is_near(host, request["at_ms"]) for host in hosts):
             continue
         if not request.get("resumes"):
             has_begun.append(end.get("last_event_id", 0) > 0)
@@ -276,6 +282,8 @@
             span = (record["at_ms"], record["until_ms"])
             for target in record["targets"]:
                 self._spans[target].append(span)
+            if record["kind"] in CORE_FAULTS:
+                self._spans[CORE].append(span)
 
     def is_near(self, target: str | None, at_ms: float) -> bool:
         """Return whether a fault struck a target shortly before or after a moment."""
@@ -288,11 +296,12 @@
 class _Fleet:
     """Which servers served when, apart from those that a fault had struck.
 
-    A server that leaves gets no further requests, so it counts as ended.
+    A server that leaves gets no further requests, so it serves no longer.
     """
 
     def __init__(self, history: Sequence[Record]):
         self._started = _select(history, "server_started")
+        self._processes_ended = _select(history, "server_ended")
         self._ended_at_ms = defaultdict(list)
         for record in history:
             if record["event"] not in ("server_leaving", "server_ended"):
@@ -300,6 +309,17 @@
             self._ended_at_ms[record["server"]].append(record["at_ms"])
         self._disturbed = _Disturbances(history)
 
+    def find_end(self, run: Record, default_ms: float) -> float:
+        """Return when the process that began a run was ended from outside."""
+        return next(
+            (
+                record["at_ms"]
+                for record in self._processes_ended
+                if record["server"] == run["server"] and record["at_ms"] >= run["at_ms"]
+            ),
+            default_ms,
+        )
+
     def count_serving(
         self, service: str, version: str, span_ms: tuple[float, float]
     ) -> int:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -42,6 +42,10 @@
             cut = [each for each in first if each["event"] != "ended"]
             last = record("config_acknowledged", 101.0 + overlap_ms)
             self.assertEqual(find_rules([*cut, *second[:-1], last]), expected)
+            # The process of the first server is ended.
+            end = record("server_ended", 101.0 + overlap_ms, server="s1")
+            later = record("config_acknowledged", 9_000.0)
+            self.assertEqual(find_rules([*cut, *second[:-1], end, later]), expected)
             # The entry of the first attempt was frozen.
             fault = record("fault", 90.0, targets=["e1"], until_ms=95.0, kind="x")
             self.assertEqual(find_rules([*first, *second, fault]), [])
@@ -121,11 +125,13 @@
 
         They count where two servers of their version serve and no fault is near.
         """
-        for n_going_on, n_servers, fault_at_ms, expected in (
+        for n_going_on, n_servers, fault, expected in (
             (6, 2, None, []),
             (5, 2, None, ["LOST"]),
             (5, 1, None, []),
-            (0, 2, 9_900.0, []),
+            (0, 2, ("e1", "kill_entries"), []),
+            (0, 2, ("e2", "kill_entries"), ["LOST"]),
+            (0, 2, ("e2", "kill_leader"), []),
         ):
             with self.subTest(n_going_on=n_going_on, n_servers=n_servers):
                 history = [
@@ -139,9 +145,10 @@
                     after = 3 if n < n_going_on else 5
                     changes = {"resumes": f"a{n}", "after": after, "first": f"a{n}"}
                     history += build_stream(f"b{n}", 10_000.0, ["v1"], **changes)
-                if fault_at_ms is not None:
-                    fault = {"kind": "x", "targets": ["e1"], "until_ms": fault_at_ms}
-                    history.append(record("fault", fault_at_ms, **fault))
+                if fault is not None:
+                    target, kind = fault
+                    fields = {"kind": kind, "targets": [target], "until_ms": 9_900.0}
+                    history.append(record("fault", 9_900.0, **fields))
                 self.assertEqual(find_rules(history), expected)
 
     def test_server_that_ends(self):
