Keep a server's pause while the list omits the server for a moment

A server got four requests in a pause for which it had asked.

Cause: an entry that goes over from its own list to the leader's, which does not show a new server yet, removes that server and what it had asked for; 50 ms later the server is back without its pause.

The pause of a removed server is kept until its end, for the same incarnation.

--- a/src/cowslipwood/entry/choosing/_view.py
+++ b/src/cowslipwood/entry/choosing/_view.py
@@ -63,6 +63,8 @@
         self.keeper_message_at_ms = 0.0
         self.typical_others_load_share = Ewma(TYPICAL_LOAD_WEIGHT)
         self._backends_by_key: dict[str, list[Backend]] = {}
+        # Removed servers that had asked for a pause, which may be listed again in it.
+        self._paused_backends: dict[str, Backend] = {}
 
     def update_catalogue(self, update: CatalogueUpdate) -> None:
         """Apply a full or partial catalogue; ignore one of an older revision."""
@@ -91,14 +93,14 @@
         for server in update.servers:
             self._update_server(server, now_ms)
         for server_id in update.removed:
-            self._remove_server(server_id)
+            self._remove_server(server_id, now_ms)
 
     def drop_unlisted(self, now_ms: float) -> None:
         """Remove the servers that have been left out of full lists for too long."""
         for server_id, backend in list(self.backends.items()):
             unlisted_since_ms = backend.unlisted_since_ms
             if unlisted_since_ms and now_ms - unlisted_since_ms > UNLISTED_GRACE_MS:
-                self._remove_server(server_id)
+                self._remove_server(server_id, now_ms)
 
     def is_stale(self, now_ms: float) -> bool:
         """Return whether there has been no message from the keepers for too long."""
@@ -117,6 +119,9 @@
         backend = self.backends.get(server.server_id)
         if backend is None:
             backend = self.backends[server.server_id] = Backend(server, now_ms)
+            paused = self._paused_backends.pop(server.server_id, None)
+            if paused and paused.view.incarnation == server.incarnation:
+                backend.hold_off(paused.held_off_until_ms)
             self._add_to_index(backend, _keys_of_server(server))
             return
         old_keys = _keys_of_server(backend.view)
@@ -126,10 +131,18 @@
             self._remove_from_index(backend, old_keys - new_keys)
             self._add_to_index(backend, new_keys - old_keys)
 
-    def _remove_server(self, server_id: str) -> None:
+    def _remove_server(self, server_id: str, now_ms: float) -> None:
         backend = self.backends.pop(server_id, None)
-        if backend is not None:
-            self._remove_from_index(backend, _keys_of_server(backend.view))
+        if backend is None:
+            return
+        self._remove_from_index(backend, _keys_of_server(backend.view))
+        self._paused_backends = {
+            paused_id: paused
+            for paused_id, paused in self._paused_backends.items()
+            if paused.held_off_until_ms > now_ms
+        }
+        if backend.held_off_until_ms > now_ms:
+            self._paused_backends[server_id] = backend
 
     def _add_to_index(self, backend: Backend, keys: set[str]) -> None:
         for key in keys:
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure as Err
 
+from cowslipwood.entry.choosing._view import FleetView
 from cowslipwood.entry.direct import _exchange
 from cowslipwood.entry.direct._exchange import RequestForwarder
 from cowslipwood.entry.direct._servers import KnownServers
@@ -353,6 +354,24 @@
         self.assertTrue(backend.is_eligible("", 1_900.0))
         self.assertEqual(state.list_held_off(1_500.0), (HeldOff("s0", 400.0),))
 
+    # A server got requests in a pause for which it had asked.
+    def test_unlisted_meanwhile(self):
+        """The pause holds if the server is unlisted in it, for the same start only."""
+        server = build_listed_server("s0", "10.0.0.1:80")
+        for next_server, expected_ms in (
+            (server, 5_000.0),
+            (server._replace(born_ms=2), 0.0),
+        ):
+            with self.subTest(born_ms=next_server.born_ms):
+                view = FleetView()
+                servers = KnownServers(view)
+                servers.apply_list([server], 1_000.0)
+                view.backends["s0"].hold_off(5_000.0)
+                servers.apply_list([], 2_000.0)
+                servers.apply_list([next_server], 3_000.0)
+                paused_ms = view.backends["s0"].held_off_until_ms
+                self.assertEqual(paused_ms, expected_ms)
+
 
 class LeaderTest(unittest.TestCase):
     """What the leading keeper sends to servers that are held off."""
