--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,7 @@
 STREAM = {"repeatable": True, "stream": True}
 # Seed and length of the run in this suite; longer ones are started by hand.
 SEED = 3
+SEED_OF_VERSIONS = 9401
 LENGTH_S = 25.0
 
 
@@ -52,6 +53,10 @@
             cut = [each for each in first if each["event"] != "ended"]
             last = record("config_acknowledged", 101.0 + overlap_ms)
             self.assertEqual(find_rules([*cut, *second[:-1], last]), expected)
+            # The process of the first server is ended.
+            end = record("server_ended", 101.0 + overlap_ms, server="s1")
+            later = record("config_acknowledged", 9_000.0)
+            self.assertEqual(find_rules([*cut, *second[:-1], end, later]), expected)
             # The entry of the first attempt was frozen.
             fault = record("fault", 90.0, targets=["e1"], until_ms=95.0, kind="x")
             self.assertEqual(find_rules([*first, *second, fault]), [])
@@ -186,11 +191,13 @@
 
         They count where two servers of their version serve and no fault is near.
         """
-        for n_going_on, n_servers, fault_at_ms, expected in (
+        for n_going_on, n_servers, fault, expected in (
             (6, 2, None, []),
             (5, 2, None, ["LOST"]),
             (5, 1, None, []),
-            (0, 2, 9_900.0, []),
+            (0, 2, ("e1", "kill_entries"), []),
+            (0, 2, ("e2", "kill_entries"), ["LOST"]),
+            (0, 2, ("e2", "kill_leader"), []),
         ):
             with self.subTest(n_going_on=n_going_on, n_servers=n_servers):
                 history = [
@@ -205,9 +212,10 @@
                     history += build_stream(f"a{n}", 9_000.0, ["v1"], **begun)
                     changes = {"resumes": f"a{n}", "after": after, "first": f"a{n}"}
                     history += build_stream(f"b{n}", 10_000.0, ["v1"], **changes)
-                if fault_at_ms is not None:
-                    fault = {"kind": "x", "targets": ["e1"], "until_ms": fault_at_ms}
-                    history.append(record("fault", fault_at_ms, **fault))
+                if fault is not None:
+                    target, kind = fault
+                    fields = {"kind": kind, "targets": [target], "until_ms": 9_900.0}
+                    history.append(record("fault", 9_900.0, **fields))
                 self.assertEqual(find_rules(history), expected)
 
     def test_server_that_ends(self):
@@ -331,3 +339,20 @@
         result = run_soak(settings)
         self.assertEqual(result.violations, [])
         self.assertGreater(result.n_by_event["run"], 0)
+
+    # Streams held events of two software versions.
+    def test_two_versions(self):
+        """While versions are exchanged and entries are killed, no stream is mixed."""
+        kinds = (
+            FaultKind.RELEASE,
+            FaultKind.RENEW_SERVER,
+            FaultKind.KILL_ENTRIES,
+            FaultKind.KILL_SERVER,
+            FaultKind.KILL_LEADER,
+        )
+        settings = SoakSettings(
+            SEED_OF_VERSIONS, LENGTH_S, n_engines=6, n_callers=30, kinds=kinds
+        )
+        result = run_soak(settings)
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.n_by_event["run"], 0)
