Ask servers for their reports in one place

Three parts of an entry asked a server for its report, each by a module and a parameter of its own. One object does it now for all of them; what is asked and believed is the same.

--- a/src/cowslipwood/entry/direct/_end_check.py
+++ b/src/cowslipwood/entry/direct/_end_check.py
@@ -6,7 +6,6 @@
 
 import enum
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
 
 import anyio
 from returns.result import Failure as Err
@@ -16,9 +15,9 @@
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.messages import ServerView
 from ...kernel.metrics import Metrics
-from ...kernel.server_probe import still_accepts_connections
+from ._server_reports import ServerSign, ask_by_connection
 
-__all__ = ["EndCheck", "EndSign", "ServerSign", "ask_by_connection"]
+__all__ = ["EndCheck", "EndSign"]
 
 # Number of questions to a server that does not answer the first one.
 N_QUESTIONS = 2
@@ -39,21 +38,6 @@
     SILENT = "silent"
 
 
-class ServerSign(NamedTuple):
-    """What a server answered to the question whether it still runs.
-
-    Parameters
-    ----------
-    is_same : bool
-        Whether it is the server that was asked for.
-    born_ms : int
-        When it started, as Unix time; 0 if it does not state it.
-    """
-
-    is_same: bool
-    born_ms: int = 0
-
-
 # Asks a server; fails with BACKEND_UNREACHABLE, BACKEND_TIMEOUT or ANSWER_CUT.
 AskServer = Callable[[ServerView], Awaitable[Result[ServerSign, Failure]]]
 
@@ -159,13 +143,3 @@
         sent_at_wall_ms = self._now_wall_ms() - (self._now_ms() - sent_ms)
         is_older = answer.born_ms + CLOCK_MARGIN_MS <= sent_at_wall_ms
         return EndSign.ALIVE if is_known or is_older else EndSign.RESTARTED
-
-
-async def ask_by_connection(server: ServerView) -> Result[ServerSign, Failure]:
-    """Open a connection to a server; any process that accepts it counts.
-
-    Fails with BACKEND_UNREACHABLE.
-    """
-    if await still_accepts_connections(server.http_addr):
-        return Success(ServerSign(is_same=True))
-    return Err(failure(Code.BACKEND_UNREACHABLE, server.server_id))
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -45,15 +45,14 @@
 from ..receiving._caller_protocol import make_caller_protocol
 from ..receiving._reason_counters import REASON_COUNTERS
 from ._app import RouteApp
-from ._end_check import AskServer, ask_by_connection
 from ._headers import HeaderNames
 from ._holders import HolderFinder
 from ._limits import ServerLimitKeeper
 from ._part_guard import PartGuard
 from ._retries import RetryBudgetLimits
+from ._server_reports import ServerReports
 from ._servers import KnownServers
-from ._state import BornSource, DirectState
-from ._stopping import RunFinder
+from ._state import DirectState
 from ._stream_versions import StreamVersions
 
 __all__ = ["DIRECT_SETTING_CHECKS", "DirectEntry", "DirectSettings"]
@@ -176,12 +175,8 @@
     keepers : KeeperAddresses, optional
         Addresses of the keepers, whose configured ones a reload may replace; by
         default those of the setting `keepers`.
-    ask_server : callable
-        Asks a server whether it still runs; by default a connection to it tells.
-    run_finder : RunFinder, optional
-        Asks servers what they run; None where they do not tell.
-    read_born : BornSource, optional
-        Asks servers when they started.
+    reports : ServerReports, optional
+        Asks servers about themselves; by default a connection tells that they run.
     """
 
     def __init__(
@@ -190,9 +185,7 @@
         header_names: HeaderNames,
         list_source: ServerListSource,
         keepers: KeeperAddresses | None = None,
-        ask_server: AskServer = ask_by_connection,
-        run_finder: RunFinder | None = None,
-        read_born: BornSource | None = None,
+        reports: ServerReports | None = None,
     ):
         self._settings = settings
         self._list_source = list_source
@@ -231,9 +224,7 @@
             ask_leader=self._link.request,
             identity_key=_make_identity_key(settings.cluster_token),
             started_ms=monotonic_ms(),
-            ask_server=ask_server,
-            run_finder=run_finder,
-            read_born=read_born,
+            reports=reports,
         )
         self._app = RouteApp(self._state, random.Random())
 
--- a/src/cowslipwood/entry/direct/_incarnations.py
+++ b/src/cowslipwood/entry/direct/_incarnations.py
@@ -30,9 +30,9 @@
     incarnation = backend.view.incarnation
     now_ms = state.now_ms()
     proven_ms = max(backend.proven_at_ms, state.list_read_at_ms - MAX_LIST_DELAY_MS)
-    if state.read_born is None or conn.opened_at_ms <= proven_ms:
+    if conn.opened_at_ms <= proven_ms:
         return None
-    reply = await state.read_born(conn, backend.view)
+    reply = await state.reports.read_born_ms(conn, backend.view)
     server_id = backend.view.server_id
     if isinstance(reply, Err):
         state.metrics.count("incarnation_checks_total", result="failed")
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -11,10 +11,9 @@
 
 from ...kernel.clock import monotonic_ms
 from ...kernel.codes import Code, Failure, failure
-from ...kernel.http_connection import ServerConnection
 from ...kernel.http_pool import ConnectionPool
 from ...kernel.logs import get_logger
-from ...kernel.messages import DemandSample, HeldOff, ServerView
+from ...kernel.messages import DemandSample, HeldOff
 from ...kernel.metrics import Metrics
 from ...listing import ServerNotice
 from ...routes import RouteDocument, RouteTable
@@ -23,14 +22,15 @@
 from ..choosing._view import FleetView
 from ..metering._demand import DemandMeter
 from ..routing import RoutingContext, RoutingPolicy
-from ._end_check import AskServer, EndCheck, ask_by_connection
+from ._end_check import EndCheck
 from ._headers import HeaderNames
 from ._holders import HolderFinder
 from ._limits import ServerLimitKeeper
 from ._part_guard import PartGuard
 from ._retries import LiveEntryCount, RetryBudgetLimits, SharedRetryBudget
+from ._server_reports import NoReports, ServerReports
 from ._servers import KnownServers
-from ._stopping import RunFinder, StopWaiter
+from ._stopping import StopWaiter
 from ._stream_versions import StreamVersions
 
 __all__ = ["DirectState"]
@@ -40,11 +40,6 @@
 TYPICAL_TOKENS_WEIGHT = 0.03
 
 
-# Asks a server over a connection when it started, as Unix time in milliseconds; 0 if
-# servers of its kind do not tell. The connection is free again after a success.
-BornSource = Callable[[ServerConnection, ServerView], Awaitable[Result[int, Failure]]]
-
-
 class DirectState:
     """Routes, servers, connections and meters of a direct-route entry.
 
@@ -69,12 +64,8 @@
         Key of the digests by which entries recognise requests; the same at all.
     started_ms : float
         When the entry started; by default more than a retry window ago.
-    ask_server : callable
-        Asks a server whether it still runs; by default a connection to it tells.
-    run_finder : RunFinder or None
-        Asks servers what they run; None where they do not tell.
-    read_born : BornSource, optional
-        Without it, the list alone tells which incarnation of a server answers.
+    reports : ServerReports
+        Asks servers about themselves.
 
     Attributes
     ----------
@@ -114,13 +105,11 @@
         ask_leader: Callable[[Any, float], Awaitable[Result]] | None = None,
         identity_key: bytes = b"",
         started_ms: float = -math.inf,
-        ask_server: AskServer = ask_by_connection,
-        run_finder: RunFinder | None = None,
-        read_born: BornSource | None = None,
+        reports: ServerReports | None = None,
     ):
         ask = ask_leader or _find_no_leader
         self.identity_key = identity_key
-        self.read_born = read_born
+        self.reports = reports or NoReports()
         self.zone = zone
         self.header_names = header_names
         self.holder_finder = holder_finder
@@ -131,9 +120,9 @@
         self.demand = DemandMeter(now_ms())
         self.waiting_demand = DemandMeter(now_ms())
         self.pool = ConnectionPool()
-        self.stop_waiter = StopWaiter(self.pool, run_finder, metrics, now_ms)
+        self.stop_waiter = StopWaiter(self.pool, self.reports, metrics, now_ms)
         self.part_guard = PartGuard(metrics)
-        self.end_check = EndCheck(metrics, ask_server, now_ms)
+        self.end_check = EndCheck(metrics, self.reports.ask, now_ms)
         self.stream_versions = StreamVersions(ask, metrics)
         self.document: RouteDocument | None = None
         self.document_applied = anyio.Event()
--- a/src/cowslipwood/entry/direct/_stopping.py
+++ b/src/cowslipwood/entry/direct/_stopping.py
@@ -1,7 +1,6 @@
 """Waits until a server that was given up has stopped its work on a request."""
 
 from collections.abc import Callable
-from typing import Protocol
 
 import anyio
 
@@ -9,8 +8,9 @@
 from ...kernel.logs import get_logger
 from ...kernel.metrics import Metrics
 from ._progress import GivenUpAttempt
+from ._server_reports import ServerReports
 
-__all__ = ["RunFinder", "StopWaiter"]
+__all__ = ["StopWaiter"]
 
 # Time, in milliseconds, to wait for a server's word on what it runs. The network takes
 # about one; a server that does not answer in this time is held to the pause alone.
@@ -23,31 +23,13 @@
 STOP_LIMIT_MS = 1_200.0
 
 
-class RunFinder(Protocol):
-    """Asks a server whether it runs a request."""
-
-    async def find_run(
-        self,
-        pool: ConnectionPool,
-        addr: str,
-        server_id: str,
-        request_id: str,
-        timeout_ms: float,
-    ) -> bool | None:
-        """Return whether the server says that it runs a request; None if it says not.
-
-        A run that has ended may still be reported for a short time.
-        """
-
-
 class StopWaiter:
     """Holds a request until the server that was given up has stopped.
 
     Parameters
     ----------
     pool : ConnectionPool
-    run_finder : RunFinder or None
-        None where servers do not tell what they run.
+    reports : ServerReports
     metrics : Metrics
     now_ms : callable
     """
@@ -55,12 +37,12 @@
     def __init__(
         self,
         pool: ConnectionPool,
-        run_finder: RunFinder | None,
+        reports: ServerReports,
         metrics: Metrics,
         now_ms: Callable[[], float],
     ):
         self._pool = pool
-        self._run_finder = run_finder
+        self._reports = reports
         self._metrics = metrics
         self._now_ms = now_ms
 
@@ -92,8 +74,6 @@
             await anyio.sleep(ASK_INTERVAL_MS / 1000)
 
     async def _ask(self, request_id: str, attempt: GivenUpAttempt) -> bool | None:
-        if self._run_finder is None:
-            return None
-        return await self._run_finder.find_run(
+        return await self._reports.find_run(
             self._pool, attempt.addr, attempt.server_id, request_id, ASK_TIMEOUT_MS
         )
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -305,7 +305,7 @@
     """What the platform's servers answer to the question."""
 
     def _ask(self, status: str, body: bytes, models: tuple = (ListedModel("m1"),)):
-        ask_server = adapter_module("_signs").ask_server
+        ask_server = adapter_module("_reports").PlatformReports().ask
         head = f"HTTP/1.1 {status}\r\ncontent-length: {len(body)}\r\n\r\n"
 
         async def serve(stream: Any, request_head: bytes) -> None:
--- a/tests/test_given_up_attempts.py
+++ b/tests/test_given_up_attempts.py
@@ -245,7 +245,7 @@
 
 
 class ScriptedRuns:
-    """A `RunFinder` that gives these answers in order, the last one again and again."""
+    """`ServerReports` that give these answers in order, then the last one again."""
 
     def __init__(self, answers: list[bool | None]):
         self._answers = answers
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -173,7 +173,7 @@
             script = always_send(build_answer(body, status))
             async with run_scripted_server(script) as (addr, _):
                 pool = ConnectionPool()
-                finder = adapter_module("_runs").PlatformRuns()
+                finder = adapter_module("_reports").PlatformReports()
                 found = await finder.find_run(pool, addr, "s1", "q1", 5_000.0)
                 await pool.close()
                 return found
@@ -237,8 +237,10 @@
         async with run_scripted_server(always_send(answer)) as (addr, heads):
             view = to_server_view(build_listed_server("s0", addr), ())
             conn = await ConnectionPool().acquire(addr, monotonic_ms(), 1_000.0)
-            reply = await adapter_module("_incarnations").read_born_ms(
-                conn, view._replace(kind=kind)
+            reply = (
+                await adapter_module("_reports")
+                .PlatformReports()
+                .read_born_ms(conn, view._replace(kind=kind))
             )
             is_free = conn.n_requests == 0
             if heads and not isinstance(reply, Err):
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -16,6 +16,7 @@
 from cowslipwood.entry.direct import _admission
 from cowslipwood.entry.direct._exchange import RequestForwarder
 from cowslipwood.entry.direct._headers import RequestFacts, read_request_facts
+from cowslipwood.entry.direct._server_reports import NoReports
 from cowslipwood.entry.direct._state import DirectState
 from cowslipwood.entry.direct._stream_versions import StreamVersions
 from cowslipwood.keeper._commands import VersionsCommand, encode_command
@@ -239,14 +240,17 @@
         """
         asked: list[str] = []
 
-        async def read_born(conn: Any, server: Any) -> Any:
-            asked.append(server.server_id)
-            born = born_ms[server.server_id]
-            return Err(failure(Code.BACKEND_TIMEOUT)) if born is None else Success(born)
+        class Reports(NoReports):
+            async def read_born_ms(self, conn: Any, server: Any) -> Any:
+                asked.append(server.server_id)
+                born = born_ms[server.server_id]
+                if born is None:
+                    return Err(failure(Code.BACKEND_TIMEOUT))
+                return Success(born)
 
         async with run_versions("a" * len(born_ms)) as (servers, tried):
             state = build_direct_state(servers)
-            state.read_born = read_born
+            state.reports = Reports()
             state.servers.list_read_at_ms += list_age_ms
             faults = []
             for number in range(n_requests):
