Ask for a server's start only where several software versions may serve

Each new connection for a resumable stream cost a question to its server, also where one version served all the time.

It is now asked while servers of several versions serve, or did within a minute, and where a stream goes on; not at a server with a limit, which counts it. What remains: streams that the first renewed server begins before the list shows the second version.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -250,7 +250,7 @@
                 permit = await self._take_permit(backend)
                 if isinstance(permit, Failure):
                     return permit
-            if self._request.route.is_resumable:
+            if self._may_meet_other_version(backend):
                 fault = await check_incarnation(self._state, backend, conn)
                 if fault is not None:
                     return fault
@@ -261,6 +261,20 @@
                 backend.view.http_addr, conn, self._state.now_ms()
             )
 
+    def _may_meet_other_version(self, backend: Backend) -> bool:
+        """Return whether a server's start is asked for before it gets the request.
+
+        That delays a stream on a new connection by a question, so only while servers of
+        several versions serve or a stream goes on. A limit counts each question.
+        """
+        state, request = self._state, self._request
+        if not request.route.is_resumable or state.limits.has_limit(backend.view):
+            return False
+        return (
+            self._progress.must_keep_version
+            or state.stream_versions.has_several_versions(request.service)
+        )
+
     async def _take_permit(self, backend: Backend) -> Permit | Failure:
         """Return leave to send to a server; fails with SERVER_LIMITED."""
         state, request = self._state, self._request
--- a/src/cowslipwood/entry/direct/_stream_versions.py
+++ b/src/cowslipwood/entry/direct/_stream_versions.py
@@ -85,6 +85,10 @@
             if is_new and len(versions) == 2:
                 self._queue(self._list_streams(server.service_name, now_ms))
 
+    def has_several_versions(self, service: str) -> bool:
+        """Return whether a service has servers of several versions, or had lately."""
+        return len(self._seen_ms.get(service, ())) > 1
+
     def forget_old(self, now_ms: float) -> None:
         """Forget versions and streams that are too old to matter."""
         for versions in self._seen_ms.values():
@@ -107,7 +111,7 @@
         if len(self._streams) > MAX_STREAMS:
             self._streams.popitem(last=False)
             self._metrics.count("stream_versions_dropped_total")
-        if len(self._seen_ms.get(service, ())) > 1:
+        if self.has_several_versions(service):
             self._queue([BegunStream(service, request_id, version)])
 
     def find_service(self, route: Route, facts: RequestFacts) -> str:
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -232,9 +232,12 @@
         born_ms: dict[str, int | None],
         n_requests: int = 1,
         list_age_ms: float = 0,
+        seen: str = "ab",
     ) -> tuple[list[Failure | None], list[str], list[str]]:
         """Send streams to servers of version "a" that are listed as born at 1 ms.
 
+        The entry has seen servers of the versions `seen` in the last minute.
+
         Returns the failures, the versions that got a stream, and the servers that were
         asked when they started.
         """
@@ -251,6 +254,11 @@
         async with run_versions("a" * len(born_ms)) as (servers, tried):
             state = build_direct_state(servers)
             state.reports = Reports()
+            view = to_server_view(servers[0], ())
+            state.stream_versions.record_servers(
+                [view._replace(software_version=version) for version in seen],
+                monotonic_ms(),
+            )
             state.servers.list_read_at_ms += list_age_ms
             faults = []
             for number in range(n_requests):
@@ -286,6 +294,11 @@
         _, tried, asked = anyio.run(self._begin, {"s0": 1}, 2)
         self.assertEqual((len(tried), asked), (2, ["s0", "s0"]))
 
+    def test_no_question_while_one_version_serves(self):
+        """Streams begin without a question if all servers are of one version."""
+        _, tried, asked = anyio.run(self._begin, {"s0": 1}, 2, 0, "a")
+        self.assertEqual((len(tried), asked), (2, []))
+
 
 class UntoldVersionTest(unittest.TestCase):
     """Entries that read the list themselves, which shows versions before the log."""
