Report the streams of entries that start soon after a release

Callers that resumed streams of such entries elsewhere were told to begin anew.

Cause: an entry reports its streams while it has seen two versions within a minute; the leader counts a version for a minute after its last server left. An entry that starts after that sees one version and reports nothing, while the leader takes two for possible.

For 65 s after its start an entry reports as if it had seen another version, and it keeps a version that has left for 5 s longer than the leader.

--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -120,7 +120,7 @@
         self.waiting_demand = DemandMeter(now_ms())
         self.pool = ConnectionPool()
         self.part_guard = PartGuard(metrics)
-        self.stream_versions = StreamVersions(ask, metrics)
+        self.stream_versions = StreamVersions(ask, metrics, started_ms)
         self.document: RouteDocument | None = None
         self.document_applied = anyio.Event()
         self.route_table = RouteTable()
--- a/src/cowslipwood/entry/direct/_stream_versions.py
+++ b/src/cowslipwood/entry/direct/_stream_versions.py
@@ -4,6 +4,7 @@
 lately, entries report their streams to the leader, which answers for all of them.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Iterable
 from typing import NamedTuple
@@ -40,6 +41,9 @@
 # Pause, in milliseconds, before a question that no leader answered is asked again. A
 # connection to the leader that was reset is open again after a few such pauses.
 ASK_RETRY_PAUSE_MS = 50.0
+# Time, in milliseconds, for which a version that has left counts here: longer than at
+# the leader, which learns of the end of its last server later.
+VERSION_LIFE_MS = STREAM_LIFE_MS + 5_000.0
 # Largest number of streams that are remembered, the newest ones: those of a minute at
 # 300 a second.
 MAX_STREAMS = 20_000
@@ -61,6 +65,8 @@
     ----------
     ask_leader : StreamVersionSource
     metrics : Metrics
+    started_ms : float
+        When the entry started. It does not know which versions had left before.
 
     Attributes
     ----------
@@ -68,8 +74,14 @@
         Set when there are streams to report; replaced by `take_news`.
     """
 
-    def __init__(self, ask_leader: StreamVersionSource, metrics: Metrics):
+    def __init__(
+        self,
+        ask_leader: StreamVersionSource,
+        metrics: Metrics,
+        started_ms: float = -math.inf,
+    ):
         self._ask_leader = ask_leader
+        self._started_ms = started_ms
         self._metrics = metrics
         self._streams: OrderedDict[tuple[str, str], _KnownStream] = OrderedDict()
         self._seen_ms: dict[str, dict[str, float]] = {}
@@ -89,7 +101,7 @@
         """Forget versions and streams that are too old to matter."""
         for versions in self._seen_ms.values():
             for version, at_ms in list(versions.items()):
-                if now_ms - at_ms > STREAM_LIFE_MS:
+                if now_ms - at_ms > VERSION_LIFE_MS:
                     del versions[version]
         while self._streams:
             key, stream = next(iter(self._streams.items()))
@@ -107,7 +119,7 @@
         if len(self._streams) > MAX_STREAMS:
             self._streams.popitem(last=False)
             self._metrics.count("stream_versions_dropped_total")
-        if len(self._seen_ms.get(service, ())) > 1:
+        if self._reports(service, now_ms):
             self._queue([BegunStream(service, request_id, version)])
 
     def find_service(self, route: Route, facts: RequestFacts) -> str:
@@ -171,13 +183,18 @@
         """Return the streams of services with several versions, for a new leader."""
         streams = [
             stream
-            for service, versions in self._seen_ms.items()
-            if len(versions) > 1
+            for service in self._seen_ms
+            if self._reports(service, now_ms)
             for stream in self._list_streams(service, now_ms)
         ]
         newest = streams[-MAX_STREAMS_PER_MESSAGE:]
         return StreamsBegun(tuple(newest)) if newest else None
 
+    def _reports(self, service: str, now_ms: float) -> bool:
+        """Return whether the leader may know of several versions of a service."""
+        is_new = now_ms - self._started_ms <= VERSION_LIFE_MS
+        return is_new or len(self._seen_ms.get(service, ())) > 1
+
     def _list_streams(self, service: str, now_ms: float) -> list[BegunStream]:
         return [
             BegunStream(service, request_id, stream.version)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -499,6 +499,32 @@
         self.assertIsNone(streams.take_news(2.0))
         self.assertIsNone(streams.build_all(2.0))
 
+    # Streams of entries that started after a release were refused elsewhere.
+    def test_entry_that_started_after_a_release(self):
+        """An entry reports its streams until it would have seen a departed version."""
+        late_ms = STREAM_LIFE_MS + 10_000.0
+        for now_ms, expected in (
+            (1.0, ["q1"]),
+            (STREAM_LIFE_MS, ["q1"]),
+            (late_ms, []),
+        ):
+            with self.subTest(now_ms=now_ms):
+                streams = StreamVersions(FakeLeader("").ask, Metrics("entry"), 0.0)
+                streams.record_servers([self._view("b")], now_ms)
+                streams.record_stream("desk", "q1", "b", now_ms)
+                for report in (streams.take_news(now_ms), streams.build_all(now_ms)):
+                    reported = report.streams if report else ()
+                    self.assertEqual([each.request_id for each in reported], expected)
+
+    def test_version_that_has_just_left(self):
+        """Entries count a version that has left for longer than the leader."""
+        streams = self._build()
+        streams.record_servers([self._view("a"), self._view("b")], 0.0)
+        now_ms = STREAM_LIFE_MS + 1_000.0
+        streams.forget_old(now_ms)
+        streams.record_stream("desk", "q1", "b", now_ms)
+        self.assertEqual(len(streams.take_news(now_ms).streams), 1)
+
     def test_earlier_streams_once_another_version_joins(self):
         """Once another version joins, the streams that began before are reported."""
         streams = self._build()
