--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -123,7 +123,7 @@
         self.stop_waiter = StopWaiter(self.pool, self.reports, metrics, now_ms)
         self.part_guard = PartGuard(metrics)
         self.end_check = EndCheck(metrics, self.reports.ask, now_ms)
-        self.stream_versions = StreamVersions(ask, metrics)
+        self.stream_versions = StreamVersions(ask, metrics, started_ms)
         self.document: RouteDocument | None = None
         self.document_applied = anyio.Event()
         self.route_table = RouteTable()
