Check the version again before a begun stream is sent on

Callers could get events of two software versions in one stream (ORDER): the version was compared when the server was chosen, and the list may show another version, with a new start, before the connection is open or a permit is there. The proof of the incarnation compares with the list of that moment, so it then passed for the new version.

Evidence: the test, whose list changes while the connection opens, failed before: the renewed server got the stream. Without an await between this check and the sending, the version that is compared is that of the server that the list names when it is sent.

--- a/src/cowslipwood/entry/direct/_choice.py
+++ b/src/cowslipwood/entry/direct/_choice.py
@@ -150,7 +150,7 @@
         others = {
             backend.view.server_id
             for backend in self._state.view.candidates(self._request.key)
-            if backend.view.software_version != self._progress.software_version
+            if not self._progress.may_continue_at(backend.view.software_version)
         }
         self.tried_server_ids |= others
         return others
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -254,6 +254,10 @@
                 fault = await check_incarnation(self._state, backend, conn)
                 if fault is not None:
                     return fault
+            if not self._progress.may_continue_at(backend.view.software_version):
+                # The list has changed since the choice.
+                message = f"{backend.view.server_id} has another version now"
+                return failure(Code.BACKEND_UNREACHABLE, message)
             with backend.track_request():
                 return await self._sender.send(backend, conn, permit)
         finally:
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -89,3 +89,7 @@
     def must_keep_version(self) -> bool:
         """Whether the client has events, which no other version may continue."""
         return self.has_started or self.is_resumed
+
+    def may_continue_at(self, software_version: str) -> bool:
+        """Return whether a server of a version may get the request now."""
+        return not self.must_keep_version or software_version == self.software_version
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -275,6 +275,40 @@
                 _, tried, _ = anyio.run(self._begin, born_ms)
                 self.assertEqual(len(tried), n_tried)
 
+    # A stream went on at the other version that its server had got meanwhile.
+    def test_server_that_is_renewed_while_its_connection_opens(self):
+        """The list shows the new version after the choice and before the request."""
+
+        async def main() -> tuple[Failure | None, list[str]]:
+            async with run_versions("a") as (servers, tried):
+                state = build_direct_state(servers)
+                acquire = state.pool.acquire
+
+                async def renew(*args: Any, **options: Any) -> Any:
+                    conn = await acquire(*args, **options)
+                    renewed = [
+                        server._replace(software_version="b", born_ms=2)
+                        for server in servers
+                    ]
+                    state.servers.apply_list(renewed, monotonic_ms())
+                    return conn
+
+                async def read_born(conn: Any, server: Any) -> Any:
+                    return Success(2)
+
+                state.read_born = read_born
+                state.stream_versions.record_stream("desk", "a1", "a", monotonic_ms())
+                headers = {"last_event_id": "2", "x_cowslip_resumes": "a1"}
+                request = build_request(ROUTE, x_request_id="a2", **headers)
+                sink = RecordingSink()
+                with mock.patch.object(state.pool, "acquire", renew):
+                    forwarder = RequestForwarder(state, request, sink, random.Random(1))
+                    return await forwarder.run(), tried
+
+        fault, tried = anyio.run(main)
+        self.assertEqual(tried, [])
+        self.assertIs(fault.outcome, Outcome.NOT_RUN)
+
     def test_one_proof_for_earlier_connections(self):
         """A connection that is older than the list in use needs no question."""
         _, tried, asked = anyio.run(self._begin, {"s0": 1}, 2, 60_000.0)
