Take a connection that timed out for no end by its server

Callers' streams went on elsewhere at once, without the pause and without a question to the first server, when the operating system gave up a silent connection (TCP_USER_TIMEOUT, keepalive, no route). Cause: every error of a connection counted as its end by the server.

Evidence: test_who_ended_a_broken_exchange failed before for ETIMEDOUT and EHOSTUNREACH, while sending and while reading. Only resets and broken pipes, which a host that is in reach sends, count now. The log names the operating system's error.

--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -64,7 +64,7 @@
     code : Code
         The result code of the failed exchange.
     by_server : bool
-        Whether the server ended the exchange, or the connection was lost. Otherwise
+        Whether the server ended the exchange, or the connection was reset. Otherwise
         the server may still work on the request until it notices the close.
     """
 
@@ -331,15 +331,19 @@
             self._has_ended = True
             return b""
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
-            self._has_ended = True
-            raise self._mark_broken(f"reset: {type(exc).__name__}") from exc
+            raise self._mark_lost(exc) from exc
 
     async def _write(self, data: bytes) -> None:
         try:
             await self._stream.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
-            self._has_ended = True
-            raise self._mark_broken(f"reset: {type(exc).__name__}") from exc
+            raise self._mark_lost(exc) from exc
+
+    def _mark_lost(self, exc: Exception) -> BrokenAnswerError:
+        cause = exc.__cause__ or exc
+        # A connection that timed out, or whose host is out of reach, was not ended.
+        self._has_ended |= isinstance(cause, ConnectionError)
+        return self._mark_broken(f"lost: {type(cause).__name__}")
 
     def _mark_broken(self, reason: str) -> BrokenAnswerError:
         self._is_broken = True
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -1,5 +1,6 @@
 """Connections to backend servers: answers are complete and belong to their requests."""
 
+import errno
 import unittest
 
 import anyio
@@ -9,6 +10,7 @@
 from cowslipwood.kernel.http_connection import (
     MAX_SKIPPED_BYTES,
     BrokenAnswerError,
+    ServerConnection,
     open_connection,
 )
 from cowslipwood.kernel.http_pool import ConnectionPool
@@ -32,6 +34,24 @@
     return await open_connection(*parse_address(addr), 1_000.0)
 
 
+class LostStream:
+    """A connection that is lost after some writes, as anyio reports it."""
+
+    def __init__(self, error: OSError, n_sent: int):
+        self._error = error
+        self._n_sent = n_sent
+
+    async def send(self, data: bytes) -> None:
+        """Send or fail."""
+        self._n_sent -= 1
+        if self._n_sent < 0:
+            raise anyio.BrokenResourceError from self._error
+
+    async def receive(self, max_bytes: int) -> bytes:
+        """Fail."""
+        raise anyio.BrokenResourceError from self._error
+
+
 class ServerConnectionTest(unittest.TestCase):
     """Several exchanges, one after another, on one connection."""
 
@@ -102,6 +122,22 @@
         """An answer whose body is shorter than its length is reported as broken."""
         self._check_broken(build_answer(b"whole body")[:-3])
 
+    # A stream went on elsewhere at once though its server was only out of reach.
+    def test_who_ended_a_broken_exchange(self):
+        """A connection that was lost in silence was not ended by the server."""
+        for error, by_server in (
+            (ConnectionResetError(errno.ECONNRESET, "reset"), True),
+            (BrokenPipeError(errno.EPIPE, "pipe"), True),
+            (TimeoutError(errno.ETIMEDOUT, "timed out"), False),
+            (OSError(errno.EHOSTUNREACH, "no route"), False),
+        ):
+            for n_sent in (0, 1):
+                with self.subTest(error=error, n_sent=n_sent):
+                    conn = ServerConnection(LostStream(error, n_sent))
+                    with self.assertRaises(BrokenAnswerError) as caught:
+                        anyio.run(fetch_body, conn)
+                    self.assertEqual(caught.exception.by_server, by_server)
+
     # Requests of over 4 KB were answered 500 and never repeated after a break.
     def test_broken_answer_to_a_long_request(self):
         """A break is reported as such, whatever the length of the request's body."""
