Reset the connections of HTTP/1.0 callers whose answers break off

While an answer to such a caller is under way, its connection is reset by any close; at the answer's end that is taken back. The operating system does so for killed processes.

Evidence: test_answer_that_breaks_off_is_not_complete failed before in four of its six cases; the whole answers passed and still do. Callers of HTTP/1.1 get chunks, as before.

--- a/src/cowslipwood/entry/receiving/_caller_protocol.py
+++ b/src/cowslipwood/entry/receiving/_caller_protocol.py
@@ -1,7 +1,10 @@
 """Callers' HTTP/1.1 connections: limits that apply before a request is complete."""
 
 import asyncio
+import contextlib
 import logging
+import socket
+import struct
 from typing import Any
 
 import h11
@@ -16,6 +19,9 @@
 
 # Callers' connections that may be open at once, by default.
 MAX_CONNECTIONS = 4_000
+# Values of SO_LINGER with which a close resets the connection, and with which it does
+# not.
+RESET, NO_RESET = struct.pack("ii", 1, 0), struct.pack("ii", 0, 0)
 # Milliseconds after which a caller whose connection was refused may try again.
 RETRY_AFTER_MS = 1_000
 
@@ -72,6 +78,22 @@
                 self._start_head_timer()
             else:
                 self._cancel_head_timer()
+            if self.cycle is not None and not self.cycle.response_complete:
+                self._set_linger(RESET)
+
+        def on_response_complete(self) -> None:
+            self._set_linger(NO_RESET)
+            super().on_response_complete()
+
+        def _set_linger(self, value: bytes) -> None:
+            """Choose how a connection ends at whose end HTTP/1.0 callers take answers.
+
+            To them, any end but a reset is the end of a complete answer.
+            """
+            if self.conn.their_http_version == b"1.0":
+                sock = self.transport.get_extra_info("socket")
+                with contextlib.suppress(OSError):  # The caller has left.
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
         def send_400_response(self, msg: str) -> None:
             self._cancel_head_timer()
--- a/tests/answer_builders.py
+++ b/tests/answer_builders.py
@@ -111,10 +111,20 @@
 
 
 async def call_entry(
-    scripts: list[ServerScript], **route_changes: object
+    scripts: list[ServerScript],
+    *,
+    http_version: bytes = b"HTTP/1.1",
+    **route_changes: object,
 ) -> tuple[CallerAnswer, list[bytes]]:
     """Send one request through an entry whose servers have these scripts.
 
+    Parameters
+    ----------
+    scripts : list of ServerScript
+    http_version : bytes
+        Version that the caller's request states.
+    **route_changes : object
+
     Returns
     -------
     tuple
@@ -143,13 +153,13 @@
         protocol = make_caller_protocol(Metrics("entry"), HEAD_TIMEOUT_MS)
         server = HttpServer(app, sock, protocol)
         tasks.start_soon(server.run)
-        answer = await _fetch(f"127.0.0.1:{sock.getsockname()[1]}")
+        answer = await _fetch(f"127.0.0.1:{sock.getsockname()[1]}", http_version)
         server.stop()
         tasks.cancel_scope.cancel()
     return answer, [head for _, heads in started for head in heads]
 
 
-async def _fetch(addr: str) -> CallerAnswer:
+async def _fetch(addr: str, http_version: bytes) -> CallerAnswer:
     """Send a request as a caller and read the answer to its end."""
     conn = h11.Connection(h11.CLIENT)
     request = h11.Request(
@@ -159,7 +169,9 @@
     )
     status, body = 0, b""
     async with await anyio.connect_tcp(*parse_address(addr)) as stream:
-        await stream.send(conn.send(request) + conn.send(h11.EndOfMessage()))
+        head = conn.send(request).replace(b"HTTP/1.1", http_version, 1)
+        await stream.send(head)
+        conn.send(h11.EndOfMessage())
         while True:
             try:
                 event = conn.next_event()
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -60,6 +60,25 @@
                         self.assertFalse(answer.is_complete and answer.status == 200)
 
 
+class OldCallerTest(unittest.TestCase):
+    """Callers of HTTP/1.0, to whom the end of the connection ends an answer."""
+
+    # An answer that broke off reached a caller of HTTP/1.0 as complete.
+    def test_answer_that_breaks_off_is_not_complete(self):
+        """The connection of an answer that breaks off is reset."""
+        events = build_events(1, 3)
+        head, framed = frame_answer(Framing.CHUNKS, events, headers=STREAM_HEADERS)
+        for route in (STREAM, RESUMABLE):
+            for n_missing in (0, len(b"0\r\n\r\n"), len(b"0\r\n\r\n") + 4):
+                with self.subTest(route=route, n_missing=n_missing):
+                    data = (head + framed)[: len(head + framed) - n_missing]
+                    script = send_and_end(data, End.CLOSED)
+                    answer = call([script], http_version=b"HTTP/1.0", **route)
+                    self.assertEqual(answer.is_complete, not n_missing)
+                    if not n_missing:
+                        self.assertEqual(answer.body, events)
+
+
 class AnyAnswerTest(unittest.TestCase):
     """Answers of each framing that a server may break off at any byte."""
 
