Soak: count servers and callers that end by themselves as a violation

A soak passed in which its servers failed at every stream: an unforeseen error ends the server's process, nothing is recorded of it any more, and the entries go on without it. The short soak asked only that some requests had begun.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -285,6 +285,15 @@
         yield Violation("LOST", history[-1]["at_ms"], text)
 
 
+def check_processes(history: Sequence[Record]) -> Iterable[Violation]:
+    """Find servers and callers of the soak that ended by themselves.
+
+    What they would have seen later is missing in the history.
+    """
+    for record in _select(history, "process_failed"):
+        yield Violation("SOAK", record["at_ms"], record["process"])
+
+
 CHECKS: tuple[Callable[[Sequence[Record]], Iterable[Violation]], ...] = (
     check_single_runs,
     check_overlapping_runs,
@@ -296,6 +305,7 @@
     check_streams,
     check_versions,
     check_resumes,
+    check_processes,
 )
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,7 +23,7 @@
 from .server import Fault, ServerSettings, make_instance
 from .wire import MessageReader, encode_head
 
-__all__ = ["SoakSettings", "run_soak"]
+__all__ = ["SoakSettings", "has_failed", "run_soak"]
 
 KINDS = (
     RequestKind("ask", "assistant", "m1", True, True, 12_000, 500),
@@ -219,6 +219,10 @@
 
     def end_children(self) -> None:
         """Kill the servers, clients and busy processes of this run."""
+        for process in self._children:
+            if has_failed(process):
+                # The argument before the settings is the module.
+                self._history.write("process_failed", process=process.args[-2])
         for process in self._children:
             process.kill()
         for process in self._children:
@@ -548,6 +552,11 @@
             _end(process)
 
 
+def has_failed(process: subprocess.Popen) -> bool:
+    """Return whether a process has ended though the soak did not kill it."""
+    return process.poll() not in (None, -signal.SIGKILL)
+
+
 def _end(process: subprocess.Popen | None) -> None:
     if process is not None:
         process.kill()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,7 @@
 from soak.checks import check_history
 from soak.deployment import ROOT
 from soak.history import read_history
-from soak.run import SoakSettings, run_soak
+from soak.run import SoakSettings, has_failed, run_soak
 from soak.schedule import DEFAULT_KINDS, FaultKind, draw_schedule
 from soak.server import ServerSettings, make_event, split_versions
 
@@ -234,6 +234,34 @@
         self.assertEqual(find_rules(history), ["LOST"])
 
 
+class FailedProcessTest(unittest.TestCase):
+    """Servers and callers of the soak that end by themselves."""
+
+    # A run passed in which servers failed at every request.
+    def test_failed_process(self):
+        """A process that fails is a violation; one that the soak killed is none."""
+        failed = record("process_failed", 5.0, process="soak.server")
+        self.assertEqual(find_rules([*build_attempt("a", 0.0), failed]), ["SOAK"])
+        for code, is_killed, expected in (
+            ("planted", False, True),
+            ("pass", False, True),
+            ("input()", True, False),
+        ):
+            with (
+                self.subTest(code=code),
+                subprocess.Popen(
+                    [sys.executable, "-c", code],
+                    stdin=subprocess.PIPE,
+                    stderr=subprocess.DEVNULL,
+                ) as process,
+            ):
+                if is_killed:
+                    self.assertFalse(has_failed(process))
+                    process.kill()
+                process.wait()
+                self.assertEqual(has_failed(process), expected)
+
+
 class VersionMarkTest(unittest.TestCase):
     """Servers write their version into each event."""
 
