Ask a server that was given up also when the pause has passed

The question was bound to what was left of the pause.

An attempt is waited for once, so a retry that could not be sent waits no second time.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -22,6 +22,7 @@
     build_final_failure,
     compute_stop_pause_ms,
     may_retry,
+    must_stop_first,
 )
 from ._sending import AttemptSender
 from ._state import DirectState
@@ -144,7 +145,8 @@
                 self._state.metrics.count(counter, reason=fault.code.name)
             if not will_retry:
                 return await self._give_up(fault)
-            if pause_ms and not await self._wait_until_stopped(pause_ms):
+            has_paused = self._must_stop_first()
+            if has_paused and not await self._wait_until_stopped(pause_ms):
                 return await self._give_up(fault)
             self._log.info(
                 "request_retried",
@@ -152,7 +154,7 @@
                 code=fault.code.value,
                 reason=fault.message,
                 left_ms=round(self._request.answer_by_ms - self._state.now_ms()),
-                paused_ms=round(self._state.now_ms() - now_ms) if pause_ms else 0,
+                paused_ms=round(self._state.now_ms() - now_ms) if has_paused else 0,
             )
 
     def _compute_pause_ms(self, now_ms: float) -> float:
@@ -166,10 +168,20 @@
             now_ms,
         )
 
+    def _must_stop_first(self) -> bool:
+        """Return whether a server that was given up must have stopped before a retry.
+
+        It is asked also if the pause has passed, as in a slow entry.
+        """
+        return self._progress.given_up is not None and must_stop_first(
+            self._request.route, self._request.facts.model
+        )
+
     async def _wait_until_stopped(self, pause_ms: float) -> bool:
         """Hold the request for a server that was given up; return whether to go on."""
-        return self._progress.given_up is None or await self._state.stop_waiter.wait(
-            self._request.facts.request_id, self._progress.given_up, pause_ms
+        given_up, self._progress.given_up = self._progress.given_up, None
+        return given_up is None or await self._state.stop_waiter.wait(
+            self._request.facts.request_id, given_up, pause_ms
         )
 
     async def _give_up(self, fault: Failure) -> Failure | None:
--- a/src/cowslipwood/entry/direct/_retries.py
+++ b/src/cowslipwood/entry/direct/_retries.py
@@ -13,6 +13,7 @@
     "build_final_failure",
     "compute_stop_pause_ms",
     "may_retry",
+    "must_stop_first",
 ]
 
 # Number of buckets into which a budget's window is divided. The counts of a window
@@ -201,14 +202,26 @@
     return attempt_counts.n_sent < MAX_N_SENT
 
 
+def must_stop_first(route: Route, model: str) -> bool:
+    """Return whether one server must have stopped before another gets a request.
+
+    Plain requests that may be repeated may run at two servers at once. Streams and
+    requests to a model's engines may not.
+
+    Parameters
+    ----------
+    route : Route
+    model : str
+        The model that the request needs; empty for none.
+    """
+    return route.kind is RouteKind.STREAMING or bool(model)
+
+
 def compute_stop_pause_ms(
     route: Route, model: str, given_up_at_ms: float, now_ms: float
 ) -> float:
     """Return how long a request must wait until its servers have stopped.
 
-    Plain requests that may be repeated may run at two servers at once, so they go on
-    without a pause. Streams and requests to a model's engines may not.
-
     Parameters
     ----------
     route : Route
@@ -219,7 +232,7 @@
         not ended.
     now_ms : float
     """
-    if route.kind is not RouteKind.STREAMING and not model:
+    if not must_stop_first(route, model):
         return 0.0
     return max(0.0, given_up_at_ms + STOP_PAUSE_MS - now_ms)
 
--- a/tests/test_given_up_attempts.py
+++ b/tests/test_given_up_attempts.py
@@ -11,10 +11,11 @@
 from structlog.testing import capture_logs
 
 from cowslipwood.entry.direct import _forwarding, _sending, _stopping
+from cowslipwood.entry.direct._attempt_record import AttemptRecorder
 from cowslipwood.entry.direct._exchange import RequestForwarder
 from cowslipwood.entry.direct._progress import GivenUpAttempt
 from cowslipwood.entry.direct._retries import STOP_PAUSE_MS, compute_stop_pause_ms
-from cowslipwood.entry.direct._stopping import STOP_LIMIT_MS, StopWaiter
+from cowslipwood.entry.direct._stopping import STOP_LIMIT_MS, RunFinder, StopWaiter
 from cowslipwood.kernel.codes import Code
 from cowslipwood.kernel.event_stream import MAX_EVENT_BYTES
 from cowslipwood.kernel.http_pool import ConnectionPool
@@ -122,10 +123,15 @@
 
 
 def run_request(
-    script: ServerScript, during: Callable | None = None, **route: Any
+    script: ServerScript,
+    during: Callable | None = None,
+    runs: RunFinder | None = None,
+    **route: Any,
 ) -> tuple[Any, RecordingSink, Servers, list]:
     """Send one request to an entry with two servers; return what came of it.
 
+    `runs` tells what the servers run; by default, they do not tell.
+
     Returns
     -------
     tuple
@@ -143,6 +149,9 @@
             state = build_direct_state(
                 [build_listed_server("s0", first), build_listed_server("s1", second)]
             )
+            state.stop_waiter = StopWaiter(
+                state.pool, runs, state.metrics, state.now_ms
+            )
             request = build_request(build_route(**{**STREAM, **route}))
             if during is not None:
                 tasks.start_soon(during, servers, tasks.cancel_scope)
@@ -298,6 +307,26 @@
         self.assertEqual(self.wait([True, None]), (False, 5, STOP_LIMIT_MS))
 
 
+class SlowEntryTest(unittest.TestCase):
+    """An entry that is slower than the pause."""
+
+    # A stream went on elsewhere without a question after a probe or a busy time.
+    def test_server_is_asked_after_the_pause(self):
+        """A server that reports the run keeps it, even if the pause has passed."""
+
+        async def record_break(*args: Any) -> None:
+            await anyio.sleep((STOP_PAUSE_MS + 50.0) / 1000)
+
+        script = work_until_closed(LEFT_AT_WORK["malformed"])
+        with mock.patch.object(AttemptRecorder, "record_break", record_break):
+            for answers, n_requests in (([True], 1), ([True, False], 2), ([None], 2)):
+                with self.subTest(answers=answers):
+                    runs = ScriptedRuns(answers)
+                    _, _, servers, _ = run_request(script, runs=runs)
+                    self.assertEqual(servers.n_requests, n_requests)
+                    self.assertGreater(runs.n_calls, 0)
+
+
 class PauseTest(unittest.TestCase):
     """How long a request waits after an attempt was given up."""
 
