Take a server that resets further connections for one that still runs

Callers got whole streams and answers without a length as broken off, and streams went on elsewhere, when their server was overloaded: it accepts connections only to reset them, so both questions at the answer's end were cut, which counted as the end of the server. For a server that is not asked, such a connection already counted as a sign that it runs.

Evidence: test_stream_of_a_server_that_takes_no_connection failed before with ten resets; a server that ends after one still counts as gone. The questions take 80 ms or more, by which a process that ends has closed its port. The address of two older tests is one at which nothing listens, as the check now opens a connection there; their results stay.

--- a/src/cowslipwood/entry/direct/_end_check.py
+++ b/src/cowslipwood/entry/direct/_end_check.py
@@ -137,9 +137,13 @@
             return await ask_by_connection(server)
         for n_asked in range(1, N_QUESTIONS + 1):
             sign = await self._ask_server(server)
-            if isinstance(sign, Success) or n_asked == N_QUESTIONS:
+            if isinstance(sign, Success):
                 return sign
-            await anyio.sleep(QUESTION_PAUSE_MS / 1000)
+            if n_asked < N_QUESTIONS:
+                await anyio.sleep(QUESTION_PAUSE_MS / 1000)
+        if sign.failure().code is Code.ANSWER_CUT:
+            # An overloaded server accepts connections only to reset them.
+            return await ask_by_connection(server)
         return sign
 
     def _judge(
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -18,7 +18,14 @@
 from cowslipwood.listing import ListedModel, to_server_view
 from cowslipwood.routes import Route, RouteKind
 
-from .answer_builders import STREAM_HEADERS, Framing, build_events, frame_answer
+from .answer_builders import (
+    STREAM_HEADERS,
+    End,
+    Framing,
+    build_events,
+    frame_answer,
+    send_and_end,
+)
 from .direct_builders import (
     RecordingSink,
     build_direct_state,
@@ -161,6 +168,56 @@
     return ask
 
 
+class FullServerTest(unittest.TestCase):
+    """Servers that reset all further connections while they are overloaded."""
+
+    # Whole answers of overloaded servers reached their callers as broken off.
+    def test_stream_of_a_server_that_takes_no_connection(self):
+        """Its stream is complete, as no server that has ended accepts connections."""
+        for n_resets, is_complete in ((10, True), (1, False)):
+            with self.subTest(n_resets=n_resets):
+                sink = anyio.run(self._forward, n_resets)
+                self.assertEqual(sink.body, build_events(1, 3))
+                self.assertEqual(sink.is_complete, is_complete)
+
+    async def _forward(self, n_resets: int) -> RecordingSink:
+        """Forward a stream of a server that resets so many connections and ends."""
+        n_connections = 0
+        listeners = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        listener = listeners.listeners[0]
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+
+        async def handle(stream: anyio.abc.SocketStream) -> None:
+            nonlocal n_connections
+            n_connections += 1
+            if n_connections == 1:
+                await read_head(stream)
+                await stream.send(BEGUN)
+                await stream.aclose()
+            else:
+                await send_and_end(b"", End.RESET)(stream, b"")
+            if n_connections > n_resets:
+                await listener.aclose()
+
+        async def serve() -> None:
+            with contextlib.suppress(anyio.ClosedResourceError):
+                await listener.serve(handle, tasks)
+
+        ask_server = adapter_module("_signs").ask_server
+        check = EndCheck(Metrics("entry"), ask_server)
+        with anyio.fail_after(10):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(serve)
+                models = (ListedModel("m1"),)
+                server = build_listed_server("s0", f"127.0.0.1:{port}", models)
+                state = build_direct_state([server])
+                state.end_check = check
+                sink, request = RecordingSink(), build_request(STREAM)
+                await RequestForwarder(state, request, sink, create_rng()).run()
+                tasks.cancel_scope.cancel()
+        return sink
+
+
 class AgentTest(unittest.TestCase):
     """Answers that an agent forwards from a server that ends or goes on."""
 
@@ -189,7 +246,9 @@
     """What the answers of a server prove; the request was sent at `WALL_MS`."""
 
     def _check(self, sign: Result[ServerSign, Any], born_ms: int) -> EndSign:
-        server = to_server_view(build_listed_server("s", "a:1", born_ms=born_ms), ())
+        server = to_server_view(
+            build_listed_server("s", "127.0.0.1:1", born_ms=born_ms), ()
+        )
         check = EndCheck(
             Metrics("entry"), say(sign), lambda: 500.0, lambda: WALL_MS + 400.0
         )
@@ -242,7 +301,7 @@
             return await say_gone(server)
 
         check = EndCheck(Metrics("entry"), ask)
-        server = to_server_view(build_listed_server("s", "a:1"), ())
+        server = to_server_view(build_listed_server("s", "127.0.0.1:1"), ())
 
         async def run_one() -> None:
             signs.append(await check.check(server, 0.0))
@@ -278,7 +337,7 @@
                 return Success(ServerSign(True))
 
             check = EndCheck(Metrics("entry"), ask)
-            server = to_server_view(build_listed_server("s", "a:1"), ())
+            server = to_server_view(build_listed_server("s", "127.0.0.1:1"), ())
             signs: list[EndSign] = []
             first_scope = anyio.CancelScope()
 
