Let the proven start of a server decide whether it outlived an answer

An answer that a killed server had not completed counted as whole (ORDER) if the server had started again before it was asked and the entry's clock was ahead by more than two seconds and the time between: the new process then seemed older than the request. The comparison of clocks is there for lists that are behind; for a stream that may be resumed, the incarnation that gets it is proven before, so only that one may have outlived it.

Evidence: test_proven_server_that_started_again failed before for the second process. For other requests nothing is proven, and the comparison of clocks stays.

--- a/src/cowslipwood/entry/direct/_end_check.py
+++ b/src/cowslipwood/entry/direct/_end_check.py
@@ -96,7 +96,11 @@
         self._questions: dict[tuple[str, str], _Question] = {}
 
     async def check(
-        self, server: ServerView, sent_ms: float, may_ask: bool = True
+        self,
+        server: ServerView,
+        sent_ms: float,
+        may_ask: bool = True,
+        is_proven: bool = False,
     ) -> EndSign:
         """Return whether the process that answered a request still runs.
 
@@ -111,6 +115,8 @@
             When the request was sent.
         may_ask : bool
             Whether the server takes calls; if not, only a connection is opened.
+        is_proven : bool
+            Whether the request certainly went to the incarnation of `server`.
         """
         key = server.server_id, server.http_addr
         question = self._questions.setdefault(key, _Question())
@@ -126,7 +132,7 @@
             question.n_waiting -= 1
             if not question.n_waiting:
                 del self._questions[key]
-        sign = self._judge(question.sign, server, sent_ms)
+        sign = self._judge(question.sign, server, sent_ms, is_proven)
         self._metrics.count("answer_ends_checked_total", sign=sign.value)
         return sign
 
@@ -151,6 +157,7 @@
         sign: Result[ServerSign, Failure],
         server: ServerView,
         sent_ms: float,
+        is_proven: bool,
     ) -> EndSign:
         if isinstance(sign, Err):
             is_silent = sign.failure().code is Code.BACKEND_TIMEOUT
@@ -158,11 +165,12 @@
         answer = sign.unwrap()
         if not answer.is_same:
             return EndSign.OTHER_SERVER
+        is_known = answer.born_ms == 0 or str(answer.born_ms) == server.incarnation
         # The list may name an incarnation before the one that was sent the request.
-        is_known = str(answer.born_ms) == server.incarnation
         sent_at_wall_ms = self._now_wall_ms() - (self._now_ms() - sent_ms)
         is_older = answer.born_ms + CLOCK_MARGIN_MS <= sent_at_wall_ms
-        return EndSign.ALIVE if is_known or is_older else EndSign.RESTARTED
+        is_same = is_known or (is_older and not is_proven)
+        return EndSign.ALIVE if is_same else EndSign.RESTARTED
 
 
 async def ask_by_connection(server: ServerView) -> Result[ServerSign, Failure]:
--- a/src/cowslipwood/entry/direct/_forwarding.py
+++ b/src/cowslipwood/entry/direct/_forwarding.py
@@ -259,7 +259,9 @@
         now_ms = self._state.now_ms()
         may_ask = backend.paused_until_ms <= now_ms
         may_ask = may_ask and not self._state.limits.has_limit(server)
-        sign = await self._state.end_check.check(server, sent_ms, may_ask)
+        # `check_incarnation` has proven it before the request was sent.
+        is_proven = self._request.route.is_resumable and bool(self._state.read_born)
+        sign = await self._state.end_check.check(server, sent_ms, may_ask, is_proven)
         self._log.info(
             "answer_end_checked",
             request=self._request.facts.request_id,
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -153,6 +153,33 @@
         self.assertEqual(sink.body, build_events(1, 5))
         self.assertTrue(sink.is_complete)
 
+    # The end of a killed server was taken for a whole one by an entry whose clock is
+    # ahead, if the server had started again.
+    def test_proven_server_that_started_again(self):
+        """The start that was proven before the request counts, not a clock."""
+
+        async def read_born(conn: Any, server: Any) -> Result[int, Any]:
+            return Success(1)
+
+        async def main(told_ms: int) -> RecordingSink:
+            async with run_ending_server(BEGUN, ends=False) as addr:
+                server = build_listed_server("s0", addr, born_ms=1)
+                state = build_direct_state([server])
+                state.read_born = read_born
+                state.end_check = EndCheck(
+                    Metrics("entry"), say(Success(ServerSign(True, told_ms)))
+                )
+                sink, request = RecordingSink(), build_request(RESUMABLE)
+                await RequestForwarder(state, request, sink, create_rng()).run()
+                return sink
+
+        # By this host's clock, both started long ago.
+        for told_ms, is_complete in ((1, True), (0, True), (2, False)):
+            with self.subTest(told_ms=told_ms):
+                sink = anyio.run(main, told_ms)
+                self.assertEqual(sink.body, build_events(1, 3))
+                self.assertEqual(sink.is_complete, is_complete)
+
 
 async def say_gone(server: Any) -> Result[ServerSign, Any]:
     """Answer as a port does that nothing listens on."""
