--- a/src/cowslipwood/entry/direct/_forwarding.py
+++ b/src/cowslipwood/entry/direct/_forwarding.py
@@ -259,7 +259,9 @@
         now_ms = self._state.now_ms()
         may_ask = backend.paused_until_ms <= now_ms
         may_ask = may_ask and not self._state.limits.has_limit(server)
-        sign = await self._state.end_check.check(server, sent_ms, may_ask)
+        sign = await self._state.end_check.check(
+            server, sent_ms, may_ask, self._progress.is_incarnation_proven
+        )
         self._log.info(
             "answer_end_checked",
             request=self._request.facts.request_id,
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -48,6 +48,9 @@
         How far the answer to the present attempt has come.
     server : ServerView or None
         The server of the present attempt, as it was known when that was sent.
+    is_incarnation_proven : bool
+        Whether the present attempt certainly went to the listed incarnation of its
+        server.
     given_up : GivenUpAttempt or None
         The last attempt, if the entry ended it.
     may_have_ended_server : bool
@@ -71,6 +74,7 @@
         self.has_started = False
         self.answer_stage = AnswerStage.AWAITED
         self.server: ServerView | None = None
+        self.is_incarnation_proven = False
         self.given_up: GivenUpAttempt | None = None
         self.may_have_ended_server = False
         self.software_version = ""
@@ -89,3 +93,7 @@
     def must_keep_version(self) -> bool:
         """Whether the client has events, which no other version may continue."""
         return self.has_started or self.is_resumed
+
+    def may_continue_at(self, software_version: str) -> bool:
+        """Return whether a server of a version may get the request now."""
+        return not self.must_keep_version or software_version == self.software_version
