Keep a pause for which a renewed server asked before the list shows its start

A server got three requests in a pause for which it had asked.

Cause: the entry took the pause for that of the server's earlier incarnation, which the list still showed, and dropped it when the list showed the new one.

A pause that was asked for within the list's delay before a new start is listed stays.

--- a/src/cowslipwood/entry/choosing/_backend.py
+++ b/src/cowslipwood/entry/choosing/_backend.py
@@ -1,5 +1,6 @@
 """The load, latency and health of one backend server as this entry measures them."""
 
+import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import NamedTuple
@@ -25,6 +26,9 @@
 LATENCY_HALF_LIFE_MS = 2_000.0
 # Time, in milliseconds, for which a server that could not be reached gets no requests.
 UNREACHABLE_EXCLUSION_MS = 1_000.0
+# Longest delay, in milliseconds, between the start of a server and the moment at which
+# a list that was read since then is in use: the list's own delay and the leader's.
+MAX_LIST_DELAY_MS = 2_000.0
 # Time, in milliseconds, for which a server whose agent is shutting down gets no
 # requests.
 LEAVING_EXCLUSION_MS = 2_000.0
@@ -99,6 +103,8 @@
         When the keepers' full list began to omit the server; 0 while it is listed.
     held_off_until_ms : float
         Time until which the server has asked for no requests; 0 for none.
+    held_off_at_ms : float
+        When the server asked for that.
     limited_until_ms : float
         Time until which the limit that the server has named allows no request.
     proven_at_ms : float
@@ -113,6 +119,7 @@
         "answered_at_ms",
         "first_event_ms",
         "health",
+        "held_off_at_ms",
         "held_off_until_ms",
         "knee_in_flight",
         "kv_share",
@@ -144,17 +151,22 @@
         self.kv_share = 0.0
         self.unlisted_since_ms = 0.0
         self.held_off_until_ms = 0.0
+        self.held_off_at_ms = -math.inf
         self.limited_until_ms = 0.0
         self.proven_at_ms = 0.0
         self._excluded_until_ms: dict[str, float] = {}
         self._apply_report(_report_of_view(view), now_ms)
 
     def update_view(self, view: ServerView, now_ms: float) -> None:
-        """Apply a newer view; a new incarnation resets health and exclusions."""
+        """Apply a newer view; a new incarnation resets health and exclusions.
+
+        A pause that was asked for shortly before may be the new incarnation's.
+        """
         if view.incarnation != self.view.incarnation:
             self.health = Health()
             self._excluded_until_ms.clear()
-            self.held_off_until_ms = 0.0
+            if now_ms - self.held_off_at_ms > MAX_LIST_DELAY_MS:
+                self.held_off_until_ms = 0.0
             self.limited_until_ms = 0.0
             self.proven_at_ms = 0.0
         self.view = view
@@ -286,12 +298,13 @@
         """Give the server no request until a time, for one key or for all ("")."""
         self._excluded_until_ms[key] = until_ms
 
-    def hold_off(self, until_ms: float) -> None:
+    def hold_off(self, until_ms: float, asked_at_ms: float = -math.inf) -> None:
         """Give the server no request until a time, as it asked.
 
         An earlier request to hold off for longer remains in force.
         """
         self.held_off_until_ms = max(self.held_off_until_ms, until_ms)
+        self.held_off_at_ms = max(self.held_off_at_ms, asked_at_ms)
 
     @property
     def paused_until_ms(self) -> float:
--- a/src/cowslipwood/entry/choosing/_view.py
+++ b/src/cowslipwood/entry/choosing/_view.py
@@ -121,7 +121,7 @@
             backend = self.backends[server.server_id] = Backend(server, now_ms)
             paused = self._paused_backends.pop(server.server_id, None)
             if paused and paused.view.incarnation == server.incarnation:
-                backend.hold_off(paused.held_off_until_ms)
+                backend.hold_off(paused.held_off_until_ms, paused.held_off_at_ms)
             self._add_to_index(backend, _keys_of_server(server))
             return
         old_keys = _keys_of_server(backend.view)
--- a/src/cowslipwood/entry/direct/_incarnations.py
+++ b/src/cowslipwood/entry/direct/_incarnations.py
@@ -9,15 +9,11 @@
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.http_connection import ServerConnection
 from ...kernel.logs import get_logger
-from ..choosing._backend import UNREACHABLE_EXCLUSION_MS, Backend
+from ..choosing._backend import MAX_LIST_DELAY_MS, UNREACHABLE_EXCLUSION_MS, Backend
 from ._state import DirectState
 
 __all__ = ["check_incarnation"]
 
-# Longest delay, in milliseconds, between the start of a server and the moment at which
-# a list that was read since then is in use: the list's own delay and the leader's.
-MAX_LIST_DELAY_MS = 2_000.0
-
 
 async def check_incarnation(
     state: DirectState, backend: Backend, conn: ServerConnection
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -206,7 +206,7 @@
             self.metrics.count("servers_left_total")
             get_logger().info("server_said_leaving", server=server_id)
         if notice.hold_off_ms:
-            backend.hold_off(now_ms + notice.hold_off_ms)
+            backend.hold_off(now_ms + notice.hold_off_ms, now_ms)
             self.metrics.count("servers_held_off_total")
             get_logger().info(
                 "server_held_off", server=server_id, for_ms=notice.hold_off_ms
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -354,6 +354,19 @@
         self.assertTrue(backend.is_eligible("", 1_900.0))
         self.assertEqual(state.list_held_off(1_500.0), (HeldOff("s0", 400.0),))
 
+    # A renewed server got requests in a pause for which it had asked.
+    def test_pause_before_the_list_shows_a_new_start(self):
+        """A pause asked for just before a new start is listed is that start's."""
+        server = build_listed_server("s0", "10.0.0.1:80")
+        for listed_at_ms, expected_ms in ((1_500.0, 5_000.0), (3_500.0, 0.0)):
+            with self.subTest(listed_at_ms=listed_at_ms):
+                state = build_direct_state([server])
+                backend = state.view.backends["s0"]
+                state.apply_notice(backend, ServerNotice(hold_off_ms=4_000.0), 1_000.0)
+                renewed = server._replace(born_ms=2)
+                state.servers.apply_list([renewed], listed_at_ms)
+                self.assertEqual(backend.held_off_until_ms, expected_ms)
+
     # A server got requests in a pause for which it had asked.
     def test_unlisted_meanwhile(self):
         """The pause holds if the server is unlisted in it, for the same start only."""
