Test that answers without a body are whole without a question to their server

No test failed when the check of an answer's end also took HEAD and 204 for answers that may be cut. This one fails without either exception.

--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -126,6 +126,25 @@
                 sink = self._forward(SAFE, cut, ends)
                 self.assertEqual(sink.is_complete and sink.status == 200, not ends)
 
+    # Guards against questions, and failures, for answers that nothing can cut.
+    def test_answer_without_a_body_is_complete(self):
+        """An answer that ends with its head is whole, even if its server ends."""
+        for method, status in ((b"HEAD", "200 OK"), (b"GET", "204 No Content")):
+            with self.subTest(method=method):
+                answer = f"HTTP/1.1 {status}\r\nx-request-id: q1\r\n\r\n".encode()
+                sink = anyio.run(self._forward_bodiless, method, answer)
+                self.assertEqual(sink.status, int(status.split()[0]))
+                self.assertTrue(sink.is_complete)
+
+    async def _forward_bodiless(self, method: bytes, answer: bytes) -> RecordingSink:
+        async with run_ending_server(answer) as addr:
+            state = build_direct_state([build_listed_server("s0", addr)])
+            state.end_check = EndCheck(Metrics("entry"), say_gone)
+            sink = RecordingSink()
+            request = build_request(SAFE)._replace(method=method)
+            await RequestForwarder(state, request, sink, create_rng()).run()
+            return sink
+
     # Of a resumable stream, the other events came never, though a server had them.
     def test_stream_goes_on_at_another_server(self):
         """The caller gets each event once, and the end of a complete answer."""
