--- a/soak/run.py
+++ b/soak/run.py
@@ -447,7 +447,12 @@
         self._replace_server(server, keeps_id=bool(fault.seed % 2))
 
     def _replace_server(self, server: "_Server", keeps_id: bool = False) -> None:
-        """Start a server at the address of one that has ended."""
+        """Start a server at the address of one that has ended, unless it was retired.
+
+        The address of one that a release has retired may be another's now.
+        """
+        if server not in self._servers:
+            return
         if server.process is not None and server.process.poll() is None:
             return
         if keeps_id:
