--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -273,6 +273,35 @@
         return sink
 
 
+class LimitedServerTest(unittest.TestCase):
+    """Servers that have named a limit, which counts all calls to them."""
+
+    # A question about an answer's end would exceed the limit that its server named.
+    def test_limited_server_is_not_asked(self):
+        """A connection tells that it still runs."""
+        headers = STREAM_HEADERS + "x-cowslip-limit: 5\r\n"
+        begun = b"".join(
+            frame_answer(Framing.CONNECTION, build_events(1, 3), headers=headers)
+        )
+        asked = []
+
+        async def ask(server: Any) -> Result[ServerSign, Any]:
+            asked.append(server.server_id)
+            return Success(ServerSign(is_same=True))
+
+        for answer, n_asked in ((begun, 0), (BEGUN, 1)):
+            with self.subTest(answer=answer):
+                asked.clear()
+                check = EndCheck(Metrics("entry"), ask)
+                sink = anyio.run(self._forward, answer, check)
+                self.assertTrue(sink.is_complete)
+                self.assertEqual(len(asked), n_asked)
+
+    async def _forward(self, answer: bytes, check: EndCheck) -> RecordingSink:
+        async with run_ending_server(answer, ends=False) as addr:
+            return await forward(STREAM, [addr], check)
+
+
 class AgentTest(unittest.TestCase):
     """Answers that an agent forwards from a server that ends or goes on."""
 
