--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -145,8 +145,8 @@
                 self._state.metrics.count(counter, reason=fault.code.name)
             if not will_retry:
                 return await self._give_up(fault)
-            has_paused = self._must_stop_first()
-            if has_paused and not await self._wait_until_stopped(pause_ms):
+            must_stop = self._must_stop_first()
+            if must_stop and not await self._wait_until_stopped(pause_ms):
                 return await self._give_up(fault)
             self._log.info(
                 "request_retried",
@@ -154,7 +154,7 @@
                 code=fault.code.value,
                 reason=fault.message,
                 left_ms=round(self._request.answer_by_ms - self._state.now_ms()),
-                paused_ms=round(self._state.now_ms() - now_ms) if has_paused else 0,
+                paused_ms=round(self._state.now_ms() - now_ms) if must_stop else 0,
             )
 
     def _compute_pause_ms(self, now_ms: float) -> float:
--- a/src/cowslipwood/entry/direct/_forwarding.py
+++ b/src/cowslipwood/entry/direct/_forwarding.py
@@ -136,12 +136,10 @@
             fault = failure(Code.OUTCOME_UNKNOWN, f"server error {head.status}")
             self._progress.error_answer = (head, bytes(buffer))
             return self._recorder.record_failure(backend, fault)
+        await self._check_end(backend, head, sent_ms)
         if not self._progress.has_started:
-            await self._check_end(backend, head, sent_ms)
             await self._start_answer(head)
             await self._sink.write(bytes(buffer))
-        else:
-            await self._check_end(backend, head, sent_ms)
         await self._sink.end()
         await self._recorder.record_success(
             backend, head, sent_ms, self._state.now_ms()
