Add customers to the document of routes

Customers have keys, a priority and a limit in requests or tokens. Two customers that share a key, and negative numbers, make a document invalid.

--- a/src/cowslipwood/entry/direct/_request.py
+++ b/src/cowslipwood/entry/direct/_request.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from ...listing import make_holding_key
-from ...routes import Route, RouteKind
+from ...routes import Customer, Route, RouteKind
 from ..routing import PREFIX_CACHE_HIT_SHARE
 from ._headers import RequestFacts
 
@@ -46,6 +46,8 @@
     arrived_ms, answer_by_ms : float
         When the request arrived, and when its answer must be complete, on the
         boot-time clock.
+    customer : Customer or None
+        The customer whose key the request has; None without a key.
     """
 
     route: Route
@@ -57,6 +59,7 @@
     facts: RequestFacts
     arrived_ms: float
     answer_by_ms: float
+    customer: Customer | None = None
 
     @property
     def first_event_by_ms(self) -> float:
--- a/src/cowslipwood/routes/__init__.py
+++ b/src/cowslipwood/routes/__init__.py
@@ -1,5 +1,6 @@
 """Routes by host and path prefix, and the document with all routes and services."""
 
+from ._customers import Customer, LimitUnit
 from ._decode import FieldError, record_from_json, record_to_json
 from ._document import (
     CallerLimits,
@@ -16,8 +17,10 @@
 
 __all__ = [
     "CallerLimits",
+    "Customer",
     "EngineSpec",
     "FieldError",
+    "LimitUnit",
     "ModelSpec",
     "Route",
     "RouteDocument",
--- a/src/cowslipwood/routes/_document.py
+++ b/src/cowslipwood/routes/_document.py
@@ -9,6 +9,7 @@
 from returns.result import Result, Success
 
 from ..kernel.codes import Code, Failure, failure
+from ._customers import Customer, check_customers
 from ._decode import FieldError, record_from_json
 
 __all__ = [
@@ -68,6 +69,8 @@
         Whether another server may continue a stream after the last event sent.
     gap_target_ms : float
         Target for the longest pause between two events; 0 for no target.
+    needs_no_key : bool
+        Whether requests are served without a customer's key.
     """
 
     name: str
@@ -82,6 +85,7 @@
     is_sticky: bool = False
     is_resumable: bool = False
     gap_target_ms: float = 0.0
+    needs_no_key: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -163,12 +167,17 @@
 
 
 class RouteDocument(NamedTuple):
-    """All routes and services, with a version that only increases."""
+    """All routes, services and customers, with a version that only increases.
+
+    If there are customers, requests need a key of one of them, except on routes with
+    `needs_no_key`.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[ServiceSpec, ...]
     limits: CallerLimits = CallerLimits()
+    customers: tuple[Customer, ...] = ()
 
     def service(self, name: str) -> ServiceSpec | None:
         """Return the service with this name; None if there is none."""
@@ -216,6 +225,7 @@
         if host_and_prefix in used_hosts_and_prefixes:
             raise FieldError(f"route {route.name}: another has its host and prefix")
         used_hosts_and_prefixes.add(host_and_prefix)
+    check_customers(document.customers)
 
 
 def _check_route(route: Route, service_names: set[str]) -> None:
