Recognise customers by the keys of their requests

The customer's priority takes precedence over the route's, and its name is part of the identity by which a repeated request is recognised. Requests without exactly one known key get 401 with code 1015, except on routes that need none.

Messages on a field of a wrong type name the type instead of the value, which may be a key.

--- a/src/cowslipwood/entry/direct/_app.py
+++ b/src/cowslipwood/entry/direct/_app.py
@@ -219,6 +219,12 @@
         route = state.route_table.match(host.decode("latin-1"), path.decode("latin-1"))
         if route is None:
             return failure(Code.NO_SUCH_ROUTE)
+        customer = state.customer_keys.identify(headers, route, state.now_ms())
+        if isinstance(customer, Failure):
+            return customer
+        if customer is not None and customer.priority is not None:
+            route = route._replace(priority=customer.priority)
+        headers = state.customer_keys.remove_headers(headers)
         query = scope["query_string"]
         facts = read_request_facts(headers, state.header_names)
         timeout_ms = route.timeout_ms
@@ -235,6 +241,7 @@
             facts=facts,
             arrived_ms=arrived_ms,
             answer_by_ms=arrived_ms + timeout_ms,
+            customer=customer,
         )
 
     def _cancel_request(
--- a/src/cowslipwood/entry/direct/_headers.py
+++ b/src/cowslipwood/entry/direct/_headers.py
@@ -75,6 +75,11 @@
         Id of the event after which a stream is resumed.
     resumes : bytes
         In a client's resume of a stream: its attempt that brought the first event.
+    key : bytes
+        The key of a customer, and nothing else; never forwarded to a server of a
+        deployment with customers.
+    customer : bytes
+        Set by the entry: name of the customer that holds the key.
     reserved : frozenset of bytes
         Headers that only the entry may set; those of a caller are dropped.
     """
@@ -93,6 +98,8 @@
     caller: bytes = b"authorization"
     last_event_id: bytes = b"last-event-id"
     resumes: bytes = b"x-cowslip-resumes"
+    key: bytes = b"x-cowslip-key"
+    customer: bytes = b"x-cowslip-customer"
     reserved: frozenset[bytes] = frozenset()
 
 
--- a/src/cowslipwood/entry/direct/_identity.py
+++ b/src/cowslipwood/entry/direct/_identity.py
@@ -48,6 +48,9 @@
             for name, value in request.headers
             if name in (b"host", self._names.caller)
         )
+        if request.customer is not None:
+            # No header's value contains a zero byte.
+            caller += b"\0" + request.customer.name.encode()
         for field in (request.method, request.target, caller):
             digest.update(len(field).to_bytes(4, "big") + field)
         for start in range(0, len(request.body), SLICE_BYTES):
--- a/src/cowslipwood/entry/direct/_request.py
+++ b/src/cowslipwood/entry/direct/_request.py
@@ -37,6 +37,7 @@
     Parameters
     ----------
     route : Route
+        With the priority of the customer, if it has one.
     service : str
         Service of the route that was picked for this request.
     method, target : bytes
--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -101,6 +101,8 @@
         urgency_rank = compute_urgency_rank(request.route, now_ms - request.arrived_ms)
         if request.facts.model:
             entry_headers.append((names.urgency, str(urgency_rank).encode()))
+        if request.customer is not None:
+            entry_headers.append((names.customer, request.customer.name.encode()))
         if self._progress.last_event_id:
             entry_headers.append((names.last_event_id, self._progress.last_event_id))
         headers = build_request_headers(
@@ -110,6 +112,7 @@
             "request_sent",
             request=request.facts.request_id,
             route=request.route.name,
+            customer=request.customer.name if request.customer else None,
             key=request.key,
             document=state.document_version,
             server=backend.view.server_id,
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -22,6 +22,7 @@
 from ..choosing._view import FleetView
 from ..metering._demand import DemandMeter
 from ..routing import RoutingContext, RoutingPolicy
+from ._customer_keys import CustomerKeys
 from ._end_check import EndCheck
 from ._headers import HeaderNames
 from ._holders import HolderFinder
@@ -79,6 +80,8 @@
         Refuses prompts with parts under which servers have ended.
     end_check : EndCheck
         Tells whether servers outlived the answers that ended with their connection.
+    customer_keys : CustomerKeys
+        Recognises customers by their keys.
     limits : ServerLimitKeeper
         The limits that servers have named, and the permits to send to them.
     stream_versions : StreamVersions
@@ -122,6 +125,7 @@
         self.pool = ConnectionPool()
         self.stop_waiter = StopWaiter(self.pool, self.reports, metrics, now_ms)
         self.part_guard = PartGuard(metrics)
+        self.customer_keys = CustomerKeys(header_names, metrics)
         self.end_check = EndCheck(metrics, self.reports.ask, now_ms)
         self.stream_versions = StreamVersions(ask, metrics, started_ms)
         self.document: RouteDocument | None = None
@@ -158,6 +162,7 @@
             return False
         self.document = document
         self.route_table = RouteTable(document.routes)
+        self.customer_keys.apply_document(document)
         self.document_applied.set()
         return True
 
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -51,6 +51,7 @@
     BODY_TIMEOUT = 1012
     HEAD_TIMEOUT = 1013
     BAD_PATH = 1014
+    BAD_KEY = 1015
 
     ENTRY_LEAVING = 1201
     NO_REPLICA = 1202
@@ -65,6 +66,7 @@
     SERVER_LIMITED = 1211
     REQUEST_BLOCKED = 1212
     STREAM_UNKNOWN = 1213
+    KEYS_UNCERTAIN = 1214
 
     OUTCOME_UNKNOWN = 1301
     ANSWER_CUT = 1302
@@ -198,6 +200,7 @@
         408, _NOT_RUN, 10, "The headers did not arrive in time."
     ),
     Code.BAD_PATH: CodeInfo(400, _NOT_RUN, 10, "The path has a dot segment."),
+    Code.BAD_KEY: CodeInfo(401, _NOT_RUN, 10, "The request has no valid key."),
     Code.ENTRY_LEAVING: CodeInfo(
         503, _NOT_RUN, 11, "The entry is stopping; use another."
     ),
@@ -229,6 +232,9 @@
     Code.STREAM_UNKNOWN: CodeInfo(
         503, _NOT_RUN, 11, "The version that began the stream is unknown; begin anew."
     ),
+    Code.KEYS_UNCERTAIN: CodeInfo(
+        503, _NOT_RUN, 11, "The entry may not know which keys are valid now."
+    ),
     Code.OUTCOME_UNKNOWN: CodeInfo(
         504, _UNKNOWN, 12, "The request may have run; it is not run again."
     ),
--- a/src/cowslipwood/routes/__init__.py
+++ b/src/cowslipwood/routes/__init__.py
@@ -1,6 +1,6 @@
 """Routes by host and path prefix, and the document with all routes and services."""
 
-from ._customers import Customer, LimitUnit
+from ._customers import MAX_KEY_BYTES, Customer, LimitUnit
 from ._decode import FieldError, record_from_json, record_to_json
 from ._document import (
     CallerLimits,
@@ -16,6 +16,7 @@
 from ._table import RouteTable, pick_service
 
 __all__ = [
+    "MAX_KEY_BYTES",
     "CallerLimits",
     "Customer",
     "EngineSpec",
--- a/src/cowslipwood/routes/_customers.py
+++ b/src/cowslipwood/routes/_customers.py
@@ -7,7 +7,11 @@
 
 from ._decode import FieldError
 
-__all__ = ["Customer", "LimitUnit", "check_customers"]
+__all__ = ["MAX_KEY_BYTES", "Customer", "LimitUnit", "check_customers"]
+
+# Largest length of a key, in bytes. A key and its header fit well into the 16 KB of
+# headers that a request may have.
+MAX_KEY_BYTES = 4_096
 
 
 class LimitUnit(enum.StrEnum):
@@ -60,12 +64,19 @@
     for customer in customers:
         label = f"customer {customer.name}"
         if not customer.name or customer.name in names:
-            raise FieldError(f"customers: name {customer.name!r} is empty or used twice")
+            raise FieldError(
+                f"customers: name {customer.name!r} is empty or used twice"
+            )
+        if not customer.name.isprintable() or customer.name != customer.name.strip():
+            # Servers get the name in a header.
+            raise FieldError(f"customers: name {customer.name!r} does not fit a header")
         names.add(customer.name)
         _check_numbers(customer, label)
         for key in customer.keys:
             if not key:
                 raise FieldError(f"{label}.keys: a key is empty")
+            if len(key.encode()) > MAX_KEY_BYTES:
+                raise FieldError(f"{label}.keys: a key is over {MAX_KEY_BYTES} bytes")
             holder = holder_by_key.setdefault(key, customer.name)
             if holder != customer.name:
                 raise FieldError(f"{label}.keys: shares a key with {holder}")
--- a/src/cowslipwood/routes/_decode.py
+++ b/src/cowslipwood/routes/_decode.py
@@ -88,7 +88,9 @@
     if expected_type is float and type(value) is int:
         return float(value)
     if type(value) is not expected_type:
+        # The value may be a key, which must not get into answers and logs.
         raise FieldError(
-            f"{value_path}: expected {expected_type.__name__}, got {value!r:.40}"
+            f"{value_path}: expected {expected_type.__name__}, "
+            f"got {type(value).__name__}"
         )
     return value
--- /dev/null
+++ b/tests/test_customer_keys.py
@@ -0,0 +1,263 @@
+"""Requests with the keys of customers."""
+
+import unittest
+from typing import Any
+
+import anyio
+from structlog.testing import capture_logs
+
+from cowslipwood.entry.direct._app import RouteApp
+from cowslipwood.entry.direct._headers import HeaderNames
+from cowslipwood.entry.direct._identity import RequestIdentity
+from cowslipwood.kernel.codes import Code, Failure
+from cowslipwood.routes import MAX_KEY_BYTES, Customer, parse_document
+
+from .customer_builders import (
+    CUSTOMER_ROUTES,
+    KEY,
+    build_customer_document,
+    build_customer_keys,
+    customer_value,
+    key_headers,
+)
+from .direct_builders import (
+    always_send,
+    build_answer,
+    build_direct_state,
+    build_document,
+    build_listed_server,
+    build_request,
+    build_route,
+    create_rng,
+    document_bytes,
+    run_scripted_server,
+)
+
+NAMES = HeaderNames()
+KEYED = build_route()
+EXEMPT = build_route(needs_no_key=True)
+
+
+def get_code(found: Any) -> Code | None:
+    """Return the code of a failure; None for what is none."""
+    return found.code if isinstance(found, Failure) else None
+
+
+class IdentifyTest(unittest.TestCase):
+    """Which customer a request belongs to."""
+
+    def test_each_key_of_each_customer(self):
+        """Every key leads to the customer that holds it."""
+        document = build_customer_document(
+            customer_value(keys=["a1", "a2"]), customer_value(name="birch", keys=["b1"])
+        )
+        keys = build_customer_keys(document)
+        for key, name in (("a1", "alder"), ("a2", "alder"), ("b1", "birch")):
+            found = keys.identify(key_headers(key), KEYED, 0.0)
+            self.assertIsInstance(found, Customer)
+            self.assertEqual(found.name, name)
+
+    # Guards against a request that runs without a customer, or for another one.
+    def test_invalid_keys(self):
+        """Requests without exactly one known key get BAD_KEY, unless exempt."""
+        keys = build_customer_keys(build_customer_document())
+        cases = (
+            (),
+            ("",),
+            ("  ",),
+            ("unknown",),
+            (KEY.upper(),),
+            (KEY[:-1],),
+            (KEY + "x",),
+            (KEY, KEY),
+            (KEY, "unknown"),
+            ("", KEY),
+            ("x" * (MAX_KEY_BYTES + 1),),
+        )
+        for values in cases:
+            headers = key_headers(*values)
+            with self.subTest(values=values):
+                found = keys.identify(headers, KEYED, 0.0)
+                self.assertEqual(get_code(found), Code.BAD_KEY)
+                self.assertNotIn(KEY, found.message)
+                self.assertIsNone(keys.identify(headers, EXEMPT, 0.0))
+
+    def test_key_on_exempt_route(self):
+        """A known key is recognised also where none is needed."""
+        keys = build_customer_keys(build_customer_document())
+        found = keys.identify(key_headers(KEY), EXEMPT, 0.0)
+        self.assertEqual(found.name, "alder")
+
+    def test_blanks_around_the_key(self):
+        """Blanks around a header's value are not part of it."""
+        keys = build_customer_keys(build_customer_document())
+        found = keys.identify(key_headers(f" {KEY}\t"), KEYED, 0.0)
+        self.assertEqual(found.name, "alder")
+
+    def test_longest_key(self):
+        """A key of the largest length that a document may have is recognised."""
+        long_key = "x" * MAX_KEY_BYTES
+        document = build_customer_document(customer_value(keys=[long_key]))
+        found = build_customer_keys(document).identify(key_headers(long_key), KEYED, 0)
+        self.assertEqual(found.name, "alder")
+
+    # Guards against deployments without customers whose callers send such headers.
+    def test_no_customers(self):
+        """Without customers no key is needed, and all headers are forwarded."""
+        keys = build_customer_keys(build_document())
+        self.assertIsNone(keys.identify(key_headers(), KEYED, 0.0))
+        headers = [*key_headers(KEY), (NAMES.customer, b"x")]
+        self.assertEqual(keys.remove_headers(headers), headers)
+
+    def test_newer_document(self):
+        """Keys that a newer document lacks are invalid, those that it adds valid."""
+        keys = build_customer_keys(build_customer_document())
+        keys.apply_document(
+            build_customer_document(customer_value(keys=["new"]), version=2)
+        )
+        found = keys.identify(key_headers(KEY), KEYED, 0.0)
+        self.assertEqual(get_code(found), Code.BAD_KEY)
+        self.assertEqual(keys.identify(key_headers("new"), KEYED, 0.0).name, "alder")
+
+
+class ServedRequestTest(unittest.TestCase):
+    """What an entry sends to a server, and answers to a client."""
+
+    async def _call(
+        self, path: str, headers: list[tuple[bytes, bytes]], **changes: Any
+    ) -> tuple[int, list[bytes]]:
+        """Return the status, and the heads that the server received."""
+        scope = {
+            "type": "http",
+            "method": "GET",
+            "raw_path": path.encode(),
+            "query_string": b"",
+            "headers": headers,
+        }
+        events = [{"type": "http.request", "body": b""}]
+        statuses: list[int] = []
+
+        async def receive() -> dict[str, Any]:
+            if not events:
+                await anyio.sleep_forever()
+            return events.pop(0)
+
+        async def send(event: dict[str, Any]) -> None:
+            if event["type"] == "http.response.start":
+                statuses.append(event["status"])
+
+        async with run_scripted_server(always_send(build_answer())) as (addr, heads):
+            state = build_direct_state([build_listed_server("s0", addr)])
+            state.apply_document(build_customer_document(customer_value(**changes)))
+            with capture_logs() as logs:
+                await RouteApp(state, create_rng())(scope, receive, send)
+            self.assertNotIn(KEY, str(logs))
+        return statuses[0], heads
+
+    def _send(
+        self, path: str, headers: list[tuple[bytes, bytes]], **changes: Any
+    ) -> tuple[int, list[bytes]]:
+        return anyio.run(lambda: self._call(path, headers, **changes))
+
+    # Guards against servers that learn keys, or believe a client's customer.
+    def test_headers_of_a_known_customer(self):
+        """The server gets the customer's name from the entry, and no key."""
+        headers = [
+            *key_headers(KEY),
+            (NAMES.customer, b"birch"),
+            (NAMES.customer, b"cedar"),
+            (b"connection", NAMES.customer),
+        ]
+        status, heads = self._send("/orders/1", headers)
+        self.assertEqual(status, 200)
+        self.assertEqual(heads[0].count(NAMES.customer + b": alder\r\n"), 1)
+        self.assertEqual(heads[0].count(NAMES.customer), 1)
+        self.assertNotIn(KEY.encode(), heads[0])
+        self.assertNotIn(NAMES.key, heads[0])
+
+    def test_headers_without_a_customer(self):
+        """On an exempt route, neither an unknown key nor a name is forwarded."""
+        headers = [*key_headers("unknown"), (NAMES.customer, b"alder")]
+        status, heads = self._send("/free/1", headers)
+        self.assertEqual(status, 200)
+        self.assertNotIn(NAMES.customer, heads[0])
+        self.assertNotIn(NAMES.key, heads[0])
+
+    def test_refusals(self):
+        """A wrong key is refused with 401 and not sent; an unknown path with 404."""
+        self.assertEqual(self._send("/orders/1", key_headers("no")), (401, []))
+        self.assertEqual(self._send("/orders/1", key_headers()), (401, []))
+        self.assertEqual(self._send("/other/1", key_headers(KEY)), (404, []))
+
+    def test_priority(self):
+        """The customer's priority replaces the route's; 0 is one as well."""
+        for priority, expected in ((3, b"3"), (0, b"0"), (None, b"0")):
+            state = build_direct_state([])
+            state.apply_document(
+                build_customer_document(customer_value(priority=priority))
+            )
+            scope = {
+                "method": "GET",
+                "raw_path": b"/orders/1",
+                "query_string": b"",
+                "headers": key_headers(KEY),
+            }
+            routed = RouteApp(state, create_rng())._route_request(scope, b"", 0.0)
+            self.assertEqual(routed.route.priority, int(expected))
+            self.assertEqual(routed.customer.name, "alder")
+
+
+class IdentityTest(unittest.TestCase):
+    """The digest by which a request that ends servers is recognised."""
+
+    # Guards against one customer's request that is blocked because of another's.
+    def test_customers_differ(self):
+        """The same request of two customers, or of none, has different digests."""
+        plain = build_request(KEYED)
+        named = [plain._replace(customer=Customer(name)) for name in ("alder", "birch")]
+
+        async def compute_all() -> list[str]:
+            return [
+                await RequestIdentity(request, NAMES, b"k").compute()
+                for request in (plain, *named)
+            ]
+
+        self.assertEqual(len(set(anyio.run(compute_all))), 3)
+
+
+class DocumentTest(unittest.TestCase):
+    """Customers that make a document invalid."""
+
+    # Guards against keys in the answer to an operator and in the keepers' logs.
+    def test_errors_without_keys(self):
+        """The message names the field and contains no key."""
+        cases = (
+            ({"keys": [123456]}, "keys"),
+            ({"keys": KEY}, "keys"),
+            ({"keys": [KEY, ""]}, "keys"),
+            ({"keys": [KEY * 1000]}, "keys"),
+            ({"priority": KEY}, "priority"),
+            ({"priority": -1}, "priority"),
+            ({"rate_per_s": -1}, "rate_per_s"),
+            ({"unit": KEY}, "unit"),
+            ({"name": ""}, "name"),
+            ({"name": "a\r\nb"}, "name"),
+            ({"name": " a"}, "name"),
+        )
+        for change, field in cases:
+            with self.subTest(change=change):
+                document = document_bytes(
+                    routes=CUSTOMER_ROUTES, customers=[customer_value(**change)]
+                )
+                fault = parse_document(document).failure()
+                self.assertEqual(fault.code, Code.BAD_VALUE)
+                self.assertIn(field, fault.message)
+                self.assertNotIn(KEY, fault.message)
+                self.assertNotIn("123456", fault.message)
+
+    def test_shared_key(self):
+        """Two customers with one key make a document invalid."""
+        customers = [customer_value(), customer_value(name="birch")]
+        fault = parse_document(document_bytes(customers=customers)).failure()
+        self.assertIn("keys", fault.message)
+        self.assertNotIn(KEY, fault.message)
