Prove that the keys in use are current before accepting them

Where the setting revoke_ms is set and the document has customers, the entry asks the leader several times per second for the version in force. A reply of a leader with a valid lease proves the entry's document current at the time of the question.

--- a/src/cowslipwood/entry/direct/_customer_keys.py
+++ b/src/cowslipwood/entry/direct/_customer_keys.py
@@ -1,15 +1,57 @@
-"""Recognises customers by the keys of their requests."""
+"""Recognises customers by the keys of their requests.
+
+Where a removed key must not work for longer than a bound, the entry proves several
+times per second that its document is current: it asks the leader for the version in
+force. The reply holds for the time of the question, whenever it arrives. A document
+that the leader sends by itself proves nothing, because it may have been in a buffer
+while this process was paused.
+"""
 
 import hashlib
+import math
 import secrets
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
+
+import anyio
+from returns.result import Failure as Err
+from returns.result import Result
 
+from ...kernel.clock import monotonic_ms
 from ...kernel.codes import Code, Failure, failure
+from ...kernel.logs import get_logger
+from ...kernel.messages import DocumentVersion, DocumentVersionRequest
 from ...kernel.metrics import Metrics
 from ...routes import MAX_KEY_BYTES, Customer, Route, RouteDocument
 from ._headers import HeaderNames
 
-__all__ = ["CustomerKeys"]
+__all__ = ["CustomerKeys", "VersionSource"]
+
+# Asks the leader for the version in force; the second argument is the longest wait in
+# milliseconds.
+VersionSource = Callable[
+    [DocumentVersionRequest, float], Awaitable[Result[DocumentVersion, Failure]]
+]
+
+# The following shares are of the time within which a removed key stops working.
+#
+# Age of the last proof up to which keys are accepted.
+PROOF_SHARE = 0.8
+# Age of the last proof up to which an unknown key counts as invalid. A key that was
+# added since may be valid, and a new document reaches connected entries within half of
+# the time in the deployments that set it.
+UNKNOWN_KEY_SHARE = 0.4
+# Interval of the questions. Keys must be accepted for a share of 0.6 after the
+# connection is lost; the interval and a slow reply take a part of the remaining 0.2.
+QUERY_SHARE = 0.05
+# Longest wait for a reply. A reply that takes longer than 0.2 still extends the time
+# for which keys are accepted.
+REPLY_SHARE = 0.4
+# Shortest interval of the questions, in milliseconds, so that a small bound does not
+# overload the leader.
+MIN_QUERY_INTERVAL_MS = 50.0
+# Time, in milliseconds, after which a caller is told to come back while the entry may
+# not know the keys in force. Another entry may take the request at once.
+UNCERTAIN_RETRY_MS = 500
 
 # Length of the key of the digests, and of the digests, in bytes: too long to find by
 # trial a key with the digest of another.
@@ -17,7 +59,7 @@
 
 
 class CustomerKeys:
-    """The keys of the document in force.
+    """The keys of the document in force, and the proof that it is current.
 
     The table holds digests of the keys, made with a random key of the process. The
     time of a lookup therefore tells a client nothing about the keys.
@@ -26,11 +68,28 @@
     ----------
     names : HeaderNames
     metrics : Metrics
+    revoke_ms : float
+        Time after the confirmation of a document within which keys that it lacks stop
+        working; 0 if that is not bounded.
+    ask_leader : VersionSource, optional
+        Needed only for `run`.
     """
 
-    def __init__(self, names: HeaderNames, metrics: Metrics):
+    def __init__(
+        self,
+        names: HeaderNames,
+        metrics: Metrics,
+        revoke_ms: float = 0.0,
+        ask_leader: VersionSource | None = None,
+    ):
         self._names = names
         self._metrics = metrics
+        self._revoke_ms = revoke_ms
+        self._ask_leader = ask_leader
+        self._version = 0
+        self._proved_ms = -math.inf
+        self._was_certain = False
+        self._document_changed = anyio.Event()
         self._digest_key = secrets.token_bytes(DIGEST_BYTES)
         self._customers_by_digest: dict[bytes, Customer] = {}
         self._has_customers = False
@@ -40,14 +99,27 @@
         """Whether the document in force has customers, so that requests need a key."""
         return self._has_customers
 
+    @property
+    def needs_proof(self) -> bool:
+        """Whether keys are accepted only with a recent proof."""
+        return self._revoke_ms > 0 and self._has_customers
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether keys have been proved once, if they need it."""
+        return not self.needs_proof or self._proved_ms > -math.inf
+
     def apply_document(self, document: RouteDocument) -> None:
         """Replace the keys by those of a document that is in force now."""
+        self._version = document.version
         self._has_customers = bool(document.customers)
         self._customers_by_digest = {
             self._compute_digest(key.encode()): customer
             for customer in document.customers
             for key in customer.keys
         }
+        self._document_changed.set()
+        self._document_changed = anyio.Event()
 
     def identify(
         self, headers: Sequence[tuple[bytes, bytes]], route: Route, now_ms: float
@@ -60,13 +132,14 @@
             Headers of the request.
         route : Route
         now_ms : float
-            A time after the arrival of the request.
+            A time after the arrival of the request, on the boot-time clock.
 
         Returns
         -------
         Customer, None or Failure
-            None if the request needs no key and has no valid one. Fails with BAD_KEY.
-            The message does not contain the key.
+            None if the request needs no key and has no valid one. Fails with BAD_KEY,
+            or with KEYS_UNCERTAIN if the document may not be current. The message does
+            not contain the key.
         """
         if not self._has_customers:
             return None
@@ -90,6 +163,81 @@
         removed = (self._names.key, self._names.customer)
         return [pair for pair in headers if pair[0] not in removed]
 
+    def is_certain(self, now_ms: float) -> bool:
+        """Return whether the known keys are accepted now."""
+        return self._has_proof(PROOF_SHARE, now_ms)
+
+    def record_version(self, version: int, asked_ms: float) -> bool:
+        """Record the version that was in force when the leader got a question.
+
+        Parameters
+        ----------
+        version : int
+        asked_ms : float
+            When the question was sent, on the boot-time clock.
+
+        Returns
+        -------
+        bool
+            Whether this proves that the document was current at that time.
+        """
+        if version > self._version:
+            return False
+        self._proved_ms = max(self._proved_ms, asked_ms)
+        return True
+
+    async def run(self, now_ms: Callable[[], float] = monotonic_ms) -> None:
+        """Prove in a loop that the document is current, while that is needed."""
+        while True:
+            if not self.needs_proof:
+                await self._document_changed.wait()
+                continue
+            asked_ms = now_ms()
+            self._log_certainty(asked_ms)
+            await self._ask(asked_ms)
+            self._log_certainty(now_ms())
+            interval_ms = max(MIN_QUERY_INTERVAL_MS, QUERY_SHARE * self._revoke_ms)
+            wait_ms = max(MIN_QUERY_INTERVAL_MS, asked_ms + interval_ms - now_ms())
+            with anyio.move_on_after(wait_ms / 1000):
+                await self._document_changed.wait()
+
+    async def _ask(self, asked_ms: float) -> None:
+        """Ask the leader once for the version in force."""
+        timeout_ms = max(MIN_QUERY_INTERVAL_MS, REPLY_SHARE * self._revoke_ms)
+        reply = await self._ask_leader(DocumentVersionRequest(), timeout_ms)
+        answer = None if isinstance(reply, Err) else reply.unwrap()
+        if not isinstance(answer, DocumentVersion):
+            outcome = "no_reply"
+        elif self.record_version(answer.version, asked_ms):
+            outcome = "proved"
+        else:
+            outcome = "behind"
+        self._metrics.count("document_queries_total", outcome=outcome)
+
+    def _log_certainty(self, now_ms: float) -> None:
+        """Set the gauges, and log when keys begin or cease to be accepted."""
+        is_certain = self.is_certain(now_ms)
+        self._metrics.gauge("keys_certain", int(is_certain))
+        if self.is_ready:
+            self._metrics.gauge("document_proof_age_ms", now_ms - self._proved_ms)
+        if is_certain == self._was_certain:
+            return
+        self._was_certain = is_certain
+        if is_certain:
+            get_logger().info("keys_certain", document=self._version)
+        else:
+            get_logger().warning(
+                "keys_uncertain",
+                document=self._version,
+                proof_age_ms=round(now_ms - self._proved_ms),
+            )
+
+    def _has_proof(self, share: float, now_ms: float) -> bool:
+        """Return whether the last proof is younger than a share of the bound."""
+        return (
+            not self.needs_proof or now_ms - self._proved_ms < share * self._revoke_ms
+        )
+
     def _find_customer(
         self, headers: Sequence[tuple[bytes, bytes]], now_ms: float
     ) -> Customer | Failure:
@@ -103,6 +251,9 @@
         if len(keys[0]) > MAX_KEY_BYTES:
             return failure(Code.BAD_KEY, "the key is too long")
         customer = self._customers_by_digest.get(self._compute_digest(keys[0]))
+        share = UNKNOWN_KEY_SHARE if customer is None else PROOF_SHARE
+        if not self._has_proof(share, now_ms):
+            return failure(Code.KEYS_UNCERTAIN, "", UNCERTAIN_RETRY_MS)
         return customer or failure(Code.BAD_KEY, "the key is unknown")
 
     def _compute_digest(self, key: bytes) -> bytes:
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -122,6 +122,9 @@
         Milliseconds after which a stopping process is killed.
     cluster_token : str
         Token for connections between daemons, or @file.
+    revoke_ms : int
+        Milliseconds after the confirmation of a document within which customers' keys
+        that it lacks stop working at every entry; 0 for no bound.
     """
 
     keepers: str
@@ -141,6 +144,7 @@
     drain_ms: int = 3_000
     grace_ms: int = 8_000
     cluster_token: str = ""
+    revoke_ms: int = 0
 
 
 DIRECT_SETTING_CHECKS = {
@@ -160,6 +164,7 @@
     "retry_window_ms": within(100, 600_000),
     "drain_ms": within(0, 600_000),
     "grace_ms": within(0, 600_000),
+    "revoke_ms": within(0, 600_000),
 }
 
 
@@ -225,6 +230,7 @@
             identity_key=_make_identity_key(settings.cluster_token),
             started_ms=monotonic_ms(),
             reports=reports,
+            revoke_ms=settings.revoke_ms,
         )
         self._app = RouteApp(self._state, random.Random())
 
@@ -235,6 +241,7 @@
             not self._app.is_leaving
             and self._state.document is not None
             and bool(self._servers.list_read_at_ms)
+            and self._state.customer_keys.is_ready
         )
 
     async def run(self, stop: anyio.Event) -> None:
@@ -256,6 +263,7 @@
                 tasks.start_soon(http_server.run)
             tasks.start_soon(self._link.run)
             tasks.start_soon(self._holder_finder.run)
+            tasks.start_soon(self._state.customer_keys.run)
             tasks.start_soon(self._list_loop)
             tasks.start_soon(self._pool_sweep_loop)
             tasks.start_soon(self._send_news, self._state.part_guard, 0.0)
@@ -311,6 +319,7 @@
                 "document_in_force",
                 version=update.version,
                 routes=len(parsed.unwrap().routes),
+                customers=len(parsed.unwrap().customers),
                 term=self._link.term,
             )
 
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -67,6 +67,8 @@
         When the entry started; by default more than a retry window ago.
     reports : ServerReports
         Asks servers about themselves.
+    revoke_ms : float
+        See `CustomerKeys`.
 
     Attributes
     ----------
@@ -109,6 +111,7 @@
         identity_key: bytes = b"",
         started_ms: float = -math.inf,
         reports: ServerReports | None = None,
+        revoke_ms: float = 0.0,
     ):
         ask = ask_leader or _find_no_leader
         self.identity_key = identity_key
@@ -125,7 +128,7 @@
         self.pool = ConnectionPool()
         self.stop_waiter = StopWaiter(self.pool, self.reports, metrics, now_ms)
         self.part_guard = PartGuard(metrics)
-        self.customer_keys = CustomerKeys(header_names, metrics)
+        self.customer_keys = CustomerKeys(header_names, metrics, revoke_ms, ask)
         self.end_check = EndCheck(metrics, self.reports.ask, now_ms)
         self.stream_versions = StreamVersions(ask, metrics, started_ms)
         self.document: RouteDocument | None = None
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -27,6 +27,8 @@
     ClaimBegin,
     ClaimFinish,
     CrashEvidence,
+    DocumentVersion,
+    DocumentVersionRequest,
     EntryReport,
     Hello,
     HolderRequest,
@@ -333,6 +335,10 @@
                 self._directory.record_agent_report(value, now_ms)
             case AgentLoad():
                 self._directory.record_agent_load(value, now_ms)
+            case DocumentVersionRequest():
+                # The lease was valid after the question arrived, so no other keeper
+                # had confirmed a newer version by then.
+                return DocumentVersion(self._machine.applied_document.version)
             case EntryReport():
                 self._directory.record_entry_report(value, now_ms)
                 self._planner.record_entry_report(value, now_ms)
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -28,6 +28,8 @@
     "DemandSample",
     "DesiredModel",
     "DocumentUpdate",
+    "DocumentVersion",
+    "DocumentVersionRequest",
     "EntryPlace",
     "EntryReport",
     "FleetLoad",
@@ -339,6 +341,18 @@
     document: bytes
 
 
+@message("control")
+class DocumentVersionRequest(NamedTuple):
+    """An entry asks which version of the document of routes is in force."""
+
+
+@message("control")
+class DocumentVersion(NamedTuple):
+    """The version in force when the question arrived; 0 while there is no document."""
+
+    version: int
+
+
 @message("control")
 class KeepersUpdate(NamedTuple):
     """The leader sends the current addresses of the keepers."""
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -188,6 +188,13 @@
   document @1 :Data;
 }
 
+struct DocumentVersionRequest {
+}
+
+struct DocumentVersion {
+  version @0 :UInt64;
+}
+
 struct KeepersUpdate {
   addrs @0 :List(Text);
 }
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -4,12 +4,16 @@
 from typing import Any
 
 import anyio
+from returns.result import Failure as Err
+from returns.result import Success
 from structlog.testing import capture_logs
 
 from cowslipwood.entry.direct._app import RouteApp
+from cowslipwood.entry.direct._customer_keys import CustomerKeys
 from cowslipwood.entry.direct._headers import HeaderNames
 from cowslipwood.entry.direct._identity import RequestIdentity
-from cowslipwood.kernel.codes import Code, Failure
+from cowslipwood.kernel.codes import Code, Failure, failure
+from cowslipwood.kernel.messages import Ack, DocumentVersion, DocumentVersionRequest
 from cowslipwood.routes import MAX_KEY_BYTES, Customer, parse_document
 
 from .customer_builders import (
@@ -36,6 +40,8 @@
 NAMES = HeaderNames()
 KEYED = build_route()
 EXEMPT = build_route(needs_no_key=True)
+# Time within which a removed key has to stop working, in milliseconds.
+REVOKE_MS = 5_000.0
 
 
 def get_code(found: Any) -> Code | None:
@@ -120,6 +126,129 @@
         self.assertEqual(keys.identify(key_headers("new"), KEYED, 0.0).name, "alder")
 
 
+class ProofTest(unittest.TestCase):
+    """Keys whose removal has to take effect within a bound."""
+
+    def setUp(self):
+        self.keys = build_customer_keys(build_customer_document(), revoke_ms=REVOKE_MS)
+
+    def identify(self, now_ms: float, key: str = KEY, route: Any = KEYED) -> Any:
+        return self.keys.identify(key_headers(key), route, now_ms)
+
+    # Guards against an entry that has just started with a document from a buffer.
+    def test_no_proof_yet(self):
+        """Before the first proof no key is accepted or called invalid."""
+        for key in (KEY, "unknown"):
+            fault = self.identify(0.0, key)
+            self.assertEqual(fault.code, Code.KEYS_UNCERTAIN)
+            self.assertGreater(fault.retry_after_ms, 0)
+        self.assertFalse(self.keys.is_ready)
+        self.assertEqual(get_code(self.identify(0.0, "")), Code.BAD_KEY)
+
+    # Guards against a removed key that runs at an entry that is cut off or resumed.
+    def test_age_of_the_proof(self):
+        """A key is accepted for 0.6 of the bound after a proof, and not for all of it.
+
+        The time counts from the question, however late the reply comes.
+        """
+        self.assertTrue(self.keys.record_version(1, 1_000.0))
+        self.assertTrue(self.keys.is_ready)
+        self.assertEqual(self.identify(1_000.0 + 0.6 * REVOKE_MS).name, "alder")
+        for late_ms in (0.8 * REVOKE_MS, REVOKE_MS, 1e9):
+            found = self.identify(1_000.0 + late_ms)
+            self.assertEqual(get_code(found), Code.KEYS_UNCERTAIN)
+
+    # Guards against a caller that gives up a key which is valid in a newer document.
+    def test_unknown_key_is_uncertain_sooner(self):
+        """An unknown key is called invalid only just after a proof."""
+        self.keys.record_version(1, 0.0)
+        found = self.identify(0.3 * REVOKE_MS, "unknown")
+        self.assertEqual(get_code(found), Code.BAD_KEY)
+        found = self.identify(0.5 * REVOKE_MS, "unknown")
+        self.assertEqual(get_code(found), Code.KEYS_UNCERTAIN)
+
+    # Guards against an entry to which a newer document was not sent yet.
+    def test_newer_version_in_force(self):
+        """A reply that names a newer version proves nothing."""
+        self.assertFalse(self.keys.record_version(2, 0.0))
+        self.assertEqual(get_code(self.identify(0.0)), Code.KEYS_UNCERTAIN)
+        self.keys.apply_document(build_customer_document(version=2))
+        self.assertEqual(get_code(self.identify(0.0)), Code.KEYS_UNCERTAIN)
+        self.assertTrue(self.keys.record_version(2, 0.0))
+        self.assertEqual(self.identify(0.0).name, "alder")
+
+    def test_older_version_in_force(self):
+        """A reply from before the entry's own document proves that one as well."""
+        self.keys.apply_document(build_customer_document(version=2))
+        self.assertTrue(self.keys.record_version(1, 0.0))
+        self.assertEqual(self.identify(1.0).name, "alder")
+
+    def test_replies_out_of_order(self):
+        """The reply to an earlier question does not make the proof older."""
+        self.keys.record_version(1, 5_000.0)
+        self.keys.record_version(1, 1_000.0)
+        self.assertEqual(self.identify(5_000.0 + 0.6 * REVOKE_MS).name, "alder")
+
+    def test_exempt_route(self):
+        """Without a proof, an exempt request is served, for no customer."""
+        self.assertIsNone(self.identify(0.0, route=EXEMPT))
+
+    def test_not_strict(self):
+        """Without a bound, keys are accepted without a proof."""
+        keys = build_customer_keys(build_customer_document())
+        self.assertEqual(keys.identify(key_headers(KEY), KEYED, 1e9).name, "alder")
+        self.assertTrue(keys.is_ready)
+
+
+class QueryTest(unittest.TestCase):
+    """The questions to the leader."""
+
+    def run_queries(
+        self, document: Any, replies: list[Any], **options: Any
+    ) -> tuple[CustomerKeys, int]:
+        """Run the loop until all replies were sent; return the number of questions."""
+        n_asked = 0
+
+        async def ask(request: Any, timeout_ms: float) -> Any:
+            nonlocal n_asked
+            self.assertIsInstance(request, DocumentVersionRequest)
+            n_asked += 1
+            if n_asked > len(replies):
+                await anyio.sleep_forever()
+            return replies[n_asked - 1]
+
+        async def main() -> CustomerKeys:
+            keys = build_customer_keys(document, ask_leader=ask, **options)
+            with anyio.move_on_after(0.5):
+                await keys.run()
+            return keys
+
+        with capture_logs() as self.logs:
+            keys = anyio.run(main)
+        return keys, n_asked
+
+    # Guards against needless load on the leader of other deployments.
+    def test_no_questions(self):
+        """Nothing is asked without customers or without a bound."""
+        for document, revoke_ms in (
+            (build_document(), 100.0),
+            (build_customer_document(), 0.0),
+        ):
+            _, n_asked = self.run_queries(document, [], revoke_ms=revoke_ms)
+            self.assertEqual(n_asked, 0)
+
+    def test_refusals_and_replies(self):
+        """The loop goes on after refusals, and logs when keys become certain."""
+        refusal = Err(failure(Code.NOT_LEADER))
+        replies = [refusal, Success(Ack(1)), Success(DocumentVersion(1))]
+        keys, n_asked = self.run_queries(
+            build_customer_document(), replies, revoke_ms=1_000.0
+        )
+        self.assertEqual(n_asked, 4)
+        self.assertTrue(keys.is_ready)
+        self.assertIn("keys_certain", [line["event"] for line in self.logs])
+
+
 class ServedRequestTest(unittest.TestCase):
     """What an entry sends to a server, and answers to a client."""
 
