Hold requests until the first proof, and have the soak send keys

Such requests now wait for the proof as well, for the same part of their callers' time.

The soak's config has two customers and strict removal of keys; a check finds requests that reach a server with a key or for another customer.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -127,6 +127,21 @@
             yield Violation("REFUSED", record["at_ms"], text)
 
 
+def check_customers(history: Sequence[Record]) -> Iterable[Violation]:
+    """Find requests that a server got with a key or for another customer."""
+    customer_of = {r["request"]: r.get("customer") for r in _select(history, "sent")}
+    for record in _select(history, "arrived"):
+        customer = customer_of.get(record["request"])
+        if customer is None:
+            continue
+        if record["customer"] != customer or record["has_key"]:
+            text = (
+                f"{record['request']} of {customer} came for {record['customer']!r}, "
+                f"with a key: {record['has_key']}"
+            )
+            yield Violation("CUSTOMER", record["at_ms"], text)
+
+
 def check_retry_budget(history: Sequence[Record]) -> Iterable[Violation]:
     """Find windows in which a service got too many repeated requests."""
     sent_at_ms = defaultdict(list)
@@ -298,6 +313,7 @@
     check_single_runs,
     check_overlapping_runs,
     check_not_run_answers,
+    check_customers,
     check_retry_budget,
     check_hold_off,
     check_planned_stops,
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -16,6 +16,7 @@
 import anyio
 import anyio.abc
 
+from .customers import CUSTOMERS, make_key
 from .history import HistoryWriter
 from .server import N_EVENTS, make_event, split_versions
 from .wire import Head, MessageReader, encode_head
@@ -140,6 +141,7 @@
         self._settings = settings
         self._history = history
         self._rng = random.Random(f"{settings.seed}-{number}")
+        self._customer = CUSTOMERS[number % len(CUSTOMERS)]
         self._conn: _Connection | None = None
 
     async def run(self) -> None:
@@ -182,6 +184,7 @@
             "request-id": request_id,
             "request-deadline": kind.time_limit_ms,
             "content-length": len(body),
+            "credential": make_key(self._customer),
             **extra,
         }
         if kind.model:
@@ -194,6 +197,7 @@
             first=first_id,
             kind=kind.name,
             service=kind.service,
+            customer=self._customer,
             repeatable=kind.is_repeatable,
             stream=kind.is_stream,
             entry=conn.entry,
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -46,6 +46,8 @@
     "fencingEnforced": True,
     "leaseMs": 3_000,
     "ceilingWindowS": 5,
+    "revokeStrict": True,
+    "revokeMs": 5_000,
 }
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
 
 from .checks import Violation, check_history
 from .clients import ClientSettings, RequestKind
+from .customers import make_tenants
 from .deployment import CALLERS_PORT, ROOT, SERVERS_PORT, Deployment, Host
 from .history import HistoryWriter, read_history
 from .schedule import DEFAULT_KINDS, FaultKind, ScheduledFault, draw_schedule
@@ -603,6 +604,7 @@
             },
             {"name": "ledger", "healthPath": "/health", "maxConnections": 390},
         ],
+        "tenants": make_tenants(),
         "limits": {
             "maxHeaderBytes": 16_384,
             "maxBodyBytes": 4_194_304,
--- a/soak/server.py
+++ b/soak/server.py
@@ -171,6 +171,8 @@
             headers = head.headers
             fields["request"] = headers.get("request-id", "")
             fields["deadline_ms"] = headers.get("request-deadline")
+            fields["customer"] = headers.get("tenant-id", "")
+            fields["has_key"] = "credential" in headers
         self._history.write(
             event,
             server=self._settings.server_id,
--- a/src/cowslipwood/entry/direct/_app.py
+++ b/src/cowslipwood/entry/direct/_app.py
@@ -194,16 +194,20 @@
                 return None
 
     async def _wait_for_document(self, scope: dict) -> None:
-        """Wait for the first route document, for a part of the caller's time."""
-        if self._state.document is not None:
+        """Wait for the first route document, for a part of the caller's time.
+
+        The wait includes the first proof that the customers' keys in it are current.
+        """
+        state = self._state
+        if state.document is not None and state.customer_keys.is_ready:
             return
         headers = [(bytes(name), bytes(value)) for name, value in scope["headers"]]
         caller_timeout_ms = (
-            read_request_facts(headers, self._state.header_names).caller_timeout_ms
-            or 0.0
+            read_request_facts(headers, state.header_names).caller_timeout_ms or 0.0
         )
         with anyio.move_on_after(caller_timeout_ms * DOCUMENT_WAIT_SHARE / 1000):
-            await self._state.document_applied.wait()
+            await state.document_applied.wait()
+            await state.customer_keys.wait_until_ready()
 
     def _route_request(
         self, scope: dict, body: bytes, arrived_ms: float
--- a/src/cowslipwood/entry/direct/_customer_keys.py
+++ b/src/cowslipwood/entry/direct/_customer_keys.py
@@ -90,6 +90,7 @@
         self._proved_ms = -math.inf
         self._was_certain = False
         self._document_changed = anyio.Event()
+        self._first_proof = anyio.Event()
         self._digest_key = secrets.token_bytes(DIGEST_BYTES)
         self._customers_by_digest: dict[bytes, Customer] = {}
         self._has_customers = False
@@ -184,8 +185,14 @@
         if version > self._version:
             return False
         self._proved_ms = max(self._proved_ms, asked_ms)
+        self._first_proof.set()
         return True
 
+    async def wait_until_ready(self) -> None:
+        """Wait for the first proof, if one is needed."""
+        if not self.is_ready:
+            await self._first_proof.wait()
+
     async def run(self, now_ms: Callable[[], float] = monotonic_ms) -> None:
         """Prove in a loop that the document is current, while that is needed."""
         while True:
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -227,6 +227,31 @@
             keys = anyio.run(main)
         return keys, n_asked
 
+    # Guards against a reply that lay in a buffer while the entry was paused.
+    def test_late_reply(self):
+        """A reply proves the document for the time of the question only."""
+        now_ms = 0.0
+
+        async def ask(request: Any, timeout_ms: float) -> Any:
+            nonlocal now_ms
+            if now_ms:
+                await anyio.sleep_forever()
+            now_ms = REVOKE_MS
+            return Success(DocumentVersion(1))
+
+        async def main() -> CustomerKeys:
+            document = build_customer_document()
+            keys = build_customer_keys(document, revoke_ms=REVOKE_MS, ask_leader=ask)
+            with anyio.move_on_after(0.2):
+                await keys.run(lambda: now_ms)
+            return keys
+
+        with capture_logs():
+            keys = anyio.run(main)
+        self.assertTrue(keys.is_ready)
+        found = keys.identify(key_headers(KEY), KEYED, now_ms)
+        self.assertEqual(get_code(found), Code.KEYS_UNCERTAIN)
+
     # Guards against needless load on the leader of other deployments.
     def test_no_questions(self):
         """Nothing is asked without customers or without a bound."""
@@ -249,6 +274,35 @@
         self.assertIn("keys_certain", [line["event"] for line in self.logs])
 
 
+class FirstProofTest(unittest.TestCase):
+    """Requests that arrive at an entry before its document and the first proof."""
+
+    # The callers of a restarted entry were refused between its document and the proof.
+    def test_request_waits(self):
+        """A request waits for both, for a part of its caller's time."""
+
+        async def main(has_proof: bool) -> Any:
+            state = build_direct_state([])
+            state.customer_keys = CustomerKeys(NAMES, state.metrics, REVOKE_MS)
+            app = RouteApp(state, create_rng())
+            headers = [*key_headers(KEY), (NAMES.deadline, b"800")]
+
+            async def prove() -> None:
+                await anyio.sleep(0.02)
+                state.apply_document(build_customer_document())
+                await anyio.sleep(0.02)
+                if has_proof:
+                    state.customer_keys.record_version(1, state.now_ms())
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(prove)
+                await app._wait_for_document({"headers": headers})
+            return state.customer_keys.identify(headers, KEYED, state.now_ms())
+
+        self.assertEqual(anyio.run(main, True).name, "alder")
+        self.assertEqual(get_code(anyio.run(main, False)), Code.KEYS_UNCERTAIN)
+
+
 class ServedRequestTest(unittest.TestCase):
     """What an entry sends to a server, and answers to a client."""
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -129,6 +129,86 @@
             with self.subTest(body=body[:40]):
                 self.assertEqual(type(self.parse(body)).__name__, "Failure")
 
+    def test_customers(self):
+        """Customers, and routes without keys, keep their values."""
+        value = config_value()
+        value["routes"][1]["authExempt"] = True
+        value["tenants"] = [
+            {
+                "name": "alder",
+                "apiKeys": ["k1", "k2"],
+                "priority": 2,
+                "unit": "token_stream",
+                "plainTokens": 200,
+                "ratePerS": 277744,
+                "burst": 10,
+            },
+            {"name": "birch", "apiKeys": []},
+        ]
+        document = self.parse(value).unwrap()
+        first, second = document.customers
+        self.assertEqual(first.keys, ("k1", "k2"))
+        self.assertEqual(
+            (first.priority, first.rate_per_s, first.burst, first.plain_tokens),
+            (2, 277744.0, 10.0, 200),
+        )
+        self.assertEqual((first.unit, second.unit), ("tokens", "requests"))
+        self.assertIsNone(second.priority)
+        self.assertEqual(
+            [route.needs_no_key for route in document.routes], [False, True]
+        )
+
+    # Guards against a config without keys that is taken for one without customers.
+    def test_wrong_customers(self):
+        """A wrong field is named as in the config, and no key is repeated."""
+        secret = "k-secret-1"
+        cases = (
+            ("tenants", "tenants"),
+            ({}, "tenants"),
+            ([secret], "tenants"),
+            ([{"apiKeys": [secret]}], "name"),
+            ([{"name": "a", "apiKeys": secret}], "apiKeys"),
+            ([{"name": "a", "apiKeys": [secret, 7]}], "apiKeys"),
+            ([{"name": "a", "apiKeys": [secret], "ratePerS": secret}], "ratePerS"),
+            ([{"name": "a", "apiKeys": [secret], "ratePerS": -1}], "ratePerS"),
+            ([{"name": "a", "apiKeys": [secret], "unit": 7}], "unit"),
+            ([{"name": n, "apiKeys": [secret]} for n in "ab"], "apiKeys"),
+        )
+        for tenants, field in cases:
+            with self.subTest(tenants=tenants):
+                fault = self.parse({**config_value(), "tenants": tenants}).failure()
+                restore = adapter_module("_config").restore_field_names
+                message = restore(fault.message)
+                self.assertIn(field, message)
+                self.assertNotIn(secret, message)
+
+
+class NodeTest(unittest.TestCase):
+    """The settings file of a process."""
+
+    def test_removal_of_keys(self):
+        """The bound on removed keys counts only where it is strict."""
+        for bounds, expected in (
+            ({}, 0),
+            ({"revokeMs": 4000}, 0),
+            ({"revokeStrict": False, "revokeMs": 4000}, 0),
+            ({"revokeStrict": True}, 5000),
+            ({"revokeStrict": True, "revokeMs": 4000}, 4000),
+        ):
+            value = {
+                "nodeName": "n1",
+                "ip": "10.0.0.1",
+                "zone": "z",
+                "listenAddrs": {},
+                "internalPorts": [7300, 7399],
+                "seeds": [],
+                "bootstrap": False,
+                "cloudApi": {"address": "10.0.0.2:80"},
+                "bounds": bounds,
+            }
+            node = adapter_module("_node")._parse_node(value)
+            self.assertEqual(node.revoke_ms, expected)
+
 
 class ListTest(unittest.TestCase):
     """Reading of the entries of the list."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -70,6 +70,18 @@
             end = record("ended", ended_at_ms, "a", server="s1", born_ms=0)
             self.assertEqual(find_rules([*history, late, end]), expected)
 
+    def test_wrong_customer(self):
+        """A server gets a request for another customer than its key's, or the key."""
+        for customer, has_key, expected in (
+            ("alder", False, []),
+            ("birch", False, ["CUSTOMER"]),
+            ("", False, ["CUSTOMER"]),
+            ("alder", True, ["CUSTOMER"]),
+        ):
+            history = build_attempt("a", 0.0, ended_at_ms=5.0, customer="alder")
+            history[1].update(customer=customer, has_key=has_key)
+            self.assertEqual(find_rules(history), expected)
+
     def test_untrue_refusal(self):
         """A caller is told that a request did not run, though it did, or does later."""
         for status in (408, 421, 429, 503, 500, 502, 504):
