--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
+from .deployment import REVOKE_MS
 from .server import N_EVENTS
 
 __all__ = ["CHECKS", "Violation", "check_history"]
@@ -142,6 +143,29 @@
             yield Violation("CUSTOMER", record["at_ms"], text)
 
 
+def check_removed_keys(history: Sequence[Record]) -> Iterable[Violation]:
+    """Find requests with a key that was removed too long ago, or not added yet.
+
+    The config after the last acknowledged one may be in force already.
+    """
+    acknowledged = [
+        (r.get("version", 0), r["at_ms"])
+        for r in _select(history, "config_acknowledged")
+    ]
+    sent = {r["request"]: r for r in _select(history, "sent") if r.get("key_version")}
+    for record in _select(history, "arrived"):
+        request = sent.get(record["request"])
+        if request is None:
+            continue
+        version = request["key_version"]
+        removed_ms = [at_ms for newer, at_ms in acknowledged if newer > version]
+        known = [known for known, at_ms in acknowledged if at_ms <= record["at_ms"]]
+        is_late = bool(removed_ms) and request["at_ms"] > min(removed_ms) + REVOKE_MS
+        if is_late or version > max(known, default=0) + 1:
+            text = f"{record['request']} came with a key of version {version}"
+            yield Violation("REMOVED", record["at_ms"], text)
+
+
 def check_retry_budget(history: Sequence[Record]) -> Iterable[Violation]:
     """Find windows in which a service got too many repeated requests."""
     sent_at_ms = defaultdict(list)
@@ -314,6 +338,7 @@
     check_overlapping_runs,
     check_not_run_answers,
     check_customers,
+    check_removed_keys,
     check_retry_budget,
     check_hold_off,
     check_planned_stops,
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -26,6 +26,10 @@
 CONNECT_TIMEOUT_S = 1.0
 # Statuses that promise that the request did not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Share of the requests with a key that only one version of the config has, and the
+# highest such version. Runs of a few minutes have about as many versions.
+VERSION_KEY_SHARE = 0.1
+MAX_KEY_VERSION = 6
 # Number of attempts of a client, and of one that resumes a stream.
 MAX_ATTEMPTS = 2
 MAX_ATTEMPTS_OF_STREAM = 4
@@ -141,6 +145,7 @@
         self._settings = settings
         self._history = history
         self._rng = random.Random(f"{settings.seed}-{number}")
+        self._key_rng = random.Random(f"{settings.seed}-{number}-keys")
         self._customer = CUSTOMERS[number % len(CUSTOMERS)]
         self._conn: _Connection | None = None
 
@@ -179,12 +184,15 @@
         if conn is None:
             return _Outcome(0)
         body = b"x" * self._rng.choice(BODY_LENGTHS)
+        key_version = 0
+        if self._key_rng.random() < VERSION_KEY_SHARE:
+            key_version = self._key_rng.randint(1, MAX_KEY_VERSION)
         headers = {
             "host": "soak.example",
             "request-id": request_id,
             "request-deadline": kind.time_limit_ms,
             "content-length": len(body),
-            "credential": make_key(self._customer),
+            "credential": make_key(self._customer, key_version),
             **extra,
         }
         if kind.model:
@@ -198,6 +206,7 @@
             kind=kind.name,
             service=kind.service,
             customer=self._customer,
+            key_version=key_version,
             repeatable=kind.is_repeatable,
             stream=kind.is_stream,
             entry=conn.entry,
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -36,6 +36,8 @@
 CALL_TIMEOUT_S = 2.0
 # Characters of each log that `print_logs` prints.
 LOG_TAIL_CHARS = 3_000
+# Time within which a removed key of a customer stops working, in milliseconds.
+REVOKE_MS = 5_000
 # Limits that the platform states in each settings file.
 BOUNDS = {
     "drainMs": 3_000,
@@ -47,7 +49,7 @@
     "leaseMs": 3_000,
     "ceilingWindowS": 5,
     "revokeStrict": True,
-    "revokeMs": 5_000,
+    "revokeMs": REVOKE_MS,
 }
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -604,7 +604,7 @@
             },
             {"name": "ledger", "healthPath": "/health", "maxConnections": 390},
         ],
-        "tenants": make_tenants(),
+        "tenants": make_tenants(version),
         "limits": {
             "maxHeaderBytes": 16_384,
             "maxBodyBytes": 4_194_304,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -82,6 +82,23 @@
             history[1].update(customer=customer, has_key=has_key)
             self.assertEqual(find_rules(history), expected)
 
+    def test_removed_key(self):
+        """A request with a key of a replaced config, or of one that was not sent."""
+        configs = [
+            record("config_acknowledged", at_ms, version=version)
+            for version, at_ms in ((1, 0.0), (2, 100.0))
+        ]
+        for version, at_ms, expected in (
+            (1, 5_000.0, []),
+            (1, 5_200.0, ["REMOVED"]),
+            (2, 9_000.0, []),
+            (3, 9_000.0, []),
+            (4, 9_000.0, ["REMOVED"]),
+            (0, 9_000.0, []),
+        ):
+            attempt = build_attempt("a", at_ms, key_version=version)
+            self.assertEqual(find_rules([*configs, *attempt[:2]]), expected)
+
     def test_untrue_refusal(self):
         """A caller is told that a request did not run, though it did, or does later."""
         for status in (408, 421, 429, 503, 500, 502, 504):
