--- a/src/cowslipwood/entry/direct/_customer_keys.py
+++ b/src/cowslipwood/entry/direct/_customer_keys.py
@@ -49,6 +49,9 @@
 # Shortest interval of the questions, in milliseconds, so that a small bound does not
 # overload the leader.
 MIN_QUERY_INTERVAL_MS = 50.0
+# Longest time, in milliseconds, without a message of a leader for which an unknown key
+# counts as invalid. An election takes less.
+MAX_SILENCE_MS = 2_000.0
 # Time, in milliseconds, after which a caller is told to come back while the entry may
 # not know the keys in force. Another entry may take the request at once.
 UNCERTAIN_RETRY_MS = 500
@@ -88,6 +91,7 @@
         self._ask_leader = ask_leader
         self._version = 0
         self._proved_ms = -math.inf
+        self._heard_ms = math.inf
         self._was_certain = False
         self._document_changed = anyio.Event()
         self._first_proof = anyio.Event()
@@ -164,6 +168,10 @@
         removed = (self._names.key, self._names.customer)
         return [pair for pair in headers if pair[0] not in removed]
 
+    def record_contact(self, now_ms: float) -> None:
+        """Record that a message of a leader has been handled."""
+        self._heard_ms = now_ms
+
     def is_certain(self, now_ms: float) -> bool:
         """Return whether the known keys are accepted now."""
         return self._has_proof(PROOF_SHARE, now_ms)
@@ -259,7 +267,8 @@
             return failure(Code.BAD_KEY, "the key is too long")
         customer = self._customers_by_digest.get(self._compute_digest(keys[0]))
         share = UNKNOWN_KEY_SHARE if customer is None else PROOF_SHARE
-        if not self._has_proof(share, now_ms):
+        is_cut_off = now_ms - self._heard_ms > MAX_SILENCE_MS
+        if not self._has_proof(share, now_ms) or (customer is None and is_cut_off):
             return failure(Code.KEYS_UNCERTAIN, "", UNCERTAIN_RETRY_MS)
         return customer or failure(Code.BAD_KEY, "the key is unknown")
 
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -289,6 +289,7 @@
                 await anyio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
 
     async def _on_message(self, value: Any) -> None:
+        self._state.customer_keys.record_contact(monotonic_ms())
         match value:
             case DocumentUpdate():
                 self._apply_document(value)
--- a/tests/test_customer_keys.py
+++ b/tests/test_customer_keys.py
@@ -199,6 +199,18 @@
         self.assertEqual(keys.identify(key_headers(KEY), KEYED, 1e9).name, "alder")
         self.assertTrue(keys.is_ready)
 
+    # Guards against a caller that gives up a key which was added meanwhile.
+    def test_unknown_key_without_leader(self):
+        """Without a leader, a known key works and an unknown one is uncertain."""
+        keys = build_customer_keys(build_customer_document())
+        keys.record_contact(1_000.0)
+        unknown = key_headers("unknown")
+        found = keys.identify(unknown, KEYED, 2_000.0)
+        self.assertEqual(get_code(found), Code.BAD_KEY)
+        found = keys.identify(unknown, KEYED, 4_000.0)
+        self.assertEqual(get_code(found), Code.KEYS_UNCERTAIN)
+        self.assertEqual(keys.identify(key_headers(KEY), KEYED, 1e9).name, "alder")
+
 
 class QueryTest(unittest.TestCase):
     """The questions to the leader."""
