--- a/src/cowslipwood/entry/direct/_customer_keys.py
+++ b/src/cowslipwood/entry/direct/_customer_keys.py
@@ -50,7 +50,7 @@
 # overload the leader.
 MIN_QUERY_INTERVAL_MS = 50.0
 # Longest time, in milliseconds, without a message of a leader for which an unknown key
-# counts as invalid. An election takes less.
+# counts as invalid where no proof is needed. An election takes less.
 MAX_SILENCE_MS = 2_000.0
 # Time, in milliseconds, after which a caller is told to come back while the entry may
 # not know the keys in force. Another entry may take the request at once.
@@ -266,11 +266,17 @@
         if len(keys[0]) > MAX_KEY_BYTES:
             return failure(Code.BAD_KEY, "the key is too long")
         customer = self._customers_by_digest.get(self._compute_digest(keys[0]))
-        share = UNKNOWN_KEY_SHARE if customer is None else PROOF_SHARE
-        is_cut_off = now_ms - self._heard_ms > MAX_SILENCE_MS
-        if not self._has_proof(share, now_ms) or (customer is None and is_cut_off):
-            return failure(Code.KEYS_UNCERTAIN, "", UNCERTAIN_RETRY_MS)
-        return customer or failure(Code.BAD_KEY, "the key is unknown")
+        if customer is not None and self.is_certain(now_ms):
+            return customer
+        if customer is None and self._is_up_to_date(now_ms):
+            return failure(Code.BAD_KEY, "the key is unknown")
+        return failure(Code.KEYS_UNCERTAIN, "", UNCERTAIN_RETRY_MS)
+
+    def _is_up_to_date(self, now_ms: float) -> bool:
+        """Return whether the entry surely has all keys but those just added."""
+        if self.needs_proof:
+            return self._has_proof(UNKNOWN_KEY_SHARE, now_ms)
+        return now_ms - self._heard_ms <= MAX_SILENCE_MS
 
     def _compute_digest(self, key: bytes) -> bytes:
         return hashlib.blake2b(
