--- a/src/cowslipwood/entry/direct/_app.py
+++ b/src/cowslipwood/entry/direct/_app.py
@@ -194,16 +194,20 @@
                 return None
 
     async def _wait_for_document(self, scope: dict) -> None:
-        """Wait for the first route document, for a part of the caller's time."""
-        if self._state.document is not None:
+        """Wait for the first route document, for a part of the caller's time.
+
+        The wait includes the first proof that the customers' keys in it are current.
+        """
+        state = self._state
+        if state.document is not None and state.customer_keys.is_ready:
             return
         headers = [(bytes(name), bytes(value)) for name, value in scope["headers"]]
         caller_timeout_ms = (
-            read_request_facts(headers, self._state.header_names).caller_timeout_ms
-            or 0.0
+            read_request_facts(headers, state.header_names).caller_timeout_ms or 0.0
         )
         with anyio.move_on_after(caller_timeout_ms * DOCUMENT_WAIT_SHARE / 1000):
-            await self._state.document_applied.wait()
+            await state.document_applied.wait()
+            await state.customer_keys.wait_until_ready()
 
     def _route_request(
         self, scope: dict, body: bytes, arrived_ms: float
@@ -219,6 +223,12 @@
         route = state.route_table.match(host.decode("latin-1"), path.decode("latin-1"))
         if route is None:
             return failure(Code.NO_SUCH_ROUTE)
+        customer = state.customer_keys.identify(headers, route, state.now_ms())
+        if isinstance(customer, Failure):
+            return customer
+        if customer is not None and customer.priority is not None:
+            route = route._replace(priority=customer.priority)
+        headers = state.customer_keys.remove_headers(headers)
         query = scope["query_string"]
         facts = read_request_facts(headers, state.header_names)
         timeout_ms = route.timeout_ms
@@ -235,6 +245,7 @@
             facts=facts,
             arrived_ms=arrived_ms,
             answer_by_ms=arrived_ms + timeout_ms,
+            customer=customer,
         )
 
     def _cancel_request(
