Break off an unframed answer whose connection is reset after its end

Callers got the first 22 bytes of an answer without length or chunks as a complete answer, when a server responded early to a 3 MB upload, ended its own direction of the connection and closed with the rest unread.

Cause: the server's operating system sends an end and then a reset. The entry took the end for an orderly close and looked no further. Neither the kernel's buffers nor a part that is read before the error loses the reset.

A server that reads on acknowledges the rest; the operating system of one that has closed resets the connection. Answers with a length or chunks, to HEAD and with 204 are read as before.

The rest of a long upload was not sent once the head of an answer had arrived, so sound servers that read on before they end an unframed answer waited in vain. It is sent now.

--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -9,14 +9,16 @@
 import select
 import socket
 import struct
-from collections.abc import AsyncIterator, Sequence
-from typing import NamedTuple
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from typing import NamedTuple, TypeVar
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import h11
 
 from .codes import Code
+from .connection_end import has_ended_in_order
 from .counts import parse_count
 
 __all__ = [
@@ -55,6 +57,8 @@
 # connection.
 N_KEEPALIVE_PROBES = 2
 
+T = TypeVar("T")
+
 
 class BrokenAnswerError(Exception):
     """The connection ended or carried invalid data before a complete answer.
@@ -118,6 +122,11 @@
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
         self._unsent: bytes = b""
+        # Whether a part of the request is still in the transport's buffer.
+        self._is_undrained = False
+        self._has_request_body = False
+        # Whether only the end of the connection marks the end of the current answer.
+        self._is_answer_unframed = False
         self._n_skipped_bytes = 0
         self._has_sent_head_method = False
         self._is_broken = False
@@ -150,6 +159,8 @@
         except h11.LocalProtocolError as exc:
             raise BrokenAnswerError(Code.BAD_HEADER, str(exc)) from exc
         request_bytes = b"".join((head, data or b"", end or b""))
+        self._has_request_body = bool(body)
+        self._is_answer_unframed = False
         self._unsent = request_bytes[FIRST_SEND_BYTES:]
         await self._write(request_bytes[:FIRST_SEND_BYTES])
 
@@ -163,20 +174,7 @@
         BrokenAnswerError
             When the connection ends, or carries no valid answer, before that.
         """
-        if not self._unsent:
-            return await self._read_head()
-        broken: BrokenAnswerError | None = None
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._send_unsent)
-            try:
-                head = await self._read_head()
-            except BrokenAnswerError as exc:
-                # A task group would raise it inside an exception group.
-                broken = exc
-            tasks.cancel_scope.cancel()
-        if broken is not None:
-            raise broken
-        return head
+        return await self._send_during(self._read_head)
 
     async def skip_answer(self, head: AnswerHead) -> bool:
         """Skip an answer to an earlier request; return whether that was possible.
@@ -192,7 +190,7 @@
         """
         # An answer to HEAD has no body, whatever its headers state.
         if (
-            self._unsent
+            self._has_unsent()
             or self._has_sent_head_method
             or head.body_end is BodyEnd.CONNECTION_CLOSE
         ):
@@ -216,10 +214,15 @@
     async def receive_body(self) -> AsyncIterator[bytes]:
         """Yield the body in parts.
 
+        Without length or chunks, the remainder of the request is sent meanwhile: the
+        server may read it before it ends its answer, and if the server has closed, its
+        operating system resets the connection.
+
         Raises
         ------
         BrokenAnswerError
-            When the connection ends, or carries invalid data, before the body's end.
+            When the connection ends, or carries invalid data, before the body's end, or
+            is reset after an end that alone marks the body's.
         """
         while True:
             event = await self._next_event()
@@ -227,6 +230,9 @@
                 case h11.Data():
                     yield bytes(event.data)
                 case h11.EndOfMessage():
+                    # A body with a length or chunks ends before its connection.
+                    if self._has_ended:
+                        await self._check_orderly_end()
                     return
                 case _:
                     raise self._mark_broken(f"unexpected {type(event).__name__}")
@@ -237,7 +243,7 @@
         is_reusable = (
             not self._is_broken
             and not self._is_reuse_forbidden
-            and not self._unsent
+            and not self._has_unsent()
             and not self._server_closes
             and http.our_state is h11.DONE
             and http.their_state is h11.DONE
@@ -280,16 +286,58 @@
         with contextlib.suppress(OSError):  # The server has reset the connection.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
 
+    async def _check_orderly_end(self) -> None:
+        """Check that the connection was not reset after its end."""
+        await self._send_unsent()
+        sock = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        is_in_order = not self._has_unsent() and await has_ended_in_order(
+            sock, self._has_request_body
+        )
+        if not is_in_order:
+            raise self._mark_broken("the connection was reset after its end")
+
+    def _has_unsent(self) -> bool:
+        """Return whether the operating system has not taken the whole request yet."""
+        return bool(self._unsent) or self._is_undrained
+
+    async def _send_during(self, receive: Callable[[], Awaitable[T]]) -> T:
+        """Receive a part of the answer, and send the request on until it arrives."""
+        if not self._has_unsent():
+            return await receive()
+        broken: BrokenAnswerError | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._send_unsent)
+            try:
+                received = await receive()
+            except BrokenAnswerError as exc:
+                # A task group would raise it inside an exception group.
+                broken = exc
+            tasks.cancel_scope.cancel()
+        if broken is not None:
+            raise broken
+        return received
+
     async def _send_unsent(self) -> None:
-        while self._unsent:
-            part = self._unsent[:MAX_TRANSFER_BYTES]
+        """Send the remainder of the request; may be cancelled and called again."""
+        while self._has_unsent():
             try:
+                # An empty write waits until the transport has sent the last part.
+                await self._write(b"")
+                self._is_undrained = False
+                if not self._unsent:
+                    return
+                # A write to an empty transport takes the whole part before it waits, so
+                # a part that is cancelled from here on has been taken.
+                await anyio.lowlevel.checkpoint_if_cancelled()
+                part = self._unsent[:MAX_TRANSFER_BYTES]
+                self._unsent = self._unsent[len(part) :]
+                self._is_undrained = True
                 await self._write(part)
+                self._is_undrained = False
             except BrokenAnswerError:
                 # The server may have answered before it stopped reading, so the
                 # answer is still awaited.
                 return
-            self._unsent = self._unsent[len(part) :]
 
     async def _read_head(self) -> AnswerHead:
         for _ in range(MAX_INTERIM_ANSWERS + 1):
@@ -297,7 +345,9 @@
             match event:
                 case h11.Response():
                     self._record_connection_headers(event)
-                    return AnswerHead(event.status_code, list(event.headers))
+                    head = AnswerHead(event.status_code, list(event.headers))
+                    self._is_answer_unframed = head.body_end is BodyEnd.CONNECTION_CLOSE
+                    return head
                 case h11.InformationalResponse():
                     continue
                 case _:
@@ -318,7 +368,10 @@
             except h11.RemoteProtocolError as exc:
                 raise self._mark_broken(str(exc)) from exc
             if event is h11.NEED_DATA:
-                self._http.receive_data(await self._read())
+                if self._is_answer_unframed:
+                    self._http.receive_data(await self._send_during(self._read))
+                else:
+                    self._http.receive_data(await self._read())
                 continue
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 raise self._mark_broken("the connection ended")
