Answer invalid statuses of servers with a result code of their own

Statuses outside 100 to 599, or of other than three digits, reached callers as 504, as if the server had ended in silence. After 600 and 999 callers got no response, because uvicorn looks the status up in a table and fails.

h11 takes each three digits from 200 to 999 for a status and refuses the rest as malformed; the entry forwarded the first and treated the second like a lost connection.

ServerConnection now breaks such an answer off with the new code 1306 BAD_STATUS (502, outcome unknown). The attempt counts as an error of the server and is retried only if the kind of the route allows it. It is no evidence that the request ends servers.

--- a/src/cowslipwood/entry/direct/_sending.py
+++ b/src/cowslipwood/entry/direct/_sending.py
@@ -151,6 +151,11 @@
             return self._recorder.record_failure(backend, failure(Code.BACKEND_TIMEOUT))
         except BrokenAnswerError as exc:
             await self._end_attempt(backend, conn, exc.by_server)
+            if exc.code is Code.BAD_STATUS:
+                # The server has answered, so that it did not end under the request.
+                return self._recorder.record_failure(
+                    backend, failure(Code.BAD_STATUS, str(exc))
+                )
             await self._recorder.record_break(backend)
             return self._recorder.record_failure(
                 backend, failure(Code.OUTCOME_UNKNOWN, str(exc))
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -71,6 +71,7 @@
     ANSWER_NOT_KEPT = 1303
     BACKEND_TIMEOUT = 1304
     INTERNAL_ERROR = 1305
+    BAD_STATUS = 1306
 
     AGENT_LEAVING = 2001
     MODEL_NOT_READY = 2002
@@ -242,6 +243,9 @@
     Code.INTERNAL_ERROR: CodeInfo(
         502, _UNKNOWN, 12, "An unforeseen error; see the log."
     ),
+    Code.BAD_STATUS: CodeInfo(
+        502, _UNKNOWN, 12, "The backend server answered with an invalid status."
+    ),
     Code.AGENT_LEAVING: CodeInfo(503, _NOT_RUN, 11, "The backend server is leaving."),
     Code.MODEL_NOT_READY: CodeInfo(503, _NOT_RUN, 11, "The model is not ready there."),
     Code.AGENT_OVERLOADED: CodeInfo(503, _NOT_RUN, 11, "The backend server is full."),
--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import enum
+import re
 import select
 import socket
 import struct
@@ -26,6 +27,8 @@
     "BodyEnd",
     "BrokenAnswerError",
     "ServerConnection",
+    "is_valid_status",
+    "names_invalid_status",
     "open_connection",
     "read_body_end",
 ]
@@ -57,6 +60,14 @@
 # connection.
 N_KEEPALIVE_PROBES = 2
 
+# Statuses that an answer may have.
+VALID_STATUSES = range(100, 600)
+# How h11 names a line that it takes for no status line, and a status below 100.
+H11_BAD_STATUS_LINE = re.compile(
+    r"illegal status line: bytearray\(b['\"]HTTP/\d\.\d(?: +([^ ]*).*)?['\"]\)"
+)
+H11_LOW_STATUS = re.compile(r"InformationalResponse status_code should be in range")
+
 T = TypeVar("T")
 
 
@@ -344,6 +355,9 @@
             event = await self._next_event()
             match event:
                 case h11.Response():
+                    if not is_valid_status(event.status_code):
+                        reason = f"the status {event.status_code}"
+                        raise self._mark_broken(reason, Code.BAD_STATUS)
                     self._record_connection_headers(event)
                     head = AnswerHead(event.status_code, list(event.headers))
                     self._is_answer_unframed = head.body_end is BodyEnd.CONNECTION_CLOSE
@@ -366,7 +380,10 @@
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as exc:
-                raise self._mark_broken(str(exc)) from exc
+                code = Code.ANSWER_CUT
+                if names_invalid_status(str(exc)):
+                    code = Code.BAD_STATUS
+                raise self._mark_broken(str(exc), code) from exc
             if event is h11.NEED_DATA:
                 if self._is_answer_unframed:
                     self._http.receive_data(await self._send_during(self._read))
@@ -398,9 +415,32 @@
         self._has_ended |= isinstance(cause, ConnectionError)
         return self._mark_broken(f"lost: {type(cause).__name__}")
 
-    def _mark_broken(self, reason: str) -> BrokenAnswerError:
+    def _mark_broken(
+        self, reason: str, code: Code = Code.ANSWER_CUT
+    ) -> BrokenAnswerError:
         self._is_broken = True
-        return BrokenAnswerError(Code.ANSWER_CUT, reason, self._has_ended)
+        return BrokenAnswerError(code, reason, self._has_ended)
+
+
+def is_valid_status(status: int) -> bool:
+    """Return whether an answer may have this status."""
+    return status in VALID_STATUSES
+
+
+def names_invalid_status(h11_reason: str) -> bool:
+    """Return whether h11 has found an answer malformed because of its status.
+
+    h11 states the reason in the message of its error only. Lines that are not HTTP, or
+    have a valid status and another fault, are malformed in another way.
+    """
+    if H11_LOW_STATUS.match(h11_reason):
+        return True
+    line = H11_BAD_STATUS_LINE.match(h11_reason)
+    if line is None:
+        return False
+    status = line.group(1) or ""
+    is_number = len(status) == 3 and status.isascii() and status.isdigit()
+    return not (is_number and is_valid_status(int(status)))
 
 
 def read_body_end(headers: Sequence[tuple[bytes, bytes]]) -> BodyEnd:
