Break off an agent's unframed answer whose connection is reset after its end

An agent passed on as whole, and kept for its idempotency key, an answer without length or chunks whose server ended its own direction and closed with the upload unread.

The cause is that of the entries: the end that comes before the reset was taken for an orderly close. httpcore sends the whole upload before it reads, so that only the check of the end was missing; the agent now makes the same one.

--- a/src/cowslipwood/agent/_forward.py
+++ b/src/cowslipwood/agent/_forward.py
@@ -13,6 +13,7 @@
 
 from ..kernel.clock import monotonic_ms
 from ..kernel.codes import Code, failure
+from ..kernel.connection_end import has_ended_in_order
 from ..kernel.event_stream import (
     EventSplitter,
     EventTooLongError,
@@ -36,8 +37,8 @@
 MAX_CONNECTIONS = 1_024
 # Retry delay in the refusal of a call that did not run, in milliseconds.
 RETRY_AFTER_MS = 500
-# Status of an answer that has no body.
-NO_CONTENT_STATUS = 204
+# Statuses of answers that have no body.
+NO_BODY_STATUSES = frozenset((204, 304))
 # Answer headers that concern only the connection to the backend server.
 _HOP_HEADERS = frozenset((b"connection", b"transfer-encoding", b"keep-alive"))
 # Prefix of the headers that only the system's own processes may set.
@@ -204,23 +205,33 @@
             await answer.send_chunk(chunk)
             idle_scope.deadline = anyio.current_time() + self._idle_timeout_ms / 1000
         break_reason = stream_end.find_break()
-        if not break_reason and _may_be_cut(response, call):
-            # A server that is killed ends its connections like those of whole answers.
-            addr = self._backend_url.removeprefix("http://")
-            if not await still_accepts_connections(addr):
-                break_reason = "the connection ended and its server is gone"
+        if not break_reason and _ends_with_connection(response, call):
+            break_reason = await self._find_break_at_end(response, call)
         if break_reason:
             get_logger().info("answer_cut", reason=break_reason)
             await answer.fail(Code.ANSWER_CUT)
             return
         await answer.finish()
 
+    async def _find_break_at_end(
+        self, response: httpcore.Response, call: BackendCall
+    ) -> str:
+        """Return why an answer that ended with its connection is not whole, or ""."""
+        sock = response.extensions["network_stream"].get_extra_info("socket")
+        if not await has_ended_in_order(sock, bool(call.body)):
+            return "the connection was reset after its end"
+        if response.status < 300:
+            # A server that is killed ends its connections like those of whole answers.
+            addr = self._backend_url.removeprefix("http://")
+            if not await still_accepts_connections(addr):
+                return "the connection ended and its server is gone"
+        return ""
+
 
-def _may_be_cut(response: httpcore.Response, call: BackendCall) -> bool:
-    """Return whether only the end of the connection marked the end of a success."""
-    has_body = response.status < 300 and response.status != NO_CONTENT_STATUS
-    is_unframed = read_body_end(response.headers) is BodyEnd.CONNECTION_CLOSE
-    return has_body and is_unframed and call.method != "HEAD"
+def _ends_with_connection(response: httpcore.Response, call: BackendCall) -> bool:
+    """Return whether only the end of the connection marks the end of the answer."""
+    has_body = response.status not in NO_BODY_STATUSES and call.method != "HEAD"
+    return has_body and read_body_end(response.headers) is BodyEnd.CONNECTION_CLOSE
 
 
 class _StreamEnd:
--- a/tests/test_answer_resets.py
+++ b/tests/test_answer_resets.py
@@ -1,12 +1,14 @@
 """Answers whose connection is reset are not complete, whatever was sent before."""
 
 import unittest
+from typing import Any
 from unittest import mock
 
 import anyio
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cowslipwood.agent._forward import BackendCall, Forwarder, ForwardOutcome
 from cowslipwood.kernel import connection_end
 from cowslipwood.kernel.codes import Outcome
 from cowslipwood.kernel.http_connection import open_connection
@@ -196,3 +198,43 @@
         answer = EarlyAnswer(data, Ending.CLOSE, pause_s=0.3)
         with run_early_server(answer) as (addr, _):
             self.assertFalse(anyio.run(main, addr))
+
+
+class AgentTest(unittest.TestCase):
+    """Answers that an agent forwards from its backend server."""
+
+    # An agent passed on the first bytes of a reset answer as a whole one.
+    def test_answer_is_whole_only_after_an_orderly_end(self):
+        """With length or chunks, what follows the answer does not count."""
+        for route in (ROUTES[0], ROUTES[2]):
+            for framing in Framing:
+                data, _ = build_whole_answer(framing, route)
+                for ending in Ending:
+                    for n_bytes in (2_000, 3_000_000):
+                        with self.subTest(
+                            framing=framing, route=route, ending=ending, n=n_bytes
+                        ):
+                            answer = EarlyAnswer(data, ending, pause_s=0.05)
+                            outcome = self._forward(answer, n_bytes)
+                            if framing is Framing.CONNECTION:
+                                is_whole = outcome is ForwardOutcome.WHOLE
+                                self.assertEqual(is_whole, ending.reads_all)
+                            elif ending.reads_all:
+                                self.assertIs(outcome, ForwardOutcome.WHOLE)
+
+    def _forward(self, answer: EarlyAnswer, n_bytes: int) -> ForwardOutcome:
+        async def send(event: dict[str, Any]) -> None:
+            pass
+
+        async def main() -> ForwardOutcome:
+            headers = [("host", "shop.example"), ("content-length", str(n_bytes))]
+            call = BackendCall("POST", "/", headers, build_upload(n_bytes))
+            forwarder = Forwarder(f"http://{addr}", {})
+            with anyio.fail_after(15):
+                return (await forwarder.forward(call, send, dict, None)).outcome
+
+        with (
+            mock.patch.object(connection_end, "RESET_HOLD_MS", RESET_HOLD_MS),
+            run_early_server(answer) as (addr, _),
+        ):
+            return anyio.run(main)
