Answer invalid statuses with their own code in agents too

Behind an agent callers got 504 for statuses below 100 or of other than three digits. The agent passed on 600 and 999, after which uvicorn fails.

httpcore raises for what h11 refuses, and returns the rest; the agent treated the first like a lost connection and checked no range. It answers 502 with BAD_STATUS now, outcome unknown. The entry's choice counts the code as an error of the server, as it did for OUTCOME_UNKNOWN.

test_bad_statuses.AgentTest failed before: 20 of 20 statuses, and the count of errors.

--- a/src/cowslipwood/agent/_forward.py
+++ b/src/cowslipwood/agent/_forward.py
@@ -21,7 +21,12 @@
     is_event_stream,
 )
 from ..kernel.http import send_failure
-from ..kernel.http_connection import BodyEnd, read_body_end
+from ..kernel.http_connection import (
+    BodyEnd,
+    is_valid_status,
+    names_invalid_status,
+    read_body_end,
+)
 from ..kernel.logs import get_logger
 from ..kernel.server_probe import still_accepts_connections
 from ._server_limit import ServerLimit
@@ -182,8 +187,11 @@
             except StatusLineError as exc:
                 get_logger().info("answer_cut", reason=str(exc))
                 await answer.fail(Code.ANSWER_CUT)
-            except (httpcore.NetworkError, httpcore.ProtocolError):
-                await answer.fail(Code.OUTCOME_UNKNOWN)
+            except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+                is_bad_status = names_invalid_status(str(exc))
+                await answer.fail(
+                    Code.BAD_STATUS if is_bad_status else Code.OUTCOME_UNKNOWN
+                )
         if idle_scope.cancelled_caught:
             await answer.fail(Code.BACKEND_TIMEOUT)
 
@@ -198,6 +206,9 @@
         if refusal is not None:
             await answer.refuse(refusal, ForwardOutcome.REFUSED)
             return
+        if not is_valid_status(response.status):
+            await answer.fail(Code.BAD_STATUS)
+            return
         await answer.send_start(response)
         stream_end = _StreamEnd(response.headers)
         async for chunk in response.aiter_stream():
--- a/src/cowslipwood/entry/choosing/_router.py
+++ b/src/cowslipwood/entry/choosing/_router.py
@@ -58,7 +58,13 @@
 }
 # Failures that count as errors of the server and can eject it.
 _SERVER_ERROR_CODES = frozenset(
-    (Code.OUTCOME_UNKNOWN, Code.ANSWER_CUT, Code.BACKEND_TIMEOUT, Code.BAD_MESSAGE)
+    (
+        Code.OUTCOME_UNKNOWN,
+        Code.ANSWER_CUT,
+        Code.BACKEND_TIMEOUT,
+        Code.BAD_MESSAGE,
+        Code.BAD_STATUS,
+    )
 )
 
 
