Take an engine's order for done only after an orderly end

An agent took an order for done by an answer without length or chunks whose engine ended its own direction and closed with the order unread, so that the connection was reset.

The cause is that of the agent's calls, and the same check is made now, in a module that both use. The result of the order is then uncertain and is read from the engine's state.

test_engine_answers failed before for both ends that begin with the engine's own direction.

--- a/src/cowslipwood/agent/_forward.py
+++ b/src/cowslipwood/agent/_forward.py
@@ -13,7 +13,6 @@
 
 from ..kernel.clock import monotonic_ms
 from ..kernel.codes import Code, failure
-from ..kernel.connection_end import has_ended_in_order
 from ..kernel.event_stream import (
     EventSplitter,
     EventTooLongError,
@@ -22,13 +21,13 @@
 )
 from ..kernel.http import send_failure
 from ..kernel.http_connection import (
-    BodyEnd,
     is_valid_status,
     names_invalid_status,
     read_body_end,
 )
 from ..kernel.logs import get_logger
 from ..kernel.server_probe import still_accepts_connections
+from ._answer_end import ends_with_connection, was_reset_after_end
 from ._server_limit import ServerLimit
 
 __all__ = ["BackendCall", "ForwardOutcome", "ForwardResult", "Forwarder"]
@@ -42,8 +41,6 @@
 MAX_CONNECTIONS = 1_024
 # Retry delay in the refusal of a call that did not run, in milliseconds.
 RETRY_AFTER_MS = 500
-# Statuses of answers that have no body.
-NO_BODY_STATUSES = frozenset((204, 304))
 # Answer headers that concern only the connection to the backend server.
 _HOP_HEADERS = frozenset((b"connection", b"transfer-encoding", b"keep-alive"))
 # Prefix of the headers that only the system's own processes may set.
@@ -216,7 +213,7 @@
             await answer.send_chunk(chunk)
             idle_scope.deadline = anyio.current_time() + self._idle_timeout_ms / 1000
         break_reason = stream_end.find_break()
-        if not break_reason and _ends_with_connection(response, call):
+        if not break_reason and ends_with_connection(response, call.method):
             break_reason = await self._find_break_at_end(response, call)
         if break_reason:
             get_logger().info("answer_cut", reason=break_reason)
@@ -228,8 +225,7 @@
         self, response: httpcore.Response, call: BackendCall
     ) -> str:
         """Return why an answer that ended with its connection is not whole, or ""."""
-        sock = response.extensions["network_stream"].get_extra_info("socket")
-        if not await has_ended_in_order(sock, bool(call.body)):
+        if await was_reset_after_end(response, call.method, bool(call.body)):
             return "the connection was reset after its end"
         if response.status < 300:
             # A server that is killed ends its connections like those of whole answers.
@@ -239,12 +235,6 @@
         return ""
 
 
-def _ends_with_connection(response: httpcore.Response, call: BackendCall) -> bool:
-    """Return whether only the end of the connection marks the end of the answer."""
-    has_body = response.status not in NO_BODY_STATUSES and call.method != "HEAD"
-    return has_body and read_body_end(response.headers) is BodyEnd.CONNECTION_CLOSE
-
-
 class _StreamEnd:
     """Tells whether an answer that has ended is a stream that was broken off."""
 
--- a/src/cowslipwood/agent/engines/http_engine.py
+++ b/src/cowslipwood/agent/engines/http_engine.py
@@ -10,6 +10,7 @@
 from ...kernel.codes import Code, Failure, failure
 from ...kernel.messages import Resident
 from ...kernel.registry import PluginKind, register
+from .._answer_end import was_reset_after_end
 from ._dialect import EngineState, Order
 
 __all__ = ["FencedEngine", "UnfencedEngine"]
@@ -45,11 +46,7 @@
     async def state(self) -> Result[EngineState, Failure]:
         """Read the engine's state; fails with BACKEND_UNREACHABLE."""
         try:
-            response = await self._pool.request(
-                "GET",
-                f"{self._url}/engine/state",
-                extensions=_make_timeouts(STATE_TIMEOUT_S),
-            )
+            response = await self._exchange("GET", "/engine/state", STATE_TIMEOUT_S)
             return Success(_parse_engine_state(orjson.loads(response.content)))
         except _HTTP_ERRORS as exc:
             return Err(failure(Code.BACKEND_UNREACHABLE, repr(exc)))
@@ -57,11 +54,11 @@
     async def order(self, order: Order) -> Result[None, Failure]:
         """Send an order and wait for its result; see `EngineDialect`."""
         try:
-            response = await self._pool.request(
+            response = await self._exchange(
                 "POST",
-                f"{self._url}/engine/orders",
-                content=orjson.dumps(order._asdict()),
-                extensions=_make_timeouts(self._order_timeout_ms / 1000),
+                "/engine/orders",
+                self._order_timeout_ms / 1000,
+                orjson.dumps(order._asdict()),
             )
             answer = orjson.loads(response.content)
         except _CONNECT_ERRORS as exc:
@@ -81,11 +78,11 @@
     async def cancel(self, request_id: str) -> Result[None, Failure]:
         """Cancel a call at the engine; see `EngineDialect`."""
         try:
-            response = await self._pool.request(
+            response = await self._exchange(
                 "POST",
-                f"{self._url}/engine/cancel",
-                content=orjson.dumps({"request_id": request_id}),
-                extensions=_make_timeouts(CANCEL_TIMEOUT_S),
+                "/engine/cancel",
+                CANCEL_TIMEOUT_S,
+                orjson.dumps({"request_id": request_id}),
             )
         except _HTTP_ERRORS as exc:
             return Err(failure(Code.BACKEND_UNREACHABLE, repr(exc)))
@@ -93,6 +90,25 @@
             return Err(failure(Code.BACKEND_UNREACHABLE, f"status {response.status}"))
         return Success(None)
 
+    async def _exchange(
+        self, method: str, path: str, read_s: float, body: bytes | None = None
+    ) -> httpcore.Response:
+        """Send a request and read its whole answer.
+
+        Raises an error of `_HTTP_ERRORS` also if the connection was reset after its
+        end, which alone marked that of the answer.
+        """
+        async with self._pool.stream(
+            method,
+            f"{self._url}{path}",
+            content=body,
+            extensions=_make_timeouts(read_s),
+        ) as response:
+            await response.aread()
+            if await was_reset_after_end(response, method, bool(body)):
+                raise httpcore.ReadError("the connection was reset after its end")
+        return response
+
 
 # Errors after which it is certain that a request did not reach the engine.
 _CONNECT_ERRORS = (
--- /dev/null
+++ b/tests/test_engine_answers.py
@@ -0,0 +1,58 @@
+"""Answers of engines to orders: whole ones with a valid status count, and no others."""
+
+import unittest
+from typing import Any
+from unittest import mock
+
+import anyio
+import orjson
+from returns.result import Failure as Err
+from returns.result import Result
+
+from cowslipwood.agent.engines import Order, OrderOp
+from cowslipwood.agent.engines.http_engine import FencedEngine
+from cowslipwood.kernel import connection_end
+from cowslipwood.kernel.codes import Code, Failure
+
+from .answer_builders import Framing, frame_answer
+from .upload_builders import EarlyAnswer, Ending, run_early_server
+
+DONE = orjson.dumps({"state": "done"})
+# Time, in milliseconds, for which a reset is awaited. The server's thread may wait for
+# a core between the end of its direction and its close.
+RESET_HOLD_MS = 500.0
+
+
+def build_order() -> Order:
+    """Return an order."""
+    return Order("o1", OrderOp.LOAD, "m1", "1", "", 1_000, 3)
+
+
+class EngineAnswerTest(unittest.TestCase):
+    """What an agent concludes from an engine's answers."""
+
+    # An order counted as done by an answer whose connection was reset.
+    def test_order_is_done_only_after_an_orderly_end(self):
+        """After a reset its result is uncertain, as without an answer."""
+        data = b"".join(frame_answer(Framing.CONNECTION, DONE))
+        for ending in Ending:
+            with self.subTest(ending=ending):
+                answer = EarlyAnswer(data, ending, n_first_bytes=10, pause_s=0.05)
+                with (
+                    mock.patch.object(connection_end, "RESET_HOLD_MS", RESET_HOLD_MS),
+                    run_early_server(answer) as (addr, _),
+                ):
+                    result = anyio.run(self._order, addr)
+                if ending.reads_all:
+                    self.assertEqual(_read_code(result), None)
+                else:
+                    self.assertEqual(_read_code(result), Code.ORDER_UNCERTAIN)
+
+    async def _order(self, addr: str) -> Result[None, Failure]:
+        with anyio.fail_after(15):
+            return await FencedEngine(f"http://{addr}").order(build_order())
+
+
+def _read_code(result: Result[Any, Failure]) -> Code | None:
+    """Return the code of a failure; None for a success."""
+    return result.failure().code if isinstance(result, Err) else None
