Take no order for done by an answer with an invalid status

An agent took an order to an engine for done by an answer with status 600 or 999 whose body said so: it read the body whatever the status. Such an answer is now an error, as those are that h11 refuses, and the result of the order is uncertain.

--- a/src/cowslipwood/agent/engines/http_engine.py
+++ b/src/cowslipwood/agent/engines/http_engine.py
@@ -8,6 +8,7 @@
 from returns.result import Result, Success
 
 from ...kernel.codes import Code, Failure, failure
+from ...kernel.http_connection import is_valid_status
 from ...kernel.messages import Resident
 from ...kernel.registry import PluginKind, register
 from .._answer_end import was_reset_after_end
@@ -95,8 +96,8 @@
     ) -> httpcore.Response:
         """Send a request and read its whole answer.
 
-        Raises an error of `_HTTP_ERRORS` also if the connection was reset after its
-        end, which alone marked that of the answer.
+        Raises an error of `_HTTP_ERRORS` also if the status is invalid, or if the
+        connection was reset after its end, which alone marked that of the answer.
         """
         async with self._pool.stream(
             method,
@@ -104,6 +105,8 @@
             content=body,
             extensions=_make_timeouts(read_s),
         ) as response:
+            if not is_valid_status(response.status):
+                raise httpcore.RemoteProtocolError(f"the status {response.status}")
             await response.aread()
             if await was_reset_after_end(response, method, bool(body)):
                 raise httpcore.ReadError("the connection was reset after its end")
--- a/tests/test_engine_answers.py
+++ b/tests/test_engine_answers.py
@@ -15,6 +15,8 @@
 from cowslipwood.kernel.codes import Code, Failure
 
 from .answer_builders import Framing, frame_answer
+from .direct_builders import always_send, build_answer, run_scripted_server
+from .test_bad_statuses import BAD_STATUSES
 from .upload_builders import EarlyAnswer, Ending, run_early_server
 
 DONE = orjson.dumps({"state": "done"})
@@ -48,10 +50,29 @@
                 else:
                     self.assertEqual(_read_code(result), Code.ORDER_UNCERTAIN)
 
+    # An order counted as done by an answer with status 600.
+    def test_invalid_status_proves_nothing(self):
+        """The result of the order is uncertain, and the state is not known."""
+        for status in BAD_STATUSES:
+            with self.subTest(status=status):
+                order, state, cancel = anyio.run(self._call_all, f"{status} X")
+                self.assertEqual(_read_code(order), Code.ORDER_UNCERTAIN)
+                self.assertEqual(_read_code(state), Code.BACKEND_UNREACHABLE)
+                self.assertIn("status", state.failure().message)
+                self.assertEqual(_read_code(cancel), Code.BACKEND_UNREACHABLE)
+
     async def _order(self, addr: str) -> Result[None, Failure]:
         with anyio.fail_after(15):
             return await FencedEngine(f"http://{addr}").order(build_order())
 
+    async def _call_all(self, status: str) -> list[Result[Any, Failure]]:
+        script = always_send(build_answer(DONE, status=status))
+        with anyio.fail_after(15):
+            async with run_scripted_server(script) as (addr, _):
+                engine = FencedEngine(f"http://{addr}")
+                order = await engine.order(build_order())
+                return [order, await engine.state(), await engine.cancel("q1")]
+
 
 def _read_code(result: Result[Any, Failure]) -> Code | None:
     """Return the code of a failure; None for a success."""
