Keep an answer with its own end whole when the upload's write fails

The check of an orderly end was also made for an answer with a length or chunks if a write of the upload had failed before, as that too marks the connection as ended. Such an answer would have been broken off though all of it had arrived. Only an end that was read leads to the check now.

The test fails without the change, for length and chunks.

--- a/src/cowslipwood/kernel/http_connection.py
+++ b/src/cowslipwood/kernel/http_connection.py
@@ -142,7 +142,10 @@
         self._has_sent_head_method = False
         self._is_broken = False
         self._server_closes = False
+        # Whether the server or its operating system has ended the connection, and
+        # whether its end was read; a write that fails tells the first only.
         self._has_ended = False
+        self._has_read_end = False
         self.opened_at_ms = 0.0
         self.idle_since_ms = 0.0
         self.n_requests = 0
@@ -242,7 +245,7 @@
                     yield bytes(event.data)
                 case h11.EndOfMessage():
                     # A body with a length or chunks ends before its connection.
-                    if self._has_ended:
+                    if self._has_read_end:
                         await self._check_orderly_end()
                     return
                 case _:
@@ -399,6 +402,7 @@
             return await self._stream.receive(MAX_TRANSFER_BYTES)
         except anyio.EndOfStream:
             self._has_ended = True
+            self._has_read_end = True
             return b""
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
             raise self._mark_lost(exc) from exc
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -16,6 +16,7 @@
 from cowslipwood.kernel.http_pool import ConnectionPool
 from cowslipwood.kernel.settings import parse_address
 
+from .answer_builders import Framing, frame_answer
 from .direct_builders import always_send, build_answer, run_scripted_server
 from .processes import DEFAULT_TIMEOUT_S
 
@@ -52,6 +53,19 @@
         raise anyio.BrokenResourceError from self._error
 
 
+class AnsweredStream(LostStream):
+    """A connection that is lost for writes after its answer has arrived."""
+
+    def __init__(self, error: OSError, n_sent: int, answer: bytes):
+        super().__init__(error, n_sent)
+        self._answer = answer
+
+    async def receive(self, max_bytes: int) -> bytes:
+        """Return the answer once the write of the rest has failed."""
+        await anyio.sleep(0.01)
+        return self._answer
+
+
 class ServerConnectionTest(unittest.TestCase):
     """Several exchanges, one after another, on one connection."""
 
@@ -122,6 +136,23 @@
         """An answer whose body is shorter than its length is reported as broken."""
         self._check_broken(build_answer(b"whole body")[:-3])
 
+    # An answer that states its end is whole though the upload could not be sent on.
+    def test_framed_answer_before_a_failed_write(self):
+        """With a length or chunks, a write that fails takes nothing from the answer."""
+
+        async def run(answer: bytes) -> bytes:
+            error = ConnectionResetError(errno.ECONNRESET, "reset")
+            conn = ServerConnection(AnsweredStream(error, 1, answer))
+            headers = [*HEADERS, (b"content-length", b"100000")]
+            await conn.send(b"POST", b"/", headers, bytes(100_000))
+            await conn.receive_head()
+            return b"".join([chunk async for chunk in conn.receive_body()])
+
+        for framing in (Framing.LENGTH, Framing.CHUNKS):
+            with self.subTest(framing=framing):
+                answer = b"".join(frame_answer(framing, b"whole"))
+                self.assertEqual(anyio.run(run, answer), b"whole")
+
     # A stream went on elsewhere at once though its server was only out of reach.
     def test_who_ended_a_broken_exchange(self):
         """A connection that was lost in silence was not ended by the server."""
