Bound the wait for a silent server behind the end of its answer

An agent waited for the acknowledgement of the rest of an upload for as long as its operating system retries, because its connections have no such time-out as those of entries. The end is in doubt now once no byte is acknowledged for 1.5 s.

--- a/src/cowslipwood/kernel/connection_end.py
+++ b/src/cowslipwood/kernel/connection_end.py
@@ -22,6 +22,10 @@
 # request with a body. The end and the reset are two steps of a process that closes, and
 # a process without a core of its own is interrupted between them.
 RESET_HOLD_MS = 30.0
+# Longest time, in milliseconds, without another acknowledged byte of the request. It is
+# that after which the operating system gives up an entry's connection; those of agents
+# have no such limit.
+ACKNOWLEDGE_TIMEOUT_MS = 1_500.0
 # Pause, in milliseconds, between two looks at a connection.
 POLL_PAUSE_MS = 2.0
 
@@ -30,9 +34,8 @@
     """Return whether a connection was not reset, once its end has been read.
 
     A server may answer before it has read the whole request, so bytes of the request
-    that the peer has not acknowledged are awaited. They are acknowledged, or the
-    connection is lost: at a server that is gone by a reset, at a silent one by the
-    operating system's time-out.
+    that the peer has not acknowledged are awaited, as long as it acknowledges some. If
+    the server is gone, the connection is reset.
 
     Parameters
     ----------
@@ -42,15 +45,20 @@
         Whether the request had a body. A server that answers has read the remainder of
         the request, and without a body there is nothing else to leave unread.
     """
-    acknowledged_at_ms: float | None = None
+    n_unacknowledged = -1
+    changed_at_ms = 0.0
     while not _is_lost(sock):
         if not has_body:
             return True
         now_ms = monotonic_ms()
-        if acknowledged_at_ms is None:
-            acknowledged_at_ms = None if _count_unacknowledged(sock) else now_ms
-        elif now_ms >= acknowledged_at_ms + RESET_HOLD_MS:
+        # Nothing more is sent, so that the number only falls, and stays at 0.
+        n_left = _count_unacknowledged(sock)
+        if n_left != n_unacknowledged:
+            n_unacknowledged, changed_at_ms = n_left, now_ms
+        elif n_left == 0 and now_ms >= changed_at_ms + RESET_HOLD_MS:
             return True
+        elif now_ms >= changed_at_ms + ACKNOWLEDGE_TIMEOUT_MS:
+            return False
         await anyio.sleep(POLL_PAUSE_MS / 1000)
     return False
 
--- a/tests/test_answer_resets.py
+++ b/tests/test_answer_resets.py
@@ -1,5 +1,7 @@
 """Answers whose connection is reset are not complete, whatever was sent before."""
 
+import contextlib
+import socket
 import unittest
 from typing import Any
 from unittest import mock
@@ -200,6 +202,30 @@
             self.assertFalse(anyio.run(main, addr))
 
 
+class SilentServerTest(unittest.TestCase):
+    """Servers that end their own direction and read nothing more."""
+
+    # An agent would have waited for such a server for as long as its system retries.
+    def test_end_without_acknowledgement_is_in_doubt(self):
+        """The end counts as not orderly once no byte is acknowledged for a time."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            conn = socket.create_connection(listener.getsockname())
+            peer, _ = listener.accept()
+        with conn, peer:
+            conn.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    conn.send(bytes(1_000_000))
+            peer.shutdown(socket.SHUT_WR)
+
+            async def check() -> bool:
+                with anyio.fail_after(15):
+                    return await connection_end.has_ended_in_order(conn, True)
+
+            with mock.patch.object(connection_end, "ACKNOWLEDGE_TIMEOUT_MS", 200.0):
+                self.assertFalse(anyio.run(check))
+
+
 class AgentTest(unittest.TestCase):
     """Answers that an agent forwards from its backend server."""
 
