--- a/src/cowslipwood/agent/_forward.py
+++ b/src/cowslipwood/agent/_forward.py
@@ -20,9 +20,14 @@
     is_event_stream,
 )
 from ..kernel.http import send_failure
-from ..kernel.http_connection import BodyEnd, read_body_end
+from ..kernel.http_connection import (
+    is_valid_status,
+    names_invalid_status,
+    read_body_end,
+)
 from ..kernel.logs import get_logger
 from ..kernel.server_probe import still_accepts_connections
+from ._answer_end import ends_with_connection, was_reset_after_end
 from ._server_limit import ServerLimit
 
 __all__ = ["BackendCall", "ForwardOutcome", "ForwardResult", "Forwarder"]
@@ -36,8 +41,6 @@
 MAX_CONNECTIONS = 1_024
 # Retry delay in the refusal of a call that did not run, in milliseconds.
 RETRY_AFTER_MS = 500
-# Status of an answer that has no body.
-NO_CONTENT_STATUS = 204
 # Answer headers that concern only the connection to the backend server.
 _HOP_HEADERS = frozenset((b"connection", b"transfer-encoding", b"keep-alive"))
 # Prefix of the headers that only the system's own processes may set.
@@ -181,8 +184,11 @@
             except StatusLineError as exc:
                 get_logger().info("answer_cut", reason=str(exc))
                 await answer.fail(Code.ANSWER_CUT)
-            except (httpcore.NetworkError, httpcore.ProtocolError):
-                await answer.fail(Code.OUTCOME_UNKNOWN)
+            except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+                is_bad_status = names_invalid_status(str(exc))
+                await answer.fail(
+                    Code.BAD_STATUS if is_bad_status else Code.OUTCOME_UNKNOWN
+                )
         if idle_scope.cancelled_caught:
             await answer.fail(Code.BACKEND_TIMEOUT)
 
@@ -197,6 +203,9 @@
         if refusal is not None:
             await answer.refuse(refusal, ForwardOutcome.REFUSED)
             return
+        if not is_valid_status(response.status):
+            await answer.fail(Code.BAD_STATUS)
+            return
         await answer.send_start(response)
         stream_end = _StreamEnd(response.headers)
         async for chunk in response.aiter_stream():
@@ -204,23 +213,26 @@
             await answer.send_chunk(chunk)
             idle_scope.deadline = anyio.current_time() + self._idle_timeout_ms / 1000
         break_reason = stream_end.find_break()
-        if not break_reason and _may_be_cut(response, call):
-            # A server that is killed ends its connections like those of whole answers.
-            addr = self._backend_url.removeprefix("http://")
-            if not await still_accepts_connections(addr):
-                break_reason = "the connection ended and its server is gone"
+        if not break_reason and ends_with_connection(response, call.method):
+            break_reason = await self._find_break_at_end(response, call)
         if break_reason:
             get_logger().info("answer_cut", reason=break_reason)
             await answer.fail(Code.ANSWER_CUT)
             return
         await answer.finish()
 
-
-def _may_be_cut(response: httpcore.Response, call: BackendCall) -> bool:
-    """Return whether only the end of the connection marked the end of a success."""
-    has_body = response.status < 300 and response.status != NO_CONTENT_STATUS
-    is_unframed = read_body_end(response.headers) is BodyEnd.CONNECTION_CLOSE
-    return has_body and is_unframed and call.method != "HEAD"
+    async def _find_break_at_end(
+        self, response: httpcore.Response, call: BackendCall
+    ) -> str:
+        """Return why an answer that ended with its connection is not whole, or ""."""
+        if await was_reset_after_end(response, call.method, bool(call.body)):
+            return "the connection was reset after its end"
+        if response.status < 300:
+            # A server that is killed ends its connections like those of whole answers.
+            addr = self._backend_url.removeprefix("http://")
+            if not await still_accepts_connections(addr):
+                return "the connection ended and its server is gone"
+        return ""
 
 
 class _StreamEnd:
