--- a/src/cowslipwood/kernel/connection_end.py
+++ b/src/cowslipwood/kernel/connection_end.py
@@ -75,5 +75,9 @@
 
 def _count_unacknowledged(sock: socket.socket) -> int:
     """Return how many sent bytes the peer's operating system has not acknowledged."""
-    buffer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    try:
+        buffer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    except OSError:
+        # Not every platform tells; a reset is then noticed within `RESET_HOLD_MS` only.
+        return 0
     return struct.unpack("i", buffer)[0]
