Tell entries again of a limit whose end came too soon

Of two statements about a server's limit within 300 ms the leader keeps the lower, as their order is uncertain. An end that an entry reported within that time was ignored, and the entry did not report it again: the leader took the server for limited until another entry heard of the end. The leader now sends the limit that stands, so that the entry reports the next answer. test_end_that_came_too_soon failed before.

--- a/src/cowslipwood/keeper/_server_limits.py
+++ b/src/cowslipwood/keeper/_server_limits.py
@@ -43,10 +43,13 @@
         self._term = -1
 
     def add(self, report: ServerLimits, term: int, now_ms: float) -> bool:
-        """Add an entry's report; return whether a limit has changed."""
+        """Add an entry's report; return whether entries have to be told of a limit."""
         self._start_term(term, now_ms)
-        has_changed = [self._record(limit, now_ms) for limit in report.limits]
-        return any(has_changed)
+        must_send = [
+            self._record(limit, now_ms) or self._renew_refused(limit)
+            for limit in report.limits
+        ]
+        return any(must_send)
 
     def grant(
         self, request: SendPermitRequest, term: int, now_ms: float
@@ -128,6 +131,19 @@
         self._forget_ended(now_ms)
         return True
 
+    def _renew_refused(self, limit: ServerLimit) -> bool:
+        """Have entries told of the limit that stands against a higher one.
+
+        A report that comes soon after the limit may be older than that and is ignored.
+        Its entry reports the server's next answer only if it knows of the limit again.
+        """
+        known = self._ledger.find_limit(limit.server_id, limit.incarnation)
+        if known is None or limit.rate_per_s <= known.rate_per_s:
+            return False
+        self.revision += 1
+        self._revisions[limit.server_id] = self.revision
+        return True
+
     def _update_bucket(self, fact: LimitFact, now_ms: float) -> None:
         key = fact.server_id, fact.incarnation
         if not fact.is_limited:
--- a/tests/test_limits_processes.py
+++ b/tests/test_limits_processes.py
@@ -18,6 +18,7 @@
     StreamsBegun,
     StreamVersionRequest,
 )
+from cowslipwood.server_limits._ledger import UNORDERED_MS
 
 from .agent_bench import TOKEN
 from .processes import Cluster
@@ -80,6 +81,8 @@
                 [(item["server"], item["requests_per_s"]) for item in listed],
                 [("s0", 50.0)],
             )
+            # Of two statements within this time, the leader keeps the lower limit.
+            await anyio.sleep(UNORDERED_MS / 1000)
             ended = LIMIT._replace(rate_per_s=math.inf, age_ms=0.0)
             await first.send(ServerLimits((ended,)))
             await wait_until(
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -253,6 +253,23 @@
         self.assertEqual(table.grant(late, 1, 1_010.0).n_granted, 1)
         self.assertIsNone(table.find_rate("s0", "1"))
 
+    def test_end_that_came_too_soon(self):
+        """An ignored end is not forgotten: entries hear of the limit that stands.
+
+        The only entry that uses the server would not report the end again, and the
+        leader would keep to the limit for ever.
+        """
+        table = ServerLimitTable()
+        limit = ServerLimit("s1", "1", 10.0, 0.0)
+        table.add(ServerLimits((limit,)), 1, 1_000.0)
+        sent = table.revision
+        ended = limit._replace(rate_per_s=math.inf)
+        self.assertTrue(table.add(ServerLimits((ended,)), 1, 1_100.0))
+        (told,) = table.build_update(sent, 1_100.0).limits
+        self.assertEqual(told.rate_per_s, 10.0)
+        table.add(ServerLimits((ended,)), 1, 1_500.0)
+        self.assertEqual(table.list_limits(), [])
+
     def test_own_calls_count(self):
         """Orders and report requests of the leader take permits from the entries."""
         table = ServerLimitTable()
