Keep to the limits of customers over all entries

The leader has a token bucket for each limited customer of the document in force and grants parts of it to entries, which use them within 0.4 s. Entries state what they hold and have used in total, so that a lost, repeated or late message counts nothing twice. An entry without a leader admits 0.35 of its share for a second and pays for it later.

The bucket and the reserve of permits for limited servers are now shared with customers. A request over the limit gets 429 with code 1215. `cowslipctl customers` lists limits and use.

--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -258,6 +258,7 @@
             tasks.start_soon(self._holder_finder.run)
             tasks.start_soon(self._list_loop)
             tasks.start_soon(self._pool_sweep_loop)
+            tasks.start_soon(self._state.customer_limits.run)
             tasks.start_soon(self._send_news, self._state.part_guard, 0.0)
             tasks.start_soon(self._send_news, self._state.limits, 0.0)
             tasks.start_soon(
--- a/src/cowslipwood/entry/direct/_headers.py
+++ b/src/cowslipwood/entry/direct/_headers.py
@@ -171,6 +171,12 @@
     )
 
 
+def read_token_total(headers: Headers, names: HeaderNames) -> int | None:
+    """Return the number of prompt and output tokens; None if it is not readable."""
+    numbers = _read_numbers(_read_text(dict(headers), names.tokens))
+    return sum(numbers) if len(numbers) == 2 else None
+
+
 def read_resumed_event_id(headers: Headers, names: HeaderNames) -> bytes:
     """Return the id of the last event that a client has; empty for none."""
     wanted = names.last_event_id
--- a/src/cowslipwood/entry/direct/_limits.py
+++ b/src/cowslipwood/entry/direct/_limits.py
@@ -28,6 +28,7 @@
     PERMIT_LIFE_MS,
     LimitFact,
     LimitLedger,
+    Reserve,
     count_rate,
 )
 from ..choosing._backend import Backend
@@ -92,7 +93,7 @@
     def __init__(self):
         self.lock = anyio.Lock()
         self.n_waiting = 0
-        self.n_permits = 0
+        self.reserve = Reserve(PERMIT_LIFE_MS)
         self.asked_at_ms = -math.inf
         self.n_used = 0
         self.is_alone = False
@@ -251,7 +252,7 @@
         if now_ms < backend.limited_until_ms:
             next_ms = backend.limited_until_ms - now_ms
             return PermitRefusal(next_ms, self.enqueue_caller(backend.view, now_ms))
-        if held.n_permits and now_ms - held.asked_at_ms < PERMIT_LIFE_MS:
+        if held.reserve.take(1, now_ms):
             return self._use(held, fact, now_ms)
         return await self._ask(backend, fact, held, urgency_rank)
 
@@ -273,7 +274,8 @@
             return self._take_alone(backend, fact, held, now_ms)
         held.is_alone = False
         if permits.n_granted:
-            held.n_permits, held.asked_at_ms = permits.n_granted, asked_at_ms
+            held.reserve.add(permits.n_granted - 1, asked_at_ms)
+            held.asked_at_ms = asked_at_ms
             held.n_used = 0
             return self._use(held, fact, now_ms)
         backend.limited_until_ms = now_ms + permits.next_ms
@@ -303,7 +305,6 @@
         return PermitRefusal(next_ms, next_ms)
 
     def _use(self, held: _Held, fact: LimitFact, now_ms: float) -> Permit:
-        held.n_permits -= 1
         held.n_used += 1
         self._count("granted")
         return Permit(fact.rate_per_s, now_ms - held.asked_at_ms)
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -22,6 +22,7 @@
 from ..choosing._view import FleetView
 from ..metering._demand import DemandMeter
 from ..routing import RoutingContext, RoutingPolicy
+from ._customer_limits import CustomerLimits
 from ._end_check import EndCheck
 from ._headers import HeaderNames
 from ._holders import HolderFinder
@@ -81,6 +82,8 @@
         Tells whether servers outlived the answers that ended with their connection.
     limits : ServerLimitKeeper
         The limits that servers have named, and the permits to send to them.
+    customer_limits : CustomerLimits
+        Reserves of the limits of customers.
     stream_versions : StreamVersions
         Which software version began each stream that clients may resume.
     stop_waiter : StopWaiter
@@ -136,6 +139,7 @@
             random.Random(),
             now_ms,
         )
+        self.customer_limits = CustomerLimits(ask, self.live_entries, metrics, now_ms)
         self._policy = policy
         self._retry_limits = retry_limits
         self._started_ms = started_ms
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -20,6 +20,7 @@
     Ack,
     AgentLoad,
     AgentReport,
+    AllowanceRequest,
     Announce,
     ApplyDocument,
     Assignment,
@@ -58,6 +59,7 @@
 from ..software_versions import ServiceVersions
 from ._claims import ClaimLimits, ClaimService
 from ._commands import VersionsCommand, encode_command
+from ._customer_limits import CustomerLimitTable
 from ._directory import ProcessDirectory, make_server_view
 from ._documents import DocumentService
 from ._evidence import EvidenceRelay
@@ -181,6 +183,7 @@
         self._closed_server_ids: set[str] = set()
         self._evidence = EvidenceRelay()
         self._limits = ServerLimitTable()
+        self._customer_limits = CustomerLimitTable(self._metrics)
         self._streams = StreamVersionTable()
         self._operators = OperatorService(
             self._machine,
@@ -188,6 +191,7 @@
             self._directory,
             self._evidence,
             self._limits,
+            self._customer_limits,
             operator_token,
         )
         planner_settings = {
@@ -346,6 +350,10 @@
                     self._state_changed.notify()
             case SendPermitRequest():
                 return self._limits.grant(value, self._replica.term, now_ms)
+            case AllowanceRequest():
+                self._follow_customers(now_ms)
+                limits = self._customer_limits
+                return limits.grant(value, subscriber.peer_id, now_ms)
             case StreamsBegun():
                 self._streams.add(value)
             case StreamVersionRequest():
@@ -396,8 +404,14 @@
             self._update_published_state(now_ms)
             await anyio.sleep(self._settings.tick_ms / 1000)
 
+    def _follow_customers(self, now_ms: float) -> None:
+        """Apply the limits of the document in force; this keeper may act as leader."""
+        document = self._machine.get_route_document()
+        self._customer_limits.follow(document, self._replica.term, now_ms)
+
     def _update_published_state(self, now_ms: float) -> None:
         """Update what the leader publishes, and wake the tasks that send it."""
+        self._follow_customers(now_ms)
         self._closed_server_ids = self._leaving_servers.find_closed_servers(
             self._machine.drained, now_ms
         )
@@ -419,6 +433,8 @@
         )
         if now_ms >= self._servers_updated_at_ms + SERVERS_INTERVAL_MS:
             self._servers_updated_at_ms = now_ms
+            self._customer_limits.forget_silent(now_ms)
+            self._customer_limits.set_gauges(now_ms)
             views = {
                 report.server_id: make_server_view(
                     report, report.server_id in self._closed_server_ids
--- a/src/cowslipwood/keeper/_operators.py
+++ b/src/cowslipwood/keeper/_operators.py
@@ -14,6 +14,7 @@
 from ..kernel.tokens import token_matches
 from ..replication import LogReplica
 from ._commands import DrainCommand, EditCommand, encode_command
+from ._customer_limits import CustomerLimitTable
 from ._directory import ProcessDirectory
 from ._evidence import EvidenceRelay
 from ._machine import KeeperStateMachine
@@ -36,6 +37,7 @@
     directory : ProcessDirectory
     evidence : EvidenceRelay
     limits : ServerLimitTable
+    customer_limits : CustomerLimitTable
     operator_token : str
         Token that requests with an operation of `EDIT_OPS` must hold.
     """
@@ -47,6 +49,7 @@
         directory: ProcessDirectory,
         evidence: EvidenceRelay,
         limits: ServerLimitTable,
+        customer_limits: CustomerLimitTable,
         operator_token: str,
     ):
         self._machine = machine
@@ -54,6 +57,7 @@
         self._directory = directory
         self._evidence = evidence
         self._limits = limits
+        self._customer_limits = customer_limits
         self._operator_token = operator_token
 
     async def answer_request(self, request: OperatorRequest, operator: str) -> Any:
@@ -83,6 +87,8 @@
                 return self._make_reply(self._list_blocked_parts())
             case "limited-servers":
                 return self._make_reply(self._list_limited_servers())
+            case "customers":
+                return self._make_reply(self._list_customers())
             case "allow-part":
                 return self._allow_part(request.name, operator)
             case op if op in MEMBER_OPS:
@@ -174,6 +180,21 @@
             for fact in self._limits.list_limits()
         ]
 
+    def _list_customers(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "customer": customer.name,
+                "unit": customer.unit.value,
+                "rate_per_s": customer.rate_per_s,
+                "burst": customer.burst,
+                "use_per_s": None if use_per_s is None else round(use_per_s, 1),
+                "level": None if level is None else round(level, 1),
+            }
+            for customer, use_per_s, level in self._customer_limits.list_uses(
+                monotonic_ms()
+            )
+        ]
+
     def _allow_part(self, part: str, operator: str) -> Any:
         """Tell all entries to treat a part as one of completed answers."""
         get_logger().warning("prompt_part_lifted", part=part, operator=operator)
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -65,6 +65,7 @@
     SERVER_LIMITED = 1211
     REQUEST_BLOCKED = 1212
     STREAM_UNKNOWN = 1213
+    CUSTOMER_LIMIT = 1215
 
     OUTCOME_UNKNOWN = 1301
     ANSWER_CUT = 1302
@@ -229,6 +230,9 @@
     Code.STREAM_UNKNOWN: CodeInfo(
         503, _NOT_RUN, 11, "The version that began the stream is unknown; begin anew."
     ),
+    Code.CUSTOMER_LIMIT: CodeInfo(
+        429, _NOT_RUN, 11, "The customer's limit allows no further request now."
+    ),
     Code.OUTCOME_UNKNOWN: CodeInfo(
         504, _UNKNOWN, 12, "The request may have run; it is not run again."
     ),
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -10,6 +10,10 @@
 __all__ = [
     "N_QUEUED_WHEN_DOWN",
     "Ack",
+    "Allowance",
+    "AllowanceGrant",
+    "AllowanceNeed",
+    "AllowanceRequest",
     "Announce",
     "AppliedDocument",
     "ApplyDocument",
@@ -416,6 +420,52 @@
     retry_after_ms: float
 
 
+@message("control")
+class AllowanceNeed(NamedTuple):
+    """What an entry needs of one customer's limit, and what it has of it.
+
+    `held` and `used` are totals, so that the leader sees what has come back or has
+    never arrived, and a question that is lost or repeated changes nothing in that.
+    """
+
+    customer: str
+    wanted: float
+    least: float
+    held: float
+    used: float
+    unpaid: float
+
+
+@message("control")
+class AllowanceRequest(NamedTuple):
+    """An entry asks for parts of the limits of its customers."""
+
+    incarnation: str
+    number: int
+    acked: int
+    needs: tuple[AllowanceNeed, ...]
+
+
+@message("control")
+class Allowance(NamedTuple):
+    """A part of a customer's limit, valid for a short time from the question for it.
+
+    With nothing granted, `next_ms` is the time until there is enough.
+    """
+
+    customer: str
+    granted: float
+    next_ms: float
+    use_per_s: float
+
+
+@message("control")
+class AllowanceGrant(NamedTuple):
+    """The leader's answer to an `AllowanceRequest`."""
+
+    allowances: tuple[Allowance, ...]
+
+
 @message("control")
 class BegunStream(NamedTuple):
     """A stream that a client may resume, by the attempt that brought its first event.
--- a/src/cowslipwood/programs/_ctl_tables.py
+++ b/src/cowslipwood/programs/_ctl_tables.py
@@ -37,6 +37,8 @@
             return _render_blocked_parts(value)
         case "limited-servers":
             return _render_limited_servers(value)
+        case "customers":
+            return _render_customers(value)
         case "apply":
             return f"document version {value['version']} is in force"
         case "document":
@@ -105,6 +107,22 @@
     return _make_table(headings, rows)
 
 
+def _render_customers(value: list[dict[str, Any]]) -> str:
+    headings = ("customer", "unit", "limit per s", "burst", "use per s", "left")
+    rows = (
+        (
+            item["customer"],
+            item["unit"],
+            item["rate_per_s"] or "none",
+            item["burst"],
+            "not counted" if item["use_per_s"] is None else item["use_per_s"],
+            "" if item["level"] is None else item["level"],
+        )
+        for item in value
+    )
+    return _make_table(headings, rows)
+
+
 def _render_members(value: Any) -> str:
     items = value["members"] if isinstance(value, dict) else value
     if not items:
--- a/src/cowslipwood/programs/ctl.py
+++ b/src/cowslipwood/programs/ctl.py
@@ -171,6 +171,11 @@
     return OperatorCommand("limited-servers")
 
 
+def customers() -> OperatorCommand:
+    """List the customers with their limits and their use of all entries."""
+    return OperatorCommand("customers")
+
+
 def allow_part(part: str) -> OperatorCommand:
     """Let entries send prompts with a part to servers again.
 
@@ -199,6 +204,7 @@
     "blocked-parts": blocked_parts,
     "allow-part": allow_part,
     "limited-servers": limited_servers,
+    "customers": customers,
 }
 
 
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -246,6 +246,33 @@
   retryAfterMs @2 :Float64;  # time until those who asked before have theirs
 }
 
+struct AllowanceNeed {
+  customer @0 :Text;
+  wanted @1 :Float64;   # until the next question, with the requests that wait
+  least @2 :Float64;    # of it, for the request that has waited longest; 0: none waits
+  held @3 :Float64;     # granted before, and may still be used
+  used @4 :Float64;     # of all grants since the entry has started
+  unpaid @5 :Float64;   # used without a grant since the last question that was answered
+}
+
+struct AllowanceRequest {
+  incarnation @0 :Text;
+  number @1 :UInt64;    # of the question, from 1
+  acked @2 :UInt64;     # of the last question that was answered in time; 0: none
+  needs @3 :List(AllowanceNeed);
+}
+
+struct Allowance {
+  customer @0 :Text;
+  granted @1 :Float64;
+  nextMs @2 :Float64;   # time until there is more; 0 if some was granted
+  usePerS @3 :Float64;  # use of all entries per second
+}
+
+struct AllowanceGrant {
+  allowances @0 :List(Allowance);
+}
+
 struct BegunStream {
   service @0 :Text;
   requestId @1 :Text;  # the client's attempt that brought the first event
