Count customers' use when requests are sent, and simplify what entries state

A request that waits for a server is admitted anew before it is sent; those that waited together would otherwise run at once, beyond the limit. A run after one that may have run is charged. What an entry has used without a grant follows from its totals, so questions need no acknowledgement.

--- a/src/cowslipwood/entry/direct/_app.py
+++ b/src/cowslipwood/entry/direct/_app.py
@@ -12,7 +12,7 @@
 from ...kernel.http import ON_DISCONNECT, make_error_body
 from ...kernel.logs import get_logger
 from ...routes import pick_service
-from ._customer_limits import count_units
+from ._customer_limits import RequestAllowance, count_units
 from ._exchange import RequestForwarder
 from ._headers import read_request_facts
 from ._progress import RequestProgress
@@ -162,47 +162,36 @@
                 await self._refuse(answer, routed.facts.request_id, fault)
 
     async def _forward(self, routed: RoutedRequest, answer: "_CallerAnswer"):
-        left_ms = routed.answer_by_ms - self._state.now_ms()
-        refusal = failure(Code.DEADLINE_PASSED)
-        with anyio.move_on_after(max(0.0, left_ms) / 1000):
-            refusal = await self._take_allowance(routed)
+        progress = answer.progress
+        progress.allowance = self._make_allowance(routed)
+        refusal: Failure | None = failure(Code.DEADLINE_PASSED)
+        with self._limit_time(routed):
+            refusal = await progress.allowance.take() if progress.allowance else None
         if refusal is not None:
             return refusal
-        left_ms = routed.answer_by_ms - self._state.now_ms()
         try:
-            with anyio.move_on_after(max(0.0, left_ms) / 1000):
+            with self._limit_time(routed):
                 forwarder = RequestForwarder(
-                    self._state, routed, answer, self._rng, answer.progress
+                    self._state, routed, answer, self._rng, progress
                 )
                 return await forwarder.run()
         finally:
-            self._settle_allowance(routed, answer.progress)
+            if progress.allowance is not None:
+                progress.allowance.settle(progress.attempt_counts.n_possibly_run)
         return failure(Code.BACKEND_TIMEOUT, "the route's timeout has passed")
 
-    async def _take_allowance(self, routed: RoutedRequest) -> Failure | None:
-        """Take a request from its customer's limit; fails with CUSTOMER_LIMIT."""
-        if routed.customer is None or not routed.customer.is_limited:
-            return None
-        n_units = self._count_units(routed)
-        limits = self._state.customer_limits
-        return await limits.take(routed.customer, n_units, self._state.now_ms())
+    def _limit_time(self, routed: RoutedRequest) -> anyio.CancelScope:
+        """Return a scope that ends when the answer to a request must be complete."""
+        left_ms = routed.answer_by_ms - self._state.now_ms()
+        return anyio.move_on_after(max(0.0, left_ms) / 1000)
 
-    def _settle_allowance(
-        self, routed: RoutedRequest, progress: RequestProgress
-    ) -> None:
-        """Return what a request took and did not use, or charge further runs of it."""
-        if routed.customer is None or not routed.customer.is_limited:
-            return
-        n_units = self._count_units(routed)
-        limits, now_ms = self._state.customer_limits, self._state.now_ms()
-        if not progress.may_have_run:
-            limits.give_back(routed.customer, n_units, now_ms)
-        elif progress.attempt_counts.n_possibly_run > 1:
-            n_further = progress.attempt_counts.n_possibly_run - 1
-            limits.charge(routed.customer, n_further * n_units, now_ms)
-
-    def _count_units(self, routed: RoutedRequest) -> float:
-        return count_units(routed.customer, routed.headers, self._state.header_names)
+    def _make_allowance(self, routed: RoutedRequest) -> RequestAllowance | None:
+        """Return what a request takes from its customer's limit; None without one."""
+        state, customer = self._state, routed.customer
+        if customer is None or not customer.is_limited:
+            return None
+        n_units = count_units(customer, routed.headers, state.header_names)
+        return RequestAllowance(state.customer_limits, customer, n_units, state.now_ms)
 
     async def _read_body(self, receive: Any, body: bytearray) -> Failure | None:
         """Append the parts of the body to `body`; return a failure, or None at its end.
--- a/src/cowslipwood/entry/direct/_customer_limits.py
+++ b/src/cowslipwood/entry/direct/_customer_limits.py
@@ -38,7 +38,7 @@
 from ._headers import HeaderNames, Headers, read_token_total
 from ._retries import LiveEntryCount
 
-__all__ = ["AllowanceSource", "CustomerLimits", "count_units"]
+__all__ = ["AllowanceSource", "CustomerLimits", "RequestAllowance", "count_units"]
 
 # Asks the leader; the second argument is the longest wait in milliseconds.
 AllowanceSource = Callable[
@@ -104,7 +104,10 @@
         self.customer = customer
         self.reserve = Reserve(ALLOWANCE_LIFE_MS)
         self.waiters: deque[_Waiter] = deque()
+        # Admitted requests that were not sent yet, and all that were sent.
+        self.n_pending = 0.0
         self.n_used = 0.0
+        # Of these, what no leader has granted.
         self.n_unpaid = 0.0
         # What the leader takes as held or used by this entry.
         self.n_lent = 0.0
@@ -131,11 +134,12 @@
 
     def build_need(self, now_ms: float) -> AllowanceNeed | None:
         """Return what the leader is asked for and told; None for nothing."""
-        held = self.reserve.get_amount(now_ms)
+        reserved = self.reserve.get_amount(now_ms)
+        held = reserved + self.n_pending
         n_waiting = sum(waiter.n_units for waiter in self.waiters)
         is_due = now_ms >= self.next_ask_ms
-        wanted = n_waiting + self.compute_expected_use(now_ms) - held
-        least = max(0.0, self.waiters[0].n_units - held) if self.waiters else 0.0
+        wanted = n_waiting + self.compute_expected_use(now_ms) - reserved
+        least = max(0.0, self.waiters[0].n_units - reserved) if self.waiters else 0.0
         if not is_due or wanted <= 0:
             wanted = least = 0.0
         if not wanted and not self._has_news(held):
@@ -146,10 +150,10 @@
 
     def compute_due_ms(self, now_ms: float) -> float:
         """Return when the leader is to be asked; infinite for not at all."""
-        held = self.reserve.get_amount(now_ms)
-        if self.waiters or held < LOW_PART * self.compute_expected_use(now_ms):
+        reserved = self.reserve.get_amount(now_ms)
+        if self.waiters or reserved < LOW_PART * self.compute_expected_use(now_ms):
             return self.next_ask_ms
-        if self._has_news(held):
+        if self._has_news(reserved + self.n_pending):
             return max(now_ms, self.next_ask_ms)
         return self.reserve.expires_at_ms
 
@@ -184,7 +188,6 @@
         self._incarnation = uuid.uuid4().hex
         self._accounts: dict[str, _Account] = {}
         self._number = 0
-        self._acked = 0
         self._asked_at_ms = -math.inf
         # Questions that may be asked; its rate follows the number of entries.
         self._questions = TokenBucket(1.0, QUESTION_BURST, 0.0)
@@ -233,22 +236,46 @@
             return self._refuse(account, LOST_RETRY_MS)
         return waiter.refusal
 
-    def give_back(self, customer: Customer, n_units: float, now_ms: float) -> None:
-        """Return the units of an admitted request that certainly did not run."""
+    def record_sent(self, customer: Customer, n_units: float, now_ms: float) -> None:
+        """Count units of admitted requests as used; negative ones as not used."""
+        account = self._find_account(customer, now_ms)
+        account.n_pending -= n_units
+        account.n_used += n_units
+
+    def give_back(
+        self,
+        customer: Customer,
+        n_units: float,
+        now_ms: float,
+        taken_ms: float | None = None,
+    ) -> None:
+        """Return the units of an admitted request that was not sent.
+
+        Another request may use them for the rest of their lifetime, if any. After that
+        they go back to the leader.
+
+        Parameters
+        ----------
+        customer : Customer
+        n_units : float
+        now_ms : float
+        taken_ms : float, optional
+            When the request was admitted; by default now.
+        """
         if not customer.is_limited or n_units <= 0:
             return
         account = self._find_account(customer, now_ms)
-        n_returned = min(n_units, account.n_used)
-        account.n_used -= n_returned
-        account.use.add(-n_returned, now_ms)
-        account.reserve.add(n_returned, now_ms)
+        account.n_pending -= n_units
+        account.use.add(-n_units, now_ms)
+        account.reserve.add(n_units, now_ms if taken_ms is None else taken_ms)
         self._count(account, "given_back")
         self._woken.set()
 
     def charge(self, customer: Customer, n_units: float, now_ms: float) -> None:
-        """Count what a request used at further servers, after it has run there."""
+        """Count what a request that may have run uses at another server."""
         account = self._find_account(customer, now_ms)
         account.n_unpaid += n_units
+        account.n_used += n_units
         account.use.add(n_units, now_ms)
         self._count_units(account, n_units)
         self._woken.set()
@@ -278,16 +305,13 @@
             return
         self._questions.take(1.0)
         self._number += 1
-        number = self._number
-        request = AllowanceRequest(self._incarnation, number, self._acked, needs)
+        request = AllowanceRequest(self._incarnation, self._number, needs)
         reply = await self._ask_leader(request, REPLY_TIMEOUT_MS)
         now_ms = self._now_ms()
         grant = None if isinstance(reply, Err) else reply.unwrap()
-        is_late = now_ms - asked_at_ms >= ALLOWANCE_LIFE_MS
-        if is_late or not isinstance(grant, AllowanceGrant):
+        if not isinstance(grant, AllowanceGrant):
             self._apply_loss(now_ms)
             return
-        self._acked = number
         if self._lost_at_ms is not None:
             get_logger().info(
                 "customer_limits_regained", after_ms=round(now_ms - self._lost_at_ms)
@@ -354,8 +378,7 @@
             elif self._is_alone(now_ms) and account.n_alone >= n_units:
                 account.n_alone -= n_units
                 account.n_unpaid += n_units
-                account.use.add(n_units, now_ms)
-                self._count_units(account, n_units)
+                self._record_use(account, n_units, now_ms)
                 self._count(account, "alone")
             else:
                 return
@@ -431,7 +454,7 @@
         return account
 
     def _record_use(self, account: _Account, n_units: float, now_ms: float) -> None:
-        account.n_used += n_units
+        account.n_pending += n_units
         account.use.add(n_units, now_ms)
         self._count_units(account, n_units)
 
@@ -442,3 +465,85 @@
     def _count(self, account: _Account, outcome: str) -> None:
         name = account.customer.name
         self._metrics.count("customer_requests_total", customer=name, outcome=outcome)
+
+
+class RequestAllowance:
+    """What one request takes from its customer's limit, over all its attempts.
+
+    Parameters
+    ----------
+    limits : CustomerLimits
+    customer : Customer
+    n_units : float
+    now_ms : callable
+        Returns the current time.
+    """
+
+    def __init__(
+        self,
+        limits: CustomerLimits,
+        customer: Customer,
+        n_units: float,
+        now_ms: Callable[[], float],
+    ):
+        self._limits = limits
+        self._customer = customer
+        self._n_units = n_units
+        self._now_ms = now_ms
+        self._is_pending = False
+        self._taken_ms = -math.inf
+        self._n_sent = 0
+
+    async def take(self) -> Failure | None:
+        """Admit the request; fails with CUSTOMER_LIMIT."""
+        refusal = await self._limits.take(self._customer, self._n_units, self._now_ms())
+        if refusal is None:
+            self._is_pending, self._taken_ms = True, self._now_ms()
+        return refusal
+
+    async def renew(self, n_possibly_run: int) -> Failure | None:
+        """Count an attempt that is about to be sent; fails with CUSTOMER_LIMIT.
+
+        A request that has waited for a server since it was admitted is admitted anew.
+        Otherwise all that wait for one server would run at once, beyond the limit. A
+        run after one that may have run is counted, and not refused.
+
+        Parameters
+        ----------
+        n_possibly_run : int
+            Number of attempts so far that may have run.
+        """
+        self._take_back(n_possibly_run)
+        now_ms = self._now_ms()
+        if not self._is_pending:
+            self._limits.charge(self._customer, self._n_units, now_ms)
+            self._n_sent += 1
+            return None
+        if now_ms - self._taken_ms >= ALLOWANCE_LIFE_MS:
+            self._give_back()
+            refusal = await self.take()
+            if refusal is not None:
+                return refusal
+        self._is_pending = False
+        self._n_sent += 1
+        self._limits.record_sent(self._customer, self._n_units, now_ms)
+        return None
+
+    def settle(self, n_possibly_run: int) -> None:
+        """Return what the request took for attempts that certainly did not run."""
+        self._take_back(n_possibly_run)
+        if self._is_pending:
+            self._give_back()
+
+    def _take_back(self, n_possibly_run: int) -> None:
+        """Undo the counting of the last attempt if that did not run."""
+        if self._n_sent > n_possibly_run:
+            self._n_sent -= 1
+            self._is_pending = True
+            self._limits.record_sent(self._customer, -self._n_units, self._now_ms())
+
+    def _give_back(self) -> None:
+        self._is_pending = False
+        self._limits.give_back(
+            self._customer, self._n_units, self._now_ms(), self._taken_ms
+        )
--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -45,6 +45,7 @@
         Code.OVERLOADED,
         Code.PROMPT_BLOCKED,
         Code.REQUEST_BLOCKED,
+        Code.CUSTOMER_LIMIT,
     )
 )
 # Failures for lack of engines: another copy of the model would have served the
@@ -242,6 +243,9 @@
         left_ms = self._request.answer_by_ms - now_ms
         if left_ms <= 0:
             return failure(Code.DEADLINE_PASSED)
+        refusal = await self._renew_allowance()
+        if refusal is not None:
+            return refusal
         permit = await self._take_permit(backend)
         if isinstance(permit, Failure):
             return permit
@@ -293,6 +297,13 @@
             or state.stream_versions.has_several_versions(request.service)
         )
 
+    async def _renew_allowance(self) -> Failure | None:
+        """Count an attempt in the customer's limit; fails with CUSTOMER_LIMIT."""
+        if self._progress.allowance is None:
+            return None
+        n_possibly_run = self._progress.attempt_counts.n_possibly_run
+        return await self._progress.allowance.renew(n_possibly_run)
+
     async def _take_permit(self, backend: Backend) -> Permit | Failure:
         """Return leave to send to a server; fails with SERVER_LIMITED."""
         state, request = self._state, self._request
--- a/src/cowslipwood/entry/direct/_progress.py
+++ b/src/cowslipwood/entry/direct/_progress.py
@@ -5,6 +5,7 @@
 
 from ...kernel.http_connection import AnswerHead
 from ...kernel.messages import ServerView
+from ._customer_limits import RequestAllowance
 from ._event_order import EventOrder
 from ._retries import AttemptCounts
 
@@ -63,6 +64,8 @@
         Whether the client resumes a stream that `software_version` began.
     last_event_id : bytes
         Id of the last event that was forwarded; empty for none.
+    allowance : RequestAllowance or None
+        What the request takes from its customer's limit; None without a limit.
     event_order : EventOrder
         Checks the ids of the events that are forwarded.
     error_answer : tuple of AnswerHead and bytes, or None
@@ -81,6 +84,7 @@
         self.sent_version = ""
         self.is_resumed = False
         self.last_event_id = b""
+        self.allowance: RequestAllowance | None = None
         self.event_order = EventOrder()
         self.error_answer: tuple[AnswerHead, bytes] | None = None
 
--- a/src/cowslipwood/keeper/_customer_limits.py
+++ b/src/cowslipwood/keeper/_customer_limits.py
@@ -94,9 +94,9 @@
             self._bucket.record_returned(n_returned)
 
     def charge(self, amount: float, now_ms: float) -> None:
-        """Take what an entry has used without a grant."""
+        """Take what an entry holds or has used without a grant."""
         self._bucket.fill(now_ms)
-        self._bucket.take(amount)
+        self._bucket.lend(amount)
 
     def grant(
         self, entry_id: str, wanted: float, least: float, now_ms: float
@@ -160,12 +160,10 @@
     """What one entry has of one customer's limit, as the leader knows it."""
 
     def __init__(self, need: AllowanceNeed):
-        self.n_lent = need.held + need.used
+        self.n_lent = need.held + need.used - need.unpaid
         # Granted by another leader and not yet used or returned.
         self.n_foreign = need.held
-        self.n_used = need.used
-        self.n_charged = 0.0
-        self.charged_in = 0
+        self.n_used = max(0.0, need.used - need.unpaid)
 
     def subtract_foreign(self, amount: float) -> float:
         """Return the part of an amount that this leader has granted.
@@ -228,6 +226,10 @@
         }
         for name, customer in limited.items():
             self._buckets[name].set_limit(customer, now_ms)
+        for name in known.keys() - limited.keys():
+            # What entries use without a limit must not be charged to a later one.
+            for entry in self._entries.values():
+                entry.accounts.pop(name, None)
         if limited or known:
             get_logger().info(
                 "customer_limits_in_force",
@@ -255,7 +257,7 @@
         entry.asked_at_ms = now_ms
         return AllowanceGrant(
             tuple(
-                self._answer_need(entry_id, entry, request, need, now_ms)
+                self._answer_need(entry_id, entry, need, now_ms)
                 for need in request.needs
             )
         )
@@ -286,7 +288,6 @@
         self,
         entry_id: str,
         entry: _Entry,
-        request: AllowanceRequest,
         need: AllowanceNeed,
         now_ms: float,
     ) -> Allowance:
@@ -300,7 +301,7 @@
         account = entry.accounts.get(name)
         if account is None:
             account = entry.accounts[name] = _Account(need)
-        self._settle(account, bucket, request, need, now_ms)
+        self._settle(account, bucket, need, now_ms)
         granted, wait_ms = 0.0, 0.0
         if need.wanted > 0:
             granted, wait_ms = bucket.grant(entry_id, need.wanted, need.least, now_ms)
@@ -312,7 +313,6 @@
         self,
         account: _Account,
         bucket: CustomerBucket,
-        request: AllowanceRequest,
         need: AllowanceNeed,
         now_ms: float,
     ) -> None:
@@ -322,16 +322,14 @@
         holds nor has used has come back.
         """
         n_kept = need.held + need.used
+        if n_kept > account.n_lent:
+            bucket.charge(n_kept - account.n_lent, now_ms)
+            account.n_lent = n_kept
+        bucket.use.add(need.used - account.n_used, now_ms)
         n_used = account.subtract_foreign(need.used - account.n_used)
         n_returned = account.subtract_foreign(account.n_lent - n_kept)
         bucket.settle(n_used, n_returned, now_ms)
         account.n_lent = n_kept
-        is_charge_answered = request.acked >= account.charged_in
-        n_charged = 0.0 if is_charge_answered else account.n_charged
-        n_unpaid = max(0.0, need.unpaid - n_charged)
-        bucket.charge(n_unpaid, now_ms)
-        account.n_charged, account.charged_in = need.unpaid, request.number
-        bucket.use.add(need.used - account.n_used + n_unpaid, now_ms)
         account.n_used = need.used
 
     def forget_silent(self, now_ms: float) -> None:
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -426,6 +426,7 @@
 
     `held` and `used` are totals, so that the leader sees what has come back or has
     never arrived, and a question that is lost or repeated changes nothing in that.
+    `unpaid` is the part of both that no leader has granted.
     """
 
     customer: str
@@ -442,7 +443,6 @@
 
     incarnation: str
     number: int
-    acked: int
     needs: tuple[AllowanceNeed, ...]
 
 
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -250,16 +250,15 @@
   customer @0 :Text;
   wanted @1 :Float64;   # until the next question, with the requests that wait
   least @2 :Float64;    # of it, for the request that has waited longest; 0: none waits
-  held @3 :Float64;     # granted before, and may still be used
-  used @4 :Float64;     # of all grants since the entry has started
-  unpaid @5 :Float64;   # used without a grant since the last question that was answered
+  held @3 :Float64;     # not used, but may be
+  used @4 :Float64;     # since the entry has started
+  unpaid @5 :Float64;   # of both, without a grant, since the last answered question
 }
 
 struct AllowanceRequest {
   incarnation @0 :Text;
   number @1 :UInt64;    # of the question, from 1
-  acked @2 :UInt64;     # of the last question that was answered in time; 0: none
-  needs @3 :List(AllowanceNeed);
+  needs @2 :List(AllowanceNeed);
 }
 
 struct Allowance {
--- a/tests/customer_builders.py
+++ b/tests/customer_builders.py
@@ -260,6 +260,8 @@
         """Send one request, which runs as soon as it is admitted."""
         arrived_ms = virtual_ms()
         refusal = await entry.take(customer, n_units, arrived_ms)
+        if refusal is None and customer.is_limited:
+            entry.record_sent(customer, n_units, virtual_ms())
         self.uses.append(Use(customer.name, n_units, arrived_ms, virtual_ms(), refusal))
 
 
--- a/tests/test_customer_limits_processes.py
+++ b/tests/test_customer_limits_processes.py
@@ -83,6 +83,8 @@
     async def _request(self, entry: _Entry) -> None:
         arrived_ms = monotonic_ms()
         refusal = await entry.limits.take(CUSTOMER, N_TOKENS, arrived_ms)
+        if refusal is None:
+            entry.limits.record_sent(CUSTOMER, N_TOKENS, monotonic_ms())
         use = Use(CUSTOMER.name, N_TOKENS, arrived_ms, monotonic_ms(), refusal)
         self.uses.append(use)
 
