--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -23,6 +23,7 @@
 from ..metering._demand import DemandMeter
 from ..routing import RoutingContext, RoutingPolicy
 from ._customer_keys import CustomerKeys
+from ._customer_limits import CustomerLimits
 from ._end_check import EndCheck
 from ._headers import HeaderNames
 from ._holders import HolderFinder
@@ -86,6 +87,8 @@
         Recognises customers by their keys.
     limits : ServerLimitKeeper
         The limits that servers have named, and the permits to send to them.
+    customer_limits : CustomerLimits
+        Reserves of the limits of customers.
     stream_versions : StreamVersions
         Which software version began each stream that clients may resume.
     stop_waiter : StopWaiter
@@ -143,6 +146,7 @@
             random.Random(),
             now_ms,
         )
+        self.customer_limits = CustomerLimits(ask, self.live_entries, metrics, now_ms)
         self._policy = policy
         self._retry_limits = retry_limits
         self._started_ms = started_ms
--- a/src/cowslipwood/kernel/codes.py
+++ b/src/cowslipwood/kernel/codes.py
@@ -67,6 +67,7 @@
     REQUEST_BLOCKED = 1212
     STREAM_UNKNOWN = 1213
     KEYS_UNCERTAIN = 1214
+    CUSTOMER_LIMIT = 1215
 
     OUTCOME_UNKNOWN = 1301
     ANSWER_CUT = 1302
@@ -236,6 +237,9 @@
     Code.KEYS_UNCERTAIN: CodeInfo(
         503, _NOT_RUN, 11, "The entry may not know which keys are valid now."
     ),
+    Code.CUSTOMER_LIMIT: CodeInfo(
+        429, _NOT_RUN, 11, "The customer's limit allows no further request now."
+    ),
     Code.OUTCOME_UNKNOWN: CodeInfo(
         504, _UNKNOWN, 12, "The request may have run; it is not run again."
     ),
