--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -20,7 +21,15 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-__all__ = ["CALLERS_PORT", "SERVERS_PORT", "Deployment", "Host", "Program"]
+__all__ = [
+    "CALLERS_PORT",
+    "LIST_PORT",
+    "OPERATORS_PORT",
+    "SERVERS_PORT",
+    "Deployment",
+    "Host",
+    "Program",
+]
 
 ROOT = Path(__file__).resolve().parent.parent
 CALLERS_PORT = 8149
@@ -91,13 +100,17 @@
     ----------
     n_losses : int
         Number of disks that may be lost at the same time.
+    limits : dict or None
+        Memory and descriptors of every host, as the platform states them; the
+        descriptors are also set as a limit of each process.
     """
 
-    def __init__(self, n_losses: int = 1):
+    def __init__(self, n_losses: int = 1, limits: dict[str, int] | None = None):
         self.folder = Path(tempfile.mkdtemp(prefix="cowslip-soak-"))
         self.programs: dict[tuple[str, Host], Program] = {}
         self.seeds: tuple[Host, ...] = ()
         self._n_losses = n_losses
+        self._limits = limits or {}
         self._network = _choose_network()
         deploy_file = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self._roles = deploy_file["roles"]
@@ -143,6 +156,9 @@
                 stdout=log,
                 stderr=log,
             )
+        if "maxFds" in self._limits:
+            n_files = (self._limits["maxFds"],) * 2
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, n_files)
         self.programs[role, host] = Program(host, role, process)
 
     def write_settings(
@@ -168,6 +184,7 @@
             "bootstrap": is_first_start,
             "faultTolerance": {"machines": self._n_losses},
             "bounds": BOUNDS,
+            "limits": self._limits,
             "cloudApi": {"address": self.list_addr, "ratePerS": 47.0},
         }
         if host.has_disk and role == "keeper":
