--- a/src/cowslipwood/routes/_customers.py
+++ b/src/cowslipwood/routes/_customers.py
@@ -60,7 +60,9 @@
     for customer in customers:
         label = f"customer {customer.name}"
         if not customer.name or customer.name in names:
-            raise FieldError(f"customers: name {customer.name!r} is empty or used twice")
+            raise FieldError(
+                f"customers: name {customer.name!r} is empty or used twice"
+            )
         names.add(customer.name)
         _check_numbers(customer, label)
         for key in customer.keys:
