Limit what a process holds for the clients of its HTTP ports

Clients saw entries end for lack of memory, uploads answered 503 for as long as unfinished uploads of others stayed open, and no response at all once connections took all descriptors. Servers were blocked by callers that did not read their responses.

Causes: uvicorn resumes the transport while its own flag still says that reading is paused, after which a pipelining client is read without bound; it begins the next response while the previous one is unread. An entry refused new bodies when stalled ones filled the space, and connections were limited to 4,000 whatever the descriptors. The system's buffers grew to megabytes for each connection.

A byte budget now counts what is held for each connection of all HTTP ports of a process, and closes the connection that waits for its client and has held most for longest without progress. Nothing of a further request is read while a response is in progress or unread. A response of which a caller reads nothing for 2 s is cut. The connections of a port are a share of the descriptors. An application that discards a body that is too large says so, since what it discards is not held.

--- a/src/cowslipwood/agent/_agent.py
+++ b/src/cowslipwood/agent/_agent.py
@@ -7,6 +7,7 @@
 import anyio
 import anyio.abc
 
+from ..kernel.byte_budget import ByteBudget, compute_budget_bytes
 from ..kernel.channel import Channel
 from ..kernel.clock import monotonic_ms
 from ..kernel.http import HttpServer, add_health_endpoints, bind_socket
@@ -39,6 +40,11 @@
 MAX_DRAIN_QUIET_MS = 5_000
 
 
+# Part of the descriptors for the connections of entries; the remainder is for those to
+# the backend server.
+CONNECTIONS_SHARE = 0.6
+
+
 class AgentSettings(NamedTuple):
     """Run the agent of one backend server; all calls reach the server through it.
 
@@ -78,6 +84,9 @@
     service_knee : int
         Largest number of concurrent calls at which a plain service still answers
         each at full speed.
+    memory_mb : int
+        Memory in megabytes that the agent may take, which limits what it holds for
+        entries.
     """
 
     server_id: str
@@ -95,6 +104,7 @@
     kv_reserve_share: float = 0.1
     prompt_bytes_per_token: float = 1.0
     service_knee: int = 16
+    memory_mb: int = 1_000
 
 
 AGENT_SETTING_CHECKS = {
@@ -109,6 +119,7 @@
     "kv_reserve_share": within(0, 0.9),
     "prompt_bytes_per_token": within(0.1, 100),
     "service_knee": within(1, 100_000),
+    "memory_mb": within(64, 10_000_000),
 }
 
 
@@ -188,7 +199,14 @@
     async def run(self, stop: anyio.Event) -> None:
         """Serve until `stop`, then refuse new calls and finish the open ones."""
         app = add_health_endpoints(self._call_app, self._metrics, self._is_ready)
-        server = HttpServer(app, self._listener)
+        server = HttpServer(
+            app,
+            self._listener,
+            budget=ByteBudget(
+                compute_budget_bytes(self._settings.memory_mb), self._metrics
+            ),
+            connections_share=CONNECTIONS_SHARE,
+        )
         get_logger().info("listening", addr=self._http_addr)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.run)
--- a/src/cowslipwood/entry/direct/_app.py
+++ b/src/cowslipwood/entry/direct/_app.py
@@ -23,9 +23,9 @@
 
 # Largest request body, in bytes, until a route document sets its own limit.
 DEFAULT_MAX_BODY_BYTES = 8_388_608
-# Total size, in bytes, of the bodies that an entry holds at once. Sending a body copies
-# it up to three times, and all copies must fit into the 200 MB of the smallest hosts
-# beside the 50 MB that the entry needs otherwise.
+# Total size, in bytes, of the bodies that an entry holds at once, unless its memory is
+# stated. Sending a body copies it up to three times, and all copies must fit into the
+# 160 MB of the smallest hosts beside the 50 MB that the entry needs otherwise.
 MAX_HELD_BODY_BYTES = 25_165_824
 # Time, in milliseconds, after which a caller is told to come back while the entry holds
 # too many large bodies.
@@ -62,6 +62,8 @@
     state : DirectState
     rng : random.Random
         Source of the random choice of services and servers.
+    max_held_body_bytes : int or None
+        Total size of the bodies that are held at once; None takes the default.
 
     Attributes
     ----------
@@ -71,8 +73,14 @@
         Whether the entry is about to stop.
     """
 
-    def __init__(self, state: DirectState, rng: random.Random):
+    def __init__(
+        self,
+        state: DirectState,
+        rng: random.Random,
+        max_held_body_bytes: int | None = None,
+    ):
         self._state = state
+        self._max_held_body_bytes = max_held_body_bytes
         self._rng = rng
         self.n_in_flight = 0
         self.is_leaving = False
@@ -106,10 +114,14 @@
         arrived_ms = self._state.now_ms()
         answer = _CallerAnswer(send, self)
         body = bytearray()
+        n_whole_bytes = 0
         try:
             refusal = await self._read_body(receive, body)
             if refusal is None:
-                await self._serve_body(scope, receive, answer, bytes(body), arrived_ms)
+                whole_body = bytes(body)
+                n_whole_bytes = len(whole_body)
+                body.clear()
+                await self._serve_body(scope, receive, answer, whole_body, arrived_ms)
             elif refusal.code is not Code.PEER_GONE:
                 await self._refuse(
                     answer, _read_request_id(scope, self._state), refusal
@@ -119,7 +131,7 @@
         except Exception:
             await self._handle_error(scope, answer)
         finally:
-            self._n_held_body_bytes -= len(body)
+            self._n_held_body_bytes -= n_whole_bytes + len(body)
 
     async def _handle_error(self, scope: dict, answer: "_CallerAnswer") -> None:
         """Log an unforeseen exception, and answer it or abort the answer."""
@@ -179,6 +191,7 @@
         max_bytes = (
             document.limits.max_body_bytes if document else DEFAULT_MAX_BODY_BYTES
         )
+        max_held_bytes = self._max_held_body_bytes or MAX_HELD_BODY_BYTES
         while True:
             event = await receive()
             if event["type"] == "http.disconnect":
@@ -186,7 +199,7 @@
             part = event.get("body", b"")
             if len(body) + len(part) > max_bytes:
                 return failure(Code.BODY_TOO_LARGE)
-            if self._n_held_body_bytes + len(part) > MAX_HELD_BODY_BYTES:
+            if self._n_held_body_bytes + len(part) > max_held_bytes:
                 return failure(Code.OVERLOADED, "large bodies", BODIES_RETRY_MS)
             body += part
             self._n_held_body_bytes += len(part)
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -10,10 +10,18 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from ...kernel.bounded_protocol import compute_max_connections
+from ...kernel.byte_budget import ByteBudget, compute_budget_bytes
 from ...kernel.channel import Channel
 from ...kernel.clock import monotonic_ms
 from ...kernel.codes import Code, Failure, failure
-from ...kernel.http import HttpServer, add_health_endpoints, bind_socket, send_failure
+from ...kernel.http import (
+    DEFAULT_MEMORY_MB,
+    HttpServer,
+    add_health_endpoints,
+    bind_socket,
+    send_failure,
+)
 from ...kernel.keeper_addresses import KeeperAddresses
 from ...kernel.keeper_link import KeeperLink
 from ...kernel.logs import get_logger
@@ -79,6 +87,16 @@
 # Longest time, in milliseconds, that a caller may take to send a request's head. A
 # caller that takes longer occupies a connection to no purpose.
 HEAD_TIMEOUT_MS = 10_000.0
+# Part of the descriptors for callers' connections. The remainder is for connections to
+# servers, of which every request in flight has one, and for other ports.
+CALLERS_SHARE = 0.5
+# Time, in milliseconds, for which a caller may read nothing of a response while more of
+# it waits. Its server cannot send on meanwhile, and servers abort responses that stay
+# unread for some seconds.
+UNREAD_MS = 2_000.0
+# Part of the byte budget, above all of it, that bodies alone may take. Stalled
+# connections are closed at the budget, before bodies are refused.
+HELD_BODIES_FACTOR = 1.25
 
 
 class DirectSettings(NamedTuple):
@@ -120,6 +138,11 @@
         balancer in front of it detects the stop.
     grace_ms : int
         Milliseconds after which a stopping process is killed.
+    memory_mb : int
+        Memory of the host in megabytes, which limits what is held for callers.
+    max_fds : int
+        Descriptors of the host, which limit the connections; 0 if only the operating
+        system's limit holds.
     cluster_token : str
         Token for connections between daemons, or @file.
     """
@@ -140,6 +163,8 @@
     retry_window_ms: int = 10_000
     drain_ms: int = 3_000
     grace_ms: int = 8_000
+    memory_mb: int = DEFAULT_MEMORY_MB
+    max_fds: int = 0
     cluster_token: str = ""
 
 
@@ -160,6 +185,8 @@
     "retry_window_ms": within(100, 600_000),
     "drain_ms": within(0, 600_000),
     "grace_ms": within(0, 600_000),
+    "memory_mb": within(64, 10_000_000),
+    "max_fds": within(0, 10_000_000),
 }
 
 
@@ -226,7 +253,11 @@
             started_ms=monotonic_ms(),
             reports=reports,
         )
-        self._app = RouteApp(self._state, random.Random())
+        budget_bytes = compute_budget_bytes(settings.memory_mb)
+        self._budget = ByteBudget(budget_bytes, self._metrics)
+        self._app = RouteApp(
+            self._state, random.Random(), round(HELD_BODIES_FACTOR * budget_bytes)
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -240,13 +271,19 @@
     async def run(self, stop: anyio.Event) -> None:
         """Serve until `stop` is set, then finish the requests in flight."""
         settings = self._settings
-        protocol = make_caller_protocol(self._metrics, HEAD_TIMEOUT_MS)
+        protocol = make_caller_protocol(
+            self._metrics,
+            HEAD_TIMEOUT_MS,
+            compute_max_connections(CALLERS_SHARE, settings.max_fds),
+            UNREAD_MS,
+            self._budget,
+        )
         server = HttpServer(self._app, bind_socket(settings.listen), protocol)
         health_app = add_health_endpoints(
             _refuse_request, self._metrics, lambda: self.is_ready, settings.ready_path
         )
         health_servers = [
-            HttpServer(health_app, bind_socket(listen))
+            HttpServer(health_app, bind_socket(listen), budget=self._budget)
             for listen in (settings.metrics_listen, settings.ready_listen)
             if listen
         ]
--- a/src/cowslipwood/entry/receiving/_caller_protocol.py
+++ b/src/cowslipwood/entry/receiving/_caller_protocol.py
@@ -8,27 +8,32 @@
 from typing import Any
 
 import h11
-import orjson
-from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from ...kernel.codes import CODE_INFO, Code, Failure, failure
-from ...kernel.http import ON_DISCONNECT, make_error_body
+from ...kernel.bounded_protocol import (
+    MAX_CONNECTIONS,
+    BoundedProtocol,
+    ConnectionBounds,
+    make_bounded_protocol,
+)
+from ...kernel.byte_budget import ByteBudget, compute_budget_bytes
+from ...kernel.codes import Code, Failure, failure
+from ...kernel.http import DEFAULT_MEMORY_MB, ON_DISCONNECT
 from ...kernel.metrics import Metrics
 
 __all__ = ["make_caller_protocol"]
 
-# Callers' connections that may be open at once, by default.
-MAX_CONNECTIONS = 4_000
 # Values of SO_LINGER with which a close resets the connection, and with which it does
 # not.
 RESET, NO_RESET = struct.pack("ii", 1, 0), struct.pack("ii", 0, 0)
-# Milliseconds after which a caller whose connection was refused may try again.
-RETRY_AFTER_MS = 1_000
 
 
 def make_caller_protocol(
-    metrics: Metrics, head_timeout_ms: float, max_connections: int = MAX_CONNECTIONS
-) -> type[H11Protocol]:
+    metrics: Metrics,
+    head_timeout_ms: float,
+    max_connections: int = MAX_CONNECTIONS,
+    unread_ms: float = ConnectionBounds().unread_ms,
+    budget: ByteBudget | None = None,
+) -> type[BoundedProtocol]:
     """Return a connection class for uvicorn.
 
     A connection whose next request's first line and headers do not arrive in
@@ -40,14 +45,22 @@
     head_timeout_ms : float
         Longest time that a request's first line and headers may take.
     max_connections : int
-        Connections that may be open at once; further ones are refused.
+        Connections that may be open at once; a further one takes the place of one that
+        has stalled, or is refused.
+    unread_ms : float
+        Time for which a caller may read nothing of a response while more of it waits.
+    budget : ByteBudget or None
+        Limits what is held for callers; None takes one for the smallest hosts.
     """
+    if budget is None:
+        budget = ByteBudget(compute_budget_bytes(DEFAULT_MEMORY_MB), metrics)
+    base = make_bounded_protocol(budget, ConnectionBounds(max_connections, unread_ms))
     # Hostile callers could fill the log, so uvicorn's messages about bad input are
     # not logged; counters record the same events.
     silent_logger = logging.getLogger("cowslipwood.callers")
     silent_logger.setLevel(logging.CRITICAL)
 
-    class CallerProtocol(H11Protocol):
+    class CallerProtocol(base):
         """One caller's connection."""
 
         def __init__(self, *args: Any, **kwargs: Any):
@@ -57,11 +70,8 @@
 
         def connection_made(self, transport: asyncio.Transport) -> None:
             super().connection_made(transport)
-            if len(self.connections) > max_connections:
-                fault = failure(Code.TOO_MANY_CONNECTIONS, "", RETRY_AFTER_MS)
-                self._refuse_and_close(fault)
-                return
-            self._start_head_timer()
+            if not transport.is_closing():
+                self._start_head_timer()
 
         def connection_lost(self, exc: Exception | None) -> None:
             self._cancel_head_timer()
@@ -97,7 +107,7 @@
 
         def send_400_response(self, msg: str) -> None:
             self._cancel_head_timer()
-            self._refuse_and_close(failure(Code.BAD_HEADER, msg))
+            self.refuse_and_close(failure(Code.BAD_HEADER, msg))
 
         def _notify_disconnect(self) -> None:
             """Call the request's disconnect callback, if it has set one.
@@ -125,29 +135,10 @@
             self._head_timer = None
             if self.transport.is_closing():
                 return
-            self._refuse_and_close(failure(Code.HEAD_TIMEOUT))
+            self.refuse_and_close(failure(Code.HEAD_TIMEOUT))
 
-        def _refuse_and_close(self, fault: Failure) -> None:
+        def refuse_and_close(self, fault: Failure, reads_on: bool = False) -> None:
             metrics.count("refusals_total", reason=fault.code.name)
-            if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-                self.transport.write(_encode_refusal(self.conn, fault))
-            self.transport.close()
+            super().refuse_and_close(fault, reads_on)
 
     return CallerProtocol
-
-
-def _encode_refusal(conn: h11.Connection, fault: Failure) -> bytes:
-    body = orjson.dumps(make_error_body(fault))
-    headers = [
-        (b"content-type", b"application/json"),
-        (b"content-length", str(len(body)).encode()),
-        (b"connection", b"close"),
-        (b"x-cowslip-outcome", fault.outcome.value.encode()),
-    ]
-    if fault.retry_after_ms:
-        retry_after_s = -(-fault.retry_after_ms // 1000)
-        headers.append((b"retry-after", str(retry_after_s).encode()))
-    status = CODE_INFO[fault.code].http_status
-    response = h11.Response(status_code=status, headers=headers, reason=b"")
-    parts = [response, h11.Data(data=body), h11.EndOfMessage()]
-    return b"".join(conn.send(part) for part in parts)
--- a/src/cowslipwood/entry/through_agents/_entry.py
+++ b/src/cowslipwood/entry/through_agents/_entry.py
@@ -11,10 +11,20 @@
 
 import anyio
 
+from ...kernel.bounded_protocol import (
+    BoundedProtocol,
+    compute_max_connections,
+)
+from ...kernel.byte_budget import ByteBudget, compute_budget_bytes
 from ...kernel.channel import Channel
 from ...kernel.clock import monotonic_ms
 from ...kernel.codes import Code
-from ...kernel.http import HttpServer, add_health_endpoints, bind_socket
+from ...kernel.http import (
+    DEFAULT_MEMORY_MB,
+    HttpServer,
+    add_health_endpoints,
+    bind_socket,
+)
 from ...kernel.keeper_addresses import KeeperAddresses
 from ...kernel.keeper_link import KeeperLink
 from ...kernel.lifecycle import require_tokens
@@ -55,6 +65,11 @@
 # Milliseconds by which the operating system's timeout for unacknowledged data exceeds
 # the send timeout, so that the send timeout ends a request first.
 TCP_TIMEOUT_MARGIN_MS = 5_000
+# Part of the descriptors for callers' connections; the remainder is for connections to
+# agents.
+CALLERS_SHARE = 0.5
+# Largest bodies that fit into the byte budget at once, at least.
+N_LARGEST_BODIES = 3
 
 
 class EntrySettings(NamedTuple):
@@ -89,6 +104,11 @@
         Least time, in milliseconds, for which a stopping entry still accepts
         connections and refuses requests, so that the load balancer detects the
         stop.
+    memory_mb : int
+        Memory of the host in megabytes, which limits what is held for callers.
+    max_fds : int
+        Descriptors of the host, which limit the connections; 0 if only the operating
+        system's limit holds.
     cluster_token : str
         Token for connections between the system's processes, or @file.
     allow_no_token : bool
@@ -107,6 +127,8 @@
     send_timeout_ms: int = 10_000
     report_ms: int = 500
     drain_ms: int = 500
+    memory_mb: int = DEFAULT_MEMORY_MB
+    max_fds: int = 0
     cluster_token: str = ""
     allow_no_token: bool = False
 
@@ -122,6 +144,8 @@
     "send_timeout_ms": within(10, 600_000),
     "report_ms": within(10, 10_000),
     "drain_ms": within(0, 600_000),
+    "memory_mb": within(64, 10_000_000),
+    "max_fds": within(0, 10_000_000),
 }
 
 
@@ -168,7 +192,7 @@
         app = add_health_endpoints(
             self._caller_app, self._metrics, lambda: self._is_ready
         )
-        protocol = make_caller_protocol(self._metrics, self._settings.head_timeout_ms)
+        protocol = self._make_protocol()
         server = HttpServer(app, sock, protocol)
         get_logger().info("listening", addr=self._settings.listen)
         async with anyio.create_task_group() as tasks:
@@ -181,6 +205,22 @@
             server.stop()
             tasks.cancel_scope.cancel()
 
+    def _make_protocol(self) -> type[BoundedProtocol]:
+        """Return the class that handles callers' connections."""
+        settings = self._settings
+        max_bytes = max(
+            compute_budget_bytes(settings.memory_mb),
+            N_LARGEST_BODIES * settings.max_body_bytes,
+        )
+        return make_caller_protocol(
+            self._metrics,
+            settings.head_timeout_ms,
+            compute_max_connections(CALLERS_SHARE, settings.max_fds),
+            # The send timeout ends a request first.
+            settings.send_timeout_ms + TCP_TIMEOUT_MARGIN_MS,
+            ByteBudget(max_bytes, self._metrics),
+        )
+
     @property
     def _is_ready(self) -> bool:
         """Whether a load balancer may send callers to this entry."""
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -7,10 +7,21 @@
 
 import anyio
 
-from ..kernel.channel import Channel, serve_channels, to_refused
+from ..kernel.byte_budget import ByteBudget, compute_budget_bytes
+from ..kernel.channel import (
+    Channel,
+    serve_channels,
+    to_refused,
+)
 from ..kernel.clock import monotonic_ms, wall_ms
 from ..kernel.codes import Code, failure
-from ..kernel.http import HttpServer, add_health_endpoints, bind_socket, send_failure
+from ..kernel.http import (
+    DEFAULT_MEMORY_MB,
+    HttpServer,
+    add_health_endpoints,
+    bind_socket,
+    send_failure,
+)
 from ..kernel.keeper_addresses import KeeperAddresses
 from ..kernel.keeper_link import KeeperLink
 from ..kernel.lifecycle import require_tokens
@@ -122,6 +133,7 @@
     engines: DirectEngines | None = None,
     started_ms: float | None = None,
     keepers: KeeperAddresses | None = None,
+    budget: ByteBudget | None = None,
 ) -> None:
     """Run a keeper until `stop` is set.
 
@@ -139,6 +151,9 @@
     keepers : KeeperAddresses, optional
         Addresses of keepers and relays, whose configured ones a reload may replace; by
         default those of the setting `join`.
+    budget : ByteBudget, optional
+        Limits what the process holds for clients of its ports; by default that of a
+        process on the smallest hosts.
     """
     cluster_token = read_token(settings.cluster_token)
     operator_token = read_token(settings.operator_token)
@@ -152,6 +167,7 @@
         engines,
         started_ms,
         keepers or KeeperAddresses.parse(settings.join),
+        budget or ByteBudget(compute_budget_bytes(DEFAULT_MEMORY_MB)),
     )
     await keeper.run(stop)
 
@@ -167,11 +183,14 @@
         engines: DirectEngines | None,
         started_ms: float | None,
         keepers: KeeperAddresses,
+        budget: ByteBudget,
     ):
         self._settings = settings
         self._keepers = keepers
         self._cluster_token = cluster_token
         self._metrics = Metrics("keeper")
+        self._budget = budget
+        budget.closes.metrics = self._metrics
         self._machine = KeeperStateMachine()
         self._replica = _open_replica(
             settings, cluster_token, self._machine, self._metrics, started_ms
@@ -251,7 +270,7 @@
         http_app = add_health_endpoints(
             _answer_no_route, self._metrics, lambda: not stop.is_set()
         )
-        http_server = HttpServer(http_app, http_socket)
+        http_server = HttpServer(http_app, http_socket, budget=self._budget)
         host, port = parse_address(self._settings.listen)
         listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
         get_logger().info("listening", addr=self._settings.listen)
--- a/src/cowslipwood/kernel/http.py
+++ b/src/cowslipwood/kernel/http.py
@@ -10,7 +10,18 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from .bounded_protocol import (
+    ON_BODY_DROPPED,
+    BoundedProtocol,
+    ConnectionBounds,
+    compute_max_connections,
+    limit_kernel_buffers,
+    make_bounded_protocol,
+)
+from .byte_budget import ByteBudget, compute_budget_bytes
+from .clock import monotonic_ms
 from .codes import CODE_INFO, Code, Failure, failure
+from .error_body import make_error_body
 from .metrics import Metrics
 from .settings import exit_with, parse_address
 
@@ -35,6 +46,17 @@
 MAX_CONNECTIONS = 4_096
 # Number of connections that the operating system queues until they are accepted.
 LISTEN_BACKLOG = 1_024
+# Number of connections that asyncio accepts before any of them is checked against the
+# limit on connections. All of them take descriptors meanwhile.
+ACCEPT_BATCH = 16
+# Time, in milliseconds, between two checks of what is held for the connections.
+SWEEP_INTERVAL_MS = 200.0
+# Memory, in megabytes, of the host of a program that states none: that of the smallest
+# hosts.
+DEFAULT_MEMORY_MB = 160
+# Part of the descriptors for the connections of a port that serves only operators or
+# metrics.
+SIDE_PORT_SHARE = 0.1
 # Largest number of bytes that are read and discarded from a body that is over its
 # limit. Closing a connection with unread bytes resets it, and the caller then never
 # reads the refusal; so the body is read to its end, up to this size.
@@ -77,6 +99,7 @@
     # was created with the protocol IPPROTO_TCP.
     sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    limit_kernel_buffers(sock)
     try:
         sock.bind((host, port))
     except OSError as exc:
@@ -113,11 +136,29 @@
         ASGI application.
     sock : socket.socket
         From `bind_socket`.
-    protocol : str or type
-        The class that handles a connection; uvicorn's h11 protocol by default.
+    protocol : type or None
+        The class that handles a connection; None takes one with the bounds of a port
+        for operators or metrics.
+    budget : ByteBudget or None
+        Limits what is held for the connections of such a port; None limits it for this
+        port alone.
+    connections_share : float
+        Part of the process's descriptors for the connections of such a port.
     """
 
-    def __init__(self, app: App, sock: socket.socket, protocol: str | type = "h11"):
+    def __init__(
+        self,
+        app: App,
+        sock: socket.socket,
+        protocol: type[BoundedProtocol] | None = None,
+        budget: ByteBudget | None = None,
+        connections_share: float = SIDE_PORT_SHARE,
+    ):
+        if protocol is None:
+            budget = budget or ByteBudget(compute_budget_bytes(DEFAULT_MEMORY_MB))
+            bounds = ConnectionBounds(compute_max_connections(connections_share))
+            protocol = make_bounded_protocol(budget, bounds)
+        self._protocol = protocol
         config = uvicorn.Config(
             app,
             log_config=None,
@@ -128,7 +169,7 @@
             ws="none",
             server_header=False,
             date_header=False,
-            backlog=LISTEN_BACKLOG,
+            backlog=ACCEPT_BATCH,
             limit_concurrency=MAX_CONNECTIONS,
             h11_max_incomplete_event_size=MAX_HEADER_BYTES,
             timeout_keep_alive=30,
@@ -142,12 +183,25 @@
             self._server.config.load()
         self._server.lifespan = self._server.config.lifespan_class(self._server.config)
         await self._server.startup(sockets=[self._sock])
+        self._sock.listen(LISTEN_BACKLOG)
         try:
-            await self._server.main_loop()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._sweep_loop)
+                await self._server.main_loop()
+                tasks.cancel_scope.cancel()
         finally:
             with anyio.CancelScope(shield=True):
                 await self._server.shutdown(sockets=[self._sock])
 
+    async def _sweep_loop(self) -> None:
+        """Keep what is held for the connections within the budget."""
+        while True:
+            await anyio.sleep(SWEEP_INTERVAL_MS / 1000)
+            now_ms = monotonic_ms()
+            for connection in list(self._protocol.active):
+                connection.sweep(now_ms)
+            self._protocol.budget.make_room(now_ms)
+
     def stop(self) -> None:
         """Stop accepting connections; open requests are completed."""
         self._server.should_exit = True
@@ -173,6 +227,9 @@
             body += event.get("body", b"")
         elif n_bytes > max_body_bytes + MAX_DISCARDED_BODY_BYTES:
             break
+        else:
+            body.clear()
+            scope.get("state", {}).get(ON_BODY_DROPPED, _do_nothing)()
         if not event.get("more_body"):
             break
     if n_bytes > max_body_bytes:
@@ -185,6 +242,10 @@
     )
 
 
+def _do_nothing() -> None:
+    pass
+
+
 async def send_response(
     send: Any, status: int, headers: Mapping[str, str], body: bytes
 ) -> None:
@@ -208,19 +269,6 @@
     await send_response(send, status, all_headers, orjson.dumps(value))
 
 
-def make_error_body(fault: Failure) -> dict[str, Any]:
-    """Return the JSON value that reports a failure to a caller."""
-    return {
-        "error": {
-            "code": fault.code.value,
-            "name": fault.code.name,
-            "message": fault.message,
-            "outcome": fault.outcome.value,
-            "retry_after_ms": round(fault.retry_after_ms),
-        }
-    }
-
-
 async def send_failure(
     send: Any, fault: Failure, headers: Mapping[str, str] | None = None
 ) -> None:
--- a/src/cowslipwood/programs/standin.py
+++ b/src/cowslipwood/programs/standin.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from ..kernel.byte_budget import ByteBudget
 from ..kernel.http import HttpServer, bind_socket
 from ..kernel.lifecycle import run_program
 from ..kernel.logs import get_logger
@@ -20,6 +21,12 @@
 __all__ = ["StandinSettings", "main", "run_standin"]
 
 
+# Bytes that a stand-in holds for its clients, and its part of the descriptors for
+# their connections.
+MAX_HELD_BYTES = 200_000_000
+CONNECTIONS_SHARE = 0.8
+
+
 class StandinSettings(NamedTuple):
     """Run a stand-in engine, plain service, weight store or platform list.
 
@@ -125,7 +132,12 @@
 
 async def run_standin(settings: StandinSettings, stop: anyio.Event) -> None:
     """Run a stand-in until `stop` is set."""
-    server = HttpServer(_make_app(settings), bind_socket(settings.listen))
+    server = HttpServer(
+        _make_app(settings),
+        bind_socket(settings.listen),
+        budget=ByteBudget(MAX_HELD_BYTES),
+        connections_share=CONNECTIONS_SHARE,
+    )
     get_logger().info("listening", addr=settings.listen)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.run)
--- /dev/null
+++ b/tests/test_bounded_protocol.py
@@ -0,0 +1,308 @@
+"""Bounds on what is held for one HTTP connection, and the order of its requests."""
+
+import contextlib
+import socket
+import time
+import unittest
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio
+from returns.result import Failure as Err
+
+from cowslipwood.kernel.bounded_protocol import (
+    ConnectionBounds,
+    make_bounded_protocol,
+)
+from cowslipwood.kernel.byte_budget import ByteBudget
+from cowslipwood.kernel.http import HttpServer, bind_socket, read_request, send_response
+
+from .processes import DEFAULT_TIMEOUT_S
+
+# Bytes of the answer to a request for /large; more than all buffers of a connection.
+LARGE_BYTES = 8_000_000
+MAX_BODY_BYTES = 4_000_000
+# Bound on what one connection holds beside its request and its response: what one read
+# of the transport takes, and the operating system's buffer.
+MAX_AHEAD_BYTES = 600_000
+
+
+class _App:
+    """Answers each request with its body; holds those for /held until released."""
+
+    def __init__(self):
+        self.paths: list[str] = []
+        self.n_cancelled = 0
+        self.released = anyio.Event()
+
+    async def __call__(self, scope: dict, receive: Any, send: Any) -> None:
+        received = await read_request(scope, receive, MAX_BODY_BYTES)
+        if isinstance(received, Err):
+            return
+        body = received.unwrap().body
+        self.paths.append(scope["path"])
+        if scope["path"] == "/held":
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch, receive, tasks.cancel_scope)
+                await self.released.wait()
+                tasks.cancel_scope.cancel()
+        if scope["path"] == "/large":
+            body = b"y" * LARGE_BYTES
+        await send_response(send, 200, {}, body)
+
+    async def _watch(self, receive: Any, scope: anyio.CancelScope) -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        self.n_cancelled += 1
+        scope.cancel()
+
+
+class _Port:
+    """A port that serves the application, and its budget."""
+
+    def __init__(self, max_bytes: int, bounds: ConnectionBounds):
+        self.app = _App()
+        self.budget = ByteBudget(max_bytes)
+        self._sock = bind_socket("127.0.0.1:0")
+        protocol = make_bounded_protocol(self.budget, bounds)
+        self.server = HttpServer(self.app, self._sock, protocol)
+
+    def connect(self) -> socket.socket:
+        """Return a connection that blocks; use it in a thread."""
+        sock = socket.create_connection(self._sock.getsockname())
+        sock.settimeout(DEFAULT_TIMEOUT_S)
+        return sock
+
+
+@contextlib.asynccontextmanager
+async def run_port(
+    max_bytes: int = 20_000_000, bounds: ConnectionBounds | None = None
+) -> AsyncIterator[_Port]:
+    """Run a port; connections must be closed before the end."""
+    port = _Port(max_bytes, bounds or ConnectionBounds())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(port.server.run)
+        await anyio.sleep(0)
+        yield port
+        port.app.released.set()
+        tasks.cancel_scope.cancel()
+
+
+def encode(path: str, body: bytes = b"") -> bytes:
+    """Return a request."""
+    head = f"POST {path} HTTP/1.1\r\nhost: h\r\ncontent-length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def read_response(sock: socket.socket) -> bytes:
+    """Return the body of the next response; raise EOFError where it is cut."""
+    data = b""
+    while not data.endswith(b"\r\n\r\n"):
+        data += read_exactly(sock, 1)
+    lines = data.lower().split(b"\r\n")
+    length = next(line for line in lines if line.startswith(b"content-length"))
+    return read_exactly(sock, int(length.partition(b":")[2]))
+
+
+def read_exactly(sock: socket.socket, n_bytes: int) -> bytes:
+    """Return the next bytes."""
+    data = bytearray()
+    while len(data) < n_bytes:
+        part = sock.recv(n_bytes - len(data))
+        if not part:
+            raise EOFError
+        data += part
+    return bytes(data)
+
+
+class PipeliningTest(unittest.IsolatedAsyncioTestCase):
+    """Requests that are sent ahead."""
+
+    async def test_order(self):
+        """Guards against lost or reordered requests: all are answered in order."""
+        async with run_port() as port:
+            bodies = [bytes([65 + i % 26]) * (i * 7_919) for i in range(40)]
+
+            def exchange() -> list[bytes]:
+                with port.connect() as sock:
+                    sock.sendall(b"".join(encode("/", body) for body in bodies[:12]))
+                    first = [read_response(sock) for _ in range(12)]
+                    # The connection serves further requests after that.
+                    for body in bodies[12:]:
+                        sock.sendall(encode("/", body))
+                        first.append(read_response(sock))
+                    return first
+
+            self.assertEqual(await anyio.to_thread.run_sync(exchange), bodies)
+
+    async def test_unread(self):
+        """Guards against further requests being served while a response is unread."""
+        async with run_port() as port:
+            with port.connect() as sock:
+                sock.sendall(encode("/large") + encode("/next"))
+                await anyio.sleep(0.5)
+                self.assertEqual(port.app.paths, ["/large"])
+                body = await anyio.to_thread.run_sync(read_response, sock)
+                self.assertEqual(len(body), LARGE_BYTES)
+                self.assertEqual(
+                    await anyio.to_thread.run_sync(read_response, sock), b""
+                )
+                self.assertEqual(port.app.paths, ["/large", "/next"])
+
+    async def test_read_ahead(self):
+        """Guards against reading without bound while a response is in progress."""
+        async with run_port() as port:
+            with port.connect() as sock:
+                sock.setblocking(False)
+                data = encode("/held") + encode("/", b"x" * 100_000) * 200
+                n_sent = 0
+                for _ in range(50):
+                    with contextlib.suppress(BlockingIOError):
+                        n_sent += sock.send(data[n_sent:])
+                    await anyio.sleep(0.01)
+                await anyio.sleep(0.5)
+                self.assertGreater(port.budget.n_bytes, 0)
+                self.assertLess(port.budget.n_bytes, MAX_AHEAD_BYTES)
+
+    async def test_client_that_leaves(self):
+        """Guards against work for a client that has sent ahead and left."""
+        async with run_port() as port:
+            sock = port.connect()
+            sock.sendall(encode("/held") + encode("/", b"x" * 100_000))
+            while not port.app.paths:
+                await anyio.sleep(0.01)
+            await anyio.sleep(0.3)
+            sock.close()
+            with anyio.fail_after(DEFAULT_TIMEOUT_S):
+                while not port.app.n_cancelled:
+                    await anyio.sleep(0.01)
+
+
+class FullBudgetTest(unittest.IsolatedAsyncioTestCase):
+    """A port whose budget is full."""
+
+    async def test_stalled_upload_is_closed(self):
+        """Guards against refusing new uploads for those that have stalled."""
+        async with run_port(max_bytes=500_000) as port:
+            with port.connect() as stalled, port.connect() as ordinary:
+                stalled.sendall(encode("/", b"x" * 400_000)[:-1])
+                await anyio.sleep(1)
+
+                def exchange() -> bytes:
+                    ordinary.sendall(encode("/", b"z" * 300_000))
+                    return read_response(ordinary)
+
+                body = await anyio.to_thread.run_sync(exchange)
+                self.assertEqual(len(body), 300_000)
+                with self.assertRaises((EOFError, ConnectionResetError)):
+                    await anyio.to_thread.run_sync(read_response, stalled)
+            self.assertEqual(port.app.paths, ["/"])
+
+    async def test_request_in_progress_is_not_closed(self):
+        """Guards against ending requests that wait for a server, not their client."""
+        async with run_port(max_bytes=500_000) as port:
+            with port.connect() as waiting, port.connect() as stalled:
+                waiting.sendall(encode("/held", b"x" * 450_000))
+                while not port.app.paths:
+                    await anyio.sleep(0.01)
+                stalled.sendall(encode("/", b"x" * 200_000)[:-1])
+                await anyio.sleep(2)
+                port.app.released.set()
+                body = await anyio.to_thread.run_sync(read_response, waiting)
+                self.assertEqual(len(body), 450_000)
+                with self.assertRaises((EOFError, ConnectionResetError)):
+                    await anyio.to_thread.run_sync(read_response, stalled)
+
+    async def test_new_upload_is_refused(self):
+        """Guards against a reset where a refusal can say that nothing has run."""
+        async with run_port(max_bytes=500_000) as port:
+            with port.connect() as waiting, port.connect() as new:
+                waiting.sendall(encode("/held", b"x" * 490_000))
+                while not port.app.paths:
+                    await anyio.sleep(0.01)
+
+                def exchange() -> bytes:
+                    new.sendall(encode("/", b"z" * 3_000_000))
+                    return read_response(new)
+
+                refusal = await anyio.to_thread.run_sync(exchange)
+                self.assertIn(b'"OVERLOADED"', refusal)
+                self.assertIn(b'"not-run"', refusal)
+                port.app.released.set()
+                body = await anyio.to_thread.run_sync(read_response, waiting)
+                self.assertEqual(len(body), 490_000)
+                self.assertEqual(port.app.paths, ["/held"])
+
+
+class SlowReaderTest(unittest.IsolatedAsyncioTestCase):
+    """Clients that do not read."""
+
+    async def test_unread_response_is_cut(self):
+        """Guards against holding a response for a client that reads nothing."""
+        async with run_port(bounds=ConnectionBounds(unread_ms=300.0)) as port:
+            with port.connect() as sock:
+                sock.sendall(encode("/large"))
+                with anyio.fail_after(DEFAULT_TIMEOUT_S):
+                    while not port.app.paths or port.budget.n_bytes:
+                        await anyio.sleep(0.05)
+                with self.assertRaises((EOFError, ConnectionResetError)):
+                    await anyio.to_thread.run_sync(read_response, sock)
+
+    async def test_slow_response_is_complete(self):
+        """Guards against cutting a response that a client reads slowly."""
+        async with run_port(bounds=ConnectionBounds(unread_ms=1_000.0)) as port:
+            with port.connect() as sock:
+                sock.sendall(encode("/large"))
+
+                def read_slowly() -> int:
+                    n_read = 0
+                    while n_read < LARGE_BYTES:
+                        n_read += len(sock.recv(800_000))
+                        time.sleep(0.1)
+                    return n_read
+
+                n_read = await anyio.to_thread.run_sync(read_slowly)
+                self.assertGreaterEqual(n_read, LARGE_BYTES)
+
+
+class ConnectionLimitTest(unittest.IsolatedAsyncioTestCase):
+    """A port with few connections."""
+
+    async def test_idle_connections_stay(self):
+        """Guards against closing connections that clients may still reuse."""
+        bounds = ConnectionBounds(max_connections=3)
+        async with run_port(bounds=bounds) as port:
+            with contextlib.ExitStack() as stack:
+                socks = [stack.enter_context(port.connect()) for _ in range(3)]
+
+                def exchange(sock: socket.socket) -> bytes:
+                    sock.sendall(encode("/", b"z"))
+                    return read_response(sock)
+
+                for sock in socks:
+                    await anyio.to_thread.run_sync(exchange, sock)
+                await anyio.sleep(4)
+                further = stack.enter_context(port.connect())
+                answer = await anyio.to_thread.run_sync(exchange, further)
+                self.assertIn(b"TOO_MANY_CONNECTIONS", answer)
+                for sock in socks:
+                    self.assertEqual(
+                        await anyio.to_thread.run_sync(exchange, sock), b"z"
+                    )
+
+    async def test_stalled_connection_is_replaced(self):
+        """Guards against stalled connections that keep new clients out."""
+        bounds = ConnectionBounds(max_connections=3)
+        async with run_port(bounds=bounds) as port:
+            with contextlib.ExitStack() as stack:
+                socks = [stack.enter_context(port.connect()) for _ in range(3)]
+                for sock in socks:
+                    sock.sendall(encode("/", b"x" * 100)[:-1])
+                await anyio.sleep(3.5)
+                further = stack.enter_context(port.connect())
+
+                def exchange() -> bytes:
+                    further.sendall(encode("/", b"z"))
+                    return read_response(further)
+
+                self.assertEqual(await anyio.to_thread.run_sync(exchange), b"z")
