Limit what connections between processes may hold before they show a token

Clients without a token saw a keeper or relay read messages of 16 MB for them: 40 unfinished ones took 727 MB at a keeper and 744 MB at a relay on, with a host of 160 MB. The number of such connections was limited to 16,384, whatever the descriptors.

Cause: the size of a message was limited by what the keepers exchange among themselves, also for the first message. That message may now have 16 KB, and connections are limited to a share of the descriptors. At the limit, a new connection takes the place of the oldest one that has sent no whole message for 1 s.

--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -9,6 +9,7 @@
 
 from ..kernel.byte_budget import ByteBudget, compute_budget_bytes
 from ..kernel.channel import (
+    MAX_FIRST_FRAME_BYTES,
     Channel,
     serve_channels,
     to_refused,
@@ -283,6 +284,7 @@
                 listener,
                 CHANNEL_IDLE_TIMEOUT_MS,
                 self._serve_connection,
+                self._budget.closes,
             )
             tasks.start_soon(self._run_publishing)
             tasks.start_soon(self._planner.run)
@@ -301,7 +303,7 @@
     async def _serve_connection(self, channel: Channel) -> None:
         hello = None
         with anyio.move_on_after(HELLO_TIMEOUT_MS / 1000):
-            received = await channel.receive()
+            received = await channel.receive(MAX_FIRST_FRAME_BYTES)
             hello = received.map(lambda pair: pair[1]).value_or(None)
         if await self._answer_hello(channel, hello):
             await self._serve_peer(channel, hello)
--- a/src/cowslipwood/kernel/channel.py
+++ b/src/cowslipwood/kernel/channel.py
@@ -6,7 +6,7 @@
 stops reading loses only its own connection.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import anyio
@@ -15,11 +15,15 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from .bounded_protocol import compute_max_connections
+from .byte_budget import CloseRecorder
+from .clock import monotonic_ms
 from .codes import Code, Failure, failure
 from .logs import get_logger
 from .messages import Refused
 from .wire import (
     FRAME_HEADER,
+    MAX_FRAME_BYTES,
     Envelope,
     decode_frame_header,
     decode_message,
@@ -29,6 +33,7 @@
 )
 
 __all__ = [
+    "MAX_FIRST_FRAME_BYTES",
     "Channel",
     "Handler",
     "failure_from_refused",
@@ -47,8 +52,15 @@
 # Largest number of a peer's requests that one connection handles at once; further
 # requests wait.
 MAX_OPEN_REQUESTS = 1_024
-# Largest number of connections that one listener serves at once.
-MAX_CONNECTIONS = 16_384
+# Largest payload, in bytes, of the first message of a connection. Its sender has not
+# shown a token yet; the message, a `Hello`, takes a few hundred bytes.
+MAX_FIRST_FRAME_BYTES = 16_384
+# Part of the descriptors for the connections that one listener serves. The remainder is
+# for other ports, files and connections to other processes.
+CONNECTIONS_SHARE = 0.6
+# Time, in milliseconds, after which a connection without a first message is closed if
+# another one needs its place. Processes send it as soon as they are connected.
+FIRST_MESSAGE_MS = 1_000.0
 
 Handler = Callable[[Any], Awaitable[Any]]
 
@@ -92,6 +104,8 @@
         self._send_lock = anyio.Lock()
         self._next_id = 1
         self._pending_replies: dict[int, _PendingReply] = {}
+        self._opened_at_ms = monotonic_ms()
+        self._has_received = False
         self._request_limiter = anyio.CapacityLimiter(MAX_OPEN_REQUESTS)
         self.close_reason: Failure | None = None
 
@@ -140,8 +154,26 @@
             del self._pending_replies[request_id]
         return reply.result()
 
-    async def receive(self) -> Result[tuple[Envelope, Any], Failure]:
-        """Read one message; the caller closes the connection after any failure."""
+    @property
+    def has_received(self) -> bool:
+        """Whether a whole message has arrived."""
+        return self._has_received
+
+    @property
+    def opened_at_ms(self) -> float:
+        """When the connection was opened."""
+        return self._opened_at_ms
+
+    async def receive(
+        self, max_bytes: int = MAX_FRAME_BYTES
+    ) -> Result[tuple[Envelope, Any], Failure]:
+        """Read one message; the caller closes the connection after any failure.
+
+        Parameters
+        ----------
+        max_bytes : int
+            Largest payload; a larger one is not read.
+        """
         try:
             with anyio.fail_after(self._idle_timeout_ms / 1000):
                 header = await self._reader.receive_exactly(FRAME_HEADER.size)
@@ -149,6 +181,8 @@
                 if isinstance(parsed_header, Err):
                     return parsed_header
                 n_bytes, checksum = parsed_header.unwrap()
+                if n_bytes > max_bytes:
+                    return Err(failure(Code.BAD_FRAME, f"over {max_bytes} bytes"))
                 payload = await self._reader.receive_exactly(n_bytes)
         except TimeoutError:
             return Err(failure(Code.PEER_SILENT))
@@ -160,6 +194,7 @@
             OSError,
         ):
             return Err(failure(Code.PEER_GONE))
+        self._has_received = True
         if not matches_checksum(payload, checksum):
             return Err(failure(Code.BAD_FRAME))
         return decode_record(Envelope, payload).bind(
@@ -247,11 +282,13 @@
     listener: anyio.abc.Listener[Any],
     idle_timeout_ms: float,
     serve: Callable[[Channel], Awaitable[None]],
+    closes: CloseRecorder | None = None,
 ) -> None:
     """Accept connections and serve each in a task of its own.
 
     An exception while a connection is served is logged and closes that connection
-    only. Connections beyond ``MAX_CONNECTIONS`` are closed at once.
+    only. When there are as many connections as descriptors allow, a new one takes the
+    place of the oldest one that has sent no whole message, or is closed at once.
 
     Parameters
     ----------
@@ -262,25 +299,46 @@
     serve : callable
         Coroutine function that takes the channel; the channel is closed after it
         returns.
+    closes : CloseRecorder or None
+        Records connections that are closed for others; None only logs them.
     """
-    n_open = 0
+    closes = closes or CloseRecorder()
+    max_connections = compute_max_connections(CONNECTIONS_SHARE)
+    # A dictionary keeps the order in which the connections were opened.
+    channels: dict[Channel, None] = {}
 
     async def accept(stream: anyio.abc.ByteStream) -> None:
-        nonlocal n_open
         channel = Channel(stream, idle_timeout_ms)
-        n_open += 1
+        channels[channel] = None
         try:
-            if n_open <= MAX_CONNECTIONS:
-                await serve(channel)
+            if len(channels) > max_connections:
+                replaced = _find_replaceable(channels, monotonic_ms())
+                if replaced is None:
+                    return
+                channels.pop(replaced)
+                now_ms = monotonic_ms()
+                waited_ms = now_ms - replaced.opened_at_ms
+                closes.record("descriptors", 0, waited_ms, now_ms)
+                await replaced.close(failure(Code.TOO_MANY_CONNECTIONS))
+            await serve(channel)
         except Exception:
             get_logger().exception("connection_failed")
         finally:
-            n_open -= 1
+            channels.pop(channel, None)
             await channel.close(failure(Code.PEER_GONE))
 
     await listener.serve(accept)
 
 
+def _find_replaceable(channels: Iterable[Channel], now_ms: float) -> Channel | None:
+    """Return the first connection that has sent no whole message in time, if any."""
+    for channel in channels:
+        waited_ms = now_ms - channel.opened_at_ms
+        if not channel.has_received and waited_ms > FIRST_MESSAGE_MS:
+            return channel
+    return None
+
+
 async def open_channel(
     host: str, port: int, idle_timeout_ms: float
 ) -> Result[Channel, Failure]:
--- a/src/cowslipwood/relay/_relay.py
+++ b/src/cowslipwood/relay/_relay.py
@@ -10,7 +10,13 @@
 
 import anyio
 
-from ..kernel.channel import Channel, serve_channels, to_refused
+from ..kernel.byte_budget import CloseRecorder
+from ..kernel.channel import (
+    MAX_FIRST_FRAME_BYTES,
+    Channel,
+    serve_channels,
+    to_refused,
+)
 from ..kernel.codes import Code, failure
 from ..kernel.keeper_link import KeeperLink
 from ..kernel.logs import get_logger
@@ -28,7 +34,11 @@
 
 
 async def run_relay(
-    listen: str, keeper_id: str, cluster_token: str, link: KeeperLink
+    listen: str,
+    keeper_id: str,
+    cluster_token: str,
+    link: KeeperLink,
+    closes: CloseRecorder | None = None,
 ) -> None:
     """Serve connections of the system's processes until cancelled.
 
@@ -42,13 +52,15 @@
         Token that connecting processes must send.
     link : KeeperLink
         Connection to the leading keeper, which the calling code runs.
+    closes : CloseRecorder or None
+        Records connections that are closed for others; None only logs them.
     """
     host, port = parse_address(listen)
     listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
     get_logger().info("relaying", addr=listen)
 
     async def serve_channel(channel: Channel) -> None:
-        received = await channel.receive()
+        received = await channel.receive(MAX_FIRST_FRAME_BYTES)
         hello = received.map(lambda pair: pair[1]).value_or(None)
         if not isinstance(hello, Hello) or not token_matches(
             cluster_token, hello.token
@@ -68,4 +80,4 @@
             return Ack(0)
         return to_refused(failure(Code.NOT_LEADER), link.leader_addr)
 
-    await serve_channels(listener, IDLE_TIMEOUT_MS, serve_channel)
+    await serve_channels(listener, IDLE_TIMEOUT_MS, serve_channel, closes)
