--- a/src/cowslipwood/entry/choosing/_backend.py
+++ b/src/cowslipwood/entry/choosing/_backend.py
@@ -10,6 +10,7 @@
 from ...kernel.messages import ServerView
 from ._ewma import Ewma
 from ._health import Health
+from ._slowdown import Slowdown
 
 __all__ = ["Backend", "LoadReport", "model_key"]
 
@@ -61,6 +62,9 @@
     kv_share : float or None
         Share of the server's KV cache that running requests use; None when the
         report does not contain it.
+    slowdown_percent : float or None
+        Time that work takes at the server now, in percent of the usual time; None
+        when the report does not contain it.
     """
 
     n_in_flight: int = 0
@@ -68,6 +72,7 @@
     wait_ms: float = 0.0
     knee_in_flight: int = 0
     kv_share: float | None = None
+    slowdown_percent: float | None = None
 
 
 class Backend:
@@ -109,6 +114,8 @@
         Time until which the limit that the server has named allows no request.
     proven_at_ms : float
         Last time at which the server was known to be the incarnation of its view.
+    slowdown : Slowdown
+        How much longer than usual work takes there, by the server's answers.
     """
 
     __slots__ = (
@@ -132,6 +139,7 @@
         "n_in_flight",
         "report",
         "id_hash",
+        "slowdown",
         "unlisted_since_ms",
         "view",
     )
@@ -154,6 +162,7 @@
         self.held_off_at_ms = -math.inf
         self.limited_until_ms = 0.0
         self.proven_at_ms = 0.0
+        self.slowdown = Slowdown()
         self._excluded_until_ms: dict[str, float] = {}
         self._apply_report(_report_of_view(view), now_ms)
 
@@ -169,6 +178,7 @@
                 self.held_off_until_ms = 0.0
             self.limited_until_ms = 0.0
             self.proven_at_ms = 0.0
+            self.slowdown = Slowdown()
         self.view = view
         self.unlisted_since_ms = 0.0
         if now_ms - self._reported_at_ms > FRESH_REPORT_MS:
@@ -179,6 +189,7 @@
         self.answered_at_ms = now_ms
         if report is not None:
             self._apply_report(report, now_ms)
+            self.slowdown.record(report.slowdown_percent, now_ms)
 
     def record_load_report(self, report: LoadReport, now_ms: float) -> None:
         """Record a load report that did not come with an answer."""
--- a/src/cowslipwood/entry/direct/_attempt_record.py
+++ b/src/cowslipwood/entry/direct/_attempt_record.py
@@ -40,8 +40,16 @@
         """Record the load that a server reported with its answer."""
         report = None
         if facts.load is not None:
-            n_running, n_waiting, n_slots = facts.load
-            report = LoadReport(n_running, n_waiting, 0.0, n_slots)
+            load = facts.load
+            report = LoadReport(
+                load.n_running,
+                load.n_waiting,
+                knee_in_flight=load.n_slots,
+                slowdown_percent=load.slowdown_percent,
+            )
+        elif facts.is_load_malformed:
+            self._state.metrics.count("load_reports_ignored_total")
+            get_logger().info("load_report_ignored", server=backend.view.server_id)
         self._state.apply_load_report(backend, report, now_ms)
 
     async def record_break(self, backend: Backend) -> None:
--- a/src/cowslipwood/entry/direct/_choice.py
+++ b/src/cowslipwood/entry/direct/_choice.py
@@ -12,7 +12,11 @@
 from ..routing import TYPICAL_PROMPT_TOKENS, RoutingContext, usable_candidates
 from ._admission import compute_max_wait_ms, decide_admission
 from ._progress import RequestProgress
-from ._request import RoutedRequest, compute_urgency_rank
+from ._request import (
+    RoutedRequest,
+    compute_urgency_rank,
+    estimate_tokens_to_read,
+)
 from ._state import DirectState
 
 __all__ = ["ServerChoice"]
@@ -82,6 +86,7 @@
             request.facts.n_shared_tokens,
             len(request.body),
             typical_tokens.value or TYPICAL_PROMPT_TOKENS,
+            estimate_tokens_to_read(request.facts),
         )
         chosen = self._choose_backend(context)
         if chosen is None:
--- a/src/cowslipwood/entry/direct/_headers.py
+++ b/src/cowslipwood/entry/direct/_headers.py
@@ -1,5 +1,6 @@
 """Reads request and answer headers, and selects the headers to forward."""
 
+import re
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
@@ -12,6 +13,7 @@
     "AnswerFacts",
     "HeaderNames",
     "RequestFacts",
+    "ServerLoad",
     "build_request_headers",
     "filter_answer_headers",
     "read_answer_facts",
@@ -24,6 +26,8 @@
 
 # Largest number of shared parts whose ids are read; prompts have a few.
 MAX_SHARED_PARTS = 32
+# A reported percentage: a decimal number, with or without a fraction.
+_PERCENT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 # Headers that concern a single connection and are never forwarded.
 _HOP_BY_HOP = frozenset(
     (
@@ -59,7 +63,8 @@
         In any answer: the requests per second that the server takes from all hosts
         together, a decimal number.
     load : bytes
-        In answers: running requests, waiting requests and slots, separated by commas.
+        In answers: running requests, waiting requests and slots, separated by commas;
+        from some servers also the time that work takes now, in percent of the usual.
     urgency : bytes
         Set by the entry: rank of the request, 0 is served first and 9 last.
     model : bytes
@@ -140,6 +145,23 @@
     resumed_id: str = ""
 
 
+class ServerLoad(NamedTuple):
+    """The load that a server reports with an answer.
+
+    Parameters
+    ----------
+    n_running, n_waiting, n_slots : int
+    slowdown_percent : float or None
+        Time that work takes there now, in percent of the usual time; None if the
+        server does not report it.
+    """
+
+    n_running: int
+    n_waiting: int
+    n_slots: int
+    slowdown_percent: float | None = None
+
+
 class AnswerFacts(NamedTuple):
     """Values of a server's headers.
 
@@ -148,15 +170,17 @@
     request_id : str
     not_run : bool
         Whether the server states that the request did not run there.
-    load : tuple of int or None
-        Numbers of running requests, waiting requests and slots.
+    load : ServerLoad or None
+        None if the answer contains no load report or a malformed one.
     notice : ServerNotice
+    is_load_malformed : bool
     """
 
     request_id: str
     not_run: bool
-    load: tuple[int, int, int] | None
+    load: ServerLoad | None
     notice: ServerNotice
+    is_load_malformed: bool = False
 
 
 def read_request_facts(headers: Headers, names: HeaderNames) -> RequestFacts:
@@ -196,12 +220,13 @@
     """Read a server's headers."""
     headers = list(headers)
     values_by_name = dict(headers)
-    load = _read_numbers(_read_text(values_by_name, names.load))
+    load = _read_server_load(headers, names.load)
     return AnswerFacts(
         read_answered_id(headers, names),
         names.not_run in values_by_name,
-        (load[0], load[1], load[2]) if len(load) == 3 else None,
+        load,
         read_notice(status, headers, names.leaving, names.rate_limit),
+        load is None and names.load in values_by_name,
     )
 
 
@@ -281,6 +306,20 @@
     return [] if None in numbers else numbers
 
 
+def _read_server_load(headers: Headers, name: bytes) -> ServerLoad | None:
+    """Return the reported load; None if it is absent, malformed or contradictory."""
+    first, *rest = _read_only_value(headers, name).split(",", 3)
+    numbers = _read_numbers(",".join((first, *rest[:2])))
+    if len(numbers) != 3:
+        return None
+    if len(rest) < 3:
+        return ServerLoad(*numbers)
+    percent = rest[2].strip()
+    if not _PERCENT.fullmatch(percent) or not float(percent):
+        return None
+    return ServerLoad(*numbers, float(percent))
+
+
 def _read_shared_prefix(text: str) -> tuple[int, int, tuple[str, ...]]:
     """Return hash, token count and ids of the shared parts.
 
--- a/src/cowslipwood/entry/routing/_cost.py
+++ b/src/cowslipwood/entry/routing/_cost.py
@@ -50,6 +50,8 @@
             expected_tokens_ahead(backend, context.typical_prompt_tokens, now_ms)
             / PREFILL_TOKENS_PER_MS
         )
+    own_read_ms = context.n_tokens_to_read / PREFILL_TOKENS_PER_MS
+    cost_ms += backend.slowdown.compute_extra_ms(cost_ms + own_read_ms, now_ms)
     cost_ms += kv_cache_wait_ms(backend)
     cost_ms += LATE_STREAMS_COST_MS * backend.late_share(now_ms)
     zone_cost_ms = ZONE_COST_MS + ZONE_COST_MS_PER_KB * context.body_bytes / 1000
@@ -107,6 +109,7 @@
     ahead_ms = max(
         n_tokens / PREFILL_TOKENS_PER_MS, backend.queue_wait_ms(load, now_ms)
     )
+    ahead_ms += backend.slowdown.compute_extra_ms(ahead_ms, now_ms)
     if backend.report.n_queued >= N_QUEUED_WHEN_DOWN:
         ahead_ms = 0.0  # The server may be down; a request shows whether it is.
     return max(
--- a/src/cowslipwood/entry/routing/_policy.py
+++ b/src/cowslipwood/entry/routing/_policy.py
@@ -48,6 +48,8 @@
     typical_prompt_tokens : float
         Prompt tokens that a server is assumed to read for each queued request that
         it reports, as reports contain only the number of requests.
+    n_tokens_to_read : int
+        Prompt tokens of this request that a server is likely to have to read.
     """
 
     key: str
@@ -59,6 +61,7 @@
     n_shared_tokens: int = 0
     body_bytes: int = 0
     typical_prompt_tokens: float = TYPICAL_PROMPT_TOKENS
+    n_tokens_to_read: int = 0
 
 
 class RoutingPolicy(Protocol):
