Tell the lasting speed of servers from their momentary slowdowns

The estimate returned to 100 within a second, so that slow servers got as many long prompts as fast ones.

--- a/tests/test_server_slowdown.py
+++ b/tests/test_server_slowdown.py
@@ -108,6 +108,26 @@
             late = slowdown.compute_percent(NOW_MS + LONG_MS)
             self.assertAlmostEqual(late, 100.0, places=6)
 
+    # Some machines are slower for good. An estimate that always returns to the usual
+    # time sends them as many long prompts as the others.
+    def test_lasting_level(self):
+        """A lasting value becomes the level; momentary slowdowns do not change it."""
+        slowdown = Slowdown()
+        for number in range(20):
+            is_slow = number % 5 == 0
+            slowdown.record(300.0 if is_slow else 120.0, NOW_MS + 250.0 * number)
+        at_ms = NOW_MS + 5_000.0 + LONG_MS
+        self.assertAlmostEqual(slowdown.compute_percent(at_ms), 120.0, places=6)
+        self.assertAlmostEqual(slowdown.compute_extra_ms(1_000.0, at_ms), 200.0)
+
+    # One report during a slowdown must not stand for the whole time.
+    def test_level_needs_several_reports(self):
+        """The first reports, and many at one moment, leave the level as it was."""
+        slowdown = Slowdown()
+        for number in range(50):
+            slowdown.record(300.0, NOW_MS + number)
+        self.assertEqual(slowdown.level_percent, 100.0)
+
     def test_long_work_outlasts_the_slowdown(self):
         """Short work takes twice as long at 200 percent, long work a bounded time."""
         slowdown = self._slowdown(200.0)
