Ask for a server's start also while one software version is known

Callers got one answer with events of two software versions. An entry that knows one version did not ask servers when they started, so it took the renewed server for v1, and completed its streams at servers of v1 once they broke off.

The question is now asked over each connection that is younger than the list, whatever the entry knows of versions. So the first renewed server gets no stream that may be resumed until the list shows its start, and with it its version. By reading, that also covers an entry that started after a release, which does not know the versions of the last 65 s. Servers with a limit are still not asked.

--- a/src/cowslipwood/entry/direct/_exchange.py
+++ b/src/cowslipwood/entry/direct/_exchange.py
@@ -263,7 +263,7 @@
                 if isinstance(permit, Failure):
                     return permit
             self._progress.is_incarnation_proven = False
-            if self._may_meet_other_version(backend):
+            if self._must_prove_incarnation(backend):
                 fault = await check_incarnation(self._state, backend, conn)
                 if fault is not None:
                     return fault
@@ -279,19 +279,14 @@
                 backend.view.http_addr, conn, self._state.now_ms()
             )
 
-    def _may_meet_other_version(self, backend: Backend) -> bool:
+    def _must_prove_incarnation(self, backend: Backend) -> bool:
         """Return whether a server's start is asked for before it gets the request.
 
-        That delays a stream on a new connection by a question, so only while servers of
-        several versions serve or a stream goes on. A limit counts each question.
+        Also while one version is known: the first server that starts again with another
+        one does so before any list shows that version. A limit counts each question.
         """
-        state, request = self._state, self._request
-        if not request.route.is_resumable or state.limits.has_limit(backend.view):
-            return False
-        return (
-            self._progress.must_keep_version
-            or state.stream_versions.has_several_versions(request.service)
-        )
+        is_resumable = self._request.route.is_resumable
+        return is_resumable and not self._state.limits.has_limit(backend.view)
 
     async def _take_permit(self, backend: Backend) -> Permit | Failure:
         """Return leave to send to a server; fails with SERVER_LIMITED."""
