Let buckets of customers use what their deployment tolerates beyond a limit

The deployment measures limits over a window and states a share and a slack by which the use may exceed them. Buckets are now larger by a part of that, so that the use in any window stays within the bound, also over four changes of leader.

--- a/src/cowslipwood/keeper/_customer_limits.py
+++ b/src/cowslipwood/keeper/_customer_limits.py
@@ -17,9 +17,12 @@
 from ..kernel.metrics import Metrics
 from ..routes import Customer, RouteDocument
 from ..server_limits import (
+    FIRST_LEVEL_SHARE,
+    LARGER_BUCKET_SHARE,
     MAX_ALLOWANCE_WAIT_MS,
     MIN_BURST_MS,
     LendingBucket,
+    LimitTolerance,
     UseMeter,
 )
 
@@ -34,6 +37,7 @@
 # Difference, in units, below which amounts count as equal. Totals of amounts that were
 # split and added up again differ by rounding.
 ROUNDING = 1e-3
+NO_TOLERANCE = LimitTolerance()
 
 
 class CustomerUse(NamedTuple):
@@ -67,18 +71,26 @@
     ----------
     customer : Customer
     now_ms : float
+    tolerance : LimitTolerance
     """
 
-    def __init__(self, customer: Customer, now_ms: float):
+    def __init__(
+        self,
+        customer: Customer,
+        now_ms: float,
+        tolerance: LimitTolerance = NO_TOLERANCE,
+    ):
+        self._tolerance = tolerance
         self._bucket = LendingBucket(
-            customer.rate_per_s, _compute_capacity(customer), now_ms
+            customer.rate_per_s, self._compute_capacity(customer), now_ms
         )
+        self._bucket.put_back(FIRST_LEVEL_SHARE * self._compute_excess(customer))
         self._turns: dict[str, _Turn] = {}
         self.use = UseMeter(now_ms)
 
     def set_limit(self, customer: Customer, now_ms: float) -> None:
         """Follow a new limit; a lower one takes effect at once."""
-        capacity = _compute_capacity(customer)
+        capacity = self._compute_capacity(customer)
         self._bucket.set_limit(customer.rate_per_s, capacity, now_ms)
 
     def get_level(self, now_ms: float) -> float:
@@ -127,6 +139,14 @@
         bucket.lend(granted)
         return granted, 0.0
 
+    def _compute_capacity(self, customer: Customer) -> float:
+        """Return the size of the bucket; a customer without a burst has a small one."""
+        burst = customer.burst + LARGER_BUCKET_SHARE * self._compute_excess(customer)
+        return max(burst, customer.rate_per_s * MIN_BURST_MS / 1000)
+
+    def _compute_excess(self, customer: Customer) -> float:
+        return self._tolerance.compute_excess(customer.rate_per_s, customer.burst)
+
     def _set_turn(
         self, entry_id: str, least: float, wait_ms: float, now_ms: float
     ) -> None:
@@ -192,10 +212,13 @@
     Parameters
     ----------
     metrics : Metrics
+    tolerance : LimitTolerance
+        By default the limits are not exceeded but for what entries hold.
     """
 
-    def __init__(self, metrics: Metrics):
+    def __init__(self, metrics: Metrics, tolerance: LimitTolerance = NO_TOLERANCE):
         self._metrics = metrics
+        self._tolerance = tolerance
         self._term = -1
         self._document: RouteDocument | None = None
         self._buckets: dict[str, CustomerBucket] = {}
@@ -221,7 +244,7 @@
         }
         known = self._buckets
         self._buckets = {
-            name: known.get(name) or CustomerBucket(customer, now_ms)
+            name: known.get(name) or CustomerBucket(customer, now_ms, self._tolerance)
             for name, customer in limited.items()
         }
         for name, customer in limited.items():
@@ -347,8 +370,3 @@
 
     def _count(self, outcome: str) -> None:
         self._metrics.count("allowances_total", outcome=outcome)
-
-
-def _compute_capacity(customer: Customer) -> float:
-    """Return the size of the bucket; a customer without a burst has a small one."""
-    return max(customer.burst, customer.rate_per_s * MIN_BURST_MS / 1000)
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -70,6 +70,7 @@
     ReplicaSettings,
     StateMachine,
 )
+from ..server_limits import LimitTolerance
 from ..software_versions import ServiceVersions
 from ._claims import ClaimLimits, ClaimService
 from ._commands import VersionsCommand, encode_command
@@ -205,7 +206,12 @@
         self._closed_server_ids: set[str] = set()
         self._evidence = EvidenceRelay()
         self._limits = ServerLimitTable()
-        self._customer_limits = CustomerLimitTable(self._metrics)
+        self._customer_limits = CustomerLimitTable(
+            self._metrics,
+            LimitTolerance(
+                settings.limit_window_ms, settings.limit_overage, settings.limit_slack
+            ),
+        )
         self._streams = StreamVersionTable()
         self._operators = OperatorService(
             self._machine,
--- a/src/cowslipwood/keeper/_settings.py
+++ b/src/cowslipwood/keeper/_settings.py
@@ -87,6 +87,13 @@
         Token that operators' edits need, or @file.
     allow_no_token : bool
         Run without tokens; on loopback addresses only.
+    limit_window_ms : int
+        Window in milliseconds over which the use of customers' limits is measured; 0
+        for none.
+    limit_overage : float
+        How far the use in a window may exceed a limit, as a share of what it allows.
+    limit_slack : float
+        How far the use in a window may exceed a limit further, in requests or tokens.
     """
 
     keeper_id: str
@@ -115,6 +122,9 @@
     claims_max: int = 50_000
     claim_answer_bytes: int = 16_384
     claim_answers_bytes: int = 16_777_216
+    limit_window_ms: int = 0
+    limit_overage: float = 0.0
+    limit_slack: float = 0.0
     cluster_token: str = ""
     operator_token: str = ""
     allow_no_token: bool = False
@@ -158,4 +168,7 @@
     "claims_max": within(1, 10_000_000),
     "claim_answer_bytes": within(0, 1_048_576),
     "claim_answers_bytes": within(0, 2**32),
+    "limit_window_ms": within(0, 600_000),
+    "limit_overage": within(0, 1),
+    "limit_slack": within(0, 1e12),
 }
--- a/src/cowslipwood/server_limits/__init__.py
+++ b/src/cowslipwood/server_limits/__init__.py
@@ -9,9 +9,12 @@
     ALLOWANCE_LIFE_MS,
     ALONE_MS,
     ALONE_SHARE,
+    FIRST_LEVEL_SHARE,
+    LARGER_BUCKET_SHARE,
     MAX_ALLOWANCE_WAIT_MS,
     MIN_BURST_MS,
     PREFETCH_MS,
+    LimitTolerance,
 )
 from ._bucket import LendingBucket, TokenBucket
 from ._ledger import MIN_RATE_PER_S, LimitFact, LimitLedger, count_rate
@@ -23,6 +26,8 @@
     "ALLOWANCE_LIFE_MS",
     "ALONE_MS",
     "ALONE_SHARE",
+    "FIRST_LEVEL_SHARE",
+    "LARGER_BUCKET_SHARE",
     "MAX_ALLOWANCE_WAIT_MS",
     "MIN_BURST_MS",
     "MIN_RATE_PER_S",
@@ -32,6 +37,7 @@
     "LendingBucket",
     "LimitFact",
     "LimitLedger",
+    "LimitTolerance",
     "PermitBucket",
     "Reserve",
     "TokenBucket",
