Name the customer on exempt routes also while the proof is old

A request with a known key on a route that needs none got no customer's name while the proof was too old, and was not counted in the customer's limit. The test of exempt routes stated the old behaviour. It now checks the name at each age of the proof, and that unknown and missing keys still name nobody.

--- a/src/cowslipwood/entry/direct/_customer_keys.py
+++ b/src/cowslipwood/entry/direct/_customer_keys.py
@@ -142,13 +142,13 @@
         Returns
         -------
         Customer, None or Failure
-            None if the request needs no key and has no valid one. Fails with BAD_KEY,
+            None if the request needs no key and has no known one. Fails with BAD_KEY,
             or with KEYS_UNCERTAIN if the document may not be current. The message does
             not contain the key.
         """
         if not self._has_customers:
             return None
-        found = self._find_customer(headers, now_ms)
+        found = self._find_customer(headers, route, now_ms)
         is_exempt = isinstance(found, Failure) and route.needs_no_key
         outcome = found.code.name if isinstance(found, Failure) else Code.OK.name
         self._metrics.count(
@@ -254,7 +254,7 @@
         )
 
     def _find_customer(
-        self, headers: Sequence[tuple[bytes, bytes]], now_ms: float
+        self, headers: Sequence[tuple[bytes, bytes]], route: Route, now_ms: float
     ) -> Customer | Failure:
         keys = [
             value.strip(b" \t") for name, value in headers if name == self._names.key
@@ -266,7 +266,9 @@
         if len(keys[0]) > MAX_KEY_BYTES:
             return failure(Code.BAD_KEY, "the key is too long")
         customer = self._customers_by_digest.get(self._compute_digest(keys[0]))
-        if customer is not None and self.is_certain(now_ms):
+        # A request that runs without a key needs no proof. It still belongs to the
+        # customer, so that its server gets the name and the limit counts it.
+        if customer is not None and (route.needs_no_key or self.is_certain(now_ms)):
             return customer
         if customer is None and self._is_up_to_date(now_ms):
             return failure(Code.BAD_KEY, "the key is unknown")
