Refuse without a question only what is as large as the refused request

The size from which an entry refuses was that of the first request in the queue when the reply came, and 0 if the queue was empty. If the caller of a large request had left meanwhile, smaller requests within the limit were refused for the time that the large one would have had to wait.

--- a/src/cowslipwood/entry/direct/_customer_limits.py
+++ b/src/cowslipwood/entry/direct/_customer_limits.py
@@ -117,6 +117,8 @@
         self.share_at_ms = -math.inf
         self.n_alone = 0.0
         self.next_ask_ms = -math.inf
+        # Size of the request that the last question was asked for.
+        self.asked_for = math.inf
         # Size from which requests are refused, and until when.
         self.refused_from = math.inf
         self.refused_until_ms = -math.inf
@@ -139,7 +141,8 @@
         n_waiting = sum(waiter.n_units for waiter in self.waiters)
         is_due = now_ms >= self.next_ask_ms
         wanted = n_waiting + self.compute_expected_use(now_ms) - reserved
-        least = max(0.0, self.waiters[0].n_units - reserved) if self.waiters else 0.0
+        self.asked_for = self.waiters[0].n_units if self.waiters else math.inf
+        least = max(0.0, self.asked_for - reserved) if self.waiters else 0.0
         if not is_due or wanted <= 0:
             wanted = least = 0.0
         if not wanted and not self._has_news(held):
@@ -346,7 +349,8 @@
         account.next_ask_ms = now_ms + allowance.next_ms
         account.refused_from = math.inf
         if allowance.next_ms > MAX_ALLOWANCE_WAIT_MS and need.least > 0:
-            account.refused_from = account.waiters[0].n_units if account.waiters else 0
+            # The request may have left meanwhile.
+            account.refused_from = account.asked_for
             account.refused_until_ms = account.next_ask_ms
         self._admit_covered(account, now_ms)
         self._refuse_waiters(account, now_ms)
--- a/tests/test_customer_limits.py
+++ b/tests/test_customer_limits.py
@@ -680,6 +680,43 @@
         leaders = self._run(act)
         self.assertEqual([use.refusal for use in leaders.uses], [None])
 
+    # The refusal held for all sizes, or for that of the next request in the queue.
+    def test_refusal_of_a_large_request_that_left(self):
+        """Smaller requests ask the leader after a large one that left was refused."""
+        customer = build_customer(rate_per_s=10_000.0, burst=10_000.0)
+
+        async def ask(request: AllowanceRequest, timeout_ms: float) -> Any:
+            await anyio.sleep(0.05)
+            need = request.needs[0]
+            if need.least > 1_000.0:
+                return success(AllowanceGrant((Allowance("large", 0.0, 2_000.0, 1.0),)))
+            granted = Allowance("large", need.wanted, 0.0, 1.0)
+            return success(AllowanceGrant((granted,)))
+
+        async def main(small_after_ms: float) -> Any:
+            limits = CustomerLimits(
+                ask, LiveEntryCount(10_000.0), Metrics("entry"), virtual_ms
+            )
+
+            async def request_large() -> None:
+                # Its caller leaves while the question is under way.
+                with anyio.move_on_after(0.02):
+                    await limits.take(customer, 9_000.0, virtual_ms())
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(limits.run)
+                await anyio.sleep(1.0)
+                tasks.start_soon(request_large)
+                await anyio.sleep(small_after_ms / 1000)
+                refusal = await limits.take(customer, 500.0, virtual_ms())
+                tasks.cancel_scope.cancel()
+            return refusal
+
+        for small_after_ms in (10.0, 100.0):
+            with self.subTest(small_after_ms=small_after_ms):
+                refusal = run_virtually(lambda after=small_after_ms: main(after))
+                self.assertIsNone(refusal)
+
     # A process that was stopped for seconds went on with what it held.
     def test_reply_after_a_pause(self):
         """A grant whose reply comes after its lifetime is not used."""
