Take customers' limits at an entry from the document in force

An entry went on refusing for as long as the limit of an older document required, up to the time in which that fills a burst. A request that was admitted under an older document also brought its limit back when it ended, so that an entry without a leader used a part of the older limit.

--- a/src/cowslipwood/entry/direct/_customer_limits.py
+++ b/src/cowslipwood/entry/direct/_customer_limits.py
@@ -24,7 +24,7 @@
     AllowanceRequest,
 )
 from ...kernel.metrics import Metrics
-from ...routes import Customer, LimitUnit
+from ...routes import Customer, LimitUnit, RouteDocument
 from ...server_limits import (
     ALLOWANCE_LIFE_MS,
     ALONE_MS,
@@ -87,6 +87,10 @@
     return float(customer.plain_tokens if n_tokens is None else n_tokens)
 
 
+def _get_limit(customer: Customer) -> tuple[float, float, LimitUnit]:
+    return customer.rate_per_s, customer.burst, customer.unit
+
+
 class _Waiter:
     """A request that the reserve did not cover."""
 
@@ -123,6 +127,13 @@
         self.refused_from = math.inf
         self.refused_until_ms = -math.inf
 
+    def set_customer(self, customer: Customer) -> None:
+        """Follow a newer document; what was refused may be within another limit."""
+        if _get_limit(customer) != _get_limit(self.customer):
+            self.refused_from = math.inf
+            self.refused_until_ms = self.next_ask_ms = -math.inf
+        self.customer = customer
+
     def compute_expected_use(self, now_ms: float) -> float:
         """Return the use until after the next question; 0 for less than a request."""
         expected = self.use.compute_per_s(now_ms) * PREFETCH_MS / 1000
@@ -199,6 +210,14 @@
         self._regained_at_ms = -math.inf
         self._woken = anyio.Event()
 
+    def apply_document(self, document: RouteDocument) -> None:
+        """Follow the limits of a document that is in force now."""
+        for customer in document.customers:
+            account = self._accounts.get(customer.name)
+            if account is not None and customer.is_limited:
+                account.set_customer(customer)
+        self._woken.set()
+
     async def take(
         self, customer: Customer, n_units: float, now_ms: float
     ) -> Failure | None:
@@ -454,7 +473,6 @@
         account = self._accounts.get(customer.name)
         if account is None:
             account = self._accounts[customer.name] = _Account(customer, now_ms)
-        account.customer = customer
         return account
 
     def _record_use(self, account: _Account, n_units: float, now_ms: float) -> None:
--- a/tests/test_customer_limits.py
+++ b/tests/test_customer_limits.py
@@ -402,6 +402,45 @@
         used = [u for u in leaders.uses if u.decided_ms > 9_000 and u.refusal is None]
         self.assertGreater(sum(use.n_units for use in used), 50_000.0 * 9)
 
+    # An entry went on refusing for as long as the lower limit required.
+    def test_raised_limit(self):
+        """A request within a raised limit is not refused for the one before it."""
+        low = build_customer(rate_per_s=100.0, burst=1_000.0)
+        raised = build_customer(rate_per_s=50_000.0, burst=50_000.0)
+        leaders = Leaders(build_customers_document(low), 1)
+
+        async def send() -> None:
+            await anyio.sleep(11.0)
+            for n_units in (1_000.0, 900.0):
+                await leaders.request(leaders.entries[0], low, n_units)
+            self.assertEqual(len(list_refused(leaders.uses, "large")), 1)
+            leaders.document = build_customers_document(raised, version=2)
+            await anyio.sleep(1.0)
+            leaders.entries[0].apply_document(leaders.document)
+            await leaders.request(leaders.entries[0], raised, 900.0)
+
+        async def main() -> None:
+            await leaders.run(send)
+
+        run_virtually(main)
+        self.assertIsNone(leaders.uses[-1].refusal)
+
+    # A request admitted under an older document brought its limit back.
+    def test_request_of_an_older_document(self):
+        """An older request that ends does not bring back the limit of its time."""
+        customer = build_customer()
+        lowered = build_customer(rate_per_s=50_000.0, burst=50_000.0)
+        state = build_direct_state([])
+
+        async def main() -> Customer:
+            limits = state.customer_limits
+            limits.charge(customer, 100.0, 0.0)
+            state.apply_document(build_customers_document(lowered))
+            limits.give_back(customer, 100.0, 1.0)
+            return limits._accounts["large"].customer
+
+        self.assertEqual(anyio.run(main), lowered)
+
     # The page asks that nothing is sent where the document has no limits.
     def test_customer_without_limit(self):
         """For customers without a limit nothing is asked or counted."""
