--- a/src/cowslipwood/entry/direct/_customer_limits.py
+++ b/src/cowslipwood/entry/direct/_customer_limits.py
@@ -75,6 +75,10 @@
 # Difference, in units, below which amounts count as equal. Totals of amounts that were
 # split and added up again differ by rounding.
 ROUNDING = 1e-3
+# Time, in milliseconds, for which the account of a customer without a limit is kept. By
+# then the leader has applied the document too and forgotten what this entry had used. A
+# new account beside the leader's old one would return amounts that were used.
+ENDED_ACCOUNT_LIFE_MS = 60_000.0
 # Weight of one request in the moving average of the size of requests.
 TYPICAL_UNITS_WEIGHT = 0.1
 
@@ -121,6 +125,8 @@
         self.share_at_ms = -math.inf
         self.n_alone = 0.0
         self.next_ask_ms = -math.inf
+        # When the customer ceased to have a limit; None while it has one.
+        self.ended_at_ms: float | None = None
         # Size of the request that the last question was asked for.
         self.asked_for = math.inf
         # Size from which requests are refused, and until when.
@@ -210,12 +216,20 @@
         self._regained_at_ms = -math.inf
         self._woken = anyio.Event()
 
-    def apply_document(self, document: RouteDocument) -> None:
-        """Follow the limits of a document that is in force now."""
-        for customer in document.customers:
-            account = self._accounts.get(customer.name)
-            if account is not None and customer.is_limited:
-                account.set_customer(customer)
+    def apply_document(self, document: RouteDocument, now_ms: float) -> None:
+        """Follow the limits of a document that is in force now.
+
+        Accounts of customers that have had no limit for some time are dropped.
+        """
+        limited = {each.name: each for each in document.customers if each.is_limited}
+        for name, account in list(self._accounts.items()):
+            if name in limited:
+                account.ended_at_ms = None
+                account.set_customer(limited[name])
+            elif account.ended_at_ms is None:
+                account.ended_at_ms = now_ms
+            elif now_ms - account.ended_at_ms >= ENDED_ACCOUNT_LIFE_MS:
+                del self._accounts[name]
         self._woken.set()
 
     async def take(
@@ -354,7 +368,9 @@
         asked_at_ms: float,
         now_ms: float,
     ) -> None:
-        account = self._accounts[need.customer]
+        account = self._accounts.get(need.customer)
+        if account is None:
+            return
         account.n_lent = need.held + need.used + allowance.granted
         account.n_unpaid = max(0.0, account.n_unpaid - need.unpaid)
         account.n_alone = 0.0
--- a/src/cowslipwood/entry/direct/_state.py
+++ b/src/cowslipwood/entry/direct/_state.py
@@ -170,7 +170,7 @@
         self.document = document
         self.route_table = RouteTable(document.routes)
         self.customer_keys.apply_document(document)
-        self.customer_limits.apply_document(document)
+        self.customer_limits.apply_document(document, self.now_ms())
         self.document_applied.set()
         return True
 
--- a/tests/test_customer_limits.py
+++ b/tests/test_customer_limits.py
@@ -416,7 +416,7 @@
             self.assertEqual(len(list_refused(leaders.uses, "large")), 1)
             leaders.document = build_customers_document(raised, version=2)
             await anyio.sleep(1.0)
-            leaders.entries[0].apply_document(leaders.document)
+            leaders.entries[0].apply_document(leaders.document, virtual_ms())
             await leaders.request(leaders.entries[0], raised, 900.0)
 
         async def main() -> None:
@@ -441,6 +441,32 @@
 
         self.assertEqual(anyio.run(main), lowered)
 
+    # Entries kept an account of each customer that was ever limited.
+    def test_removed_customers(self):
+        """Accounts of removed customers are dropped after a time, others are kept."""
+        state = build_direct_state([])
+        limits = state.customer_limits
+        kept = build_customer()
+
+        def apply(version: int, now_ms: float, *customers: Customer) -> list[str]:
+            document = build_customers_document(*customers, version=version)
+            limits.apply_document(document, now_ms)
+            for customer in customers:
+                limits.charge(customer, 1.0, now_ms)
+            return sorted(limits._accounts)
+
+        for version in range(1, 20):
+            customer = build_customer(name=f"c{version}")
+            names = apply(version, 30_000.0 * version, kept, customer)
+            self.assertLessEqual(len(names), 4)
+            self.assertEqual(limits._accounts["large"].n_used, version)
+        # One that has a limit again within the time keeps its account.
+        for version, now_ms in ((20, 700_000.0), (21, 750_000.0), (22, 800_000.0)):
+            names = apply(version, now_ms, *([kept] if version == 21 else []))
+        self.assertIn("large", names)
+        self.assertEqual(limits._accounts["large"].n_used, 20.0)
+        self.assertEqual(apply(23, 900_000.0), [])
+
     # The page asks that nothing is sent where the document has no limits.
     def test_customer_without_limit(self):
         """For customers without a limit nothing is asked or counted."""
