--- a/src/cowslipwood/kernel/metrics.py
+++ b/src/cowslipwood/kernel/metrics.py
@@ -23,6 +23,9 @@
     15_000.0,
 )
 
+# Characters that end a label's value or line in the text format.
+_ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
+
 
 class Metrics:
     """Counters, gauges and histograms of one daemon, in a registry of their own.
@@ -51,16 +54,16 @@
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to the counter `name`."""
-        self._get_or_create(Counter, name).add(labels, amount)
+        self._get_or_create(Counter, name).add(_escape_values(labels), amount)
 
     def gauge(self, name: str, value: float, **labels: str) -> None:
         """Set the gauge `name`."""
-        self._get_or_create(Gauge, name).set(labels, value)
+        self._get_or_create(Gauge, name).set(_escape_values(labels), value)
 
     def observe(self, name: str, value_ms: float, **labels: str) -> None:
         """Add a time in milliseconds to the histogram `name`."""
         self._get_or_create(Histogram, name, buckets=LATENCY_BUCKETS_MS).observe(
-            labels, value_ms
+            _escape_values(labels), value_ms
         )
 
     def value(self, name: str, **labels: str) -> float:
@@ -68,6 +71,7 @@
         metric = self._metrics_by_name.get(name)
         if metric is None:
             return 0
+        labels = _escape_values(labels)
         return metric.values.get(labels) if labels in metric.values else 0
 
     def render_text(self) -> tuple[bytes, dict[str, str]]:
@@ -87,3 +91,8 @@
             )
             self._metrics_by_name[name] = metric
         return metric
+
+
+def _escape_values(labels: dict[str, str]) -> dict[str, str]:
+    """Return labels as the text format requires, which the library does not do."""
+    return {name: str(value).translate(_ESCAPES) for name, value in labels.items()}
--- a/tests/test_customer_limits.py
+++ b/tests/test_customer_limits.py
@@ -634,6 +634,23 @@
         self.assertEqual(self._get_level(1_000.0), 100.0)
 
 
+class MetricsTest(unittest.TestCase):
+    """What operators read about customers."""
+
+    # One name with a quotation mark made the whole page of metrics unreadable.
+    def test_names_with_quotation_marks(self):
+        """Names of customers are escaped in metrics."""
+        customer = build_customer(name='a"b\\c', rate_per_s=10.0, burst=10.0)
+        metrics = Metrics("keeper")
+        table = CustomerLimitTable(metrics)
+        table.follow(build_customers_document(customer), 1, 0.0)
+        table.set_gauges(1_000.0)
+        text = metrics.render_text()[0].decode()
+        self.assertIn(r'customer_bucket_level{customer="a\"b\\c"} 10.0', text)
+        level = metrics.value("customer_bucket_level", customer=customer.name)
+        self.assertEqual(level, 10.0)
+
+
 class EntryTest(unittest.TestCase):
     """Reserves of one entry."""
 
