--- a/src/cowslipwood/keeper/_customer_limits.py
+++ b/src/cowslipwood/keeper/_customer_limits.py
@@ -5,6 +5,7 @@
 entries what they hold and use.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from ..kernel.logs import get_logger
@@ -200,6 +201,8 @@
         self._document: RouteDocument | None = None
         self._buckets: dict[str, CustomerBucket] = {}
         self._entries: dict[str, _Entry] = {}
+        # Customers with gauges.
+        self._published: set[str] = set()
 
     def follow(self, document: RouteDocument | None, term: int, now_ms: float) -> None:
         """Apply a document, and begin anew in another term.
@@ -277,12 +280,24 @@
         return uses
 
     def set_gauges(self, now_ms: float) -> None:
-        """Publish use and level of each bucket."""
+        """Publish use and level of each bucket, and of no other customer."""
+        self._remove_gauges(self._published - self._buckets.keys())
         for name, bucket in self._buckets.items():
             level = bucket.get_level(now_ms)
             use_per_s = bucket.use.compute_per_s(now_ms)
             self._metrics.gauge("customer_bucket_level", level, customer=name)
             self._metrics.gauge("customer_use_per_s", use_per_s, customer=name)
+        self._published = set(self._buckets)
+
+    def remove_gauges(self) -> None:
+        """Publish nothing, as another keeper may be the leader."""
+        self._remove_gauges(self._published)
+        self._published = set()
+
+    def _remove_gauges(self, names: Iterable[str]) -> None:
+        for name in names:
+            self._metrics.remove("customer_bucket_level", customer=name)
+            self._metrics.remove("customer_use_per_s", customer=name)
 
     def _answer_need(
         self,
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -417,6 +417,7 @@
             self._replica.set_gauges(now_ms)
             self._metrics.gauge("revision", self._machine.catalogue.revision)
             if not self._replica.can_act_as_leader(now_ms):
+                self._customer_limits.remove_gauges()
                 has_lost_leadership = was_leader and not self._replica.is_leader
                 stale_subscribers = (
                     list(self._subscribers) if has_lost_leadership else []
--- a/src/cowslipwood/kernel/metrics.py
+++ b/src/cowslipwood/kernel/metrics.py
@@ -60,6 +60,12 @@
         """Set the gauge `name`."""
         self._get_or_create(Gauge, name).set(_escape_values(labels), value)
 
+    def remove(self, name: str, **labels: str) -> None:
+        """Remove the value with these labels of the metric `name`, if there is one."""
+        metric = self._metrics_by_name.get(name)
+        if metric is not None:
+            metric.values.pop(_escape_values(labels), None)
+
     def observe(self, name: str, value_ms: float, **labels: str) -> None:
         """Add a time in milliseconds to the histogram `name`."""
         self._get_or_create(Histogram, name, buckets=LATENCY_BUCKETS_MS).observe(
--- a/tests/test_customer_limits.py
+++ b/tests/test_customer_limits.py
@@ -637,6 +637,36 @@
 class MetricsTest(unittest.TestCase):
     """What operators read about customers."""
 
+    # The last values of removed customers, and of former leaders, stayed for good.
+    def test_removed_gauges(self):
+        """Gauges are those of the customers in force, and of the leader only."""
+        gauges = ("customer_bucket_level", "customer_use_per_s")
+        customers = [
+            build_customer(name=name, rate_per_s=10.0, burst=10.0) for name in "ab"
+        ]
+        metrics = Metrics("keeper")
+        table = CustomerLimitTable(metrics)
+
+        def list_shown() -> list[str]:
+            text = metrics.render_text()[0].decode()
+            return [
+                name
+                for name in "ab"
+                if all(f'{gauge}{{customer="{name}"}}' in text for gauge in gauges)
+            ]
+
+        table.follow(build_customers_document(*customers), 1, 0.0)
+        table.set_gauges(1.0)
+        self.assertEqual(list_shown(), ["a", "b"])
+        table.follow(build_customers_document(customers[1], version=2), 1, 2.0)
+        table.set_gauges(3.0)
+        self.assertEqual(list_shown(), ["b"])
+        table.remove_gauges()
+        self.assertEqual(list_shown(), [])
+        self.assertNotIn("customer=", metrics.render_text()[0].decode())
+        table.set_gauges(4.0)
+        self.assertEqual(list_shown(), ["b"])
+
     # One name with a quotation mark made the whole page of metrics unreadable.
     def test_names_with_quotation_marks(self):
         """Names of customers are escaped in metrics."""
