Refuse no run of a request for the limit after one that may have run

If a server stated that a retry did not run, a further retry more than a grant's lifetime later had to be admitted anew. Over the limit, a stream that had begun was aborted with 429.

--- a/src/cowslipwood/entry/direct/_customer_limits.py
+++ b/src/cowslipwood/entry/direct/_customer_limits.py
@@ -553,15 +553,15 @@
         """
         self._take_back(n_possibly_run)
         now_ms = self._now_ms()
+        if self._is_pending and now_ms - self._taken_ms >= ALLOWANCE_LIFE_MS:
+            self._give_back()
+            refusal = None if n_possibly_run else await self.take()
+            if refusal is not None:
+                return refusal
         if not self._is_pending:
             self._limits.charge(self._customer, self._n_units, now_ms)
             self._n_sent += 1
             return None
-        if now_ms - self._taken_ms >= ALLOWANCE_LIFE_MS:
-            self._give_back()
-            refusal = await self.take()
-            if refusal is not None:
-                return refusal
         self._is_pending = False
         self._n_sent += 1
         self._limits.record_sent(self._customer, self._n_units, now_ms)
--- a/tests/test_customer_limits.py
+++ b/tests/test_customer_limits.py
@@ -778,6 +778,31 @@
 
         self._run(act)
 
+    # A stream that had begun was aborted for the limit when its second resume came.
+    def test_late_retry_of_a_request_that_may_have_run(self):
+        """A run after one that may have run is not refused, however late it is."""
+
+        async def act(leaders: Leaders, customer: Customer) -> None:
+            entry = leaders.entries[0]
+            allowance = RequestAllowance(entry, customer, 1_000.0, virtual_ms)
+            self.assertIsNone(await allowance.take())
+            self.assertIsNone(await allowance.renew(0))
+            self.assertIsNone(await allowance.renew(1))
+            # The server of the second attempt states that it did not run.
+            await anyio.sleep(1.0)
+            await leaders.request(entry, customer, 30_000.0)
+            self.assertIsNone(leaders.uses[0].refusal)
+            self.assertIsNone(await allowance.renew(1))
+            account = entry._accounts["large"]
+            self.assertEqual(account.n_used, 32_000.0)
+            allowance.settle(2)
+            await anyio.sleep(5.0)
+            table_level = leaders.table.list_uses(virtual_ms())[0].level
+            self.assertEqual(table_level, 10_000.0)
+            self.assertEqual(account.n_pending, 0.0)
+
+        self._run(act)
+
     # A caller that left while its request waited took its part with it.
     def test_caller_that_leaves(self):
         """A request that is cancelled while it waits uses nothing."""
