--- a/src/cowslipwood/entry/direct/_customer_limits.py
+++ b/src/cowslipwood/entry/direct/_customer_limits.py
@@ -24,7 +24,7 @@
     AllowanceRequest,
 )
 from ...kernel.metrics import Metrics
-from ...routes import Customer, LimitUnit
+from ...routes import Customer, LimitUnit, RouteDocument
 from ...server_limits import (
     ALLOWANCE_LIFE_MS,
     ALONE_MS,
@@ -75,6 +75,10 @@
 # Difference, in units, below which amounts count as equal. Totals of amounts that were
 # split and added up again differ by rounding.
 ROUNDING = 1e-3
+# Time, in milliseconds, for which the account of a customer without a limit is kept. By
+# then the leader has applied the document too and forgotten what this entry had used. A
+# new account beside the leader's old one would return amounts that were used.
+ENDED_ACCOUNT_LIFE_MS = 60_000.0
 # Weight of one request in the moving average of the size of requests.
 TYPICAL_UNITS_WEIGHT = 0.1
 
@@ -87,6 +91,10 @@
     return float(customer.plain_tokens if n_tokens is None else n_tokens)
 
 
+def _get_limit(customer: Customer) -> tuple[float, float, LimitUnit]:
+    return customer.rate_per_s, customer.burst, customer.unit
+
+
 class _Waiter:
     """A request that the reserve did not cover."""
 
@@ -117,10 +125,21 @@
         self.share_at_ms = -math.inf
         self.n_alone = 0.0
         self.next_ask_ms = -math.inf
+        # When the customer ceased to have a limit; None while it has one.
+        self.ended_at_ms: float | None = None
+        # Size of the request that the last question was asked for.
+        self.asked_for = math.inf
         # Size from which requests are refused, and until when.
         self.refused_from = math.inf
         self.refused_until_ms = -math.inf
 
+    def set_customer(self, customer: Customer) -> None:
+        """Follow a newer document; what was refused may be within another limit."""
+        if _get_limit(customer) != _get_limit(self.customer):
+            self.refused_from = math.inf
+            self.refused_until_ms = self.next_ask_ms = -math.inf
+        self.customer = customer
+
     def compute_expected_use(self, now_ms: float) -> float:
         """Return the use until after the next question; 0 for less than a request."""
         expected = self.use.compute_per_s(now_ms) * PREFETCH_MS / 1000
@@ -139,7 +158,8 @@
         n_waiting = sum(waiter.n_units for waiter in self.waiters)
         is_due = now_ms >= self.next_ask_ms
         wanted = n_waiting + self.compute_expected_use(now_ms) - reserved
-        least = max(0.0, self.waiters[0].n_units - reserved) if self.waiters else 0.0
+        self.asked_for = self.waiters[0].n_units if self.waiters else math.inf
+        least = max(0.0, self.asked_for - reserved) if self.waiters else 0.0
         if not is_due or wanted <= 0:
             wanted = least = 0.0
         if not wanted and not self._has_news(held):
@@ -196,6 +216,22 @@
         self._regained_at_ms = -math.inf
         self._woken = anyio.Event()
 
+    def apply_document(self, document: RouteDocument, now_ms: float) -> None:
+        """Follow the limits of a document that is in force now.
+
+        Accounts of customers that have had no limit for some time are dropped.
+        """
+        limited = {each.name: each for each in document.customers if each.is_limited}
+        for name, account in list(self._accounts.items()):
+            if name in limited:
+                account.ended_at_ms = None
+                account.set_customer(limited[name])
+            elif account.ended_at_ms is None:
+                account.ended_at_ms = now_ms
+            elif now_ms - account.ended_at_ms >= ENDED_ACCOUNT_LIFE_MS:
+                del self._accounts[name]
+        self._woken.set()
+
     async def take(
         self, customer: Customer, n_units: float, now_ms: float
     ) -> Failure | None:
@@ -332,7 +368,9 @@
         asked_at_ms: float,
         now_ms: float,
     ) -> None:
-        account = self._accounts[need.customer]
+        account = self._accounts.get(need.customer)
+        if account is None:
+            return
         account.n_lent = need.held + need.used + allowance.granted
         account.n_unpaid = max(0.0, account.n_unpaid - need.unpaid)
         account.n_alone = 0.0
@@ -346,7 +384,8 @@
         account.next_ask_ms = now_ms + allowance.next_ms
         account.refused_from = math.inf
         if allowance.next_ms > MAX_ALLOWANCE_WAIT_MS and need.least > 0:
-            account.refused_from = account.waiters[0].n_units if account.waiters else 0
+            # The request may have left meanwhile.
+            account.refused_from = account.asked_for
             account.refused_until_ms = account.next_ask_ms
         self._admit_covered(account, now_ms)
         self._refuse_waiters(account, now_ms)
@@ -450,7 +489,6 @@
         account = self._accounts.get(customer.name)
         if account is None:
             account = self._accounts[customer.name] = _Account(customer, now_ms)
-        account.customer = customer
         return account
 
     def _record_use(self, account: _Account, n_units: float, now_ms: float) -> None:
@@ -515,15 +553,15 @@
         """
         self._take_back(n_possibly_run)
         now_ms = self._now_ms()
+        if self._is_pending and now_ms - self._taken_ms >= ALLOWANCE_LIFE_MS:
+            self._give_back()
+            refusal = None if n_possibly_run else await self.take()
+            if refusal is not None:
+                return refusal
         if not self._is_pending:
             self._limits.charge(self._customer, self._n_units, now_ms)
             self._n_sent += 1
             return None
-        if now_ms - self._taken_ms >= ALLOWANCE_LIFE_MS:
-            self._give_back()
-            refusal = await self.take()
-            if refusal is not None:
-                return refusal
         self._is_pending = False
         self._n_sent += 1
         self._limits.record_sent(self._customer, self._n_units, now_ms)
--- a/tests/test_customer_limits.py
+++ b/tests/test_customer_limits.py
@@ -424,6 +424,71 @@
         used = [u for u in leaders.uses if u.decided_ms > 9_000 and u.refusal is None]
         self.assertGreater(sum(use.n_units for use in used), 50_000.0 * 9)
 
+    # An entry went on refusing for as long as the lower limit required.
+    def test_raised_limit(self):
+        """A request within a raised limit is not refused for the one before it."""
+        low = build_customer(rate_per_s=100.0, burst=1_000.0)
+        raised = build_customer(rate_per_s=50_000.0, burst=50_000.0)
+        leaders = Leaders(build_customers_document(low), 1)
+
+        async def send() -> None:
+            await anyio.sleep(11.0)
+            for n_units in (1_000.0, 900.0):
+                await leaders.request(leaders.entries[0], low, n_units)
+            self.assertEqual(len(list_refused(leaders.uses, "large")), 1)
+            leaders.document = build_customers_document(raised, version=2)
+            await anyio.sleep(1.0)
+            leaders.entries[0].apply_document(leaders.document, virtual_ms())
+            await leaders.request(leaders.entries[0], raised, 900.0)
+
+        async def main() -> None:
+            await leaders.run(send)
+
+        run_virtually(main)
+        self.assertIsNone(leaders.uses[-1].refusal)
+
+    # A request admitted under an older document brought its limit back.
+    def test_request_of_an_older_document(self):
+        """An older request that ends does not bring back the limit of its time."""
+        customer = build_customer()
+        lowered = build_customer(rate_per_s=50_000.0, burst=50_000.0)
+        state = build_direct_state([])
+
+        async def main() -> Customer:
+            limits = state.customer_limits
+            limits.charge(customer, 100.0, 0.0)
+            state.apply_document(build_customers_document(lowered))
+            limits.give_back(customer, 100.0, 1.0)
+            return limits._accounts["large"].customer
+
+        self.assertEqual(anyio.run(main), lowered)
+
+    # Entries kept an account of each customer that was ever limited.
+    def test_removed_customers(self):
+        """Accounts of removed customers are dropped after a time, others are kept."""
+        state = build_direct_state([])
+        limits = state.customer_limits
+        kept = build_customer()
+
+        def apply(version: int, now_ms: float, *customers: Customer) -> list[str]:
+            document = build_customers_document(*customers, version=version)
+            limits.apply_document(document, now_ms)
+            for customer in customers:
+                limits.charge(customer, 1.0, now_ms)
+            return sorted(limits._accounts)
+
+        for version in range(1, 20):
+            customer = build_customer(name=f"c{version}")
+            names = apply(version, 30_000.0 * version, kept, customer)
+            self.assertLessEqual(len(names), 4)
+            self.assertEqual(limits._accounts["large"].n_used, version)
+        # One that has a limit again within the time keeps its account.
+        for version, now_ms in ((20, 700_000.0), (21, 750_000.0), (22, 800_000.0)):
+            names = apply(version, now_ms, *([kept] if version == 21 else []))
+        self.assertIn("large", names)
+        self.assertEqual(limits._accounts["large"].n_used, 20.0)
+        self.assertEqual(apply(23, 900_000.0), [])
+
     # The page asks that nothing is sent where the document has no limits.
     def test_customer_without_limit(self):
         """For customers without a limit nothing is asked or counted."""
@@ -591,6 +656,53 @@
         self.assertEqual(self._get_level(1_000.0), 100.0)
 
 
+class MetricsTest(unittest.TestCase):
+    """What operators read about customers."""
+
+    # The last values of removed customers, and of former leaders, stayed for good.
+    def test_removed_gauges(self):
+        """Gauges are those of the customers in force, and of the leader only."""
+        gauges = ("customer_bucket_level", "customer_use_per_s")
+        customers = [
+            build_customer(name=name, rate_per_s=10.0, burst=10.0) for name in "ab"
+        ]
+        metrics = Metrics("keeper")
+        table = CustomerLimitTable(metrics)
+
+        def list_shown() -> list[str]:
+            text = metrics.render_text()[0].decode()
+            return [
+                name
+                for name in "ab"
+                if all(f'{gauge}{{customer="{name}"}}' in text for gauge in gauges)
+            ]
+
+        table.follow(build_customers_document(*customers), 1, 0.0)
+        table.set_gauges(1.0)
+        self.assertEqual(list_shown(), ["a", "b"])
+        table.follow(build_customers_document(customers[1], version=2), 1, 2.0)
+        table.set_gauges(3.0)
+        self.assertEqual(list_shown(), ["b"])
+        table.remove_gauges()
+        self.assertEqual(list_shown(), [])
+        self.assertNotIn("customer=", metrics.render_text()[0].decode())
+        table.set_gauges(4.0)
+        self.assertEqual(list_shown(), ["b"])
+
+    # One name with a quotation mark made the whole page of metrics unreadable.
+    def test_names_with_quotation_marks(self):
+        """Names of customers are escaped in metrics."""
+        customer = build_customer(name='a"b\\c', rate_per_s=10.0, burst=10.0)
+        metrics = Metrics("keeper")
+        table = CustomerLimitTable(metrics)
+        table.follow(build_customers_document(customer), 1, 0.0)
+        table.set_gauges(1_000.0)
+        text = metrics.render_text()[0].decode()
+        self.assertIn(r'customer_bucket_level{customer="a\"b\\c"} 10.0', text)
+        level = metrics.value("customer_bucket_level", customer=customer.name)
+        self.assertEqual(level, 10.0)
+
+
 class EntryTest(unittest.TestCase):
     """Reserves of one entry."""
 
@@ -692,6 +804,31 @@
 
         self._run(act)
 
+    # A stream that had begun was aborted for the limit when its second resume came.
+    def test_late_retry_of_a_request_that_may_have_run(self):
+        """A run after one that may have run is not refused, however late it is."""
+
+        async def act(leaders: Leaders, customer: Customer) -> None:
+            entry = leaders.entries[0]
+            allowance = RequestAllowance(entry, customer, 1_000.0, virtual_ms)
+            self.assertIsNone(await allowance.take())
+            self.assertIsNone(await allowance.renew(0))
+            self.assertIsNone(await allowance.renew(1))
+            # The server of the second attempt states that it did not run.
+            await anyio.sleep(1.0)
+            await leaders.request(entry, customer, 30_000.0)
+            self.assertIsNone(leaders.uses[0].refusal)
+            self.assertIsNone(await allowance.renew(1))
+            account = entry._accounts["large"]
+            self.assertEqual(account.n_used, 32_000.0)
+            allowance.settle(2)
+            await anyio.sleep(5.0)
+            table_level = leaders.table.list_uses(virtual_ms())[0].level
+            self.assertEqual(table_level, 10_000.0)
+            self.assertEqual(account.n_pending, 0.0)
+
+        self._run(act)
+
     # A caller that left while its request waited took its part with it.
     def test_caller_that_leaves(self):
         """A request that is cancelled while it waits uses nothing."""
@@ -706,6 +843,43 @@
         leaders = self._run(act)
         self.assertEqual([use.refusal for use in leaders.uses], [None])
 
+    # The refusal held for all sizes, or for that of the next request in the queue.
+    def test_refusal_of_a_large_request_that_left(self):
+        """Smaller requests ask the leader after a large one that left was refused."""
+        customer = build_customer(rate_per_s=10_000.0, burst=10_000.0)
+
+        async def ask(request: AllowanceRequest, timeout_ms: float) -> Any:
+            await anyio.sleep(0.05)
+            need = request.needs[0]
+            if need.least > 1_000.0:
+                return success(AllowanceGrant((Allowance("large", 0.0, 2_000.0, 1.0),)))
+            granted = Allowance("large", need.wanted, 0.0, 1.0)
+            return success(AllowanceGrant((granted,)))
+
+        async def main(small_after_ms: float) -> Any:
+            limits = CustomerLimits(
+                ask, LiveEntryCount(10_000.0), Metrics("entry"), virtual_ms
+            )
+
+            async def request_large() -> None:
+                # Its caller leaves while the question is under way.
+                with anyio.move_on_after(0.02):
+                    await limits.take(customer, 9_000.0, virtual_ms())
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(limits.run)
+                await anyio.sleep(1.0)
+                tasks.start_soon(request_large)
+                await anyio.sleep(small_after_ms / 1000)
+                refusal = await limits.take(customer, 500.0, virtual_ms())
+                tasks.cancel_scope.cancel()
+            return refusal
+
+        for small_after_ms in (10.0, 100.0):
+            with self.subTest(small_after_ms=small_after_ms):
+                refusal = run_virtually(lambda after=small_after_ms: main(after))
+                self.assertIsNone(refusal)
+
     # A process that was stopped for seconds went on with what it held.
     def test_reply_after_a_pause(self):
         """A grant whose reply comes after its lifetime is not used."""
