--- a/tests/test_customer_limits.py
+++ b/tests/test_customer_limits.py
@@ -429,7 +429,7 @@
         """A request within a raised limit is not refused for the one before it."""
         low = build_customer(rate_per_s=100.0, burst=1_000.0)
         raised = build_customer(rate_per_s=50_000.0, burst=50_000.0)
-        leaders = Leaders(build_customers_document(low), 1)
+        leaders = Leaders(build_customers_document(low), 1, tolerance=LimitTolerance())
 
         async def send() -> None:
             await anyio.sleep(11.0)
