--- a/src/cowslipwood/kernel/bounded_protocol.py
+++ b/src/cowslipwood/kernel/bounded_protocol.py
@@ -273,6 +273,9 @@
             data, self._ahead = self._ahead, b""
             self.flow.resume_reading()
             self.data_received(data)
+        elif not self._has_open_cycle() and not self.transport.is_closing():
+            # Only a part of the next head has arrived, so that no application reads on.
+            self.flow.resume_reading()
 
     def _feed(self, data: bytes) -> None:
         super().data_received(data)
--- a/tests/test_bounded_protocol.py
+++ b/tests/test_bounded_protocol.py
@@ -135,6 +135,20 @@
 
             self.assertEqual(await anyio.to_thread.run_sync(exchange), bodies)
 
+    async def test_start_of_next_head(self):
+        """Guards against a hang after a request and a part of the next one's head."""
+        async with run_port() as port:
+            with port.connect() as sock:
+                following = encode("/", b"b")
+                sock.sendall(encode("/", b"a") + following[:9])
+                self.assertEqual(
+                    await anyio.to_thread.run_sync(read_response, sock), b"a"
+                )
+                sock.sendall(following[9:])
+                self.assertEqual(
+                    await anyio.to_thread.run_sync(read_response, sock), b"b"
+                )
+
     async def test_unread(self):
         """Guards against further requests being served while a response is unread."""
         async with run_port() as port:
