Count a client's stall only from when it is awaited

The time for which a request had waited for its server, or a connection was idle, counted as the client's.

The timeout is a module constant that the tests lower.

--- a/src/cowslipwood/kernel/bounded_protocol.py
+++ b/src/cowslipwood/kernel/bounded_protocol.py
@@ -336,6 +336,9 @@
         # A client that sends the next request early has to wait; it is closed before
         # those that wait for their response.
         is_client_awaited = bool(is_receiving or n_unread_bytes or n_ahead_bytes)
+        if is_client_awaited and not self._held.is_client_awaited:
+            # The time for which the client was idle, or waited, is no stall.
+            self._held.record_progress(now_ms)
         n_bytes = self._n_request_bytes + n_ahead_bytes + n_unread_bytes
         self.budget.update(self._held, n_bytes, is_client_awaited)
 
--- a/tests/test_bounded_protocol.py
+++ b/tests/test_bounded_protocol.py
@@ -6,10 +6,12 @@
 import unittest
 from collections.abc import AsyncIterator
 from typing import Any
+from unittest import mock
 
 import anyio
 from returns.result import Failure as Err
 
+from cowslipwood.kernel import bounded_protocol
 from cowslipwood.kernel.bounded_protocol import (
     ConnectionBounds,
     make_bounded_protocol,
@@ -279,6 +281,37 @@
                 self.assertGreaterEqual(n_read, LARGE_BYTES)
 
 
+class StallTest(unittest.IsolatedAsyncioTestCase):
+    """Clients that wait for their server, or read as fast as it sends."""
+
+    async def test_late_response(self):
+        """Guards against counting the wait for a server as a stall of the client."""
+        with mock.patch.object(bounded_protocol, "STALL_MS", 1_500.0):
+            async with run_port() as port:
+                with port.connect() as sock:
+                    sock.sendall(encode("/held", b"x" * 3_000_000))
+                    await anyio.sleep(2.5)
+                    port.app.released.set()
+                    await anyio.sleep(0.6)
+                    body = await anyio.to_thread.run_sync(read_response, sock)
+                    self.assertEqual(len(body), 3_000_000)
+
+    async def test_upload_after_idle_time(self):
+        """Guards against closing a new upload for the time before it began."""
+        with mock.patch.object(bounded_protocol, "STALL_MS", 1_500.0):
+            async with run_port() as port:
+                with port.connect() as sock:
+                    data = encode("/", b"x" * 100)
+                    sock.sendall(data)
+                    await anyio.to_thread.run_sync(read_response, sock)
+                    await anyio.sleep(2)
+                    sock.sendall(data[:-1])
+                    await anyio.sleep(0.6)
+                    sock.sendall(data[-1:])
+                    body = await anyio.to_thread.run_sync(read_response, sock)
+                    self.assertEqual(len(body), 100)
+
+
 class ConnectionLimitTest(unittest.IsolatedAsyncioTestCase):
     """A port with few connections."""
 
