Count what a client has read also where as much was written since

Reading was taken from the fall of the unread bytes between two checks. A stream with a few bytes always on their way, or a buffer that is always full again, showed none, so that its client could be cut as stalled or as one that reads nothing.

--- a/src/cowslipwood/kernel/bounded_protocol.py
+++ b/src/cowslipwood/kernel/bounded_protocol.py
@@ -96,6 +96,26 @@
         sock.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
 
 
+class _CountedTransport:
+    """A transport that counts what is written to it.
+
+    Attributes
+    ----------
+    n_written_bytes : int
+    """
+
+    def __init__(self, transport: asyncio.Transport):
+        self._transport = transport
+        self.n_written_bytes = 0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._transport, name)
+
+    def write(self, data: bytes) -> None:
+        self.n_written_bytes += len(data)
+        self._transport.write(data)
+
+
 class _Flow(FlowControl):
     """Reads nothing while bytes of the next request are held."""
 
@@ -138,6 +158,8 @@
         self._ahead = b""
         self._completes_later = False
         self._n_unread_bytes = 0
+        # Bytes of responses that the client has read, as last determined.
+        self._n_read_bytes = 0
         self._read_at_ms = monotonic_ms()
         self._is_refused = False
         self._watched_cycle: Any = None
@@ -146,7 +168,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept a connection, in place of a stalled one if there are too many."""
-        super().connection_made(transport)
+        super().connection_made(_CountedTransport(transport))
         self.flow = _Flow(transport, self)
         self.active.add(self)
         if len(self.connections) > self.bounds.max_connections:
@@ -326,11 +348,17 @@
             if self.flow.read_paused:
                 n_queued_bytes = _read_count(sock, termios.FIONREAD)
         now_ms = monotonic_ms()
-        n_read_bytes = self._n_unread_bytes - n_unread_bytes
+        # More may have been written than was read since the last time.
+        n_all_read_bytes = self.transport.n_written_bytes - n_unread_bytes
+        n_read_bytes = n_all_read_bytes - self._n_read_bytes
         if n_read_bytes > 0 or not n_unread_bytes or not self._n_unread_bytes:
             self._read_at_ms = now_ms
             self._held.record_moved(max(0, n_read_bytes), now_ms)
+        if self._n_unread_bytes and n_read_bytes >= self._n_unread_bytes:
+            # The client has read all that waited for it, however little.
+            self._held.record_progress(now_ms)
         self._n_unread_bytes = n_unread_bytes
+        self._n_read_bytes = n_all_read_bytes
         n_ahead_bytes = len(self._ahead) + n_queued_bytes
         is_receiving = self._is_receiving()
         # A client that sends the next request early has to wait; it is closed before
--- a/tests/test_bounded_protocol.py
+++ b/tests/test_bounded_protocol.py
@@ -1,5 +1,6 @@
 """Bounds on what is held for one HTTP connection, and the order of its requests."""
 
+import asyncio
 import contextlib
 import socket
 import time
@@ -9,7 +10,9 @@
 from unittest import mock
 
 import anyio
+import uvicorn
 from returns.result import Failure as Err
+from uvicorn.server import ServerState
 
 from cowslipwood.kernel import bounded_protocol
 from cowslipwood.kernel.bounded_protocol import (
@@ -312,6 +315,81 @@
                     self.assertEqual(len(body), 100)
 
 
+class _UnreadTransport(asyncio.Transport):
+    """A transport whose buffer the test empties."""
+
+    def __init__(self):
+        super().__init__()
+        self.n_unread = 0
+        self.is_aborted = False
+
+    def write(self, data: bytes) -> None:
+        self.n_unread += len(data)
+
+    def get_write_buffer_size(self) -> int:
+        return self.n_unread
+
+    def is_closing(self) -> bool:
+        return self.is_aborted
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+
+class ReadBytesTest(unittest.IsolatedAsyncioTestCase):
+    """What a client has read while more was written."""
+
+    async def asyncSetUp(self):
+        self.now_ms = 0.0
+        clock = mock.patch.object(bounded_protocol, "monotonic_ms", lambda: self.now_ms)
+        clock.start()
+        self.addCleanup(clock.stop)
+        bounds = ConnectionBounds(unread_ms=2_000.0)
+        port_protocol = make_bounded_protocol(ByteBudget(1_000_000), bounds)
+        self.is_over = asyncio.Event()
+
+        async def wait(_scope: dict, _receive: Any, _send: Any) -> None:
+            await self.is_over.wait()
+
+        config = uvicorn.Config(wait, log_config=None)
+        self.protocol = port_protocol(config, ServerState(), {})
+        self.transport = _UnreadTransport()
+        self.protocol.connection_made(self.transport)
+        self.protocol.data_received(encode("/"))
+
+    async def asyncTearDown(self):
+        self.protocol.cycle.disconnected = True
+        self.is_over.set()
+        await asyncio.sleep(0.01)
+
+    def exchange(self, n_bytes: int, until_ms: float) -> None:
+        """Have the client read what waits, while as much is written anew."""
+        while self.now_ms < until_ms:
+            self.transport.n_unread = 0
+            self.protocol.transport.write(b"z" * n_bytes)
+            self.now_ms += 200.0
+            self.protocol.sweep(self.now_ms)
+
+    async def test_stream(self):
+        """Guards against cutting a stream of which some bytes are always on the way."""
+        self.exchange(50, 120_000.0)
+        self.assertFalse(self.transport.is_aborted)
+
+    async def test_full_buffer(self):
+        """Guards against cutting a client that reads as fast as its server sends."""
+        self.protocol.pause_writing()
+        self.exchange(100_000, 10_000.0)
+        self.assertFalse(self.transport.is_aborted)
+
+    async def test_unread(self):
+        """Guards against taking what is written for what is read."""
+        for _ in range(170):
+            self.protocol.transport.write(b"z" * 50)
+            self.now_ms += 200.0
+            self.protocol.sweep(self.now_ms)
+        self.assertTrue(self.transport.is_aborted)
+
+
 class ConnectionLimitTest(unittest.IsolatedAsyncioTestCase):
     """A port with few connections."""
 
