Search the connections for room at most every 50 ms

While the budget was full and no connection could be closed, each received piece of a request searched all connections.

--- a/src/cowslipwood/kernel/byte_budget.py
+++ b/src/cowslipwood/kernel/byte_budget.py
@@ -4,6 +4,7 @@
 connections that hold most for longest without progress are closed.
 """
 
+import math
 from collections.abc import Callable
 
 from .logs import get_logger
@@ -28,6 +29,10 @@
 # Time, in milliseconds, without progress before which a connection is closed only when
 # the budget is exceeded by that factor. Pieces of an ordinary upload follow sooner.
 MIN_STALLED_MS = 500.0
+# Time, in milliseconds, after a search that found no connection to close until the next
+# one, unless the budget is exhausted. A search visits all connections, and pieces of
+# their requests may arrive thousands of times a second.
+SEARCH_PAUSE_MS = 50.0
 # Least time, in milliseconds, between two log lines about closed connections.
 LOG_INTERVAL_MS = 1_000.0
 
@@ -141,6 +146,7 @@
     def __init__(self, max_bytes: int, metrics: Metrics | None = None):
         self._max_bytes = max_bytes
         self._held: set[HeldBytes] = set()
+        self._search_again_at_ms = -math.inf
         self.closes = CloseRecorder(metrics)
         self.n_bytes = 0
 
@@ -160,6 +166,8 @@
 
     def make_room(self, now_ms: float) -> None:
         """Close the connections that hold most for longest, down to the budget."""
+        if now_ms < self._search_again_at_ms and not self.is_exhausted:
+            return
         while self.n_bytes > self._max_bytes:
             min_stalled_ms = 0.0 if self.is_exhausted else MIN_STALLED_MS
             candidates = [
@@ -169,6 +177,7 @@
                 and held.compute_stalled_ms(now_ms) > min_stalled_ms
             ]
             if not candidates:
+                self._search_again_at_ms = now_ms + SEARCH_PAUSE_MS
                 return
             held = max(
                 candidates, key=lambda one: one.n_bytes * one.compute_stalled_ms(now_ms)
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -1,6 +1,7 @@
 """Which connections are closed when the byte budget is full."""
 
 import unittest
+from unittest import mock
 
 from cowslipwood.kernel.byte_budget import (
     ByteBudget,
@@ -55,6 +56,33 @@
         self.budget.make_room(10_000.0)
         self.assertEqual(self.closed, ["uploading"])
 
+    def test_search_cost(self):
+        """Guards against a search of all connections for each piece that arrives."""
+        waiting = self.hold("waiting", 1_200_000, 0.0, is_client_awaited=False)
+        uploading = self.hold("uploading", 100_000, 9_900.0)
+        with mock.patch.object(
+            HeldBytes, "compute_stalled_ms", return_value=100.0
+        ) as compute:
+            for n_pieces in range(1_000):
+                self.budget.update(uploading, 100_000 + n_pieces, True)
+                self.budget.make_room(10_000.0 + n_pieces / 100)
+        self.assertLess(compute.call_count, 10)
+        self.assertEqual(self.closed, [])
+        # What has stalled later is found in time.
+        self.budget.make_room(10_600.0)
+        self.assertEqual(self.closed, ["uploading"])
+        self.assertEqual(waiting.n_bytes, 1_200_000)
+
+    def test_search_when_exhausted(self):
+        """Guards against a pause between searches when nothing more may be held."""
+        self.hold("waiting", 1_200_000, 0.0, is_client_awaited=False)
+        self.hold("uploading", 100_000, 9_900.0)
+        self.budget.make_room(10_000.0)
+        self.assertEqual(self.closed, [])
+        self.hold("new", 300_000, 9_990.0)
+        self.budget.make_room(10_001.0)
+        self.assertEqual(self.closed, ["uploading"])
+
     def test_progress(self):
         """Guards against clients that send a byte now and then to stay open."""
         held = self.hold("dripping", 500_000, 0.0)
