Treat a connection as idle after a body that ended behind its response

The last piece of the discarded body was counted as the start of the next request: the head timeout or the limit on stalled requests closed the connection, though clients may reuse it, and no keep-alive timeout ran.

--- a/src/cowslipwood/entry/receiving/_caller_protocol.py
+++ b/src/cowslipwood/entry/receiving/_caller_protocol.py
@@ -84,7 +84,7 @@
 
         def data_received(self, data: bytes) -> None:
             super().data_received(data)
-            if self.conn.their_state is h11.IDLE:
+            if self.conn.their_state is h11.IDLE and not self.is_between_requests():
                 self._start_head_timer()
             else:
                 self._cancel_head_timer()
--- a/src/cowslipwood/kernel/bounded_protocol.py
+++ b/src/cowslipwood/kernel/bounded_protocol.py
@@ -229,6 +229,10 @@
             return True
         return self.conn.their_state is h11.DONE and bool(self.conn.trailing_data[0])
 
+    def is_between_requests(self) -> bool:
+        """Return whether nothing of a next request has arrived."""
+        return self.conn.their_state is h11.IDLE and not self.conn.trailing_data[0]
+
     def sweep(self, now_ms: float) -> None:
         """Account for what is held, and close a connection that has stalled.
 
@@ -302,7 +306,14 @@
     def _feed(self, data: bytes) -> None:
         super().data_received(data)
         self._watch_request()
-        if self.conn.our_state is h11.DONE or self._drops_body:
+        if self.is_between_requests() and not self.transport.is_closing():
+            # The end of a body that came after its response; uvicorn sets no timeout.
+            self._n_request_bytes = 0
+            self._unset_keepalive_if_required()
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
+        elif self.conn.our_state is h11.DONE or self._drops_body:
             # What follows of a request that has its response is discarded.
             self._n_request_bytes = 0
         else:
--- a/tests/test_bounded_protocol.py
+++ b/tests/test_bounded_protocol.py
@@ -14,13 +14,16 @@
 from returns.result import Failure as Err
 from uvicorn.server import ServerState
 
+from cowslipwood.entry.receiving._caller_protocol import make_caller_protocol
 from cowslipwood.kernel import bounded_protocol
 from cowslipwood.kernel.bounded_protocol import (
+    BoundedProtocol,
     ConnectionBounds,
     make_bounded_protocol,
 )
 from cowslipwood.kernel.byte_budget import ByteBudget
 from cowslipwood.kernel.http import HttpServer, bind_socket, read_request, send_response
+from cowslipwood.kernel.metrics import Metrics
 
 from .processes import DEFAULT_TIMEOUT_S
 
@@ -41,6 +44,10 @@
         self.released = anyio.Event()
 
     async def __call__(self, scope: dict, receive: Any, send: Any) -> None:
+        if scope["path"] == "/early":
+            await receive()
+            await send_response(send, 413, {}, b"early")
+            return
         received = await read_request(scope, receive, MAX_BODY_BYTES)
         if isinstance(received, Err):
             return
@@ -65,11 +72,24 @@
 class _Port:
     """A port that serves the application, and its budget."""
 
-    def __init__(self, max_bytes: int, bounds: ConnectionBounds):
+    def __init__(
+        self,
+        max_bytes: int,
+        bounds: ConnectionBounds,
+        protocol: type[BoundedProtocol] | None,
+        keep_alive_s: int,
+    ):
         self.app = _App()
         self.budget = ByteBudget(max_bytes)
         self._sock = bind_socket("127.0.0.1:0")
-        protocol = make_bounded_protocol(self.budget, bounds)
+        base = protocol or make_bounded_protocol(self.budget, bounds)
+
+        class PortProtocol(base):
+            def __init__(self, *args: Any, **kwargs: Any):
+                super().__init__(*args, **kwargs)
+                self.timeout_keep_alive = keep_alive_s
+
+        protocol = PortProtocol
         self.server = HttpServer(self.app, self._sock, protocol)
 
     def connect(self) -> socket.socket:
@@ -81,10 +101,13 @@
 
 @contextlib.asynccontextmanager
 async def run_port(
-    max_bytes: int = 20_000_000, bounds: ConnectionBounds | None = None
+    max_bytes: int = 20_000_000,
+    bounds: ConnectionBounds | None = None,
+    protocol: type[BoundedProtocol] | None = None,
+    keep_alive_s: int = 30,
 ) -> AsyncIterator[_Port]:
     """Run a port; connections must be closed before the end."""
-    port = _Port(max_bytes, bounds or ConnectionBounds())
+    port = _Port(max_bytes, bounds or ConnectionBounds(), protocol, keep_alive_s)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(port.server.run)
         await anyio.sleep(0)
@@ -154,6 +177,34 @@
                     await anyio.to_thread.run_sync(read_response, sock), b"b"
                 )
 
+    async def test_idle_after_discarded_body(self):
+        """Guards against taking the end of a discarded body for the start of a head."""
+        protocol = make_caller_protocol(Metrics("entry"), 300.0)
+        async with run_port(protocol=protocol) as port:
+            with port.connect() as sock:
+                data = encode("/early", b"x" * 100)
+                sock.sendall(data[:-50])
+                self.assertEqual(
+                    await anyio.to_thread.run_sync(read_response, sock), b"early"
+                )
+                sock.sendall(data[-50:])
+                await anyio.sleep(0.8)
+                sock.sendall(encode("/", b"a"))
+                self.assertEqual(
+                    await anyio.to_thread.run_sync(read_response, sock), b"a"
+                )
+
+    async def test_keep_alive_after_discarded_body(self):
+        """Guards against connections that stay open without any time limit."""
+        async with run_port(keep_alive_s=1) as port:
+            with port.connect() as sock:
+                data = encode("/early", b"x" * 100)
+                sock.sendall(data[:-50])
+                await anyio.to_thread.run_sync(read_response, sock)
+                sock.sendall(data[-50:])
+                with self.assertRaises(EOFError):
+                    await anyio.to_thread.run_sync(read_exactly, sock, 1)
+
     async def test_unread(self):
         """Guards against further requests being served while a response is unread."""
         async with run_port() as port:
