Refuse for a full budget only requests without a response

A client that had its early response and sent the remainder of its body holds nothing, but its connection was closed with bytes unread, which may also take the response away.

--- a/src/cowslipwood/kernel/bounded_protocol.py
+++ b/src/cowslipwood/kernel/bounded_protocol.py
@@ -204,7 +204,11 @@
             self._feed(data)
         self._update_held()
         self.budget.make_room(now_ms)
-        may_refuse = self._is_receiving() and not self.transport.is_closing()
+        may_refuse = (
+            self._is_receiving()
+            and self._may_answer()
+            and not self.transport.is_closing()
+        )
         if self.budget.is_exhausted and may_refuse:
             fault = failure(Code.OVERLOADED, "memory", RETRY_AFTER_MS)
             self.refuse_and_close(fault, reads_on=True)
@@ -273,7 +277,7 @@
         if self._has_open_cycle():
             self.cycle.disconnected = True
             self.cycle.message_event.set()
-        if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        if self._may_answer():
             self.transport.write(encode_refusal(self.conn, fault))
             if reads_on:
                 self._n_request_bytes = 0
@@ -343,6 +347,10 @@
     def _has_open_cycle(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
+    def _may_answer(self) -> bool:
+        """Return whether no response to the current request has begun."""
+        return self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+
     def _is_responding(self) -> bool:
         """Return whether a whole request has arrived and has no complete response."""
         if self._completes_later:
--- a/tests/test_bounded_protocol.py
+++ b/tests/test_bounded_protocol.py
@@ -21,7 +21,8 @@
     ConnectionBounds,
     make_bounded_protocol,
 )
-from cowslipwood.kernel.byte_budget import ByteBudget
+from cowslipwood.kernel.byte_budget import ByteBudget, HeldBytes
+from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.http import HttpServer, bind_socket, read_request, send_response
 from cowslipwood.kernel.metrics import Metrics
 
@@ -303,6 +304,22 @@
                 self.assertEqual(len(body), 490_000)
                 self.assertEqual(port.app.paths, ["/held"])
 
+    async def test_answered_upload_goes_on(self):
+        """Guards against closing a connection that holds nothing and has its answer."""
+        async with run_port(max_bytes=500_000) as port:
+            with port.connect() as sock:
+                data = encode("/early", b"x" * 100)
+                sock.sendall(data[:-50])
+                await anyio.to_thread.run_sync(read_response, sock)
+                other = HeldBytes(lambda: None, monotonic_ms())
+                port.budget.update(other, 800_000, is_client_awaited=False)
+                self.assertTrue(port.budget.is_exhausted)
+                for part in (data[-50:-20], data[-20:], encode("/", b"a")):
+                    sock.sendall(part)
+                    await anyio.sleep(0.1)
+                body = await anyio.to_thread.run_sync(read_response, sock)
+                self.assertEqual(body, b"a")
+
 
 class SlowReaderTest(unittest.IsolatedAsyncioTestCase):
     """Clients that do not read."""
