Do not take a client that has sent its next request ahead for stalled

While its first response was awaited from the server, the bytes sent ahead made the wait count as the client's, and after 30 s the connection was cut.

--- a/src/cowslipwood/kernel/bounded_protocol.py
+++ b/src/cowslipwood/kernel/bounded_protocol.py
@@ -161,6 +161,8 @@
         # Bytes of responses that the client has read, as last determined.
         self._n_read_bytes = 0
         self._read_at_ms = monotonic_ms()
+        # Whether the client has to send more of a request or to read a response.
+        self._has_to_act = False
         self._is_refused = False
         self._watched_cycle: Any = None
         self._drops_body = False
@@ -257,10 +259,7 @@
         is_unread = self.flow.write_paused
         if is_unread and now_ms - self._read_at_ms > self.bounds.unread_ms:
             self.budget.close(self._held, "unread", now_ms)
-        elif (
-            self._held.is_client_awaited
-            and self._held.compute_stalled_ms(now_ms) > STALL_MS
-        ):
+        elif self._has_to_act and self._held.compute_stalled_ms(now_ms) > STALL_MS:
             self.budget.close(self._held, "stalled", now_ms)
 
     def refuse_and_close(self, fault: Failure, reads_on: bool = False) -> None:
@@ -383,9 +382,11 @@
         # A client that sends the next request early has to wait; it is closed before
         # those that wait for their response.
         is_client_awaited = bool(is_receiving or n_unread_bytes or n_ahead_bytes)
-        if is_client_awaited and not self._held.is_client_awaited:
+        has_to_act = bool(is_receiving or n_unread_bytes)
+        if has_to_act and not self._has_to_act:
             # The time for which the client was idle, or waited, is no stall.
             self._held.record_progress(now_ms)
+        self._has_to_act = has_to_act
         n_bytes = self._n_request_bytes + n_ahead_bytes + n_unread_bytes
         self.budget.update(self._held, n_bytes, is_client_awaited)
 
--- a/tests/test_bounded_protocol.py
+++ b/tests/test_bounded_protocol.py
@@ -367,6 +367,23 @@
                     body = await anyio.to_thread.run_sync(read_response, sock)
                     self.assertEqual(len(body), 3_000_000)
 
+    async def test_late_response_to_first_of_two(self):
+        """Guards against cutting a late response because the next request has come."""
+        with mock.patch.object(bounded_protocol, "STALL_MS", 1_500.0):
+            async with run_port() as port:
+                with port.connect() as sock:
+                    sock.sendall(encode("/held", b"x" * 3_000_000))
+                    while not port.app.paths:
+                        await anyio.sleep(0.01)
+                    sock.sendall(encode("/", b"a"))
+                    await anyio.sleep(2.5)
+                    port.app.released.set()
+                    await anyio.sleep(0.6)
+                    body = await anyio.to_thread.run_sync(read_response, sock)
+                    self.assertEqual(len(body), 3_000_000)
+                    body = await anyio.to_thread.run_sync(read_response, sock)
+                    self.assertEqual(body, b"a")
+
     async def test_upload_after_idle_time(self):
         """Guards against closing a new upload for the time before it began."""
         with mock.patch.object(bounded_protocol, "STALL_MS", 1_500.0):
