Count the start of a body that came behind another request

It was handed to the application when the previous response ended, and was counted no more, so that stalled uploads of this kind held memory outside of the budget.

--- a/src/cowslipwood/kernel/bounded_protocol.py
+++ b/src/cowslipwood/kernel/bounded_protocol.py
@@ -290,10 +290,13 @@
     def _complete_response(self) -> None:
         self._n_request_bytes = 0
         self._held.record_progress(monotonic_ms())
+        n_next_bytes = 0
+        if self.conn.their_state is h11.DONE:
+            n_next_bytes = len(self.conn.trailing_data[0])
         super().on_response_complete()
         self._watch_request()
         if self._is_in_request():
-            self._n_request_bytes = len(self.conn.trailing_data[0])
+            self._n_request_bytes = n_next_bytes
         if (
             self._ahead
             and not self._is_responding()
--- a/tests/test_bounded_protocol.py
+++ b/tests/test_bounded_protocol.py
@@ -220,6 +220,16 @@
                 )
                 self.assertEqual(port.app.paths, ["/large", "/next"])
 
+    async def test_upload_behind_request(self):
+        """Guards against holding the start of a body that the budget doesn't count."""
+        async with run_port() as port:
+            with port.connect() as sock:
+                # Few enough bytes for one read.
+                sock.sendall(encode("/", b"a") + encode("/", b"x" * 50_000)[:-1])
+                await anyio.to_thread.run_sync(read_response, sock)
+                await anyio.sleep(0.5)
+                self.assertGreaterEqual(port.budget.n_bytes, 49_999)
+
     async def test_read_ahead(self):
         """Guards against reading without bound while a response is in progress."""
         async with run_port() as port:
