--- a/src/cowslipwood/kernel/bounded_protocol.py
+++ b/src/cowslipwood/kernel/bounded_protocol.py
@@ -96,6 +96,26 @@
         sock.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
 
 
+class _CountedTransport:
+    """A transport that counts what is written to it.
+
+    Attributes
+    ----------
+    n_written_bytes : int
+    """
+
+    def __init__(self, transport: asyncio.Transport):
+        self._transport = transport
+        self.n_written_bytes = 0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._transport, name)
+
+    def write(self, data: bytes) -> None:
+        self.n_written_bytes += len(data)
+        self._transport.write(data)
+
+
 class _Flow(FlowControl):
     """Reads nothing while bytes of the next request are held."""
 
@@ -138,7 +158,11 @@
         self._ahead = b""
         self._completes_later = False
         self._n_unread_bytes = 0
+        # Bytes of responses that the client has read, as last determined.
+        self._n_read_bytes = 0
         self._read_at_ms = monotonic_ms()
+        # Whether the client has to send more of a request or to read a response.
+        self._has_to_act = False
         self._is_refused = False
         self._watched_cycle: Any = None
         self._drops_body = False
@@ -146,7 +170,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accept a connection, in place of a stalled one if there are too many."""
-        super().connection_made(transport)
+        super().connection_made(_CountedTransport(transport))
         self.flow = _Flow(transport, self)
         self.active.add(self)
         if len(self.connections) > self.bounds.max_connections:
@@ -182,7 +206,11 @@
             self._feed(data)
         self._update_held()
         self.budget.make_room(now_ms)
-        may_refuse = self._is_receiving() and not self.transport.is_closing()
+        may_refuse = (
+            self._is_receiving()
+            and self._may_answer()
+            and not self.transport.is_closing()
+        )
         if self.budget.is_exhausted and may_refuse:
             fault = failure(Code.OVERLOADED, "memory", RETRY_AFTER_MS)
             self.refuse_and_close(fault, reads_on=True)
@@ -207,6 +235,10 @@
             return True
         return self.conn.their_state is h11.DONE and bool(self.conn.trailing_data[0])
 
+    def is_between_requests(self) -> bool:
+        """Return whether nothing of a next request has arrived."""
+        return self.conn.their_state is h11.IDLE and not self.conn.trailing_data[0]
+
     def sweep(self, now_ms: float) -> None:
         """Account for what is held, and close a connection that has stalled.
 
@@ -227,10 +259,7 @@
         is_unread = self.flow.write_paused
         if is_unread and now_ms - self._read_at_ms > self.bounds.unread_ms:
             self.budget.close(self._held, "unread", now_ms)
-        elif (
-            self._held.is_client_awaited
-            and self._held.compute_stalled_ms(now_ms) > STALL_MS
-        ):
+        elif self._has_to_act and self._held.compute_stalled_ms(now_ms) > STALL_MS:
             self.budget.close(self._held, "stalled", now_ms)
 
     def refuse_and_close(self, fault: Failure, reads_on: bool = False) -> None:
@@ -247,7 +276,7 @@
         if self._has_open_cycle():
             self.cycle.disconnected = True
             self.cycle.message_event.set()
-        if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        if self._may_answer():
             self.transport.write(encode_refusal(self.conn, fault))
             if reads_on:
                 self._n_request_bytes = 0
@@ -261,10 +290,13 @@
     def _complete_response(self) -> None:
         self._n_request_bytes = 0
         self._held.record_progress(monotonic_ms())
+        n_next_bytes = 0
+        if self.conn.their_state is h11.DONE:
+            n_next_bytes = len(self.conn.trailing_data[0])
         super().on_response_complete()
         self._watch_request()
         if self._is_in_request():
-            self._n_request_bytes = len(self.conn.trailing_data[0])
+            self._n_request_bytes = n_next_bytes
         if (
             self._ahead
             and not self._is_responding()
@@ -273,11 +305,21 @@
             data, self._ahead = self._ahead, b""
             self.flow.resume_reading()
             self.data_received(data)
+        elif not self._has_open_cycle() and not self.transport.is_closing():
+            # Only a part of the next head has arrived, so that no application reads on.
+            self.flow.resume_reading()
 
     def _feed(self, data: bytes) -> None:
         super().data_received(data)
         self._watch_request()
-        if self.conn.our_state is h11.DONE or self._drops_body:
+        if self.is_between_requests() and not self.transport.is_closing():
+            # The end of a body that came after its response; uvicorn sets no timeout.
+            self._n_request_bytes = 0
+            self._unset_keepalive_if_required()
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
+        elif self.conn.our_state is h11.DONE or self._drops_body:
             # What follows of a request that has its response is discarded.
             self._n_request_bytes = 0
         else:
@@ -307,6 +349,10 @@
     def _has_open_cycle(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
+    def _may_answer(self) -> bool:
+        """Return whether no response to the current request has begun."""
+        return self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+
     def _is_responding(self) -> bool:
         """Return whether a whole request has arrived and has no complete response."""
         if self._completes_later:
@@ -323,16 +369,27 @@
             if self.flow.read_paused:
                 n_queued_bytes = _read_count(sock, termios.FIONREAD)
         now_ms = monotonic_ms()
-        n_read_bytes = self._n_unread_bytes - n_unread_bytes
+        # More may have been written than was read since the last time.
+        n_all_read_bytes = self.transport.n_written_bytes - n_unread_bytes
+        n_read_bytes = n_all_read_bytes - self._n_read_bytes
         if n_read_bytes > 0 or not n_unread_bytes or not self._n_unread_bytes:
             self._read_at_ms = now_ms
             self._held.record_moved(max(0, n_read_bytes), now_ms)
+        if self._n_unread_bytes and n_read_bytes >= self._n_unread_bytes:
+            # The client has read all that waited for it, however little.
+            self._held.record_progress(now_ms)
         self._n_unread_bytes = n_unread_bytes
+        self._n_read_bytes = n_all_read_bytes
         n_ahead_bytes = len(self._ahead) + n_queued_bytes
         is_receiving = self._is_receiving()
         # A client that sends the next request early has to wait; it is closed before
         # those that wait for their response.
         is_client_awaited = bool(is_receiving or n_unread_bytes or n_ahead_bytes)
+        has_to_act = bool(is_receiving or n_unread_bytes)
+        if has_to_act and not self._has_to_act:
+            # The time for which the client was idle, or waited, is no stall.
+            self._held.record_progress(now_ms)
+        self._has_to_act = has_to_act
         n_bytes = self._n_request_bytes + n_ahead_bytes + n_unread_bytes
         self.budget.update(self._held, n_bytes, is_client_awaited)
 
--- a/tests/test_bounded_protocol.py
+++ b/tests/test_bounded_protocol.py
@@ -1,21 +1,30 @@
 """Bounds on what is held for one HTTP connection, and the order of its requests."""
 
+import asyncio
 import contextlib
 import socket
 import time
 import unittest
 from collections.abc import AsyncIterator
 from typing import Any
+from unittest import mock
 
 import anyio
+import uvicorn
 from returns.result import Failure as Err
+from uvicorn.server import ServerState
 
+from cowslipwood.entry.receiving._caller_protocol import make_caller_protocol
+from cowslipwood.kernel import bounded_protocol
 from cowslipwood.kernel.bounded_protocol import (
+    BoundedProtocol,
     ConnectionBounds,
     make_bounded_protocol,
 )
-from cowslipwood.kernel.byte_budget import ByteBudget
+from cowslipwood.kernel.byte_budget import ByteBudget, HeldBytes
+from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.http import HttpServer, bind_socket, read_request, send_response
+from cowslipwood.kernel.metrics import Metrics
 
 from .processes import DEFAULT_TIMEOUT_S
 
@@ -36,6 +45,10 @@
         self.released = anyio.Event()
 
     async def __call__(self, scope: dict, receive: Any, send: Any) -> None:
+        if scope["path"] == "/early":
+            await receive()
+            await send_response(send, 413, {}, b"early")
+            return
         received = await read_request(scope, receive, MAX_BODY_BYTES)
         if isinstance(received, Err):
             return
@@ -60,11 +73,24 @@
 class _Port:
     """A port that serves the application, and its budget."""
 
-    def __init__(self, max_bytes: int, bounds: ConnectionBounds):
+    def __init__(
+        self,
+        max_bytes: int,
+        bounds: ConnectionBounds,
+        protocol: type[BoundedProtocol] | None,
+        keep_alive_s: int,
+    ):
         self.app = _App()
         self.budget = ByteBudget(max_bytes)
         self._sock = bind_socket("127.0.0.1:0")
-        protocol = make_bounded_protocol(self.budget, bounds)
+        base = protocol or make_bounded_protocol(self.budget, bounds)
+
+        class PortProtocol(base):
+            def __init__(self, *args: Any, **kwargs: Any):
+                super().__init__(*args, **kwargs)
+                self.timeout_keep_alive = keep_alive_s
+
+        protocol = PortProtocol
         self.server = HttpServer(self.app, self._sock, protocol)
 
     def connect(self) -> socket.socket:
@@ -76,10 +102,13 @@
 
 @contextlib.asynccontextmanager
 async def run_port(
-    max_bytes: int = 20_000_000, bounds: ConnectionBounds | None = None
+    max_bytes: int = 20_000_000,
+    bounds: ConnectionBounds | None = None,
+    protocol: type[BoundedProtocol] | None = None,
+    keep_alive_s: int = 30,
 ) -> AsyncIterator[_Port]:
     """Run a port; connections must be closed before the end."""
-    port = _Port(max_bytes, bounds or ConnectionBounds())
+    port = _Port(max_bytes, bounds or ConnectionBounds(), protocol, keep_alive_s)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(port.server.run)
         await anyio.sleep(0)
@@ -135,6 +164,48 @@
 
             self.assertEqual(await anyio.to_thread.run_sync(exchange), bodies)
 
+    async def test_start_of_next_head(self):
+        """Guards against a hang after a request and a part of the next one's head."""
+        async with run_port() as port:
+            with port.connect() as sock:
+                following = encode("/", b"b")
+                sock.sendall(encode("/", b"a") + following[:9])
+                self.assertEqual(
+                    await anyio.to_thread.run_sync(read_response, sock), b"a"
+                )
+                sock.sendall(following[9:])
+                self.assertEqual(
+                    await anyio.to_thread.run_sync(read_response, sock), b"b"
+                )
+
+    async def test_idle_after_discarded_body(self):
+        """Guards against taking the end of a discarded body for the start of a head."""
+        protocol = make_caller_protocol(Metrics("entry"), 300.0)
+        async with run_port(protocol=protocol) as port:
+            with port.connect() as sock:
+                data = encode("/early", b"x" * 100)
+                sock.sendall(data[:-50])
+                self.assertEqual(
+                    await anyio.to_thread.run_sync(read_response, sock), b"early"
+                )
+                sock.sendall(data[-50:])
+                await anyio.sleep(0.8)
+                sock.sendall(encode("/", b"a"))
+                self.assertEqual(
+                    await anyio.to_thread.run_sync(read_response, sock), b"a"
+                )
+
+    async def test_keep_alive_after_discarded_body(self):
+        """Guards against connections that stay open without any time limit."""
+        async with run_port(keep_alive_s=1) as port:
+            with port.connect() as sock:
+                data = encode("/early", b"x" * 100)
+                sock.sendall(data[:-50])
+                await anyio.to_thread.run_sync(read_response, sock)
+                sock.sendall(data[-50:])
+                with self.assertRaises(EOFError):
+                    await anyio.to_thread.run_sync(read_exactly, sock, 1)
+
     async def test_unread(self):
         """Guards against further requests being served while a response is unread."""
         async with run_port() as port:
@@ -149,6 +220,16 @@
                 )
                 self.assertEqual(port.app.paths, ["/large", "/next"])
 
+    async def test_upload_behind_request(self):
+        """Guards against holding the start of a body that the budget doesn't count."""
+        async with run_port() as port:
+            with port.connect() as sock:
+                # Few enough bytes for one read.
+                sock.sendall(encode("/", b"a") + encode("/", b"x" * 50_000)[:-1])
+                await anyio.to_thread.run_sync(read_response, sock)
+                await anyio.sleep(0.5)
+                self.assertGreaterEqual(port.budget.n_bytes, 49_999)
+
     async def test_read_ahead(self):
         """Guards against reading without bound while a response is in progress."""
         async with run_port() as port:
@@ -233,6 +314,22 @@
                 self.assertEqual(len(body), 490_000)
                 self.assertEqual(port.app.paths, ["/held"])
 
+    async def test_answered_upload_goes_on(self):
+        """Guards against closing a connection that holds nothing and has its answer."""
+        async with run_port(max_bytes=500_000) as port:
+            with port.connect() as sock:
+                data = encode("/early", b"x" * 100)
+                sock.sendall(data[:-50])
+                await anyio.to_thread.run_sync(read_response, sock)
+                other = HeldBytes(lambda: None, monotonic_ms())
+                port.budget.update(other, 800_000, is_client_awaited=False)
+                self.assertTrue(port.budget.is_exhausted)
+                for part in (data[-50:-20], data[-20:], encode("/", b"a")):
+                    sock.sendall(part)
+                    await anyio.sleep(0.1)
+                body = await anyio.to_thread.run_sync(read_response, sock)
+                self.assertEqual(body, b"a")
+
 
 class SlowReaderTest(unittest.IsolatedAsyncioTestCase):
     """Clients that do not read."""
@@ -265,6 +362,129 @@
                 self.assertGreaterEqual(n_read, LARGE_BYTES)
 
 
+class StallTest(unittest.IsolatedAsyncioTestCase):
+    """Clients that wait for their server, or read as fast as it sends."""
+
+    async def test_late_response(self):
+        """Guards against counting the wait for a server as a stall of the client."""
+        with mock.patch.object(bounded_protocol, "STALL_MS", 1_500.0):
+            async with run_port() as port:
+                with port.connect() as sock:
+                    sock.sendall(encode("/held", b"x" * 3_000_000))
+                    await anyio.sleep(2.5)
+                    port.app.released.set()
+                    await anyio.sleep(0.6)
+                    body = await anyio.to_thread.run_sync(read_response, sock)
+                    self.assertEqual(len(body), 3_000_000)
+
+    async def test_late_response_to_first_of_two(self):
+        """Guards against cutting a late response because the next request has come."""
+        with mock.patch.object(bounded_protocol, "STALL_MS", 1_500.0):
+            async with run_port() as port:
+                with port.connect() as sock:
+                    sock.sendall(encode("/held", b"x" * 3_000_000))
+                    while not port.app.paths:
+                        await anyio.sleep(0.01)
+                    sock.sendall(encode("/", b"a"))
+                    await anyio.sleep(2.5)
+                    port.app.released.set()
+                    await anyio.sleep(0.6)
+                    body = await anyio.to_thread.run_sync(read_response, sock)
+                    self.assertEqual(len(body), 3_000_000)
+                    body = await anyio.to_thread.run_sync(read_response, sock)
+                    self.assertEqual(body, b"a")
+
+    async def test_upload_after_idle_time(self):
+        """Guards against closing a new upload for the time before it began."""
+        with mock.patch.object(bounded_protocol, "STALL_MS", 1_500.0):
+            async with run_port() as port:
+                with port.connect() as sock:
+                    data = encode("/", b"x" * 100)
+                    sock.sendall(data)
+                    await anyio.to_thread.run_sync(read_response, sock)
+                    await anyio.sleep(2)
+                    sock.sendall(data[:-1])
+                    await anyio.sleep(0.6)
+                    sock.sendall(data[-1:])
+                    body = await anyio.to_thread.run_sync(read_response, sock)
+                    self.assertEqual(len(body), 100)
+
+
+class _UnreadTransport(asyncio.Transport):
+    """A transport whose buffer the test empties."""
+
+    def __init__(self):
+        super().__init__()
+        self.n_unread = 0
+        self.is_aborted = False
+
+    def write(self, data: bytes) -> None:
+        self.n_unread += len(data)
+
+    def get_write_buffer_size(self) -> int:
+        return self.n_unread
+
+    def is_closing(self) -> bool:
+        return self.is_aborted
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+
+class ReadBytesTest(unittest.IsolatedAsyncioTestCase):
+    """What a client has read while more was written."""
+
+    async def asyncSetUp(self):
+        self.now_ms = 0.0
+        clock = mock.patch.object(bounded_protocol, "monotonic_ms", lambda: self.now_ms)
+        clock.start()
+        self.addCleanup(clock.stop)
+        bounds = ConnectionBounds(unread_ms=2_000.0)
+        port_protocol = make_bounded_protocol(ByteBudget(1_000_000), bounds)
+        self.is_over = asyncio.Event()
+
+        async def wait(_scope: dict, _receive: Any, _send: Any) -> None:
+            await self.is_over.wait()
+
+        config = uvicorn.Config(wait, log_config=None)
+        self.protocol = port_protocol(config, ServerState(), {})
+        self.transport = _UnreadTransport()
+        self.protocol.connection_made(self.transport)
+        self.protocol.data_received(encode("/"))
+
+    async def asyncTearDown(self):
+        self.protocol.cycle.disconnected = True
+        self.is_over.set()
+        await asyncio.sleep(0.01)
+
+    def exchange(self, n_bytes: int, until_ms: float) -> None:
+        """Have the client read what waits, while as much is written anew."""
+        while self.now_ms < until_ms:
+            self.transport.n_unread = 0
+            self.protocol.transport.write(b"z" * n_bytes)
+            self.now_ms += 200.0
+            self.protocol.sweep(self.now_ms)
+
+    async def test_stream(self):
+        """Guards against cutting a stream of which some bytes are always on the way."""
+        self.exchange(50, 120_000.0)
+        self.assertFalse(self.transport.is_aborted)
+
+    async def test_full_buffer(self):
+        """Guards against cutting a client that reads as fast as its server sends."""
+        self.protocol.pause_writing()
+        self.exchange(100_000, 10_000.0)
+        self.assertFalse(self.transport.is_aborted)
+
+    async def test_unread(self):
+        """Guards against taking what is written for what is read."""
+        for _ in range(170):
+            self.protocol.transport.write(b"z" * 50)
+            self.now_ms += 200.0
+            self.protocol.sweep(self.now_ms)
+        self.assertTrue(self.transport.is_aborted)
+
+
 class ConnectionLimitTest(unittest.IsolatedAsyncioTestCase):
     """A port with few connections."""
 
