--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -92,8 +92,9 @@
 CALLERS_SHARE = 0.5
 # Time, in milliseconds, for which a caller may read nothing of a response while more of
 # it waits. Its server cannot send on meanwhile, and servers abort responses that stay
-# unread for some seconds.
-UNREAD_MS = 2_000.0
+# unread for some seconds. A caller that reads less than 30 KB a second may make room
+# for more less often than every two seconds.
+UNREAD_MS = 5_000.0
 # Part of the byte budget, above all of it, that bodies alone may take. Stalled
 # connections are closed at the budget, before bodies are refused.
 HELD_BODIES_FACTOR = 1.25
