Review case 10: the leader ends when a service gets its first model

Cause: the leader's record of an engine has the former, empty list of models until the next read of the server list, and the longest load of none is asked. Change: a script with stand-ins.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+PYTHONPYCACHEPREFIX=../../target/bytecode-review python3 -S case.py
+case $? in
+0) exit 0 ;;
+10) exit 1 ;;
+*) exit 2 ;;
+esac
