--- a/review/lib2/harness.py
+++ b/review/lib2/harness.py
@@ -83,6 +83,15 @@
             print(f"{at_s:8.3f} {event} {text}".rstrip(), file=self._file, flush=True)
 
 
+# The record of the case that runs; set by `run_case`.
+RECORDS: list[Record] = []
+
+
+def _record(event: str, **fields: Any) -> None:
+    for record in RECORDS:
+        record.write(event, **fields)
+
+
 class Answer(NamedTuple):
     """What a client read; `is_complete` as the framing of HTTP/1.1 tells it."""
 
@@ -151,6 +160,9 @@
             process.wait()
         for child in self._children:
             self.end_child(child)
+        for path in sorted(self.folder.glob("*.jsonl")):
+            for line in path.read_text().splitlines():
+                self.record.write("server_saw", server=path.stem, line=line)
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def ip(self, number: int) -> str:
@@ -260,11 +272,14 @@
         try:
             conn.request(method, path, body, {"Content-Type": "application/json"})
             response = conn.getresponse()
-            return response.status, response.read()
+            status, data = response.status, response.read()
         except (OSError, http.client.HTTPException):
-            return None, b""
+            status, data = None, b""
         finally:
             conn.close()
+        if method == "PUT":
+            _record("config_sent", to=host, status=status)
+        return status, data
 
     def _make_settings(
         self, role: str, number: int, is_first_start: bool
@@ -330,6 +345,23 @@
 
 
 def request(
+    host: str, method: str, path: str, request_id: str, *arguments: Any, **named: Any
+) -> Answer:
+    """Send a request on a new connection, as the pages' clients do, and record it."""
+    _record("sent", request=request_id, to=host, method=method, path=path)
+    answer = _exchange(host, method, path, request_id, *arguments, **named)
+    n_bytes, is_complete = len(answer.body), answer.is_complete
+    _record(
+        "got",
+        request=request_id,
+        status=answer.status,
+        body_bytes=n_bytes,
+        complete=is_complete,
+    )
+    return answer
+
+
+def _exchange(
     host: str,
     method: str,
     path: str,
@@ -339,7 +371,6 @@
     body: bytes = b"",
     caller_host: str = "ronda.example",
 ) -> Answer:
-    """Send a request on a new connection, as the pages' clients do."""
     conn = http.client.HTTPConnection(host, CALLERS_PORT, timeout=timeout_ms / 1000)
     data = bytearray()
     status: int | None = None
@@ -416,6 +447,7 @@
 def run_case(folder: Path, case: Callable[[Record], bool]) -> None:
     """Run a case and end with one of the exit statuses."""
     record = Record(folder)
+    RECORDS.append(record)
     record.write("begins", trouble=int(has_trouble()))
     try:
         is_broken = case(record)
