Let all decisions of a round of planning rest on one document

Cause: planning took the models from the document in force, and sizes, slots and the rate of the weight store from the engines' records. Those followed the document only with the next read of the list, up to 0.6 s later, and then the version from before the read. The store's budget took the longest load of no models, and its ValueError ended planning and the keeper. With a default for `max` instead, a round still loads models that the document lost during the round (test_model_removed_during_a_round).

Change: Fleet.follow_document brings the records to the version in force and returns its specifications. A round ends when another version comes into force; each order is checked against it right before it is sent. Lookups for a model that the document has lost end at once. The records can no longer differ from the document that a decision reads, so that neither an exception nor a foreign load can come from the difference.

Ruled out: that the budget alone was wrong (above); that the list lacked the engine.

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -20,7 +20,7 @@
 )
 from ...kernel.metrics import Metrics
 from ...listing import ServerListSource
-from ...routes import ModelSpec, RouteDocument, ServiceSpec
+from ...routes import ModelSpec, RouteDocument
 from .._server_limits import ServerLimitTable
 from ._adapters import choose_adapter_step
 from ._demand import DemandTracker
@@ -119,8 +119,9 @@
         self._term = term
         self._preceding_term = preceding_term
         self._turns = OrderTurns(parameters.order_turn_ms)
-        self._document = document
-        self._fleet = Fleet(source, client, self._turns, limits or ServerLimitTable())
+        self._fleet = Fleet(
+            source, client, self._turns, limits or ServerLimitTable(), document
+        )
         self._demand = DemandTracker()
         # Time of the last search for an adapter, by model and adapter.
         self._adapter_searched_ms: dict[tuple[str, str], float] = {}
@@ -148,7 +149,6 @@
             self._sender,
             can_act_as_leader,
             term,
-            document,
             metrics,
         )
         self._ready_time = ReadyTimeEstimator(self._fleet, self._demand, self._planning)
@@ -199,11 +199,9 @@
 
     async def find_holder(self, request: HolderRequest) -> Any:
         """Return a server that holds the requested model, after a load if needed."""
-        service = self._get_service(request.service)
-        spec = _get_model_spec(service, request.model)
+        spec = self._find_model(request)
         if spec is None:
-            message = f"no model {request.model!r:.60} in {request.service}"
-            return to_refused(failure(Code.NO_SUCH_MODEL, message))
+            return _refuse_unknown_model(request)
         now_ms = monotonic_ms()
         self._demand.record_use(request.model, request.adapter, now_ms)
         patience_ms = min(request.patience_ms or LOOKUP_TIMEOUT_MS, LOOKUP_TIMEOUT_MS)
@@ -218,6 +216,9 @@
         now_ms = monotonic_ms()
         if not self._can_act_as_leader(now_ms):
             return to_refused(failure(Code.NOT_LEADER))
+        spec = self._find_model(request)
+        if spec is None:
+            return _refuse_unknown_model(request)
         self._start_background_load(request.service, spec)
         ready_ms = await estimate_ready_ms(request.service, spec, now_ms)
         reason = self._describe_wait(request, ready_ms)
@@ -271,10 +272,12 @@
         return search.holder
 
     async def _run_search(self, search: "_HolderSearch") -> None:
-        """Search for an engine until one is found or no lookup waits any more."""
+        """Search for an engine while lookups wait and the document has the model."""
         request, spec = search.request, search.spec
         try:
             while search.n_waiting and self._can_act_as_leader(monotonic_ms()):
+                if self._find_model(request) is None:
+                    return
                 search.holder = await self._find_or_load_holder(request, spec)
                 if search.holder is not None:
                     return
@@ -351,7 +354,7 @@
             self._turns.start_term(self._known_term, self._preceding_term(), now_ms)
             self._sender.start_term(self._known_term, now_ms)
             self._planning.start_term(self._known_term, now_ms)
-        await self._fleet.read_list(self._document(), now_ms)
+        await self._fleet.read_list(now_ms)
         self._fleet.apply_limits(now_ms)
         prior_waiting = {}
         if not self._demand.has_reported_requests:
@@ -365,7 +368,7 @@
                 count_copies(self._fleet.records.values())
             )
         unserved = self._fleet.list_unserved(self._demand.by_model)
-        known_models = _list_model_names(self._document())
+        known_models = self._fleet.follow_document().list_model_names()
         self._demand.update(
             prior_waiting, CONTROL_INTERVAL_MS, now_ms, is_new, unserved, known_models
         )
@@ -373,22 +376,11 @@
             # Read in separate tasks, as an engine that is down must not delay the rest.
             self._tasks.start_soon(self._fleet.read_report, record)
 
-    def _get_service(self, name: str) -> ServiceSpec | None:
-        document = self._document()
-        return document.service(name) if document else None
-
-
-def _get_model_spec(service: ServiceSpec | None, model: str) -> ModelSpec | None:
-    if service is None or service.engine is None:
-        return None
-    return next((spec for spec in service.engine.models if spec.name == model), None)
+    def _find_model(self, request: HolderRequest) -> ModelSpec | None:
+        """Return the model of a lookup in the document in force."""
+        return self._fleet.follow_document().find_model(request.service, request.model)
 
 
-def _list_model_names(document: RouteDocument | None) -> set[str]:
-    """Return the names of the models of all services."""
-    return {
-        model.name
-        for service in (document.services if document else ())
-        if service.engine is not None
-        for model in service.engine.models
-    }
+def _refuse_unknown_model(request: HolderRequest) -> Any:
+    message = f"no model {request.model!r:.60} in {request.service}"
+    return to_refused(failure(Code.NO_SUCH_MODEL, message))
--- a/src/cowslipwood/keeper/engines/_engine_record.py
+++ b/src/cowslipwood/keeper/engines/_engine_record.py
@@ -153,6 +153,10 @@
         self.spec = spec
         self._specs = {model.name: model for model in spec.models}
 
+    def find_model(self, name: str) -> ModelSpec | None:
+        """Return a model that the engine may load; None for any other name."""
+        return self._specs.get(name)
+
     @property
     def is_synced(self) -> bool:
         """Whether the record is up to date, so that orders can rely on it."""
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -1,6 +1,6 @@
 """Keeps the list of servers, and a record of each engine that follows its reports."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from returns.result import Failure as Err
 
@@ -12,6 +12,7 @@
 from .._server_limits import ServerLimitTable
 from ._engine_record import N_FAILED_READS_LOST, EngineRecord
 from ._orders import EngineClient
+from ._specs import EngineSpecs, make_engine_specs
 from ._turns import OrderTurns
 
 __all__ = ["Fleet"]
@@ -35,12 +36,17 @@
 class Fleet:
     """Listed servers and the records of their engines.
 
+    The records always have the specifications that `follow_document` returned last. A
+    pass that reads both calls it first and ends when a later call returns others.
+
     Parameters
     ----------
     source : ServerListSource
     client : EngineClient
     turns : OrderTurns
     limits : ServerLimitTable
+    document : callable
+        Returns the document in force, or None.
     """
 
     def __init__(
@@ -49,8 +55,12 @@
         client: EngineClient,
         turns: OrderTurns,
         limits: ServerLimitTable,
+        document: Callable[[], RouteDocument | None],
     ):
         self._limits = limits
+        self._document = document
+        self._followed_document: RouteDocument | None = None
+        self._specs = make_engine_specs(None)
         self._source = source
         self._turns = turns
         self._client = client
@@ -65,6 +75,24 @@
         self._listed = []
         self._list_read_ms = self._list_attempt_ms = 0.0
 
+    def follow_document(self) -> EngineSpecs:
+        """Return the specifications of the document in force.
+
+        After a change of the document, the records are those of its engines.
+        """
+        document = self._document()
+        if document is not self._followed_document:
+            self._followed_document = document
+            self._specs = make_engine_specs(document)
+            self._update_records()
+            get_logger().info(
+                "engine_specs_in_force",
+                document=self._specs.version,
+                services=len(self._specs.by_service),
+                engines=len(self.records),
+            )
+        return self._specs
+
     def has_record(self, record: EngineRecord) -> bool:
         """Return whether a record is of this term and of the engine's present run."""
         return self.records.get(record.server.server_id) is record
@@ -139,7 +167,7 @@
             tuple(round(PERCENT * record.kv_share) for record in synced),
         )
 
-    async def read_list(self, document: RouteDocument | None, now_ms: float) -> None:
+    async def read_list(self, now_ms: float) -> None:
         """Read the list when that is due; after a failure the last list stays."""
         if now_ms - self._list_attempt_ms < LIST_INTERVAL_MS:
             return
@@ -149,7 +177,9 @@
             get_logger().warning("list_not_read", reason=listed.failure().message)
             return
         self._list_read_ms = now_ms
-        self._apply_list(listed.unwrap(), document)
+        self._listed = listed.unwrap()
+        self.follow_document()
+        self._update_records()
 
     def apply_limits(self, now_ms: float) -> None:
         """Apply the limits that entries have reported."""
@@ -190,17 +220,11 @@
                 return  # the engine has restarted since the list was read
             record.apply_report(report, record.report_read_ms)
 
-    def _apply_list(
-        self, listed: list[ListedServer], document: RouteDocument | None
-    ) -> None:
-        specs = (
-            {service.name: service.engine for service in document.services}
-            if document
-            else {}
-        )
+    def _update_records(self) -> None:
+        """Keep a record of each listed server whose service has engines."""
         found: dict[str, EngineRecord] = {}
-        for server in listed:
-            spec = specs.get(server.service)
+        for server in self._listed:
+            spec = self._specs.by_service.get(server.service)
             if spec is None:
                 continue
             record = self.records.get(server.server_id)
@@ -211,7 +235,6 @@
             record.set_spec(spec)
             found[server.server_id] = record
         self.records = found
-        self._listed = listed
 
 
 def _needs_report(record: EngineRecord, now_ms: float) -> bool:
--- a/src/cowslipwood/keeper/engines/_order_sender.py
+++ b/src/cowslipwood/keeper/engines/_order_sender.py
@@ -102,10 +102,15 @@
     async def execute_adapter_step(
         self, model: str, adapter: str, step: Step
     ) -> EngineRecord | None:
-        """Order the load of an adapter and wait for it; None if it is not loaded."""
+        """Order the load of an adapter and wait for it; None if it is not loaded.
+
+        Gives no order if the document in force has no such model there any more.
+        """
         record = step.record
         key = (model, adapter)
         async with record.lock:
+            if not self._is_current(record) or record.find_model(model) is None:
+                return None
             if not record.is_usable or record.has_adapter(*key):
                 return None
             if step.unload_adapter is not None and not await self._unload_adapter(
@@ -140,10 +145,23 @@
     async def execute_model_step(self, spec: ModelSpec, step: Step) -> None:
         """Order the load of a model, or the unload that makes room for it.
 
-        Gives no order if the engine or the store can't take the order any more.
+        Gives no order if the engine or the store can't take the order any more, or if
+        the document in force has no such model there.
+
+        Parameters
+        ----------
+        spec : ModelSpec
+            The model when the step was decided on; that of the document in force is
+            what is loaded.
+        step : Step
         """
         record = step.record
         async with record.lock:
+            if not self._is_current(record):
+                return
+            spec = record.find_model(spec.name)
+            if spec is None:
+                return
             now_ms = monotonic_ms()
             if not record.can_load_now(spec.name, step.load_priority, now_ms):
                 return
@@ -165,6 +183,14 @@
             self._log_placement(spec, step, now_ms)
             await self._send_order(record, OrderOp.LOAD, spec.name, "", load_ms)
 
+    def _is_current(self, record: EngineRecord) -> bool:
+        """Return whether a record is still that of an engine of the document in force.
+
+        Afterwards the record has its specification in that document.
+        """
+        self._fleet.follow_document()
+        return self._fleet.has_record(record)
+
     def _log_placement(self, spec: ModelSpec, step: Step, now_ms: float) -> None:
         model_demand = self._demand.get(spec.name)
         get_logger().info(
@@ -224,7 +250,9 @@
         now_ms = monotonic_ms()
         if not self._may_send_orders(now_ms) or record.sequence is None:
             return False
-        if not self._fleet.has_record(record):
+        if not self._is_current(record):
+            return False
+        if op is OrderOp.LOAD and record.find_model(model) is None:
             return False
         server_id = record.server.server_id
         next_order_ms = self._turns.get_next_order_ms(server_id)
--- a/src/cowslipwood/keeper/engines/_planning.py
+++ b/src/cowslipwood/keeper/engines/_planning.py
@@ -10,7 +10,7 @@
 from ...kernel.logs import get_logger
 from ...kernel.metrics import Metrics
 from ...kernel.pacing import WorkPacer
-from ...routes import ModelSpec, RouteDocument, ServiceSpec
+from ...routes import EngineSpec, ModelSpec
 from ._adapters import choose_adapter_copy
 from ._demand import DemandTracker
 from ._engine_record import EngineRecord
@@ -20,6 +20,7 @@
 from ._order_sender import OrderSender
 from ._placement import compute_expected_load
 from ._plan import plan_loads
+from ._specs import EngineSpecs
 
 __all__ = ["MIN_PLAN_INTERVAL_MS", "PlanningLoop"]
 
@@ -65,8 +66,6 @@
         Returns whether this keeper may act now, given the present time.
     term : callable
         Returns the term of the leadership.
-    document : callable
-        Returns the document in force, or None.
     metrics : Metrics
     """
 
@@ -77,7 +76,6 @@
         sender: OrderSender,
         can_act_as_leader: Callable[[float], bool],
         term: Callable[[], int],
-        document: Callable[[], RouteDocument | None],
         metrics: Metrics,
     ):
         self._fleet = fleet
@@ -85,12 +83,12 @@
         self._sender = sender
         self._can_act_as_leader = can_act_as_leader
         self._term = term
-        self._document = document
         self._metrics = metrics
         self._active_term = 0
         self._term_start_ms = 0.0
-        # Expected load by service, at the last round.
+        # Expected load by service at the last round, and the document it rests on.
         self._expected_load: dict[str, ExpectedLoad] = {}
+        self._expected_load_version = 0
         # Time of the last lookup of a missing model, by service and model.
         self._missing_lookup_ms: dict[tuple[str, str], float] = {}
         # Time of the last log of the layout, by service.
@@ -140,38 +138,55 @@
         return term != 0 and is_present and self._can_act_as_leader(now_ms)
 
     async def _run_round(self, pacer: WorkPacer, now_ms: float, is_brief: bool) -> None:
-        """Plan loads and copies of adapters, and start the orders possible now."""
+        """Plan loads and copies of adapters, and start the orders possible now.
+
+        Ends early when another document comes into force, as the plan rests on one
+        version; the next round plans with the new one.
+        """
         oldest_ms = now_ms - MISSING_VALID_MS
         self._missing_lookup_ms = {
             key: lookup_ms
             for key, lookup_ms in self._missing_lookup_ms.items()
             if lookup_ms >= oldest_ms
         }
-        document = self._document()
-        for service in document.services if document else ():
-            if service.engine is not None:
-                await self._plan_service(service, pacer, now_ms, is_brief)
+        specs = self._fleet.follow_document()
+        if specs.version != self._expected_load_version:
+            self._expected_load_version = specs.version
+            self._expected_load.clear()
+        for service, spec in specs.by_service.items():
+            await self._plan_service(service, spec, specs, pacer, now_ms, is_brief)
+            if not self._may_go_on(self._active_term, specs):
+                return
+
+    def _may_go_on(self, term: int, specs: EngineSpecs) -> bool:
+        """Return whether the term lasts and the document is still in force."""
+        is_leading = self._leads_in(term, monotonic_ms())
+        return is_leading and self._fleet.follow_document() is specs
 
     async def _plan_service(
-        self, service: ServiceSpec, pacer: WorkPacer, now_ms: float, is_brief: bool
+        self,
+        service: str,
+        spec: EngineSpec,
+        specs: EngineSpecs,
+        pacer: WorkPacer,
+        now_ms: float,
+        is_brief: bool,
     ) -> None:
-        """Plan for the engines of one service; stop where the leadership ends."""
+        """Plan for the engines of one service, while the round may go on."""
         term = self._active_term
-        records = self._fleet.list_engines(service.name)
-        models = service.engine.models
-        missing = {
-            model for name, model in self._missing_lookup_ms if name == service.name
-        }
+        records = self._fleet.list_engines(service)
+        models = spec.models
+        missing = {model for name, model in self._missing_lookup_ms if name == service}
         has_reservation = any(record.get_reserved_model(now_ms) for record in records)
         if is_brief and not missing and not has_reservation:
             return
         expected_load = compute_expected_load(
             records, self._demand.by_model, self._demand.late_share
         )
-        self._expected_load[service.name] = expected_load
-        layout_logged_ms = self._layout_logged_ms.get(service.name, -math.inf)
+        self._expected_load[service] = expected_load
+        layout_logged_ms = self._layout_logged_ms.get(service, -math.inf)
         if now_ms >= layout_logged_ms + LAYOUT_LOG_MS:
-            self._layout_logged_ms[service.name] = now_ms
+            self._layout_logged_ms[service] = now_ms
             log_layout(records, expected_load, self._demand, now_ms)
         planned_loads = plan_loads(
             records,
@@ -188,7 +203,7 @@
             if planned is not None and planned[1].record.is_usable:
                 self._tasks.start_soon(self._sender.execute_model_step, *planned)
             await pacer.give_way()
-            if not self._leads_in(term, monotonic_ms()):
+            if not self._may_go_on(term, specs):
                 return
         if not is_brief:
             self._start_adapter_copy(records, models, now_ms)
--- a/src/cowslipwood/routes/_document.py
+++ b/src/cowslipwood/routes/_document.py
@@ -147,6 +147,10 @@
     kv_cache_tokens: int
     models: tuple[ModelSpec, ...]
 
+    def find_model(self, name: str) -> ModelSpec | None:
+        """Return the model with this name; None if there is none."""
+        return next((model for model in self.models if model.name == name), None)
+
 
 class ServiceSpec(NamedTuple):
     """A service that routes send requests to; `engine` is None without engines."""
--- a/tests/engine_builders.py
+++ b/tests/engine_builders.py
@@ -178,6 +178,11 @@
     ----------
     limits : ServerLimitTable
         Limits that entries have reported.
+    metrics : Metrics
+        Metrics of the controllers.
+    document : RouteDocument or None
+        The document in force, which may be replaced at any time; None for one service
+        with `spec`.
     before_orders : list of callable
         What happens just before each of the next orders arrives, one for each order.
     """
@@ -190,6 +195,7 @@
         self.preceding_term = 0
         self.spec = SPEC
         self.limits = ServerLimitTable()
+        self.metrics = Metrics("keeper")
         self.document: RouteDocument | None = None
         self.orders: list[EngineOrder] = []
         self.ordered_at_ms: list[float] = []
@@ -233,9 +239,7 @@
         self, keeper_id: str = "k1", order_quiet_ms: float = 0.0
     ) -> EngineController:
         """Return a keeper's controller, which gives orders to these engines."""
-        document = self.document or RouteDocument(
-            1, (), (ServiceSpec("llm", engine=self.spec),)
-        )
+        default = RouteDocument(1, (), (ServiceSpec("llm", engine=self.spec),))
         return EngineController(
             OrderParameters(keeper_id, order_quiet_ms=order_quiet_ms),
             self,
@@ -243,7 +247,7 @@
             lambda now_ms: self.can_act_as_leader and self.leader_id == keeper_id,
             lambda: self.term,
             lambda: self.preceding_term,
-            lambda: document,
-            Metrics("keeper"),
+            lambda: self.document or default,
+            self.metrics,
             self.limits,
         )
--- /dev/null
+++ b/tests/test_document_changes.py
@@ -0,0 +1,131 @@
+"""Documents that come into force while a leader plans."""
+
+import unittest
+from collections.abc import Sequence
+
+import anyio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from structlog.testing import capture_logs
+
+from cowslipwood.kernel.codes import Code
+from cowslipwood.kernel.messages import HolderRequest, Refused
+from cowslipwood.routes import RouteDocument, ServiceSpec
+
+from .document_change_builders import (
+    SOUND_NUMBERS,
+    Arrival,
+    Change,
+    ChangingFleet,
+    document_changes,
+    engine_spec_value,
+    engines_document_value,
+    model_spec_value,
+    run_passes,
+)
+from .engine_builders import SPEC, FakeEngine, FakeFleet
+
+# Changes in one sequence.
+MAX_CHANGES = 5
+PROPERTY_SETTINGS = settings(max_examples=150, deadline=None, derandomize=True)
+
+
+def run_changes(changes: Sequence[Change]) -> tuple[ChangingFleet, list[dict]]:
+    """Let changes come into force one after the other; return fleet and error logs."""
+
+    async def main() -> ChangingFleet:
+        fleet = ChangingFleet()
+        async with run_passes(fleet) as runner:
+            for change in changes:
+                await runner.run(change)
+        return fleet
+
+    with capture_logs() as logs:
+        fleet = anyio.run(main)
+    return fleet, [line for line in logs if line["log_level"] == "error"]
+
+
+class ChangedDocumentTest(unittest.TestCase):
+    """Rounds of planning whose records are of an earlier or a later document."""
+
+    def check(self, changes: Sequence[Change]) -> ChangingFleet:
+        """Check that planning neither fails nor orders what no document has."""
+        fleet, errors = run_changes(changes)
+        self.assertEqual(errors, [])
+        self.assertEqual(fleet.foreign_loads, [])
+        return fleet
+
+    # The leader ended when a service that was entered without models got its first.
+    def test_first_model_of_a_service(self):
+        """A model that comes into force between two reads of the list is loaded."""
+        empty = engines_document_value(a=engine_spec_value())
+        filled = engines_document_value(a=engine_spec_value(model_spec_value()))
+        fleet = self.check(
+            [Change(empty, Arrival.BEFORE_LIST), Change(filled, Arrival.AFTER_LIST)]
+        )
+        self.assertEqual([order.model for order in fleet.orders], ["m0"])
+
+    # A load was ordered for a model that the document had lost during the round.
+    def test_model_removed_during_a_round(self):
+        """A model that a document loses while a round runs is no longer loaded."""
+        names = ("m0", "m1", "m2")
+        engine = engine_spec_value(*map(model_spec_value, names), loads_per_s=50.0)
+        for n_turns in range(10):
+            with self.subTest(n_turns=n_turns):
+                self.check(
+                    [
+                        Change(engines_document_value(a=engine), Arrival.BEFORE_LIST),
+                        Change(
+                            engines_document_value(a=engine_spec_value()),
+                            Arrival.DURING_ROUND,
+                            n_turns=n_turns,
+                        ),
+                    ]
+                )
+
+    # Loads of models that a newer document no longer has were ordered.
+    @given(st.lists(document_changes(SOUND_NUMBERS), min_size=2, max_size=MAX_CHANGES))
+    @PROPERTY_SETTINGS
+    def test_any_sequence(self, changes):
+        """Planning goes on over any changes, and loads only what is in force."""
+        self.check(changes)
+
+
+class LookupTest(unittest.TestCase):
+    """Lookups that wait for a load."""
+
+    # Callers waited for the load of a model that the document had lost.
+    def test_model_removed_during_a_lookup(self):
+        """A lookup ends at once when the document no longer has its model."""
+        engine = FakeEngine("s0", {})
+        engine.defers_orders = True
+        fleet = FakeFleet([engine])
+        fleet.document = RouteDocument(1, (), (ServiceSpec("llm", engine=SPEC),))
+
+        async def main() -> list:
+            replies = []
+            controller = fleet.make_controller()
+
+            async def look_up() -> None:
+                request = HolderRequest("llm", "m0", "", "")
+                replies.append(await controller.find_holder(request))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(controller.run)
+                await anyio.sleep(0.1)
+                tasks.start_soon(look_up)
+                while not fleet.orders:
+                    await anyio.sleep(0.01)
+                fleet.document = RouteDocument(2, (), (ServiceSpec("llm"),))
+                # Less than the time for which a lookup may wait.
+                with anyio.move_on_after(2):
+                    while not replies:
+                        await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+            return replies
+
+        with capture_logs():
+            replies = anyio.run(main)
+        self.assertEqual(len(replies), 1)
+        self.assertIsInstance(replies[0], Refused)
+        self.assertEqual(replies[0].code, Code.NO_SUCH_MODEL.value)
