Plan with any number that a document may contain

The review saw each leader end in turn with a config whose engine has 0 slots. It takes four concurrent requests for a model that such an engine holds: only then are requests spread over engines, by a division by the slots. Very large rates and times ended the leader as well, as an infinite product has no whole part (OverflowError in the property test). The document stays in force, so that no leader after it could acknowledge anything.

Customers' rates and bursts of 0 to 1.7e308 were looked at by a test: the leader answers.

--- a/tests/test_customer_limits.py
+++ b/tests/test_customer_limits.py
@@ -1009,3 +1009,25 @@
             self.assertEqual(count_units(tokens, headers, NAMES), expected, value)
             self.assertEqual(count_units(requests, headers, NAMES), 1)
         self.assertEqual(count_units(tokens, [], NAMES), 200)
+
+
+class ExtremeLimitTest(unittest.TestCase):
+    """Limits that a document may contain and that no customer needs."""
+
+    # Guards against a leader that ends by a number of the document.
+    def test_answers_and_gauges(self):
+        """The leader answers with a number of units, whatever rate and burst are."""
+        for rate_per_s in (0.0, 5e-324, 1.0, 1e300, 1.7e308):
+            for burst in (0.0, 5e-324, 1e300, 1.7e308):
+                with self.subTest(rate_per_s=rate_per_s, burst=burst):
+                    customer = Customer("c", rate_per_s=rate_per_s, burst=burst)
+                    tolerance = LimitTolerance(8_000.0, 0.1, 110_000.0)
+                    table = CustomerLimitTable(Metrics("keeper"), tolerance)
+                    for number, now_ms in enumerate((0.0, 100.0, 1e6), 1):
+                        document = build_customers_document(customer, version=number)
+                        table.follow(document, 1, now_ms)
+                        need = AllowanceNeed("c", 5.0, 1.0, 0.0, 0.0, 0.0)
+                        request = AllowanceRequest("i", number, (need,))
+                        [allowance] = table.grant(request, "e", now_ms).allowances
+                        self.assertGreaterEqual(allowance.granted, 0.0)
+                        table.set_gauges(now_ms)
--- a/tests/test_document_changes.py
+++ b/tests/test_document_changes.py
@@ -13,6 +13,7 @@
 from cowslipwood.routes import RouteDocument, ServiceSpec
 
 from .document_change_builders import (
+    ANY_NUMBERS,
     SOUND_NUMBERS,
     Arrival,
     Change,
@@ -90,6 +91,22 @@
         """Planning goes on over any changes, and loads only what is in force."""
         self.check(changes)
 
+    # The leader, and each next one, ended by a number that the document may contain.
+    @given(st.lists(document_changes(ANY_NUMBERS), min_size=2, max_size=MAX_CHANGES))
+    @PROPERTY_SETTINGS
+    def test_any_numbers(self, changes):
+        """Planning goes on with any numbers that a keeper has acknowledged."""
+        self.check(changes)
+
+    # Two engines with 0 slots and eight requests for their model ended the leader.
+    def test_no_slots(self):
+        """Engines without slots count as engines with one."""
+        document = engines_document_value(
+            a=engine_spec_value(model_spec_value(), n_slots=0)
+        )
+        changes = [Change(document, Arrival.BEFORE_LIST, n_requests=(40, 0, 0))] * 4
+        self.assertTrue(self.check(changes).orders)
+
 
 class LookupTest(unittest.TestCase):
     """Lookups that wait for a load."""
