Read whole numbers that are written with a decimal point

A config whose counts are written as 64.0 was refused with 400, though it can be read in full: JSON has one type for both forms. Only the document's decoder told them apart. Floats that are not whole, or too large to be exact, are refused as before.

--- a/src/cowslipwood/routes/_decode.py
+++ b/src/cowslipwood/routes/_decode.py
@@ -8,6 +8,9 @@
 
 __all__ = ["FieldError", "record_from_json", "record_to_json"]
 
+# Largest integer up to which a float holds every integer exactly.
+MAX_EXACT_INTEGER = 2**53
+
 
 class FieldError(ValueError):
     """Raised for a missing field or a value of a wrong type; names the field."""
@@ -78,6 +81,11 @@
     return _decode_scalar(expected_type, value, value_path)
 
 
+def _is_exact_integer(value: float) -> bool:
+    """Return whether a number is whole and not rounded; JSON has one type for both."""
+    return value.is_integer() and abs(value) <= MAX_EXACT_INTEGER
+
+
 def _decode_scalar(expected_type: type, value: Any, value_path: str) -> Any:
     if issubclass(expected_type, enum.Enum):
         try:
@@ -87,6 +95,8 @@
             raise FieldError(f"{value_path}: expected one of {allowed}") from None
     if expected_type is float and type(value) is int:
         return float(value)
+    if expected_type is int and type(value) is float and _is_exact_integer(value):
+        return int(value)
     if type(value) is not expected_type:
         # The value may be a key, which must not get into answers and logs.
         raise FieldError(
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -53,6 +53,17 @@
             document_bytes(routes=[route_value(timeout_ms=0)]), Code.BAD_VALUE
         )
 
+    # A readable config was refused because its writer gives counts a decimal point.
+    def test_whole_numbers(self):
+        """A count may be written as a float if it is whole and exact."""
+        document = build_document(routes=[route_value(max_attempts=3.0)])
+        self.assertEqual(document.routes[0].max_attempts, 3)
+        self.assertIs(type(document.routes[0].max_attempts), int)
+        for value in (2.5, 1e300, True, "3"):
+            with self.subTest(value=value):
+                routes = [route_value(max_attempts=value)]
+                self.assert_refused(document_bytes(routes=routes), Code.BAD_VALUE)
+
     def test_missing_field(self):
         """The refusal names the missing field."""
         value = route_value()
