Confine unforeseen exceptions in the control of engines

One exception in the planning of one service ended all planning, the keeper and then, as the document stayed in force, each next leader.

FailureBarrier logs (bounded), counts and confines an exception to the planning of a service, an order, a report, or one round of control.

Measured: the three tests of ConfinedFailureTest end with their exception without the barrier, and pass with it.

--- a/src/cowslipwood/keeper/engines/_controller.py
+++ b/src/cowslipwood/keeper/engines/_controller.py
@@ -25,6 +25,7 @@
 from ._adapters import choose_adapter_step
 from ._demand import DemandTracker
 from ._engine_record import EngineRecord
+from ._failures import FailureBarrier
 from ._fleet import Fleet
 from ._order_sender import OrderParameters, OrderSender
 from ._orders import EngineClient
@@ -123,6 +124,7 @@
             source, client, self._turns, limits or ServerLimitTable(), document
         )
         self._demand = DemandTracker()
+        self._barrier = FailureBarrier(metrics)
         # Time of the last search for an adapter, by model and adapter.
         self._adapter_searched_ms: dict[tuple[str, str], float] = {}
         # Searches for engines by service, model and adapter.
@@ -150,6 +152,7 @@
             can_act_as_leader,
             term,
             metrics,
+            self._barrier,
         )
         self._ready_time = ReadyTimeEstimator(self._fleet, self._demand, self._planning)
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -164,7 +167,8 @@
             while True:
                 now_ms = monotonic_ms()
                 if self._can_act_as_leader(now_ms):
-                    await self._run_round(now_ms)
+                    with self._barrier.confine("control", "", now_ms):
+                        await self._run_round(now_ms)
                 await anyio.sleep(CONTROL_INTERVAL_MS / 1000)
 
     def build_fleet_load(self, now_ms: float) -> FleetLoad | None:
@@ -374,7 +378,11 @@
         )
         for record in self._fleet.list_engines_to_read(now_ms):
             # Read in separate tasks, as an engine that is down must not delay the rest.
-            self._tasks.start_soon(self._fleet.read_report, record)
+            self._tasks.start_soon(self._read_report, record, now_ms)
+
+    async def _read_report(self, record: EngineRecord, now_ms: float) -> None:
+        with self._barrier.confine("report", record.server.server_id, now_ms):
+            await self._fleet.read_report(record)
 
     def _find_model(self, request: HolderRequest) -> ModelSpec | None:
         """Return the model of a lookup in the document in force."""
--- a/src/cowslipwood/keeper/engines/_planning.py
+++ b/src/cowslipwood/keeper/engines/_planning.py
@@ -15,12 +15,14 @@
 from ._demand import DemandTracker
 from ._engine_record import EngineRecord
 from ._expected_load import ExpectedLoad
+from ._failures import FailureBarrier
 from ._fleet import Fleet
 from ._layout_log import log_layout
 from ._order_sender import OrderSender
 from ._placement import compute_expected_load
 from ._plan import plan_loads
 from ._specs import EngineSpecs
+from ._step import Step
 
 __all__ = ["MIN_PLAN_INTERVAL_MS", "PlanningLoop"]
 
@@ -67,6 +69,7 @@
     term : callable
         Returns the term of the leadership.
     metrics : Metrics
+    barrier : FailureBarrier
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         can_act_as_leader: Callable[[float], bool],
         term: Callable[[], int],
         metrics: Metrics,
+        barrier: FailureBarrier,
     ):
         self._fleet = fleet
         self._demand = demand
@@ -84,6 +88,7 @@
         self._can_act_as_leader = can_act_as_leader
         self._term = term
         self._metrics = metrics
+        self._barrier = barrier
         self._active_term = 0
         self._term_start_ms = 0.0
         # Expected load by service at the last round, and the document it rests on.
@@ -154,7 +159,8 @@
             self._expected_load_version = specs.version
             self._expected_load.clear()
         for service, spec in specs.by_service.items():
-            await self._plan_service(service, spec, specs, pacer, now_ms, is_brief)
+            with self._barrier.confine("planning", service, now_ms):
+                await self._plan_service(service, spec, specs, pacer, now_ms, is_brief)
             if not self._may_go_on(self._active_term, specs):
                 return
 
@@ -201,7 +207,7 @@
         )
         for planned in planned_loads:
             if planned is not None and planned[1].record.is_usable:
-                self._tasks.start_soon(self._sender.execute_model_step, *planned)
+                self._tasks.start_soon(self._execute_model_step, *planned)
             await pacer.give_way()
             if not self._may_go_on(term, specs):
                 return
@@ -222,9 +228,17 @@
         )
         if adapter_copy is not None:
             spec, adapter, step = adapter_copy
-            self._tasks.start_soon(
-                self._sender.execute_adapter_step, spec.name, adapter, step
-            )
+            self._tasks.start_soon(self._execute_adapter_step, spec.name, adapter, step)
+
+    async def _execute_model_step(self, spec: ModelSpec, step: Step) -> None:
+        server_id = step.record.server.server_id
+        with self._barrier.confine("order", server_id, monotonic_ms()):
+            await self._sender.execute_model_step(spec, step)
+
+    async def _execute_adapter_step(self, model: str, adapter: str, step: Step) -> None:
+        server_id = step.record.server.server_id
+        with self._barrier.confine("order", server_id, monotonic_ms()):
+            await self._sender.execute_adapter_step(model, adapter, step)
 
     def _is_demand_known(self, now_ms: float) -> bool:
         """Return whether entries have had time to report the demand to this leader."""
--- a/tests/test_document_changes.py
+++ b/tests/test_document_changes.py
@@ -1,16 +1,23 @@
 """Documents that come into force while a leader plans."""
 
 import unittest
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from typing import Any
+from unittest import mock
 
 import anyio
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from structlog.testing import capture_logs
 
+from cowslipwood.keeper.engines._engine_record import EngineRecord
+from cowslipwood.keeper.engines._fleet import Fleet
+from cowslipwood.keeper.engines._order_sender import OrderSender
+from cowslipwood.keeper.engines._plan import plan_loads
+from cowslipwood.keeper.engines._step import Step
 from cowslipwood.kernel.codes import Code
 from cowslipwood.kernel.messages import HolderRequest, Refused
-from cowslipwood.routes import RouteDocument, ServiceSpec
+from cowslipwood.routes import ModelSpec, RouteDocument, ServiceSpec
 
 from .document_change_builders import (
     ANY_NUMBERS,
@@ -108,6 +115,59 @@
         self.assertTrue(self.check(changes).orders)
 
 
+class ConfinedFailureTest(unittest.TestCase):
+    """Unforeseen exceptions in the control of one service or one engine."""
+
+    def run_with(self, name: str, fail: Callable[..., Any]) -> None:
+        """Check that service b gets its model although `name` fails for service a."""
+        document = engines_document_value(
+            a=engine_spec_value(model_spec_value("m0"), loads_per_s=50.0),
+            b=engine_spec_value(model_spec_value("m1"), loads_per_s=50.0),
+        )
+        services = ("a", "a", "b")
+        changes = [Change(document, Arrival.BEFORE_LIST, services)] * 3
+        with mock.patch(f"cowslipwood.keeper.engines.{name}", fail):
+            fleet, errors = run_changes(changes)
+        self.assertIn("m1", fleet.engines["s2"].held)
+        self.assertNotIn("m0", fleet.engines["s0"].held)
+        self.assertEqual({line["event"] for line in errors}, {"engine_control_failed"})
+        text, _ = fleet.metrics.render_text()
+        self.assertIn(b"cowslip_keeper_engine_control_failures_total", text)
+
+    # One service whose planning failed ended the leader, and each next one.
+    def test_planning(self):
+        """The other services are planned on."""
+
+        def fail(records, models, *args: Any, **options: Any) -> Any:
+            if models[0].name == "m0":
+                raise RuntimeError("planning")
+            return plan_loads(records, models, *args, **options)
+
+        self.run_with("_planning.plan_loads", fail)
+
+    def test_report(self):
+        """The other engines get orders."""
+        read_report = Fleet.read_report
+
+        async def fail(fleet: Fleet, record: EngineRecord) -> None:
+            if record.server.service == "a":
+                raise RuntimeError("report")
+            await read_report(fleet, record)
+
+        self.run_with("_fleet.Fleet.read_report", fail)
+
+    def test_order(self):
+        """The other engines get orders."""
+        execute_model_step = OrderSender.execute_model_step
+
+        async def fail(sender: OrderSender, spec: ModelSpec, step: Step) -> None:
+            if spec.name == "m0":
+                raise RuntimeError("order")
+            await execute_model_step(sender, spec, step)
+
+        self.run_with("_order_sender.OrderSender.execute_model_step", fail)
+
+
 class LookupTest(unittest.TestCase):
     """Lookups that wait for a load."""
 
