Tell an empty list of customers from none

Cause: RouteDocument.customers was () both for "none given" and for "given, empty", from the adapter on, and each decision on keys asked whether it is empty: whether a request needs a key, whether the header is removed, whether a proof of the document is needed. Evidence: servers got the key and no customer's name, so that the entries had the second document and took it for one without customers; an entry that had missed it would have gone on to remove the key.

Change: customers is None where requests need no key. Documents stored by earlier programs have an empty list in either case; they come without the flag and are read as before, so that an upgrade closes no deployment without keys.

--- a/src/cowslipwood/entry/direct/_customer_keys.py
+++ b/src/cowslipwood/entry/direct/_customer_keys.py
@@ -97,17 +97,17 @@
         self._first_proof = anyio.Event()
         self._digest_key = secrets.token_bytes(DIGEST_BYTES)
         self._customers_by_digest: dict[bytes, Customer] = {}
-        self._has_customers = False
+        self._needs_key = False
 
     @property
-    def has_customers(self) -> bool:
-        """Whether the document in force has customers, so that requests need a key."""
-        return self._has_customers
+    def needs_key(self) -> bool:
+        """Whether requests need a key, even if no key is valid."""
+        return self._needs_key
 
     @property
     def needs_proof(self) -> bool:
         """Whether keys are accepted only with a recent proof."""
-        return self._revoke_ms > 0 and self._has_customers
+        return self._revoke_ms > 0 and self._needs_key
 
     @property
     def is_ready(self) -> bool:
@@ -117,10 +117,10 @@
     def apply_document(self, document: RouteDocument) -> None:
         """Replace the keys by those of a document that is in force now."""
         self._version = document.version
-        self._has_customers = bool(document.customers)
+        self._needs_key = document.needs_key
         self._customers_by_digest = {
             self._compute_digest(key.encode()): customer
-            for customer in document.customers
+            for customer in document.list_customers()
             for key in customer.keys
         }
         self._document_changed.set()
@@ -146,7 +146,7 @@
             or with KEYS_UNCERTAIN if the document may not be current. The message does
             not contain the key.
         """
-        if not self._has_customers:
+        if not self._needs_key:
             return None
         found = self._find_customer(headers, route, now_ms)
         is_exempt = isinstance(found, Failure) and route.needs_no_key
@@ -161,9 +161,9 @@
     ) -> list[tuple[bytes, bytes]]:
         """Return a request's headers without its key and a customer's name.
 
-        Without customers these headers have no meaning and stay.
+        Where requests need no key these headers have no meaning and stay.
         """
-        if not self._has_customers:
+        if not self._needs_key:
             return list(headers)
         removed = (self._names.key, self._names.customer)
         return [pair for pair in headers if pair[0] not in removed]
--- a/src/cowslipwood/entry/direct/_customer_limits.py
+++ b/src/cowslipwood/entry/direct/_customer_limits.py
@@ -221,7 +221,9 @@
 
         Accounts of customers that have had no limit for some time are dropped.
         """
-        limited = {each.name: each for each in document.customers if each.is_limited}
+        limited = {
+            each.name: each for each in document.list_customers() if each.is_limited
+        }
         for name, account in list(self._accounts.items()):
             if name in limited:
                 account.ended_at_ms = None
--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -353,13 +353,15 @@
             reason = parsed.failure().message
             log.error("document_unreadable", version=update.version, reason=reason)
             return
-        if self._state.apply_document(parsed.unwrap()):
+        document = parsed.unwrap().set_key_need(update.needs_key)
+        if self._state.apply_document(document):
             self._metrics.gauge("document_version", update.version)
             log.info(
                 "document_in_force",
                 version=update.version,
-                routes=len(parsed.unwrap().routes),
-                customers=len(parsed.unwrap().customers),
+                routes=len(document.routes),
+                customers=len(document.list_customers()),
+                needs_key=document.needs_key,
                 term=self._link.term,
             )
 
--- a/src/cowslipwood/keeper/_commands.py
+++ b/src/cowslipwood/keeper/_commands.py
@@ -52,11 +52,16 @@
 
 @message("commands")
 class ApplyCommand(NamedTuple):
-    """Applies a whole document of routes if its version is the highest so far."""
+    """Applies a whole document of routes if its version is the highest so far.
+
+    `needs_key` says whether requests need a customer's key, also where the document has
+    no customers. Commands of earlier programs leave it out.
+    """
 
     version: int
     source: bytes
     document: bytes
+    needs_key: bool = False
 
 
 @message("commands")
--- a/src/cowslipwood/keeper/_customer_limits.py
+++ b/src/cowslipwood/keeper/_customer_limits.py
@@ -242,7 +242,7 @@
         before, self._document = self._document, document
         limited = {
             customer.name: customer
-            for customer in (() if document is None else document.customers)
+            for customer in (() if document is None else document.list_customers())
             if customer.is_limited
         }
         known = self._buckets
@@ -291,7 +291,7 @@
     def list_uses(self, now_ms: float) -> list[CustomerUse]:
         """Return the use and the limit of each customer of the document in force."""
         uses = []
-        for customer in () if self._document is None else self._document.customers:
+        for customer in self._document.list_customers() if self._document else ():
             bucket = self._buckets.get(customer.name)
             uses.append(
                 CustomerUse(customer, None, None)
--- a/src/cowslipwood/keeper/_documents.py
+++ b/src/cowslipwood/keeper/_documents.py
@@ -11,7 +11,7 @@
 from ..kernel.messages import AppliedDocument, ApplyDocument, ReadDocument
 from ..kernel.tokens import token_matches
 from ..replication import LogReplica
-from ..routes import parse_document
+from ..routes import RouteDocument, parse_document
 from ._commands import ApplyCommand, encode_command
 from ._machine import KeeperStateMachine
 
@@ -65,7 +65,10 @@
                 "document_not_newer", version=request.version, held=version_in_force
             )
             return AppliedDocument(version_in_force, b"")
-        command = ApplyCommand(request.version, request.source, request.document)
+        needs_key = self._find_key_need(parsed.unwrap())
+        command = ApplyCommand(
+            request.version, request.source, request.document, needs_key
+        )
         proposed = await self._replica.propose(encode_command(command))
         if isinstance(proposed, Err):
             fault = proposed.failure()
@@ -74,9 +77,25 @@
             )
             return to_refused(fault, self._replica.leader_addr)
         version = self._machine.applied_document.version
-        log.info("document_committed", version=request.version, in_force=version)
+        log.info(
+            "document_committed",
+            version=request.version,
+            in_force=version,
+            needs_key=self._machine.applied_document.needs_key,
+        )
         return AppliedDocument(version, b"")
 
+    def _find_key_need(self, document: RouteDocument) -> bool:
+        """Return whether requests need a key under a document that is to be committed.
+
+        The need for keys stays when a document leaves out the customers.
+        """
+        in_force = self._machine.get_route_document()
+        is_kept = in_force is not None and in_force.needs_key
+        if is_kept and not document.needs_key:
+            get_logger().warning("key_need_kept", version=document.version)
+        return document.needs_key or is_kept
+
     def _read_document(self) -> Any:
         # Leadership is checked right before the answer, because a leader whose lease
         # expired while its process was suspended may hold an older document than
--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -511,7 +511,9 @@
         document = self._machine.applied_document
         frame = b""
         if document.version:
-            frame = self._document_frame.encode(document.version, document.document)
+            frame = self._document_frame.encode(
+                document.version, document.document, document.needs_key
+            )
         keeper_addrs = tuple(member.addr for member in self._replica.members)
         return PublishedState(
             self._machine.catalogue,
--- a/src/cowslipwood/keeper/_machine.py
+++ b/src/cowslipwood/keeper/_machine.py
@@ -86,7 +86,10 @@
                 return Success(assigned)
             case ApplyCommand():
                 if command.version > self.applied_document.version:
-                    self.applied_document = command
+                    # A key that was taken away must not work again because the
+                    # customers are left out altogether.
+                    needs_key = command.needs_key or self.applied_document.needs_key
+                    self.applied_document = command._replace(needs_key=needs_key)
                 return Success(self.applied_document)
             case DrainCommand(server_id, True):
                 self.drained.add(server_id)
@@ -126,7 +129,11 @@
                 if self.applied_document.version
                 else None
             )
-            self._parsed_document = parsed.unwrap() if parsed is not None else None
+            self._parsed_document = (
+                parsed.unwrap().set_key_need(self.applied_document.needs_key)
+                if parsed is not None
+                else None
+            )
         return self._parsed_document
 
     def snapshot(self) -> bytes:
@@ -149,6 +156,7 @@
                     base64.b64encode(self.applied_document.source).decode(),
                     base64.b64encode(self.applied_document.document).decode(),
                 ],
+                "applied_needs_key": self.applied_document.needs_key,
             }
         )
 
@@ -171,5 +179,10 @@
             for service, (current, departed) in value.get("versions", {}).items()
         }
         version, *contents = value.get("applied", [0, "", ""])
-        self.applied_document = ApplyCommand(version, *map(base64.b64decode, contents))
+        self.applied_document = ApplyCommand(
+            version,
+            *map(base64.b64decode, contents),
+            needs_key=value.get("applied_needs_key", False),
+        )
+        self._parsed_document = None
         self.on_change()
--- a/src/cowslipwood/keeper/_subscribers.py
+++ b/src/cowslipwood/keeper/_subscribers.py
@@ -42,12 +42,12 @@
         self._version = 0
         self._frame = b""
 
-    def encode(self, version: int, document: bytes) -> bytes:
+    def encode(self, version: int, document: bytes, needs_key: bool) -> bytes:
         """Return the encoded `DocumentUpdate`, with the document compressed."""
         if version != self._version:
             self._version = version
             compressed = zlib.compress(document, 1)
-            self._frame = encode_frame(DocumentUpdate(version, compressed))
+            self._frame = encode_frame(DocumentUpdate(version, compressed, needs_key))
         return self._frame
 
 
--- a/src/cowslipwood/kernel/messages.py
+++ b/src/cowslipwood/kernel/messages.py
@@ -339,10 +339,15 @@
 
 @message("control")
 class DocumentUpdate(NamedTuple):
-    """The leader sends an entry the document in force, compressed with zlib."""
+    """The leader sends an entry the document in force, compressed with zlib.
+
+    `needs_key` says whether requests need a customer's key, also where the document has
+    no customers.
+    """
 
     version: int
     document: bytes
+    needs_key: bool = False
 
 
 @message("control")
--- a/src/cowslipwood/routes/_document.py
+++ b/src/cowslipwood/routes/_document.py
@@ -173,15 +173,47 @@
 class RouteDocument(NamedTuple):
     """All routes, services and customers, with a version that only increases.
 
-    If there are customers, requests need a key of one of them, except on routes with
-    `needs_no_key`.
+    Parameters
+    ----------
+    version : int
+    routes : tuple of Route
+    services : tuple of ServiceSpec
+    limits : CallerLimits
+    customers : tuple of Customer or None
+        Customers of whom requests need a key, except on routes with `needs_no_key`.
+        If it is empty, no key is valid. None if requests need no key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[ServiceSpec, ...]
     limits: CallerLimits = CallerLimits()
-    customers: tuple[Customer, ...] = ()
+    customers: tuple[Customer, ...] | None = None
+
+    @property
+    def needs_key(self) -> bool:
+        """Whether requests need a customer's key."""
+        return self.customers is not None
+
+    def list_customers(self) -> tuple[Customer, ...]:
+        """Return the customers; empty also where requests need no key."""
+        return self.customers or ()
+
+    def set_key_need(self, needs_key: bool) -> "RouteDocument":
+        """Return the document as it is in force.
+
+        Whether requests need a key is decided when a document is committed, because a
+        document without customers keeps the need for keys of the one before. Documents
+        that earlier programs have stored have empty customers in either case.
+
+        Parameters
+        ----------
+        needs_key : bool
+            What was decided; a document with customers always needs a key.
+        """
+        if self.customers:
+            return self
+        return self._replace(customers=() if needs_key else None)
 
     def service(self, name: str) -> ServiceSpec | None:
         """Return the service with this name; None if there is none."""
@@ -229,7 +261,7 @@
         if host_and_prefix in used_hosts_and_prefixes:
             raise FieldError(f"route {route.name}: another has its host and prefix")
         used_hosts_and_prefixes.add(host_and_prefix)
-    check_customers(document.customers)
+    check_customers(document.list_customers())
 
 
 def _check_route(route: Route, service_names: set[str]) -> None:
--- a/src/cowslipwood/schema/commands.capnp
+++ b/src/cowslipwood/schema/commands.capnp
@@ -54,4 +54,5 @@
   version @0 :UInt64;
   source @1 :Data;
   document @2 :Data;         # JSON
+  needsKey @3 :Bool;
 }
--- a/src/cowslipwood/schema/control.capnp
+++ b/src/cowslipwood/schema/control.capnp
@@ -186,6 +186,7 @@
 struct DocumentUpdate {
   version @0 :UInt64;
   document @1 :Data;
+  needsKey @2 :Bool;
 }
 
 struct DocumentVersionRequest {
--- a/tests/customer_builders.py
+++ b/tests/customer_builders.py
@@ -2,8 +2,12 @@
 
 from typing import Any
 
+from returns.result import Result
+
 from cowslipwood.entry.direct._customer_keys import CustomerKeys
 from cowslipwood.entry.direct._headers import HeaderNames
+from cowslipwood.keeper._machine import KeeperStateMachine
+from cowslipwood.kernel.codes import Failure
 from cowslipwood.kernel.metrics import Metrics
 
 from .direct_builders import build_document, route_value
@@ -45,3 +49,33 @@
         (b"x-request-id", b"q1"),
         *((HeaderNames().key, key.encode()) for key in keys),
     ]
+
+
+class AppliedLog:
+    """A log of one keeper, which applies each command when it is proposed.
+
+    Attributes
+    ----------
+    machine : KeeperStateMachine
+    """
+
+    leader_addr = ""
+
+    def __init__(self):
+        self.machine = KeeperStateMachine()
+        self._n_commands = 0
+
+    def can_act_as_leader(self, now_ms: float) -> bool:
+        """Return True, as no other keeper leads."""
+        return True
+
+    async def propose(self, command: bytes) -> Result[Any, Failure]:
+        """Apply a command."""
+        self._n_commands += 1
+        return self.machine.apply(self._n_commands, command)
+
+    def restore(self) -> None:
+        """Go on with the state that a snapshot restores."""
+        restored = KeeperStateMachine()
+        restored.restore(self.machine.snapshot())
+        self.machine = restored
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -133,6 +133,11 @@
         """Start keepers k1, k2, ... that share a log."""
         addrs = [f"127.0.0.1:{free_port()}" for _ in range(n_keepers)]
         self.keepers = ",".join(addrs)
+        self.restart_keepers(*flags)
+
+    def restart_keepers(self, *flags: str) -> None:
+        """Start the keepers of a shared log at their addresses, with their data."""
+        addrs = self.keepers.split(",")
         peers = ",".join(f"k{number}={addr}" for number, addr in enumerate(addrs, 1))
         for number, addr in enumerate(addrs, 1):
             name = f"k{number}"
--- a/tests/test_customer_keys_processes.py
+++ b/tests/test_customer_keys_processes.py
@@ -30,29 +30,52 @@
         self.cluster.start_keepers(3)
         self.backend = ServiceServer()
         self.addCleanup(self.backend.close)
-        port, health_port = free_port(), free_port()
+        self.port, self.health_port = free_port(), free_port()
+        self.start_entry()
+        self.apply(1, customer_value(), OTHER_CUSTOMER)
+        wait_for(
+            lambda: call(self.health_port, "GET", "/readyz")[0] == 200, "readiness"
+        )
+        self.connect()
+        self.assertEqual(self.send(KEY), 200)
+
+    def start_entry(self) -> None:
+        """Start the entry, with new processes at the same address."""
         self.cluster.start(
             "entry",
             "route_entry",
             f"--keepers={self.cluster.keepers}",
-            f"--listen=127.0.0.1:{port}",
-            f"--metrics-listen=127.0.0.1:{health_port}",
+            f"--listen=127.0.0.1:{self.port}",
+            f"--metrics-listen=127.0.0.1:{self.health_port}",
             "--entry-id=e1",
             "--zone=zone-1",
             f"--list-url={self.backend.list_url}",
             f"--revoke-ms={REVOKE_MS}",
         )
-        self.apply(1, customer_value(), OTHER_CUSTOMER)
-        wait_for(lambda: call(health_port, "GET", "/readyz")[0] == 200, "readiness")
-        self.client = http.client.HTTPConnection("127.0.0.1", port, timeout=60)
+
+    def connect(self) -> None:
+        """Open the connection on which the requests are sent."""
+        self.client = http.client.HTTPConnection("127.0.0.1", self.port, timeout=60)
         self.addCleanup(self.client.close)
-        self.assertEqual(self.send(KEY), 200)
+        wait_for(self.try_connect, "the entry's port")
         # A new connection would be made without a word after the entry closed this.
         self.client.auto_open = 0
 
+    def try_connect(self) -> bool:
+        """Return whether the entry accepts a connection now."""
+        try:
+            self.client.connect()
+        except OSError:
+            return False
+        return True
+
     def apply(self, version: int, *customers: dict[str, Any]) -> float:
         """Apply a document with customers; return the time of the confirmation."""
-        value = document_value(routes=CUSTOMER_ROUTES, customers=list(customers))
+        return self.apply_changes(version, customers=list(customers))
+
+    def apply_changes(self, version: int, **changes: Any) -> float:
+        """Apply a document; return the time of the confirmation."""
+        value = document_value(routes=CUSTOMER_ROUTES, **changes)
         path = Path(self.cluster.folder) / f"document-{version}.json"
         path.write_text(json.dumps(value))
         completed = self.cluster.ctl("apply", str(path), "--version", str(version))
@@ -101,6 +124,39 @@
         for number in (1, 2, 3):
             self.assertNotIn(KEY, self.cluster.log(f"k{number}"))
 
+    # With an empty list of customers, removed keys ran at every entry.
+    def test_last_customer(self):
+        """No key runs after the last customer has gone, in whatever way it went."""
+        confirmed_s = self.apply_changes(2, customers=[])
+        wait_for(lambda: self.send(KEY) == 401, "the removal")
+        time.sleep(max(0.0, confirmed_s + AFTER_REVOKE_S - time.monotonic()))
+        self.check_never_runs()
+        self.apply_changes(3)
+        self.check_never_runs()
+        self.apply_changes(4, customers=None)
+        self.check_never_runs()
+        self.apply(5, OTHER_CUSTOMER)
+        wait_for(lambda: self.send(OTHER_KEY) == 200, "the other key")
+        self.assertEqual(self.send(KEY), 401)
+
+    # The need for keys was forgotten with the processes that knew of it.
+    def test_last_customer_over_restarts(self):
+        """Keepers and entries that start again know that requests need a key."""
+        self.apply_changes(2, customers=[])
+        self.apply_changes(3)
+        for name in ("k1", "k2", "k3", "entry"):
+            self.cluster.processes[name].kill()
+            self.cluster.processes[name].wait()
+        self.start_entry()
+        # Without a keeper the entry has no document and runs nothing.
+        n_runs = self.backend.n_runs
+        self.connect()
+        self.assertEqual(self.send(KEY), 503)
+        self.assertEqual(self.backend.n_runs, n_runs)
+        self.cluster.restart_keepers()
+        wait_for(lambda: self.send(KEY) == 401, "the document")
+        self.check_never_runs()
+
     # Guards against an entry that serves removed keys while it is cut off.
     def test_entry_without_keepers(self):
         """Without keepers, keys work for 0.6 of the bound, and not after all of it."""
--- a/tests/test_keeper_subscribers.py
+++ b/tests/test_keeper_subscribers.py
@@ -150,7 +150,7 @@
         state = PublishedState(
             empty_catalogue(),
             0,
-            DocumentFrame().encode(0, b""),
+            DocumentFrame().encode(0, b"", False),
             (),
             RoutingFeed(),
             EvidenceRelay(),
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -158,6 +158,20 @@
             [route.needs_no_key for route in document.routes], [False, True]
         )
 
+    # An empty list of customers was taken for none, which opened every route.
+    def test_empty_customers(self):
+        """An empty list needs keys; a config without a list, or with null, does not."""
+        for changes, needs_key in (
+            ({}, False),
+            ({"tenants": None}, False),
+            ({"tenants": []}, True),
+            ({"tenants": [{"name": "a"}]}, True),
+            ({"tenants": [{"name": "a", "apiKeys": []}]}, True),
+        ):
+            with self.subTest(changes=changes):
+                document = self.parse({**config_value(), **changes}).unwrap()
+                self.assertEqual(document.needs_key, needs_key)
+
     # Guards against a config without keys that is taken for one without customers.
     def test_wrong_customers(self):
         """A wrong field is named as in the config, and no key is repeated."""
