Tell servers with engines by the document, not by their models

The document says which services have engines, at the leader and at entries that read the list themselves; a model that the leader names counts as well.

Measured: test_views_of_engines_without_models fails on the commit before (`service` for each view) and passes. The streams were not run again with processes.

--- a/src/cowslipwood/entry/direct/_entry.py
+++ b/src/cowslipwood/entry/direct/_entry.py
@@ -384,7 +384,11 @@
                 if has_failed:
                     get_logger().info("list_regained")
                 has_failed = False
-                self._servers.apply_list(read_result.unwrap(), began_ms)
+                document = self._state.document
+                engine_services = document.list_engine_services() if document else ()
+                self._servers.apply_list(
+                    read_result.unwrap(), began_ms, engine_services
+                )
             took_ms = monotonic_ms() - began_ms
             await anyio.sleep(max(0.05, (self._settings.list_ms - took_ms) / 1000))
 
--- a/src/cowslipwood/entry/direct/_servers.py
+++ b/src/cowslipwood/entry/direct/_servers.py
@@ -1,7 +1,7 @@
 """Tracks backend servers by the leader's updates or the entry's own list reads."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from ...kernel.logs import get_logger
 from ...kernel.messages import FleetLoad, RoutingUpdate, ServerView
@@ -118,17 +118,33 @@
         self._leader_views.clear()
         self._follows_leader = False
 
-    def apply_list(self, servers: Iterable[ListedServer], now_ms: float) -> None:
+    def apply_list(
+        self,
+        servers: Iterable[ListedServer],
+        now_ms: float,
+        engine_services: Collection[str] = (),
+    ) -> None:
         """Apply a server list that the entry read at this time.
 
         It has no effect on the view while the leader's list is recent enough.
+
+        Parameters
+        ----------
+        servers : iterable of ListedServer
+        now_ms : float
+        engine_services : collection of str
+            Services of the document that have engines.
         """
         self.list_read_at_ms = max(self.list_read_at_ms, now_ms)
         if now_ms - self._leader_list_read_at_ms > MAX_LIST_AGE_MS:
             self._follows_leader = False
         if not self._follows_leader:
             views = [
-                to_server_view(server, tuple(sorted(list_holding_keys(server))))
+                to_server_view(
+                    server,
+                    tuple(sorted(list_holding_keys(server))),
+                    server.service in engine_services,
+                )
                 for server in servers
             ]
             self._replace_servers(views, now_ms)
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -148,7 +148,8 @@
                 keys = tuple(sorted(list_holding_keys(server)))
             is_leaving = server.is_leaving or (is_same_run and record.is_leaving)
             listed = server._replace(is_leaving=is_leaving)
-            views[server.server_id] = to_server_view(listed, keys)
+            is_engine = server.service in self._specs.by_service
+            views[server.server_id] = to_server_view(listed, keys, is_engine)
         return views
 
     def build_load(self, now_ms: float) -> FleetLoad | None:
--- a/src/cowslipwood/listing/_servers.py
+++ b/src/cowslipwood/listing/_servers.py
@@ -123,14 +123,27 @@
     return frozenset(keys)
 
 
-def to_server_view(server: ListedServer, keys: tuple[str, ...]) -> ServerView:
-    """Convert a listed server to the record that the routing view uses."""
+def to_server_view(
+    server: ListedServer, keys: tuple[str, ...], is_engine: bool = False
+) -> ServerView:
+    """Convert a listed server to the record that the routing view uses.
+
+    Parameters
+    ----------
+    server : ListedServer
+    keys : tuple of str
+        Models and adapters that the server is ready for.
+    is_engine : bool
+        Whether the document says that the server's service has engines. The list shows
+        it only for a server that holds a model; one without may be about to get one.
+    """
+    has_models = bool(server.models or keys)
     return ServerView(
         server_id=server.server_id,
         incarnation=str(server.born_ms),
         zone=server.zone,
         http_addr=server.addr,
-        kind="engine" if server.models else "service",
+        kind="engine" if is_engine or has_models else "service",
         service_name=server.service,
         leaving=server.is_leaving,
         ready=keys,
--- a/src/cowslipwood/routes/_document.py
+++ b/src/cowslipwood/routes/_document.py
@@ -199,6 +199,10 @@
         """Return the customers; empty also where requests need no key."""
         return self.customers or ()
 
+    def list_engine_services(self) -> list[str]:
+        """Return the names of the services that have engines."""
+        return [service.name for service in self.services if service.engine is not None]
+
     def set_key_need(self, needs_key: bool) -> "RouteDocument":
         """Return the document as it is in force.
 
--- a/tests/document_change_builders.py
+++ b/tests/document_change_builders.py
@@ -13,7 +13,12 @@
 
 from cowslipwood.keeper.engines import EngineOrder, OrderOp, OrderOutcome
 from cowslipwood.kernel.codes import Failure
-from cowslipwood.kernel.messages import DemandSample, EntryReport, HolderRequest
+from cowslipwood.kernel.messages import (
+    DemandSample,
+    EntryReport,
+    HolderRequest,
+    ServerView,
+)
 from cowslipwood.kernel.pacing import WorkPacer
 from cowslipwood.listing import ListedServer
 from cowslipwood.routes import RouteDocument, parse_document
@@ -175,12 +180,15 @@
         Service of each server in the list.
     foreign_loads : list of EngineOrder
         Loads of models that the document in force did not have for that service.
+    views : dict of str to ServerView
+        What the leader tells entries after the last read of the list.
     """
 
     def __init__(self):
         super().__init__([FakeEngine(server_id, {}) for server_id in SERVER_IDS])
         self.services = dict.fromkeys(SERVER_IDS, SERVICES[0])
         self.foreign_loads: list[EngineOrder] = []
+        self.views: dict[str, ServerView] = {}
         self.document = RouteDocument(1, (), ())
 
     async def read(self) -> Result[list[ListedServer], Failure]:
@@ -292,6 +300,7 @@
         """Read the list and the reports."""
         self._processor.used_ms += ROUND_INTERVAL_MS
         await self._controller._run_round(self._processor.now_ms())
+        self._fleet.views = self._controller.build_server_views()
         # Until the reports have been read.
         await _run_other_tasks()
 
--- a/tests/test_document_changes.py
+++ b/tests/test_document_changes.py
@@ -73,6 +73,15 @@
         )
         self.assertEqual([order.model for order in fleet.orders], ["m0"])
 
+    # An engine without models passed for a plain server, which gives no reports.
+    def test_views_of_engines_without_models(self):
+        """Servers are engines by the document, whatever they hold."""
+        document = engines_document_value(a=engine_spec_value(), b=None)
+        services = ("a", "a", "b")
+        fleet = self.check([Change(document, Arrival.BEFORE_LIST, services)])
+        kinds = [view.kind for view in fleet.views.values()]
+        self.assertEqual(kinds, ["engine", "engine", "service"])
+
     # A load was ordered for a model that the document had lost during the round.
     def test_model_removed_during_a_round(self):
         """A model that a document loses while a round runs is no longer loaded."""
--- a/tests/test_known_servers.py
+++ b/tests/test_known_servers.py
@@ -51,6 +51,16 @@
         self.known_servers.apply_list([build_server(is_leaving=True)], later_ms)
         self.assertTrue(self.is_leaving())
 
+    # A part of a stream of an engine that got its first model passed for the whole.
+    def test_engine_without_models(self):
+        """A server of a service with engines is one before the list shows a model."""
+        server = build_server(models=())
+        for services, kind in (((), "service"), (("desk",), "engine")):
+            self.known_servers.apply_list([server], NOW_MS, services)
+            self.assertEqual(self.view.backends["s1"].view.kind, kind)
+        view = to_server_view(server, ("desk|m1",))
+        self.assertEqual(view.kind, "engine")
+
     def test_server_missing_in_list(self):
         """A server that the list read by the entry lacks is dropped at once."""
         apply_leader_update(self.known_servers, NOW_MS, "desk|m1")
