Read a list around entries that break off

An entry of another writer whose quotes or brackets were not closed kept every process from reading the server list.

Cause: entries were split at quotes and brackets before they were decoded singly, which is impossible where one is missing, and hides the entries in between where two are.

Change: the end of each entry is found by decoding it; after a broken one, reading goes on with the next object that can be decoded. An object inside a closed array of the broken entry is a part of it and not read. A list that is the end of a cut document is refused as before: an empty list would take every server out of use.

--- a/tests/test_odd_list_entries.py
+++ b/tests/test_odd_list_entries.py
@@ -5,6 +5,8 @@
 
 import anyio
 import orjson
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from cowslipwood.kernel.json_entries import load_with_entries
 from cowslipwood.kernel.wire import encode_record
@@ -51,6 +53,27 @@
     ',"more":nothing}',
 )
 
+# An entry that a writer may break off after any byte.
+WHOLE_ENTRY = (
+    '{"name":"s","text":"a \\"b\\", [c]","models":[{"name":"m"},{"name":"n","a":[1]}]}'
+)
+# Raw entries whose quotes or brackets are not balanced.
+UNBALANCED_ENTRIES = (
+    '{"id":"i-9","service":"ll',
+    '{"id":"i-9","service":"llm"',
+    '{"id":"i-9","models":[{"name":"m"}',
+    '{"id":"i-9","models":[',
+    '{"id":"i-9","service":"llm"}}',
+    '{"id":"i-9","service":"llm"}]',
+    '{"id":"i-9","service":"llm\\',
+    'id":"i-9","service":"llm"}',
+    '{"id":"i-9","service":llm"}',
+    '"',
+    "{",
+    "]",
+    "",
+)
+
 
 def read_list(source_type: Any, entries: list[str], name: str) -> list[ListedServer]:
     """Return what a list source reads from a server with these raw entries."""
@@ -99,6 +122,13 @@
             self._check_platform(dump(platform_entry())[:-1] + tail)
             self._check_own(dump(own_entry())[:-1] + tail)
 
+    # A record that broke off in the middle hid every server, also the leaving ones.
+    def test_unbalanced_entry_is_left_out(self):
+        """An entry whose quotes or brackets are not closed costs one entry."""
+        for odd in UNBALANCED_ENTRIES:
+            self._check_platform(odd)
+            self._check_own(odd)
+
     # A number or an address out of its range ended the processes that read the list.
     def test_entry_with_values_out_of_range_is_left_out(self):
         """No entry is read that a message or a connection could not carry."""
@@ -133,6 +163,32 @@
         expected = {"n": "]}", "e": [{"a": '],"}'}, [1, 2]]}
         self.assertEqual(load_with_entries(data, "e"), expected)
 
+    # Quotes that are missing in two entries hid all entries between them.
+    @given(
+        st.lists(
+            st.none() | st.integers(1, len(WHOLE_ENTRY) - 1), min_size=1, max_size=7
+        )
+    )
+    @settings(max_examples=500, deadline=None, derandomize=True)
+    def test_entries_that_break_off(self, lengths):
+        """All whole entries are read, wherever and however many others break off."""
+        entries = [
+            dump({"id": f"i-{number}"}) if length is None else WHOLE_ENTRY[:length]
+            for number, length in enumerate(lengths)
+        ]
+        data = f'{{"e":[{",".join(entries)}],"next":"p-]"}}'.encode()
+        value = load_with_entries(data, "e")
+        self.assertEqual(value["next"], "p-]")
+        whole = [{"id": f"i-{n}"} for n, length in enumerate(lengths) if length is None]
+        self.assertEqual([entry for entry in value["e"] if "id" in entry], whole)
+
+    # A part of a broken entry could have been taken for a server.
+    def test_parts_of_broken_entries(self):
+        """An object inside an entry that cannot be decoded is not an entry."""
+        for broken in ('{"a":[{"b":1},{"id":"x"}],"c":nothing}', '{"a":[1,{"id":2}]x}'):
+            data = f'{{"e":[{broken},{{"id":"i"}}],"next":null}}'.encode()
+            self.assertEqual(load_with_entries(data, "e")["e"], [{"id": "i"}])
+
     def test_broken_documents(self):
         """A document that breaks off, or holds no list, is refused as a whole."""
         for data in (
@@ -144,6 +200,8 @@
             b'{"e":[1e999],"f":1e999}',
             b'{"e":[1e999],}',
             b'{"f":[]}',
+            b'{"e":[{"m":[1]}',
+            b'{"e":[{"a":1},{"m":[1]}',
         ):
             with self.subTest(data=data), self.assertRaises(ValueError):
                 load_with_entries(data, "e")
