Begin the log although a seed was restarted before it

Cause: the restarted keeper neither agreed with the others, as its empty members differ from theirs, nor could it begin the log; the others wait for the agreement of all three. Storing the members at the start was ruled out: the process was killed before it had stored anything.

Change: a keeper that knows no initial members agrees, if it has no log and has voted in none; the first by name of those that know them begins the log. In place of an earlier one it asks all once more before. The model of formation has such restarts now, holds, and has a counterexample without the second question.

--- a/spec/formation.py
+++ b/spec/formation.py
@@ -4,9 +4,13 @@
 disk. The first member asks all members for their identities and whether they have
 taken part in a log. It begins a log when none has; the log lists its members by
 identity. A member that loses its disk returns with another identity and without
-data. A log is committed when two of its members have it. After that, a second
-committed log would lose the contents of the first. A replica accepts entries only
-if the log lists its identity; `spec.membership` shows why.
+data. A member whose process ends before it has the log may forget who the members
+are. It answers the others, but another one has to begin the log in its place, which
+asks all members once more before.
+
+A log is committed when two of its members have it. After that, a second committed log
+would lose the contents of the first. A replica accepts entries only if the log lists
+its identity; `spec.membership` shows why.
 
 Setting a field of `Rules` to False removes one rule from the protocol. Each of
 these weakened protocols has a counterexample.
@@ -36,7 +40,10 @@
     reports_participation : bool
         A member that has taken part in a log reports so.
     only_first_begins : bool
-        Only the first member begins a log.
+        Only the first of the members that know all members begins a log.
+    asks_again : bool
+        A member that begins the log in place of an earlier one has asked all members
+        after it had found that it is to do so.
     forgets_answers_on_restart : bool
         A member forgets the answers it received when its process ends.
     """
@@ -44,9 +51,27 @@
     waits_for_all: bool = True
     reports_participation: bool = True
     only_first_begins: bool = True
+    asks_again: bool = True
     forgets_answers_on_restart: bool = True
 
 
+class Answer(NamedTuple):
+    """What a member says of itself.
+
+    Parameters
+    ----------
+    identity : int
+    has_taken_part : bool
+        Whether it has taken part in a log.
+    knows_members : bool
+        Whether it knows all members, so that it can begin a log.
+    """
+
+    identity: int
+    has_taken_part: bool
+    knows_members: bool
+
+
 class Replica(NamedTuple):
     """One member: its identity, its log, and the answers it received.
 
@@ -54,13 +79,18 @@
     ----------
     identity : int
     log : tuple of int or None
-    answers : tuple of (int, bool) or None
-        Identity and whether it had taken part in a log, by member index.
+    answers : tuple of Answer or None
+        By member index.
+    knows_members : bool
+    asks_again : bool
+        Whether it has found that it is to begin the log, and asks once more.
     """
 
     identity: int
     log: Log | None
-    answers: tuple[tuple[int, bool] | None, ...]
+    answers: tuple[Answer | None, ...]
+    knows_members: bool = True
+    asks_again: bool = False
 
 
 class State(NamedTuple):
@@ -99,7 +129,7 @@
 def _list_transitions(state: State, rules: Rules) -> list[tuple[str, State]]:
     steps = []
     for member_index in range(N_MEMBERS):
-        if member_index == 0 or not rules.only_first_begins:
+        if state.replicas[member_index].knows_members:
             steps += _ask_identity(state, member_index, rules)
             steps += _begin_log(state, member_index, rules)
         steps += _replicate_log(state, member_index)
@@ -114,7 +144,11 @@
         return []
     steps = []
     for member_index, other in enumerate(state.replicas):
-        answer = (other.identity, rules.reports_participation and other.log is not None)
+        answer = Answer(
+            other.identity,
+            rules.reports_participation and other.log is not None,
+            other.knows_members,
+        )
         answers = _replace_at(replica.answers, member_index, answer)
         asker_after = replica._replace(answers=answers)
         steps.append(
@@ -131,9 +165,19 @@
     n_needed = N_MEMBERS if rules.waits_for_all else QUORUM
     if replica.log is not None or len(received_answers) < n_needed:
         return []
-    if any(has_taken_part for _, has_taken_part in received_answers):
+    if any(answer.has_taken_part for answer in received_answers):
+        return []
+    if rules.only_first_begins and any(
+        answer is None or answer.knows_members
+        for answer in replica.answers[:member_index]
+    ):
         return []
-    log = tuple(-1 if answer is None else answer[0] for answer in replica.answers)
+    if member_index and rules.asks_again and not replica.asks_again:
+        asking = replica._replace(answers=_NO_ANSWERS, asks_again=True)
+        return [
+            (f"ask_again_{member_index}", _replace_replica(state, member_index, asking))
+        ]
+    log = tuple(-1 if answer is None else answer.identity for answer in replica.answers)
     log = _replace_at(log, member_index, replica.identity)
     return [
         (
@@ -157,16 +201,16 @@
 def _restart_member(
     state: State, member_index: int, rules: Rules
 ) -> list[tuple[str, State]]:
+    """Restart a process, which may know the members afterwards or not."""
     replica = state.replicas[member_index]
-    answers = _NO_ANSWERS if rules.forgets_answers_on_restart else replica.answers
-    if answers == replica.answers:
-        return []
-    return [
-        (
-            f"restart_{member_index}",
-            _replace_replica(state, member_index, replica._replace(answers=answers)),
-        )
-    ]
+    restarted = _forget_answers(replica, rules)
+    steps = []
+    for knows_members in (False, True)[: 1 + replica.knows_members]:
+        after = restarted._replace(knows_members=knows_members)
+        if after != replica:
+            label = f"restart_{member_index}_{'able' if knows_members else 'unable'}"
+            steps.append((label, _replace_replica(state, member_index, after)))
+    return steps
 
 
 def _lose_disk(
@@ -174,16 +218,25 @@
 ) -> list[tuple[str, State]]:
     if state.n_lost >= MAX_LOST:
         return []
-    answers = (
-        _NO_ANSWERS
-        if rules.forgets_answers_on_restart
-        else state.replicas[member_index].answers
-    )
-    empty_replica = Replica(N_MEMBERS + state.n_lost, None, answers)
-    disk_lost = _replace_replica(state, member_index, empty_replica)._replace(
-        n_lost=state.n_lost + 1
-    )
-    return [(f"lose_disk_{member_index}", disk_lost)]
+    steps = []
+    replica = state.replicas[member_index]
+    for knows_members in (False, True)[: 1 + replica.knows_members]:
+        empty_replica = _forget_answers(replica, rules)._replace(
+            identity=N_MEMBERS + state.n_lost, log=None, knows_members=knows_members
+        )
+        disk_lost = _replace_replica(state, member_index, empty_replica)._replace(
+            n_lost=state.n_lost + 1
+        )
+        label = f"lose_disk_{member_index}_{'able' if knows_members else 'unable'}"
+        steps.append((label, disk_lost))
+    return steps
+
+
+def _forget_answers(replica: Replica, rules: Rules) -> Replica:
+    """Return a replica without what its process knew of the others."""
+    if not rules.forgets_answers_on_restart:
+        return replica
+    return replica._replace(answers=_NO_ANSWERS, asks_again=False)
 
 
 def _record_committed_logs(state: State) -> State:
--- a/src/cowslipwood/replication/_formation.py
+++ b/src/cowslipwood/replication/_formation.py
@@ -3,6 +3,10 @@
 A replica whose disk was lost counts as a new replica. It creates no log, because
 another initial member answers that it has a log or has voted in one. It gets no
 vote request either, because vote requests are addressed to a replica's identity.
+
+An initial member whose process ended before the log was created does not know the
+initial members any more. It agrees with the others, and the first by name of those that
+know them creates the log. `spec/formation.py` is a model of this protocol.
 """
 
 from collections.abc import Mapping
@@ -47,27 +51,43 @@
         ``ip:port`` of each initial member by name.
     """
     is_waiting_logged = False
+    was_founder = False
     while not state.has_log_entries:
         identities = await _query_identities(state, links, name, peers)
         if any(identity.formed for identity in identities):
             if not is_waiting_logged:
                 get_logger().info("waiting_to_join", replica=state.replica_id)
             is_waiting_logged = True
-        elif (
-            peers
-            and _is_agreed_by_all(identities, peers)
-            and _is_first_founder(name, identities)
-        ):
-            await _create_log(state, identities)
+            was_founder = False
+        else:
+            is_founder = (
+                bool(peers)
+                and _is_agreed_by_all(identities, peers)
+                and _is_first(name, _list_able(identities))
+            )
+            # A member before this one may have created the log and lost it with its
+            # disk after others had answered. They answer again after it did.
+            if is_founder and (was_founder or _is_first(name, identities)):
+                await _create_log(state, identities)
+            was_founder = is_founder
         await anyio.sleep(QUERY_INTERVAL_MS / 1000)
 
 
 def _is_agreed_by_all(identities: list[Identity], peers: Mapping[str, str]) -> bool:
-    agreeing_identities = [identity for identity in identities if identity.peers_agree]
+    agreeing_identities = [
+        identity
+        for identity in identities
+        if identity.peers_agree or identity.has_no_peers
+    ]
     return len(agreeing_identities) == len(peers)
 
 
-def _is_first_founder(name: str, identities: list[Identity]) -> bool:
+def _list_able(identities: list[Identity]) -> list[Identity]:
+    """Return the replicas that know the initial members and can create the log."""
+    return [identity for identity in identities if not identity.has_no_peers]
+
+
+def _is_first(name: str, identities: list[Identity]) -> bool:
     """Return whether a keeper is the first by name of those that have a disk."""
     names = (member.name for member in _list_founders(identities))
     return name == min(names, default=None)
--- a/src/cowslipwood/replication/_messages.py
+++ b/src/cowslipwood/replication/_messages.py
@@ -174,7 +174,8 @@
     """A replica's identity and whether it has a log or has voted in one.
 
     `replica_id` is empty for a host without a disk, which never becomes a member.
-    `member_ids` is the newest membership in the replica's log.
+    `member_ids` is the newest membership in the replica's log. `has_no_peers` says that
+    the replica knows no initial members, as after its first start.
     """
 
     replica_id: str
@@ -182,6 +183,7 @@
     formed: bool
     peers_agree: bool
     member_ids: tuple[str, ...] = ()
+    has_no_peers: bool = False
 
 
 @message("replication")
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -378,6 +378,7 @@
             self._state.has_taken_part,
             query.peers == peers,
             tuple(member.replica_id for member in self.members),
+            has_no_peers=not peers,
         )
 
     async def _run_leadership(self) -> None:
--- a/src/cowslipwood/schema/replication.capnp
+++ b/src/cowslipwood/schema/replication.capnp
@@ -96,6 +96,7 @@
   formed @2 :Bool;       # the replica has a log or has voted in an election
   peersAgree @3 :Bool;   # both replicas are configured with the same initial members
   memberIds @4 :List(Text);  # the newest membership in its log
+  hasNoPeers @5 :Bool;   # the replica is not configured with initial members
 }
 
 struct SnapshotHeader {
