--- a/review/11/case.py
+++ b/review/11/case.py
@@ -141,6 +141,11 @@
         await asyncio.sleep(DOWN_S)
         dep.start("keeper", lost)
     await asyncio.sleep(SETTLE_S)
+    if os.environ.get("RESTART"):
+        for host in dep.hosts:
+            dep.kill("keeper", host)
+            dep.start("keeper", host)
+        await asyncio.sleep(SETTLE_S)
     for role, host in ((r, h) for r in ("keeper", "entry") for h in dep.hosts):
         if dep.has_ended(role, host):
             dep.record.write(f"{role} on host {host} has ended by itself")
