--- a/review/lib3/engine.py
+++ b/review/lib3/engine.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 from typing import Any
 
@@ -20,6 +21,13 @@
 N_EVENTS = 10
 EVENT_PAUSE_S = 0.05
 SLOTS = 96
+# Time after which a full server wants further requests, in seconds.
+RETRY_AFTER_S = 2
+# Headers of a stream, by whether it has chunks.
+FRAMING_HEADERS = {
+    True: {"Transfer-Encoding": "chunked"},
+    False: {"Connection": "close"},
+}
 
 
 class Engine:
@@ -51,6 +59,9 @@
         read_s: float = 0.24,
         store_s: float = 2.0,
         disk_s: float = 0.5,
+        n_places: int = 0,
+        is_framed: bool = True,
+        n_events: int = N_EVENTS,
     ):
         self.record = record
         self.ip = ip
@@ -62,6 +73,11 @@
         self.read_s = read_s
         self.store_s = store_s
         self.disk_s = disk_s
+        # Requests that it takes at once, beyond which it refuses; 0 for any number.
+        self.n_places = n_places
+        # Whether its streams have chunks; otherwise they end with their connection.
+        self.is_framed = is_framed
+        self.n_events = n_events
         self.on_disk: set[str] = set(models)
         # What happened: (time, word, request id).
         self.work: list[tuple[float, str, str]] = []
@@ -104,11 +120,14 @@
             models=self._list_models(),
         )
 
-    async def start(self) -> None:
-        """Listen."""
-        self._server = await asyncio.start_server(
-            self._serve, self.ip, SERVERS_PORT, reuse_address=True
-        )
+    async def start(self, sock: socket.socket | None = None) -> None:
+        """Listen, or accept connections of a socket that listens already."""
+        if sock is None:
+            self._server = await asyncio.start_server(
+                self._serve, self.ip, SERVERS_PORT, reuse_address=True
+            )
+        else:
+            self._server = await asyncio.start_server(self._serve, sock=sock)
         self._tasks = [asyncio.create_task(self._keep_reports())]
         self.record.write(f"engine {self.id} started, holds {sorted(self.models)}")
 
@@ -214,6 +233,11 @@
             await self._send(writer, 421, {**own, "Not-Executed": 1})
             return True
         self._note("arrives", request_id)
+        if self.n_places and len(self.queued) + len(self.runs) >= self.n_places:
+            self._note("is refused", request_id)
+            refusal = {**own, "Not-Executed": 1, "Retry-After": RETRY_AFTER_S}
+            await self._send(writer, 503, refusal)
+            return True
         self.queued.append(request_id)
         run_number = self.run_number
         async with self._reading:
@@ -231,7 +255,7 @@
             "Instance-Id": self.id,
             "Response-Seal": f"{self.id}.{self.born}",
             "Content-Type": "text/event-stream",
-            "Transfer-Encoding": "chunked",
+            **FRAMING_HEADERS[self.is_framed],
             "Server-Load": f"{len(self.runs)},{len(self.queued)},{SLOTS}",
         }
         try:
@@ -239,15 +263,16 @@
                 raise ConnectionError
             writer.write(http1.encode_head("HTTP/1.1 200 OK", headers))
             first = int(head.headers.get("last-event-id") or 0) + 1
-            for number in range(first, N_EVENTS + 1):
+            for number in range(first, self.n_events + 1):
                 event = b"id: %d\ndata: token %d\n\n" % (number, number)
-                writer.write(http1.encode_chunk(event))
+                writer.write(http1.encode_chunk(event) if self.is_framed else event)
                 await writer.drain()
                 self.runs[request_id] = number
                 await asyncio.sleep(EVENT_PAUSE_S)
                 if writer.is_closing():
                     raise ConnectionError
-            writer.write(http1.END_OF_CHUNKS)
+            if self.is_framed:
+                writer.write(http1.END_OF_CHUNKS)
             await writer.drain()
             self._note("ends", request_id)
         except OSError:
@@ -256,7 +281,7 @@
         finally:
             if run_number == self.run_number:
                 self.runs.pop(request_id, None)
-        return True
+        return self.is_framed
 
     def _note(self, word: str, request_id: str) -> None:
         self.work.append((time.monotonic(), word, request_id))
