--- a/review/11/case.py
+++ b/review/11/case.py
@@ -17,7 +17,7 @@
 
 # Time from the moment at which the host has stored what the others sent it until its
 # second loss; by then it has acknowledged that.
-SECOND_LOSS_S = float(os.environ.get("SECOND_LOSS_S", "0.010"))
+SECOND_LOSS_S = float(os.environ.get("SECOND_LOSS_S", "0.003"))
 # Time for which the host is down after each loss.
 DOWN_S = 1.0
 # The operator reads for at least `contactMs` (3 s); here for much longer, and begins
@@ -96,7 +96,11 @@
 def has_stored_log(dep: d.Deployment, host: int, leader: int) -> bool:
     """Return whether a keeper has stored the whole log of the leader."""
     n_bytes = count_log_bytes(dep, host)
-    return n_bytes > 0 and n_bytes >= count_log_bytes(dep, leader)
+    if not n_bytes or n_bytes < count_log_bytes(dep, leader):
+        return False
+    # The last file that a keeper writes before it answers for its first entries.
+    ballot = dep.folder / f"disk-{host}" / "ballot"
+    return b'"has_log":true' in ballot.read_bytes()
 
 
 def lose_disk(dep: d.Deployment, host: int) -> None:
