Move the keepers of process tests to a module of their own

Two test modules started the keepers of the deploy file and sent them configs, one by importing from the other. Tests of hosts that lose their disks need the same.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -192,7 +192,7 @@
             "cloudApi": {"address": self.list_addr, "ratePerS": 47.0},
         }
         if host.has_disk and role == "keeper":
-            disk = self._get_disk_path(host)
+            disk = self.get_disk_path(host)
             disk.mkdir(exist_ok=True)
             settings["dataDir"] = str(disk)
         path = self._get_settings_path(role, host)
@@ -218,7 +218,7 @@
 
     def wipe_disk(self, host: Host) -> None:
         """Delete the files of a keeper that does not run."""
-        shutil.rmtree(self._get_disk_path(host))
+        shutil.rmtree(self.get_disk_path(host))
 
     def put_config(self, host: Host, config: dict[str, Any]) -> int | None:
         """Send a config to one host; return the status, None without an answer."""
@@ -238,6 +238,10 @@
         """Return the file with the output of a program and of its predecessors."""
         return self.folder / f"{role}-{host.number}.log"
 
+    def get_disk_path(self, host: Host) -> Path:
+        """Return the folder that a host's keeper uses as its disk."""
+        return self.folder / f"disk-{host.number}"
+
     def print_logs(self) -> None:
         """Print the end of the log of each program."""
         for program in self.programs.values():
@@ -271,9 +275,6 @@
     def _get_settings_path(self, role: str, host: Host) -> Path:
         return self.folder / f"{role}-{host.number}.json"
 
-    def _get_disk_path(self, host: Host) -> Path:
-        return self.folder / f"disk-{host.number}"
-
 
 def _choose_network() -> str:
     """Return the first three bytes of a loopback network whose ports are free."""
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -45,7 +45,12 @@
     raise AssertionError("no free port is left")
 
 
-def wait_for(condition: Any, what: str, timeout_s: float = DEFAULT_TIMEOUT_S) -> Any:
+def wait_for(
+    condition: Any,
+    what: str,
+    timeout_s: float = DEFAULT_TIMEOUT_S,
+    poll_s: float = 0.02,
+) -> Any:
     """Call `condition` until it returns a true value, and return that value.
 
     Parameters
@@ -57,6 +62,8 @@
         What is awaited, for the message of the failure.
     timeout_s : float
         Time in seconds after which the test fails.
+    poll_s : float
+        Pause between two calls, in seconds.
     """
     deadline_s = time.monotonic() + timeout_s
     while time.monotonic() < deadline_s:
@@ -64,7 +71,7 @@
             result = condition()
             if result:
                 return result
-        time.sleep(0.02)
+        time.sleep(poll_s)
     raise AssertionError(f"waited {timeout_s} s for {what}")
 
 
--- a/tests/test_interrupted_formation.py
+++ b/tests/test_interrupted_formation.py
@@ -4,13 +4,9 @@
 
 from soak.deployment import Deployment, Host
 
-from .processes import wait_for
-from .test_seed_turnover import CONFIG, KEEPERS
+from .keeper_hosts import KeeperHosts, build_hosts
 
-
-def wait_until_acknowledged(deployment: Deployment, host: Host) -> None:
-    """Send a config to one host until it is acknowledged."""
-    wait_for(lambda: deployment.put_config(host, CONFIG) == 200, "acknowledgement")
+KEEPERS = build_hosts(3, n_disks=3)
 
 
 class InterruptedFormationTest(unittest.TestCase):
@@ -19,28 +15,23 @@
     The restarted process is told that the system has started before.
     """
 
-    def start(self, restarted: list[Host]) -> Deployment:
+    def start(self, restarted: list[Host]) -> KeeperHosts:
         """Start the seeds, some of them as after a restart."""
         deployment = self.enterContext(Deployment())
-        deployment.seeds = tuple(KEEPERS)
-        for host in KEEPERS:
-            deployment.start("keeper", host, is_first_start=host not in restarted)
-        return deployment
+        return KeeperHosts(deployment, KEEPERS, restarted)
 
     # A seed that was killed once at the first start kept the log from ever beginning.
     def test_each_seed(self):
         """The log begins whichever seed was restarted, and has all three as voters."""
         for host in KEEPERS:
             with self.subTest(host=host.number):
-                deployment = self.start([host])
-                wait_until_acknowledged(deployment, host)
-                log_path = deployment.get_log_path("keeper", host)
-                text = log_path.read_text()
-                self.assertNotIn("event=log_begun", text)
+                keepers = self.start([host])
+                keepers.put_config(7, host)
+                self.assertNotIn("event=log_begun", keepers.read_log(host))
 
     def test_two_seeds(self):
         """The only seed that knows the others begins the log."""
-        deployment = self.start(KEEPERS[:2])
-        wait_until_acknowledged(deployment, KEEPERS[0])
-        text = deployment.get_log_path("keeper", KEEPERS[2]).read_text()
+        keepers = self.start(KEEPERS[:2])
+        keepers.put_config(7, KEEPERS[0])
+        text = keepers.read_log(KEEPERS[2])
         self.assertIn("event=log_begun members=3", text)
