Remove a lost voter before its successor votes

Cause: a replacement added the newcomer as a voter before it removed the old member. In between, three voters with one gone were four with one gone, whose quorum of three needs the newcomer itself. If that is lost, the promotion can be neither committed nor taken back, and no election can be won.

A new host that succeeds a silent one had the same fault.

Change: a voter whose address answers under another identity is removed in the step that makes the new identity a learner; a silent one once its successor has caught up; one that answers after its successor votes, as before. No step bears fewer losses than the one before. A learner holds the place of the voter that was removed for it, in the log, so that later leaders go on, and a new leader with such a place takes commands. Newcomers take the places of lost voters, then of lost learners that hold one.

Ruled out as the cause: the wait of up to 50 ms before the promotion. A newcomer that is lost between the proposal and its commit has the same effect.

--- a/src/cowslipwood/keeper/_membership.py
+++ b/src/cowslipwood/keeper/_membership.py
@@ -9,7 +9,15 @@
 from ..kernel.codes import Failure
 from ..kernel.logs import get_logger
 from ..kernel.messages import Announce
-from ..replication import LogReplica, Member
+from ..replication import (
+    Departure,
+    Gone,
+    LogReplica,
+    Member,
+    Place,
+    Silent,
+    count_places,
+)
 
 __all__ = ["MAX_VOTERS", "MemberChange", "MembershipManager", "choose_member_change"]
 
@@ -34,16 +42,21 @@
 
     Parameters
     ----------
-    old_id : str or None
-        Identity of the replaced member; None when the keeper is added.
+    departure : Silent, Gone or None
+        The replaced member; None when the keeper is added, or fills a place already.
     new_id, new_addr : str
         Identity and ``ip:port`` of the keeper.
     """
 
-    old_id: str | None
+    departure: Departure | None
     new_id: str
     new_addr: str
 
+    @property
+    def old_id(self) -> str | None:
+        """Identity of the replaced member."""
+        return None if self.departure is None else self.departure.replica_id
+
 
 class MembershipManager:
     """Records announcements on the leader and changes the members accordingly.
@@ -137,57 +150,69 @@
 
     A keeper that has a member's address and another identity has lost the disk of
     that member, so it replaces the member at once. A keeper that started with the
-    system is added. Any other keeper replaces the member that has been silent for
-    longest, as soon as a member counts as lost. If such a keeper was added earlier,
-    the lost member would stay among the voters.
+    system is added, and a learner that has a place fills it. Any other keeper replaces
+    the member that has been silent for longest, as soon as a member counts as lost. If
+    such a keeper was added earlier, the lost member would stay among the voters.
 
     Parameters
     ----------
     members : sequence of Member
     announced : sequence of Announce
-        The recent announcements of keepers that hold no log.
+        The recent announcements of keepers that the leader does not count as voters.
     silent_ms : mapping of str to float
         Time since a follower's last answer to this leader, by identity.
     n_needed : int
         Number of voters below which any announced keeper is added.
     """
-    member_ids = {member.replica_id for member in members}
     for announce in announced:
         for member in members:
             has_same_addr = member.addr == announce.addr
             if has_same_addr and member.replica_id != announce.replica_id:
                 return MemberChange(
-                    member.replica_id, announce.replica_id, announce.addr
+                    Gone(member.replica_id), announce.replica_id, announce.addr
                 )
-    newcomers = [
-        announce
-        for announce in announced
-        if announce.replica_id not in member_ids
-        or _is_learner(members, announce.replica_id)
-    ]
+    members_by_id = {member.replica_id: member for member in members}
+    unplaced = []
+    for announce in announced:
+        member = members_by_id.get(announce.replica_id)
+        if member is None or not (member.voter or member.place):
+            unplaced.append(announce)
+        elif not member.voter:
+            return MemberChange(None, announce.replica_id, announce.addr)
+    n_places = count_places(members)
+    for announce in unplaced:
+        if (announce.is_initial or n_places < n_needed) and n_places < MAX_VOTERS:
+            return MemberChange(None, announce.replica_id, announce.addr)
+    return _choose_replacement(members, unplaced, silent_ms)
+
+
+def _choose_replacement(
+    members: Sequence[Member],
+    newcomers: Sequence[Announce],
+    silent_ms: Mapping[str, float],
+) -> MemberChange | None:
+    """Return the replacement of the member that has been silent for longest.
+
+    A learner without a place is no voter that could be lost. One that has a place holds
+    it for a later newcomer, so voters go first.
+    """
     if not newcomers:
         return None
-    n_voters = sum(member.voter for member in members)
-    for announce in newcomers:
-        if (announce.is_initial or n_voters < n_needed) and n_voters < MAX_VOTERS:
-            return MemberChange(None, announce.replica_id, announce.addr)
     newcomer = newcomers[0]
-    silent_members = [
+    lost_members = [
         member
         for member in members
-        if member.replica_id != newcomer.replica_id
+        if (member.voter or member.place != Place.NONE)
+        and member.replica_id != newcomer.replica_id
         and silent_ms.get(member.replica_id, 0) > LOST_AFTER_MS
     ]
-    if not silent_members:
+    if not lost_members:
         return None
-    longest_silent = max(
-        silent_members, key=lambda member: silent_ms[member.replica_id]
+    replaced = max(
+        lost_members, key=lambda member: (member.voter, silent_ms[member.replica_id])
     )
-    return MemberChange(longest_silent.replica_id, newcomer.replica_id, newcomer.addr)
+    return MemberChange(Silent(replaced.replica_id), newcomer.replica_id, newcomer.addr)
 
 
-def _is_learner(members: Sequence[Member], replica_id: str) -> bool:
-    """Return whether a keeper is a member that does not vote yet."""
-    return any(
-        member.replica_id == replica_id and not member.voter for member in members
-    )
+def _is_voter(members: Sequence[Member], replica_id: str) -> bool:
+    return any(member.voter and member.replica_id == replica_id for member in members)
--- a/src/cowslipwood/kernel/wire.py
+++ b/src/cowslipwood/kernel/wire.py
@@ -153,12 +153,13 @@
         return functools.partial(_encode_fields, codec), functools.partial(
             _decode_fields, codec
         )
-    if (
-        isinstance(field_type, type)
-        and issubclass(field_type, str)
-        and field_type is not str
-    ):
-        return str, field_type
+    for plain_type in (str, int):
+        if (
+            isinstance(field_type, type)
+            and issubclass(field_type, plain_type)
+            and field_type not in (plain_type, bool)
+        ):
+            return plain_type, field_type
     return _identity, _identity
 
 
--- a/src/cowslipwood/replication/_membership.py
+++ b/src/cowslipwood/replication/_membership.py
@@ -1,14 +1,49 @@
 """Quorums of voters, and the order of steps in a membership change."""
 
 from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
 from ..kernel.codes import Code, Failure, failure
-from ._messages import Member
+from ._messages import Member, Place
 
-__all__ = ["compute_next_members", "find_quorum_value", "has_quorum", "list_voter_ids"]
+__all__ = [
+    "Answering",
+    "Departure",
+    "Gone",
+    "Silent",
+    "compute_next_members",
+    "count_places",
+    "find_quorum_value",
+    "has_quorum",
+    "list_voter_ids",
+]
+
+
+@dataclass(frozen=True)
+class Answering:
+    """A member that is to be removed and may still vote until then."""
+
+    replica_id: str
+
+
+@dataclass(frozen=True)
+class Silent:
+    """A member that is to be removed and does not answer at present."""
+
+    replica_id: str
+
+
+@dataclass(frozen=True)
+class Gone:
+    """A member that never answers again: its address has another identity."""
+
+    replica_id: str
+
+
+Departure = Answering | Silent | Gone
 
 
 def list_voter_ids(members: Iterable[Member]) -> list[str]:
@@ -16,6 +51,11 @@
     return [member.replica_id for member in members if member.voter]
 
 
+def count_places(members: Iterable[Member]) -> int:
+    """Return the number of voters, with those that were removed for a learner."""
+    return sum(member.voter or member.place == Place.VACATED for member in members)
+
+
 def has_quorum(members: Iterable[Member], replica_ids: Iterable[str]) -> bool:
     """Return whether the replicas are more than half of the voters."""
     voter_ids = set(list_voter_ids(members))
@@ -33,18 +73,26 @@
 
 
 def compute_next_members(
-    members: Sequence[Member], old_id: str | None, new: Member, is_caught_up: bool
+    members: Sequence[Member],
+    departure: Departure | None,
+    new: Member,
+    is_caught_up: bool,
 ) -> Result[tuple[Member, ...] | None, Failure]:
     """Return the membership after the next step of adding or replacing a replica.
 
     Each step changes at most one voter, so that every quorum of one membership
     shares a replica with every quorum of the next.
 
+    A voter that does not answer is removed before its successor votes. With both
+    among them, an odd number of voters would become an even one, whose larger quorum
+    needs the successor: a successor that is lost too would end the log.
+    `spec/replacement.py` is a model of this order.
+
     Parameters
     ----------
     members : sequence of Member
         The current membership.
-    old_id : str or None
+    departure : Answering, Silent, Gone or None
         Replica to remove; None when a replica is added without removing one.
     new : Member
         Replica to add.
@@ -59,19 +107,53 @@
     """
     members_by_id = {member.replica_id: member for member in members}
     current = members_by_id.get(new.replica_id)
-    if old_id is not None and old_id not in members_by_id and current is None:
+    old_id = None if departure is None else departure.replica_id
+    old = members_by_id.get(old_id)
+    if old is None and old_id is not None and current is None:
         return Err(failure(Code.NO_SUCH_MEMBER, f"no keeper {old_id}"))
-    if current is None:
-        return Success((*members, new._replace(voter=False)))
-    if not current.voter and not is_caught_up:
-        return Success(tuple(members))
-    if not current.voter:
-        promoted = current._replace(voter=True)
-        return Success(
-            tuple(promoted if member == current else member for member in members)
-        )
-    if old_id in members_by_id:
-        return Success(
-            tuple(member for member in members if member.replica_id != old_id)
-        )
-    return Success(None)
+    learner = current or new._replace(voter=False)
+    is_ready = current is not None and is_caught_up
+    if old is not None and (learner.voter or _leaves_first(departure, old, is_ready)):
+        return Success(_replace_member(members, old, learner))
+    match departure:
+        case None if current is None:
+            return Success((*members, learner._replace(place=Place.ADDED)))
+        case _ if current is None:
+            return Success((*members, learner))
+        case _ if current.voter:
+            return Success(None)
+        case _ if is_ready:
+            voter = current._replace(voter=True, place=Place.NONE)
+            return Success(_set_member(members, voter))
+    return Success(tuple(members))
+
+
+def _leaves_first(departure: Departure | None, old: Member, is_ready: bool) -> bool:
+    """Return whether a member is to be removed before its successor votes."""
+    match departure:
+        case Gone():
+            return True
+        case Silent():
+            return is_ready or not old.voter
+        case _:
+            return False
+
+
+def _replace_member(
+    members: Sequence[Member], old: Member, successor: Member
+) -> tuple[Member, ...]:
+    """Return the members without one, and with the replica that fills its place."""
+    if not successor.voter:
+        place = Place.VACATED if old.voter else old.place
+        successor = successor._replace(place=max(place, successor.place))
+    return _set_member([member for member in members if member != old], successor)
+
+
+def _set_member(members: Sequence[Member], changed: Member) -> tuple[Member, ...]:
+    """Return the members with one of them added or changed."""
+    if changed.replica_id not in {member.replica_id for member in members}:
+        return (*members, changed)
+    return tuple(
+        changed if member.replica_id == changed.replica_id else member
+        for member in members
+    )
--- a/src/cowslipwood/replication/_messages.py
+++ b/src/cowslipwood/replication/_messages.py
@@ -19,6 +19,7 @@
     "LogEntry",
     "Member",
     "Members",
+    "Place",
     "SnapshotChunk",
     "SnapshotHeader",
     "SnapshotReply",
@@ -36,13 +37,25 @@
     MEMBERS = 2
 
 
+class Place(enum.IntEnum):
+    """The place among the voters that a learner is to fill.
+
+    A learner without one waits until a voter is lost.
+    """
+
+    NONE = 0
+    ADDED = 1
+    VACATED = 2
+
+
 @message("replication")
 class Member(NamedTuple):
-    """One replica of a membership."""
+    """One replica of a membership; only learners have a `place`."""
 
     replica_id: str
     addr: str
     voter: bool
+    place: Place = Place.NONE
 
     @property
     def name(self) -> str:
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -21,8 +21,8 @@
 from ._follower import Follower
 from ._formation import encode_peers, form_log
 from ._leader import Leadership
-from ._membership import list_voter_ids
-from ._membership_change import change_membership
+from ._membership import count_places
+from ._membership_change import MembershipChanger
 from ._messages import (
     AppendRequest,
     EntryKind,
@@ -47,9 +47,6 @@
 # Interval at which connections to all members are opened, in ms. A member that was
 # just added is connected this soon, before it can be asked to vote.
 MEMBER_DIAL_INTERVAL_MS = 500
-# Time limit for the answer to one identity query, in ms. A running replica answers
-# from memory.
-IDENTITY_QUERY_TIMEOUT_MS = 300.0
 # Time without a leader's message after which a voter may have been replaced, in ms.
 # Elections take less.
 LEADER_SILENCE_MS = 3_000.0
@@ -151,7 +148,7 @@
         )
         self._state.on_leadership_lost = self._applier.fail_waiters
         self._follower = Follower(self._state, self._applier)
-        self._membership_lock = anyio.Lock()
+        self._membership = MembershipChanger(self._state, self._links, self._applier)
         self._is_stopping = False
 
     @property
@@ -283,7 +280,7 @@
     async def replace_member(
         self, old_name_or_id: str, new_name: str, new_addr: str
     ) -> Result[tuple[Member, ...], Failure]:
-        """Replace a member; `change_membership` describes the failures."""
+        """Replace a member; `MembershipChanger.change` describes the failures."""
         return await self._change_membership(
             old_name_or_id, Member(new_name, new_addr, False)
         )
@@ -291,7 +288,7 @@
     async def add_member(
         self, name: str, addr: str
     ) -> Result[tuple[Member, ...], Failure]:
-        """Add a voting member; `change_membership` describes the failures."""
+        """Add a voting member; `MembershipChanger.change` describes the failures."""
         return await self._change_membership(None, Member(name, addr, False))
 
     async def _change_membership(
@@ -299,18 +296,17 @@
     ) -> Result[tuple[Member, ...], Failure]:
         if not self.can_act_as_leader(monotonic_ms()):
             return Err(failure(Code.NOT_LEADER, retry_after_ms=RETRY_AFTER_MS))
-        async with self._membership_lock:
-            return await change_membership(
-                self._state, self._links, self._applier, old_name_or_id, new_keeper
-            )
+        return await self._membership.change(old_name_or_id, new_keeper)
 
     def _is_waiting_for_members(self, leadership: Leadership) -> bool:
         """Return whether a new leader still waits for further voters.
 
         Entries that a quorum of 2 n + 1 voters has stored survive the loss of n disks.
+        A voter that was removed for its successor is one of the n, so a quorum of the
+        others has as many copies as before.
         """
-        n_required_voters = 2 * self._settings.n_losses + 1
-        if len(list_voter_ids(self.members)) >= n_required_voters:
+        n_required_places = 2 * self._settings.n_losses + 1
+        if count_places(self.members) >= n_required_places:
             return False
         return monotonic_ms() - leadership.started_ms < MAX_MEMBER_WAIT_MS
 
@@ -354,12 +350,7 @@
 
     async def query_identity(self, addr: str) -> Identity | None:
         """Return the identity of the replica at an address; None without an answer."""
-        query = IdentityQuery(self.replica_id, "")
-        result = await self._links.get_link(addr).request(
-            query, IDENTITY_QUERY_TIMEOUT_MS
-        )
-        identity = result.value_or(None)
-        return identity if isinstance(identity, Identity) else None
+        return await self._membership.query_identity(addr)
 
     def set_gauges(self, now_ms: float) -> None:
         """Set the gauges of term, leadership and log indexes."""
--- a/src/cowslipwood/schema/replication.capnp
+++ b/src/cowslipwood/schema/replication.capnp
@@ -5,6 +5,7 @@
   replicaId @0 :Text;    # name and a random part that is stored with the data
   addr @1 :Text;
   voter @2 :Bool;        # false: a learner, which does not count in a quorum
+  place @3 :UInt8;       # of a learner: 0 none yet, 1 added, 2 vacated by a voter
 }
 
 struct Members {
--- a/tests/test_recruiting.py
+++ b/tests/test_recruiting.py
@@ -8,7 +8,7 @@
     choose_member_change,
 )
 from cowslipwood.kernel.messages import Announce
-from cowslipwood.replication import Member
+from cowslipwood.replication import Member, Place, Silent
 
 MEMBERS = [Member(f"k{i}.a", f"10.0.0.{i}:1", True) for i in range(3)]
 
@@ -86,3 +86,36 @@
         members = [*MEMBERS, Member("k9.a", "10.0.0.9:1", True)]
         announced = [Announce("k9.a", "10.0.0.9:1")]
         self.assertIsNone(choose_with_one_loss(members, announced, {"k1.a": 9_000.0}))
+
+    # Guards against a change that the next leader leaves half-done.
+    def test_place_of_a_removed_voter(self):
+        """A learner for which a voter was removed votes, whoever is silent."""
+        places = [Member(f"k{i}.a", f"10.0.0.{i}:1", True) for i in range(6)]
+        learner = Member("k9.a", "10.0.0.9:1", False, Place.VACATED)
+        announced = [Announce("k9.a", "10.0.0.9:1")]
+        found = choose_member_change([*places, learner], announced, {"k1.a": 9e3}, 5)
+        self.assertEqual(found, MemberChange(None, "k9.a", "10.0.0.9:1"))
+
+    # Guards against a voter that is gone and stays, as its successor is taken for that
+    # of a learner.
+    def test_silent_learners(self):
+        """A newcomer replaces a lost voter, then a lost learner that has a place."""
+        waiting = Member("k7.a", "10.0.0.7:1", False)
+        placed = Member("k8.a", "10.0.0.8:1", False, Place.VACATED)
+        announced = [Announce("k9.a", "10.0.0.9:1")]
+        silent = {"k1.a": 3_000.0, "k7.a": 9_000.0, "k8.a": 9_000.0}
+        members = [*MEMBERS, waiting, placed]
+        found = choose_with_one_loss(members, announced, silent)
+        self.assertEqual(found.departure, Silent("k1.a"))
+        found = choose_with_one_loss(members, announced, {**silent, "k1.a": 0.0})
+        self.assertEqual(found.departure, Silent("k8.a"))
+        found = choose_with_one_loss([*MEMBERS, waiting], announced, {"k7.a": 9e3})
+        self.assertIsNone(found)
+
+    # Guards against an additional voter while the place of a removed one is kept.
+    def test_no_voter_beyond_the_places(self):
+        """A newcomer is not added while a learner is to fill the last place."""
+        placed = Member("k8.a", "10.0.0.8:1", False, Place.VACATED)
+        members = [*MEMBERS[:2], placed]
+        announced = [Announce("k9.a", "10.0.0.9:1")]
+        self.assertIsNone(choose_with_one_loss(members, announced, {}))
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -15,6 +15,7 @@
 from returns.result import Failure as Err
 from returns.result import Success
 
+from cowslipwood.keeper._membership import MAX_VOTERS
 from cowslipwood.kernel.clock import monotonic_ms
 from cowslipwood.kernel.codes import Code, failure
 from cowslipwood.kernel.metrics import Metrics
@@ -28,7 +29,16 @@
 from cowslipwood.replication._formation import form_log
 from cowslipwood.replication._leader import Leadership
 from cowslipwood.replication._log import DurableLog, make_members_entry
-from cowslipwood.replication._membership import compute_next_members, has_quorum
+from cowslipwood.replication._membership import (
+    Answering,
+    Departure,
+    Gone,
+    Silent,
+    compute_next_members,
+    count_places,
+    has_quorum,
+    list_voter_ids,
+)
 from cowslipwood.replication._messages import (
     AppendReply,
     AppendRequest,
@@ -38,6 +48,7 @@
     Identity,
     LogEntry,
     Member,
+    Place,
     SnapshotHeader,
     VoteRequest,
 )
@@ -198,20 +209,22 @@
         _run_in_folder(check)
 
 
+departures = st.sampled_from([Answering, Silent, Gone])
+
+
 class TestMembershipSteps(unittest.TestCase):
     """Steps of a membership change."""
 
     @settings(derandomize=True, deadline=None)
-    @given(st.integers(1, 7), st.integers(0, 6))
-    def test_successive_quorums_overlap(self, n_members: int, old_position: int):
+    @given(st.integers(1, 7), st.integers(0, 6), departures)
+    def test_successive_quorums_overlap(
+        self, n_members: int, old_position: int, departure_type: type
+    ):
         """Each quorum shares a replica with each quorum after the next step."""
         members = tuple(Member(f"k{index}.a", "", True) for index in range(n_members))
-        old_id = members[old_position % n_members].replica_id
+        departure = departure_type(members[old_position % n_members].replica_id)
         new = Member(f"k{old_position % n_members}.b", "", False)
-        for _ in range(4):
-            next_members = compute_next_members(members, old_id, new, True).unwrap()
-            if next_members is None:
-                break
+        for next_members in _list_steps(members, departure, new):
             ids = [member.replica_id for member in {*members, *next_members}]
             for mask in range(1 << len(ids)):
                 first_ids = [
@@ -228,7 +241,112 @@
                 self.assertFalse(are_both_quorums)
             members = next_members
         self.assertIn(new._replace(voter=True), members)
-        self.assertNotIn(old_id, [member.replica_id for member in members])
+        self.assertNotIn(
+            departure.replica_id, [member.replica_id for member in members]
+        )
+
+    # Guards against a quorum that needs a newcomer, which may be lost as it joins.
+    def test_losses_borne(self):
+        """No step of a replacement bears fewer losses than the one before.
+
+        If the newcomer is lost, too, it bears no fewer than before the replacement.
+        """
+        for n_voters in range(1, MAX_VOTERS + 1):
+            for n_lost in range(1, (n_voters - 1) // 2 + 1):
+                for departure_type in (Silent, Gone):
+                    with self.subTest(n_voters, n_lost=n_lost, type=departure_type):
+                        self._check_losses_borne(n_voters, n_lost, departure_type)
+
+    def _check_losses_borne(
+        self, n_voters: int, n_lost: int, departure_type: type
+    ) -> None:
+        members = tuple(Member(f"k{index}.a", "", True) for index in range(n_voters))
+        left_ids = {member.replica_id for member in members[n_lost:]}
+        for lost in members[:n_lost]:
+            departure = departure_type(lost.replica_id)
+            new = Member(f"{lost.name}.b", "", False)
+            n_borne = n_borne_at_first = _count_losses_borne(members, left_ids)
+            all_ids = {*left_ids, new.replica_id}
+            for next_members in _list_steps(members, departure, new):
+                members = next_members
+                n_borne_before = n_borne
+                n_borne = _count_losses_borne(members, all_ids)
+                self.assertGreaterEqual(n_borne, n_borne_before, members)
+                n_borne_with_loss = _count_losses_borne(members, left_ids)
+                self.assertGreaterEqual(n_borne_with_loss, n_borne_at_first, members)
+            left_ids = all_ids
+        self.assertEqual(len(list_voter_ids(members)), n_voters)
+
+    def test_answering_member(self):
+        """A member that still votes does so until its successor votes."""
+        for n_voters in range(1, MAX_VOTERS + 1):
+            members = tuple(
+                Member(f"k{index}.a", "", True) for index in range(n_voters)
+            )
+            ids = {"new.a", *list_voter_ids(members)}
+            n_borne = _count_losses_borne(members, ids)
+            departure = Answering(members[0].replica_id)
+            new = Member("new.a", "", False)
+            for next_members in _list_steps(members, departure, new):
+                self.assertGreaterEqual(_count_losses_borne(next_members, ids), n_borne)
+
+    def test_voter_removed_for_learner(self):
+        """A removed voter keeps its place for a learner, and for the next identity."""
+        members = tuple(Member(f"k{index}.a", "", True) for index in range(3))
+        first = Member("k2.b", "", False)
+        removed = compute_next_members(members, Gone("k2.a"), first, False).unwrap()
+        self.assertEqual(len(list_voter_ids(removed)), 2)
+        self.assertEqual(count_places(removed), 3)
+        second = Member("k2.c", "", False)
+        replaced = compute_next_members(removed, Gone("k2.b"), second, False).unwrap()
+        self.assertEqual(replaced[2:], (second._replace(place=Place.VACATED),))
+        voting = compute_next_members(replaced, None, second, True).unwrap()
+        self.assertEqual(voting[2:], (second._replace(voter=True),))
+
+    def test_added_learner_has_no_voters_place(self):
+        """A learner that is only added does not count among the places of voters."""
+        members = (Member("k0.a", "", True),)
+        new = Member("k1.a", "", False)
+        added = compute_next_members(members, None, new, False).unwrap()
+        self.assertEqual(count_places(added), 1)
+        lost = Gone(new.replica_id)
+        replaced = compute_next_members(added, lost, Member("k1.b", "", False), False)
+        self.assertEqual(replaced.unwrap()[1].place, Place.ADDED)
+
+    def test_waiting_learner(self):
+        """A learner whose predecessor answers again waits without a place."""
+        members = (Member("k0.a", "", True), Member("k1.a", "", True))
+        new = Member("k2.a", "", False)
+        added = compute_next_members(members, Silent("k1.a"), new, False).unwrap()
+        self.assertEqual(added[2], new)
+        self.assertEqual(
+            compute_next_members(added, Silent("k1.a"), new, False).unwrap(), added
+        )
+
+
+def _list_steps(
+    members: tuple[Member, ...], departure: Departure, new: Member
+) -> list[tuple[Member, ...]]:
+    """Return the memberships of a change whose newcomer is always caught up.
+
+    A change that removed its member is continued as one that removes none, as the
+    leader continues it.
+    """
+    steps: list[tuple[Member, ...]] = []
+    while True:
+        ids = {member.replica_id for member in members}
+        remaining = departure if departure.replica_id in ids else None
+        next_members = compute_next_members(members, remaining, new, True).unwrap()
+        if next_members is None:
+            return steps
+        steps.append(next_members)
+        members = next_members
+
+
+def _count_losses_borne(members: tuple[Member, ...], ids: set[str]) -> int:
+    """Return how many of some replicas can be lost until no quorum is left of them."""
+    voter_ids = list_voter_ids(members)
+    return len(ids.intersection(voter_ids)) - (len(voter_ids) // 2 + 1)
 
 
 class TestCompaction(unittest.TestCase):
