Choose each step of a membership change anew

Callers: a host of three that is lost again within milliseconds of its return is not taken back for 8 s, twice the time for which it counts as lost. A second host that is lost in the meantime, as is allowed, ends the log, and the config is not read again.

Cause: one call made a whole replacement and waited up to 8 s until the learner had the log. The identity at its address had changed by then, and nothing else was done meanwhile.

Evidence: a second loss right after the leader's first proposal; the leader logged member_not_changed, "the new keeper is catching up", 8 s later.

Change: the leader makes one step at a time and chooses each one anew. Learners that have caught up go before those that have to wait, and a further identity at a learner's address replaces it. Silent members are asked for their identity all at once. An operator's call ends once another identity answers at the address.

Ruled out: a bound for the wait from the settings; any bound delays other hosts.

--- a/src/cowslipwood/keeper/_keeper.py
+++ b/src/cowslipwood/keeper/_keeper.py
@@ -102,6 +102,8 @@
 # members by the leader. Several intervals fit into the time after which an
 # announcement is ignored.
 MEMBERSHIP_INTERVAL_MS = 300
+# Milliseconds between two checks of the members while one of them is joining.
+MEMBERSHIP_STEP_INTERVAL_MS = 50
 # Shortest time in milliseconds between two updates of the published servers. Each
 # update is sent to all entries, and an entry that needs a server sooner asks for it.
 SERVERS_INTERVAL_MS = 100.0
@@ -562,11 +564,13 @@
     async def _run_membership(self) -> None:
         """Add or replace members while this keeper leads."""
         while True:
+            pause_ms = MEMBERSHIP_INTERVAL_MS
             now_ms = monotonic_ms()
             if self._replica.can_act_as_leader(now_ms):
                 await self._membership.find_lost_disks(now_ms)
-                await self._membership.change_one_member(monotonic_ms())
-            await anyio.sleep(MEMBERSHIP_INTERVAL_MS / 1000)
+                if await self._membership.change_one_member(monotonic_ms()):
+                    pause_ms = MEMBERSHIP_STEP_INTERVAL_MS
+            await anyio.sleep(pause_ms / 1000)
 
     async def _run_announcements(self) -> None:
         """Announce this keeper whenever the leader may not count it as a voter.
--- a/src/cowslipwood/keeper/_membership.py
+++ b/src/cowslipwood/keeper/_membership.py
@@ -1,12 +1,11 @@
 """Adds announced keepers to the members of the log, or replaces lost members."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
 
+import anyio
 from returns.result import Failure as Err
-from returns.result import Result
 
-from ..kernel.codes import Failure
 from ..kernel.logs import get_logger
 from ..kernel.messages import Announce
 from ..replication import (
@@ -73,7 +72,6 @@
         self._replica = replica
         self._n_needed = n_needed
         self._announced: dict[str, tuple[Announce, float]] = {}
-        self._is_changing = False
 
     def record_announcement(self, announce: Announce, now_ms: float) -> None:
         """Record an announcement and the time of its arrival."""
@@ -86,58 +84,58 @@
         itself only if it finds the leader through the addresses in its settings.
         """
         silent_ms = self._replica.silent_ms_by_follower(now_ms)
-        member_ids = {member.replica_id for member in self._replica.members}
-        for member in self._replica.members:
-            if silent_ms.get(member.replica_id, 0.0) < IDENTITY_QUERY_AFTER_MS:
-                continue
-            identity = await self._replica.query_identity(member.addr)
-            if identity is None or not identity.replica_id:
-                continue
-            # A keeper that has a log but is no member belongs to another log.
-            is_new = not identity.formed or identity.replica_id in member_ids
-            if is_new and identity.replica_id != member.replica_id:
-                announce = Announce(identity.replica_id, member.addr)
-                self.record_announcement(announce, now_ms)
-
-    async def change_one_member(self, now_ms: float) -> None:
-        """Add or replace one member if an announced keeper is to become one."""
-        if self._is_changing:
+        async with anyio.create_task_group() as tasks:
+            for member in self._replica.members:
+                if silent_ms.get(member.replica_id, 0.0) >= IDENTITY_QUERY_AFTER_MS:
+                    tasks.start_soon(self._find_lost_disk, member, now_ms)
+
+    async def _find_lost_disk(self, member: Member, now_ms: float) -> None:
+        identity = await self._replica.query_identity(member.addr)
+        if identity is None or identity.replica_id in ("", member.replica_id):
             return
-        recent = [
-            announce
-            for announce, at_ms in self._announced.values()
-            if now_ms - at_ms < ANNOUNCEMENT_VALID_MS
-        ]
+        member_ids = {member.replica_id for member in self._replica.members}
+        # A keeper that has a log but is no member belongs to another log.
+        if not identity.formed or identity.replica_id in member_ids:
+            announce = Announce(identity.replica_id, member.addr)
+            self.record_announcement(announce, now_ms)
+
+    async def change_one_member(self, now_ms: float) -> bool:
+        """Make the next step if an announced keeper is to become a member.
+
+        Returns whether a further step may soon be possible.
+        """
+        members = self._replica.members
         change = choose_member_change(
-            self._replica.members,
-            recent,
+            members,
+            self._list_recent(now_ms),
             self._replica.silent_ms_by_follower(now_ms),
             self._n_needed,
+            self._replica.list_caught_up_ids(),
         )
         if change is None:
-            return
-        self._is_changing = True
+            return False
         log = get_logger()
-        log.info("member_changing", old=change.old_id or "", new=change.new_id)
-        try:
-            changed_members = await self._apply_change(change)
-        finally:
-            self._is_changing = False
-        if isinstance(changed_members, Err):
-            fault = changed_members.failure()
-            log.warning("member_not_changed", new=change.new_id, reason=fault.message)
-            return
-        self._announced.pop(change.new_addr, None)
-        members = ",".join(member.replica_id for member in changed_members.unwrap())
-        log.info("member_changed", new=change.new_id, members=members)
-
-    async def _apply_change(
-        self, change: MemberChange
-    ) -> Result[tuple[Member, ...], Failure]:
-        name = change.new_id.rpartition(".")[0]
-        if change.old_id is None:
-            return await self._replica.add_member(name, change.new_addr)
-        return await self._replica.replace_member(change.old_id, name, change.new_addr)
+        if change.new_id not in {member.replica_id for member in members}:
+            log.info("member_changing", old=change.old_id or "", new=change.new_id)
+        new = Member(change.new_id, change.new_addr, False)
+        step = await self._replica.advance_membership(change.departure, new, now_ms)
+        if isinstance(step, Err):
+            self._announced.pop(change.new_addr, None)
+            reason = step.failure().message
+            log.warning("member_not_changed", new=change.new_id, reason=reason)
+            return False
+        if _is_voter(self._replica.members, change.new_id):
+            self._announced.pop(change.new_addr, None)
+            ids = ",".join(member.replica_id for member in self._replica.members)
+            log.info("member_changed", new=change.new_id, members=ids)
+        return True
+
+    def _list_recent(self, now_ms: float) -> list[Announce]:
+        return [
+            announce
+            for announce, at_ms in self._announced.values()
+            if now_ms - at_ms < ANNOUNCEMENT_VALID_MS
+        ]
 
 
 def choose_member_change(
@@ -145,6 +143,7 @@
     announced: Sequence[Announce],
     silent_ms: Mapping[str, float],
     n_needed: int,
+    caught_up_ids: Collection[str] = (),
 ) -> MemberChange | None:
     """Return the next change of the membership, or None.
 
@@ -163,6 +162,9 @@
         Time since a follower's last answer to this leader, by identity.
     n_needed : int
         Number of voters below which any announced keeper is added.
+    caught_up_ids : collection of str
+        Followers that have every committed entry. Other learners have to wait, so
+        their changes go last.
     """
     for announce in announced:
         for member in members:
@@ -173,17 +175,22 @@
                 )
     members_by_id = {member.replica_id: member for member in members}
     unplaced = []
+    waiting = None
     for announce in announced:
         member = members_by_id.get(announce.replica_id)
+        change = MemberChange(None, announce.replica_id, announce.addr)
         if member is None or not (member.voter or member.place):
             unplaced.append(announce)
+        elif not member.voter and member.replica_id in caught_up_ids:
+            return change
         elif not member.voter:
-            return MemberChange(None, announce.replica_id, announce.addr)
+            waiting = change
     n_places = count_places(members)
     for announce in unplaced:
         if (announce.is_initial or n_places < n_needed) and n_places < MAX_VOTERS:
             return MemberChange(None, announce.replica_id, announce.addr)
-    return _choose_replacement(members, unplaced, silent_ms)
+    unplaced.sort(key=lambda announce: announce.replica_id not in caught_up_ids)
+    return _choose_replacement(members, unplaced, silent_ms) or waiting
 
 
 def _choose_replacement(
--- a/src/cowslipwood/replication/_membership_change.py
+++ b/src/cowslipwood/replication/_membership_change.py
@@ -43,6 +43,10 @@
 class MembershipChanger:
     """Changes the membership on the leader.
 
+    Each step depends on nothing but the members and what is known of their hosts. So a
+    change that was left half-done is continued by any later leader, and a host that is
+    lost again while it joins delays no other.
+
     Parameters
     ----------
     state : ReplicaState
@@ -56,6 +60,38 @@
         self._applier = applier
         self._lock = anyio.Lock()
 
+    async def advance(
+        self, departure: Departure | None, new: Member, now_ms: float
+    ) -> Result[tuple[Member, ...] | None, Failure]:
+        """Commit the next step of adding or replacing a member.
+
+        Parameters
+        ----------
+        departure : Answering, Silent, Gone or None
+            Member to remove; None to remove none.
+        new : Member
+            Identity and address of the replica to add. It is asked whether the identity
+            is still its own before it becomes a member.
+        now_ms : float
+            The present time on the monotonic clock.
+
+        Returns
+        -------
+        Result
+            The members after the step, the present ones while the new replica catches
+            up, None when nothing is left to do. Fails with NO_SUCH_MEMBER,
+            MEMBER_CHANGE_BUSY, NOT_LEADER or NO_QUORUM.
+        """
+        member_ids = {member.replica_id for member in self._state.log.members}
+        if new.replica_id not in member_ids:
+            identified = await self._identify(new)
+            if isinstance(identified, Err):
+                return identified
+            if identified.unwrap().replica_id != new.replica_id:
+                return Err(_no_longer_at(new))
+        async with self._lock:
+            return await self._commit_next(departure, new, now_ms)
+
     async def change(
         self, old_name_or_id: str | None, new_keeper: Member
     ) -> Result[tuple[Member, ...], Failure]:
@@ -74,8 +110,9 @@
         Returns
         -------
         Result
-            Fails with NO_SUCH_MEMBER, MEMBER_CHANGE_BUSY, WAIT_TIMEOUT (the
-            new replica is still catching up), NOT_LEADER or NO_QUORUM.
+            Fails with NO_SUCH_MEMBER (also when the new replica loses its disk),
+            MEMBER_CHANGE_BUSY, WAIT_TIMEOUT (the new replica is still catching up),
+            NOT_LEADER or NO_QUORUM.
         """
         found = await self._find_new_keeper(new_keeper)
         if isinstance(found, Err):
@@ -93,10 +130,22 @@
             if step.unwrap() is None:
                 return Success(self._state.log.members)
             if step.unwrap() == before:
-                if now_ms > deadline_ms:
-                    message = "the new keeper is catching up"
-                    return Err(failure(Code.WAIT_TIMEOUT, message))
-                await anyio.sleep(POLL_INTERVAL_MS / 1000)
+                waited = await self._wait_for(new, now_ms, deadline_ms)
+                if isinstance(waited, Err):
+                    return waited
+
+    async def _wait_for(
+        self, new: Member, now_ms: float, deadline_ms: float
+    ) -> Result[None, Failure]:
+        """Wait a moment for a replica that is catching up, unless that is useless."""
+        if now_ms > deadline_ms:
+            return Err(failure(Code.WAIT_TIMEOUT, "the new keeper is catching up"))
+        if not self._is_answering(new.replica_id, now_ms):
+            identity = await self.query_identity(new.addr)
+            if identity is not None and identity.replica_id != new.replica_id:
+                return Err(_no_longer_at(new))
+        await anyio.sleep(POLL_INTERVAL_MS / 1000)
+        return Success(None)
 
     async def _commit_next(
         self, departure: Departure | None, new: Member, now_ms: float
@@ -176,8 +225,14 @@
             if identity is not None:
                 return self._check_identity(new_keeper, identity)
             await anyio.sleep(POLL_INTERVAL_MS / 1000)
-        message = f"no keeper answers at {new_keeper.addr}"
-        return Err(failure(Code.NO_SUCH_MEMBER, message))
+        return Err(_no_answer_at(new_keeper))
+
+    async def _identify(self, new: Member) -> Result[Member, Failure]:
+        """Ask the replica at an address for its identity once, and check it."""
+        identity = await self.query_identity(new.addr)
+        if identity is None:
+            return Err(_no_answer_at(new))
+        return self._check_identity(new._replace(replica_id=new.name), identity)
 
     async def query_identity(self, addr: str) -> Identity | None:
         """Return the identity of the replica at an address; None without an answer."""
@@ -207,3 +262,12 @@
             )
             return Err(failure(Code.NO_SUCH_MEMBER, message))
         return Success(identified)
+
+
+def _no_answer_at(keeper: Member) -> Failure:
+    return failure(Code.NO_SUCH_MEMBER, f"no keeper answers at {keeper.addr}")
+
+
+def _no_longer_at(keeper: Member) -> Failure:
+    message = f"{keeper.replica_id} is no longer at {keeper.addr}"
+    return failure(Code.NO_SUCH_MEMBER, message)
--- a/src/cowslipwood/replication/_replica.py
+++ b/src/cowslipwood/replication/_replica.py
@@ -21,7 +21,7 @@
 from ._follower import Follower
 from ._formation import encode_peers, form_log
 from ._leader import Leadership
-from ._membership import count_places
+from ._membership import Departure, count_places
 from ._membership_change import MembershipChanger
 from ._messages import (
     AppendRequest,
@@ -291,6 +291,25 @@
         """Add a voting member; `MembershipChanger.change` describes the failures."""
         return await self._change_membership(None, Member(name, addr, False))
 
+    async def advance_membership(
+        self, departure: Departure | None, new: Member, now_ms: float
+    ) -> Result[tuple[Member, ...] | None, Failure]:
+        """Make one step of a membership change, as `MembershipChanger.advance`."""
+        if not self.can_act_as_leader(now_ms):
+            return Err(failure(Code.NOT_LEADER, retry_after_ms=RETRY_AFTER_MS))
+        return await self._membership.advance(departure, new, now_ms)
+
+    def list_caught_up_ids(self) -> list[str]:
+        """Return the followers that have every committed entry; none if not leading."""
+        leadership = self._state.leadership
+        if not isinstance(leadership, Leadership):
+            return []
+        return [
+            member.replica_id
+            for member in self.members
+            if leadership.match_index(member.replica_id) >= self._state.commit_index
+        ]
+
     async def _change_membership(
         self, old_name_or_id: str | None, new_keeper: Member
     ) -> Result[tuple[Member, ...], Failure]:
--- a/tests/test_hosts_lost_again.py
+++ b/tests/test_hosts_lost_again.py
@@ -7,6 +7,7 @@
 from soak.deployment import Deployment, Host
 
 from .keeper_hosts import KeeperHosts, build_hosts
+from .processes import wait_for
 
 # Time from the last file of a joining keeper to its first acknowledgement, in seconds.
 ACKNOWLEDGED_AFTER_S = 0.003
@@ -37,15 +38,22 @@
     def lose_again_and_again(
         self, keepers: KeeperHosts, hosts: list[Host], rng: random.Random
     ) -> int:
-        """Lose hosts in turn, write configs in between; return the last version."""
+        """Lose hosts in turn, write configs in between; return the last version.
+
+        Every second time they are lost once they have stored the log, else at random.
+        """
         running = next(host for host in keepers.hosts if host not in hosts)
         for host in hosts:
             keepers.lose_disk(host)
         for number in range(N_LOSSES):
             for host in hosts:
                 keepers.start(host)
-                keepers.put_config(10 + number, running)
-                time.sleep(rng.uniform(*RUNNING_S))
+                if number % 2:
+                    keepers.put_config(10 + number, running)
+                    time.sleep(rng.uniform(*RUNNING_S))
+                else:
+                    keepers.wait_until_stored(host, keepers.find_leader())
+                    time.sleep(ACKNOWLEDGED_AFTER_S)
                 keepers.lose_disk(host)
         for host in hosts:
             keepers.rejoin(host)
@@ -66,6 +74,28 @@
         keepers.rejoin(lost)
         self.assert_recovered(keepers, 3)
 
+    # Guards against a host that is not taken back while a leader waits for an identity
+    # that went with its disk; the loss of a second host then ended the log.
+    def test_lost_again_before_it_answers(self):
+        """A host is lost as it joins, then for good, and then another one is lost."""
+        keepers = self.start_hosts(3, n_losses=1)
+        leader = keepers.find_leader()
+        lost, other = (host for host in keepers.hosts if host != leader)
+        keepers.lose_disk(lost)
+        n_chars = len(keepers.read_log(leader))
+        keepers.start(lost)
+        wait_for(
+            lambda: "event=members_proposed" in keepers.read_log(leader)[n_chars:],
+            "a leader that takes the host back",
+            poll_s=0.0005,
+        )
+        keepers.lose_disk(lost)
+        keepers.rejoin(lost)
+        self.assertNotIn("is catching up", keepers.read_log(leader))
+        keepers.lose_disk(other)
+        keepers.rejoin(other)
+        self.assert_recovered(keepers, 3)
+
     # Guards against a former leader whose further losses leave no quorum, and against
     # configs that are not accepted, or come back older, meanwhile.
     def test_leader_lost_again_and_again(self):
--- a/tests/test_recruiting.py
+++ b/tests/test_recruiting.py
@@ -8,7 +8,7 @@
     choose_member_change,
 )
 from cowslipwood.kernel.messages import Announce
-from cowslipwood.replication import Member, Place, Silent
+from cowslipwood.replication import Gone, Member, Place, Silent
 
 MEMBERS = [Member(f"k{i}.a", f"10.0.0.{i}:1", True) for i in range(3)]
 
@@ -87,6 +87,21 @@
         announced = [Announce("k9.a", "10.0.0.9:1")]
         self.assertIsNone(choose_with_one_loss(members, announced, {"k1.a": 9_000.0}))
 
+    # Guards against a learner that joins slowly and keeps others from joining.
+    def test_learner_that_catches_up(self):
+        """Changes of other keepers go before those of a learner that has to wait."""
+        members = [
+            *MEMBERS,
+            Member("k8.a", "10.0.0.8:1", False, Place.VACATED),
+            Member("k9.a", "10.0.0.9:1", False, Place.VACATED),
+        ]
+        announced = [Announce(f"k{i}.a", f"10.0.0.{i}:1") for i in (8, 9)]
+        found = choose_member_change(members, announced, {}, 5, ["k9.a"])
+        self.assertEqual(found, MemberChange(None, "k9.a", "10.0.0.9:1"))
+        announced[1] = Announce("k1.b", "10.0.0.1:1")
+        found = choose_member_change(members, announced, {}, 5)
+        self.assertEqual(found.departure, Gone("k1.a"))
+
     # Guards against a change that the next leader leaves half-done.
     def test_place_of_a_removed_voter(self):
         """A learner for which a voter was removed votes, whoever is silent."""
