Sync at the start what a killed process left unsynced

A keeper that is killed while it syncs, starts again, answers and loses power can forget a vote, so that a term has two leaders, or a log entry, so that an acknowledged config is lost with the leader's disk.

Cause: files stay as they are when a process is killed, synced or not. The next process took the ballot, the names in the folder and the end of the last log file for stored.

Change: a replica syncs the folder before it removes any file, and the last log file, before it answers anybody.

Shown failing: test_power_loss fails on the code before (a vote of term 1 is lost), with the sync of the folder alone (an entry is lost) and with that of the file alone.

--- a/src/cowslipwood/replication/_segments.py
+++ b/src/cowslipwood/replication/_segments.py
@@ -67,11 +67,16 @@
     def recover(self) -> list[LogEntry]:
         """Read every record and truncate an incomplete tail of the last file.
 
+        An earlier process may have been killed before it had synced what is found here,
+        so all names in the folder and the last file are synced. Earlier files were
+        synced before the last one was created.
+
         Raises
         ------
         DataDamagedError
             When a record that had been synced is damaged or missing.
         """
+        sync_folder(self._folder)
         entries: list[LogEntry] = []
         paths = sorted(self._folder.glob("*" + _SUFFIX))
         for path in paths:
@@ -82,6 +87,7 @@
             entries += self._read_segment(segment, is_last=path == paths[-1])
         if self._segments:
             self._open_segment(self._segments[-1])
+            os.fsync(self._descriptor)
         return entries
 
     def append(self, entries: Sequence[LogEntry]) -> None:
