Leave room for late orders to an earlier run of an engine

Cause: an order without an answer may be carried out seconds later if the server then has accepted as many orders as it expects. A server that starts again under its id counts from 0, and the leader's new orders led it to just that number. The record of the earlier run went with the knowledge of the late order.

Change: orders without an answer are remembered by the server's id for 60 s. An order that leads to the number which a late load expects has to leave room for it, in memory and among the adapters' slots; plans see the smaller room.

--- a/src/cowslipwood/keeper/engines/_engine_record.py
+++ b/src/cowslipwood/keeper/engines/_engine_record.py
@@ -1,6 +1,7 @@
 """Records what the leader knows of one engine, up to its last accepted order."""
 
 import math
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import anyio
@@ -8,7 +9,8 @@
 from ...listing import ListedServer, make_holding_key
 from ...routes import EngineSpec, ModelSpec
 from ...server_limits import count_rate
-from ._orders import EngineReport, OrderOp
+from ._late_orders import find_late_loads
+from ._orders import EngineOrder, EngineReport, OrderOp
 
 __all__ = ["N_FAILED_READS_LOST", "TYPICAL_UNLOAD_MS", "EngineRecord"]
 
@@ -106,6 +108,8 @@
         Earliest time of the next order or report request, by the engine's limit.
     is_short : bool
         Whether the engine has named a limit and entries ask for more than that.
+    late_orders : sequence of EngineOrder
+        Orders to this run or an earlier one that the engine may still carry out.
     lock : anyio.Lock
         Held while an order or a report is on its way.
     """
@@ -146,6 +150,7 @@
         self.kv_share = 0.0
         self._reports_leaving = False
         self.held_off_until_ms = 0.0
+        self.late_orders: Sequence[EngineOrder] = ()
         self.lock = anyio.Lock()
 
     def set_spec(self, spec: EngineSpec) -> None:
@@ -317,8 +322,44 @@
 
     @property
     def free_mb(self) -> float:
-        """Free memory for further weights and adapters."""
-        return self.spec.weights_mb - self.compute_used_mb()
+        """Free memory for further weights and adapters, after the next order.
+
+        If the engine then has the number that a late order expects, it keeps room for
+        that.
+        """
+        return self.spec.weights_mb - self.compute_used_mb() - self.compute_late_mb()
+
+    def compute_late_mb(self) -> float:
+        """Return the memory that a late order may take right after the next order."""
+        late_mb = (
+            self._compute_part_mb(order.model, order.adapter)
+            for order in self._list_late_loads()
+        )
+        return max(late_mb, default=0.0)
+
+    def _list_late_loads(self) -> list[EngineOrder]:
+        next_sequence = None if self.sequence is None else self.sequence + 1
+        return [
+            order
+            for order in find_late_loads(self.late_orders, next_sequence)
+            if order.adapter not in self.held.get(order.model, ())
+            and (order.adapter or order.model not in self.held)
+        ]
+
+    def _compute_part_mb(self, model: str, adapter: str) -> float:
+        """Return the memory of weights or of an adapter; all of it if unknown."""
+        spec = self._specs.get(model)
+        if spec is None:
+            return self.spec.weights_mb
+        return spec.adapter_size_mb if adapter else spec.weights_mb
+
+    def may_unload(self, model: str, adapter: str = "") -> bool:
+        """Return whether a late order has enough memory after an unload."""
+        if not self._list_late_loads():
+            return True
+        if adapter:
+            return self.free_mb + self._compute_part_mb(model, adapter) >= 0
+        return self.free_mb + self.compute_model_mb(model) >= 0
 
     def compute_used_mb(self) -> float:
         """Return the memory of models and adapters, including those being loaded."""
@@ -333,9 +374,9 @@
 
     def has_adapter_slot(self, model: str) -> bool:
         """Return whether one more adapter of a model fits, by number and by memory."""
-        spec = self._specs.get(model)
-        size_mb = spec.adapter_size_mb if spec is not None else self.spec.weights_mb
-        is_free = self.n_adapters < self.spec.max_adapters
+        size_mb = self._compute_part_mb(model, adapter="any")
+        has_late_load = any(order.adapter for order in self._list_late_loads())
+        is_free = self.n_adapters + has_late_load < self.spec.max_adapters
         return is_free and self.free_mb >= size_mb
 
     def has_adapter(self, model: str, adapter: str) -> bool:
--- a/src/cowslipwood/keeper/engines/_fleet.py
+++ b/src/cowslipwood/keeper/engines/_fleet.py
@@ -11,7 +11,8 @@
 from ...routes import RouteDocument
 from .._server_limits import ServerLimitTable
 from ._engine_record import N_FAILED_READS_LOST, EngineRecord
-from ._orders import EngineClient
+from ._late_orders import LateOrders
+from ._orders import EngineClient, EngineOrder
 from ._specs import EngineSpecs, make_engine_specs
 from ._turns import OrderTurns
 
@@ -64,6 +65,7 @@
         self._source = source
         self._turns = turns
         self._client = client
+        self._late_orders = LateOrders()
         self.records: dict[str, EngineRecord] = {}
         self._listed: list[ListedServer] = []
         self._list_read_ms = 0.0
@@ -84,7 +86,7 @@
         if document is not self._followed_document:
             self._followed_document = document
             self._specs = make_engine_specs(document)
-            self._update_records()
+            self._update_records(monotonic_ms())
             get_logger().info(
                 "engine_specs_in_force",
                 document=self._specs.version,
@@ -180,7 +182,7 @@
         self._list_read_ms = now_ms
         self._listed = listed.unwrap()
         self.follow_document()
-        self._update_records()
+        self._update_records(now_ms)
 
     def apply_limits(self, now_ms: float) -> None:
         """Apply the limits that entries have reported."""
@@ -196,6 +198,17 @@
         record.record_call(now_ms)
         self._limits.take_own(*_get_limit_key(record), now_ms)
 
+    def record_late_order(
+        self, record: EngineRecord, order: EngineOrder, now_ms: float
+    ) -> None:
+        """Record that an order without an answer may still be carried out."""
+        record.record_lost_order(now_ms)
+        server_id = record.server.server_id
+        self._late_orders.record(server_id, order, now_ms)
+        # The engine may have started again while the order was on its way.
+        for same_server in (record, self.records.get(server_id, record)):
+            same_server.late_orders = self._late_orders.list_orders(server_id, now_ms)
+
     def list_engines_to_read(self, now_ms: float) -> list[EngineRecord]:
         """Return the engines whose report should be read now."""
         return [
@@ -221,7 +234,7 @@
                 return  # the engine has restarted since the list was read
             record.apply_report(report, record.report_read_ms)
 
-    def _update_records(self) -> None:
+    def _update_records(self, now_ms: float) -> None:
         """Keep a record of each listed server whose service has engines."""
         found: dict[str, EngineRecord] = {}
         for server in self._listed:
@@ -232,6 +245,7 @@
             if record is None or record.server.born_ms != server.born_ms:
                 next_order_ms = self._turns.get_next_order_ms(server.server_id)
                 record = EngineRecord(server, spec, next_order_ms)
+            record.late_orders = self._late_orders.list_orders(server.server_id, now_ms)
             record.server = server
             record.set_spec(spec)
             found[server.server_id] = record
--- a/src/cowslipwood/keeper/engines/_order_sender.py
+++ b/src/cowslipwood/keeper/engines/_order_sender.py
@@ -139,6 +139,8 @@
         """Order the unload of an adapter; return whether its slot is free."""
         if not record.has_adapter(model, adapter):
             return False
+        if not record.may_unload(model, adapter):
+            return False
         await self._send_order(record, OrderOp.UNLOAD, model, adapter)
         return not record.has_adapter(model, adapter)
 
@@ -166,6 +168,8 @@
             if not record.can_load_now(spec.name, step.load_priority, now_ms):
                 return
             if step.unload_model:
+                if not record.may_unload(step.unload_model):
+                    return
                 until_ms = now_ms + ROOM_RESERVATION_MS
                 record.reserve_room(spec.name, step.load_priority, until_ms)
                 self._log_placement(spec, step, now_ms)
@@ -271,7 +275,7 @@
         try:
             answer = await self._client.order(record.server, order)
         except anyio.get_cancelled_exc_class():
-            record.record_lost_order(monotonic_ms())
+            self._fleet.record_late_order(record, order, monotonic_ms())
             raise
         finally:
             self._turns.record_order(server_id, order.fencing_token, monotonic_ms())
@@ -303,5 +307,5 @@
         # The state of the engine is unknown until its next report.
         record.sequence = None
         if isinstance(answer, Err):
-            record.record_lost_order(monotonic_ms())
+            self._fleet.record_late_order(record, order, monotonic_ms())
         return False
--- a/tests/engine_builders.py
+++ b/tests/engine_builders.py
@@ -77,6 +77,7 @@
     def __init__(self, server_id: str, held: dict[str, set[str]]):
         self.server_id = server_id
         self.held = held
+        self.born_ms = 1
         self.sequence = 0
         self.fencing_token = 0
         self.is_busy = False
@@ -105,6 +106,8 @@
             return OrderOutcome.FENCED
         if order.expected_sequence != self.sequence or self.is_busy:
             return OrderOutcome.CONFLICT
+        if order.adapter and order.model not in self.held:
+            return OrderOutcome.REFUSED
         self.fencing_token = order.fencing_token
         if not self.counts_orders_in_effect and self._is_in_effect(order):
             return OrderOutcome.DONE
@@ -146,6 +149,16 @@
         self.pending_unloads.clear()
         self.is_busy = False
 
+    def restart(self) -> None:
+        """Start again, empty, under the same id; deferred orders stay on their way."""
+        self.born_ms += 1
+        self.held = {}
+        self.sequence = 0
+        self.fencing_token = 0
+        self.is_busy = False
+        self.adapters_in_use.clear()
+        self.pending_unloads.clear()
+
     def run_deferred_orders(self) -> None:
         """Carry out the orders that were deferred."""
         orders, self.deferred_orders = self.deferred_orders, []
@@ -162,7 +175,7 @@
             self.sequence,
             self.is_busy,
             models,
-            born_ms=1,
+            born_ms=self.born_ms,
             is_leaving=self.is_leaving,
         )
 
@@ -203,7 +216,12 @@
 
     async def read(self) -> Result[list[ListedServer], Failure]:
         """Return the list."""
-        return Success([make_listed_server(name) for name in self.engines])
+        return Success(
+            [
+                make_listed_server(name, born_ms=engine.born_ms)
+                for name, engine in self.engines.items()
+            ]
+        )
 
     async def report(self, listed: ListedServer) -> Result[EngineReport, Failure]:
         """Return an engine's report, or a failure if it is unreachable."""
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -17,7 +17,8 @@
 from cowslipwood.keeper.engines._adapters import choose_adapter_step
 from cowslipwood.keeper.engines._copies import choose_copy
 from cowslipwood.keeper.engines._demand import DemandTracker
-from cowslipwood.keeper.engines._orders import EngineReport, OrderOp
+from cowslipwood.keeper.engines._late_orders import LateOrders
+from cowslipwood.keeper.engines._orders import EngineOrder, EngineReport, OrderOp
 from cowslipwood.keeper.engines._placement import (
     ModelDemand,
     choose_load_step,
@@ -460,6 +461,74 @@
         self.assertEqual(engine.n_overflows, 0)
         self.assertLessEqual(engine.count_adapters(), SPEC.max_adapters)
 
+    # Guards against an order to an earlier run of an engine that overfills the next.
+    def test_late_order_to_an_earlier_run(self):
+        """An order that arrives after its engine started again overfills nothing."""
+        engine = FakeEngine("s0", {"m0": set()})
+        fleet = FakeFleet([engine])
+
+        async def scenario(controller):
+            await look_up(controller, "m1")
+            self.assertEqual(engine.held.keys(), {"m0", "m1"})
+            engine.defers_orders = True
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(look_up, controller, "m2")
+                while not engine.deferred_orders:
+                    engine.defers_orders = len(engine.held) == 1
+                    await anyio.sleep(0)
+                tasks.cancel_scope.cancel()
+            engine.defers_orders = False
+            engine.restart()
+            (late,) = engine.deferred_orders
+            self.assertEqual((late.op, late.model), (OrderOp.LOAD, "m2"))
+
+            def deliver_late_order() -> None:
+                if engine.sequence == late.expected_sequence:
+                    engine.run_deferred_orders()
+
+            fleet.before_orders += [deliver_late_order] * 9
+            await anyio.sleep(1.2)
+            for model in ("m0", "m1"):
+                await look_up(controller, model)
+            self.assertGreaterEqual(engine.sequence, late.expected_sequence)
+            engine.run_deferred_orders()
+
+        run_controller(fleet, scenario)
+        self.assertEqual(engine.n_overflows, 0)
+
+    def test_room_for_a_late_order(self):
+        """An order that leads to the number of a late load leaves room for that."""
+        late = EngineOrder(OrderOp.LOAD, "m2", "", 5, "k1", 1)
+        held = make_record("s0", {"m0": set(), "m1": {"a1"}})
+        held.late_orders = [late]
+        held.sequence = 3
+        self.assertEqual(held.free_mb, 19.0)
+        self.assertTrue(held.may_unload("m1", "a1"))
+        held.sequence = 4
+        self.assertEqual(held.free_mb, -11.0)
+        self.assertTrue(held.may_unload("m0"))
+        self.assertFalse(held.may_unload("m1", "a1"))
+        self.assertFalse(held.has_adapter_slot("m0"))
+        held.held["m2"] = held.held.pop("m0")
+        self.assertEqual(held.free_mb, 19.0)
+
+    def test_slot_for_a_late_order(self):
+        """An order that leads to the number of a late adapter leaves a slot for it."""
+        held = make_record("s0", {"m0": {"a1", "a2"}})
+        held.late_orders = [EngineOrder(OrderOp.LOAD, "m0", "a9", 1, "k1", 1)]
+        self.assertFalse(held.has_adapter_slot("m0"))
+        held.sequence = 1
+        self.assertTrue(held.has_adapter_slot("m0"))
+
+    def test_expired_late_orders(self):
+        """An order is no longer expected after the time that it may be on its way."""
+        late_orders = LateOrders()
+        order = EngineOrder(OrderOp.LOAD, "m0", "", 1, "k1", 1)
+        late_orders.record("s0", order, 1_000.0)
+        self.assertEqual(late_orders.list_orders("s0", 13_000.0), (order,))
+        self.assertEqual(late_orders.list_orders("s1", 13_000.0), ())
+        self.assertEqual(late_orders.list_orders("s0", 61_001.0), ())
+
     def test_not_leading(self):
         """A keeper that does not lead gives no order."""
         fleet = FakeFleet([FakeEngine("s0", {"m0": set()})])
