Soak: lose the disks of keepers, and read the config at the end

The soak injected no lost disks and did not check what an operator reads. At the end each keeper has to answer the newest acknowledged config.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -324,6 +324,17 @@
         yield Violation("LOST", history[-1]["at_ms"], text)
 
 
+def check_config(history: Sequence[Record]) -> Iterable[Violation]:
+    """Find keepers that do not answer the newest acknowledged config at the end."""
+    newest_version = 0
+    for record in history:
+        if record["event"] == "config_acknowledged":
+            newest_version = max(newest_version, record.get("version", 0))
+        elif record["event"] == "config_read" and record["version"] < newest_version:
+            text = f"host {record['host']}: {record['version']} of {newest_version}"
+            yield Violation("CONFIG", record["at_ms"], text)
+
+
 def check_processes(history: Sequence[Record]) -> Iterable[Violation]:
     """Find servers and callers of the soak that ended by themselves.
 
@@ -346,6 +357,7 @@
     check_streams,
     check_versions,
     check_resumes,
+    check_config,
     check_processes,
 )
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -46,6 +46,10 @@
 VERSIONS = ("v1", "v2")
 # Time between two servers of a release, in seconds.
 RELEASE_GAP_S = 0.4
+# Time after its return for which a host that lost its disk counts as lost, in seconds.
+CATCH_UP_S = 4.0
+# Time in which all keepers must answer the newest config at the end, in seconds.
+READ_TIMEOUT_S = 20.0
 # Time from the notice that a server leaves until its end, in seconds.
 DRAIN_S = 5.0
 
@@ -157,6 +161,23 @@
         self.is_listed = True
 
 
+class _LostDisk(NamedTuple):
+    """A keeper that lost its disk.
+
+    Parameters
+    ----------
+    host : Host
+    back_at_s : float
+        When it started again.
+    n_log_chars : int
+        Length of its log before that.
+    """
+
+    host: Host
+    back_at_s: float
+    n_log_chars: int
+
+
 class _Run:
     def __init__(
         self,
@@ -184,6 +205,9 @@
         self._children: list[subprocess.Popen] = []
         self._version = 1
         self._n_released = 0
+        self._acknowledged_version = 0
+        self._disk_lock = anyio.Lock()
+        self._lost_disk: _LostDisk | None = None
 
     async def execute(self) -> None:
         """Start everything, inject the faults and end the clients."""
@@ -217,6 +241,8 @@
                 max(0.0, begun_s + self._settings.length_s - time.monotonic())
             )
             tasks.cancel_scope.cancel()
+        for host_ in self._keepers:
+            await self._read_config(host_)
 
     def end_children(self) -> None:
         """Kill the servers, clients and busy processes of this run."""
@@ -333,10 +359,23 @@
                 self._deployment.put_config, host, config
             )
             if status == 200:
+                self._acknowledged_version = max(self._acknowledged_version, version)
                 self._history.write("config_acknowledged", version=version)
                 return
             await anyio.sleep(0.1)
 
+    async def _read_config(self, host: Host) -> None:
+        """Record the config that a keeper answers once nothing more fails."""
+        newest_version = 0
+        with anyio.move_on_after(READ_TIMEOUT_S):
+            while newest_version < self._acknowledged_version:
+                config = await anyio.to_thread.run_sync(
+                    self._deployment.read_config, host
+                )
+                newest_version = max(newest_version, (config or {}).get("version", 0))
+                await anyio.sleep(0.1)
+        self._history.write("config_read", host=host.number, version=newest_version)
+
     async def _inject(self, fault: ScheduledFault) -> None:
         rng = random.Random(fault.seed)
         some = rng.sample(self._hosts, rng.randint(1, len(self._hosts)))
@@ -373,6 +412,8 @@
                 await self._release(fault, rng)
             case FaultKind.RENEW_SERVER:
                 await self._renew_server(fault, rng.choice(self._list_engines()))
+            case FaultKind.LOSE_DISK:
+                await self._lose_disk(fault, rng)
 
     def _find_leader(self, rng: random.Random) -> Host:
         """Return the keeper whose log tells of the newest term that it won."""
@@ -546,6 +587,35 @@
         await anyio.sleep(LIST_LAG_S)
         server.listed = server.settings
 
+    async def _lose_disk(self, fault: ScheduledFault, rng: random.Random) -> None:
+        """Delete the files of one keeper, which may be that of the last such fault.
+
+        Another keeper loses its disk only once the last one has caught up.
+        """
+        async with self._disk_lock:
+            lost = self._lost_disk
+            host = rng.choice(self._keepers)
+            if lost is not None and not self._has_caught_up(lost):
+                host = lost.host
+            program = ("keeper", host)
+            self._record(fault, [self._get_addr(program)], fault.for_s)
+            self._deployment.kill(*program)
+            self._deployment.wipe_disk(host)
+            await anyio.sleep(rng.uniform(RESTART_DELAY_S, fault.for_s))
+            n_chars = len(self._read_keeper_log(host))
+            if not self._is_running(program):
+                self._deployment.start(*program)
+            self._lost_disk = _LostDisk(host, time.monotonic(), n_chars)
+
+    def _has_caught_up(self, lost: "_LostDisk") -> bool:
+        has_voted = (
+            "event=keeper_votes" in self._read_keeper_log(lost.host)[lost.n_log_chars :]
+        )
+        return has_voted and time.monotonic() >= lost.back_at_s + CATCH_UP_S
+
+    def _read_keeper_log(self, host: Host) -> str:
+        return self._deployment.get_log_path("keeper", host).read_text()
+
     async def _load_cores(self, fault: ScheduledFault) -> None:
         self._record(fault, [], fault.for_s)
         processes = [
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -33,13 +33,15 @@
     LOAD_CORES = "load_cores"
     RELEASE = "release"
     RENEW_SERVER = "renew_server"
+    LOSE_DISK = "lose_disk"
 
 
-# Releases need more engines than a run has by default.
+# Releases need more engines than a run has by default. Disks are lost in runs of their
+# own, which leave the draws of all others as they are.
 DEFAULT_KINDS = tuple(
     kind
     for kind in FaultKind
-    if kind not in (FaultKind.RELEASE, FaultKind.RENEW_SERVER)
+    if kind not in (FaultKind.RELEASE, FaultKind.RENEW_SERVER, FaultKind.LOSE_DISK)
 )
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,7 @@
 # Seed and length of the run in this suite; longer ones are started by hand.
 SEED = 3
 SEED_OF_VERSIONS = 9401
+SEED_OF_LOST_DISKS = 9601
 LENGTH_S = 25.0
 
 
@@ -267,6 +268,16 @@
     """Servers and callers of the soak that end by themselves."""
 
     # A run passed in which servers failed at every request.
+    def test_older_config(self):
+        """A keeper answers an older config at the end, or none."""
+        history = [
+            record("config_acknowledged", 1.0, version=2),
+            record("config_acknowledged", 2.0, version=1),
+        ]
+        for version, expected in ((2, []), (1, ["CONFIG"]), (0, ["CONFIG"])):
+            read = record("config_read", 3.0, host=11, version=version)
+            self.assertEqual(find_rules([*history, read]), expected)
+
     def test_failed_process(self):
         """A process that fails is a violation; one that the soak killed is none."""
         failed = record("process_failed", 5.0, process="soak.server")
@@ -413,3 +424,19 @@
         result = run_soak(settings)
         self.assertEqual(result.violations, [])
         self.assertGreater(result.n_by_event["run"], 0)
+
+    # The log of the keepers ended with a host that lost its disk twice in a row.
+    def test_lost_disks(self):
+        """Keepers lose their disks again and again, and the newest config is read."""
+        kinds = (
+            FaultKind.LOSE_DISK,
+            FaultKind.KILL_LEADER,
+            FaultKind.FREEZE_LEADER,
+            FaultKind.CHANGE_CONFIG,
+        )
+        settings = SoakSettings(
+            SEED_OF_LOST_DISKS, LENGTH_S, n_entries=3, n_callers=10, kinds=kinds
+        )
+        result = run_soak(settings)
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.n_by_event["config_acknowledged"], 1)
