Ask a server for its start after the pause that it asked for

Cause: an answer that only its connection's end marks is whole if its server outlived it. A server that has asked for a pause was judged by a connection instead of its report, and the next process, or whoever holds the socket, accepts one.

Change: after the connection, the entry waits until the pause is over and asks. Where the request's time ends before, the answer counts as cut. The log names whether a server was asked.

Ruled out: to ask in spite of the pause, against what the server has asked for.

--- a/src/cowslipwood/entry/direct/_forwarding.py
+++ b/src/cowslipwood/entry/direct/_forwarding.py
@@ -14,6 +14,7 @@
     ServerConnection,
 )
 from ...kernel.logs import get_logger
+from ...kernel.messages import ServerView
 from ...routes import RouteKind
 from ..choosing._backend import Backend
 from ._attempt_record import AttemptRecorder
@@ -255,8 +256,19 @@
             return
         server = self._progress.server or backend.view
         now_ms = self._state.now_ms()
-        may_ask = backend.paused_until_ms <= now_ms
-        may_ask = may_ask and not self._state.limits.has_limit(server)
+        may_ask = not self._state.limits.has_limit(server)
+        if may_ask and now_ms < backend.held_off_until_ms:
+            # A server that is gone is found at once; one that accepts a connection may
+            # be its successor.
+            await self._require_sign(server, sent_ms, may_ask=False)
+            await self._outlast_hold_off(backend)
+        await self._require_sign(server, sent_ms, may_ask)
+
+    async def _require_sign(
+        self, server: ServerView, sent_ms: float, may_ask: bool
+    ) -> None:
+        """Raise `BrokenAnswerError` unless a server has outlived its answer."""
+        now_ms = self._state.now_ms()
         sign = await self._state.end_check.check(
             server, sent_ms, may_ask, self._progress.is_incarnation_proven
         )
@@ -265,12 +277,30 @@
             request=self._request.facts.request_id,
             server=server.server_id,
             sign=sign.value,
+            asked=may_ask,
             took_ms=round(self._state.now_ms() - now_ms),
         )
         if sign is not EndSign.ALIVE:
             reason = f"the connection ended and its server is {sign.value}"
             raise BrokenAnswerError(Code.ANSWER_CUT, reason, by_server=True)
 
+    async def _outlast_hold_off(self, backend: Backend) -> None:
+        """Wait until a server that asked for a pause takes calls again.
+
+        Raises
+        ------
+        BrokenAnswerError
+            If that is later than the answer must be complete.
+        """
+        while True:
+            left_s = (backend.held_off_until_ms - self._state.now_ms()) / 1000
+            if left_s <= 0:
+                return
+            if left_s >= self._compute_left_s():
+                reason = "the connection ended and its server takes no question"
+                raise BrokenAnswerError(Code.ANSWER_CUT, reason, by_server=True)
+            await anyio.sleep(left_s)
+
     async def _start_answer(self, head: AnswerHead) -> None:
         if not self._progress.has_started:
             self._progress.has_started = True
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -14,6 +14,7 @@
 from cowslipwood.entry.direct._end_check import CLOCK_MARGIN_MS, EndCheck, EndSign
 from cowslipwood.entry.direct._exchange import RequestForwarder
 from cowslipwood.entry.direct._server_reports import NoReports
+from cowslipwood.kernel.clock import monotonic_ms, wall_ms
 from cowslipwood.kernel.codes import Code, failure
 from cowslipwood.kernel.metrics import Metrics
 from cowslipwood.listing import ListedModel, to_server_view
@@ -309,6 +310,49 @@
         return sink
 
 
+class HeldOffServerTest(unittest.TestCase):
+    """Servers that have asked to be held off before their answer ends."""
+
+    # A cut stream counted as whole when the next process accepted a connection.
+    def test_successor_of_a_server_that_asked_for_a_pause(self):
+        """An answer is whole only if its server says so once it takes calls again."""
+        for born_ms, is_complete in ((1, True), (round(wall_ms()), False)):
+            with self.subTest(born_ms=born_ms):
+                self.assertEqual(self._forward(300.0, born_ms), (is_complete, 1))
+
+    def test_long_pause(self):
+        """Without an answer in time, nothing proves that an answer is whole."""
+        self.assertEqual(self._forward(90_000.0, 1), (False, 0))
+
+    def _forward(self, pause_ms: float, born_ms: int) -> tuple[bool, int]:
+        """Return whether a stream got complete, and the number of questions."""
+        asked_at_ms = []
+
+        async def ask(server: Any) -> Result[ServerSign, Any]:
+            asked_at_ms.append(monotonic_ms())
+            return Success(ServerSign(True, born_ms))
+
+        async def main() -> RecordingSink:
+            async with run_ending_server(BEGUN, ends=False) as addr:
+                state = build_direct_state([build_listed_server("s0", addr, born_ms=1)])
+                state.end_check = EndCheck(Metrics("entry"), ask)
+                (backend,) = state.view.backends.values()
+                sink, request = RecordingSink(), build_request(STREAM)
+                forwarder = RequestForwarder(state, request, sink, create_rng())
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(forwarder.run)
+                    while not sink.body:
+                        await anyio.sleep(0)
+                    backend.hold_off(begun_ms + pause_ms)
+                return sink
+
+        begun_ms = monotonic_ms()
+        sink = anyio.run(main)
+        for at_ms in asked_at_ms:
+            self.assertGreaterEqual(at_ms, begun_ms + pause_ms)
+        return sink.is_complete, len(asked_at_ms)
+
+
 class LimitedServerTest(unittest.TestCase):
     """Servers that have named a limit, which counts all calls to them."""
 
