Soak: lose a disk several times in a row, and end cancelled faults

A fault now loses one keeper's disk up to eight times, at times about as long as a keeper takes to rejoin.

--- a/soak/run.py
+++ b/soak/run.py
@@ -46,6 +46,12 @@
 VERSIONS = ("v1", "v2")
 # Time between two servers of a release, in seconds.
 RELEASE_GAP_S = 0.4
+# Largest number of losses of one disk in a row, and times between the return of its
+# host and the next loss, in seconds: a keeper starts and rejoins in about these.
+MAX_LOSSES_IN_A_ROW = 8
+REJOINING_S = (0.2, 0.8)
+# Time for which a host that lost its disk is down, in seconds.
+DISK_DOWN_S = (0.1, 1.0)
 # Time after its return for which a host that lost its disk counts as lost, in seconds.
 CATCH_UP_S = 4.0
 # Time in which all keepers must answer the newest config at the end, in seconds.
@@ -241,6 +247,11 @@
                 max(0.0, begun_s + self._settings.length_s - time.monotonic())
             )
             tasks.cancel_scope.cancel()
+        for host_ in self._keepers:
+            # A fault may have been cancelled before its end.
+            deployment.signal("keeper", host_, signal.SIGCONT)
+            if not self._is_running(("keeper", host_)):
+                deployment.start("keeper", host_)
         for host_ in self._keepers:
             await self._read_config(host_)
 
@@ -590,22 +601,31 @@
     async def _lose_disk(self, fault: ScheduledFault, rng: random.Random) -> None:
         """Delete the files of one keeper, which may be that of the last such fault.
 
-        Another keeper loses its disk only once the last one has caught up.
+        It may lose them again after it has come back, some times in a row. Another
+        keeper loses its disk only once the last one has caught up.
         """
         async with self._disk_lock:
             lost = self._lost_disk
             host = rng.choice(self._keepers)
             if lost is not None and not self._has_caught_up(lost):
                 host = lost.host
-            program = ("keeper", host)
-            self._record(fault, [self._get_addr(program)], fault.for_s)
-            self._deployment.kill(*program)
-            self._deployment.wipe_disk(host)
-            await anyio.sleep(rng.uniform(RESTART_DELAY_S, fault.for_s))
-            n_chars = len(self._read_keeper_log(host))
-            if not self._is_running(program):
-                self._deployment.start(*program)
-            self._lost_disk = _LostDisk(host, time.monotonic(), n_chars)
+            for number in range(rng.randint(1, MAX_LOSSES_IN_A_ROW)):
+                if number:
+                    await anyio.sleep(rng.uniform(*REJOINING_S))
+                await self._lose_disk_once(fault, host, rng.uniform(*DISK_DOWN_S))
+
+    async def _lose_disk_once(
+        self, fault: ScheduledFault, host: Host, down_s: float
+    ) -> None:
+        program = ("keeper", host)
+        self._record(fault, [self._get_addr(program)], down_s)
+        self._deployment.kill(*program)
+        self._deployment.wipe_disk(host)
+        await anyio.sleep(down_s)
+        n_chars = len(self._read_keeper_log(host))
+        if not self._is_running(program):
+            self._deployment.start(*program)
+        self._lost_disk = _LostDisk(host, time.monotonic(), n_chars)
 
     def _has_caught_up(self, lost: "_LostDisk") -> bool:
         has_voted = (
