--- a/src/cowslipwood/keeper/engines/_engine_record.py
+++ b/src/cowslipwood/keeper/engines/_engine_record.py
@@ -332,7 +332,7 @@
     def compute_late_mb(self) -> float:
         """Return the memory that a late order may take right after the next order."""
         late_mb = (
-            self._compute_part_mb(order.model, order.adapter)
+            self._compute_part_mb(order.model, bool(order.adapter))
             for order in self._list_late_loads()
         )
         return max(late_mb, default=0.0)
@@ -346,19 +346,19 @@
             and (order.adapter or order.model not in self.held)
         ]
 
-    def _compute_part_mb(self, model: str, adapter: str) -> float:
+    def _compute_part_mb(self, model: str, is_adapter: bool) -> float:
         """Return the memory of weights or of an adapter; all of it if unknown."""
         spec = self._specs.get(model)
         if spec is None:
             return self.spec.weights_mb
-        return spec.adapter_size_mb if adapter else spec.weights_mb
+        return spec.adapter_size_mb if is_adapter else spec.weights_mb
 
     def may_unload(self, model: str, adapter: str = "") -> bool:
         """Return whether a late order has enough memory after an unload."""
         if not self._list_late_loads():
             return True
         if adapter:
-            return self.free_mb + self._compute_part_mb(model, adapter) >= 0
+            return self.free_mb + self._compute_part_mb(model, is_adapter=True) >= 0
         return self.free_mb + self.compute_model_mb(model) >= 0
 
     def compute_used_mb(self) -> float:
@@ -374,7 +374,7 @@
 
     def has_adapter_slot(self, model: str) -> bool:
         """Return whether one more adapter of a model fits, by number and by memory."""
-        size_mb = self._compute_part_mb(model, adapter="any")
+        size_mb = self._compute_part_mb(model, is_adapter=True)
         has_late_load = any(order.adapter for order in self._list_late_loads())
         is_free = self.n_adapters + has_late_load < self.spec.max_adapters
         return is_free and self.free_mb >= size_mb
--- a/src/cowslipwood/replication/_membership.py
+++ b/src/cowslipwood/replication/_membership.py
@@ -115,17 +115,14 @@
     is_ready = current is not None and is_caught_up
     if old is not None and (learner.voter or _leaves_first(departure, old, is_ready)):
         return Success(_replace_member(members, old, learner))
-    match departure:
-        case None if current is None:
-            return Success((*members, learner._replace(place=Place.ADDED)))
-        case _ if current is None:
-            return Success((*members, learner))
-        case _ if current.voter:
-            return Success(None)
-        case _ if is_ready:
-            voter = current._replace(voter=True, place=Place.NONE)
-            return Success(_set_member(members, voter))
-    return Success(tuple(members))
+    if current is None:
+        place = Place.ADDED if departure is None else Place.NONE
+        return Success((*members, learner._replace(place=place)))
+    if current.voter:
+        return Success(None)
+    if not is_ready:
+        return Success(tuple(members))
+    return Success(_set_member(members, current._replace(voter=True, place=Place.NONE)))
 
 
 def _leaves_first(departure: Departure | None, old: Member, is_ready: bool) -> bool:
