--- a/tests/test_hosts_lost_again.py
+++ b/tests/test_hosts_lost_again.py
@@ -106,11 +106,16 @@
         )
         self.assert_recovered(keepers, version)
 
-    # Guards against two hosts whose further losses leave no quorum.
-    def test_two_of_five_lost_again_and_again(self):
-        """Two hosts of five, the leader's among them, are lost again and again."""
-        keepers = self.start_hosts(5, n_losses=2)
-        leader = keepers.find_leader()
-        other = next(host for host in keepers.hosts if host != leader)
-        version = self.lose_again_and_again(keepers, [leader, other], random.Random(2))
-        self.assert_recovered(keepers, version)
+    # Guards against two hosts whose further losses leave no quorum, with an odd number
+    # of voters and with an even one.
+    def test_two_hosts_lost_again_and_again(self):
+        """Two hosts of five or six, the leader's among them, are lost over and over."""
+        for n_hosts in (5, 6):
+            with self.subTest(n_hosts=n_hosts):
+                keepers = self.start_hosts(n_hosts, n_losses=2)
+                leader = keepers.find_leader()
+                other = next(host for host in keepers.hosts if host != leader)
+                version = self.lose_again_and_again(
+                    keepers, [leader, other], random.Random(2)
+                )
+                self.assert_recovered(keepers, version)
