Count learners that are to vote towards the largest number of voters

Since each step of a membership change is chosen anew, several keepers may join side by side. Each was added while the voters alone were fewer than nine, or fewer than needed, and all of them would have become voters.

Found by reading the diff. Shown failing: test_most_learners, in both cases.

--- a/src/cowslipwood/keeper/_membership.py
+++ b/src/cowslipwood/keeper/_membership.py
@@ -15,7 +15,6 @@
     Member,
     Place,
     Silent,
-    count_places,
 )
 
 __all__ = ["MAX_VOTERS", "MemberChange", "MembershipManager", "choose_member_change"]
@@ -161,7 +160,8 @@
     silent_ms : mapping of str to float
         Time since a follower's last answer to this leader, by identity.
     n_needed : int
-        Number of voters below which any announced keeper is added.
+        Number of voters below which any announced keeper is added. Learners that have
+        a place count, too, as they are to vote.
     caught_up_ids : collection of str
         Followers that have every committed entry. Other learners have to wait, so
         their changes go last.
@@ -185,7 +185,7 @@
             return change
         elif not member.voter:
             waiting = change
-    n_places = count_places(members)
+    n_places = sum(member.voter or member.place != Place.NONE for member in members)
     for announce in unplaced:
         if (announce.is_initial or n_places < n_needed) and n_places < MAX_VOTERS:
             return MemberChange(None, announce.replica_id, announce.addr)
--- a/src/cowslipwood/replication/__init__.py
+++ b/src/cowslipwood/replication/__init__.py
@@ -1,7 +1,7 @@
 """Replicated log of the keepers: leader election, replication and snapshots."""
 
 from ._errors import DataDamagedError, DataLockedError
-from ._membership import Answering, Departure, Gone, Silent, count_places
+from ._membership import Answering, Departure, Gone, Silent
 from ._messages import Identity, IdentityQuery, Member, Place
 from ._protocols import Replica, StateMachine
 from ._replica import LogReplica, ReplicaSettings
@@ -23,5 +23,4 @@
     "Silent",
     "StateMachine",
     "Timing",
-    "count_places",
 ]
--- a/tests/test_recruiting.py
+++ b/tests/test_recruiting.py
@@ -73,6 +73,22 @@
         found = choose_with_one_loss(members, announced, {"k3.a": 9_000.0})
         self.assertEqual(found.old_id, "k3.a")
 
+    # Guards against keepers that join together and become too many voters.
+    def test_most_learners(self):
+        """Learners that are to vote count towards the largest number and the needed one."""
+        for n_voters, n_most in ((MAX_VOTERS - 1, MAX_VOTERS), (4, 5)):
+            with self.subTest(n_voters=n_voters):
+                members = [
+                    Member(f"k{i}.a", f"10.0.0.{i}:1", True) for i in range(n_voters)
+                ]
+                learner = Member("k50.a", "10.0.0.50:1", False, Place.ADDED)
+                announced = [Announce("k90.a", "10.0.0.90:1", n_most == MAX_VOTERS)]
+                found = choose_member_change(members, announced, {}, n_most)
+                self.assertEqual(found, MemberChange(None, "k90.a", "10.0.0.90:1"))
+                members.append(learner)
+                found = choose_member_change(members, announced, {}, n_most)
+                self.assertIsNone(found)
+
     def test_longest_silent(self):
         """A new keeper replaces the member that has been silent for longest."""
         announced = [Announce("k9.a", "10.0.0.9:1")]
