--- a/tests/test_recruiting.py
+++ b/tests/test_recruiting.py
@@ -75,7 +75,7 @@
 
     # Guards against keepers that join together and become too many voters.
     def test_most_learners(self):
-        """Learners that are to vote count towards the largest number and the needed one."""
+        """Learners that are to vote count as voters do, for the most and the needed."""
         for n_voters, n_most in ((MAX_VOTERS - 1, MAX_VOTERS), (4, 5)):
             with self.subTest(n_voters=n_voters):
                 members = [
