Ask a keeper for its identity before another one is removed as gone

A keeper that is a member already was not asked, so an announcement that is older than the process at its address could remove that process's identity, if both were members. Found by reading the diff; no failure was seen.

--- a/src/cowslipwood/replication/_membership_change.py
+++ b/src/cowslipwood/replication/_membership_change.py
@@ -71,7 +71,8 @@
             Member to remove; None to remove none.
         new : Member
             Identity and address of the replica to add. It is asked whether the identity
-            is still its own before it becomes a member.
+            is still its own before it becomes a member, or another one is removed as
+            gone for it.
         now_ms : float
             The present time on the monotonic clock.
 
@@ -83,7 +84,8 @@
             MEMBER_CHANGE_BUSY, NOT_LEADER or NO_QUORUM.
         """
         member_ids = {member.replica_id for member in self._state.log.members}
-        if new.replica_id not in member_ids:
+        # An announcement may be older than the process that is at the address now.
+        if new.replica_id not in member_ids or isinstance(departure, Gone):
             identified = await self._identify(new)
             if isinstance(identified, Err):
                 return identified
